--- /dev/null
+++ b/include/pistachioloom/Routing.h
@@ -0,0 +1,72 @@
+//===- pistachioloom/Routing.h - choice of an engine -----------------------===//
+///
+/// \file
+/// Pure choice of the engine for a generation by its estimated time to first
+/// token. A bounded number of candidates is looked at whatever the size of the
+/// fleet: those that the prompt's prefix maps to, and a few at random.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Membership.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace pistachioloom {
+
+/// Hash of the first blocks of a prompt: block i's covers blocks 0 to i.
+std::vector<std::uint64_t> prefixBlocks(std::string_view prompt);
+
+/// Blocks that an engine is believed to have cached. Its events come late and
+/// with gaps, so a block is believed in only for a while.
+class PrefixIndex {
+public:
+    PrefixIndex(std::size_t capacity, milliseconds believedFor);
+    void remember(const std::vector<std::uint64_t>& blocks, SteadyTime now);
+    void forget(std::uint64_t block);
+    void clear();
+    /// Leading blocks of \p blocks that are believed to be cached.
+    std::size_t cachedBlocks(const std::vector<std::uint64_t>& blocks, SteadyTime now) const;
+    std::size_t size() const { return seen_.size(); }
+
+private:
+    std::size_t capacity_;
+    milliseconds believedFor_;
+    std::unordered_map<std::uint64_t, SteadyTime> seen_;
+    std::deque<std::uint64_t> order_;
+};
+
+/// One engine as the entry knows it.
+struct EngineCandidate {
+    VmId engine_;
+    VmId home_;
+    ModelLoad load_;
+    /// Requests we sent there since the load was reported.
+    std::uint32_t sentSince_ = 0;
+    /// Rank of the engine for the prompt's prefix: 0 is its favourite.
+    std::size_t prefixRank_ = 0;
+    bool isLocal_ = true;
+    milliseconds network_ {};
+    std::uint64_t pricePerHour_ = 0;
+    /// Set by chooseEngine().
+    milliseconds estimate_ {};
+};
+
+/// What an estimate rests on.
+struct RoutingCost {
+    /// Time to prefill the whole prompt on an engine that has none of it.
+    milliseconds prefill_ {};
+    /// Time until a slot of a full engine becomes free.
+    milliseconds serviceTime_ { 500 };
+    milliseconds latencyTarget_ { 720 };
+};
+
+/// Fills in the estimates and ranks \p candidates: the estimated time to first
+/// token first; inside the target the cheaper one.
+std::vector<EngineCandidate> rankEngines(std::vector<EngineCandidate> candidates, const RoutingCost& cost);
+
+/// Picks the engines worth an estimate: the \p favourites best of the prefix
+/// by rendezvous hashing, and \p others at random from \p draws.
+std::vector<VmId> sampleEngines(std::uint64_t prefix, const std::vector<VmId>& engines, std::size_t favourites, std::size_t others, const std::function<std::uint64_t()>& draws);
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Catalogue/Entry.cpp
@@ -0,0 +1,104 @@
+//===- lib/Catalogue/Entry.cpp - parsing of catalogue entries --------------===//
+///
+/// \file
+/// The one parser of entries, used by the tool before it sends an edit and by
+/// every node that reads one.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Catalogue.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr std::uint64_t mostRequests = 1000000;
+    constexpr std::uint64_t mostTokensPerSecond = 100000000;
+    constexpr std::uint64_t mostWeight = 1000;
+    constexpr std::uint64_t mostPriority = 9;
+    constexpr std::uint64_t mostConcurrency = 4096;
+    constexpr std::size_t longestName = 64;
+    constexpr std::size_t hashLength = 64;
+    constexpr milliseconds leastDeadline { 10 };
+    constexpr milliseconds mostDeadline { 24LL * 3600 * 1000 };
+    constexpr milliseconds defaultDeadline { 600000 };
+    constexpr milliseconds defaultLatencyTarget { 720 };
+
+    bool isName(const std::string& text)
+    {
+        constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+        return !text.empty() && text.size() <= longestName && text.find_first_not_of(allowed) == std::string::npos;
+    }
+
+    EntryLimits parseLimits(YamlMap map)
+    {
+        EntryLimits limits;
+        limits.requestsInProgress_ = map.integer("requests_in_progress", 1, mostRequests);
+        limits.tokensPerSecond_ = map.integer("tokens_per_second", 1, mostTokensPerSecond, mostTokensPerSecond);
+        limits.burst_ = map.integer("burst", 1, mostTokensPerSecond, limits.tokensPerSecond_);
+        limits.queueBound_ = map.integer("queue_bound", 0, mostRequests, 0);
+        limits.deadline_ = map.duration("deadline", leastDeadline, mostDeadline, defaultDeadline);
+        limits.latencyTarget_ = map.duration("latency_target", milliseconds(1), mostDeadline, defaultLatencyTarget);
+        map.finish();
+        return limits;
+    }
+
+    Workload parseWorkload(YamlMap& map)
+    {
+        Workload workload;
+        workload.owner_ = { map.text("owner") };
+        workload.class_ = static_cast<ServiceClass>(map.choice("class", { "paid", "trial" }));
+        workload.apiKeyHash_ = map.text("api_key_sha256");
+        if (workload.apiKeyHash_.size() != hashLength || workload.apiKeyHash_.find_first_not_of("0123456789abcdef") != std::string::npos)
+            map.fail("api_key_sha256", "expected 64 lower-case hexadecimal digits");
+        workload.models_ = map.list("models");
+        workload.services_ = map.list("services");
+        if (workload.models_.empty() && workload.services_.empty())
+            map.fail("models", "expected at least one model or service");
+        if (auto limits = map.map("limits", true))
+            workload.limits_ = parseLimits(std::move(*limits));
+        workload.weight_ = map.integer("weight", 1, mostWeight, 1);
+        workload.priority_ = map.integer("priority", 0, mostPriority, 0);
+        return workload;
+    }
+
+    Backend parseBackend(YamlMap& map, Backend::Kind kind)
+    {
+        Backend backend;
+        backend.kind_ = kind;
+        backend.concurrency_ = map.integer("concurrency", 1, mostConcurrency);
+        if (kind == Backend::Kind::Service)
+            backend.isRepeatable_ = map.flag("repeatable");
+        else
+            backend.honoursFencing_ = map.flag("honours_fencing", false);
+        return backend;
+    }
+
+} // namespace
+
+std::string_view toString(ServiceClass serviceClass)
+{
+    return serviceClass == ServiceClass::Paid ? "paid" : "trial";
+}
+
+std::optional<CatalogueEntry> parseEntry(const std::string& text, const std::string& file, InputErrors& errors)
+{
+    std::size_t before = errors.size();
+    auto map = YamlMap::parse(text, file, errors);
+    if (!map)
+        return std::nullopt;
+    CatalogueEntry entry;
+    entry.text_ = text;
+    entry.name_ = { map->text("name") };
+    if (!isName(entry.name_.value_))
+        map->fail("name", "expected 1 to 64 letters, digits, '-', '_' or '.'");
+    std::size_t kind = map->choice("kind", { "workload", "engine", "service" });
+    if (!kind)
+        entry.workload_ = parseWorkload(*map);
+    else
+        entry.backend_ = parseBackend(*map, kind == 1 ? Backend::Kind::ModelEngine : Backend::Kind::Service);
+    map->finish();
+    if (errors.size() != before)
+        return std::nullopt;
+    return entry;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Json/Json.cpp
@@ -0,0 +1,62 @@
+//===- lib/Json/Json.cpp - reading fields of JSON objects ------------------===//
+///
+/// \file
+/// See Json.h.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Json.h"
+
+namespace pistachioloom {
+
+namespace json = boost::json;
+
+std::optional<json::object> parseJsonObject(const std::string& text)
+{
+    json::error_code code;
+    json::value value = json::parse(text, code);
+    if (code || !value.is_object())
+        return std::nullopt;
+    return value.as_object();
+}
+
+std::string textField(const json::object& object, const char* key)
+{
+    const json::value* value = object.if_contains(key);
+    return value && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+std::uint64_t numberField(const json::object& object, const char* key)
+{
+    const json::value* value = object.if_contains(key);
+    if (!value || !value->is_number())
+        return 0;
+    json::error_code code;
+    auto number = value->to_number<std::uint64_t>(code);
+    return code ? 0 : number;
+}
+
+bool flagField(const json::object& object, const char* key)
+{
+    const json::value* value = object.if_contains(key);
+    return value && value->is_bool() && value->as_bool();
+}
+
+const json::array* arrayField(const json::object& object, const char* key)
+{
+    const json::value* value = object.if_contains(key);
+    return value && value->is_array() ? &value->as_array() : nullptr;
+}
+
+std::vector<json::object> objectsField(const json::object& object, const char* key)
+{
+    std::vector<json::object> objects;
+    const json::array* array = arrayField(object, key);
+    if (!array)
+        return objects;
+    for (const json::value& item : *array) {
+        if (item.is_object())
+            objects.push_back(item.as_object());
+    }
+    return objects;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Ledger/RunOnceCall.cpp
@@ -0,0 +1,136 @@
+//===- lib/Ledger/RunOnceCall.cpp - one call at its keeper -----------------===//
+///
+/// \file
+/// The steps of a call that runs at most once.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Ledger.h"
+
+#include <cassert>
+
+namespace pistachioloom {
+
+std::string_view toString(RunOnceCall::Answer answer)
+{
+    switch (answer) {
+    case RunOnceCall::Answer::None:
+        return "none";
+    case RunOnceCall::Answer::Executed:
+        return "executed";
+    case RunOnceCall::Answer::Replayed:
+        return "replayed";
+    case RunOnceCall::Answer::StartedElsewhere:
+        return "started_elsewhere";
+    case RunOnceCall::Answer::KeyReused:
+        return "key_reused";
+    case RunOnceCall::Answer::NotRun:
+        return "not_run";
+    case RunOnceCall::Answer::OutcomeUnknown:
+        return "outcome_unknown";
+    }
+    return "none";
+}
+
+RunOnceCall::RunOnceCall(CallKey key, AttemptId attempt, std::string bodyHash)
+    : key_(std::move(key))
+    , attempt_(std::move(attempt))
+    , bodyHash_(std::move(bodyHash))
+{
+}
+
+LedgerItem RunOnceCall::item() const
+{
+    LedgerItem::Type type = LedgerItem::Type::Intent;
+    if (step_ == Step::AppendOutcome)
+        type = LedgerItem::Type::Outcome;
+    if (step_ == Step::AppendRelease)
+        type = LedgerItem::Type::Release;
+    return { type, key_, attempt_, bodyHash_, outcome_ };
+}
+
+void RunOnceCall::intentAppended(LogOffset offset)
+{
+    assert(step_ == Step::AppendIntent && "an intent is appended once");
+    intentOffset_ = offset;
+    step_ = Step::ReadLog;
+}
+
+void RunOnceCall::giveUp(Error error)
+{
+    failure_ = std::move(error);
+    failure_.ran_ = Ran::No;
+    answer_ = Answer::NotRun;
+    step_ = Step::AppendRelease;
+}
+
+void RunOnceCall::intentFailed(Error error)
+{
+    assert(step_ == Step::AppendIntent && "only an intent can fail here");
+    giveUp(std::move(error));
+}
+
+void RunOnceCall::logReadFailed(Error error)
+{
+    assert(step_ == Step::ReadLog && "only a read can fail here");
+    giveUp(std::move(error));
+}
+
+void RunOnceCall::logRead(const LedgerShard& shard)
+{
+    assert(step_ == Step::ReadLog && "the log is read after the intent");
+    assert(shard.nextOffset() > intentOffset_ && "the shard must cover the intent");
+    step_ = Step::Done;
+    const CallState* state = shard.find(key_);
+    if (!state) {
+        // The intent itself was trimmed before it was read.
+        giveUp({ Errc::Unavailable, "read ledger", {}, "the log no longer keeps the intent", Ran::No, {} });
+        return;
+    }
+    if (state->holder_ == attempt_) {
+        step_ = Step::Dispatch;
+        return;
+    }
+    if (state->bodyHash_ != bodyHash_) {
+        answer_ = Answer::KeyReused;
+        return;
+    }
+    if (!state->outcome_) {
+        answer_ = Answer::StartedElsewhere;
+        return;
+    }
+    outcome_ = *state->outcome_;
+    answer_ = Answer::Replayed;
+}
+
+void RunOnceCall::dispatchTooLate()
+{
+    assert(step_ == Step::Dispatch && "only a call about to run can be too late");
+    giveUp({ Errc::Timeout, "dispatch", {}, "too long between intent and dispatch", Ran::No, {} });
+}
+
+void RunOnceCall::dispatched(CallOutcome outcome)
+{
+    assert(step_ == Step::Dispatch && "a call is dispatched once");
+    outcome_ = std::move(outcome);
+    answer_ = Answer::Executed;
+    step_ = Step::AppendOutcome;
+}
+
+void RunOnceCall::dispatchFailed(Error error)
+{
+    assert(step_ == Step::Dispatch && "only a dispatch can fail here");
+    if (error.ran_ == Ran::No) {
+        giveUp(std::move(error));
+        return;
+    }
+    failure_ = std::move(error);
+    answer_ = Answer::OutcomeUnknown;
+    step_ = Step::Done;
+}
+
+void RunOnceCall::recordWritten()
+{
+    assert((step_ == Step::AppendOutcome || step_ == Step::AppendRelease) && "only a closing record ends a call");
+    step_ = Step::Done;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Membership/Gossip.cpp
@@ -0,0 +1,175 @@
+//===- lib/Membership/Gossip.cpp - heartbeats spread by gossip -------------===//
+///
+/// \file
+/// Merging of digests, suspicion, and the picture put together from all
+/// sources.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Membership.h"
+
+#include <algorithm>
+
+namespace pistachioloom {
+
+namespace {
+
+    // Silent nodes are told of no more after this many suspicion times, and
+    // forgotten after twice as many.
+    constexpr int quietAfter = 2;
+    constexpr int forgetAfter = 20;
+
+} // namespace
+
+bool NodeDigest::isNewerThan(const NodeDigest& other) const
+{
+    return std::pair(incarnation_, heartbeat_) > std::pair(other.incarnation_, other.heartbeat_);
+}
+
+GossipTable::GossipTable(VmId self, std::uint64_t incarnation, milliseconds suspectAfter)
+    : suspectAfter_(suspectAfter)
+{
+    self_.node_ = std::move(self);
+    self_.incarnation_ = incarnation;
+}
+
+bool GossipTable::merge(const std::vector<NodeDigest>& digests, SteadyTime now)
+{
+    bool isNews = false;
+    for (const NodeDigest& digest : digests) {
+        if (digest.node_ == self_.node_)
+            continue;
+        auto found = heard_.find(digest.node_);
+        if (found != heard_.end() && !digest.isNewerThan(found->second.digest_))
+            continue;
+        heard_[digest.node_] = { digest, now };
+        isNews = true;
+    }
+    return isNews;
+}
+
+void GossipTable::expect(const std::vector<VmId>& nodes, SteadyTime now)
+{
+    for (const VmId& node : nodes) {
+        if (node == self_.node_ || heard_.contains(node))
+            continue;
+        NodeDigest unheard;
+        unheard.node_ = node;
+        heard_[node] = { unheard, now };
+    }
+}
+
+std::vector<NodeDigest> GossipTable::digests(SteadyTime now) const
+{
+    std::vector<NodeDigest> known { self_ };
+    for (const auto& [node, heard] : heard_) {
+        bool wasHeard = heard.digest_.incarnation_;
+        if (wasHeard && now - heard.at_ < suspectAfter_ * quietAfter)
+            known.push_back(heard.digest_);
+    }
+    return known;
+}
+
+std::vector<NodeDigest> GossipTable::live(SteadyTime now) const
+{
+    std::vector<NodeDigest> known;
+    for (const auto& [node, heard] : heard_) {
+        bool wasHeard = heard.digest_.incarnation_;
+        if (wasHeard && now - heard.at_ < suspectAfter_)
+            known.push_back(heard.digest_);
+    }
+    return known;
+}
+
+bool GossipTable::isSuspected(const VmId& node, SteadyTime now) const
+{
+    auto found = heard_.find(node);
+    return found != heard_.end() && now - found->second.at_ >= suspectAfter_;
+}
+
+void GossipTable::forgetOld(SteadyTime now)
+{
+    std::erase_if(heard_, [&](const auto& item) { return now - item.second.at_ > suspectAfter_ * forgetAfter; });
+}
+
+const Vm* MembershipView::find(const VmId& vm) const
+{
+    auto found = index_->vms_.find(vm);
+    return found == index_->vms_.end() ? nullptr : &found->second;
+}
+
+std::vector<VmId> MembershipView::serversOf(std::string_view name, const DataCentreId& dataCentre) const
+{
+    std::vector<VmId> servers;
+    auto found = index_->byServed_.find(name);
+    if (found == index_->byServed_.end())
+        return servers;
+    for (const VmId& id : found->second) {
+        if (isLeaving(id) || (!dataCentre.isEmpty() && find(id)->dataCentre_ != dataCentre))
+            continue;
+        servers.push_back(id);
+    }
+    return servers;
+}
+
+std::vector<VmId> MembershipView::nodesOf(const DataCentreId& dataCentre) const
+{
+    if (dataCentre == dataCentre_)
+        return localNodes_;
+    std::vector<VmId> nodes;
+    auto found = index_->entryVms_.find(dataCentre);
+    if (found == index_->entryVms_.end())
+        return nodes;
+    for (const VmId& id : found->second) {
+        if (!isLeaving(id))
+            nodes.push_back(id);
+    }
+    return nodes;
+}
+
+std::vector<VmId> MembershipView::allNodes() const
+{
+    std::vector<VmId> nodes = localNodes_;
+    for (const auto& [dataCentre, vms] : index_->entryVms_) {
+        if (dataCentre == dataCentre_)
+            continue;
+        for (const VmId& id : vms) {
+            if (!isLeaving(id))
+                nodes.push_back(id);
+        }
+    }
+    return nodes;
+}
+
+MembershipView buildView(std::shared_ptr<const VmIndex> index, const GossipTable& gossip, const LeavingTable& leaving, const DataCentreId& own, SteadyTime now)
+{
+    MembershipView view;
+    view.index_ = std::move(index);
+    view.dataCentre_ = own;
+    const NodeDigest& self = gossip.self();
+    for (NodeDigest& digest : gossip.live(now)) {
+        if (digest.isLeaving_)
+            view.leaving_.insert(digest.node_);
+        view.digests_[digest.node_] = std::move(digest);
+    }
+    view.digests_[self.node_] = self;
+    for (const auto& [id, vm] : view.index_->vms_) {
+        if (vm.state_ == Vm::State::Leaving)
+            view.leaving_.insert(id);
+    }
+    for (const auto& [id, marked] : leaving.all())
+        view.leaving_.insert(id);
+    if (self.isLeaving_)
+        view.leaving_.insert(self.node_);
+    else
+        view.localNodes_.push_back(self.node_);
+    auto local = view.index_->entryVms_.find(own);
+    if (local != view.index_->entryVms_.end()) {
+        for (const VmId& id : local->second) {
+            if (id != self.node_ && !view.isLeaving(id) && !gossip.isSuspected(id, now))
+                view.localNodes_.push_back(id);
+        }
+    }
+    std::sort(view.localNodes_.begin(), view.localNodes_.end());
+    return view;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Membership/VmList.cpp
@@ -0,0 +1,117 @@
+//===- lib/Membership/VmList.cpp - the platform's VM list ------------------===//
+///
+/// \file
+/// Reading of the list, and VMs known to be leaving.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Membership.h"
+
+#include "pistachioloom/Json.h"
+#include <algorithm>
+
+namespace pistachioloom {
+
+namespace json = boost::json;
+
+namespace {
+
+    std::optional<Vm::Kind> kindFrom(const std::string& name)
+    {
+        if (name == "entry")
+            return Vm::Kind::Entry;
+        if (name == "engine")
+            return Vm::Kind::ModelEngine;
+        if (name == "service")
+            return Vm::Kind::Service;
+        return std::nullopt;
+    }
+
+    std::optional<Vm> parseVm(const json::object& object)
+    {
+        auto kind = kindFrom(textField(object, "kind"));
+        Vm vm;
+        vm.id_ = { textField(object, "id") };
+        if (!kind || vm.id_.isEmpty())
+            return std::nullopt;
+        vm.kind_ = *kind;
+        vm.state_ = textField(object, "state") == "leaving" ? Vm::State::Leaving : Vm::State::Live;
+        vm.dataCentre_ = { textField(object, "data_centre") };
+        vm.host_ = textField(object, "host");
+        vm.port_ = static_cast<std::uint16_t>(numberField(object, "port"));
+        vm.operatorPort_ = static_cast<std::uint16_t>(numberField(object, "operator_port"));
+        vm.callerPort_ = static_cast<std::uint16_t>(numberField(object, "caller_port"));
+        vm.isReclaimable_ = textField(object, "price_class") == "reclaimable";
+        vm.pricePerHour_ = numberField(object, "price_per_hour");
+        if (const json::array* serves = arrayField(object, "serves")) {
+            for (const json::value& name : *serves) {
+                if (name.is_string())
+                    vm.serves_.emplace_back(name.as_string());
+            }
+        }
+        return vm;
+    }
+
+} // namespace
+
+bool Vm::doesServe(std::string_view name) const
+{
+    return std::find(serves_.begin(), serves_.end(), name) != serves_.end();
+}
+
+std::optional<VmList> parseVmList(const std::string& text)
+{
+    auto object = parseJsonObject(text);
+    if (!object || !arrayField(*object, "vms"))
+        return std::nullopt;
+    VmList list;
+    list.version_ = numberField(*object, "version");
+    for (const json::object& item : objectsField(*object, "vms")) {
+        if (auto vm = parseVm(item))
+            list.vms_.push_back(std::move(*vm));
+    }
+    return list;
+}
+
+std::shared_ptr<const VmIndex> indexVmList(const VmList& list)
+{
+    auto index = std::make_shared<VmIndex>();
+    index->version_ = list.version_;
+    for (const Vm& vm : list.vms_) {
+        index->vms_[vm.id_] = vm;
+        if (vm.kind_ == Vm::Kind::Entry)
+            index->entryVms_[vm.dataCentre_].push_back(vm.id_);
+        for (const std::string& name : vm.serves_)
+            index->byServed_[name].push_back(vm.id_);
+    }
+    return index;
+}
+
+bool LeavingTable::markLeaving(const VmId& vm, std::optional<SteadyTime> stopsAt, SteadyTime now)
+{
+    auto [position, isNew] = leaving_.emplace(vm, Leaving { stopsAt, now });
+    if (isNew)
+        return true;
+    auto& known = position->second.stopsAt_;
+    if (!stopsAt || known)
+        return false;
+    known = stopsAt;
+    return true;
+}
+
+std::optional<SteadyTime> LeavingTable::stopsAt(const VmId& vm) const
+{
+    auto found = leaving_.find(vm);
+    return found == leaving_.end() ? std::nullopt : found->second.stopsAt_;
+}
+
+std::optional<SteadyTime> LeavingTable::markedAt(const VmId& vm) const
+{
+    auto found = leaving_.find(vm);
+    return found == leaving_.end() ? std::nullopt : std::optional(found->second.markedAt_);
+}
+
+void LeavingTable::forgetOld(milliseconds kept, SteadyTime now)
+{
+    std::erase_if(leaving_, [&](const auto& item) { return now - item.second.markedAt_ > kept; });
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/BackendHome.cpp
@@ -0,0 +1,310 @@
+//===- lib/Node/BackendHome.cpp - dispatching to backend servers -----------===//
+///
+/// \file
+/// Generations and service calls at the home of their backend server.
+//===----------------------------------------------------------------------===//
+#include "BackendHome.h"
+
+#include "generated/Peer.pb.h"
+#include <boost/asio.hpp>
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr std::uint64_t bytesPerToken = 4;
+    constexpr std::uint64_t defaultConcurrency = 8;
+    constexpr int statusUnavailable = 503;
+
+    SteadyTime now()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    EngineRequest makeEngineRequest(const wire::GenerateRequest& request)
+    {
+        const wire::GenerationRecord& record = request.record();
+        EngineRequest engineRequest;
+        engineRequest.requestId_ = record.request_id();
+        engineRequest.attempt_ = record.attempt();
+        engineRequest.prompt_ = record.prompt();
+        engineRequest.maxTokens_ = record.max_tokens();
+        engineRequest.priority_ = static_cast<std::uint64_t>(record.priority());
+        engineRequest.isAttach_ = request.attach();
+        engineRequest.kvHandle_ = request.kv_handle();
+        for (const wire::Token& token : record.tokens())
+            engineRequest.prefix_.push_back(token.text());
+        return engineRequest;
+    }
+
+    wire::Frame failureFrame(const Error& error)
+    {
+        wire::Frame frame;
+        *frame.mutable_failure() = toWire(error);
+        return frame;
+    }
+
+} // namespace
+
+std::uint64_t promptTokens(std::string_view prompt)
+{
+    return 1 + prompt.size() / bytesPerToken;
+}
+
+BackendHome::BackendHome(NodeContext& context, ControlPlane& control)
+    : context_(context)
+    , control_(control)
+    , logger_("home")
+    , slots_([this](const VmId& engine) { preemptTrial(engine); })
+{
+}
+
+std::uint64_t BackendHome::concurrencyOf(std::string_view backend) const
+{
+    auto entry = context_.catalogue()->findEntry({ std::string(backend) });
+    return entry && entry->backend_ ? entry->backend_->concurrency_ : defaultConcurrency;
+}
+
+bool BackendHome::isHomeOf(const VmId& server) const
+{
+    return pickByRendezvous(server.value_, context_.membership()->localNodes_) == context_.self();
+}
+
+asio::awaitable<Result<Slot>> BackendHome::acquireEngine(const wire::GenerateRequest& request)
+{
+    const wire::GenerationRecord& record = request.record();
+    SlotRequest slot;
+    slot.server_ = { request.engine() };
+    slot.capacity_ = concurrencyOf(record.model());
+    slot.entry_ = { record.entry() };
+    slot.class_ = record.is_paid() ? ServiceClass::Paid : ServiceClass::Trial;
+    slot.weight_ = record.weight();
+    slot.cost_ = promptTokens(record.prompt()) + record.max_tokens();
+    slot.mayQueue_ = request.may_queue();
+    slot.queueBound_ = record.queue_bound();
+    slot.patience_ = milliseconds(record.deadline_ms());
+    co_return co_await slots_.acquire(std::move(slot));
+}
+
+asio::awaitable<void> BackendHome::serveGeneration(std::shared_ptr<PeerStream> owner, const wire::GenerateRequest& request)
+{
+    const wire::GenerationRecord& record = request.record();
+    SpanScope scope(context_.tracer_, parseTraceparent(request.traceparent()), "home", record.request_id());
+    scope.span().attempt_ = record.attempt();
+    scope.span().peer_ = request.engine();
+    VmId engine { request.engine() };
+    auto endpoint = context_.backendEndpoint(engine);
+    if (!endpoint) {
+        co_await owner->send(failureFrame(unavailable("find engine", engine.value_, "not in the VM list")));
+        co_return;
+    }
+    SteadyTime asked = now();
+    auto slot = co_await acquireEngine(request);
+    scope.span().queued_ = std::chrono::duration_cast<milliseconds>(now() - asked);
+    if (!slot) {
+        scope.span().outcome_ = describe(slot.error());
+        co_await owner->send(failureFrame(slot.error()));
+        co_return;
+    }
+    // Asked after the wait, so that what queued for a leaving engine goes on elsewhere.
+    if (context_.membership()->isLeaving(engine)) {
+        Error leaving { Errc::Leaving, "dispatch", engine.value_, "the engine is leaving", Ran::No, {} };
+        co_await owner->send(failureFrame(leaving));
+        co_return;
+    }
+    EngineRequest engineRequest = makeEngineRequest(request);
+    if (!engineRequest.kvHandle_.empty()) {
+        auto imported = co_await context_.engines_.importCache_(*endpoint, engineRequest.kvHandle_);
+        if (!imported) {
+            logger_.warn("Cache import failed: " + describe(imported.error()) + ".");
+            engineRequest.kvHandle_.clear();
+        }
+    }
+    auto opened = co_await context_.engines_.generate_(*endpoint, std::move(engineRequest));
+    if (!opened) {
+        if (opened.error().code_ == Errc::Leaving)
+            control_.markLeaving({ { engine, std::nullopt } });
+        scope.span().outcome_ = describe(opened.error());
+        co_await owner->send(failureFrame(opened.error()));
+        co_return;
+    }
+    auto running = std::make_shared<Running>();
+    running->requestId_ = record.request_id();
+    running->engine_ = engine;
+    running->class_ = record.is_paid() ? ServiceClass::Paid : ServiceClass::Trial;
+    running->promptTokens_ = promptTokens(record.prompt());
+    running->maxTokens_ = record.max_tokens();
+    running->generated_ = static_cast<std::uint64_t>(record.tokens_size());
+    running->close_ = opened.value().close_;
+    running->began_ = now();
+    {
+        std::lock_guard lock(mutex_);
+        running_.push_back(running);
+    }
+    wire::Frame started;
+    started.mutable_started()->set_engine(engine.value_);
+    started.mutable_started()->set_attempt(record.attempt());
+    started.mutable_started()->set_queue_ms(static_cast<std::uint64_t>(scope.span().queued_.count()));
+    co_await owner->send(started);
+    co_await forward(owner, request, std::move(opened.value()), running);
+    std::lock_guard lock(mutex_);
+    std::erase(running_, running);
+}
+
+asio::awaitable<void> BackendHome::forward(std::shared_ptr<PeerStream> owner, const wire::GenerateRequest& request, EngineStream stream, RunningPtr running)
+{
+    const wire::GenerationRecord& record = request.record();
+    wire::Frame last;
+    wire::AttemptEnd& end = *last.mutable_end();
+    end.set_request_id(record.request_id());
+    end.set_attempt(record.attempt());
+    for (;;) {
+        auto event = co_await stream.next_();
+        if (!event) {
+            if (running->ending_ != Ending::None)
+                describeEnding(*running, end);
+            else
+                *end.mutable_failure() = toWire(event.error());
+            break;
+        }
+        if (event.value().type_ != EngineEvent::Type::Token) {
+            end.set_computed_tokens(event.value().recomputed_);
+            end.set_is_complete(event.value().type_ == EngineEvent::Type::Done);
+            end.set_is_interrupted(event.value().type_ == EngineEvent::Type::Interrupted);
+            if (event.value().type_ == EngineEvent::Type::Exported) {
+                end.set_is_interrupted(true);
+                end.set_kv_handle(event.value().text_);
+            }
+            if (event.value().type_ == EngineEvent::Type::Superseded)
+                *end.mutable_failure() = toWire({ Errc::Conflict, "read engine stream", running->engine_.value_, "a newer attempt took the stream", Ran::Unknown, {} });
+            break;
+        }
+        running->generated_ = event.value().position_ + 1;
+        wire::Frame chunk;
+        chunk.mutable_tokens()->set_request_id(record.request_id());
+        chunk.mutable_tokens()->set_attempt(record.attempt());
+        wire::Token& token = *chunk.mutable_tokens()->add_tokens();
+        token.set_position(event.value().position_);
+        token.set_text(std::move(event.value().text_));
+        auto sent = co_await owner->send(chunk);
+        if (sent)
+            continue;
+        stream.close_();
+        // An owner that died is followed by another, who attaches; one that
+        // cancelled wants the engine's work to stop.
+        if (sent.error().code_ == Errc::Cancelled)
+            co_await cancelAtEngine(running->engine_, record.request_id());
+        co_return;
+    }
+    stream.close_();
+    bool isGivenUp = running->ending_ == Ending::Recompute || running->ending_ == Ending::Preempted;
+    if (isGivenUp)
+        co_await cancelAtEngine(running->engine_, record.request_id());
+    co_await owner->send(last);
+}
+
+asio::awaitable<void> BackendHome::cancelAtEngine(VmId engine, std::string requestId)
+{
+    auto endpoint = context_.backendEndpoint(engine);
+    if (!endpoint)
+        co_return;
+    auto cancelled = co_await context_.engines_.cancel_(*endpoint, std::move(requestId));
+    if (!cancelled)
+        logger_.debug("Cancel failed: " + describe(cancelled.error()) + ".");
+}
+
+void BackendHome::describeEnding(const Running& running, wire::AttemptEnd& end)
+{
+    end.set_is_interrupted(true);
+    if (running.ending_ != Ending::PassOn)
+        return;
+    end.set_is_attachable(true);
+    end.set_target_engine(running.engine_.value_);
+}
+
+asio::awaitable<wire::Frame> BackendHome::callService(const wire::ServiceCall& call)
+{
+    SpanScope scope(context_.tracer_, parseTraceparent(call.traceparent()), "service home", call.request_id());
+    scope.span().peer_ = call.backend();
+    context_.metrics_.add(Counter::ServiceCalls);
+    VmId backend { call.backend() };
+    auto endpoint = context_.backendEndpoint(backend);
+    if (!endpoint)
+        co_return failureFrame(unavailable("find service", backend.value_, "not in the VM list"));
+    SlotRequest slotRequest;
+    slotRequest.server_ = backend;
+    slotRequest.capacity_ = concurrencyOf(call.service());
+    slotRequest.entry_ = { call.entry() };
+    slotRequest.mayQueue_ = true;
+    slotRequest.queueBound_ = slotRequest.capacity_ * 4;
+    slotRequest.patience_ = milliseconds(call.deadline_ms());
+    auto slot = co_await slots_.acquire(std::move(slotRequest));
+    if (!slot)
+        co_return failureFrame(slot.error());
+    if (context_.membership()->isLeaving(backend))
+        co_return failureFrame({ Errc::Leaving, "dispatch", backend.value_, "the backend server is leaving", Ran::No, {} });
+    HttpRequest request { call.method(), call.path(), {}, call.body() };
+    request.headers_["content-type"] = call.content_type();
+    request.headers_["traceparent"] = scope.context().toHeader();
+    if (!call.idempotency_key().empty())
+        request.headers_["idempotency-key"] = call.idempotency_key();
+    auto response = co_await callHttp(*endpoint, std::move(request), milliseconds(call.deadline_ms()));
+    if (!response) {
+        scope.span().outcome_ = describe(response.error());
+        co_return failureFrame(response.error());
+    }
+    bool isRefused = response.value().status_ == statusUnavailable && response.value().headers_.contains("x-leaving");
+    if (isRefused) {
+        control_.markLeaving({ { backend, std::nullopt } });
+        co_return failureFrame({ Errc::Leaving, "dispatch", backend.value_, "the backend server refused: it is leaving", Ran::No, {} });
+    }
+    wire::Frame frame;
+    wire::ServiceAnswer& answer = *frame.mutable_answer();
+    answer.set_status(static_cast<std::uint32_t>(response.value().status_));
+    answer.set_content_type(response.value().headers_["content-type"]);
+    answer.set_body(std::move(response.value().body_));
+    answer.set_backend(backend.value_);
+    co_return frame;
+}
+
+std::map<std::string, ModelLoad> BackendHome::loads() const
+{
+    std::map<std::string, ModelLoad> loads;
+    auto view = context_.membership();
+    for (const auto& [name, servers] : view->index_->byServed_) {
+        std::uint64_t capacity = concurrencyOf(name);
+        for (const VmId& server : view->serversOf(name, context_.settings_.dataCentre_)) {
+            if (view->find(server)->kind_ != Vm::Kind::ModelEngine || !isHomeOf(server))
+                continue;
+            ModelLoad load = slots_.load(server, capacity);
+            auto [position, isFirst] = loads.emplace(name, load);
+            if (isFirst)
+                continue;
+            position->second.freeSlots_ += load.freeSlots_;
+            position->second.queued_ += load.queued_;
+            position->second.wait_ = std::min(position->second.wait_, load.wait_);
+        }
+    }
+    return loads;
+}
+
+std::vector<BackendHome::EngineLoad> BackendHome::engineLoads() const
+{
+    std::vector<EngineLoad> loads;
+    auto view = context_.membership();
+    for (const auto& [name, servers] : view->index_->byServed_) {
+        for (const VmId& server : view->serversOf(name, context_.settings_.dataCentre_)) {
+            if (isHomeOf(server))
+                loads.push_back({ server, slots_.active(server), slots_.load(server, concurrencyOf(name)) });
+        }
+    }
+    return loads;
+}
+
+std::size_t BackendHome::running() const
+{
+    std::lock_guard lock(mutex_);
+    return running_.size();
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/BackendHome.h
@@ -0,0 +1,97 @@
+//===- lib/Node/BackendHome.h - the home of backend servers ----------------===//
+///
+/// \file
+/// A node is the home of the backend servers that rendezvous hashing gives it.
+/// It alone dispatches to them, so their concurrency is exact, and it enforces
+/// their leaving. Two nodes that both believe to be a server's home may admit
+/// too much between them; the server's own queue then takes the difference.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "ControlPlane.h"
+#include "SlotTable.h"
+#include "pistachioloom/Reclaim.h"
+
+namespace pistachioloom::wire {
+class GenerateRequest;
+class ServiceCall;
+class AttemptEnd;
+}
+
+namespace pistachioloom {
+
+class BackendHome {
+public:
+    BackendHome(NodeContext& context, ControlPlane& control);
+
+    void start();
+
+    /// Runs one attempt of a generation and streams it to its owner.
+    asio::awaitable<void> serveGeneration(std::shared_ptr<PeerStream> owner, const wire::GenerateRequest& request);
+    /// Dispatches one call to a plain service.
+    asio::awaitable<wire::Frame> callService(const wire::ServiceCall& call);
+
+    /// Load per model of the engines that are ours.
+    std::map<std::string, ModelLoad> loads() const;
+    /// Generations running through this home.
+    std::size_t running() const;
+    /// Ends every stream such that its owner attaches through another home.
+    void passOnStreams();
+
+    struct EngineLoad {
+        VmId engine_;
+        std::uint64_t active_ = 0;
+        ModelLoad load_;
+    };
+    std::vector<EngineLoad> engineLoads() const;
+
+private:
+    /// Why a running stream is to end here.
+    enum class Ending {
+        None,
+        MoveCache,
+        Recompute,
+        PassOn,
+        Preempted,
+    };
+
+    struct Running {
+        std::string requestId_;
+        VmId engine_;
+        ServiceClass class_ = ServiceClass::Paid;
+        std::uint64_t promptTokens_ = 0;
+        std::uint64_t maxTokens_ = 0;
+        std::atomic<std::uint64_t> generated_ { 0 };
+        std::atomic<Ending> ending_ { Ending::None };
+        std::function<void()> close_;
+        SteadyTime began_;
+    };
+    using RunningPtr = std::shared_ptr<Running>;
+
+    asio::awaitable<Result<Slot>> acquireEngine(const wire::GenerateRequest& request);
+    asio::awaitable<void> forward(std::shared_ptr<PeerStream> owner, const wire::GenerateRequest& request, EngineStream stream, RunningPtr running);
+    static void describeEnding(const Running& running, wire::AttemptEnd& end);
+    asio::awaitable<void> cancelAtEngine(VmId engine, std::string requestId);
+    asio::awaitable<void> reclaimLoop();
+    void planLeaving(const VmId& engine, milliseconds notice);
+    asio::awaitable<void> moveCache(RunningPtr running);
+    void endHere(Running& running, Ending ending);
+    void preemptTrial(const VmId& engine);
+    std::vector<RunningPtr> runningOn(const VmId& engine) const;
+    std::size_t freeElsewhere(const VmId& engine) const;
+    std::uint64_t concurrencyOf(std::string_view backend) const;
+    bool isHomeOf(const VmId& server) const;
+
+    NodeContext& context_;
+    ControlPlane& control_;
+    Logger logger_;
+    SlotTable slots_;
+    mutable std::mutex mutex_;
+    std::vector<RunningPtr> running_;
+};
+
+/// Tokens that a prompt takes, as far as planning needs to know: one for every
+/// four bytes, the usual rule of thumb for text.
+std::uint64_t promptTokens(std::string_view prompt);
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/ControlPlane.cpp
@@ -0,0 +1,324 @@
+//===- lib/Node/ControlPlane.cpp - catalogue and VM list of a node ---------===//
+///
+/// \file
+/// The relay's side: reading the platform, and publishing what was read.
+//===----------------------------------------------------------------------===//
+#include "ControlPlane.h"
+
+#include "generated/Peer.pb.h"
+#include <boost/asio.hpp>
+
+namespace pistachioloom {
+
+namespace {
+
+    const std::string catalogueStream = "catalogue";
+    constexpr milliseconds logWait { 2000 };
+    constexpr milliseconds noticeWait { 2000 };
+    constexpr milliseconds platformRetry { 300 };
+    constexpr milliseconds appendTimeout { 1000 };
+    constexpr milliseconds leavingKept { 900000 };
+
+    SteadyTime now()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    // Greater after each start: the wall clock orders the incarnations of a VM,
+    // and a wrong one only delays how soon its first heartbeats are believed.
+    std::uint64_t makeIncarnation()
+    {
+        return static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / milliseconds(1));
+    }
+
+} // namespace
+
+ControlPlane::ControlPlane(NodeContext& context, LoadsHook loads)
+    : context_(context)
+    , loads_(std::move(loads))
+    , logger_("control")
+    , gossip_(context.self(), makeIncarnation(), context.settings_.membership_.suspectAfter_)
+    , snapshotSeenAt_(now())
+    , catalogueCurrentAt_(now())
+{
+}
+
+void ControlPlane::start()
+{
+    publishMembership();
+    context_.spawn(heartbeatLoop());
+    context_.spawn(vmListLoop());
+    context_.spawn(noticeLoop());
+    context_.spawn(catalogueLoop());
+}
+
+bool ControlPlane::isRelay() const
+{
+    auto view = context_.membership();
+    VmId relay = pickByRendezvous("relay/" + context_.settings_.dataCentre_.value_, view->localNodes_);
+    return relay.isEmpty() || relay == context_.self();
+}
+
+asio::awaitable<void> ControlPlane::vmListLoop()
+{
+    bool isReachable = true;
+    for (;;) {
+        // A node that knows no list yet asks for itself.
+        std::uint64_t known = context_.membership()->index_->version_;
+        if (isRelay() || !known) {
+            auto list = co_await context_.vmList_.list_(known);
+            if (list && list.value())
+                adoptVmList(0, *list.value());
+            if (static_cast<bool>(list) != isReachable)
+                logger_.warn(list ? std::string("VM list is reachable again.") : "VM list is unreachable: " + describe(list.error()) + ".");
+            isReachable = static_cast<bool>(list);
+        }
+        co_await sleepFor(context_.settings_.membership_.vmListPoll_);
+    }
+}
+
+asio::awaitable<void> ControlPlane::noticeLoop()
+{
+    std::uint64_t since = 0;
+    for (;;) {
+        if (!isRelay()) {
+            co_await sleepFor(context_.settings_.membership_.heartbeat_);
+            continue;
+        }
+        auto read = co_await context_.vmList_.notices_(since, noticeWait);
+        if (!read) {
+            co_await sleepFor(platformRetry);
+            continue;
+        }
+        since = read.value().next_;
+        std::vector<LeavingVm> vms;
+        for (const ReclaimNotice& notice : read.value().notices_)
+            vms.push_back({ { notice.vm_ }, notice.remaining_ });
+        markLeaving(vms);
+    }
+}
+
+void ControlPlane::markLeaving(const std::vector<LeavingVm>& vms)
+{
+    bool isNews = false;
+    {
+        std::lock_guard lock(mutex_);
+        for (const LeavingVm& leaving : vms) {
+            auto stopsAt = leaving.remaining_ ? std::optional(now() + *leaving.remaining_) : std::nullopt;
+            bool isNewVm = leaving_.markLeaving(leaving.vm_, stopsAt, now());
+            isNews |= isNewVm;
+            if (isNewVm)
+                logger_.info("VM " + leaving.vm_.value_ + " is leaving.");
+        }
+    }
+    if (!isNews)
+        return;
+    publishMembership();
+    gossipEverywhere();
+}
+
+std::optional<milliseconds> ControlPlane::noticeLeft(const VmId& vm) const
+{
+    std::lock_guard lock(mutex_);
+    auto markedAt = leaving_.markedAt(vm);
+    if (!markedAt)
+        return std::nullopt;
+    SteadyTime stopsAt = leaving_.stopsAt(vm).value_or(*markedAt + context_.settings_.membership_.defaultNotice_);
+    return std::max(milliseconds {}, std::chrono::duration_cast<milliseconds>(stopsAt - now()));
+}
+
+void ControlPlane::announceLeaving()
+{
+    {
+        std::lock_guard lock(mutex_);
+        gossip_.self().isLeaving_ = true;
+        gossip_.beat();
+    }
+    publishMembership();
+    gossipEverywhere();
+}
+
+void ControlPlane::adoptVmList(std::uint64_t version, const std::string& text)
+{
+    auto list = parseVmList(text);
+    if (!list) {
+        logger_.warn("VM list is malformed; kept the old one.");
+        return;
+    }
+    if (version)
+        list->version_ = version;
+    {
+        std::lock_guard lock(mutex_);
+        if (list->version_ <= vmIndex_->version_)
+            return;
+        vmIndex_ = indexVmList(*list);
+        vmListText_ = text;
+        gossip_.self().vmListVersion_ = list->version_;
+        auto local = vmIndex_->entryVms_.find(context_.settings_.dataCentre_);
+        if (local != vmIndex_->entryVms_.end())
+            gossip_.expect(local->second, now());
+        for (const Vm& vm : list->vms_) {
+            if (vm.state_ == Vm::State::Leaving)
+                leaving_.markLeaving(vm.id_, std::nullopt, now());
+        }
+    }
+    logger_.debug("VM list is at version " + std::to_string(list->version_) + ".");
+    publishMembership();
+    gossipTo(localPeers());
+}
+
+void ControlPlane::publishMembership()
+{
+    std::lock_guard order(publishMutex_);
+    MembershipView view;
+    {
+        std::lock_guard lock(mutex_);
+        leaving_.forgetOld(leavingKept, now());
+        view = buildView(vmIndex_, gossip_, leaving_, context_.settings_.dataCentre_, now());
+    }
+    context_.publish(std::move(view));
+}
+
+void ControlPlane::publishCatalogue()
+{
+    std::lock_guard order(publishMutex_);
+    CatalogueView view;
+    {
+        std::lock_guard lock(mutex_);
+        view = catalogue_.view();
+        gossip_.self().catalogueOffset_ = view.nextOffset_;
+    }
+    context_.publish(std::move(view));
+}
+
+void ControlPlane::applyRecords(const std::vector<std::pair<LogOffset, std::string>>& records)
+{
+    bool hasMoved = false;
+    {
+        std::lock_guard lock(mutex_);
+        LogOffset before = catalogue_.nextOffset();
+        for (const auto& [offset, record] : records)
+            catalogue_.apply(offset, record);
+        hasMoved = catalogue_.nextOffset() > before;
+        if (catalogue_.lastSnapshot() != snapshotSeen_) {
+            snapshotSeen_ = catalogue_.lastSnapshot();
+            snapshotSeenAt_ = now();
+        }
+        if (!catalogue_.hasGap())
+            catalogueCurrentAt_ = now();
+    }
+    if (!hasMoved)
+        return;
+    context_.metrics_.add(Counter::CatalogueRecords, records.size());
+    publishCatalogue();
+    // One node tells all; the others would only tell what is known already.
+    if (isRelay())
+        gossipEverywhere();
+}
+
+asio::awaitable<Result<void>> ControlPlane::readCatalogue(milliseconds wait)
+{
+    LogOffset from;
+    {
+        std::lock_guard lock(mutex_);
+        from = catalogue_.readFrom();
+    }
+    context_.metrics_.add(Counter::LogReads);
+    auto read = co_await context_.log_.read_(catalogueStream, from, wait);
+    if (!read)
+        co_return read.error();
+    applyRecords(read.value().records_);
+    co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<void> ControlPlane::catalogueLoop()
+{
+    bool isReachable = true;
+    for (;;) {
+        if (!isRelay()) {
+            co_await sleepFor(context_.settings_.membership_.heartbeat_);
+            continue;
+        }
+        auto read = co_await readCatalogue(logWait);
+        if (static_cast<bool>(read) != isReachable)
+            logger_.warn(read ? std::string("Log is reachable again.") : "Log is unreachable: " + describe(read.error()) + ".");
+        isReachable = static_cast<bool>(read);
+        if (!read)
+            co_await sleepFor(jitter(platformRetry, randomBits()));
+        else
+            co_await appendSnapshotIfDue();
+    }
+}
+
+asio::awaitable<void> ControlPlane::appendSnapshotIfDue()
+{
+    std::string snapshot;
+    {
+        std::lock_guard lock(mutex_);
+        // The relays of other data centres do the same; the draw lets one of
+        // them come first, and the rest then see its snapshot.
+        auto interval = context_.settings_.catalogue_.snapshotInterval_;
+        bool isDue = now() - snapshotSeenAt_ > jitter(interval, randomBits()) + interval / 2;
+        if (!isDue || catalogue_.hasGap() || !catalogue_.nextOffset().value_)
+            co_return;
+        snapshot = catalogue_.encodeSnapshot();
+        snapshotSeenAt_ = now();
+    }
+    context_.metrics_.add(Counter::LogAppends);
+    auto appended = co_await context_.log_.append_(catalogueStream, snapshot, appendTimeout);
+    if (appended)
+        logger_.info("Catalogue snapshot is at offset " + std::to_string(appended.value().value_) + ".");
+}
+
+asio::awaitable<Result<LogOffset>> ControlPlane::appendEdit(const CatalogueEdit& edit, SteadyTime until)
+{
+    std::string record = encodeEdit(edit);
+    bool mayHaveRun = false;
+    for (;;) {
+        context_.metrics_.add(Counter::LogAppends);
+        auto appended = co_await context_.log_.append_(catalogueStream, record, appendTimeout);
+        if (appended)
+            co_return appended;
+        mayHaveRun |= appended.error().ran_ == Ran::Unknown;
+        if (now() > until) {
+            Error error = appended.error();
+            error.ran_ = mayHaveRun ? Ran::Unknown : Ran::No;
+            co_return error;
+        }
+        // The same edit id again: whichever copy comes first in the log counts.
+        co_await sleepFor(jitter(platformRetry, randomBits()));
+    }
+}
+
+asio::awaitable<Result<EditOutcome>> ControlPlane::edit(CatalogueEdit edit)
+{
+    SteadyTime until = now() + context_.settings_.catalogue_.editPatience_;
+    auto appended = co_await appendEdit(edit, until);
+    if (!appended && appended.error().ran_ == Ran::No)
+        co_return appended.error();
+    do {
+        auto read = co_await readCatalogue(milliseconds(0));
+        {
+            std::lock_guard lock(mutex_);
+            if (auto outcome = catalogue_.outcomeOf(edit.id_))
+                co_return *outcome;
+        }
+        if (!read || !appended)
+            co_await sleepFor(platformRetry);
+    } while (now() < until);
+    co_return Error { Errc::OutcomeUnknown, "read back edit", context_.settings_.log_.toString(), "edit " + edit.id_.value_ + " was sent; ask again with the same edit id", Ran::Unknown, platformRetry };
+}
+
+std::vector<CatalogueChange> ControlPlane::history() const
+{
+    std::lock_guard lock(mutex_);
+    return { catalogue_.history().begin(), catalogue_.history().end() };
+}
+
+milliseconds ControlPlane::catalogueAge() const
+{
+    std::lock_guard lock(mutex_);
+    return std::chrono::duration_cast<milliseconds>(now() - catalogueCurrentAt_);
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/EngineRouter.cpp
@@ -0,0 +1,136 @@
+//===- lib/Node/EngineRouter.cpp - candidates for a generation -------------===//
+///
+/// \file
+/// See EngineRouter.h.
+//===----------------------------------------------------------------------===//
+#include "EngineRouter.h"
+
+#include <boost/json.hpp>
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr std::size_t favourites = 2;
+    constexpr std::size_t others = 2;
+    constexpr std::size_t mostExplanations = 512;
+    // Between data centres of one region; spilling must gain more than this.
+    constexpr milliseconds remoteNetwork { 5 };
+    constexpr milliseconds prefillPerBlock { 10 };
+    constexpr ModelLoad unknownLoad { 1, 0, {} };
+
+} // namespace
+
+EngineRouter::EngineRouter(NodeContext& context)
+    : context_(context)
+{
+}
+
+VmId EngineRouter::homeOf(const MembershipView& view, const VmId& server, const std::set<VmId>& excluded) const
+{
+    const Vm* vm = view.find(server);
+    if (!vm)
+        return {};
+    std::vector<VmId> nodes = view.nodesOf(vm->dataCentre_);
+    std::erase_if(nodes, [&](const VmId& node) { return excluded.contains(node); });
+    return pickByRendezvous(server.value_, nodes);
+}
+
+EngineCandidate EngineRouter::describeEngine(const MembershipView& view, const RoutingQuestion& question, const VmId& engine, std::size_t rank)
+{
+    EngineCandidate candidate;
+    candidate.engine_ = engine;
+    candidate.home_ = homeOf(view, engine, question.excluded_);
+    candidate.prefixRank_ = rank;
+    const Vm* vm = view.find(engine);
+    candidate.pricePerHour_ = vm->pricePerHour_;
+    candidate.isLocal_ = vm->dataCentre_ == view.dataCentre_;
+    candidate.network_ = candidate.isLocal_ ? milliseconds {} : remoteNetwork;
+    candidate.load_ = unknownLoad;
+    auto digest = view.digests_.find(candidate.home_);
+    if (digest == view.digests_.end())
+        return candidate;
+    auto load = digest->second.loads_.find(question.model_);
+    if (load != digest->second.loads_.end())
+        candidate.load_ = load->second;
+    std::lock_guard lock(mutex_);
+    auto sent = sent_.find({ candidate.home_, question.model_ });
+    if (sent != sent_.end() && sent->second.heartbeat_ == digest->second.heartbeat_)
+        candidate.sentSince_ = sent->second.count_;
+    return candidate;
+}
+
+std::vector<EngineCandidate> EngineRouter::choose(const RoutingQuestion& question)
+{
+    auto view = context_.membership();
+    std::vector<std::uint64_t> blocks = prefixBlocks(question.prompt_);
+    std::uint64_t prefix = blocks.empty() ? 0 : blocks.front();
+    RoutingCost cost;
+    cost.prefill_ = prefillPerBlock * static_cast<std::int64_t>(blocks.size());
+    cost.latencyTarget_ = question.latencyTarget_;
+    std::vector<EngineCandidate> candidates;
+    auto add = [&](std::vector<VmId> engines) {
+        std::erase_if(engines, [&](const VmId& engine) { return question.excluded_.contains(engine); });
+        std::size_t rank = 0;
+        for (const VmId& engine : sampleEngines(prefix, engines, favourites, others, randomBits)) {
+            EngineCandidate candidate = describeEngine(*view, question, engine, rank++);
+            if (!candidate.home_.isEmpty())
+                candidates.push_back(std::move(candidate));
+        }
+    };
+    std::vector<VmId> local = view->serversOf(question.model_, view->dataCentre_);
+    add(local);
+    std::vector<VmId> remote = view->serversOf(question.model_, {});
+    std::erase_if(remote, [&](const VmId& engine) { return view->find(engine)->dataCentre_ == view->dataCentre_; });
+    add(std::move(remote));
+    candidates = rankEngines(std::move(candidates), cost);
+    remember(question.requestId_, candidates);
+    return candidates;
+}
+
+void EngineRouter::countSent(const VmId& home, const std::string& model)
+{
+    auto view = context_.membership();
+    auto digest = view->digests_.find(home);
+    if (digest == view->digests_.end())
+        return;
+    std::lock_guard lock(mutex_);
+    Sent& sent = sent_[{ home, model }];
+    if (sent.heartbeat_ != digest->second.heartbeat_)
+        sent = { digest->second.heartbeat_, 0 };
+    ++sent.count_;
+}
+
+void EngineRouter::remember(const std::string& requestId, const std::vector<EngineCandidate>& candidates)
+{
+    boost::json::array list;
+    for (const EngineCandidate& candidate : candidates) {
+        list.push_back(boost::json::object {
+            { "engine", candidate.engine_.value_ },
+            { "home", candidate.home_.value_ },
+            { "estimate_ms", candidate.estimate_.count() },
+            { "free_slots", candidate.load_.freeSlots_ },
+            { "queued", candidate.load_.queued_ },
+            { "sent_since", candidate.sentSince_ },
+            { "prefix_rank", candidate.prefixRank_ },
+            { "local", candidate.isLocal_ },
+            { "price_per_hour", candidate.pricePerHour_ },
+        });
+    }
+    std::lock_guard lock(mutex_);
+    if (explanations_.insert_or_assign(requestId, boost::json::serialize(list)).second)
+        explanationOrder_.push_back(requestId);
+    if (explanationOrder_.size() <= mostExplanations)
+        return;
+    explanations_.erase(explanationOrder_.front());
+    explanationOrder_.pop_front();
+}
+
+std::string EngineRouter::explain(const std::string& requestId) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = explanations_.find(requestId);
+    return found == explanations_.end() ? std::string() : found->second;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/Gossiping.cpp
@@ -0,0 +1,269 @@
+//===- lib/Node/Gossiping.cpp - the peers' side of the control plane -------===//
+///
+/// \file
+/// Heartbeats, digests, and pulling catalogue and VM list from whoever is
+/// ahead of us.
+//===----------------------------------------------------------------------===//
+#include "ControlPlane.h"
+
+#include "generated/Peer.pb.h"
+#include <boost/asio.hpp>
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr milliseconds gossipTimeout { 1000 };
+    constexpr milliseconds syncTimeout { 3000 };
+    // A VM found to leave is told of for this long; all have heard it by then.
+    constexpr milliseconds leavingTold { 60000 };
+
+    SteadyTime now()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    void encodeDigest(const NodeDigest& digest, wire::NodeDigest& message)
+    {
+        message.set_node(digest.node_.value_);
+        message.set_incarnation(digest.incarnation_);
+        message.set_heartbeat(digest.heartbeat_);
+        message.set_is_leaving(digest.isLeaving_);
+        message.set_catalogue_offset(digest.catalogueOffset_.value_);
+        message.set_vm_list_version(digest.vmListVersion_);
+        for (const auto& [model, load] : digest.loads_) {
+            wire::ModelLoad& encoded = *message.add_loads();
+            encoded.set_model(model);
+            encoded.set_free_slots(load.freeSlots_);
+            encoded.set_queued(load.queued_);
+            encoded.set_wait_ms(static_cast<std::uint32_t>(load.wait_.count()));
+        }
+    }
+
+    NodeDigest decodeDigest(const wire::NodeDigest& message)
+    {
+        NodeDigest digest;
+        digest.node_ = { message.node() };
+        digest.incarnation_ = message.incarnation();
+        digest.heartbeat_ = message.heartbeat();
+        digest.isLeaving_ = message.is_leaving();
+        digest.catalogueOffset_ = { message.catalogue_offset() };
+        digest.vmListVersion_ = message.vm_list_version();
+        for (const wire::ModelLoad& load : message.loads())
+            digest.loads_[load.model()] = { load.free_slots(), load.queued(), milliseconds(load.wait_ms()) };
+        return digest;
+    }
+
+} // namespace
+
+std::vector<VmId> ControlPlane::localPeers() const
+{
+    auto view = context_.membership();
+    std::vector<VmId> peers;
+    auto local = view->index_->entryVms_.find(context_.settings_.dataCentre_);
+    if (local == view->index_->entryVms_.end())
+        return peers;
+    for (const VmId& id : local->second) {
+        if (id != context_.self())
+            peers.push_back(id);
+    }
+    return peers;
+}
+
+std::vector<VmId> ControlPlane::remoteContacts() const
+{
+    auto view = context_.membership();
+    std::vector<VmId> contacts;
+    for (const auto& [dataCentre, nodes] : view->index_->entryVms_) {
+        if (dataCentre == context_.settings_.dataCentre_ || nodes.empty())
+            continue;
+        contacts.push_back(nodes[randomBits() % nodes.size()]);
+    }
+    return contacts;
+}
+
+void ControlPlane::gossipTo(const std::vector<VmId>& peers)
+{
+    for (const VmId& peer : peers)
+        context_.spawn(exchange(peer));
+}
+
+void ControlPlane::gossipEverywhere()
+{
+    gossipTo(localPeers());
+    if (isRelay())
+        gossipTo(remoteContacts());
+}
+
+asio::awaitable<void> ControlPlane::heartbeatLoop()
+{
+    const MembershipSettings& settings = context_.settings_.membership_;
+    for (;;) {
+        auto loads = loads_();
+        {
+            std::lock_guard lock(mutex_);
+            gossip_.self().loads_ = std::move(loads);
+            gossip_.beat();
+            gossip_.forgetOld(now());
+        }
+        publishMembership();
+        std::vector<VmId> peers = localPeers();
+        while (peers.size() > settings.fanout_)
+            peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(randomBits() % peers.size()));
+        gossipTo(peers);
+        if (isRelay())
+            gossipTo(remoteContacts());
+        co_await sleepFor(settings.heartbeat_);
+    }
+}
+
+wire::Frame ControlPlane::makeGossip() const
+{
+    std::lock_guard lock(mutex_);
+    wire::Frame frame;
+    wire::Gossip& gossip = *frame.mutable_gossip();
+    gossip.set_sender(context_.self().value_);
+    gossip.set_data_centre(context_.settings_.dataCentre_.value_);
+    for (const NodeDigest& digest : gossip_.digests(now()))
+        encodeDigest(digest, *gossip.add_digests());
+    for (const auto& [vm, leaving] : leaving_.all()) {
+        if (now() - leaving.markedAt_ > leavingTold)
+            continue;
+        wire::LeavingVm& encoded = *gossip.add_leaving();
+        encoded.set_vm(vm.value_);
+        encoded.set_has_deadline(leaving.stopsAt_.has_value());
+        if (leaving.stopsAt_) {
+            auto remaining = std::chrono::duration_cast<milliseconds>(*leaving.stopsAt_ - now());
+            encoded.set_remaining_ms(static_cast<std::uint64_t>(std::max(milliseconds {}, remaining).count()));
+        }
+    }
+    return frame;
+}
+
+asio::awaitable<void> ControlPlane::exchange(VmId peer)
+{
+    context_.metrics_.add(Counter::GossipMessages);
+    wire::Frame request = makeGossip();
+    auto reply = co_await context_.call(peer, request, gossipTimeout);
+    if (!reply || !reply.value().has_gossip())
+        co_return;
+    if (mergeGossip(reply.value().gossip()))
+        publishMembership();
+    followUp(reply.value().gossip());
+}
+
+wire::Frame ControlPlane::answerGossip(const wire::Gossip& gossip)
+{
+    context_.metrics_.add(Counter::GossipMessages);
+    if (mergeGossip(gossip))
+        publishMembership();
+    followUp(gossip);
+    return makeGossip();
+}
+
+bool ControlPlane::mergeGossip(const wire::Gossip& gossip)
+{
+    std::lock_guard lock(mutex_);
+    bool isLocal = gossip.data_centre() == context_.settings_.dataCentre_.value_;
+    bool isNews = false;
+    if (isLocal) {
+        std::vector<NodeDigest> digests;
+        for (const wire::NodeDigest& digest : gossip.digests())
+            digests.push_back(decodeDigest(digest));
+        gossip_.merge(digests, now());
+    }
+    for (const wire::LeavingVm& leaving : gossip.leaving()) {
+        auto stopsAt = leaving.has_deadline() ? std::optional(now() + milliseconds(leaving.remaining_ms())) : std::nullopt;
+        isNews |= leaving_.markLeaving({ leaving.vm() }, stopsAt, now());
+    }
+    return isNews;
+}
+
+void ControlPlane::followUp(const wire::Gossip& gossip)
+{
+    for (const wire::NodeDigest& digest : gossip.digests()) {
+        if (digest.node() != gossip.sender())
+            continue;
+        bool needsCatalogue = false;
+        bool needsVmList = false;
+        {
+            std::lock_guard lock(mutex_);
+            needsCatalogue = digest.catalogue_offset() > catalogue_.nextOffset().value_ && !isSyncingCatalogue_;
+            needsVmList = digest.vm_list_version() > vmIndex_->version_ && !isSyncingVmList_;
+            isSyncingCatalogue_ |= needsCatalogue;
+            isSyncingVmList_ |= needsVmList;
+        }
+        if (needsCatalogue)
+            context_.spawn(syncCatalogue({ gossip.sender() }));
+        if (needsVmList)
+            context_.spawn(syncVmList({ gossip.sender() }));
+    }
+}
+
+asio::awaitable<void> ControlPlane::syncCatalogue(VmId peer)
+{
+    wire::Frame request;
+    {
+        std::lock_guard lock(mutex_);
+        request.mutable_catalogue_fetch()->set_from_offset(catalogue_.nextOffset().value_);
+    }
+    auto reply = co_await context_.call(peer, request, syncTimeout);
+    bool hasAdopted = false;
+    std::vector<std::pair<LogOffset, std::string>> records;
+    if (reply && reply.value().has_catalogue_update()) {
+        const wire::CatalogueUpdate& update = reply.value().catalogue_update();
+        std::lock_guard lock(mutex_);
+        hasAdopted = !update.snapshot().empty() && catalogue_.adoptSnapshot(update.snapshot());
+        for (int i = 0; i < std::min(update.records_size(), update.offsets_size()); ++i)
+            records.emplace_back(LogOffset { update.offsets(i) }, update.records(i));
+    }
+    if (hasAdopted) {
+        logger_.info("Catalogue was taken from peer " + peer.value_ + ".");
+        publishCatalogue();
+    }
+    applyRecords(records);
+    std::lock_guard lock(mutex_);
+    isSyncingCatalogue_ = false;
+}
+
+wire::Frame ControlPlane::answerCatalogueFetch(const wire::CatalogueFetch& fetch)
+{
+    std::lock_guard lock(mutex_);
+    wire::Frame frame;
+    wire::CatalogueUpdate& update = *frame.mutable_catalogue_update();
+    update.set_next_offset(catalogue_.nextOffset().value_);
+    auto records = catalogue_.recordsFrom({ fetch.from_offset() });
+    if (!records) {
+        update.set_snapshot(catalogue_.encodeSnapshot());
+        return frame;
+    }
+    for (const auto& [offset, record] : *records) {
+        update.add_offsets(offset.value_);
+        update.add_records(record);
+    }
+    return frame;
+}
+
+asio::awaitable<void> ControlPlane::syncVmList(VmId peer)
+{
+    wire::Frame request;
+    request.mutable_vm_list_fetch()->set_known_version(context_.membership()->index_->version_);
+    auto reply = co_await context_.call(peer, request, syncTimeout);
+    if (reply && reply.value().has_vm_list_update() && !reply.value().vm_list_update().list().empty())
+        adoptVmList(reply.value().vm_list_update().version(), reply.value().vm_list_update().list());
+    std::lock_guard lock(mutex_);
+    isSyncingVmList_ = false;
+}
+
+wire::Frame ControlPlane::answerVmListFetch(const wire::VmListFetch& fetch)
+{
+    std::lock_guard lock(mutex_);
+    wire::Frame frame;
+    wire::VmListUpdate& update = *frame.mutable_vm_list_update();
+    update.set_version(vmIndex_->version_);
+    if (vmIndex_->version_ > fetch.known_version())
+        update.set_list(vmListText_);
+    return frame;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/NodeContext.cpp
@@ -0,0 +1,113 @@
+//===- lib/Node/NodeContext.cpp - what the parts of a node share -----------===//
+///
+/// \file
+/// See NodeContext.h.
+//===----------------------------------------------------------------------===//
+#include "NodeContext.h"
+
+#include "generated/Peer.pb.h"
+#include <boost/asio.hpp>
+
+namespace pistachioloom {
+
+NodeContext::NodeContext(Settings settings, asio::any_io_executor executor)
+    : settings_(std::move(settings))
+    , executor_(executor)
+    , tracer_(settings_.spansKept_)
+    , log_(makeHttpLogService(settings_.log_, settings_.dataCentre_.value_))
+    , vmList_(makeHttpVmListService(settings_.vmList_, settings_.dataCentre_.value_))
+    , engines_(makeHttpEngineService())
+    , peers_(executor, settings_.peerCredential_,
+          [this](const Error& error) {
+              metrics_.add(Counter::PeerErrors);
+              logger_.warn("Peer link failed: " + describe(error) + ".");
+          })
+    , membership_(std::make_shared<const MembershipView>())
+    , catalogue_(std::make_shared<const CatalogueView>())
+    , logger_("wire")
+{
+}
+
+MembershipPtr NodeContext::membership() const
+{
+    return membership_.read([](const MembershipPtr& view) { return view; });
+}
+
+CataloguePtr NodeContext::catalogue() const
+{
+    return catalogue_.read([](const CataloguePtr& view) { return view; });
+}
+
+void NodeContext::publish(MembershipView view)
+{
+    membership_.publish(std::make_shared<const MembershipView>(std::move(view)));
+}
+
+void NodeContext::publish(CatalogueView view)
+{
+    catalogue_.publish(std::make_shared<const CatalogueView>(std::move(view)));
+}
+
+std::optional<Endpoint> NodeContext::peerEndpoint(const VmId& vm) const
+{
+    auto view = membership();
+    const Vm* found = view->find(vm);
+    if (!found || found->kind_ != Vm::Kind::Entry)
+        return std::nullopt;
+    return Endpoint { found->host_, found->port_ };
+}
+
+std::optional<Endpoint> NodeContext::backendEndpoint(const VmId& vm) const
+{
+    auto view = membership();
+    const Vm* found = view->find(vm);
+    if (!found || !found->isBackendServer())
+        return std::nullopt;
+    return Endpoint { found->host_, found->port_ };
+}
+
+asio::awaitable<Result<wire::Frame>> NodeContext::call(VmId vm, const wire::Frame& request, milliseconds timeout)
+{
+    auto endpoint = peerEndpoint(vm);
+    if (!endpoint)
+        co_return unavailable("call peer", vm.value_, "not in the VM list");
+    co_return co_await peers_.call(*endpoint, request, timeout);
+}
+
+asio::awaitable<Result<std::shared_ptr<PeerStream>>> NodeContext::open(VmId vm, const wire::Frame& request, milliseconds timeout)
+{
+    auto endpoint = peerEndpoint(vm);
+    if (!endpoint)
+        co_return unavailable("open stream", vm.value_, "not in the VM list");
+    co_return co_await peers_.open(*endpoint, request, timeout);
+}
+
+void NodeContext::spawn(asio::awaitable<void> task) const
+{
+    auto report = [logger = logger_](std::exception_ptr failure) {
+        if (!failure)
+            return;
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception& exception) {
+            logger.error(std::string("Task ended by an exception: ") + exception.what() + ".");
+        }
+    };
+    // co_spawn alone may run the task at once, inside whatever lock the caller
+    // holds; a posted one starts later.
+    auto strand = asio::make_strand(executor_);
+    asio::post(strand, [strand, report, task = std::move(task)]() mutable { asio::co_spawn(strand, std::move(task), report); });
+}
+
+asio::awaitable<void> sleepFor(milliseconds duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+Error unavailable(std::string step, std::string peer, std::string message)
+{
+    return { Errc::Unavailable, std::move(step), std::move(peer), std::move(message), Ran::No, {} };
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/OperatorApi.h
@@ -0,0 +1,44 @@
+//===- lib/Node/OperatorApi.h - the operators' HTTP interface --------------===//
+///
+/// \file
+/// What pistachioloomctl talks to: catalogue, nodes, engines, requests, limits,
+/// traces, and the order to drain. See docs/OPERATIONS.md.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "BackendHome.h"
+#include "CallerApi.h"
+
+namespace pistachioloom {
+
+class OperatorApi {
+public:
+    /// Asked to stop gracefully; the duration is the time left, zero for none.
+    using DrainHook = std::function<void(std::optional<milliseconds>)>;
+
+    OperatorApi(NodeContext& context, ControlPlane& control, BackendHome& home, GenerationOwner& owner, LimitDesk& limits, EngineRouter& router, DrainHook drain, CallerApi::GaugesHook gauges);
+
+    asio::awaitable<void> handle(HttpExchange& exchange);
+
+private:
+    asio::awaitable<Result<HttpResponse>> route(const HttpRequest& request);
+    asio::awaitable<Result<HttpResponse>> editEntry(const HttpRequest& request, const std::string& name);
+    HttpResponse listCatalogue() const;
+    Result<HttpResponse> getEntry(const std::string& name) const;
+    HttpResponse listHistory() const;
+    HttpResponse listNodes() const;
+    HttpResponse listEngines() const;
+    HttpResponse listRequests() const;
+    HttpResponse listLimits() const;
+
+    NodeContext& context_;
+    ControlPlane& control_;
+    BackendHome& home_;
+    GenerationOwner& owner_;
+    LimitDesk& limits_;
+    EngineRouter& router_;
+    DrainHook drain_;
+    CallerApi::GaugesHook gauges_;
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/RecordCopying.cpp
@@ -0,0 +1,166 @@
+//===- lib/Node/RecordCopying.cpp - the owner's copies and hand-over -------===//
+///
+/// \file
+/// Keeps a replica of each record in another data centre, and hands records to
+/// successors when this node leaves.
+//===----------------------------------------------------------------------===//
+#include "Generation.h"
+
+#include "generated/Peer.pb.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr std::size_t mostReplicasTried = 3;
+    // Without a replica the record is offered again this often.
+    constexpr milliseconds replicaRetry { 1000 };
+
+    SteadyTime now()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+} // namespace
+
+std::vector<VmId> GenerationOwner::replicaCandidates(const std::string& requestId, const std::set<VmId>& failed) const
+{
+    auto view = context_.membership();
+    std::vector<VmId> remote;
+    std::vector<VmId> local;
+    for (const VmId& node : view->allNodes()) {
+        if (node == context_.self() || failed.contains(node))
+            continue;
+        const Vm* vm = view->find(node);
+        if (vm)
+            (vm->dataCentre_ == view->dataCentre_ ? local : remote).push_back(node);
+    }
+    // A whole data centre may go at once, so its own nodes come last.
+    std::vector<VmId> ranked = rankByRendezvous(requestId, remote);
+    std::vector<VmId> rest = rankByRendezvous(requestId, local);
+    ranked.insert(ranked.end(), rest.begin(), rest.end());
+    return ranked;
+}
+
+asio::awaitable<void> GenerationOwner::copyLoop(GenerationPtr generation)
+{
+    std::string key = generation->id().substr(0, generation->id().find('.'));
+    std::set<VmId> failed;
+    for (;;) {
+        auto candidates = replicaCandidates(key, failed);
+        if (candidates.size() > mostReplicasTried)
+            candidates.resize(mostReplicasTried);
+        bool isDone = false;
+        for (const VmId& candidate : candidates) {
+            isDone = co_await copyTo(generation, candidate);
+            if (isDone)
+                break;
+            failed.insert(candidate);
+        }
+        if (isDone)
+            co_return;
+        // Nobody takes a copy: the answer goes on without one, which is said.
+        logger_.warn("Request " + generation->id() + " runs without a replica.");
+        generation->setReplica({});
+        generation->setReadableToEnd();
+        if (generation->isOver())
+            co_return;
+        co_await sleepFor(replicaRetry);
+        failed.clear();
+    }
+}
+
+// Returns whether the replica has the record to its end.
+asio::awaitable<bool> GenerationOwner::copyTo(GenerationPtr generation, VmId replica)
+{
+    milliseconds timeout = context_.settings_.replica_.copyTimeout_;
+    wire::Frame first;
+    *first.mutable_record_copy()->mutable_record() = generation->record();
+    first.mutable_record_copy()->mutable_record()->set_replica(replica.value_);
+    std::size_t copied = static_cast<std::size_t>(first.record_copy().record().tokens_size());
+    auto opened = co_await context_.open(replica, first, timeout);
+    if (!opened)
+        co_return false;
+    auto stream = opened.value();
+    auto acknowledged = co_await stream->receiveWithin(timeout);
+    if (!acknowledged || !acknowledged.value().has_ack())
+        co_return false;
+    generation->setReplica(replica.value_);
+    generation->setReadable(copied);
+    auto reader = std::make_shared<Generation::Signal>(context_.executor_, 1);
+    generation->watch(reader);
+    for (;;) {
+        auto progress = generation->progressSince(copied);
+        if (progress.isMoved_) {
+            // Its new owner makes copies of its own; ending our side drops this one.
+            stream->finish();
+            co_return true;
+        }
+        if (progress.tokens_.empty() && !progress.isOver_) {
+            co_await reader->async_receive(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        wire::Frame frame;
+        wire::RecordProgress& message = *frame.mutable_record_progress();
+        message.set_request_id(generation->id());
+        message.set_attempt(progress.attempt_);
+        message.set_is_finished(progress.isOver_);
+        message.set_engine(progress.engine_);
+        message.set_owner(context_.self().value_);
+        if (progress.failure_)
+            *message.mutable_failure() = toWire(*progress.failure_);
+        for (std::string& text : progress.tokens_) {
+            wire::Token& token = *message.add_tokens();
+            token.set_position(copied++);
+            token.set_text(std::move(text));
+        }
+        SteadyTime sentAt = now();
+        auto sent = co_await stream->send(frame);
+        if (!sent)
+            co_return false;
+        auto reply = co_await stream->receiveWithin(timeout);
+        if (!reply || !reply.value().has_ack())
+            co_return false;
+        context_.metrics_.observe(Histogram::CopyAcknowledged, now() - sentAt);
+        generation->setReadable(copied);
+        if (!progress.isOver_)
+            continue;
+        generation->setReadableToEnd();
+        stream->finish();
+        co_return true;
+    }
+}
+
+asio::awaitable<void> GenerationOwner::handOverOne(GenerationPtr generation)
+{
+    // The replica has the record already, so it comes first.
+    std::vector<VmId> candidates { { generation->replica() } };
+    for (const VmId& node : replicaCandidates(generation->id(), {}))
+        candidates.push_back(node);
+    if (candidates.size() > mostReplicasTried)
+        candidates.resize(mostReplicasTried);
+    for (const VmId& candidate : candidates) {
+        if (candidate.isEmpty())
+            continue;
+        wire::Frame frame;
+        *frame.mutable_record_handover()->mutable_record() = generation->record();
+        auto reply = co_await context_.call(candidate, frame, context_.settings_.replica_.copyTimeout_);
+        if (!reply || !reply.value().has_ack())
+            continue;
+        context_.metrics_.add(Counter::Handovers);
+        logger_.info("Request " + generation->id() + " was handed to " + candidate.value_ + ".");
+        generation->markMoved();
+        co_return;
+    }
+    logger_.error("Request " + generation->id() + " could not be handed over.");
+}
+
+asio::awaitable<void> GenerationOwner::handOver()
+{
+    for (const GenerationPtr& generation : all()) {
+        if (!generation->isOver())
+            co_await handOverOne(generation);
+    }
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/ReplicaStore.cpp
@@ -0,0 +1,232 @@
+//===- lib/Node/ReplicaStore.cpp - copies of other nodes' records ----------===//
+///
+/// \file
+/// See ReplicaStore.h.
+//===----------------------------------------------------------------------===//
+#include "ReplicaStore.h"
+
+#include "generated/Peer.pb.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr milliseconds ownerTimeout { 500 };
+    constexpr milliseconds reapPeriod { 1000 };
+
+    SteadyTime now()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    wire::Frame ackFrame()
+    {
+        wire::Frame frame;
+        frame.mutable_ack();
+        return frame;
+    }
+
+} // namespace
+
+struct ReplicaStore::Replica {
+    std::mutex mutex_;
+    wire::GenerationRecord record_;
+    bool isOver_ = false;
+    SteadyTime changedAt_ = now();
+};
+
+ReplicaStore::ReplicaStore(NodeContext& context, GenerationOwner& owner)
+    : context_(context)
+    , owner_(owner)
+    , logger_("replica")
+{
+}
+
+void ReplicaStore::start()
+{
+    context_.spawn(reapLoop());
+}
+
+ReplicaStore::ReplicaPtr ReplicaStore::find(const std::string& requestId) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = replicas_.find(requestId);
+    return found == replicas_.end() ? nullptr : found->second;
+}
+
+std::size_t ReplicaStore::size() const
+{
+    std::lock_guard lock(mutex_);
+    return replicas_.size();
+}
+
+asio::awaitable<void> ReplicaStore::serveCopy(std::shared_ptr<PeerStream> stream, const wire::RecordCopy& copy)
+{
+    auto replica = std::make_shared<Replica>();
+    replica->record_ = copy.record();
+    {
+        std::lock_guard lock(mutex_);
+        replicas_[copy.record().request_id()] = replica;
+    }
+    auto acknowledged = co_await stream->send(ackFrame());
+    while (acknowledged) {
+        auto frame = co_await stream->receive();
+        if (!frame && frame.error().code_ == Errc::NotFound) {
+            // The owner ended the copy in order: the record lives elsewhere now.
+            std::lock_guard lock(mutex_);
+            if (auto found = replicas_.find(copy.record().request_id()); found != replicas_.end() && found->second == replica)
+                replicas_.erase(found);
+            co_return;
+        }
+        if (!frame)
+            break;
+        if (!frame.value().has_record_progress() || !applyProgress(*replica, frame.value()))
+            break;
+        acknowledged = co_await stream->send(ackFrame());
+        if (replica->isOver_)
+            co_return;
+    }
+    if (!replica->isOver_)
+        context_.spawn(takeOverIfOrphaned(replica));
+}
+
+bool ReplicaStore::applyProgress(Replica& replica, const wire::Frame& frame)
+{
+    const wire::RecordProgress& progress = frame.record_progress();
+    std::lock_guard lock(replica.mutex_);
+    if (progress.request_id() != replica.record_.request_id())
+        return false;
+    for (const wire::Token& token : progress.tokens()) {
+        if (token.position() != static_cast<std::uint64_t>(replica.record_.tokens_size()))
+            return false;
+        *replica.record_.add_tokens() = token;
+    }
+    replica.record_.set_attempt(progress.attempt());
+    replica.record_.set_engine(progress.engine());
+    replica.changedAt_ = now();
+    if (!progress.is_finished())
+        return true;
+    replica.isOver_ = true;
+    replica.record_.set_is_finished(!progress.has_failure());
+    if (progress.has_failure())
+        *replica.record_.mutable_failure() = progress.failure();
+    return true;
+}
+
+asio::awaitable<bool> ReplicaStore::ownerStillRuns(std::string owner, std::string requestId)
+{
+    wire::Frame frame;
+    frame.mutable_record_fetch()->set_request_id(requestId);
+    VmId ownerVm { owner };
+    auto reply = co_await context_.call(ownerVm, frame, ownerTimeout);
+    bool hasRecord = reply && reply.value().has_record();
+    co_return hasRecord;
+}
+
+asio::awaitable<void> ReplicaStore::takeOverIfOrphaned(ReplicaPtr replica)
+{
+    std::string requestId = replica->record_.request_id();
+    std::string owner = replica->record_.owner();
+    co_await sleepFor(jitter(context_.settings_.replica_.takeoverGrace_, randomBits()));
+    // A newer copy, or an owner that answers, makes this copy a stale one.
+    bool isOwned = co_await ownerStillRuns(owner, requestId);
+    if (isOwned || find(requestId) != replica)
+        co_return;
+    wire::GenerationRecord record;
+    {
+        std::lock_guard lock(replica->mutex_);
+        record = replica->record_;
+    }
+    auto silent = std::chrono::duration_cast<milliseconds>(now() - replica->changedAt_);
+    std::uint64_t left = record.deadline_ms();
+    record.set_deadline_ms(left > static_cast<std::uint64_t>(silent.count()) ? left - static_cast<std::uint64_t>(silent.count()) : 0);
+    logger_.info("Request " + requestId + " was taken over from " + owner + ".");
+    context_.metrics_.add(Counter::Takeovers);
+    owner_.adopt(std::move(record));
+}
+
+wire::Frame ReplicaStore::takeHandover(const wire::RecordHandover& handover)
+{
+    {
+        std::lock_guard lock(mutex_);
+        replicas_.erase(handover.record().request_id());
+    }
+    owner_.adopt(handover.record());
+    return ackFrame();
+}
+
+asio::awaitable<void> ReplicaStore::serveFetch(std::shared_ptr<PeerStream> stream, const wire::RecordFetch& fetch)
+{
+    auto generation = owner_.find(fetch.request_id());
+    if (generation && generation->read(0).isMoved_)
+        generation = nullptr;
+    auto replica = find(fetch.request_id());
+    if (!generation && replica && replica->isOver_) {
+        // A finished copy answers like a generation of our own.
+        std::lock_guard lock(replica->mutex_);
+        generation = std::make_shared<Generation>(replica->record_, context_.executor_);
+        generation->markAccepted();
+        if (replica->record_.is_finished())
+            generation->finish();
+        else
+            generation->fail(fromWire(replica->record_.failure()));
+        generation->setReadableToEnd();
+    }
+    if (!generation) {
+        wire::Frame frame;
+        *frame.mutable_failure() = toWire({ Errc::NotFound, "find request", context_.self().value_, "not known here", Ran::Unknown, {} });
+        co_await stream->send(frame);
+        co_return;
+    }
+    co_await sendAnswer(stream, generation, fetch.follow());
+}
+
+asio::awaitable<void> ReplicaStore::sendAnswer(std::shared_ptr<PeerStream> stream, GenerationPtr generation, bool doesFollow)
+{
+    auto reader = doesFollow ? generation->addReader() : nullptr;
+    wire::Frame head;
+    wire::GenerationRecord& summary = *head.mutable_record();
+    summary.set_request_id(generation->id());
+    summary.set_organisation(generation->organisation());
+    summary.set_model(generation->model());
+    summary.set_engine(generation->engine());
+    summary.set_is_finished(generation->isOver());
+    auto sent = co_await stream->send(head);
+    std::size_t position = 0;
+    while (doesFollow && sent) {
+        AnswerPart part = co_await generation->next(reader, position);
+        wire::Frame frame;
+        for (std::string& text : part.tokens_) {
+            wire::Token& token = *frame.mutable_tokens()->add_tokens();
+            token.set_position(position++);
+            token.set_text(std::move(text));
+        }
+        if (frame.has_tokens())
+            sent = co_await stream->send(frame);
+        if (!part.isFinished_ && !part.failure_ && !part.isMoved_)
+            continue;
+        wire::Frame last;
+        last.mutable_end()->set_is_complete(part.isFinished_);
+        last.mutable_end()->set_is_interrupted(part.isMoved_);
+        if (part.failure_)
+            *last.mutable_end()->mutable_failure() = toWire(*part.failure_);
+        co_await stream->send(last);
+        co_return;
+    }
+}
+
+asio::awaitable<void> ReplicaStore::reapLoop()
+{
+    for (;;) {
+        co_await sleepFor(reapPeriod);
+        std::lock_guard lock(mutex_);
+        std::erase_if(replicas_, [&](const auto& item) {
+            std::lock_guard inner(item.second->mutex_);
+            milliseconds kept = context_.settings_.caller_.answersKept_;
+            milliseconds silence = item.second->isOver_ ? kept : kept + milliseconds(item.second->record_.deadline_ms());
+            return now() - item.second->changedAt_ > silence;
+        });
+    }
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Node/ServiceRouter.cpp
@@ -0,0 +1,125 @@
+//===- lib/Node/ServiceRouter.cpp - calls to plain services ----------------===//
+///
+/// \file
+/// See ServiceRouter.h.
+//===----------------------------------------------------------------------===//
+#include "ServiceRouter.h"
+
+#include "generated/Peer.pb.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr std::size_t mostBackendsTried = 3;
+    constexpr std::size_t mostKeepersTried = 3;
+    // One retry for every five calls, and ten at once.
+    constexpr double retryRatio = 0.2;
+    constexpr double retryReserve = 10;
+    // A keeper that is silent for this long is asked through another one, which
+    // the log makes safe.
+    constexpr milliseconds keeperTimeout { 8000 };
+    constexpr milliseconds hopMargin { 500 };
+    constexpr milliseconds serviceRetry { 1000 };
+
+    wire::Frame failureFrame(const Error& error)
+    {
+        wire::Frame frame;
+        *frame.mutable_failure() = toWire(error);
+        return frame;
+    }
+
+} // namespace
+
+ServiceRouter::ServiceRouter(NodeContext& context, EngineRouter& router)
+    : context_(context)
+    , router_(router)
+    , retries_(retryRatio, retryReserve)
+{
+}
+
+bool ServiceRouter::tryRetry()
+{
+    std::lock_guard lock(mutex_);
+    bool isAllowed = retries_.tryRetry();
+    if (isAllowed)
+        context_.metrics_.add(Counter::Retries);
+    return isAllowed;
+}
+
+std::vector<VmId> ServiceRouter::backendsOf(const std::string& service, const std::string& key) const
+{
+    auto view = context_.membership();
+    std::vector<VmId> local = rankByRendezvous(key, view->serversOf(service, view->dataCentre_));
+    for (const VmId& server : rankByRendezvous(key, view->serversOf(service, {}))) {
+        if (view->find(server)->dataCentre_ != view->dataCentre_)
+            local.push_back(server);
+    }
+    return local;
+}
+
+asio::awaitable<wire::Frame> ServiceRouter::dispatchTo(wire::ServiceCall call, VmId backend)
+{
+    auto view = context_.membership();
+    VmId home = router_.homeOf(*view, backend, {});
+    call.set_backend(backend.value_);
+    wire::Frame frame;
+    *frame.mutable_call() = call;
+    auto reply = co_await context_.call(home, frame, milliseconds(call.deadline_ms()) + hopMargin);
+    if (!reply)
+        co_return failureFrame(reply.error());
+    co_return std::move(reply.value());
+}
+
+asio::awaitable<wire::Frame> ServiceRouter::dispatch(wire::ServiceCall call)
+{
+    auto backends = backendsOf(call.service(), call.request_id());
+    wire::Frame last = failureFrame({ Errc::Unavailable, "choose service", call.service(), "no backend server serves it", Ran::No, serviceRetry });
+    for (std::size_t i = 0; i < std::min(backends.size(), mostBackendsTried); ++i) {
+        if (i && !tryRetry())
+            break;
+        last = co_await dispatchTo(call, backends[i]);
+        if (!last.has_failure() || last.failure().may_have_run())
+            co_return last;
+    }
+    co_return last;
+}
+
+asio::awaitable<wire::Frame> ServiceRouter::callRepeatable(wire::ServiceCall call)
+{
+    {
+        std::lock_guard lock(mutex_);
+        retries_.countRequest();
+    }
+    auto reply = co_await dispatch(call);
+    bool isWorthRepeating = reply.has_failure() && reply.failure().may_have_run() && tryRetry();
+    if (isWorthRepeating)
+        reply = co_await dispatch(call);
+    co_return reply;
+}
+
+asio::awaitable<wire::Frame> ServiceRouter::callOnce(wire::ServiceCall call)
+{
+    CallKey key = makeCallKey({ call.organisation() }, { call.service() }, { call.idempotency_key() });
+    std::uint32_t shard = shardOf(key, static_cast<std::uint32_t>(context_.settings_.ledger_.shards_));
+    auto keepers = rankByRendezvous("run/" + std::to_string(shard), context_.membership()->localNodes_);
+    wire::Frame request;
+    *request.mutable_run_once() = call;
+    wire::Frame last = failureFrame(unavailable("choose keeper", {}, "no node takes the role"));
+    bool mayHaveRun = false;
+    for (std::size_t i = 0; i < std::min(keepers.size(), mostKeepersTried); ++i) {
+        auto reply = co_await context_.call(keepers[i], request, std::max(keeperTimeout, milliseconds(call.deadline_ms()) + 2 * hopMargin));
+        if (reply)
+            co_return std::move(reply.value());
+        last = failureFrame(reply.error());
+        mayHaveRun |= reply.error().ran_ == Ran::Unknown;
+        // What another keeper says of its own attempt says nothing of an
+        // attempt that may still run at one that fell silent.
+        last.mutable_failure()->set_may_have_run(mayHaveRun);
+        if (reply.error().step_ == runOnceStep)
+            co_return last;
+    }
+    co_return last;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Platform/EngineService.cpp
@@ -0,0 +1,143 @@
+//===- lib/Platform/EngineService.cpp - model engines by HTTP --------------===//
+///
+/// \file
+/// Fills the EngineService hooks. An engine streams one JSON line per event.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Platform.h"
+
+#include "pistachioloom/Json.h"
+#include <boost/asio.hpp>
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr milliseconds openTimeout { 10000 };
+    // Longest silence between two tokens before the stream is given up.
+    constexpr milliseconds tokenTimeout { 30000 };
+    constexpr milliseconds orderTimeout { 2000 };
+
+    std::string encode(const EngineRequest& request)
+    {
+        boost::json::array prefix;
+        for (const std::string& token : request.prefix_)
+            prefix.emplace_back(token);
+        return boost::json::serialize(boost::json::object {
+            { "request", request.requestId_ },
+            { "attempt", request.attempt_ },
+            { "prompt", request.prompt_ },
+            { "prefix", std::move(prefix) },
+            { "max_tokens", request.maxTokens_ },
+            { "priority", request.priority_ },
+            { "attach", request.isAttach_ },
+            { "kv_handle", request.kvHandle_ },
+        });
+    }
+
+    std::optional<EngineEvent> decode(const std::string& line)
+    {
+        auto object = parseJsonObject(line);
+        if (!object)
+            return std::nullopt;
+        EngineEvent event;
+        event.recomputed_ = numberField(*object, "recomputed");
+        std::string type = textField(*object, "type");
+        if (type == "token") {
+            event.position_ = numberField(*object, "position");
+            event.text_ = textField(*object, "text");
+            return event;
+        }
+        if (type == "exported") {
+            event.type_ = EngineEvent::Type::Exported;
+            event.text_ = textField(*object, "handle");
+            return event;
+        }
+        if (type == "done")
+            event.type_ = EngineEvent::Type::Done;
+        else if (type == "superseded")
+            event.type_ = EngineEvent::Type::Superseded;
+        else if (type == "interrupted")
+            event.type_ = EngineEvent::Type::Interrupted;
+        else
+            return std::nullopt;
+        return event;
+    }
+
+    asio::awaitable<Result<EngineEvent>> nextEvent(std::shared_ptr<HttpBodyReader> reader, std::string peer)
+    {
+        auto line = co_await reader->readLine(tokenTimeout);
+        if (!line)
+            co_return line.error();
+        if (!line.value())
+            co_return Error { Errc::Reset, "read engine stream", peer, "the stream ended early", Ran::Unknown, {} };
+        auto event = decode(*line.value());
+        if (!event)
+            co_return Error { Errc::Protocol, "read engine stream", peer, "not an event", Ran::Unknown, {} };
+        co_return *event;
+    }
+
+    asio::awaitable<Result<EngineStream>> generate(Endpoint engine, EngineRequest request)
+    {
+        std::string peer = engine.toString();
+        HttpRequest call { "POST", "/v1/generate", {}, encode(request) };
+        auto opened = co_await openHttp(engine, std::move(call), openTimeout);
+        if (!opened)
+            co_return opened.error();
+        auto reader = opened.value();
+        if (reader->status() != 200) {
+            auto body = co_await reader->readAll(orderTimeout);
+            HttpResponse response { reader->status(), reader->headers(), body ? body.value() : std::string() };
+            co_return errorFromResponse(response, "start generation", peer);
+        }
+        EngineStream stream;
+        stream.next_ = [reader, peer] { return nextEvent(reader, peer); };
+        stream.close_ = [reader] { reader->cancel(); };
+        co_return stream;
+    }
+
+    asio::awaitable<Result<std::string>> order(Endpoint engine, std::string target, std::string field, std::string value)
+    {
+        boost::json::object fields;
+        fields[field] = value;
+        HttpRequest request { "POST", target, {}, boost::json::serialize(fields) };
+        auto response = co_await callHttp(engine, std::move(request), orderTimeout);
+        if (!response)
+            co_return response.error();
+        if (response.value().status_ != 200)
+            co_return errorFromResponse(response.value(), "order " + target, engine.toString());
+        co_return std::move(response.value().body_);
+    }
+
+    asio::awaitable<Result<void>> orderOnly(Endpoint engine, std::string target, std::string field, std::string value)
+    {
+        auto done = co_await order(std::move(engine), std::move(target), std::move(field), std::move(value));
+        if (!done)
+            co_return done.error();
+        co_return boost::outcome_v2::success();
+    }
+
+    asio::awaitable<Result<std::string>> exportCache(Endpoint engine, std::string requestId)
+    {
+        auto body = co_await order(engine, "/v1/cache/export", "request", std::move(requestId));
+        if (!body)
+            co_return body.error();
+        auto object = parseJsonObject(body.value());
+        std::string handle = object ? textField(*object, "handle") : std::string();
+        if (handle.empty())
+            co_return Error { Errc::Protocol, "export cache", engine.toString(), "answer without handle", Ran::Unknown, {} };
+        co_return handle;
+    }
+
+} // namespace
+
+EngineService makeHttpEngineService()
+{
+    EngineService service;
+    service.generate_ = generate;
+    service.cancel_ = [](Endpoint engine, std::string requestId) { return orderOnly(std::move(engine), "/v1/cancel", "request", std::move(requestId)); };
+    service.exportCache_ = exportCache;
+    service.importCache_ = [](Endpoint engine, std::string handle) { return orderOnly(std::move(engine), "/v1/cache/import", "handle", std::move(handle)); };
+    return service;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Settings/Settings.cpp
@@ -0,0 +1,215 @@
+//===- lib/Settings/Settings.cpp - parsing of a daemon's settings ----------===//
+///
+/// \file
+/// One function per section; every key has its range here.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Settings.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr milliseconds oneDay { 24LL * 3600 * 1000 };
+    constexpr std::uint64_t mostThreads = 256;
+    constexpr std::uint64_t mostShards = 1024;
+    constexpr std::size_t shortestCredential = 16;
+
+    Endpoint endpoint(YamlMap& map, const std::string& key)
+    {
+        std::string text = map.text(key);
+        auto parsed = parseEndpoint(text);
+        if (!parsed && !text.empty())
+            map.fail(key, "expected IP:PORT, found '" + text + "'");
+        return parsed.value_or(Endpoint {});
+    }
+
+    std::string credential(YamlMap& map, const std::string& key)
+    {
+        std::string text = map.text(key);
+        if (!text.empty() && text.size() < shortestCredential)
+            map.fail(key, "expected at least 16 characters");
+        return text;
+    }
+
+    void parseNode(YamlMap map, Settings& settings)
+    {
+        settings.vm_ = { map.text("vm") };
+        settings.dataCentre_ = { map.text("data_centre") };
+        settings.region_ = map.text("region", "");
+        settings.threads_ = map.integer("threads", 1, mostThreads, settings.threads_);
+        map.finish();
+    }
+
+    void parseListen(YamlMap map, Settings& settings)
+    {
+        settings.callers_ = endpoint(map, "callers");
+        settings.peers_ = endpoint(map, "peers");
+        settings.operators_ = endpoint(map, "operators");
+        map.finish();
+    }
+
+    void parsePlatform(YamlMap map, Settings& settings)
+    {
+        settings.log_ = endpoint(map, "log");
+        settings.vmList_ = endpoint(map, "vm_list");
+        map.finish();
+    }
+
+    void parseCredentials(YamlMap map, Settings& settings)
+    {
+        settings.peerCredential_ = credential(map, "peers");
+        settings.operatorCredential_ = credential(map, "operators");
+        map.finish();
+    }
+
+    void parseMembership(YamlMap map, MembershipSettings& settings)
+    {
+        settings.heartbeat_ = map.duration("heartbeat", milliseconds(20), milliseconds(60000), settings.heartbeat_);
+        settings.suspectAfter_ = map.duration("suspect_after", milliseconds(100), milliseconds(600000), settings.suspectAfter_);
+        settings.fanout_ = map.integer("fanout", 1, 16, settings.fanout_);
+        settings.vmListPoll_ = map.duration("vm_list_poll", milliseconds(50), milliseconds(60000), settings.vmListPoll_);
+        settings.defaultNotice_ = map.duration("default_notice", milliseconds(100), oneDay, settings.defaultNotice_);
+        if (settings.suspectAfter_ < 2 * settings.heartbeat_)
+            map.fail("suspect_after", "expected at least twice the heartbeat");
+        map.finish();
+    }
+
+    void parseLedger(YamlMap map, LedgerSettings& settings)
+    {
+        settings.shards_ = map.integer("shards", 1, mostShards, settings.shards_);
+        settings.dispatchGuard_ = map.duration("dispatch_guard", milliseconds(100), milliseconds(60000), settings.dispatchGuard_);
+        settings.appendsPerSecond_ = map.integer("appends_per_second", 1, 100000, settings.appendsPerSecond_);
+        settings.appendTimeout_ = map.duration("append_timeout", milliseconds(10), milliseconds(60000), settings.appendTimeout_);
+        settings.appendPatience_ = map.duration("append_patience", milliseconds(10), milliseconds(60000), settings.appendPatience_);
+        map.finish();
+    }
+
+    void parseCatalogue(YamlMap map, CatalogueSettings& settings)
+    {
+        settings.snapshotInterval_ = map.duration("snapshot_interval", milliseconds(100), oneDay, settings.snapshotInterval_);
+        settings.editPatience_ = map.duration("edit_patience", milliseconds(100), milliseconds(60000), settings.editPatience_);
+        map.finish();
+    }
+
+    void parseCallers(YamlMap map, CallerSettings& settings)
+    {
+        settings.bounds_.header_ = map.size("header", { 1024 }, { 1024 * 1024 }, settings.bounds_.header_);
+        settings.bounds_.body_ = map.size("body", { 1024 }, { 64UL * 1024 * 1024 }, settings.bounds_.body_);
+        settings.bounds_.idle_ = map.duration("idle", milliseconds(100), milliseconds(3600000), settings.bounds_.idle_);
+        settings.reconnectGrace_ = map.duration("reconnect_grace", milliseconds(0), oneDay, settings.reconnectGrace_);
+        settings.answersKept_ = map.duration("answers_kept", milliseconds(100), oneDay, settings.answersKept_);
+        settings.mostTokens_ = map.integer("most_tokens", 1, 1000000, settings.mostTokens_);
+        map.finish();
+    }
+
+    void parseDrain(YamlMap map, DrainSettings& settings)
+    {
+        settings.balancerGrace_ = map.duration("balancer_grace", milliseconds(0), milliseconds(600000), settings.balancerGrace_);
+        settings.timeout_ = map.duration("timeout", milliseconds(100), oneDay, settings.timeout_);
+        settings.handoverMargin_ = map.duration("handover_margin", milliseconds(50), milliseconds(600000), settings.handoverMargin_);
+        map.finish();
+    }
+
+    void parseReplica(YamlMap map, ReplicaSettings& settings)
+    {
+        settings.copyTimeout_ = map.duration("copy_timeout", milliseconds(10), milliseconds(60000), settings.copyTimeout_);
+        settings.takeoverGrace_ = map.duration("takeover_grace", milliseconds(10), milliseconds(600000), settings.takeoverGrace_);
+        map.finish();
+    }
+
+    void parseLimits(YamlMap map, LimitSettings& settings)
+    {
+        settings.grantValidity_ = map.duration("grant_validity", milliseconds(100), milliseconds(600000), settings.grantValidity_);
+        settings.grantAhead_ = map.integer("grant_ahead", 0, 10000, settings.grantAhead_);
+        map.finish();
+    }
+
+    void parseLogs(YamlMap map, LogSettings& settings)
+    {
+        const std::vector<std::string> levels { "debug", "info", "warn", "error" };
+        settings.level_ = static_cast<LogLevel>(map.choice("level", levels, static_cast<std::size_t>(settings.level_)));
+        settings.isJson_ = map.flag("json", settings.isJson_);
+        for (const auto& [part, level] : map.pairs("parts")) {
+            auto found = std::find(levels.begin(), levels.end(), level);
+            if (found == levels.end())
+                map.fail("parts", "expected one of debug info warn error for part '" + part + "'");
+            else
+                settings.parts_[part] = static_cast<LogLevel>(found - levels.begin());
+        }
+        map.finish();
+    }
+
+} // namespace
+
+std::optional<Endpoint> parseEndpoint(const std::string& text)
+{
+    std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    Endpoint endpoint { text.substr(0, colon), 0 };
+    boost::system::error_code code;
+    boost::asio::ip::make_address(endpoint.host_, code);
+    const char* begin = text.data() + colon + 1;
+    const char* end = text.data() + text.size();
+    auto [rest, error] = std::from_chars(begin, end, endpoint.port_);
+    if (code || error != std::errc {} || rest != end)
+        return std::nullopt;
+    return endpoint;
+}
+
+std::optional<Settings> parseSettings(const std::string& text, const std::string& file, InputErrors& errors)
+{
+    std::size_t before = errors.size();
+    auto root = YamlMap::parse(text, file, errors);
+    if (!root)
+        return std::nullopt;
+    Settings settings;
+    if (auto map = root->map("node", true))
+        parseNode(std::move(*map), settings);
+    if (auto map = root->map("listen", true))
+        parseListen(std::move(*map), settings);
+    if (auto map = root->map("platform", true))
+        parsePlatform(std::move(*map), settings);
+    if (auto map = root->map("credentials", true))
+        parseCredentials(std::move(*map), settings);
+    if (auto map = root->map("membership"))
+        parseMembership(std::move(*map), settings.membership_);
+    if (auto map = root->map("ledger"))
+        parseLedger(std::move(*map), settings.ledger_);
+    if (auto map = root->map("catalogue"))
+        parseCatalogue(std::move(*map), settings.catalogue_);
+    if (auto map = root->map("callers"))
+        parseCallers(std::move(*map), settings.caller_);
+    if (auto map = root->map("drain"))
+        parseDrain(std::move(*map), settings.drain_);
+    if (auto map = root->map("replica"))
+        parseReplica(std::move(*map), settings.replica_);
+    if (auto map = root->map("limits"))
+        parseLimits(std::move(*map), settings.limits_);
+    if (auto map = root->map("logs"))
+        parseLogs(std::move(*map), settings.logs_);
+    settings.spansKept_ = root->integer("spans_kept", 1, 1000000, settings.spansKept_);
+    root->finish();
+    if (errors.size() != before)
+        return std::nullopt;
+    return settings;
+}
+
+std::optional<Settings> loadSettings(const std::string& file, InputErrors& errors)
+{
+    std::ifstream input(file);
+    if (!input) {
+        errors.push_back({ file, 0, "(file)", "cannot be read" });
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << input.rdbuf();
+    return parseSettings(text.str(), file, errors);
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Telemetry/Metrics.cpp
@@ -0,0 +1,135 @@
+//===- lib/Telemetry/Metrics.cpp - counters and histograms -----------------===//
+///
+/// \file
+/// Atomic counters, and Boost.Histogram with thread-safe cells, rendered in
+/// Prometheus' text format.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Telemetry.h"
+
+#include <array>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <boost/histogram/accumulators/count.hpp>
+#include <boost/histogram/axis/regular.hpp>
+#include <sstream>
+
+namespace pistachioloom {
+
+namespace bh = boost::histogram;
+
+namespace {
+
+    constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::Last);
+    constexpr std::size_t histogramCount = static_cast<std::size_t>(Histogram::Last);
+
+    constexpr std::array<std::string_view, counterCount> counterNames {
+        "requests_accepted",
+        "requests_refused",
+        "requests_finished",
+        "requests_failed",
+        "tokens_delivered",
+        "tokens_recomputed",
+        "attempts",
+        "retries",
+        "takeovers",
+        "handovers",
+        "service_calls",
+        "run_once_executed",
+        "run_once_replayed",
+        "run_once_refused",
+        "log_appends",
+        "log_reads",
+        "catalogue_records",
+        "gossip_messages",
+        "peer_errors",
+        "spans_dropped",
+        "grant_messages",
+    };
+
+    constexpr std::array<std::string_view, histogramCount> histogramNames {
+        "first_token_seconds",
+        "between_tokens_seconds",
+        "whole_answer_seconds",
+        "copy_acknowledged_seconds",
+        "log_append_seconds",
+    };
+
+    // From 50 microseconds to 100 seconds at ten cells a decade.
+    constexpr unsigned cells = 63;
+    constexpr double leastSeconds = 50e-6;
+    constexpr double mostSeconds = 100;
+
+    auto makeCells()
+    {
+        return bh::make_histogram_with(bh::dense_storage<bh::accumulators::count<std::uint64_t, true>>(),
+            bh::axis::regular<double, bh::axis::transform::log>(cells, leastSeconds, mostSeconds));
+    }
+
+    using Cells = decltype(makeCells());
+
+    struct TimedCells {
+        Cells cells_ = makeCells();
+        std::atomic<std::uint64_t> nanoseconds_ { 0 };
+    };
+
+    void renderHistogram(std::ostringstream& output, std::string_view name, const TimedCells& timed)
+    {
+        std::uint64_t below = 0;
+        output << "# TYPE pistachioloom_" << name << " histogram\n";
+        for (auto&& cell : bh::indexed(timed.cells_, bh::coverage::all)) {
+            below += static_cast<std::uint64_t>(cell->value());
+            if (cell.index() < 0 || cell.index() >= static_cast<int>(cells))
+                continue;
+            output << "pistachioloom_" << name << "_bucket{le=\"" << cell.bin().upper() << "\"} " << below << '\n';
+        }
+        output << "pistachioloom_" << name << "_bucket{le=\"+Inf\"} " << below << '\n';
+        output << "pistachioloom_" << name << "_sum " << static_cast<double>(timed.nanoseconds_) / 1e9 << '\n';
+        output << "pistachioloom_" << name << "_count " << below << '\n';
+    }
+
+} // namespace
+
+struct Metrics::State {
+    std::array<std::atomic<std::uint64_t>, counterCount> counters_ {};
+    std::array<TimedCells, histogramCount> histograms_;
+};
+
+Metrics::Metrics()
+    : state_(std::make_unique<State>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::add(Counter counter, std::uint64_t count)
+{
+    state_->counters_[static_cast<std::size_t>(counter)].fetch_add(count, std::memory_order_relaxed);
+}
+
+std::uint64_t Metrics::value(Counter counter) const
+{
+    return state_->counters_[static_cast<std::size_t>(counter)].load(std::memory_order_relaxed);
+}
+
+void Metrics::observe(Histogram histogram, std::chrono::nanoseconds duration)
+{
+    TimedCells& timed = state_->histograms_[static_cast<std::size_t>(histogram)];
+    timed.cells_(std::chrono::duration<double>(duration).count());
+    timed.nanoseconds_ += static_cast<std::uint64_t>(duration.count());
+}
+
+std::string Metrics::render(const std::map<std::string, double>& gauges) const
+{
+    std::ostringstream output;
+    for (std::size_t i = 0; i < counterCount; ++i) {
+        output << "# TYPE pistachioloom_" << counterNames[i] << "_total counter\n";
+        output << "pistachioloom_" << counterNames[i] << "_total " << state_->counters_[i].load() << '\n';
+    }
+    for (std::size_t i = 0; i < histogramCount; ++i)
+        renderHistogram(output, histogramNames[i], state_->histograms_[i]);
+    for (const auto& [name, value] : gauges)
+        output << "# TYPE pistachioloom_" << name << " gauge\npistachioloom_" << name << ' ' << value << '\n';
+    return output.str();
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Wire/PeerLink.h
@@ -0,0 +1,138 @@
+//===- lib/Wire/PeerLink.h - one nghttp2 session over a socket -------------===//
+///
+/// \file
+/// Drives an nghttp2 session, client or server, on the strand of its socket.
+/// PeerPool and PeerServer own links; streams keep their link alive.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Wire.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <deque>
+#include <nghttp2/nghttp2.h>
+#include <unordered_map>
+
+namespace pistachioloom {
+
+class PeerLink;
+
+/// Bytes on the wire, shared by the links of one pool or server.
+struct WireCounters {
+    std::atomic<std::uint64_t> sent_ { 0 };
+    std::atomic<std::uint64_t> received_ { 0 };
+};
+
+/// The state of one stream. Fields without a note belong to the link's strand.
+class LinkStream : public PeerStream, public std::enable_shared_from_this<LinkStream> {
+public:
+    LinkStream(std::shared_ptr<PeerLink> link, asio::any_io_executor executor);
+
+    asio::awaitable<Result<void>> send(const wire::Frame& frame) override;
+    asio::awaitable<Result<wire::Frame>> receive() override;
+    asio::awaitable<Result<wire::Frame>> receiveWithin(milliseconds timeout) override;
+    void finish() override;
+    void cancel() override;
+    void refuse() override;
+    std::string peer() const override;
+    std::shared_ptr<PeerStream> shared() override { return shared_from_this(); }
+
+private:
+    friend class PeerLink;
+
+    void reset(std::uint32_t errorCode);
+    void endFrames();
+
+    std::shared_ptr<PeerLink> link_;
+    std::int32_t id_ = -1;
+    bool isAuthorised_ = false;
+    bool isPathKnown_ = false;
+    bool isHandled_ = false;
+    std::string input_;
+    // Bytes given back to the window before their frame was received.
+    std::size_t earlyConsumed_ = 0;
+    std::deque<std::string> output_;
+    std::size_t outputOffset_ = 0;
+    bool isOutputEnded_ = false;
+    bool isDeferred_ = false;
+    bool isClosed_ = false;
+    // Any strand: whole frames in, ended by an error in their order (closing the
+    // channel would drop what is unread), and one credit for each unsent frame.
+    asio::experimental::concurrent_channel<void(boost::system::error_code, std::string)> frames_;
+    asio::experimental::concurrent_channel<void(boost::system::error_code)> credits_;
+    // The reader's own: it has seen the end of the frames.
+    bool isReadToEnd_ = false;
+    // Written before the frames end, read after.
+    std::atomic<bool> isRefused_ { false };
+    std::atomic<bool> isEnded_ { false };
+    std::atomic<bool> isCancelled_ { false };
+    std::atomic<bool> isFailed_ { false };
+};
+
+/// One session. start() once, then everything happens on its strand.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+    enum class Side {
+        Client,
+        Server,
+    };
+
+    PeerLink(asio::ip::tcp::socket socket, Side side, std::string credential, std::string peer,
+        std::shared_ptr<WireCounters> counters, PeerStreamHandler handler, WireErrorHook onError);
+    ~PeerLink();
+    PeerLink(const PeerLink&) = delete;
+    PeerLink& operator=(const PeerLink&) = delete;
+
+    void start();
+    bool isUsable() const { return isUsable_; }
+    const std::string& peer() const { return peer_; }
+    asio::any_io_executor executor() { return socket_.get_executor(); }
+
+    /// On the strand: submits a request whose body is the stream's output.
+    /// \returns false when the session takes no more.
+    bool submit(const std::shared_ptr<LinkStream>& stream);
+    void wake(LinkStream& stream);
+    void resetStream(LinkStream& stream, std::uint32_t errorCode);
+    void consumed(LinkStream& stream, std::size_t bytes);
+    void refuseNewStreams();
+    void close(std::string_view reason);
+
+private:
+    friend class LinkStream;
+
+    static int onBeginHeaders(nghttp2_session*, const nghttp2_frame*, void*);
+    static int onHeader(nghttp2_session*, const nghttp2_frame*, const std::uint8_t*, std::size_t, const std::uint8_t*, std::size_t, std::uint8_t, void*);
+    static int onFrameReceived(nghttp2_session*, const nghttp2_frame*, void*);
+    static int onData(nghttp2_session*, std::uint8_t, std::int32_t, const std::uint8_t*, std::size_t, void*);
+    static int onStreamClose(nghttp2_session*, std::int32_t, std::uint32_t, void*);
+    static ssize_t readOutput(nghttp2_session*, std::int32_t, std::uint8_t*, std::size_t, std::uint32_t*, nghttp2_data_source*, void*);
+
+    void createSession();
+    asio::awaitable<void> readLoop();
+    asio::awaitable<void> writeLoop();
+    void pump();
+    void headersDone(std::int32_t streamId);
+    void takeData(LinkStream& stream, std::string_view data);
+    void endStream(LinkStream& stream, std::uint32_t errorCode);
+    void submitAnswer(LinkStream& stream);
+    void rejectStream(std::int32_t streamId, int status, const std::string& reason);
+    void report(std::string_view step, std::string_view reason);
+    LinkStream* find(std::int32_t streamId);
+
+    asio::ip::tcp::socket socket_;
+    Side side_;
+    std::string credential_;
+    std::string peer_;
+    std::shared_ptr<WireCounters> counters_;
+    PeerStreamHandler handler_;
+    WireErrorHook onError_;
+    nghttp2_session* session_ = nullptr;
+    std::unordered_map<std::int32_t, std::shared_ptr<LinkStream>> streams_;
+    bool isWriting_ = false;
+    bool isRefusing_ = false;
+    std::atomic<bool> isUsable_ { true };
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/test/Harness/Process.cpp
@@ -0,0 +1,171 @@
+//===- test/Harness/Process.cpp - child processes of tests -----------------===//
+///
+/// \file
+/// See Process.h.
+//===----------------------------------------------------------------------===//
+#include "Process.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace pistachioloom::test {
+
+namespace {
+
+    constexpr milliseconds pollPeriod { 5 };
+    constexpr int outputEnd = 1;
+    constexpr int inputEnd = 0;
+
+    struct Spawned {
+        pid_t id_ = -1;
+        int output_ = -1;
+    };
+
+    Spawned spawn(const std::string& program, const std::vector<std::string>& arguments, const std::string& errorFile)
+    {
+        int pipeEnds[2];
+        if (pipe2(pipeEnds, O_CLOEXEC))
+            throw std::runtime_error("no pipe");
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_adddup2(&actions, pipeEnds[outputEnd], STDOUT_FILENO);
+        if (errorFile.empty())
+            posix_spawn_file_actions_adddup2(&actions, pipeEnds[outputEnd], STDERR_FILENO);
+        else
+            posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        std::vector<char*> argv { const_cast<char*>(program.c_str()) };
+        for (const std::string& argument : arguments)
+            argv.push_back(const_cast<char*>(argument.c_str()));
+        argv.push_back(nullptr);
+        Spawned spawned { -1, pipeEnds[inputEnd] };
+        int failed = posix_spawn(&spawned.id_, program.c_str(), &actions, nullptr, argv.data(), environ);
+        posix_spawn_file_actions_destroy(&actions);
+        close(pipeEnds[outputEnd]);
+        if (!failed)
+            return spawned;
+        close(pipeEnds[inputEnd]);
+        throw std::runtime_error("cannot start " + program);
+    }
+
+} // namespace
+
+std::string programPath(const std::string& name)
+{
+    return std::string(PISTACHIOLOOM_PROGRAMS) + "/" + name;
+}
+
+Process::Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile)
+{
+    Spawned spawned = spawn(program, arguments, logFile);
+    id_ = spawned.id_;
+    std::string line;
+    char byte = 0;
+    while (read(spawned.output_, &byte, 1) == 1 && byte != '\n')
+        line += byte;
+    close(spawned.output_);
+    auto object = parseJsonObject(line);
+    if (!object) {
+        kill();
+        throw std::runtime_error(program + " did not start; see " + logFile);
+    }
+    firstLine_ = std::move(*object);
+}
+
+Process::~Process()
+{
+    if (!hasEnded_)
+        kill();
+}
+
+void Process::signal(int number) const
+{
+    if (!hasEnded_)
+        ::kill(id_, number);
+}
+
+void Process::kill()
+{
+    signal(SIGKILL);
+    wait(milliseconds(10000));
+}
+
+void Process::freeze() const
+{
+    signal(SIGSTOP);
+}
+
+void Process::resume() const
+{
+    signal(SIGCONT);
+}
+
+int Process::wait(milliseconds patience)
+{
+    auto until = std::chrono::steady_clock::now() + patience;
+    while (!hasEnded_) {
+        int status = 0;
+        if (waitpid(id_, &status, WNOHANG) == id_) {
+            hasEnded_ = true;
+            exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+            break;
+        }
+        if (std::chrono::steady_clock::now() > until)
+            break;
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    return exitCode_;
+}
+
+bool Process::isRunning()
+{
+    wait(milliseconds(0));
+    return !hasEnded_;
+}
+
+std::chrono::microseconds Process::processorTime() const
+{
+    std::ifstream stat("/proc/" + std::to_string(id_) + "/stat");
+    std::string field;
+    // Fields 14 and 15, user and system time in clock ticks; the name in field
+    // 2 has no blanks in our programs.
+    constexpr int fieldsBefore = 13;
+    for (int i = 0; i < fieldsBefore; ++i)
+        stat >> field;
+    long user = 0;
+    long system = 0;
+    stat >> user >> system;
+    return std::chrono::microseconds((user + system) * 1000000 / sysconf(_SC_CLK_TCK));
+}
+
+ByteCount Process::residentMemory() const
+{
+    std::ifstream statm("/proc/" + std::to_string(id_) + "/statm");
+    std::uint64_t all = 0;
+    std::uint64_t resident = 0;
+    statm >> all >> resident;
+    return { resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)) };
+}
+
+std::pair<int, std::string> runToEnd(const std::string& program, const std::vector<std::string>& arguments)
+{
+    Spawned spawned = spawn(program, arguments, {});
+    std::string output;
+    char buffer[4096];
+    for (ssize_t count = 0; (count = read(spawned.output_, buffer, sizeof buffer)) > 0;)
+        output.append(buffer, static_cast<std::size_t>(count));
+    close(spawned.output_);
+    int status = 0;
+    waitpid(spawned.id_, &status, 0);
+    return { WIFEXITED(status) ? WEXITSTATUS(status) : -1, output };
+}
+
+} // namespace pistachioloom::test
--- /dev/null
+++ b/test/Harness/Process.h
@@ -0,0 +1,51 @@
+//===- test/Harness/Process.h - child processes of tests -------------------===//
+///
+/// \file
+/// Starts the project's programs, reads the line in which they tell their
+/// ports, and stops, freezes or kills them by id.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Json.h"
+#include "pistachioloom/Support.h"
+
+#include <sys/types.h>
+
+namespace pistachioloom::test {
+
+class Process {
+public:
+    /// Starts \p program and reads its first line of output, a JSON object.
+    /// Standard error goes to \p logFile. \throws std::runtime_error.
+    Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile);
+    ~Process();
+    Process(const Process&) = delete;
+    Process& operator=(const Process&) = delete;
+
+    const boost::json::object& firstLine() const { return firstLine_; }
+    pid_t id() const { return id_; }
+    void signal(int number) const;
+    void kill();
+    void freeze() const;
+    void resume() const;
+    /// Waits for the end. \returns the exit code, or -1 for a signal or none.
+    int wait(milliseconds patience);
+    bool isRunning();
+    /// Processor time used so far, and memory held.
+    std::chrono::microseconds processorTime() const;
+    ByteCount residentMemory() const;
+
+private:
+    pid_t id_ = -1;
+    bool hasEnded_ = false;
+    int exitCode_ = -1;
+    boost::json::object firstLine_;
+};
+
+/// Runs \p program to its end. \returns its exit code and output.
+std::pair<int, std::string> runToEnd(const std::string& program, const std::vector<std::string>& arguments);
+
+/// The path of one of the project's programs.
+std::string programPath(const std::string& name);
+
+} // namespace pistachioloom::test
--- /dev/null
+++ b/tools/pistachioloomctl/main.cpp
@@ -0,0 +1,346 @@
+//===- tools/pistachioloomctl/main.cpp - the operators' tool ---------------===//
+///
+/// \file
+/// Commands over the operator port of any node.
+//===----------------------------------------------------------------------===//
+#include "Client.h"
+#include "Render.h"
+#include "pistachioloom/Json.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace pistachioloom;
+namespace json = boost::json;
+
+namespace {
+
+constexpr int exitRefused = 2;
+constexpr int exitConflict = 3;
+constexpr int exitUnknown = 4;
+constexpr int exitUnreachable = 5;
+
+struct Options {
+    std::string node_ = "127.0.0.1:7003";
+    std::string credential_;
+    std::int64_t timeoutMs_ = 10000;
+    bool isJson_ = false;
+    std::string file_;
+    std::string name_;
+    std::string request_;
+    std::string notice_;
+    std::optional<std::uint64_t> base_;
+    bool isEverywhere_ = false;
+};
+
+int fail(const Error& error)
+{
+    std::cerr << "error: " << describe(error) << '\n';
+    if (error.ran_ == Ran::Unknown)
+        return exitUnknown;
+    return error.code_ == Errc::Unavailable || error.code_ == Errc::Timeout ? exitUnreachable : exitRefused;
+}
+
+std::optional<std::string> readFile(const std::string& file)
+{
+    std::ifstream input(file);
+    if (!input)
+        return std::nullopt;
+    std::ostringstream text;
+    text << input.rdbuf();
+    return text.str();
+}
+
+/// Splits a file of several entries at lines of three dashes.
+std::vector<std::string> splitDocuments(const std::string& text)
+{
+    std::vector<std::string> documents { "" };
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        if (line == "---")
+            documents.emplace_back();
+        else
+            documents.back() += line + "\n";
+    }
+    std::erase_if(documents, [](const std::string& document) { return document.find_first_not_of(" \n\t") == std::string::npos; });
+    return documents;
+}
+
+int applyFile(const OperatorClient& client, const Options& options)
+{
+    auto text = readFile(options.file_);
+    if (!text) {
+        std::cerr << "error: " << options.file_ << " cannot be read\n";
+        return exitRefused;
+    }
+    // All are checked before any is sent.
+    std::vector<std::pair<std::string, std::string>> entries;
+    InputErrors errors;
+    for (const std::string& document : splitDocuments(*text)) {
+        if (auto entry = parseEntry(document, options.file_, errors))
+            entries.emplace_back(entry->name_.value_, document);
+    }
+    for (const InputError& error : errors)
+        std::cerr << error.toString() << '\n';
+    if (!errors.empty())
+        return exitRefused;
+    for (const auto& [name, body] : entries) {
+        auto applied = applyEntry(client, name, body, options.base_);
+        if (!applied)
+            return fail(applied.error());
+        if (!applied.value().isAccepted_) {
+            std::cerr << name << ": conflicts with version " << applied.value().version_ << '\n';
+            return exitConflict;
+        }
+        std::cout << name << ": accepted as version " << applied.value().version_ << '\n';
+    }
+    return 0;
+}
+
+int removeEntry(const OperatorClient& client, const Options& options)
+{
+    auto applied = applyEntry(client, options.name_, "", options.base_);
+    if (!applied)
+        return fail(applied.error());
+    std::cout << options.name_ << (applied.value().isAccepted_ ? ": removed\n" : ": conflicts with version " + std::to_string(applied.value().version_) + "\n");
+    return applied.value().isAccepted_ ? 0 : exitConflict;
+}
+
+int getEntry(const OperatorClient& client, const Options& options)
+{
+    auto entry = client.getJson("/catalogue/" + options.name_);
+    if (!entry)
+        return fail(entry.error());
+    if (options.isJson_)
+        std::cout << json::serialize(entry.value()) << '\n';
+    else
+        std::cout << "# version " << numberField(entry.value().as_object(), "version") << '\n'
+                  << textField(entry.value().as_object(), "body");
+    return 0;
+}
+
+int diffEntry(const OperatorClient& client, const Options& options)
+{
+    auto text = readFile(options.file_);
+    InputErrors errors;
+    auto wanted = text ? parseEntry(*text, options.file_, errors) : std::nullopt;
+    if (!wanted) {
+        std::cerr << "error: " << (errors.empty() ? options.file_ + " cannot be read" : errors.front().toString()) << '\n';
+        return exitRefused;
+    }
+    auto entry = client.getJson("/catalogue/" + wanted->name_.value_);
+    std::string current = entry ? textField(entry.value().as_object(), "body") : std::string();
+    std::set<std::string> before;
+    std::set<std::string> after;
+    std::istringstream oldLines(current);
+    std::istringstream newLines(*text);
+    for (std::string line; std::getline(oldLines, line);)
+        before.insert(line);
+    for (std::string line; std::getline(newLines, line);)
+        after.insert(line);
+    for (const std::string& line : before) {
+        if (!after.contains(line))
+            std::cout << "- " << line << '\n';
+    }
+    for (const std::string& line : after) {
+        if (!before.contains(line))
+            std::cout << "+ " << line << '\n';
+    }
+    return 0;
+}
+
+/// Rows of one listing from one node, or from every node it knows.
+Result<std::vector<json::object>> collect(const OperatorClient& client, const std::string& target, const std::string& field, const std::string& source, bool isEverywhere)
+{
+    std::vector<OperatorClient> nodes { client };
+    if (isEverywhere) {
+        auto all = client.everyNode();
+        if (!all)
+            return all.error();
+        nodes = std::move(all.value());
+    }
+    std::vector<json::object> rows;
+    for (const OperatorClient& node : nodes) {
+        auto listed = node.getJson(target);
+        if (!listed) {
+            std::cerr << "warning: " << describe(listed.error()) << '\n';
+            continue;
+        }
+        if (listed.value().is_array()) {
+            for (const json::value& row : listed.value().as_array())
+                rows.push_back(row.as_object());
+            continue;
+        }
+        for (json::object& row : objectsField(listed.value().as_object(), field.c_str())) {
+            if (!source.empty())
+                row[source] = textField(listed.value().as_object(), source.c_str());
+            rows.push_back(std::move(row));
+        }
+    }
+    return rows;
+}
+
+int list(const OperatorClient& client, const Options& options, const std::string& target, const std::string& field, const std::string& source, const std::vector<std::string>& columns)
+{
+    auto rows = collect(client, target, field, source, options.isEverywhere_);
+    if (!rows)
+        return fail(rows.error());
+    if (options.isJson_) {
+        json::array array;
+        for (json::object& row : rows.value())
+            array.push_back(std::move(row));
+        std::cout << json::serialize(array) << '\n';
+        return 0;
+    }
+    std::cout << renderTable(rows.value(), columns);
+    return 0;
+}
+
+int trace(const OperatorClient& client, const Options& options)
+{
+    auto nodes = client.everyNode();
+    if (!nodes)
+        return fail(nodes.error());
+    std::vector<json::object> spans;
+    for (const OperatorClient& node : nodes.value()) {
+        auto response = node.call("GET", "/traces/" + options.request_);
+        if (!response) {
+            std::cerr << "warning: " << describe(response.error()) << '\n';
+            continue;
+        }
+        std::istringstream lines(response.value().body_);
+        for (std::string line; std::getline(lines, line);) {
+            if (auto span = parseJsonObject(line))
+                spans.push_back(std::move(*span));
+        }
+    }
+    if (!options.isJson_) {
+        std::cout << renderTrace(spans);
+        return spans.empty() ? exitRefused : 0;
+    }
+    for (const json::object& span : spans)
+        std::cout << json::serialize(span) << '\n';
+    return spans.empty() ? exitRefused : 0;
+}
+
+int explain(const OperatorClient& client, const Options& options)
+{
+    auto nodes = client.everyNode();
+    if (!nodes)
+        return fail(nodes.error());
+    for (const OperatorClient& node : nodes.value()) {
+        auto explanation = node.getJson("/explain/" + options.request_);
+        if (!explanation || !explanation.value().is_array())
+            continue;
+        if (options.isJson_) {
+            std::cout << json::serialize(explanation.value()) << '\n';
+            return 0;
+        }
+        std::vector<json::object> rows;
+        for (const json::value& row : explanation.value().as_array())
+            rows.push_back(row.as_object());
+        std::cout << renderTable(rows, { "engine", "home", "estimate_ms", "free_slots", "queued", "sent_since", "prefix_rank", "local", "price_per_hour" });
+        return 0;
+    }
+    std::cerr << "error: no node remembers request " << options.request_ << '\n';
+    return exitRefused;
+}
+
+int drain(const OperatorClient& client, const Options& options)
+{
+    auto response = client.call("POST", "/drain?notice=" + options.notice_);
+    if (!response)
+        return fail(response.error());
+    std::cout << client.node().toString() << " is draining\n";
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    Options options;
+    CLI::App app { "pistachioloomctl operates a pistachioloom deployment through any of its nodes." };
+    app.require_subcommand(1);
+    app.add_option("--node", options.node_, "Operator address of a node, IP:PORT")->envname("PISTACHIOLOOM_NODE")->capture_default_str();
+    app.add_option("--credential", options.credential_, "Operator credential")->envname("PISTACHIOLOOM_CREDENTIAL");
+    app.add_option("--timeout-ms", options.timeoutMs_, "Longest wait for one answer")->capture_default_str();
+    app.footer("Exit codes: 0 done, 1 wrong options, 2 refused, 3 conflict, 4 outcome unknown, 5 node unreachable.\n"
+               "Example: pistachioloomctl --node 10.0.0.4:7003 catalogue apply entries.yaml");
+    int code = 0;
+    auto client = [&] {
+        std::size_t colon = options.node_.rfind(':');
+        Endpoint endpoint { options.node_.substr(0, colon), colon == std::string::npos ? std::uint16_t { 0 } : static_cast<std::uint16_t>(std::strtoul(options.node_.c_str() + colon + 1, nullptr, 10)) };
+        return OperatorClient(endpoint, options.credential_, milliseconds(options.timeoutMs_));
+    };
+    auto addJson = [&](CLI::App* command) {
+        command->add_flag("--json", options.isJson_, "Print JSON");
+        return command;
+    };
+
+    auto* catalogue = app.add_subcommand("catalogue", "Change and show the catalogue");
+    catalogue->require_subcommand(1);
+    auto* apply = catalogue->add_subcommand("apply", "Apply the entries of a file, parted by lines of ---");
+    apply->add_option("file", options.file_, "YAML file")->required();
+    apply->add_option("--base", options.base_, "Version that the change is based on; the current one by default");
+    apply->footer("Example: pistachioloomctl catalogue apply planograms.yaml --base 41");
+    apply->callback([&] { code = applyFile(client(), options); });
+    auto* get = addJson(catalogue->add_subcommand("get", "Show one entry"));
+    get->add_option("name", options.name_, "Entry name")->required();
+    get->footer("Example: pistachioloomctl catalogue get planograms");
+    get->callback([&] { code = getEntry(client(), options); });
+    auto* remove = catalogue->add_subcommand("remove", "Remove one entry");
+    remove->add_option("name", options.name_, "Entry name")->required();
+    remove->add_option("--base", options.base_, "Version that the change is based on");
+    remove->footer("Example: pistachioloomctl catalogue remove trial-7");
+    remove->callback([&] { code = removeEntry(client(), options); });
+    auto* listEntries = addJson(catalogue->add_subcommand("list", "List the entries"));
+    listEntries->footer("Example: pistachioloomctl catalogue list --json");
+    listEntries->callback([&] { code = list(client(), options, "/catalogue", "entries", "", { "name", "kind", "owner", "class", "version" }); });
+    auto* history = addJson(catalogue->add_subcommand("history", "List accepted changes, oldest first"));
+    history->footer("Example: pistachioloomctl catalogue history");
+    history->callback([&] { code = list(client(), options, "/history", "", "", { "entry", "version", "edit", "removed" }); });
+    auto* diff = catalogue->add_subcommand("diff", "Show lines that differ between a file and the entry in force");
+    diff->add_option("file", options.file_, "YAML file of one entry")->required();
+    diff->footer("Example: pistachioloomctl catalogue diff planograms.yaml");
+    diff->callback([&] { code = diffEntry(client(), options); });
+
+    auto* nodes = addJson(app.add_subcommand("nodes", "List the nodes as one of them sees them"));
+    nodes->footer("Example: pistachioloomctl nodes");
+    nodes->callback([&] { code = list(client(), options, "/nodes", "nodes", "", { "node", "data_centre", "state", "leaving", "catalogue_offset", "operator" }); });
+    auto* engines = addJson(app.add_subcommand("engines", "List engines and services with their homes"));
+    engines->footer("Example: pistachioloomctl engines");
+    engines->callback([&] {
+        options.isEverywhere_ = true;
+        code = list(client(), options, "/engines", "engines", "home", { "engine", "data_centre", "home", "active", "free_slots", "queued", "wait_ms" });
+    });
+    auto* requests = addJson(app.add_subcommand("requests", "List generations with their owners"));
+    requests->footer("Example: pistachioloomctl requests --json");
+    requests->callback([&] {
+        options.isEverywhere_ = true;
+        code = list(client(), options, "/requests", "requests", "owner", { "request", "entry", "model", "owner", "replica", "engine", "tokens", "over" });
+    });
+    auto* limits = addJson(app.add_subcommand("limits", "List what each node holds of the entries' limits"));
+    limits->footer("Example: pistachioloomctl limits");
+    limits->callback([&] {
+        options.isEverywhere_ = true;
+        code = list(client(), options, "/limits", "entries", "node", { "entry", "node", "in_progress", "held", "share_of_data_centre", "keeper" });
+    });
+    auto* drainCommand = app.add_subcommand("drain", "Stop the node gracefully");
+    drainCommand->add_option("--notice", options.notice_, "Time left, such as 30s; without it the node waits for its requests");
+    drainCommand->footer("Example: pistachioloomctl --node 10.0.0.4:7003 drain --notice 30s");
+    drainCommand->callback([&] { code = drain(client(), options); });
+    auto* explainCommand = addJson(app.add_subcommand("explain", "Show why a request went to its engine"));
+    explainCommand->add_option("request", options.request_, "Request id")->required();
+    explainCommand->footer("Example: pistachioloomctl explain 0b9c...");
+    explainCommand->callback([&] { code = explain(client(), options); });
+    auto* traceCommand = addJson(app.add_subcommand("trace", "Show the hops of a request as a tree"));
+    traceCommand->add_option("request", options.request_, "Request id")->required();
+    traceCommand->footer("Example: pistachioloomctl trace 0b9c...");
+    traceCommand->callback([&] { code = trace(client(), options); });
+
+    CLI11_PARSE(app, argc, argv);
+    return code;
+}
--- /dev/null
+++ b/tools/pistachioloomd/main.cpp
@@ -0,0 +1,57 @@
+//===- tools/pistachioloomd/main.cpp - the daemon --------------------------===//
+///
+/// \file
+/// Parses options and settings, and runs a node until it has drained.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Node.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+using namespace pistachioloom;
+
+namespace {
+
+constexpr int exitBadSettings = 2;
+constexpr int exitCannotStart = 3;
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "pistachioloomd serves language model requests on reclaimable VMs." };
+    std::string file;
+    bool isCheck = false;
+    app.add_option("--settings", file, "YAML file of settings")->required();
+    app.add_flag("--check", isCheck, "Check the settings and exit");
+    app.footer("Exit codes: 0 drained, 1 wrong options, 2 wrong settings, 3 cannot start.\nExample: pistachioloomd --settings entry.yaml --check");
+    CLI11_PARSE(app, argc, argv);
+
+    InputErrors errors;
+    auto settings = loadSettings(file, errors);
+    for (const InputError& error : errors)
+        std::cerr << error.toString() << '\n';
+    if (!settings)
+        return exitBadSettings;
+    if (isCheck) {
+        std::cout << file << ": settings are good\n";
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    initialiseLogging(settings->logs_, settings->vm_.value_);
+    Node node(std::move(*settings));
+    auto ports = node.start();
+    if (!ports) {
+        std::cerr << describe(ports.error()) << '\n';
+        return exitCannotStart;
+    }
+    // Whoever asked for kernel-chosen ports reads them from this line.
+    std::cout << "{\"callers\":" << ports.value().callers_ << ",\"peers\":" << ports.value().peers_
+              << ",\"operators\":" << ports.value().operators_ << "}" << std::endl;
+    node.run();
+    // Coroutines that still wait at this point hold references in all directions;
+    // a drained node has nothing left that a destructor would have to save.
+    std::cout.flush();
+    std::_Exit(0);
+}
--- /dev/null
+++ b/tools/standins/PlatformStandin.cpp
@@ -0,0 +1,242 @@
+//===- tools/standins/PlatformStandin.cpp - log, VM list and notices -------===//
+///
+/// \file
+/// The platform's log service, VM list and reclaim notices, with faults:
+/// outages of either, slowness, lost answers, trimming, a lagging list, and
+/// cuts from single data centres. Callers name theirs in `x-data-centre`.
+//===----------------------------------------------------------------------===//
+#include "Standin.h"
+
+#include <CLI/CLI.hpp>
+#include <set>
+
+using namespace pistachioloom;
+using namespace pistachioloom::standin;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds pollPeriod { 10 };
+constexpr std::size_t mostRecordsAnswered = 1000;
+constexpr int statusUnavailable = 503;
+
+struct Stream {
+    std::uint64_t first_ = 0;
+    std::vector<std::string> records_;
+
+    std::uint64_t next() const { return first_ + records_.size(); }
+};
+
+class Platform {
+public:
+    asio::awaitable<void> handle(HttpExchange& exchange);
+
+private:
+    asio::awaitable<void> append(HttpExchange& exchange, std::string stream);
+    asio::awaitable<void> read(HttpExchange& exchange, std::string stream);
+    asio::awaitable<void> list(HttpExchange& exchange);
+    asio::awaitable<void> notices(HttpExchange& exchange);
+    asio::awaitable<void> control(HttpExchange& exchange);
+    json::object viewOf(const json::object& vm, const std::string& dataCentre) const;
+
+    Controls controls_ { {
+        { "log_down", 0 },
+        { "list_down", 0 },
+        { "log_delay_ms", 0 },
+        // How many of the next appends take effect without an answer.
+        { "lose_append_answers", 0 },
+        // How many of the next appends fail without taking effect.
+        { "fail_appends", 0 },
+        { "list_lag_ms", 0 },
+    } };
+    std::map<std::string, Stream> streams_;
+    std::map<std::string, json::object> vms_;
+    std::uint64_t version_ = 1;
+    std::vector<json::object> notices_;
+    std::set<std::string> cutDataCentres_;
+    // Peer ports as one data centre sees them, "from/vm" to port.
+    std::map<std::string, std::uint64_t> portViews_;
+    std::uint64_t appends_ = 0;
+    std::uint64_t reads_ = 0;
+    std::uint64_t lists_ = 0;
+};
+
+json::object Platform::viewOf(const json::object& vm, const std::string& dataCentre) const
+{
+    json::object seen = vm;
+    auto found = portViews_.find(dataCentre + "/" + textField(vm, "id"));
+    if (found != portViews_.end())
+        seen["port"] = found->second;
+    return seen;
+}
+
+asio::awaitable<void> Platform::append(HttpExchange& exchange, std::string name)
+{
+    ++appends_;
+    co_await pause(milliseconds(controls_["log_delay_ms"]));
+    if (controls_["fail_appends"] > 0) {
+        controls_.set("fail_appends", controls_["fail_appends"] - 1);
+        Error error { Errc::Unavailable, "append", "log", "not taken", Ran::No, {} };
+        co_await exchange.respond(errorResponse(error));
+        co_return;
+    }
+    Stream& stream = streams_[name];
+    std::uint64_t offset = stream.next();
+    stream.records_.push_back(exchange.request().body_);
+    if (controls_["lose_append_answers"] > 0) {
+        controls_.set("lose_append_answers", controls_["lose_append_answers"] - 1);
+        exchange.abort();
+        co_return;
+    }
+    json::object answer;
+    answer["offset"] = offset;
+    co_await reply(exchange, 200, answer);
+}
+
+asio::awaitable<void> Platform::read(HttpExchange& exchange, std::string name)
+{
+    ++reads_;
+    std::uint64_t from = std::strtoull(exchange.request().query("from").c_str(), nullptr, 10);
+    milliseconds wait(std::strtoll(exchange.request().query("wait_ms").c_str(), nullptr, 10));
+    auto until = std::chrono::steady_clock::now() + wait;
+    while (streams_[name].next() <= from && std::chrono::steady_clock::now() < until && !controls_["log_down"])
+        co_await pause(pollPeriod);
+    const Stream& stream = streams_[name];
+    json::array records;
+    for (std::uint64_t offset = std::max(from, stream.first_); offset < stream.next() && records.size() < mostRecordsAnswered; ++offset) {
+        json::object record;
+        record["offset"] = offset;
+        record["data"] = stream.records_[offset - stream.first_];
+        records.push_back(record);
+    }
+    json::object answer;
+    answer["first"] = stream.first_;
+    answer["next"] = stream.next();
+    answer["records"] = records;
+    co_await reply(exchange, 200, answer);
+}
+
+asio::awaitable<void> Platform::list(HttpExchange& exchange)
+{
+    ++lists_;
+    std::uint64_t known = std::strtoull(exchange.request().query("known_version").c_str(), nullptr, 10);
+    if (known == version_) {
+        HttpResponse unchanged { 304, {}, {} };
+        co_await exchange.respond(std::move(unchanged));
+        co_return;
+    }
+    json::array vms;
+    for (const auto& [id, vm] : vms_)
+        vms.push_back(viewOf(vm, exchange.request().header("x-data-centre")));
+    json::object answer;
+    answer["version"] = version_;
+    answer["vms"] = vms;
+    co_await reply(exchange, 200, answer);
+}
+
+asio::awaitable<void> Platform::notices(HttpExchange& exchange)
+{
+    std::size_t since = std::strtoull(exchange.request().query("since").c_str(), nullptr, 10);
+    milliseconds wait(std::strtoll(exchange.request().query("wait_ms").c_str(), nullptr, 10));
+    auto until = std::chrono::steady_clock::now() + wait;
+    while (notices_.size() <= since && std::chrono::steady_clock::now() < until)
+        co_await pause(pollPeriod);
+    json::array fresh;
+    for (std::size_t i = since; i < notices_.size(); ++i)
+        fresh.push_back(notices_[i]);
+    json::object answer;
+    answer["next"] = notices_.size();
+    answer["notices"] = fresh;
+    co_await reply(exchange, 200, answer);
+}
+
+asio::awaitable<void> Platform::control(HttpExchange& exchange)
+{
+    auto body = parseJsonObject(exchange.request().body_).value_or(json::object {});
+    controls_.update(body);
+    for (const json::object& vm : objectsField(body, "put_vms"))
+        vms_[textField(vm, "id")] = vm;
+    if (const json::array* removed = arrayField(body, "remove_vms")) {
+        for (const json::value& id : *removed)
+            vms_.erase(std::string(id.as_string()));
+    }
+    for (const json::object& view : objectsField(body, "port_views"))
+        portViews_[textField(view, "from") + "/" + textField(view, "vm")] = numberField(view, "port");
+    for (const json::object& notice : objectsField(body, "notices"))
+        notices_.push_back(notice);
+    if (const json::array* cut = arrayField(body, "cut_data_centres")) {
+        cutDataCentres_.clear();
+        for (const json::value& name : *cut)
+            cutDataCentres_.insert(std::string(name.as_string()));
+    }
+    std::string trimmed = textField(body, "trim_stream");
+    if (!trimmed.empty()) {
+        Stream& stream = streams_[trimmed];
+        std::uint64_t to = std::min(numberField(body, "trim_to"), stream.next());
+        std::uint64_t count = to > stream.first_ ? to - stream.first_ : 0;
+        stream.records_.erase(stream.records_.begin(), stream.records_.begin() + static_cast<std::ptrdiff_t>(count));
+        stream.first_ += count;
+    }
+    bool changesList = body.contains("put_vms") || body.contains("remove_vms") || body.contains("port_views");
+    if (changesList) {
+        co_await pause(milliseconds(controls_["list_lag_ms"]));
+        ++version_;
+    }
+    json::object answer;
+    answer["version"] = version_;
+    answer["appends"] = appends_;
+    answer["reads"] = reads_;
+    answer["lists"] = lists_;
+    json::object nexts;
+    for (const auto& [name, stream] : streams_)
+        nexts[name] = stream.next();
+    answer["next"] = nexts;
+    co_await reply(exchange, 200, answer);
+}
+
+asio::awaitable<void> Platform::handle(HttpExchange& exchange)
+{
+    const HttpRequest& request = exchange.request();
+    std::string path = request.path();
+    if (path == "/control") {
+        co_await control(exchange);
+        co_return;
+    }
+    if (cutDataCentres_.contains(request.header("x-data-centre"))) {
+        exchange.abort();
+        co_return;
+    }
+    constexpr std::string_view prefix = "/streams/";
+    constexpr std::string_view suffix = "/records";
+    bool isLog = path.starts_with(prefix) && path.ends_with(suffix);
+    if (controls_[isLog ? "log_down" : "list_down"]) {
+        co_await reply(exchange, statusUnavailable, json::object {});
+        co_return;
+    }
+    if (path == "/notices") {
+        co_await notices(exchange);
+        co_return;
+    }
+    if (!isLog) {
+        co_await list(exchange);
+        co_return;
+    }
+    std::string stream = path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
+    if (request.method_ == "POST")
+        co_await append(exchange, stream);
+    else
+        co_await read(exchange, stream);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "Stand-in for the platform's log, VM list and notices." };
+    std::uint16_t port = 0;
+    app.add_option("--port", port, "Port, 0 for any");
+    CLI11_PARSE(app, argc, argv);
+    asio::io_context io;
+    Platform platform;
+    return serve(io, port, [&](HttpExchange& exchange) { return platform.handle(exchange); });
+}
--- /dev/null
+++ b/unittests/Wire/PeerStreamTest.cpp
@@ -0,0 +1,133 @@
+//===- unittests/Wire/PeerStreamTest.cpp - streams between peers -----------===//
+///
+/// \file
+/// Calls, long frames, refusals, wrong credentials and bad input between a
+/// pool and a server on loopback.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Wire.h"
+
+#include "generated/Peer.pb.h"
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <iostream>
+#include <thread>
+
+using namespace pistachioloom;
+
+namespace {
+
+const std::string credential = "a-credential-of-tests";
+constexpr milliseconds callTimeout { 10000 };
+
+/// A server that answers every frame of a stream with the same frame.
+class EchoServer {
+public:
+    EchoServer()
+        : work_(asio::make_work_guard(io_))
+        , server_(
+              io_.get_executor(), credential, [](std::shared_ptr<PeerStream> stream) { return echo(std::move(stream)); },
+              [this](const Error& error) { errors_.push_back(describe(error)); std::cerr << describe(error) << std::endl; })
+    {
+        endpoint_ = { "127.0.0.1", server_.listen({ "127.0.0.1", 0 }).value() };
+        thread_ = std::thread([this] { io_.run(); });
+    }
+
+    ~EchoServer()
+    {
+        io_.stop();
+        thread_.join();
+    }
+
+    PeerServer& server() { return server_; }
+    const Endpoint& endpoint() const { return endpoint_; }
+
+    Result<wire::Frame> call(PeerPool& pool, const Endpoint& peer, const wire::Frame& frame)
+    {
+        std::promise<Result<wire::Frame>> replied;
+        auto task = [&]() -> asio::awaitable<void> {
+            auto reply = co_await pool.call(peer, frame, callTimeout);
+            replied.set_value(std::move(reply));
+        };
+        asio::co_spawn(asio::make_strand(io_), task, asio::detached);
+        return replied.get_future().get();
+    }
+
+    asio::io_context io_;
+
+private:
+    static asio::awaitable<void> echo(std::shared_ptr<PeerStream> stream)
+    {
+        for (;;) {
+            auto frame = co_await stream->receive();
+            if (!frame)
+                break;
+            if (frame.value().has_vm_list_fetch()) {
+                stream->refuse();
+                co_return;
+            }
+            co_await stream->send(frame.value());
+        }
+        stream->finish();
+    }
+
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    PeerServer server_;
+    std::vector<std::string> errors_;
+    Endpoint endpoint_;
+    std::thread thread_;
+};
+
+wire::Frame updateOf(std::size_t size)
+{
+    wire::Frame frame;
+    frame.mutable_vm_list_update()->set_list(std::string(size, 'x'));
+    return frame;
+}
+
+} // namespace
+
+TEST_CASE("a call brings back its own frame, whatever its size")
+{
+    EchoServer echo;
+    PeerPool pool(echo.io_.get_executor(), credential, {});
+    auto size = GENERATE(std::size_t { 0 }, std::size_t { 100 }, std::size_t { 70000 }, std::size_t { 300000 }, std::size_t { 3000000 });
+    auto reply = echo.call(pool, echo.endpoint(), updateOf(size));
+    INFO((reply ? std::string("good") : describe(reply.error())));
+    REQUIRE(reply);
+    CHECK(reply.value().vm_list_update().list().size() == size);
+}
+
+TEST_CASE("a wrong credential is refused as not run")
+{
+    EchoServer echo;
+    PeerPool pool(echo.io_.get_executor(), "another-credential", {});
+    auto reply = echo.call(pool, echo.endpoint(), updateOf(1));
+    REQUIRE(!reply);
+    CHECK(reply.error().ran_ == Ran::No);
+}
+
+TEST_CASE("a refused stream and a draining server tell that nothing ran")
+{
+    EchoServer echo;
+    PeerPool pool(echo.io_.get_executor(), credential, {});
+    wire::Frame refused;
+    refused.mutable_vm_list_fetch();
+    auto reply = echo.call(pool, echo.endpoint(), refused);
+    REQUIRE(!reply);
+    CHECK(reply.error().ran_ == Ran::No);
+    echo.server().refuseNewStreams();
+    reply = echo.call(pool, echo.endpoint(), updateOf(1));
+    REQUIRE(!reply);
+    CHECK(reply.error().ran_ == Ran::No);
+}
+
+TEST_CASE("a peer that is not there is an error that nothing ran")
+{
+    EchoServer echo;
+    PeerPool pool(echo.io_.get_executor(), credential, {});
+    Endpoint nobody { "127.0.0.1", 1 };
+    auto reply = echo.call(pool, nobody, updateOf(1));
+    REQUIRE(!reply);
+    CHECK(reply.error().ran_ == Ran::No);
+}
