--- a/include/pistachioloom/Settings.h
+++ b/include/pistachioloom/Settings.h
@@ -63,6 +63,8 @@
     milliseconds copyTimeout_ { 500 };
     /// Silence of an owner whose connection broke before its replica takes over.
     milliseconds takeoverGrace_ { 1000 };
+    /// Silence after which an owner is asked whether it is still there.
+    milliseconds ownerSilence_ { 2000 };
 };
 
 struct LimitSettings {
--- a/lib/Node/LimitDesk.cpp
+++ b/lib/Node/LimitDesk.cpp
@@ -14,6 +14,7 @@
 
     constexpr milliseconds grantTimeout { 500 };
     constexpr milliseconds limitRetry { 500 };
+constexpr int mostAsked = 3;
 
     SteadyTime now()
     {
@@ -52,16 +53,11 @@
 
 asio::awaitable<Result<void>> LimitDesk::admit(std::shared_ptr<const CatalogueEntry> entry, std::uint64_t tokens)
 {
-    // The second try is after the keeper was asked.
-    for (bool mayAsk : { true, false }) {
-        Admission::Verdict verdict {};
+    // Others that arrive at the same time may take what the keeper granted on
+    // our word, so it is asked again before the request is refused.
+    for (int asked = 0; asked <= mostAsked; ++asked) {
         milliseconds tokenWait {};
-        {
-            std::lock_guard lock(mutex_);
-            verdict = admission_.tryStart(*entry, tokens, now());
-            tokenWait = admission_.tokenWait(entry->name_, now());
-        }
-        switch (verdict) {
+        switch (tryStart(*entry, tokens, tokenWait)) {
         case Admission::Verdict::Admitted:
             co_return boost::outcome_v2::success();
         case Admission::Verdict::TokensExhausted:
@@ -69,12 +65,20 @@
         case Admission::Verdict::NeedsGrant:
             break;
         }
-        if (mayAsk)
+        if (asked < mostAsked)
             co_await askKeeper(entry);
     }
     co_return Error { Errc::LimitReached, "admit", entry->name_.value_, "requests in progress are at the limit", Ran::No, jitter(limitRetry, randomBits()) };
 }
 
+Admission::Verdict LimitDesk::tryStart(const CatalogueEntry& entry, std::uint64_t tokens, milliseconds& tokenWait)
+{
+    std::lock_guard lock(mutex_);
+    auto verdict = admission_.tryStart(entry, tokens, now());
+    tokenWait = admission_.tokenWait(entry.name_, now());
+    return verdict;
+}
+
 void LimitDesk::finish(const EntryName& entry, std::uint64_t unusedTokens)
 {
     std::lock_guard lock(mutex_);
@@ -83,29 +87,36 @@
 
 asio::awaitable<void> LimitDesk::askKeeper(std::shared_ptr<const CatalogueEntry> entry)
 {
-    wire::Frame frame;
-    wire::GrantRequest& request = *frame.mutable_grant_request();
-    {
-        std::lock_guard lock(mutex_);
-        std::uint64_t inUse = admission_.inProgress(entry->name_);
-        request.set_entry(entry->name_.value_);
-        request.set_node(context_.self().value_);
-        request.set_in_use(static_cast<std::uint32_t>(inUse));
-        request.set_wanted(static_cast<std::uint32_t>(inUse + 1 + context_.settings_.limits_.grantAhead_));
-    }
+    wire::Frame frame = makeRequest(entry->name_);
     SteadyTime askedAt = now();
     context_.metrics_.add(Counter::GrantMessages);
     auto reply = co_await context_.call(keeperOf(entry->name_), frame, grantTimeout);
-    if (!reply || !reply.value().has_grant_reply()) {
+    bool isGrant = reply && reply.value().has_grant_reply();
+    if (!isGrant)
         logger_.warn("Keeper of " + entry->name_.value_ + " does not answer.");
+    std::lock_guard lock(mutex_);
+    --waiting_[entry->name_];
+    if (!isGrant)
         co_return;
-    }
     const wire::GrantReply& grant = reply.value().grant_reply();
-    std::lock_guard lock(mutex_);
     // Counted from before the question, so that we end before the keeper does.
     admission_.setGrant(entry->name_, grant.granted(), askedAt + milliseconds(grant.valid_ms()));
 }
 
+wire::Frame LimitDesk::makeRequest(const EntryName& entry)
+{
+    std::lock_guard lock(mutex_);
+    std::uint64_t inUse = admission_.inProgress(entry);
+    std::uint64_t waiting = ++waiting_[entry];
+    wire::Frame frame;
+    wire::GrantRequest& request = *frame.mutable_grant_request();
+    request.set_entry(entry.value_);
+    request.set_node(context_.self().value_);
+    request.set_in_use(static_cast<std::uint32_t>(inUse));
+    request.set_wanted(static_cast<std::uint32_t>(inUse + waiting + context_.settings_.limits_.grantAhead_));
+    return frame;
+}
+
 asio::awaitable<void> LimitDesk::renewLoop()
 {
     for (;;) {
--- a/lib/Node/LimitDesk.h
+++ b/lib/Node/LimitDesk.h
@@ -40,6 +40,8 @@
     std::vector<EntryUse> uses() const;
 
 private:
+    Admission::Verdict tryStart(const CatalogueEntry& entry, std::uint64_t tokens, milliseconds& tokenWait);
+    wire::Frame makeRequest(const EntryName& entry);
     asio::awaitable<void> askKeeper(std::shared_ptr<const CatalogueEntry> entry);
     asio::awaitable<void> renewLoop();
     std::uint64_t shareOf(const CatalogueEntry& entry) const;
@@ -49,6 +51,8 @@
     Logger logger_;
     mutable std::mutex mutex_;
     Admission admission_;
+    /// Requests that wait for an answer of the keeper.
+    std::map<EntryName, std::uint64_t> waiting_;
     GrantTable grants_;
     /// When we were first asked for an entry: until one validity has passed,
     /// grants of the keeper before us may be out.
--- a/lib/Node/ReplicaStore.cpp
+++ b/lib/Node/ReplicaStore.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr milliseconds ownerTimeout { 500 };
-    constexpr milliseconds reapPeriod { 1000 };
+    constexpr milliseconds watchPeriod { 250 };
 
     SteadyTime now()
     {
@@ -32,6 +32,9 @@
     std::mutex mutex_;
     wire::GenerationRecord record_;
     bool isOver_ = false;
+    /// Its owner is being asked, or has lost it to us.
+    std::atomic<bool> isChecked_ { false };
+    std::atomic<bool> isTakenOver_ { false };
     SteadyTime changedAt_ = now();
 };
 
@@ -44,7 +47,7 @@
 
 void ReplicaStore::start()
 {
-    context_.spawn(reapLoop());
+    context_.spawn(watchLoop());
 }
 
 ReplicaStore::ReplicaPtr ReplicaStore::find(const std::string& requestId) const
@@ -80,13 +83,18 @@
         }
         if (!frame)
             break;
+        if (replica->isTakenOver_) {
+            // Its old owner woke up; it is to find another replica or give way.
+            stream->cancel();
+            co_return;
+        }
         if (!frame.value().has_record_progress() || !applyProgress(*replica, frame.value()))
             break;
         acknowledged = co_await stream->send(ackFrame());
         if (replica->isOver_)
             co_return;
     }
-    if (!replica->isOver_)
+    if (!replica->isOver_ && !replica->isChecked_.exchange(true))
         context_.spawn(takeOverIfOrphaned(replica));
 }
 
@@ -130,8 +138,15 @@
     co_await sleepFor(jitter(context_.settings_.replica_.takeoverGrace_, randomBits()));
     // A newer copy, or an owner that answers, makes this copy a stale one.
     bool isOwned = co_await ownerStillRuns(owner, requestId);
-    if (isOwned || find(requestId) != replica)
+    if (find(requestId) != replica)
+        co_return;
+    if (isOwned) {
+        std::lock_guard lock(replica->mutex_);
+        replica->changedAt_ = now();
+        replica->isChecked_ = false;
         co_return;
+    }
+    replica->isTakenOver_ = true;
     wire::GenerationRecord record;
     {
         std::lock_guard lock(replica->mutex_);
@@ -215,17 +230,39 @@
     }
 }
 
-asio::awaitable<void> ReplicaStore::reapLoop()
+std::vector<ReplicaStore::ReplicaPtr> ReplicaStore::silentReplicas() const
+{
+    std::vector<ReplicaPtr> silent;
+    std::lock_guard lock(mutex_);
+    for (const auto& [id, replica] : replicas_) {
+        std::lock_guard inner(replica->mutex_);
+        if (!replica->isOver_ && !replica->isChecked_ && now() - replica->changedAt_ > context_.settings_.replica_.ownerSilence_)
+            silent.push_back(replica);
+    }
+    return silent;
+}
+
+void ReplicaStore::dropOld()
+{
+    std::lock_guard lock(mutex_);
+    std::erase_if(replicas_, [&](const auto& item) {
+        std::lock_guard inner(item.second->mutex_);
+        milliseconds kept = context_.settings_.caller_.answersKept_;
+        milliseconds silence = item.second->isOver_ ? kept : kept + milliseconds(item.second->record_.deadline_ms());
+        return now() - item.second->changedAt_ > silence;
+    });
+}
+
+// A frozen owner keeps its connections; only its silence tells.
+asio::awaitable<void> ReplicaStore::watchLoop()
 {
     for (;;) {
-        co_await sleepFor(reapPeriod);
-        std::lock_guard lock(mutex_);
-        std::erase_if(replicas_, [&](const auto& item) {
-            std::lock_guard inner(item.second->mutex_);
-            milliseconds kept = context_.settings_.caller_.answersKept_;
-            milliseconds silence = item.second->isOver_ ? kept : kept + milliseconds(item.second->record_.deadline_ms());
-            return now() - item.second->changedAt_ > silence;
-        });
+        co_await sleepFor(watchPeriod);
+        dropOld();
+        for (const ReplicaPtr& replica : silentReplicas()) {
+            replica->isChecked_ = true;
+            context_.spawn(takeOverIfOrphaned(replica));
+        }
     }
 }
 
--- a/lib/Node/ReplicaStore.h
+++ b/lib/Node/ReplicaStore.h
@@ -38,7 +38,9 @@
     asio::awaitable<void> takeOverIfOrphaned(ReplicaPtr replica);
     asio::awaitable<bool> ownerStillRuns(std::string owner, std::string requestId);
     asio::awaitable<void> sendAnswer(std::shared_ptr<PeerStream> stream, GenerationPtr generation, bool doesFollow);
-    asio::awaitable<void> reapLoop();
+    asio::awaitable<void> watchLoop();
+    std::vector<ReplicaPtr> silentReplicas() const;
+    void dropOld();
 
     NodeContext& context_;
     GenerationOwner& owner_;
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -119,6 +119,7 @@
     {
         settings.copyTimeout_ = map.duration("copy_timeout", milliseconds(10), milliseconds(60000), settings.copyTimeout_);
         settings.takeoverGrace_ = map.duration("takeover_grace", milliseconds(10), milliseconds(600000), settings.takeoverGrace_);
+        settings.ownerSilence_ = map.duration("owner_silence", milliseconds(10), milliseconds(600000), settings.ownerSilence_);
         map.finish();
     }
 
--- /dev/null
+++ b/test/AnswersTest.cpp
@@ -0,0 +1,220 @@
+//===- test/AnswersTest.cpp - each caller's own whole answer ---------------===//
+///
+/// \file
+/// Many streams at once, callers of other organisations, resumption, bad
+/// requests and slow or vanished readers.
+//===----------------------------------------------------------------------===//
+#include "Harness/Deployment.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+DeploymentOptions answerOptions()
+{
+    DeploymentOptions options;
+    options.dataCentres_ = { "caxias-a", "caxias-b" };
+    options.nodesPerDataCentre_ = 2;
+    options.enginesPerDataCentre_ = { { "planogram", 2 } };
+    options.engineArguments_ = { "--decode_us", "3000", "--slots", "400" };
+    options.settings_ = "callers:\n  reconnect_grace: 1s\n  body: 64KiB\n";
+    return options;
+}
+
+std::string manyStreamsCatalogue()
+{
+    std::string text = Deployment::standardCatalogue();
+    std::string from = "name: planogram\nkind: engine\nconcurrency: 64";
+    text.replace(text.find(from), from.size(), "name: planogram\nkind: engine\nconcurrency: 400");
+    return text;
+}
+
+struct BadRequest {
+    std::string name_;
+    HttpRequest request_;
+    int status_;
+    std::string code_;
+};
+
+HttpRequest post(const std::string& target, const std::string& body, const std::string& key = Deployment::apiKey("rede"))
+{
+    HttpRequest request { "POST", target, {}, body };
+    if (!key.empty())
+        request.headers_["authorization"] = "Bearer " + key;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a thousand streams at once each get their own answer")
+{
+    Deployment deployment(answerOptions());
+    deployment.applyCatalogue(manyStreamsCatalogue());
+    constexpr std::size_t count = 1000;
+    std::vector<Completion> completions;
+    std::vector<Answer> answers(count);
+    for (std::size_t i = 0; i < count; ++i)
+        completions.push_back({ Deployment::apiKey(i % 3 ? "rede" : "visitante"), "planogram", "caller " + std::to_string(i), 30 + i % 7 });
+    asio::io_context io;
+    for (std::size_t i = 0; i < count; ++i) {
+        Endpoint entry = deployment.nodes()[i % deployment.nodes().size()].callers_;
+        auto task = [&, i, entry]() -> asio::awaitable<void> { answers[i] = co_await streamCompletion(entry, completions[i]); };
+        asio::co_spawn(asio::make_strand(io), task, asio::detached);
+    }
+    io.run();
+    std::size_t whole = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        INFO("caller " << i << (answers[i].error_ ? ": " + describe(*answers[i].error_) : std::string()));
+        CHECK(checkAnswer(answers[i], completions[i]) == "");
+        whole += answers[i].isDone_ ? 1 : 0;
+    }
+    CHECK(whole == count);
+}
+
+TEST_CASE("a request id is worth nothing to another organisation")
+{
+    Deployment deployment(answerOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    Completion completion { Deployment::apiKey("rede"), "planogram", "mine", 20 };
+    Answer answer = streamCompletionBlocking(deployment.nodes()[0].callers_, completion);
+    REQUIRE(answer.isDone_);
+    for (auto& node : deployment.nodes()) {
+        HttpRequest request { "GET", "/v1/requests/" + answer.requestId_, { { "authorization", "Bearer " + Deployment::apiKey("visitante") } }, {} };
+        auto stranger = callHttpBlocking(node.callers_, request, milliseconds(5000));
+        REQUIRE(stranger);
+        CHECK(stranger.value().status_ == 404);
+        request.headers_["authorization"] = "Bearer " + Deployment::apiKey("rede");
+        auto owner = callHttpBlocking(node.callers_, request, milliseconds(5000));
+        REQUIRE(owner);
+        CHECK(owner.value().status_ == 200);
+        CHECK(owner.value().body_.find(answer.tokens_.back()) != std::string::npos);
+    }
+}
+
+TEST_CASE("a caller resumes at any entry from any event it has")
+{
+    Deployment deployment(answerOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    Completion completion { Deployment::apiKey("rede"), "planogram", "resume me", 40 };
+    Answer whole = streamCompletionBlocking(deployment.nodes()[0].callers_, completion);
+    REQUIRE(whole.isDone_);
+    std::size_t have = GENERATE(std::size_t { 0 }, std::size_t { 1 }, std::size_t { 25 }, std::size_t { 40 });
+    Answer partial;
+    partial.requestId_ = whole.requestId_;
+    partial.tokens_.assign(whole.tokens_.begin(), whole.tokens_.begin() + static_cast<std::ptrdiff_t>(have));
+    std::uint64_t hash = 0;
+    for (const std::string& token : partial.tokens_)
+        hash = stableHash(token, hash);
+    char id[64];
+    std::snprintf(id, sizeof id, "%zu-%lx", have, static_cast<unsigned long>(hash));
+    if (have)
+        partial.lastEventId_ = id;
+    for (auto& node : deployment.nodes()) {
+        asio::io_context io;
+        Answer resumed;
+        auto task = [&]() -> asio::awaitable<void> { resumed = co_await resumeAnswer(node.callers_, completion.apiKey_, partial); };
+        asio::co_spawn(io, task, asio::detached);
+        io.run();
+        CHECK(resumed.isDone_);
+        CHECK(resumed.restarts_ == 0);
+        CHECK(checkAnswer(resumed, completion) == "");
+    }
+    // Text that is not this answer's is never continued.
+    partial.lastEventId_ = "5-123";
+    asio::io_context io;
+    Answer restarted;
+    auto task = [&]() -> asio::awaitable<void> { restarted = co_await resumeAnswer(deployment.nodes()[1].callers_, completion.apiKey_, partial); };
+    asio::co_spawn(io, task, asio::detached);
+    io.run();
+    CHECK(restarted.restarts_ == 1);
+    CHECK(checkAnswer(restarted, completion) == "");
+}
+
+TEST_CASE("an engine's work stops when its caller stays away")
+{
+    Deployment deployment(answerOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    {
+        asio::io_context io;
+        Completion completion { Deployment::apiKey("rede"), "planogram", "gone", 5000 };
+        auto task = [&]() -> asio::awaitable<void> { co_await streamCompletion(deployment.nodes()[0].callers_, completion); };
+        asio::co_spawn(io, task, asio::detached);
+        io.run_for(milliseconds(500));
+        // The context ends here, and with it the caller's connection.
+    }
+    CHECK(waitUntil([&] {
+        std::uint64_t active = 0;
+        for (auto& engine : deployment.engines())
+            active += numberField(Deployment::control(engine.endpoint_), "active");
+        return !active && deployment.metricOfAll("requests_failed_total") > 0;
+    }));
+}
+
+TEST_CASE("bad requests get the right status and the one error body")
+{
+    Deployment deployment(answerOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    std::vector<BadRequest> requests {
+        { "no key", post("/v1/completions", "{}", ""), 401, "unauthorised" },
+        { "unknown key", post("/v1/completions", "{}", "nobody"), 401, "unauthorised" },
+        { "malformed JSON", post("/v1/completions", "{\"model\":"), 400, "invalid_input" },
+        { "no object", post("/v1/completions", "[1,2]"), 400, "invalid_input" },
+        { "no model", post("/v1/completions", "{}"), 400, "invalid_input" },
+        { "unknown model", post("/v1/completions", R"({"model":"x","prompt":"p"})"), 404, "not_found" },
+        { "no prompt", post("/v1/completions", R"({"model":"planogram"})"), 400, "invalid_input" },
+        { "prompt of wrong type", post("/v1/completions", R"({"model":"planogram","prompt":7})"), 400, "invalid_input" },
+        { "too many tokens", post("/v1/completions", R"({"model":"planogram","prompt":"p","max_tokens":999999999})"), 400, "invalid_input" },
+        { "negative tokens", post("/v1/completions", R"({"model":"planogram","prompt":"p","max_tokens":-1})"), 400, "invalid_input" },
+        { "no messages", post("/v1/chat/completions", R"({"model":"planogram","messages":[]})"), 400, "invalid_input" },
+        { "messages without role", post("/v1/chat/completions", R"({"model":"planogram","messages":[{"content":"x"}]})"), 400, "invalid_input" },
+        { "oversized body", post("/v1/completions", std::string(100 * 1024, 'x')), 413, "too_large" },
+        { "wrong method", { "GET", "/v1/completions", {}, {} }, 405, "method_not_allowed" },
+        { "unknown path", post("/v2/other", "{}"), 404, "not_found" },
+        { "unknown service", post("/services/x/y", "{}"), 404, "not_found" },
+        { "no idempotency key", post("/services/labels/confirm", "{}"), 400, "invalid_input" },
+        { "unknown request", { "GET", "/v1/requests/none", { { "authorization", "Bearer " + Deployment::apiKey("rede") } }, {} }, 404, "not_found" },
+    };
+    for (const BadRequest& bad : requests) {
+        INFO(bad.name_);
+        auto response = callHttpBlocking(deployment.nodes()[0].callers_, bad.request_, milliseconds(5000));
+        REQUIRE(response);
+        CHECK(response.value().status_ == bad.status_);
+        auto body = parseJsonObject(response.value().body_);
+        REQUIRE(body);
+        REQUIRE(body->contains("error"));
+        const auto& error = body->at("error").as_object();
+        CHECK(textField(error, "code") == bad.code_);
+        for (const char* field : { "message", "step", "peer", "ran", "retry_after_ms" })
+            CHECK(error.contains(field));
+    }
+    // The node is none the worse for it.
+    Completion completion { Deployment::apiKey("rede"), "planogram", "still here", 5 };
+    CHECK(streamCompletionBlocking(deployment.nodes()[0].callers_, completion).isDone_);
+}
+
+TEST_CASE("bytes that are no peer protocol harm nobody else")
+{
+    Deployment deployment(answerOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    auto garbage = GENERATE(values<std::string>({
+        "GET / HTTP/1.1\r\n\r\n",
+        std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n") + std::string(3, '\xff'),
+        std::string(100000, 'A'),
+        std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n") + std::string("\x00\x00\x00\x04\x00\x00\x00\x00\x00", 9) + std::string("\xff\xff\xff\x00\x00\x00\x00\x00\x01", 9),
+    }));
+    for (auto& node : deployment.nodes()) {
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        socket.connect({ asio::ip::make_address("127.0.0.1"), node.peers_.port_ });
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(garbage), ignored);
+        socket.close(ignored);
+    }
+    Completion completion { Deployment::apiKey("rede"), "planogram", "still here", 5 };
+    for (auto& node : deployment.nodes())
+        CHECK(streamCompletionBlocking(node.callers_, completion).isDone_);
+}
--- /dev/null
+++ b/test/CatalogueTest.cpp
@@ -0,0 +1,170 @@
+//===- test/CatalogueTest.cpp - accepted changes are in force and stay -----===//
+///
+/// \file
+/// Racing operators, lost answers, trims, outages and cuts, over whole
+/// processes.
+//===----------------------------------------------------------------------===//
+#include "Harness/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <future>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+constexpr milliseconds inForcePatience { 7000 };
+
+DeploymentOptions smallOptions()
+{
+    DeploymentOptions options;
+    options.enginesPerDataCentre_ = {};
+    options.nodesPerDataCentre_ = 2;
+    options.settings_ = "catalogue:\n  snapshot_interval: 1h\n";
+    return options;
+}
+
+std::string service(const std::string& name, int concurrency)
+{
+    return "name: " + name + "\nkind: service\nconcurrency: " + std::to_string(concurrency) + "\nrepeatable: true\n";
+}
+
+std::string writeEntry(Deployment& deployment, const std::string& file, const std::string& text)
+{
+    std::string path = deployment.directory() + "/" + file;
+    std::ofstream(path) << text;
+    return path;
+}
+
+std::pair<int, std::string> apply(Deployment& deployment, Deployment::NodeProcess& node, const std::string& file, const std::string& text, const std::string& base = {})
+{
+    std::vector<std::string> arguments { "catalogue", "apply", writeEntry(deployment, file, text) };
+    if (!base.empty())
+        arguments.insert(arguments.end(), { "--base", base });
+    return deployment.tool(node, arguments);
+}
+
+/// The text of entry \p name in force at \p node.
+std::string inForce(Deployment& deployment, Deployment::NodeProcess& node, const std::string& name)
+{
+    auto entry = deployment.ask(node, "/catalogue/" + name);
+    return entry.is_object() ? textField(entry.as_object(), "body") : std::string();
+}
+
+bool isInForceEverywhere(Deployment& deployment, const std::string& name, const std::string& text)
+{
+    return waitUntil([&] {
+        for (auto& node : deployment.nodes()) {
+            if (node.process_->isRunning() && inForce(deployment, node, name) != text)
+                return false;
+        }
+        return true;
+    },
+        inForcePatience);
+}
+
+} // namespace
+
+TEST_CASE("of twenty racing operators one wins each version")
+{
+    Deployment deployment(smallOptions());
+    REQUIRE(apply(deployment, deployment.nodes()[0], "s.yaml", service("s", 1)).first == 0);
+    std::string base = "1";
+    for (int round = 0; round < 3; ++round) {
+        std::vector<std::future<std::pair<int, std::string>>> edits;
+        for (int i = 0; i < 20; ++i) {
+            edits.push_back(std::async(std::launch::async, [&, i] {
+                auto& node = deployment.nodes()[static_cast<std::size_t>(i) % 6];
+                return apply(deployment, node, "racer" + std::to_string(i) + ".yaml", service("s", 100 * (round + 1) + i), base);
+            }));
+        }
+        int winners = 0;
+        std::string won;
+        std::vector<std::string> losers;
+        for (auto& pending : edits) {
+            auto [code, output] = pending.get();
+            if (!code) {
+                ++winners;
+                won = output.substr(output.rfind(' ') + 1);
+            } else {
+                CHECK(code == 3);
+                losers.push_back(output);
+            }
+        }
+        won.erase(won.find_last_not_of('\n') + 1);
+        CHECK(winners == 1);
+        for (const std::string& loser : losers)
+            CHECK(loser.find("conflicts with version " + won) != std::string::npos);
+        base = won;
+    }
+}
+
+TEST_CASE("an edit whose append answer is lost is resolved by its id")
+{
+    Deployment deployment(smallOptions());
+    deployment.controlPlatform({ { "lose_append_answers", 1 } });
+    auto [code, output] = apply(deployment, deployment.nodes()[0], "s.yaml", service("s", 7));
+    CHECK(code == 0);
+    CHECK(isInForceEverywhere(deployment, "s", service("s", 7)));
+    auto history = deployment.ask(deployment.nodes()[0], "/history");
+    CHECK(history.as_array().size() == 1);
+}
+
+TEST_CASE("an accepted change survives a trim and a restart of every node")
+{
+    auto options = smallOptions();
+    options.settings_ = "catalogue:\n  snapshot_interval: 200ms\n";
+    Deployment deployment(options);
+    REQUIRE(apply(deployment, deployment.nodes()[0], "s.yaml", service("s", 1)).first == 0);
+    REQUIRE(apply(deployment, deployment.nodes()[0], "s.yaml", service("s", 2)).first == 0);
+    auto nextOffset = [&] { return numberField(deployment.controlPlatform().at("next").as_object(), "catalogue"); };
+    // Two edits, and a snapshot of them after that.
+    REQUIRE(waitUntil([&] { return nextOffset() > 3; }));
+    deployment.controlPlatform({ { "trim_stream", "catalogue" }, { "trim_to", 2 } });
+    for (auto& node : deployment.nodes())
+        node.process_->kill();
+    for (auto& node : deployment.nodes())
+        deployment.restartNode(node);
+    CHECK(isInForceEverywhere(deployment, "s", service("s", 2)));
+    auto [code, output] = apply(deployment, deployment.nodes()[3], "s.yaml", service("s", 3));
+    CHECK(code == 0);
+    CHECK(isInForceEverywhere(deployment, "s", service("s", 3)));
+}
+
+TEST_CASE("a node that starts while the log is down takes the catalogue from its peers")
+{
+    Deployment deployment(smallOptions());
+    REQUIRE(apply(deployment, deployment.nodes()[0], "s.yaml", service("s", 5)).first == 0);
+    REQUIRE(isInForceEverywhere(deployment, "s", service("s", 5)));
+    deployment.controlPlatform({ { "log_down", 1 } });
+    auto [code, output] = apply(deployment, deployment.nodes()[0], "s.yaml", service("s", 6));
+    // The log's refusal does not say whether the record was taken.
+    constexpr int unknownOutcome = 4;
+    CHECK(code == unknownOutcome);
+    auto& fresh = deployment.startNode("caxias-a-9", "caxias-a");
+    CHECK(waitUntil([&] { return inForce(deployment, fresh, "s") == service("s", 5); }, inForcePatience));
+}
+
+TEST_CASE("a data centre cut from the platform follows by its peers")
+{
+    Deployment deployment(smallOptions());
+    REQUIRE(apply(deployment, deployment.node("caxias-a-1"), "s.yaml", service("s", 1)).first == 0);
+    REQUIRE(isInForceEverywhere(deployment, "s", service("s", 1)));
+    deployment.controlPlatform({ { "cut_data_centres", boost::json::array { "bento-c" } } });
+    REQUIRE(apply(deployment, deployment.node("caxias-a-1"), "s.yaml", service("s", 2)).first == 0);
+    CHECK(isInForceEverywhere(deployment, "s", service("s", 2)));
+    // An edit sent there is refused, and says that nothing came of it.
+    auto [code, output] = apply(deployment, deployment.node("bento-c-1"), "s.yaml", service("s", 3));
+    CHECK(code != 0);
+    CHECK(isInForceEverywhere(deployment, "s", service("s", 2)));
+}
+
+TEST_CASE("the tool refuses a bad entry and names the field")
+{
+    Deployment deployment(smallOptions());
+    auto [code, output] = apply(deployment, deployment.nodes()[0], "bad.yaml", "name: s\nkind: service\nconcurrency: none\nrepeatable: true\n");
+    CHECK(code == 2);
+    CHECK(output.find("bad.yaml:3: concurrency: expected a whole number") != std::string::npos);
+}
--- /dev/null
+++ b/test/CutsTest.cpp
@@ -0,0 +1,113 @@
+//===- test/CutsTest.cpp - data centres cut off ----------------------------===//
+///
+/// \file
+/// What each data centre goes on serving while it is cut from the others, from
+/// the platform, or from both, and that nothing doubles when the cut heals.
+/// Each row of the table in docs/OPERATIONS.md is a case here.
+//===----------------------------------------------------------------------===//
+#include "Harness/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+constexpr milliseconds answerPatience { 40000 };
+
+enum class Cut {
+    FromOthers,
+    FromPlatform,
+    FromBoth,
+};
+
+struct Row {
+    std::string name_;
+    Cut cut_;
+    bool servesOnce_;
+    bool takesEdits_;
+};
+
+void setCut(Deployment& deployment, Cut cut, bool isCut)
+{
+    if (cut != Cut::FromPlatform)
+        deployment.cutDataCentre("bento-c", isCut);
+    if (cut == Cut::FromOthers)
+        return;
+    boost::json::array names;
+    if (isCut)
+        names.emplace_back("bento-c");
+    deployment.controlPlatform({ { "cut_data_centres", names } });
+}
+
+} // namespace
+
+TEST_CASE("a data centre that is cut off serves what it can and refuses the rest truthfully")
+{
+    auto row = GENERATE(values<Row>({
+        { "from the other data centres", Cut::FromOthers, true, true },
+        { "from the platform", Cut::FromPlatform, false, false },
+        { "from both", Cut::FromBoth, false, false },
+    }));
+    INFO(row.name_);
+    DeploymentOptions options;
+    options.nodesPerDataCentre_ = 2;
+    options.servicesPerDataCentre_ = 1;
+    options.hasRelays_ = true;
+    options.engineArguments_ = { "--decode_us", "4000" };
+    options.settings_ = "replica:\n  takeover_grace: 400ms\n  owner_silence: 800ms\nledger:\n  append_timeout: 300ms\n  append_patience: 600ms\n";
+    Deployment deployment(options);
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    auto& inside = deployment.node("bento-c-1");
+    auto& outside = deployment.node("caxias-a-1");
+
+    // Drafts that run across the cut, owned inside and outside.
+    std::vector<Completion> completions;
+    std::vector<std::future<Answer>> drafts;
+    for (int i = 0; i < 6; ++i) {
+        completions.push_back({ Deployment::apiKey("rede"), "planogram", "across " + std::to_string(i), 700 });
+        std::vector<Endpoint> entries { i % 2 ? inside.callers_ : outside.callers_ };
+        drafts.push_back(std::async(std::launch::async, [=] { return streamToEndBlocking(entries, completions.back(), answerPatience); }));
+    }
+    REQUIRE(waitUntil([&] { return deployment.metricOfAll("tokens_delivered_total") > 60; }));
+    setCut(deployment, row.cut_, true);
+
+    Completion question { Deployment::apiKey("rede"), "planogram", "while cut", 20 };
+    for (auto* node : { &inside, &outside }) {
+        Answer answer = streamCompletionBlocking(node->callers_, question);
+        INFO(node->id_ << (answer.error_ ? ": " + describe(*answer.error_) : std::string()));
+        CHECK(answer.isDone_);
+        CHECK(checkAnswer(answer, question) == "");
+        auto lookup = callService(node->callers_, Deployment::apiKey("rede"), "records/outfall/3", "", "");
+        CHECK(lookup.status_ == 200);
+    }
+    auto order = callService(inside.callers_, Deployment::apiKey("rede"), "labels/order", "cut-order", "{}");
+    INFO("order: " << (order.error_ ? describe(*order.error_) : std::string("served")));
+    if (row.servesOnce_) {
+        CHECK(order.status_ == 200);
+    } else {
+        CHECK(order.status_ == 503);
+        REQUIRE(order.error_);
+        CHECK(order.error_->ran_ == Ran::No);
+        CHECK(order.error_->retryAfter_.count() > 0);
+    }
+    CHECK(callService(outside.callers_, Deployment::apiKey("rede"), "labels/order", "cut-order", "{}").status_ == 200);
+    auto edited = deployment.tool(inside, { "catalogue", "remove", "store" });
+    CHECK((edited.first == 0) == row.takesEdits_);
+
+    setCut(deployment, row.cut_, false);
+    for (std::size_t i = 0; i < drafts.size(); ++i) {
+        Answer answer = drafts[i].get();
+        INFO("draft " << i << (answer.error_ ? ": " + describe(*answer.error_) : std::string()));
+        CHECK(answer.isDone_);
+        CHECK(checkAnswer(answer, completions[i]) == "");
+    }
+    // Healed, the order is known everywhere and was run once.
+    CHECK(waitUntil([&] { return callService(inside.callers_, Deployment::apiKey("rede"), "labels/order", "cut-order", "{}").status_ == 200; }));
+    std::uint64_t executions = 0;
+    for (auto& service : deployment.services())
+        executions += numberField(Deployment::control(service.endpoint_).at("executions").as_object(), "cut-order");
+    CHECK(executions == 1);
+}
--- /dev/null
+++ b/test/DraftsTest.cpp
@@ -0,0 +1,249 @@
+//===- test/DraftsTest.cpp - accepted drafts survive -----------------------===//
+///
+/// \file
+/// Reclaims, kills and freezes of whatever works on an accepted generation;
+/// the caller ends with the engine's exact sequence.
+//===----------------------------------------------------------------------===//
+#include "Harness/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+constexpr milliseconds answerPatience { 40000 };
+
+DeploymentOptions draftOptions()
+{
+    DeploymentOptions options;
+    options.nodesPerDataCentre_ = 2;
+    options.enginesPerDataCentre_ = { { "planogram", 2 } };
+    options.engineArguments_ = { "--decode_us", "8000" };
+    options.settings_ = "replica:\n  takeover_grace: 500ms\n  owner_silence: 1s\nmembership:\n  suspect_after: 1500ms\n";
+    return options;
+}
+
+/// Drafts in progress, each followed by its caller across entry VMs.
+class Drafts {
+public:
+    Drafts(Deployment& deployment, std::size_t count, std::uint64_t tokens, const std::string& firstEntry = "caxias-a-1")
+        : deployment_(deployment)
+    {
+        std::vector<Endpoint> entries { deployment.node(firstEntry).callers_ };
+        for (auto& node : deployment.nodes()) {
+            if (node.id_ != firstEntry)
+                entries.push_back(node.callers_);
+        }
+        for (std::size_t i = 0; i < count; ++i)
+            completions_.push_back({ Deployment::apiKey(i % 4 == 3 ? "visitante" : "rede"), "planogram", "draft number " + std::to_string(i), tokens });
+        for (const Completion& completion : completions_)
+            answers_.push_back(std::async(std::launch::async, [=] { return streamToEndBlocking(entries, completion, answerPatience); }));
+        bool hasBegun = waitUntil([&] { return deployment.metricOfAll("tokens_delivered_total") > static_cast<double>(count * 20); });
+        REQUIRE(hasBegun);
+    }
+
+    /// Every answer is whole, and nobody was told to start again.
+    void checkAll()
+    {
+        for (std::size_t i = 0; i < answers_.size(); ++i) {
+            Answer answer = answers_[i].get();
+            INFO("draft " << i << (answer.error_ ? ": " + describe(*answer.error_) : std::string()));
+            CHECK(answer.isDone_);
+            CHECK(answer.restarts_ == 0);
+            CHECK(checkAnswer(answer, completions_[i]) == "");
+        }
+    }
+
+private:
+    Deployment& deployment_;
+    std::vector<Completion> completions_;
+    std::vector<std::future<Answer>> answers_;
+};
+
+/// An engine of \p dataCentre that works on something.
+Deployment::Backend& busyEngine(Deployment& deployment, const std::string& dataCentre)
+{
+    Deployment::Backend* busiest = nullptr;
+    std::uint64_t most = 0;
+    for (auto& engine : deployment.engines()) {
+        std::uint64_t active = numberField(Deployment::control(engine.endpoint_), "active");
+        if (engine.dataCentre_ != dataCentre || active < most)
+            continue;
+        busiest = &engine;
+        most = active;
+    }
+    REQUIRE(most > 0);
+    return *busiest;
+}
+
+void reclaimEngine(Deployment& deployment, Deployment::Backend& engine, milliseconds notice)
+{
+    deployment.announceReclaim(engine.id_, notice);
+    Deployment::control(engine.endpoint_, { { "leaving", 1 }, { "stop_in_ms", notice.count() } });
+}
+
+} // namespace
+
+TEST_CASE("drafts survive a reclaim of their engine's VM")
+{
+    struct Reclaim {
+        milliseconds notice_;
+        bool refusesImport_;
+        bool mustNotRecompute_;
+    };
+    auto reclaim = GENERATE(values<Reclaim>({
+        { milliseconds(2000), false, true },
+        { milliseconds(10000), false, true },
+        { milliseconds(30000), false, true },
+        { milliseconds(2000), true, false },
+        { milliseconds(150), false, false },
+    }));
+    INFO("notice " << reclaim.notice_.count() << " ms, import refused " << reclaim.refusesImport_);
+    Deployment deployment(draftOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    if (reclaim.refusesImport_) {
+        for (auto& engine : deployment.engines())
+            Deployment::control(engine.endpoint_, { { "refuse_import", 1 } });
+    }
+    Drafts drafts(deployment, 8, 600);
+    reclaimEngine(deployment, busyEngine(deployment, "caxias-a"), reclaim.notice_);
+    drafts.checkAll();
+    double recomputed = deployment.metricOfAll("tokens_recomputed_total");
+    WARN("notice " << reclaim.notice_.count() << " ms, import refused " << reclaim.refusesImport_ << ": " << recomputed << " tokens recomputed");
+    if (reclaim.mustNotRecompute_)
+        CHECK(recomputed == 0);
+}
+
+TEST_CASE("drafts survive the sudden death of their engine")
+{
+    Deployment deployment(draftOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    Drafts drafts(deployment, 6, 300);
+    busyEngine(deployment, "caxias-a").process_->kill();
+    drafts.checkAll();
+}
+
+TEST_CASE("drafts survive the death of a node, whatever its role")
+{
+    enum class Victim {
+        Home,
+        Entry,
+        EntryFrozen,
+    };
+    auto victim = GENERATE(Victim::Home, Victim::Entry, Victim::EntryFrozen);
+    INFO("victim " << static_cast<int>(victim));
+    Deployment deployment(draftOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    Drafts drafts(deployment, 6, 400);
+    Deployment::NodeProcess* node = &deployment.node("caxias-a-1");
+    if (victim == Victim::Home) {
+        node = &deployment.node("caxias-a-2");
+        REQUIRE(waitUntil([&] { return deployment.metric(*node, "streams_homed") > 0; }));
+    }
+    if (victim == Victim::EntryFrozen) {
+        node->process_->freeze();
+        // Thawed once its replicas have taken over; its callers read from it still.
+        CHECK(waitUntil([&] {
+            double takeovers = 0;
+            for (auto& other : deployment.nodes())
+                takeovers += other.id_ == node->id_ ? 0 : std::max(0.0, deployment.metric(other, "takeovers_total"));
+            return takeovers >= 6;
+        }));
+        node->process_->resume();
+    } else {
+        node->process_->kill();
+    }
+    drafts.checkAll();
+    if (victim != Victim::EntryFrozen)
+        CHECK(deployment.metricOfAll("tokens_recomputed_total") == 0);
+}
+
+TEST_CASE("drafts survive the reclaim of a whole data centre at once")
+{
+    bool isAnnounced = GENERATE(true, false);
+    Deployment deployment(draftOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    Drafts drafts(deployment, 8, 500);
+    constexpr milliseconds notice { 2500 };
+    for (auto& engine : deployment.engines()) {
+        if (engine.dataCentre_ != "caxias-a")
+            continue;
+        if (isAnnounced)
+            reclaimEngine(deployment, engine, notice);
+        else
+            engine.process_->kill();
+    }
+    for (auto& node : deployment.nodes()) {
+        if (node.dataCentre_ != "caxias-a")
+            continue;
+        if (isAnnounced)
+            deployment.announceReclaim(node.id_, notice);
+        else
+            node.process_->kill();
+    }
+    drafts.checkAll();
+    WARN((isAnnounced ? "announced: " : "sudden: ") << deployment.metricOfAll("tokens_recomputed_total") << " tokens recomputed");
+}
+
+TEST_CASE("a home killed in the middle of its hand-over loses nothing")
+{
+    Deployment deployment(draftOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    Drafts drafts(deployment, 8, 500);
+    auto& home = deployment.node("caxias-a-2");
+    REQUIRE(waitUntil([&] { return deployment.metric(home, "streams_homed") > 0; }));
+    for (auto& engine : deployment.engines()) {
+        if (engine.dataCentre_ == "caxias-a")
+            reclaimEngine(deployment, engine, milliseconds(3000));
+    }
+    REQUIRE(waitUntil([&] {
+        auto view = deployment.ask(home, "/engines");
+        return view.is_object() && objectsField(view.as_object(), "engines").empty();
+    }));
+    home.process_->kill();
+    drafts.checkAll();
+}
+
+TEST_CASE("a caller that does not stream fetches its answer after its entry is gone")
+{
+    Deployment deployment(draftOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    auto& entry = deployment.node("caxias-a-1");
+    Completion completion { Deployment::apiKey("rede"), "planogram", "no stream", 200 };
+    auto pending = std::async(std::launch::async, [&] {
+        HttpRequest request { "POST", "/v1/completions", { { "authorization", "Bearer " + completion.apiKey_ } }, completionBody(completion, false) };
+        return callHttpBlocking(entry.callers_, request, answerPatience);
+    });
+    std::string requestId;
+    REQUIRE(waitUntil([&] {
+        auto listed = deployment.ask(entry, "/requests");
+        auto requests = listed.is_object() ? objectsField(listed.as_object(), "requests") : std::vector<boost::json::object> {};
+        if (requests.empty() || numberField(requests.front(), "tokens") < 20)
+            return false;
+        requestId = textField(requests.front(), "request");
+        return true;
+    }));
+    entry.process_->kill();
+    CHECK_FALSE(pending.get());
+    HttpRequest fetch { "GET", "/v1/requests/" + requestId, { { "authorization", "Bearer " + completion.apiKey_ } }, {} };
+    Answer answer;
+    REQUIRE(waitUntil([&] {
+        auto response = callHttpBlocking(deployment.node("bento-c-2").callers_, fetch, answerPatience);
+        if (!response || response.value().status_ != 200)
+            return false;
+        auto body = parseJsonObject(response.value().body_).value_or(boost::json::object {});
+        std::string text = textField(objectsField(body, "choices").front(), "text");
+        for (std::size_t begin = 0; begin < text.size();) {
+            std::size_t end = text.find(' ', begin) + 1;
+            answer.tokens_.push_back(text.substr(begin, end - begin));
+            begin = end;
+        }
+        return true;
+    },
+        answerPatience));
+    CHECK(checkAnswer(answer, completion) == "");
+}
--- a/test/Harness/Deployment.cpp
+++ b/test/Harness/Deployment.cpp
@@ -173,6 +173,8 @@
     node.callers_ = { "127.0.0.1", portOf(*node.process_, "callers") };
     node.peers_ = { "127.0.0.1", portOf(*node.process_, "peers") };
     node.operators_ = { "127.0.0.1", portOf(*node.process_, "operators") };
+    if (options_.hasRelays_)
+        addRelays(node);
     putVm({ { "id", node.id_ }, { "kind", "entry" }, { "data_centre", node.dataCentre_ }, { "host", "127.0.0.1" }, { "port", node.peers_.port_ }, { "operator_port", node.operators_.port_ }, { "caller_port", node.callers_.port_ } });
 }
 
@@ -183,6 +185,34 @@
     return nodes_.back();
 }
 
+void Deployment::addRelays(const NodeProcess& node)
+{
+    json::array views;
+    for (const std::string& from : options_.dataCentres_) {
+        if (from == node.dataCentre_)
+            continue;
+        auto& relays = relays_[{ from, node.dataCentre_ }];
+        if (!relays)
+            relays = std::make_unique<RelaySet>();
+        json::object view;
+        view["from"] = from;
+        view["vm"] = node.id_;
+        view["port"] = relays->add(node.peers_);
+        views.push_back(view);
+    }
+    json::object body;
+    body["port_views"] = views;
+    controlPlatform(body);
+}
+
+void Deployment::cutDataCentre(const std::string& dataCentre, bool isCut)
+{
+    for (auto& [ends, relays] : relays_) {
+        if (ends.first == dataCentre || ends.second == dataCentre)
+            relays->setCut(isCut);
+    }
+}
+
 void Deployment::restartNode(NodeProcess& node)
 {
     launch(node);
--- a/test/Harness/Deployment.h
+++ b/test/Harness/Deployment.h
@@ -9,6 +9,7 @@
 
 #include "CallerClient.h"
 #include "Process.h"
+#include "Relay.h"
 
 #include <functional>
 #include <memory>
@@ -23,6 +24,8 @@
     std::map<std::string, std::size_t> enginesPerDataCentre_ { { "planogram", 1 } };
     std::size_t servicesPerDataCentre_ = 0;
     std::vector<std::string> engineArguments_;
+    /// Peers of other data centres are reached through relays that can be cut.
+    bool hasRelays_ = false;
     /// YAML sections added to every node's settings.
     std::string settings_;
 };
@@ -63,6 +66,10 @@
     void restartNode(NodeProcess& node);
     Backend& startEngine(const std::string& id, const std::string& dataCentre, const std::string& model);
 
+    /// Cuts or heals \p dataCentre from the other data centres, both ways. Only
+    /// with `hasRelays_`.
+    void cutDataCentre(const std::string& dataCentre, bool isCut);
+
     /// Sends \p body to a stand-in's control and returns what it tells.
     static boost::json::object control(const Endpoint& standin, const boost::json::object& body = {});
     boost::json::object controlPlatform(const boost::json::object& body = {}) { return control(platform_, body); }
@@ -94,6 +101,7 @@
     void writeSettings(const std::string& id, const std::string& dataCentre);
     void launch(NodeProcess& node);
     void putVm(const boost::json::object& vm);
+    void addRelays(const NodeProcess& node);
 
     DeploymentOptions options_;
     std::string directory_;
@@ -102,6 +110,8 @@
     std::vector<NodeProcess> nodes_;
     std::vector<Backend> engines_;
     std::vector<Backend> services_;
+    /// By the pair of data centres, from and to.
+    std::map<std::pair<std::string, std::string>, std::unique_ptr<RelaySet>> relays_;
 };
 
 /// Waits for \p condition, asking again every few milliseconds.
--- /dev/null
+++ b/test/Harness/Relay.h
@@ -0,0 +1,42 @@
+//===- test/Harness/Relay.h - a connection that can be cut -----------------===//
+///
+/// \file
+/// Forwards TCP connections until it is cut, so a test can part two data
+/// centres without touching the machine's network.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Http.h"
+
+#include <boost/asio.hpp>
+#include <set>
+#include <thread>
+
+namespace pistachioloom::test {
+
+/// Relays from one data centre to nodes of others, all on one thread.
+class RelaySet {
+public:
+    RelaySet();
+    ~RelaySet();
+    RelaySet(const RelaySet&) = delete;
+    RelaySet& operator=(const RelaySet&) = delete;
+
+    /// Listens on a port of its own and forwards to \p target. \returns the port.
+    std::uint16_t add(const Endpoint& target);
+    /// Breaks every connection and takes no new one until healed.
+    void setCut(bool isCut);
+
+private:
+    struct Link;
+    asio::awaitable<void> accept(std::shared_ptr<asio::ip::tcp::acceptor> acceptor, Endpoint target);
+    asio::awaitable<void> pump(std::shared_ptr<Link> link, bool isUpward);
+
+    asio::io_context io_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::set<std::shared_ptr<Link>> links_;
+    bool isCut_ = false;
+    std::thread thread_;
+};
+
+} // namespace pistachioloom::test
--- /dev/null
+++ b/test/LeavingTest.cpp
@@ -0,0 +1,202 @@
+//===- test/LeavingTest.cpp - leaving back ends and graceful stops ---------===//
+///
+/// \file
+/// A backend server that leaves gets no new work within two seconds of the
+/// first notice from any source; an entry VM that stops cuts nothing off.
+//===----------------------------------------------------------------------===//
+#include "Harness/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+constexpr milliseconds leavingBound { 2000 };
+constexpr milliseconds stopPatience { 30000 };
+constexpr milliseconds answerPatience { 30000 };
+
+DeploymentOptions twoEngines()
+{
+    DeploymentOptions options;
+    options.dataCentres_ = { "caxias-a", "caxias-b" };
+    options.nodesPerDataCentre_ = 2;
+    options.enginesPerDataCentre_ = { { "planogram", 2 } };
+    options.engineArguments_ = { "--decode_us", "2000" };
+    options.settings_ = "drain:\n  balancer_grace: 500ms\n";
+    return options;
+}
+
+Completion shortQuestion(int number)
+{
+    return { Deployment::apiKey("rede"), "planogram", "question " + std::to_string(number), 2 };
+}
+
+std::uint64_t startedAt(Deployment::Backend& engine)
+{
+    return numberField(Deployment::control(engine.endpoint_), "started");
+}
+
+/// Sends questions through every node until stopped. \returns failures.
+class SteadyLoad {
+public:
+    explicit SteadyLoad(std::vector<Endpoint> entries)
+        : thread_([this, entries] { run(entries); })
+    {
+    }
+    ~SteadyLoad() { stop(); }
+
+    int stop()
+    {
+        isStopped_ = true;
+        if (thread_.joinable())
+            thread_.join();
+        return failures_;
+    }
+    int answered() const { return answered_; }
+
+private:
+    void run(const std::vector<Endpoint>& entries)
+    {
+        for (int i = 0; !isStopped_; ++i) {
+            Answer answer = streamCompletionBlocking(entries[static_cast<std::size_t>(i) % entries.size()], shortQuestion(i));
+            ++(answer.isDone_ ? answered_ : failures_);
+        }
+    }
+
+    std::atomic<bool> isStopped_ { false };
+    std::atomic<int> failures_ { 0 };
+    std::atomic<int> answered_ { 0 };
+    std::thread thread_;
+};
+
+enum class NoticeSource {
+    CloudNotice,
+    VmList,
+    OwnRefusal,
+    CloudNoticeWhileHomeIsCut,
+};
+
+} // namespace
+
+TEST_CASE("a leaving engine gets no new work two seconds after the first notice")
+{
+    auto source = GENERATE(NoticeSource::CloudNotice, NoticeSource::VmList, NoticeSource::OwnRefusal, NoticeSource::CloudNoticeWhileHomeIsCut);
+    INFO("source " << static_cast<int>(source));
+    auto options = twoEngines();
+    Deployment deployment(options);
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    auto& engine = deployment.engine("planogram-caxias-a-1");
+    SteadyLoad load(deployment.callerEndpoints());
+    REQUIRE(waitUntil([&] { return startedAt(engine) > 5; }));
+    boost::json::object leavingVm { { "id", engine.id_ }, { "kind", "engine" }, { "data_centre", engine.dataCentre_ }, { "host", "127.0.0.1" }, { "port", engine.endpoint_.port_ }, { "serves", boost::json::array { "planogram" } }, { "state", "leaving" } };
+    switch (source) {
+    case NoticeSource::CloudNoticeWhileHomeIsCut:
+        deployment.controlPlatform({ { "cut_data_centres", boost::json::array { "caxias-a" } } });
+        deployment.announceReclaim(engine.id_, milliseconds(60000));
+        break;
+    case NoticeSource::CloudNotice:
+        deployment.announceReclaim(engine.id_, milliseconds(60000));
+        break;
+    case NoticeSource::VmList:
+        deployment.controlPlatform({ { "put_vms", boost::json::array { leavingVm } } });
+        break;
+    case NoticeSource::OwnRefusal:
+        Deployment::control(engine.endpoint_, { { "leaving", 1 } });
+        break;
+    }
+    std::this_thread::sleep_for(leavingBound);
+    std::uint64_t started = startedAt(engine);
+    std::uint64_t asked = numberField(Deployment::control(engine.endpoint_), "started_while_leaving");
+    int answeredBefore = load.answered();
+    REQUIRE(waitUntil([&] { return load.answered() > answeredBefore + 100; }));
+    CHECK(startedAt(engine) == started);
+    CHECK(numberField(Deployment::control(engine.endpoint_), "started_while_leaving") == asked);
+    CHECK(load.stop() == 0);
+}
+
+TEST_CASE("a planned stop of an entry VM under load cuts nothing off")
+{
+    auto options = twoEngines();
+    options.servicesPerDataCentre_ = 1;
+    Deployment deployment(options);
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    auto& leaving = deployment.node("caxias-a-1");
+    bool isByTool = GENERATE(true, false);
+    for (auto& service : deployment.services())
+        Deployment::control(service.endpoint_, { { "delay_ms", 300 } });
+
+    // Long streams through the leaving node and through others (whose engines'
+    // home it may be), and service calls in flight.
+    std::vector<std::future<Answer>> streams;
+    std::vector<Completion> completions;
+    for (int i = 0; i < 24; ++i)
+        completions.push_back({ Deployment::apiKey("rede"), "planogram", "draft " + std::to_string(i), 800 });
+    for (std::size_t i = 0; i < completions.size(); ++i) {
+        Endpoint entry = deployment.nodes()[i % 2 ? 0 : i / 2 % 4].callers_;
+        streams.push_back(std::async(std::launch::async, [=, &completions] { return streamCompletionBlocking(entry, completions[i]); }));
+    }
+    REQUIRE(waitUntil([&] { return deployment.metricOfAll("generations_running") >= 24; }));
+    std::vector<std::future<ServiceCallResult>> calls;
+    for (int i = 0; i < 8; ++i) {
+        calls.push_back(std::async(std::launch::async, [&, i] {
+            return callService(leaving.callers_, Deployment::apiKey("rede"), "labels/confirm", "stop-" + std::to_string(i), "{}");
+        }));
+    }
+    REQUIRE(waitUntil([&] { return deployment.metricOfAll("service_calls_total") > 0; }));
+    SteadyLoad load({ deployment.node("caxias-a-2").callers_, deployment.node("caxias-b-1").callers_ });
+
+    if (isByTool)
+        CHECK(deployment.tool(leaving, { "drain" }).first == 0);
+    else
+        leaving.process_->signal(SIGTERM);
+    // Readiness goes off first, while callers that the balancer still sends are served.
+    HttpRequest ready { "GET", "/readyz", {}, {} };
+    CHECK(waitUntil([&] {
+        auto response = callHttpBlocking(leaving.callers_, ready, milliseconds(1000));
+        return response && response.value().status_ == 503;
+    }));
+    CHECK(streamCompletionBlocking(leaving.callers_, shortQuestion(0)).isDone_);
+
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        Answer answer = streams[i].get();
+        CHECK(answer.isDone_);
+        CHECK(checkAnswer(answer, completions[i]) == "");
+    }
+    for (auto& call : calls)
+        CHECK(call.get().status_ == 200);
+    CHECK(leaving.process_->wait(stopPatience) == 0);
+    CHECK(load.stop() == 0);
+}
+
+TEST_CASE("a stop with less time than its streams need hands them over whole")
+{
+    auto options = twoEngines();
+    options.engineArguments_ = { "--decode_us", "10000" };
+    options.settings_ = "drain:\n  balancer_grace: 200ms\n  handover_margin: 800ms\n";
+    Deployment deployment(options);
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    auto& leaving = deployment.node("caxias-a-1");
+    std::vector<Endpoint> entries { leaving.callers_, deployment.node("caxias-a-2").callers_, deployment.node("caxias-b-1").callers_ };
+    std::vector<Completion> completions;
+    std::vector<std::future<Answer>> streams;
+    for (int i = 0; i < 8; ++i)
+        completions.push_back({ Deployment::apiKey("rede"), "planogram", "long draft " + std::to_string(i), 500 });
+    for (const Completion& completion : completions)
+        streams.push_back(std::async(std::launch::async, [=] { return streamToEndBlocking(entries, completion, answerPatience); }));
+    REQUIRE(waitUntil([&] { return deployment.metric(leaving, "generations_running") >= 8; }));
+    deployment.announceReclaim(leaving.id_, milliseconds(2000));
+    CHECK(leaving.process_->wait(milliseconds(6000)) == 0);
+    deployment.removeVm(leaving.id_);
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        Answer answer = streams[i].get();
+        CHECK(answer.isDone_);
+        CHECK(answer.restarts_ == 0);
+        CHECK(checkAnswer(answer, completions[i]) == "");
+    }
+    // The engines' streams went on under their new homes.
+    CHECK(deployment.metricOfAll("tokens_recomputed_total") == 0);
+}
--- /dev/null
+++ b/unittests/Catalogue/CatalogueTest.cpp
@@ -0,0 +1,184 @@
+//===- unittests/Catalogue/CatalogueTest.cpp - entries and edits -----------===//
+///
+/// \file
+/// The parser's errors, the base-version rule, snapshots and gaps.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Catalogue.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace pistachioloom;
+
+namespace {
+
+std::string service(const std::string& name, int concurrency)
+{
+    return "name: " + name + "\nkind: service\nconcurrency: " + std::to_string(concurrency) + "\nrepeatable: true\n";
+}
+
+std::string edit(const std::string& id, const std::string& entry, std::uint64_t base, const std::string& text)
+{
+    return encodeEdit({ { id }, { entry }, { base }, text });
+}
+
+const std::string goodWorkload = "name: planograms\nkind: workload\nowner: rede\nclass: paid\napi_key_sha256: " + std::string(64, 'a')
+    + "\nmodels: [planogram]\nlimits:\n  requests_in_progress: 8\n  latency_target: 720ms\n";
+
+struct BadEntry {
+    std::string name_;
+    std::string from_;
+    std::string to_;
+    std::string expected_;
+};
+
+} // namespace
+
+TEST_CASE("a good entry is read with its defaults")
+{
+    InputErrors errors;
+    auto entry = parseEntry(goodWorkload, "file", errors);
+    REQUIRE(entry);
+    CHECK(entry->workload_->limits_.requestsInProgress_ == 8);
+    CHECK(entry->workload_->limits_.latencyTarget_ == milliseconds(720));
+    CHECK(entry->workload_->class_ == ServiceClass::Paid);
+}
+
+TEST_CASE("a bad entry is refused with its line and field")
+{
+    auto bad = GENERATE(values<BadEntry>({
+        { "class", "class: paid", "class: gold", "file:4: class: expected one of paid trial, found 'gold'" },
+        { "missing owner", "owner: rede\n", "", "file:1: owner: missing; expected text" },
+        { "hash", std::string(64, 'a'), "secret", "file:5: api_key_sha256: expected 64 lower-case hexadecimal digits" },
+        { "range", "requests_in_progress: 8", "requests_in_progress: 0", "file:8: limits.requests_in_progress: expected a whole number from 1 to 1000000, found '0'" },
+        { "unit", "720ms", "720", "file:9: limits.latency_target: expected a duration such as 500ms, 2s, 10min or 1h, from 1ms to 86400000ms, found '720'" },
+        { "unknown key", "owner:", "colour: red\nowner:", "file:3: colour: unknown key" },
+        { "name", "planograms", "two words", "file:1: name: expected 1 to 64 letters, digits, '-', '_' or '.'" },
+        { "list", "[planogram]", "planogram", "file:6: models: expected a list of texts" },
+        { "syntax", "models: [planogram]", "models: [", "file:8: (root): not valid YAML: " },
+    }));
+    INFO(bad.name_);
+    std::string text = goodWorkload;
+    text.replace(text.find(bad.from_), bad.from_.size(), bad.to_);
+    InputErrors errors;
+    CHECK_FALSE(parseEntry(text, "file", errors));
+    REQUIRE(!errors.empty());
+    CHECK(errors.front().toString().substr(0, bad.expected_.size()) == bad.expected_);
+}
+
+TEST_CASE("of edits on one base the first in the log wins")
+{
+    CatalogueState state;
+    state.apply({ 0 }, edit("e1", "s", 0, service("s", 1)));
+    state.apply({ 1 }, edit("e2", "s", 1, service("s", 2)));
+    state.apply({ 2 }, edit("e3", "s", 1, service("s", 3)));
+    CHECK(state.outcomeOf({ "e2" })->isAccepted_);
+    CHECK_FALSE(state.outcomeOf({ "e3" })->isAccepted_);
+    CHECK(state.outcomeOf({ "e3" })->currentVersion_ == LogOffset { 2 });
+    CHECK(state.view().findEntry({ "s" })->backend_->concurrency_ == 2);
+    CHECK(state.history().size() == 2);
+}
+
+TEST_CASE("an edit that arrives twice counts once")
+{
+    CatalogueState state;
+    state.apply({ 0 }, edit("e1", "s", 0, service("s", 1)));
+    state.apply({ 1 }, edit("e1", "s", 0, service("s", 1)));
+    CHECK(state.outcomeOf({ "e1" })->isAccepted_);
+    CHECK(state.history().size() == 1);
+}
+
+TEST_CASE("offsets never go back")
+{
+    CatalogueState state;
+    state.apply({ 0 }, edit("e1", "s", 0, service("s", 1)));
+    std::string old = state.encodeSnapshot();
+    state.apply({ 1 }, edit("e2", "s", 1, service("s", 2)));
+    state.apply({ 0 }, edit("e9", "s", 0, service("s", 9)));
+    CHECK_FALSE(state.adoptSnapshot(old));
+    CHECK(state.view().findEntry({ "s" })->backend_->concurrency_ == 2);
+    CHECK(state.nextOffset() == LogOffset { 2 });
+}
+
+TEST_CASE("a removed entry starts again from version 0")
+{
+    CatalogueState state;
+    state.apply({ 0 }, edit("e1", "s", 0, service("s", 1)));
+    state.apply({ 1 }, edit("e2", "s", 1, ""));
+    CHECK_FALSE(state.view().findEntry({ "s" }));
+    state.apply({ 2 }, edit("e3", "s", 1, service("s", 3)));
+    CHECK_FALSE(state.outcomeOf({ "e3" })->isAccepted_);
+    state.apply({ 3 }, edit("e4", "s", 0, service("s", 4)));
+    CHECK(state.outcomeOf({ "e4" })->isAccepted_);
+}
+
+TEST_CASE("records of no known form are void for everyone")
+{
+    CatalogueState state;
+    auto record = GENERATE(values<std::string>({ "", "{", "[]", "{\"type\":\"new\"}", edit("e", "s", 0, "name: other\nkind: service\nconcurrency: 1\nrepeatable: true\n"), edit("e", "s", 0, "no entry") }));
+    state.apply({ 0 }, record);
+    CHECK(state.view().entries_.empty());
+    CHECK(state.nextOffset() == LogOffset { 1 });
+}
+
+TEST_CASE("after a trim a reader waits for a snapshot that covers the gap")
+{
+    CatalogueState writer;
+    std::vector<std::string> log;
+    auto append = [&](const std::string& record) {
+        writer.apply({ log.size() }, record);
+        log.push_back(record);
+    };
+    append(edit("e1", "a", 0, service("a", 1)));
+    append(edit("e2", "b", 0, service("b", 2)));
+    std::string snapshot = writer.encodeSnapshot();
+    append(edit("e3", "a", 1, service("a", 3)));
+    append(snapshot);
+    append(edit("e4", "b", 2, service("b", 4)));
+
+    struct Trim {
+        std::size_t first_;
+        bool isReadable_;
+    };
+    auto trim = GENERATE(values<Trim>({ { 0, true }, { 1, true }, { 2, true }, { 3, false }, { 4, false } }));
+    CatalogueState reader;
+    for (std::size_t i = trim.first_; i < log.size(); ++i)
+        reader.apply({ i }, log[i]);
+    CHECK(reader.hasGap() == !trim.isReadable_);
+    if (!trim.isReadable_) {
+        CHECK(reader.view().entries_.empty());
+        return;
+    }
+    CHECK(reader.view().findEntry({ "a" })->backend_->concurrency_ == 3);
+    CHECK(reader.view().findEntry({ "b" })->backend_->concurrency_ == 4);
+    CHECK(reader.outcomeOf({ "e1" })->isAccepted_);
+}
+
+TEST_CASE("every reader of one log ends in one state, from wherever it began")
+{
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+        std::mt19937_64 generator(seed);
+        CatalogueState first;
+        std::vector<std::string> log;
+        for (std::uint64_t i = 0; i < 60; ++i) {
+            std::string name(1, static_cast<char>('a' + generator() % 4));
+            auto current = first.view().findEntry({ name });
+            std::uint64_t base = current && generator() % 3 ? current->version_.value_ : generator() % 5;
+            std::string record = generator() % 10 ? edit("e" + std::to_string(generator() % 50), name, base, generator() % 6 ? service(name, 1 + static_cast<int>(generator() % 9)) : "") : first.encodeSnapshot();
+            first.apply({ log.size() }, record);
+            log.push_back(record);
+        }
+        CatalogueState late;
+        std::size_t begin = generator() % 30;
+        for (std::size_t i = begin; i < log.size(); ++i)
+            late.apply({ i }, log[i]);
+        if (late.hasGap())
+            late.adoptSnapshot(first.encodeSnapshot());
+        REQUIRE(late.nextOffset() == first.nextOffset());
+        REQUIRE(late.view().entries_.size() == first.view().entries_.size());
+        for (const auto& [name, entry] : first.view().entries_) {
+            REQUIRE(late.view().findEntry(name)->version_ == entry->version_);
+            REQUIRE(late.view().findEntry(name)->text_ == entry->text_);
+        }
+    }
+}
--- /dev/null
+++ b/unittests/Ledger/LedgerTest.cpp
@@ -0,0 +1,164 @@
+//===- unittests/Ledger/LedgerTest.cpp - at most once, by log order --------===//
+///
+/// \file
+/// Tables for the shard's rules, a random exploration of 120,000 seeded runs
+/// and an exhaustive one of a small world.
+//===----------------------------------------------------------------------===//
+#include "RunOnceModel.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+const CallKey key { "k" };
+
+LedgerItem item(LedgerItem::Type type, const std::string& attempt)
+{
+    return { type, key, { attempt }, "body", { 200, "text", "by " + attempt } };
+}
+
+struct ShardCase {
+    std::string name_;
+    std::vector<LedgerItem> items_;
+    std::string holder_;
+    bool hasOutcome_;
+};
+
+} // namespace
+
+TEST_CASE("the log's order decides who holds a key")
+{
+    using Type = LedgerItem::Type;
+    auto shardCase = GENERATE(values<ShardCase>({
+        { "the first intent", { item(Type::Intent, "a"), item(Type::Intent, "b") }, "a", false },
+        { "an outcome of the holder", { item(Type::Intent, "a"), item(Type::Outcome, "a") }, "a", true },
+        { "an outcome of another", { item(Type::Intent, "a"), item(Type::Outcome, "b") }, "a", false },
+        { "an outcome whose intent was trimmed", { item(Type::Outcome, "a") }, "a", true },
+        { "a release", { item(Type::Intent, "a"), item(Type::Release, "a") }, "", false },
+        { "the next intent after a release", { item(Type::Intent, "a"), item(Type::Release, "a"), item(Type::Intent, "b") }, "b", false },
+        { "a release by another", { item(Type::Intent, "a"), item(Type::Release, "b") }, "a", false },
+        { "an intent after its own release", { item(Type::Release, "a"), item(Type::Intent, "a"), item(Type::Intent, "b") }, "b", false },
+        { "a release after the outcome", { item(Type::Intent, "a"), item(Type::Outcome, "a"), item(Type::Release, "a") }, "a", true },
+        { "an intent that arrived twice", { item(Type::Intent, "a"), item(Type::Intent, "a"), item(Type::Intent, "b") }, "a", false },
+    }));
+    INFO(shardCase.name_);
+    LedgerShard shard;
+    for (std::size_t i = 0; i < shardCase.items_.size(); ++i)
+        shard.apply({ i }, { shardCase.items_[i] });
+    const CallState* state = shard.find(key);
+    CHECK((state ? state->holder_.value_ : "") == shardCase.holder_);
+    CHECK((state && state->outcome_.has_value()) == shardCase.hasOutcome_);
+}
+
+TEST_CASE("records come back as they were written")
+{
+    std::vector<LedgerItem> items { item(LedgerItem::Type::Intent, "a"), item(LedgerItem::Type::Outcome, "b"), item(LedgerItem::Type::Release, "c") };
+    auto decoded = decodeLedgerRecord(encodeLedgerRecord(items));
+    REQUIRE(decoded.size() == items.size());
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        CHECK(decoded[i].type_ == items[i].type_);
+        CHECK(decoded[i].attempt_ == items[i].attempt_);
+    }
+    CHECK(decoded[1].outcome_.body_ == "by b");
+    CHECK(decodeLedgerRecord("no record").empty());
+}
+
+TEST_CASE("a key is forgotten when the log forgets its last record")
+{
+    LedgerShard shard;
+    shard.apply({ 0 }, { item(LedgerItem::Type::Intent, "a") });
+    shard.apply({ 1 }, { item(LedgerItem::Type::Outcome, "a") });
+    shard.trim({ 1 });
+    CHECK(shard.find(key));
+    shard.trim({ 2 });
+    CHECK_FALSE(shard.find(key));
+    CHECK(shard.size() == 0);
+}
+
+TEST_CASE("keys of different organisations and services differ")
+{
+    CHECK(makeCallKey({ "a" }, { "bc" }, { "k" }) != makeCallKey({ "ab" }, { "c" }, { "k" }));
+    CHECK(makeCallKey({ "a" }, { "b" }, { "ck" }) != makeCallKey({ "a" }, { "bc" }, { "k" }));
+}
+
+TEST_CASE("another body under a used key is refused")
+{
+    LedgerShard shard;
+    shard.apply({ 0 }, { item(LedgerItem::Type::Intent, "a") });
+    RunOnceCall call(key, { "b" }, "another body");
+    shard.apply({ 1 }, { call.item() });
+    call.intentAppended({ 1 });
+    call.logRead(shard);
+    CHECK(call.answer() == RunOnceCall::Answer::KeyReused);
+}
+
+TEST_CASE("no interleaving of faults runs a call twice: random")
+{
+    constexpr std::uint64_t runs = 120000;
+    std::size_t executed = 0;
+    for (std::uint64_t seed = 0; seed < runs; ++seed) {
+        std::mt19937_64 generator(seed);
+        FaultBudget faults { static_cast<int>(generator() % 8 == 0), static_cast<int>(generator() % 3), static_cast<int>(generator() % 4 == 0), static_cast<int>(generator() % 3) };
+        RunOnceModel model(1 + generator() % 3, 1 + generator() % 2, faults);
+        for (auto choices = model.choices(); !choices.empty(); choices = model.choices()) {
+            model.apply(choices[generator() % choices.size()]);
+            if (!model.violation().empty())
+                FAIL("seed " << seed << ": " << model.violation());
+        }
+        executed += model.executions();
+    }
+    // The exploration is worth something only if calls do run in it.
+    CHECK(executed > runs / 2);
+}
+
+namespace {
+
+struct Explored {
+    std::size_t states_ = 0;
+    std::size_t ends_ = 0;
+    std::string violation_;
+};
+
+void explore(const RunOnceModel& model, Explored& explored)
+{
+    ++explored.states_;
+    auto choices = model.choices();
+    explored.ends_ += choices.empty() ? 1 : 0;
+    for (const Choice& choice : choices) {
+        RunOnceModel next = model;
+        next.apply(choice);
+        if (!next.violation().empty()) {
+            explored.violation_ = next.violation();
+            return;
+        }
+        explore(next, explored);
+        if (!explored.violation_.empty())
+            return;
+    }
+}
+
+} // namespace
+
+TEST_CASE("no interleaving of faults runs a call twice: exhaustive")
+{
+    auto faults = GENERATE(values<FaultBudget>({ { 1, 1, 0, 0 }, { 0, 1, 0, 1 }, { 1, 0, 1, 1 } }));
+    Explored explored;
+    explore(RunOnceModel(2, 1, faults), explored);
+    INFO(explored.states_ << " states, " << explored.ends_ << " ends");
+    CHECK(explored.violation_.empty());
+    CHECK(explored.ends_ > 100);
+}
+
+TEST_CASE("a call that gave up does not burn its key")
+{
+    RunOnceModel model(1, 1, { 0, 1, 0, 0 });
+    model.apply({ Choice::Kind::AppendDelayed, 0 });
+    model.apply({ Choice::Kind::AppendTakesEffect, 0 });
+    model.apply({ Choice::Kind::DelayedArrives, 0 });
+    REQUIRE(model.isQuiet());
+    CHECK(model.canRunNow());
+}
--- /dev/null
+++ b/unittests/Ledger/RunOnceModel.cpp
@@ -0,0 +1,194 @@
+//===- unittests/Ledger/RunOnceModel.cpp - keepers, a log and a service ----===//
+///
+/// \file
+/// See RunOnceModel.h.
+//===----------------------------------------------------------------------===//
+#include "RunOnceModel.h"
+
+#include <algorithm>
+
+namespace pistachioloom::test {
+
+namespace {
+
+const CallKey key { "key" };
+using Step = RunOnceCall::Step;
+
+} // namespace
+
+RunOnceModel::RunOnceModel(std::size_t keepers, std::size_t callsPerKeeper, FaultBudget faults)
+    : faults_(faults)
+    , keepers_(keepers)
+{
+    for (std::size_t keeper = 0; keeper < keepers; ++keeper) {
+        for (std::size_t i = 0; i < callsPerKeeper; ++i)
+            calls_.push_back({ RunOnceCall(key, { "attempt" + std::to_string(calls_.size()) }, "body"), keeper });
+    }
+}
+
+void RunOnceModel::addAppendChoices(std::vector<Choice>& choices, std::size_t index) const
+{
+    choices.push_back({ Choice::Kind::AppendTakesEffect, index });
+    if (!faults_.appendFaults_)
+        return;
+    choices.push_back({ Choice::Kind::AppendFails, index });
+    choices.push_back({ Choice::Kind::AppendAnswerLost, index });
+    choices.push_back({ Choice::Kind::AppendDelayed, index });
+}
+
+std::vector<Choice> RunOnceModel::choices() const
+{
+    std::vector<Choice> choices;
+    for (std::size_t i = 0; i < calls_.size(); ++i) {
+        if (!calls_[i].isAlive_)
+            continue;
+        switch (calls_[i].call_.step()) {
+        case Step::AppendIntent:
+        case Step::AppendOutcome:
+        case Step::AppendRelease:
+            addAppendChoices(choices, i);
+            break;
+        case Step::ReadLog:
+            choices.push_back({ Choice::Kind::ReadLog, i });
+            if (faults_.readFaults_)
+                choices.push_back({ Choice::Kind::ReadFails, i });
+            break;
+        case Step::Dispatch:
+            choices.push_back({ Choice::Kind::ServiceRuns, i });
+            if (faults_.serviceFaults_) {
+                choices.push_back({ Choice::Kind::ServiceRunsAnswerLost, i });
+                choices.push_back({ Choice::Kind::ServiceRefuses, i });
+            }
+            break;
+        case Step::Done:
+            break;
+        }
+    }
+    for (std::size_t i = 0; i < delayed_.size(); ++i)
+        choices.push_back({ Choice::Kind::DelayedArrives, i });
+    for (std::size_t keeper = 0; faults_.crashes_ && keeper < keepers_; ++keeper)
+        choices.push_back({ Choice::Kind::KeeperCrashes, keeper });
+    return choices;
+}
+
+LogOffset RunOnceModel::append(const LedgerItem& item)
+{
+    log_.push_back(item);
+    return { log_.size() - 1 };
+}
+
+LedgerShard RunOnceModel::readLog() const
+{
+    LedgerShard shard;
+    for (std::size_t i = 0; i < log_.size(); ++i)
+        shard.apply({ i }, { log_[i] });
+    return shard;
+}
+
+void RunOnceModel::finishAppend(Call& call, LogOffset offset)
+{
+    if (call.call_.step() == Step::AppendIntent)
+        call.call_.intentAppended(offset);
+    else
+        call.call_.recordWritten();
+}
+
+void RunOnceModel::giveUpAppend(Call& call)
+{
+    if (call.call_.step() == Step::AppendIntent)
+        call.call_.intentFailed({ Errc::Timeout, "append", {}, {}, Ran::Unknown, {} });
+    else
+        call.call_.recordWritten();
+}
+
+void RunOnceModel::execute(Call& call)
+{
+    call.hasExecuted_ = true;
+    executed_.push_back(call.call_.item().attempt_);
+}
+
+void RunOnceModel::apply(const Choice& choice)
+{
+    switch (choice.kind_) {
+    case Choice::Kind::AppendTakesEffect: {
+        Call& call = calls_[choice.index_];
+        finishAppend(call, append(call.call_.item()));
+        return;
+    }
+    case Choice::Kind::AppendFails:
+        --faults_.appendFaults_;
+        giveUpAppend(calls_[choice.index_]);
+        return;
+    case Choice::Kind::AppendAnswerLost:
+        --faults_.appendFaults_;
+        append(calls_[choice.index_].call_.item());
+        giveUpAppend(calls_[choice.index_]);
+        return;
+    case Choice::Kind::AppendDelayed:
+        --faults_.appendFaults_;
+        delayed_.push_back(calls_[choice.index_].call_.item());
+        giveUpAppend(calls_[choice.index_]);
+        return;
+    case Choice::Kind::DelayedArrives:
+        append(delayed_[choice.index_]);
+        delayed_.erase(delayed_.begin() + static_cast<std::ptrdiff_t>(choice.index_));
+        return;
+    case Choice::Kind::ReadLog:
+        calls_[choice.index_].call_.logRead(readLog());
+        return;
+    case Choice::Kind::ReadFails:
+        --faults_.readFaults_;
+        calls_[choice.index_].call_.logReadFailed({ Errc::Unavailable, "read", {}, {}, Ran::No, {} });
+        return;
+    case Choice::Kind::ServiceRuns: {
+        Call& call = calls_[choice.index_];
+        execute(call);
+        call.call_.dispatched({ 200, "text", call.call_.item().attempt_.value_ });
+        return;
+    }
+    case Choice::Kind::ServiceRunsAnswerLost:
+        --faults_.serviceFaults_;
+        execute(calls_[choice.index_]);
+        calls_[choice.index_].call_.dispatchFailed({ Errc::Reset, "dispatch", {}, {}, Ran::Unknown, {} });
+        return;
+    case Choice::Kind::ServiceRefuses:
+        --faults_.serviceFaults_;
+        calls_[choice.index_].call_.dispatchFailed({ Errc::Leaving, "dispatch", {}, {}, Ran::No, {} });
+        return;
+    case Choice::Kind::KeeperCrashes:
+        --faults_.crashes_;
+        for (Call& call : calls_)
+            call.isAlive_ &= call.keeper_ != choice.index_;
+        return;
+    }
+}
+
+std::string RunOnceModel::violation() const
+{
+    if (executed_.size() > 1)
+        return "the call ran " + std::to_string(executed_.size()) + " times";
+    for (const Call& call : calls_) {
+        RunOnceCall::Answer answer = call.call_.answer();
+        if (answer == RunOnceCall::Answer::NotRun && call.hasExecuted_)
+            return "told not run, but ran";
+        bool hasOutcome = answer == RunOnceCall::Answer::Executed || answer == RunOnceCall::Answer::Replayed;
+        if (hasOutcome && (executed_.empty() || call.call_.outcome().body_ != executed_.front().value_))
+            return "an outcome that is not of the one execution";
+    }
+    return {};
+}
+
+bool RunOnceModel::isQuiet() const
+{
+    return choices().empty();
+}
+
+bool RunOnceModel::canRunNow()
+{
+    RunOnceCall call(key, { "late" }, "body");
+    call.intentAppended(append(call.item()));
+    call.logRead(readLog());
+    return call.step() == Step::Dispatch;
+}
+
+} // namespace pistachioloom::test
