Take the VM list of another data centre only without the platform's

Cause: CutsTest's order failed, since a node had pulled the list as another data centre sees it, where peers go by other ports. Ruled out: the keeper (never asked), the service's home. Now a node pulls across data centres only while its own platform access is down.

--- a/lib/Node/ControlPlane.cpp
+++ b/lib/Node/ControlPlane.cpp
@@ -61,7 +61,6 @@
 
 asio::awaitable<void> ControlPlane::vmListLoop()
 {
-    bool isReachable = true;
     for (;;) {
         // A node that knows no list yet asks for itself.
         std::uint64_t known = context_.membership()->index_->version_;
@@ -69,9 +68,13 @@
             auto list = co_await context_.vmList_.list_(known);
             if (list && list.value())
                 adoptVmList(0, *list.value());
-            if (static_cast<bool>(list) != isReachable)
+            bool wasReachable = false;
+            {
+                std::lock_guard lock(mutex_);
+                wasReachable = std::exchange(isListReachable_, static_cast<bool>(list));
+            }
+            if (static_cast<bool>(list) != wasReachable)
                 logger_.warn(list ? std::string("VM list is reachable again.") : "VM list is unreachable: " + describe(list.error()) + ".");
-            isReachable = static_cast<bool>(list);
         }
         co_await sleepFor(context_.settings_.membership_.vmListPoll_);
     }
--- a/lib/Node/ControlPlane.h
+++ b/lib/Node/ControlPlane.h
@@ -91,6 +91,7 @@
     SteadyTime snapshotSeenAt_;
     LogOffset snapshotSeen_;
     SteadyTime catalogueCurrentAt_;
+    bool isListReachable_ = true;
     bool isSyncingCatalogue_ = false;
     bool isSyncingVmList_ = false;
     // Keeps publications in the order of the states they show.
--- a/lib/Node/Gossiping.cpp
+++ b/lib/Node/Gossiping.cpp
@@ -189,7 +189,10 @@
         {
             std::lock_guard lock(mutex_);
             needsCatalogue = digest.catalogue_offset() > catalogue_.nextOffset().value_ && !isSyncingCatalogue_;
-            needsVmList = digest.vm_list_version() > vmIndex_->version_ && !isSyncingVmList_;
+            // Addresses may look different from another data centre, so its list
+            // is taken only when the platform does not give us ours.
+            bool isOurs = gossip.data_centre() == context_.settings_.dataCentre_.value_;
+            needsVmList = digest.vm_list_version() > vmIndex_->version_ && !isSyncingVmList_ && (isOurs || !isListReachable_);
             isSyncingCatalogue_ |= needsCatalogue;
             isSyncingVmList_ |= needsVmList;
         }
--- a/test/CutsTest.cpp
+++ b/test/CutsTest.cpp
@@ -84,7 +84,7 @@
         CHECK(lookup.status_ == 200);
     }
     auto order = callService(inside.callers_, Deployment::apiKey("rede"), "labels/order", "cut-order", "{}");
-    INFO("order: " << (order.error_ ? describe(*order.error_) : std::string("served")));
+    INFO("order: " << order.body_);
     if (row.servesOnce_) {
         CHECK(order.status_ == 200);
     } else {
