--- a/lib/Node/LimitDesk.cpp
+++ b/lib/Node/LimitDesk.cpp
@@ -14,7 +14,7 @@
 
     constexpr milliseconds grantTimeout { 500 };
     constexpr milliseconds limitRetry { 500 };
-constexpr int mostAsked = 3;
+    constexpr int mostAsked = 3;
 
     SteadyTime now()
     {
--- a/test/Harness/Relay.cpp
+++ b/test/Harness/Relay.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr auto tokenOf = asio::as_tuple(asio::use_awaitable);
+    constexpr auto tokenOf = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
 
--- a/unittests/Ledger/RunOnceModel.cpp
+++ b/unittests/Ledger/RunOnceModel.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-const CallKey key { "key" };
-using Step = RunOnceCall::Step;
+    const CallKey key { "key" };
+    using Step = RunOnceCall::Step;
 
 } // namespace
 
--- /dev/null
+++ b/unittests/Membership/MembershipTest.cpp
@@ -0,0 +1,180 @@
+//===- unittests/Membership/MembershipTest.cpp - who is there --------------===//
+///
+/// \file
+/// Gossip with injected time, leaving, and the picture built from them.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Membership.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace pistachioloom;
+
+namespace {
+
+constexpr milliseconds suspectAfter { 2500 };
+const SteadyTime start {};
+
+Vm entryVm(const std::string& id, const std::string& dataCentre)
+{
+    Vm vm;
+    vm.id_ = { id };
+    vm.dataCentre_ = { dataCentre };
+    return vm;
+}
+
+Vm engineVm(const std::string& id, const std::string& dataCentre)
+{
+    Vm vm = entryVm(id, dataCentre);
+    vm.kind_ = Vm::Kind::ModelEngine;
+    vm.serves_ = { "m" };
+    return vm;
+}
+
+NodeDigest digest(const std::string& node, std::uint64_t incarnation, std::uint64_t heartbeat)
+{
+    NodeDigest result;
+    result.node_ = { node };
+    result.incarnation_ = incarnation;
+    result.heartbeat_ = heartbeat;
+    return result;
+}
+
+/// Nodes that gossip in rounds, each round one heartbeat long.
+struct GossipWorld {
+    GossipWorld(std::size_t count, std::uint64_t seed)
+        : generator_(seed)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            tables_.emplace_back(VmId { "n" + std::to_string(i) }, 1, suspectAfter);
+            isPaused_.push_back(false);
+        }
+    }
+
+    void round(std::size_t fanout)
+    {
+        now_ += milliseconds(500);
+        for (std::size_t i = 0; i < tables_.size(); ++i) {
+            if (isPaused_[i])
+                continue;
+            tables_[i].beat();
+            for (std::size_t k = 0; k < fanout; ++k) {
+                std::size_t peer = generator_() % tables_.size();
+                if (isPaused_[peer])
+                    continue;
+                tables_[peer].merge(tables_[i].digests(now_), now_);
+                tables_[i].merge(tables_[peer].digests(now_), now_);
+            }
+        }
+    }
+
+    std::vector<GossipTable> tables_;
+    std::vector<bool> isPaused_;
+    SteadyTime now_ = start;
+    std::mt19937_64 generator_;
+};
+
+} // namespace
+
+TEST_CASE("newer heartbeats win, and a restart beats any old heartbeat")
+{
+    GossipTable table({ "self" }, 1, suspectAfter);
+    CHECK(table.merge({ digest("a", 1, 5) }, start));
+    CHECK_FALSE(table.merge({ digest("a", 1, 5) }, start));
+    CHECK_FALSE(table.merge({ digest("a", 1, 4) }, start));
+    CHECK(table.merge({ digest("a", 2, 1) }, start));
+    CHECK_FALSE(table.merge({ digest("a", 1, 99) }, start));
+    CHECK_FALSE(table.merge({ digest("self", 9, 9) }, start));
+}
+
+TEST_CASE("a silent node is suspected after the time set, and believed again when it speaks")
+{
+    GossipTable table({ "self" }, 1, suspectAfter);
+    table.merge({ digest("a", 1, 1) }, start);
+    table.expect({ { "a" }, { "b" }, { "self" } }, start);
+    struct Moment {
+        int ms_;
+        bool isSuspected_;
+    };
+    auto moment = GENERATE(values<Moment>({ { 0, false }, { 2499, false }, { 2500, true }, { 9000, true } }));
+    SteadyTime now = start + milliseconds(moment.ms_);
+    CHECK(table.isSuspected({ "a" }, now) == moment.isSuspected_);
+    CHECK(table.isSuspected({ "b" }, now) == moment.isSuspected_);
+    CHECK_FALSE(table.isSuspected({ "self" }, now));
+    table.merge({ digest("a", 1, 2) }, now);
+    CHECK_FALSE(table.isSuspected({ "a" }, now));
+}
+
+TEST_CASE("gossip finds a dead node in time and suspects no live one, at any size")
+{
+    auto count = GENERATE(std::size_t { 3 }, std::size_t { 9 }, std::size_t { 26 }, std::size_t { 52 });
+    auto seed = GENERATE(range(0, 5));
+    GossipWorld world(count, static_cast<std::uint64_t>(seed));
+    for (int i = 0; i < 12; ++i)
+        world.round(2);
+    VmId victim { "n0" };
+    for (std::size_t i = 1; i < count; ++i)
+        REQUIRE(world.tables_[i].live(world.now_).size() == count - 1);
+    world.isPaused_[0] = true;
+    bool isKnownToAll = false;
+    int rounds = 0;
+    for (; !isKnownToAll && rounds < 40; ++rounds) {
+        world.round(2);
+        isKnownToAll = true;
+        for (std::size_t i = 1; i < count; ++i) {
+            isKnownToAll &= world.tables_[i].isSuspected(victim, world.now_);
+            for (std::size_t other = 1; other < count; ++other)
+                REQUIRE_FALSE(world.tables_[i].isSuspected({ "n" + std::to_string(other) }, world.now_));
+        }
+    }
+    INFO(count << " nodes, " << rounds << " rounds");
+    CHECK(isKnownToAll);
+    CHECK(rounds <= 12);
+}
+
+TEST_CASE("the picture leaves out who is suspected or leaving, and keeps who merely is far")
+{
+    VmList list { 7, { entryVm("self", "a"), entryVm("peer", "a"), entryVm("dead", "a"), entryVm("goes", "a"), entryVm("far", "b"), engineVm("e1", "a"), engineVm("e2", "a"), engineVm("e3", "b") } };
+    list.vms_[6].state_ = Vm::State::Leaving;
+    GossipTable gossip({ "self" }, 1, suspectAfter);
+    gossip.merge({ digest("dead", 1, 1) }, start);
+    SteadyTime now = start + milliseconds(5000);
+    NodeDigest goes = digest("goes", 1, 9);
+    goes.isLeaving_ = true;
+    gossip.merge({ digest("peer", 1, 9), goes }, now);
+    LeavingTable leaving;
+    auto view = buildView(indexVmList(list), gossip, leaving, { "a" }, now);
+    CHECK(view.localNodes_ == std::vector<VmId> { { "peer" }, { "self" } });
+    CHECK(view.nodesOf({ "b" }) == std::vector<VmId> { { "far" } });
+    CHECK(view.serversOf("m", { "a" }) == std::vector<VmId> { { "e1" } });
+    CHECK(view.serversOf("m", {}) == std::vector<VmId> { { "e1" }, { "e3" } });
+    leaving.markLeaving({ "e1" }, std::nullopt, now);
+    gossip.self().isLeaving_ = true;
+    view = buildView(indexVmList(list), gossip, leaving, { "a" }, now);
+    CHECK(view.serversOf("m", { "a" }).empty());
+    CHECK(view.localNodes_ == std::vector<VmId> { { "peer" } });
+}
+
+TEST_CASE("the first notice counts, and a time once told is kept")
+{
+    LeavingTable leaving;
+    CHECK(leaving.markLeaving({ "a" }, std::nullopt, start));
+    // A time that was not known before is news as well.
+    CHECK(leaving.markLeaving({ "a" }, start + milliseconds(5), start));
+    CHECK(leaving.stopsAt({ "a" }) == start + milliseconds(5));
+    CHECK_FALSE(leaving.markLeaving({ "a" }, start + milliseconds(99), start));
+    CHECK(leaving.stopsAt({ "a" }) == start + milliseconds(5));
+    leaving.forgetOld(milliseconds(10), start + milliseconds(11));
+    CHECK_FALSE(leaving.isLeaving({ "a" }));
+}
+
+TEST_CASE("a VM list that is no list is refused, and odd lines are left out")
+{
+    CHECK_FALSE(parseVmList("{"));
+    CHECK_FALSE(parseVmList("[]"));
+    CHECK_FALSE(parseVmList("{\"vms\":7}"));
+    auto list = parseVmList(R"({"version":3,"vms":[7,{"id":"x"},{"id":"","kind":"entry"},{"id":"e","kind":"engine","port":80,"serves":["m",7]}]})");
+    REQUIRE(list);
+    REQUIRE(list->vms_.size() == 1);
+    CHECK(list->vms_[0].serves_ == std::vector<std::string> { "m" });
+}
