--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -27,6 +27,10 @@
     std::string toString() const { return host_ + ":" + std::to_string(port_); }
 };
 
+/// A listening acceptor on a strand of its own; port 0 lets the kernel choose.
+/// Errors name \p step.
+Result<std::unique_ptr<asio::ip::tcp::acceptor>> bindAcceptor(const asio::any_io_executor& executor, const Endpoint& endpoint, const std::string& step);
+
 /// Header names are lower case.
 using HttpHeaders = std::map<std::string, std::string>;
 
--- a/include/pistachioloom/Routing.h
+++ b/include/pistachioloom/Routing.h
@@ -9,33 +9,13 @@
 
 #include "pistachioloom/Membership.h"
 
-#include <deque>
-#include <unordered_map>
+#include <functional>
 
 namespace pistachioloom {
 
 /// Hash of the first blocks of a prompt: block i's covers blocks 0 to i.
 std::vector<std::uint64_t> prefixBlocks(std::string_view prompt);
 
-/// Blocks that an engine is believed to have cached. Its events come late and
-/// with gaps, so a block is believed in only for a while.
-class PrefixIndex {
-public:
-    PrefixIndex(std::size_t capacity, milliseconds believedFor);
-    void remember(const std::vector<std::uint64_t>& blocks, SteadyTime now);
-    void forget(std::uint64_t block);
-    void clear();
-    /// Leading blocks of \p blocks that are believed to be cached.
-    std::size_t cachedBlocks(const std::vector<std::uint64_t>& blocks, SteadyTime now) const;
-    std::size_t size() const { return seen_.size(); }
-
-private:
-    std::size_t capacity_;
-    milliseconds believedFor_;
-    std::unordered_map<std::uint64_t, SteadyTime> seen_;
-    std::deque<std::uint64_t> order_;
-};
-
 /// One engine as the entry knows it.
 struct EngineCandidate {
     VmId engine_;
--- a/include/pistachioloom/Support.h
+++ b/include/pistachioloom/Support.h
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include <atomic>
 #include <boost/outcome/result.hpp>
 #include <chrono>
 #include <compare>
@@ -56,6 +57,28 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 using std::chrono::milliseconds;
 
+/// The time that drivers pass to the pure decisions.
+inline SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// Counts what is going on: one more while it lives.
+class CountGuard {
+public:
+    explicit CountGuard(std::atomic<std::size_t>& count)
+        : count_(count)
+    {
+        ++count_;
+    }
+    ~CountGuard() { --count_; }
+    CountGuard(const CountGuard&) = delete;
+    CountGuard& operator=(const CountGuard&) = delete;
+
+private:
+    std::atomic<std::size_t>& count_;
+};
+
 /// What an error means, apart from where it arose.
 enum class Errc {
     InvalidInput = 1,
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -134,22 +134,9 @@
 
 } // namespace
 
-struct ConnectionCount {
-    explicit ConnectionCount(std::atomic<std::size_t>& count)
-        : count_(count)
-    {
-        ++count_;
-    }
-    ~ConnectionCount() { --count_; }
-    ConnectionCount(const ConnectionCount&) = delete;
-    ConnectionCount& operator=(const ConnectionCount&) = delete;
-
-    std::atomic<std::size_t>& count_;
-};
-
 static asio::awaitable<void> serveConnection(std::shared_ptr<HttpServer::State> state, tcp::socket socket)
 {
-    ConnectionCount counted(state->connections_);
+    CountGuard counted(state->connections_);
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
@@ -201,11 +188,11 @@
     state_->onBadRequest_ = std::move(onBadRequest);
 }
 
-Result<std::uint16_t> HttpServer::listen(const Endpoint& endpoint)
+Result<std::unique_ptr<tcp::acceptor>> bindAcceptor(const asio::any_io_executor& executor, const Endpoint& endpoint, const std::string& step)
 {
     beast::error_code code;
     tcp::endpoint address(asio::ip::make_address(endpoint.host_, code), endpoint.port_);
-    auto acceptor = std::make_unique<tcp::acceptor>(asio::make_strand(state_->executor_));
+    auto acceptor = std::make_unique<tcp::acceptor>(asio::make_strand(executor));
     if (!code)
         acceptor->open(address.protocol(), code);
     if (!code)
@@ -215,7 +202,16 @@
     if (!code)
         acceptor->listen(asio::socket_base::max_listen_connections, code);
     if (code)
-        return Error { Errc::Unavailable, "listen", endpoint.toString(), code.message(), Ran::No, {} };
+        return Error { Errc::Unavailable, step, endpoint.toString(), code.message(), Ran::No, {} };
+    return acceptor;
+}
+
+Result<std::uint16_t> HttpServer::listen(const Endpoint& endpoint)
+{
+    auto bound = bindAcceptor(state_->executor_, endpoint, "listen");
+    if (!bound)
+        return bound.error();
+    auto acceptor = std::move(bound.value());
     std::uint16_t port = acceptor->local_endpoint().port();
     state_->acceptor_ = std::move(acceptor);
     state_->isAccepting_ = true;
--- a/lib/Node/BackendHome.cpp
+++ b/lib/Node/BackendHome.cpp
@@ -16,11 +16,6 @@
     constexpr std::uint64_t defaultConcurrency = 8;
     constexpr int statusUnavailable = 503;
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
     EngineRequest makeEngineRequest(const wire::GenerateRequest& request)
     {
         const wire::GenerationRecord& record = request.record();
@@ -98,9 +93,9 @@
         (void)co_await owner->send(failureFrame(unavailable("find engine", engine.value_, "not in the VM list")));
         co_return;
     }
-    SteadyTime asked = now();
+    SteadyTime asked = steadyNow();
     auto slot = co_await acquireEngine(request);
-    scope.span().queued_ = std::chrono::duration_cast<milliseconds>(now() - asked);
+    scope.span().queued_ = std::chrono::duration_cast<milliseconds>(steadyNow() - asked);
     if (!slot) {
         scope.span().outcome_ = describe(slot.error());
         (void)co_await owner->send(failureFrame(slot.error()));
@@ -136,7 +131,7 @@
     running->maxTokens_ = record.max_tokens();
     running->generated_ = static_cast<std::uint64_t>(record.tokens_size());
     running->close_ = opened.value().close_;
-    running->began_ = now();
+    running->began_ = steadyNow();
     {
         std::lock_guard lock(mutex_);
         running_.push_back(running);
--- a/lib/Node/CallerApi.cpp
+++ b/lib/Node/CallerApi.cpp
@@ -25,19 +25,6 @@
         return { Errc::InvalidInput, "read request", {}, message, Ran::No, {} };
     }
 
-    struct RunningCount {
-        explicit RunningCount(std::atomic<std::size_t>& count)
-            : count_(count)
-        {
-            ++count_;
-        }
-        ~RunningCount() { --count_; }
-        RunningCount(const RunningCount&) = delete;
-        RunningCount& operator=(const RunningCount&) = delete;
-
-        std::atomic<std::size_t>& count_;
-    };
-
     Result<std::string> chatPrompt(const boost::json::object& body)
     {
         const boost::json::array* messages = arrayField(body, "messages");
@@ -78,7 +65,7 @@
 
 asio::awaitable<void> CallerApi::handle(HttpExchange& exchange)
 {
-    RunningCount counted(running_);
+    CountGuard counted(running_);
     auto handled = co_await route(exchange);
     if (handled)
         co_return;
--- a/lib/Node/ControlPlane.cpp
+++ b/lib/Node/ControlPlane.cpp
@@ -19,11 +19,6 @@
     constexpr milliseconds appendTimeout { 1000 };
     constexpr milliseconds leavingKept { 900000 };
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
     // Greater after each start: the wall clock orders the incarnations of a VM,
     // and a wrong one only delays how soon its first heartbeats are believed.
     std::uint64_t makeIncarnation()
@@ -38,8 +33,8 @@
     , loads_(std::move(loads))
     , logger_("control")
     , gossip_(context.self(), makeIncarnation(), context.settings_.membership_.suspectAfter_)
-    , snapshotSeenAt_(now())
-    , catalogueCurrentAt_(now())
+    , snapshotSeenAt_(steadyNow())
+    , catalogueCurrentAt_(steadyNow())
 {
 }
 
@@ -107,8 +102,8 @@
     {
         std::lock_guard lock(mutex_);
         for (const LeavingVm& leaving : vms) {
-            auto stopsAt = leaving.remaining_ ? std::optional(now() + *leaving.remaining_) : std::nullopt;
-            bool isNewVm = leaving_.markLeaving(leaving.vm_, stopsAt, now());
+            auto stopsAt = leaving.remaining_ ? std::optional(steadyNow() + *leaving.remaining_) : std::nullopt;
+            bool isNewVm = leaving_.markLeaving(leaving.vm_, stopsAt, steadyNow());
             isNews |= isNewVm;
             if (isNewVm)
                 logger_.info("VM " + leaving.vm_.value_ + " is leaving.");
@@ -127,7 +122,7 @@
     if (!markedAt)
         return std::nullopt;
     SteadyTime stopsAt = leaving_.stopsAt(vm).value_or(*markedAt + context_.settings_.membership_.defaultNotice_);
-    return std::max(milliseconds {}, std::chrono::duration_cast<milliseconds>(stopsAt - now()));
+    return std::max(milliseconds {}, std::chrono::duration_cast<milliseconds>(stopsAt - steadyNow()));
 }
 
 void ControlPlane::announceLeaving()
@@ -161,11 +156,11 @@
         if (local != vmIndex_->entryVms_.end()) {
             const MembershipSettings& settings = context_.settings_.membership_;
             gossip_.setSuspicionTime(suspicionTime(settings.suspectAfter_, settings.heartbeat_, local->second.size()));
-            gossip_.expect(local->second, now());
+            gossip_.expect(local->second, steadyNow());
         }
         for (const Vm& vm : list->vms_) {
             if (vm.state_ == Vm::State::Leaving)
-                leaving_.markLeaving(vm.id_, std::nullopt, now());
+                leaving_.markLeaving(vm.id_, std::nullopt, steadyNow());
         }
     }
     logger_.debug("VM list is at version " + std::to_string(list->version_) + ".");
@@ -179,8 +174,8 @@
     MembershipView view;
     {
         std::lock_guard lock(mutex_);
-        leaving_.forgetOld(leavingKept, now());
-        view = buildView(vmIndex_, gossip_, leaving_, context_.settings_.dataCentre_, now());
+        leaving_.forgetOld(leavingKept, steadyNow());
+        view = buildView(vmIndex_, gossip_, leaving_, context_.settings_.dataCentre_, steadyNow());
     }
     context_.publish(std::move(view));
 }
@@ -208,10 +203,10 @@
         hasMoved = catalogue_.nextOffset() > before;
         if (catalogue_.lastSnapshot() != snapshotSeen_) {
             snapshotSeen_ = catalogue_.lastSnapshot();
-            snapshotSeenAt_ = now();
+            snapshotSeenAt_ = steadyNow();
         }
         if (!catalogue_.hasGap())
-            catalogueCurrentAt_ = now();
+            catalogueCurrentAt_ = steadyNow();
     }
     if (!hasMoved)
         return;
@@ -264,11 +259,11 @@
         // The relays of other data centres do the same; the draw lets one of
         // them come first, and the rest then see its snapshot.
         auto interval = context_.settings_.catalogue_.snapshotInterval_;
-        bool isDue = now() - snapshotSeenAt_ > jitter(interval, randomBits()) + interval / 2;
+        bool isDue = steadyNow() - snapshotSeenAt_ > jitter(interval, randomBits()) + interval / 2;
         if (!isDue || catalogue_.hasGap() || !catalogue_.nextOffset().value_)
             co_return;
         snapshot = catalogue_.encodeSnapshot();
-        snapshotSeenAt_ = now();
+        snapshotSeenAt_ = steadyNow();
     }
     context_.metrics_.add(Counter::LogAppends);
     auto appended = co_await context_.log_.append_(catalogueStream, snapshot, appendTimeout);
@@ -286,7 +281,7 @@
         if (appended)
             co_return appended;
         mayHaveRun |= appended.error().ran_ == Ran::Unknown;
-        if (now() > until) {
+        if (steadyNow() > until) {
             Error error = appended.error();
             error.ran_ = mayHaveRun ? Ran::Unknown : Ran::No;
             co_return error;
@@ -298,7 +293,7 @@
 
 asio::awaitable<Result<EditOutcome>> ControlPlane::edit(CatalogueEdit edit)
 {
-    SteadyTime until = now() + context_.settings_.catalogue_.editPatience_;
+    SteadyTime until = steadyNow() + context_.settings_.catalogue_.editPatience_;
     auto appended = co_await appendEdit(edit, until);
     if (!appended && appended.error().ran_ == Ran::No)
         co_return appended.error();
@@ -311,7 +306,7 @@
         }
         if (!read || !appended)
             co_await sleepFor(platformRetry);
-    } while (now() < until);
+    } while (steadyNow() < until);
     co_return Error { Errc::OutcomeUnknown, "read back edit", context_.settings_.log_.toString(), "edit " + edit.id_.value_ + " was sent; ask again with the same edit id", Ran::Unknown, platformRetry };
 }
 
@@ -324,7 +319,7 @@
 milliseconds ControlPlane::catalogueAge() const
 {
     std::lock_guard lock(mutex_);
-    return std::chrono::duration_cast<milliseconds>(now() - catalogueCurrentAt_);
+    return std::chrono::duration_cast<milliseconds>(steadyNow() - catalogueCurrentAt_);
 }
 
 } // namespace pistachioloom
--- a/lib/Node/Generation.cpp
+++ b/lib/Node/Generation.cpp
@@ -14,11 +14,6 @@
     constexpr auto tokenOf = asio::as_tuple(asio::use_awaitable);
     constexpr std::size_t hintLength = 8;
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
     std::string hintOf(const VmId& vm)
     {
         return sha256Hex(vm.value_).substr(0, hintLength);
@@ -52,12 +47,12 @@
     , entry_(record.entry())
     , model_(record.model())
     , maxTokens_(record.max_tokens())
-    , deadline_(now() + milliseconds(record.deadline_ms()))
-    , began_(now())
+    , deadline_(steadyNow() + milliseconds(record.deadline_ms()))
+    , began_(steadyNow())
     , executor_(std::move(executor))
     , record_(std::make_unique<wire::GenerationRecord>(record))
-    , lastRead_(now())
-    , changedAt_(now())
+    , lastRead_(steadyNow())
+    , changedAt_(steadyNow())
 {
 }
 
@@ -87,7 +82,7 @@
 
 void Generation::notify()
 {
-    changedAt_ = now();
+    changedAt_ = steadyNow();
     for (const auto* list : { &readers_, &watchers_ }) {
         for (const auto& weak : *list) {
             if (auto signal = weak.lock())
@@ -104,7 +99,7 @@
 AnswerPart Generation::read(std::size_t from) const
 {
     std::lock_guard lock(mutex_);
-    lastRead_ = now();
+    lastRead_ = steadyNow();
     auto count = static_cast<std::size_t>(record_->tokens_size());
     std::size_t readable = isReadableToEnd() ? count : std::min(readable_, count);
     AnswerPart part;
@@ -146,7 +141,7 @@
 {
     std::lock_guard lock(mutex_);
     wire::GenerationRecord record = *record_;
-    auto left = std::chrono::duration_cast<milliseconds>(deadline_ - now());
+    auto left = std::chrono::duration_cast<milliseconds>(deadline_ - steadyNow());
     record.set_deadline_ms(static_cast<std::uint64_t>(std::max(milliseconds {}, left).count()));
     record.set_is_finished(isFinished_);
     if (failure_)
--- a/lib/Node/GenerationOwner.cpp
+++ b/lib/Node/GenerationOwner.cpp
@@ -23,14 +23,9 @@
     // telling its replica.
     constexpr std::uint32_t takeoverAttempts = 1000;
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
     milliseconds timeLeft(const Generation& generation)
     {
-        auto left = std::chrono::duration_cast<milliseconds>(generation.deadline() - now());
+        auto left = std::chrono::duration_cast<milliseconds>(generation.deadline() - steadyNow());
         return std::max(milliseconds {}, left);
     }
 
@@ -127,7 +122,7 @@
     if (progress.failure_)
         scope.span().outcome_ = describe(*progress.failure_);
     context_.metrics_.add(progress.failure_ ? Counter::RequestsFailed : Counter::RequestsFinished);
-    context_.metrics_.observe(Histogram::WholeAnswer, now() - generation->began());
+    context_.metrics_.observe(Histogram::WholeAnswer, steadyNow() - generation->began());
     std::uint64_t unused = generation->maxTokens() - std::min(generation->maxTokens(), static_cast<std::uint64_t>(progress.tokens_.size()));
     onFinished_(generation->entry(), unused);
 }
@@ -221,7 +216,7 @@
 
 asio::awaitable<GenerationOwner::AttemptOutcome> GenerationOwner::takeTokens(GenerationPtr generation, std::shared_ptr<PeerStream> stream, VmId engine, VmId home, Preference& preference)
 {
-    SteadyTime last = now();
+    SteadyTime last = steadyNow();
     for (;;) {
         auto frame = co_await stream->receiveWithin(tokenTimeout);
         if (generation->isOver())
@@ -246,10 +241,10 @@
         }
         context_.metrics_.add(Counter::TokensDelivered, added.value());
         if (isFirst)
-            context_.metrics_.observe(Histogram::FirstToken, now() - generation->began());
+            context_.metrics_.observe(Histogram::FirstToken, steadyNow() - generation->began());
         else
-            context_.metrics_.observe(Histogram::BetweenTokens, now() - last);
-        last = now();
+            context_.metrics_.observe(Histogram::BetweenTokens, steadyNow() - last);
+        last = steadyNow();
     }
 }
 
@@ -282,12 +277,12 @@
     const CallerSettings& settings = context_.settings_.caller_;
     for (;;) {
         for (const GenerationPtr& generation : all()) {
-            if (generation->isOver() && now() - generation->changedAt() > settings.answersKept_ && !generation->hasReaders()) {
+            if (generation->isOver() && steadyNow() - generation->changedAt() > settings.answersKept_ && !generation->hasReaders()) {
                 std::lock_guard lock(mutex_);
                 generations_.erase(generation->id());
                 continue;
             }
-            bool isForgotten = !generation->isOver() && !generation->hasReaders() && now() - generation->lastRead() > settings.reconnectGrace_;
+            bool isForgotten = !generation->isOver() && !generation->hasReaders() && steadyNow() - generation->lastRead() > settings.reconnectGrace_;
             if (isForgotten && generation->isAccepted())
                 generation->fail({ Errc::Cancelled, "wait for caller", {}, "the caller went away and did not come back", Ran::Unknown, {} });
         }
--- a/lib/Node/Gossiping.cpp
+++ b/lib/Node/Gossiping.cpp
@@ -18,11 +18,6 @@
     // A VM found to leave is told of for this long; all have heard it by then.
     constexpr milliseconds leavingTold { 60000 };
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
     std::uint32_t shortHash(const VmId& vm)
     {
         return static_cast<std::uint32_t>(stableHash(vm.value_));
@@ -116,7 +111,7 @@
             std::lock_guard lock(mutex_);
             gossip_.self().loads_ = std::move(loads);
             gossip_.beat();
-            gossip_.forgetOld(now());
+            gossip_.forgetOld(steadyNow());
         }
         publishMembership();
         std::vector<VmId> peers = localPeers();
@@ -146,16 +141,16 @@
         encoded.set_queued(load.queued_);
         encoded.set_wait_ms(static_cast<std::uint32_t>(load.wait_.count()));
     }
-    for (const NodeDigest& digest : gossip_.digests(now()))
+    for (const NodeDigest& digest : gossip_.digests(steadyNow()))
         encodeDigest(digest, *gossip.add_digests());
     for (const auto& [vm, leaving] : leaving_.all()) {
-        if (now() - leaving.markedAt_ > leavingTold)
+        if (steadyNow() - leaving.markedAt_ > leavingTold)
             continue;
         wire::LeavingVm& encoded = *gossip.add_leaving();
         encoded.set_vm(vm.value_);
         encoded.set_has_deadline(leaving.stopsAt_.has_value());
         if (leaving.stopsAt_) {
-            auto remaining = std::chrono::duration_cast<milliseconds>(*leaving.stopsAt_ - now());
+            auto remaining = std::chrono::duration_cast<milliseconds>(*leaving.stopsAt_ - steadyNow());
             encoded.set_remaining_ms(static_cast<std::uint64_t>(std::max(milliseconds {}, remaining).count()));
         }
     }
@@ -212,10 +207,10 @@
     bool isNews = false;
     auto local = vmIndex_->entryVms_.find(context_.settings_.dataCentre_);
     if (isLocal && local != vmIndex_->entryVms_.end())
-        gossip_.merge(decodeDigests(gossip, local->second), now());
+        gossip_.merge(decodeDigests(gossip, local->second), steadyNow());
     for (const wire::LeavingVm& leaving : gossip.leaving()) {
-        auto stopsAt = leaving.has_deadline() ? std::optional(now() + milliseconds(leaving.remaining_ms())) : std::nullopt;
-        isNews |= leaving_.markLeaving({ leaving.vm() }, stopsAt, now());
+        auto stopsAt = leaving.has_deadline() ? std::optional(steadyNow() + milliseconds(leaving.remaining_ms())) : std::nullopt;
+        isNews |= leaving_.markLeaving({ leaving.vm() }, stopsAt, steadyNow());
     }
     return isNews;
 }
--- a/lib/Node/LimitDesk.cpp
+++ b/lib/Node/LimitDesk.cpp
@@ -16,11 +16,6 @@
     constexpr milliseconds limitRetry { 500 };
     constexpr int mostAsked = 3;
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
 } // namespace
 
 LimitDesk::LimitDesk(NodeContext& context)
@@ -74,8 +69,8 @@
 Admission::Verdict LimitDesk::tryStart(const CatalogueEntry& entry, std::uint64_t tokens, milliseconds& tokenWait)
 {
     std::lock_guard lock(mutex_);
-    auto verdict = admission_.tryStart(entry, tokens, now());
-    tokenWait = admission_.tokenWait(entry.name_, now());
+    auto verdict = admission_.tryStart(entry, tokens, steadyNow());
+    tokenWait = admission_.tokenWait(entry.name_, steadyNow());
     return verdict;
 }
 
@@ -88,7 +83,7 @@
 asio::awaitable<void> LimitDesk::askKeeper(std::shared_ptr<const CatalogueEntry> entry)
 {
     wire::Frame frame = makeRequest(entry->name_);
-    SteadyTime askedAt = now();
+    SteadyTime askedAt = steadyNow();
     context_.metrics_.add(Counter::GrantMessages);
     auto reply = co_await context_.call(keeperOf(entry->name_), frame, grantTimeout);
     bool isGrant = reply && reply.value().has_grant_reply();
@@ -147,17 +142,17 @@
     std::uint64_t share = shareOf(*entry);
     auto view = context_.membership();
     std::lock_guard lock(mutex_);
-    auto since = keeperSince_.emplace(name, now()).first->second;
-    bool isNewKeeper = now() - since < validity;
+    auto since = keeperSince_.emplace(name, steadyNow()).first->second;
+    bool isNewKeeper = steadyNow() - since < validity;
     if (isNewKeeper) {
         // Every node gets an equal part until the grants before us have ended.
         auto rank = std::find(view->localNodes_.begin(), view->localNodes_.end(), VmId { request.node() }) - view->localNodes_.begin();
         share = guaranteedShare(share, static_cast<std::size_t>(rank), view->localNodes_.size());
         reply.set_granted(static_cast<std::uint32_t>(std::max<std::uint64_t>(request.in_use(), std::min<std::uint64_t>(share, request.wanted()))));
-        grants_.request(name, { request.node() }, reply.granted(), request.in_use(), reply.granted(), validity, now());
+        grants_.request(name, { request.node() }, reply.granted(), request.in_use(), reply.granted(), validity, steadyNow());
         return frame;
     }
-    reply.set_granted(static_cast<std::uint32_t>(grants_.request(name, { request.node() }, share, request.in_use(), request.wanted(), validity, now())));
+    reply.set_granted(static_cast<std::uint32_t>(grants_.request(name, { request.node() }, share, request.in_use(), request.wanted(), validity, steadyNow())));
     return frame;
 }
 
@@ -169,7 +164,7 @@
         if (!entry->workload_)
             continue;
         std::lock_guard lock(mutex_);
-        uses.push_back({ name, admission_.inProgress(name), admission_.held(name, now()), shareOf(*entry), keeperOf(name) });
+        uses.push_back({ name, admission_.inProgress(name), admission_.held(name, steadyNow()), shareOf(*entry), keeperOf(name) });
     }
     return uses;
 }
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -18,11 +18,6 @@
     // Frames already on their way leave the sockets before they close.
     constexpr milliseconds closingPause { 200 };
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
 } // namespace
 
 struct Node::State {
@@ -193,20 +188,20 @@
 
 asio::awaitable<void> Node::State::waitIdle(SteadyTime until)
 {
-    while (!isIdle() && now() < until)
+    while (!isIdle() && steadyNow() < until)
         co_await sleepFor(watchPeriod);
 }
 
 asio::awaitable<void> Node::State::drain(std::optional<milliseconds> left)
 {
     const DrainSettings& settings = context_.settings_.drain_;
-    SteadyTime until = now() + left.value_or(settings.timeout_);
+    SteadyTime until = steadyNow() + left.value_or(settings.timeout_);
     SteadyTime handoverAt = until - std::min(settings.handoverMargin_, left.value_or(settings.timeout_));
     logger_.info("Draining.");
     context_.isDraining_ = true;
     control_.announceLeaving();
     // The balancer goes on sending for a while; those callers are served.
-    co_await sleepFor(std::min(settings.balancerGrace_, std::chrono::duration_cast<milliseconds>(std::max(SteadyTime::duration {}, handoverAt - now()))));
+    co_await sleepFor(std::min(settings.balancerGrace_, std::chrono::duration_cast<milliseconds>(std::max(SteadyTime::duration {}, handoverAt - steadyNow()))));
     callerServer_.stopAccepting();
     co_await waitIdle(handoverAt);
     if (!isIdle()) {
--- a/lib/Node/Reclaiming.cpp
+++ b/lib/Node/Reclaiming.cpp
@@ -15,11 +15,6 @@
     constexpr milliseconds reclaimPeriod { 50 };
     constexpr milliseconds fallbackPerToken { 20 };
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
 } // namespace
 
 void BackendHome::start()
@@ -84,7 +79,7 @@
         streams.push_back({ { running->requestId_ }, running->class_, running->promptTokens_, generated, remaining });
         byRequest[{ running->requestId_ }] = running;
         // The pace of this engine, from the stream that tells most about it.
-        auto elapsed = std::chrono::duration_cast<milliseconds>(now() - running->began_);
+        auto elapsed = std::chrono::duration_cast<milliseconds>(steadyNow() - running->began_);
         if (generated)
             cost.perToken_ = std::max(cost.perToken_, elapsed / static_cast<std::int64_t>(generated));
     }
--- a/lib/Node/RecordCopying.cpp
+++ b/lib/Node/RecordCopying.cpp
@@ -16,11 +16,6 @@
     // Without a replica the record is offered again this often.
     constexpr milliseconds replicaRetry { 1000 };
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
 } // namespace
 
 std::vector<VmId> GenerationOwner::replicaCandidates(const std::string& requestId, const std::set<VmId>& failed) const
@@ -114,14 +109,14 @@
             token.set_position(copied++);
             token.set_text(std::move(text));
         }
-        SteadyTime sentAt = now();
+        SteadyTime sentAt = steadyNow();
         auto sent = co_await stream->send(frame);
         if (!sent)
             co_return false;
         auto reply = co_await stream->receiveWithin(timeout);
         if (!reply || !reply.value().has_ack())
             co_return false;
-        context_.metrics_.observe(Histogram::CopyAcknowledged, now() - sentAt);
+        context_.metrics_.observe(Histogram::CopyAcknowledged, steadyNow() - sentAt);
         generation->setReadable(copied);
         if (!progress.isOver_)
             continue;
--- a/lib/Node/ReplicaStore.cpp
+++ b/lib/Node/ReplicaStore.cpp
@@ -14,11 +14,6 @@
     constexpr milliseconds ownerTimeout { 500 };
     constexpr milliseconds watchPeriod { 250 };
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
     wire::Frame ackFrame()
     {
         wire::Frame frame;
@@ -35,7 +30,7 @@
     /// Its owner is being asked, or has lost it to us.
     std::atomic<bool> isChecked_ { false };
     std::atomic<bool> isTakenOver_ { false };
-    SteadyTime changedAt_ = now();
+    SteadyTime changedAt_ = steadyNow();
 };
 
 ReplicaStore::ReplicaStore(NodeContext& context, GenerationOwner& owner)
@@ -111,7 +106,7 @@
     }
     replica.record_.set_attempt(progress.attempt());
     replica.record_.set_engine(progress.engine());
-    replica.changedAt_ = now();
+    replica.changedAt_ = steadyNow();
     if (!progress.is_finished())
         return true;
     replica.isOver_ = true;
@@ -142,7 +137,7 @@
         co_return;
     if (isOwned) {
         std::lock_guard lock(replica->mutex_);
-        replica->changedAt_ = now();
+        replica->changedAt_ = steadyNow();
         replica->isChecked_ = false;
         co_return;
     }
@@ -152,7 +147,7 @@
         std::lock_guard lock(replica->mutex_);
         record = replica->record_;
     }
-    auto silent = std::chrono::duration_cast<milliseconds>(now() - replica->changedAt_);
+    auto silent = std::chrono::duration_cast<milliseconds>(steadyNow() - replica->changedAt_);
     std::uint64_t left = record.deadline_ms();
     record.set_deadline_ms(left > static_cast<std::uint64_t>(silent.count()) ? left - static_cast<std::uint64_t>(silent.count()) : 0);
     logger_.info("Request " + requestId + " was taken over from " + owner + ".");
@@ -236,7 +231,7 @@
     std::lock_guard lock(mutex_);
     for (const auto& [id, replica] : replicas_) {
         std::lock_guard inner(replica->mutex_);
-        if (!replica->isOver_ && !replica->isChecked_ && now() - replica->changedAt_ > context_.settings_.replica_.ownerSilence_)
+        if (!replica->isOver_ && !replica->isChecked_ && steadyNow() - replica->changedAt_ > context_.settings_.replica_.ownerSilence_)
             silent.push_back(replica);
     }
     return silent;
@@ -249,7 +244,7 @@
         std::lock_guard inner(item.second->mutex_);
         milliseconds kept = context_.settings_.caller_.answersKept_;
         milliseconds silence = item.second->isOver_ ? kept : kept + milliseconds(item.second->record_.deadline_ms());
-        return now() - item.second->changedAt_ > silence;
+        return steadyNow() - item.second->changedAt_ > silence;
     });
 }
 
--- a/lib/Node/RunKeeper.cpp
+++ b/lib/Node/RunKeeper.cpp
@@ -24,11 +24,6 @@
     // Larger answers are remembered by their fate only.
     constexpr std::size_t largestStoredBody = 64UL * 1024;
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
     std::string streamOf(std::uint32_t shard)
     {
         return "ledger-" + std::to_string(shard);
@@ -73,9 +68,9 @@
     {
         std::lock_guard lock(mutex_);
         if (!appends_)
-            appends_.emplace(rate, appendBurst, now());
+            appends_.emplace(rate, appendBurst, steadyNow());
         appends_->setRate(rate, appendBurst);
-        return appends_->tryTake(1, now()) ? milliseconds {} : appends_->wait(now());
+        return appends_->tryTake(1, steadyNow()) ? milliseconds {} : appends_->wait(steadyNow());
     }
 
     // Nothing waiting ends the flush; the next item starts another.
@@ -129,16 +124,16 @@
 asio::awaitable<Result<LogOffset>> RunKeeper::appendRecord(const std::string& stream, const std::string& record)
 {
     const LedgerSettings& settings = context_.settings_.ledger_;
-    SteadyTime until = now() + settings.appendPatience_;
+    SteadyTime until = steadyNow() + settings.appendPatience_;
     for (;;) {
-        SteadyTime began = now();
+        SteadyTime began = steadyNow();
         context_.metrics_.add(Counter::LogAppends);
         auto appended = co_await context_.log_.append_(stream, record, settings.appendTimeout_);
         if (appended) {
-            context_.metrics_.observe(Histogram::LogAppend, now() - began);
+            context_.metrics_.observe(Histogram::LogAppend, steadyNow() - began);
             co_return appended;
         }
-        if (now() >= until)
+        if (steadyNow() >= until)
             co_return appended;
         // Items are told by key and attempt, so a record that arrives twice
         // counts once.
@@ -198,11 +193,11 @@
 asio::awaitable<wire::Frame> RunKeeper::runOnce(const wire::ServiceCall& call)
 {
     SpanScope scope(context_.tracer_, parseTraceparent(call.traceparent()), "keeper", call.request_id());
-    ++running_;
+    CountGuard counted(running_);
     CallKey key = makeCallKey({ call.organisation() }, { call.service() }, { call.idempotency_key() });
     std::uint32_t shard = shardOf(key, static_cast<std::uint32_t>(shards_.size()));
     RunOnceCall run(key, { makeUuid() }, call.body_hash());
-    SteadyTime asked = now();
+    SteadyTime asked = steadyNow();
     while (run.step() != RunOnceCall::Step::Done) {
         switch (run.step()) {
         case RunOnceCall::Step::AppendIntent:
@@ -221,7 +216,6 @@
         }
     }
     scope.span().outcome_ = toString(run.answer());
-    --running_;
     co_return makeAnswer(run);
 }
 
@@ -245,7 +239,7 @@
 
 asio::awaitable<void> RunKeeper::dispatch(RunOnceCall& run, const wire::ServiceCall& call, SteadyTime asked)
 {
-    if (now() - asked > context_.settings_.ledger_.dispatchGuard_) {
+    if (steadyNow() - asked > context_.settings_.ledger_.dispatchGuard_) {
         run.dispatchTooLate();
         co_return;
     }
--- a/lib/Node/SlotTable.cpp
+++ b/lib/Node/SlotTable.cpp
@@ -36,14 +36,14 @@
 Slot::Slot(SlotTable* table, VmId server)
     : table_(table)
     , server_(std::move(server))
-    , began_(std::chrono::steady_clock::now())
+    , began_(steadyNow())
 {
 }
 
 Slot::~Slot()
 {
     if (table_)
-        table_->release(server_, std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - began_));
+        table_->release(server_, std::chrono::duration_cast<milliseconds>(steadyNow() - began_));
 }
 
 Slot::Slot(Slot&& other) noexcept
--- a/lib/Routing/Routing.cpp
+++ b/lib/Routing/Routing.cpp
@@ -27,48 +27,6 @@
     return blocks;
 }
 
-PrefixIndex::PrefixIndex(std::size_t capacity, milliseconds believedFor)
-    : capacity_(capacity)
-    , believedFor_(believedFor)
-{
-}
-
-void PrefixIndex::remember(const std::vector<std::uint64_t>& blocks, SteadyTime now)
-{
-    for (std::uint64_t block : blocks) {
-        if (seen_.insert_or_assign(block, now).second)
-            order_.push_back(block);
-    }
-    while (order_.size() > capacity_) {
-        seen_.erase(order_.front());
-        order_.pop_front();
-    }
-}
-
-void PrefixIndex::forget(std::uint64_t block)
-{
-    seen_.erase(block);
-    std::erase(order_, block);
-}
-
-void PrefixIndex::clear()
-{
-    seen_.clear();
-    order_.clear();
-}
-
-std::size_t PrefixIndex::cachedBlocks(const std::vector<std::uint64_t>& blocks, SteadyTime now) const
-{
-    std::size_t count = 0;
-    for (std::uint64_t block : blocks) {
-        auto found = seen_.find(block);
-        if (found == seen_.end() || now - found->second > believedFor_)
-            break;
-        ++count;
-    }
-    return count;
-}
-
 static milliseconds estimateFirstToken(const EngineCandidate& candidate, const RoutingCost& cost)
 {
     // Our own sends since the report have taken free slots already.
--- a/lib/Telemetry/Traces.cpp
+++ b/lib/Telemetry/Traces.cpp
@@ -124,7 +124,7 @@
 
 SpanScope::SpanScope(Tracer& tracer, const TraceContext& parent, std::string step, std::string requestId)
     : tracer_(tracer)
-    , began_(std::chrono::steady_clock::now())
+    , began_(steadyNow())
 {
     span_.context_ = childOf(parent);
     span_.parentSpanId_ = parent.spanId_;
@@ -136,7 +136,7 @@
 
 SpanScope::~SpanScope()
 {
-    span_.duration_ = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - began_);
+    span_.duration_ = std::chrono::duration_cast<std::chrono::microseconds>(steadyNow() - began_);
     tracer_.record(std::move(span_));
 }
 
--- a/lib/Wire/Peers.cpp
+++ b/lib/Wire/Peers.cpp
@@ -214,19 +214,10 @@
 
 Result<std::uint16_t> PeerServer::listen(const Endpoint& endpoint)
 {
-    boost::system::error_code code;
-    tcp::endpoint address(asio::ip::make_address(endpoint.host_, code), endpoint.port_);
-    auto acceptor = std::make_unique<tcp::acceptor>(asio::make_strand(state_->executor_));
-    if (!code)
-        acceptor->open(address.protocol(), code);
-    if (!code)
-        acceptor->set_option(tcp::acceptor::reuse_address(true), code);
-    if (!code)
-        acceptor->bind(address, code);
-    if (!code)
-        acceptor->listen(asio::socket_base::max_listen_connections, code);
-    if (code)
-        return Error { Errc::Unavailable, "listen for peers", endpoint.toString(), code.message(), Ran::No, {} };
+    auto bound = bindAcceptor(state_->executor_, endpoint, "listen for peers");
+    if (!bound)
+        return bound.error();
+    auto acceptor = std::move(bound.value());
     std::uint16_t port = acceptor->local_endpoint().port();
     state_->acceptor_ = std::move(acceptor);
     asio::co_spawn(state_->acceptor_->get_executor(), acceptPeers(state_), asio::detached);
--- a/test/Harness/CallerClient.cpp
+++ b/test/Harness/CallerClient.cpp
@@ -18,11 +18,6 @@
     constexpr milliseconds reconnectPause { 50 };
     constexpr std::size_t tagLength = 6;
 
-    SteadyTime now()
-    {
-        return std::chrono::steady_clock::now();
-    }
-
     struct Event {
         std::string name_;
         std::string id_;
@@ -64,7 +59,7 @@
         answer.isBroken_ = false;
         answer.isMoved_ = false;
         answer.error_.reset();
-        SteadyTime began = now();
+        SteadyTime began = steadyNow();
         auto opened = co_await openHttp(entry, std::move(request), headTimeout);
         if (!opened) {
             answer.isBroken_ = true;
@@ -102,10 +97,10 @@
             if (answer.tokens_.size() <= before)
                 continue;
             if (!before)
-                answer.firstToken_ = std::chrono::duration_cast<milliseconds>(now() - began);
+                answer.firstToken_ = std::chrono::duration_cast<milliseconds>(steadyNow() - began);
             else
-                answer.gaps_.push_back(std::chrono::duration_cast<std::chrono::microseconds>(now() - last));
-            last = now();
+                answer.gaps_.push_back(std::chrono::duration_cast<std::chrono::microseconds>(steadyNow() - last));
+            last = steadyNow();
         }
         reader->cancel();
         co_return answer;
@@ -161,10 +156,10 @@
 
 asio::awaitable<Answer> streamToEnd(std::vector<Endpoint> entries, Completion completion, milliseconds patience)
 {
-    SteadyTime until = now() + patience;
+    SteadyTime until = steadyNow() + patience;
     Answer answer = co_await streamCompletion(entries.front(), completion);
     std::size_t next = 1;
-    while (!answer.isDone_ && !answer.requestId_.empty() && now() < until) {
+    while (!answer.isDone_ && !answer.requestId_.empty() && steadyNow() < until) {
         asio::steady_timer timer(co_await asio::this_coro::executor, reconnectPause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         Endpoint entry = entries[next++ % entries.size()];
--- a/test/Harness/Deployment.cpp
+++ b/test/Harness/Deployment.cpp
@@ -41,9 +41,9 @@
 
 bool waitUntil(const std::function<bool()>& condition, milliseconds patience)
 {
-    auto until = std::chrono::steady_clock::now() + patience;
+    auto until = steadyNow() + patience;
     while (!condition()) {
-        if (std::chrono::steady_clock::now() > until)
+        if (steadyNow() > until)
             return false;
         std::this_thread::sleep_for(pollPeriod);
     }
--- a/test/Harness/Process.cpp
+++ b/test/Harness/Process.cpp
@@ -110,7 +110,7 @@
 
 int Process::wait(milliseconds patience)
 {
-    auto until = std::chrono::steady_clock::now() + patience;
+    auto until = steadyNow() + patience;
     while (!hasEnded_) {
         int status = 0;
         if (waitpid(id_, &status, WNOHANG) == id_) {
@@ -118,7 +118,7 @@
             exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
             break;
         }
-        if (std::chrono::steady_clock::now() > until)
+        if (steadyNow() > until)
             break;
         std::this_thread::sleep_for(pollPeriod);
     }
--- a/unittests/Routing/RoutingTest.cpp
+++ b/unittests/Routing/RoutingTest.cpp
@@ -1,7 +1,7 @@
 //===- unittests/Routing/RoutingTest.cpp - choice of an engine -------------===//
 ///
 /// \file
-/// Ranking of candidates, sampling and the prefix index.
+/// Ranking of candidates, sampling and the prompt's blocks.
 //===----------------------------------------------------------------------===//
 #include "pistachioloom/Routing.h"
 
@@ -81,17 +81,3 @@
     CHECK(blocks[2] != otherBlocks[2]);
     CHECK(blocks[3] != otherBlocks[3]);
 }
-
-TEST_CASE("the prefix index believes for a while and holds a bounded number")
-{
-    const SteadyTime start {};
-    PrefixIndex index(3, milliseconds(100));
-    index.remember({ 1, 2, 3 }, start);
-    CHECK(index.cachedBlocks({ 1, 2, 9 }, start) == 2);
-    CHECK(index.cachedBlocks({ 1, 2 }, start + milliseconds(101)) == 0);
-    index.remember({ 4 }, start);
-    CHECK(index.size() == 3);
-    CHECK(index.cachedBlocks({ 1 }, start) == 0);
-    index.forget(2);
-    CHECK(index.cachedBlocks({ 2, 3 }, start) == 0);
-}
