--- a/test/LeavingTest.cpp
+++ b/test/LeavingTest.cpp
@@ -197,6 +197,8 @@
         CHECK(answer.restarts_ == 0);
         CHECK(checkAnswer(answer, completions[i]) == "");
     }
-    // The engines' streams went on under their new homes.
+    // Handed over, not found missing by their replicas; and the engines' streams
+    // went on under their new homes.
+    CHECK(deployment.metricOfAll("takeovers_total") == 0);
     CHECK(deployment.metricOfAll("tokens_recomputed_total") == 0);
 }
--- /dev/null
+++ b/unittests/Node/GenerationTest.cpp
@@ -0,0 +1,140 @@
+//===- unittests/Node/GenerationTest.cpp - what of an answer may be read ---===//
+///
+/// \file
+/// The rule that a caller reads only what a replica acknowledged, and that no
+/// attempt's tokens get into another's; event ids and resumption.
+//===----------------------------------------------------------------------===//
+#include "EventStream.h"
+#include "Generation.h"
+
+#include "generated/Peer.pb.h"
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+namespace {
+
+wire::GenerationRecord record()
+{
+    wire::GenerationRecord result;
+    result.set_request_id("r");
+    result.set_max_tokens(10);
+    result.set_deadline_ms(60000);
+    return result;
+}
+
+wire::TokenChunk chunk(std::uint32_t attempt, std::vector<std::uint64_t> positions, const std::string& request = "r")
+{
+    wire::TokenChunk result;
+    result.set_request_id(request);
+    result.set_attempt(attempt);
+    for (std::uint64_t position : positions) {
+        wire::Token& token = *result.add_tokens();
+        token.set_position(position);
+        token.set_text("t" + std::to_string(position) + "a" + std::to_string(attempt));
+    }
+    return result;
+}
+
+struct Fixture {
+    asio::io_context io_;
+    std::shared_ptr<Generation> generation_ = std::make_shared<Generation>(record(), io_.get_executor());
+};
+
+} // namespace
+
+TEST_CASE("nothing is read that no replica has acknowledged")
+{
+    Fixture fixture;
+    Generation& generation = *fixture.generation_;
+    std::uint32_t attempt = generation.startAttempt();
+    REQUIRE(generation.append(chunk(attempt, { 0, 1, 2 })));
+    CHECK(generation.read(0).tokens_.empty());
+    generation.setReadable(2);
+    CHECK(generation.read(0).tokens_.size() == 2);
+    CHECK(generation.read(1).tokens_.size() == 1);
+    generation.finish();
+    // Finished, but its end is not copied yet.
+    CHECK_FALSE(generation.read(0).isFinished_);
+    generation.setReadableToEnd();
+    CHECK(generation.read(0).isFinished_);
+    CHECK(generation.read(0).tokens_.size() == 3);
+}
+
+TEST_CASE("without any replica the answer goes on, until there is one again")
+{
+    Fixture fixture;
+    Generation& generation = *fixture.generation_;
+    std::uint32_t attempt = generation.startAttempt();
+    REQUIRE(generation.append(chunk(attempt, { 0, 1 })));
+    generation.setReadableToEnd();
+    CHECK(generation.read(0).tokens_.size() == 2);
+    generation.setReadable(2);
+    REQUIRE(generation.append(chunk(attempt, { 2 })));
+    CHECK(generation.read(0).tokens_.size() == 2);
+}
+
+TEST_CASE("tokens late, doubled, missing, of another attempt or request never mix in")
+{
+    struct ChunkCase {
+        std::string name_;
+        wire::TokenChunk chunk_;
+        bool isTaken_;
+        std::size_t tokens_;
+    };
+    auto chunkCase = GENERATE(values<ChunkCase>({
+        { "the next", chunk(2, { 2 }), true, 3 },
+        { "doubled", chunk(2, { 1 }), true, 2 },
+        { "overlapping", chunk(2, { 0, 1, 2, 3 }), true, 4 },
+        { "a gap", chunk(2, { 3 }), false, 2 },
+        { "a stale attempt", chunk(1, { 2 }), false, 2 },
+        { "an attempt not begun", chunk(3, { 2 }), false, 2 },
+        { "another request", chunk(2, { 2 }, "other"), false, 2 },
+    }));
+    INFO(chunkCase.name_);
+    Fixture fixture;
+    Generation& generation = *fixture.generation_;
+    generation.startAttempt();
+    REQUIRE(generation.append(chunk(1, { 0 })));
+    generation.startAttempt();
+    REQUIRE(generation.append(chunk(2, { 1 })));
+    CHECK(static_cast<bool>(generation.append(chunkCase.chunk_)) == chunkCase.isTaken_);
+    generation.setReadableToEnd();
+    auto part = generation.read(0);
+    REQUIRE(part.tokens_.size() == chunkCase.tokens_);
+    CHECK(part.tokens_[0] == "t0a1");
+    CHECK(part.tokens_[1] == "t1a2");
+}
+
+TEST_CASE("a resumed answer goes on after the same text and starts again after another")
+{
+    EventWriter whole("r", std::nullopt);
+    std::string events = whole.tokens({ "a", "b", "c" });
+    std::size_t begin = events.find("id: 2-") + 4;
+    std::string second = events.substr(begin, events.find('\n', begin) - begin);
+    auto id = parseEventId(second);
+    REQUIRE(id);
+    CHECK(id->tokens_ == 2);
+    EventWriter same("r", id);
+    std::string rest = same.tokens({ "a", "b", "c" });
+    CHECK(rest.find("restart") == std::string::npos);
+    CHECK(rest.find("\"c\"") != std::string::npos);
+    CHECK(rest.find("\"b\"") == std::string::npos);
+    EventWriter other("r", id);
+    rest = other.tokens({ "a", "x", "c" });
+    CHECK(rest.find("restart") != std::string::npos);
+    CHECK(rest.find("\"a\"") != std::string::npos);
+    EventWriter shorter("r", id);
+    CHECK(shorter.tokens({ "z" }).empty());
+    CHECK(shorter.done().find("restart") != std::string::npos);
+    for (const char* bad : { "", "-", "1", "x-1", "1-", "1-zz", "99999999999999999999999-1" })
+        CHECK_FALSE(parseEventId(bad));
+}
+
+TEST_CASE("request ids lead to owner and replica")
+{
+    std::vector<VmId> nodes { { "a" }, { "b" }, { "c" } };
+    auto hinted = hintedNodes(makeRequestId("uuid", { "c" }, { "a" }), nodes);
+    CHECK(hinted == std::vector<VmId> { { "c" }, { "a" } });
+    CHECK(hintedNodes("no-hints", nodes).empty());
+}
