Give back a limit's place only where it was taken

Cause: a generation that was adopted ended like one admitted here, and took a place in progress off another request of that entry. Found by reading; the test showed 0 in progress where 1 ran. Now only its beginner gives it back: 1.

--- a/lib/Node/Generation.h
+++ b/lib/Node/Generation.h
@@ -154,6 +154,11 @@
         /// Go on after a pause.
         Pause,
     };
+    enum class Origin {
+        /// Admitted here, so its place in the entry's limits is given back here.
+        Begun,
+        Adopted,
+    };
     /// Where the next attempt should go first.
     struct Preference {
         VmId engine_;
@@ -163,7 +168,7 @@
     };
 
     void insert(const GenerationPtr& generation);
-    asio::awaitable<void> run(GenerationPtr generation, Preference preference);
+    asio::awaitable<void> run(GenerationPtr generation, Preference preference, Origin origin);
     asio::awaitable<AttemptOutcome> attempt(GenerationPtr generation, Preference& preference);
     asio::awaitable<AttemptOutcome> tryEngine(GenerationPtr generation, VmId engine, VmId home, bool mayQueue, Preference& preference, Error& refusal);
     asio::awaitable<AttemptOutcome> takeTokens(GenerationPtr generation, std::shared_ptr<PeerStream> stream, VmId engine, VmId home, Preference& preference);
--- a/lib/Node/GenerationOwner.cpp
+++ b/lib/Node/GenerationOwner.cpp
@@ -83,7 +83,7 @@
     record.set_owner(context_.self().value_);
     auto generation = std::make_shared<Generation>(record, context_.executor_);
     insert(generation);
-    context_.spawn(run(generation, {}));
+    context_.spawn(run(generation, {}, Origin::Begun));
     return generation;
 }
 
@@ -99,11 +99,11 @@
     auto generation = std::make_shared<Generation>(record, context_.executor_);
     generation->markAccepted();
     insert(generation);
-    context_.spawn(run(generation, preference));
+    context_.spawn(run(generation, preference, Origin::Adopted));
     return generation;
 }
 
-asio::awaitable<void> GenerationOwner::run(GenerationPtr generation, Preference preference)
+asio::awaitable<void> GenerationOwner::run(GenerationPtr generation, Preference preference, Origin origin)
 {
     SpanScope scope(context_.tracer_, parseTraceparent(generation->record().traceparent()), "owner", generation->id());
     // The copy and the first attempt start together; the caller is told
@@ -123,6 +123,8 @@
         scope.span().outcome_ = describe(*progress.failure_);
     context_.metrics_.add(progress.failure_ ? Counter::RequestsFailed : Counter::RequestsFinished);
     context_.metrics_.observe(Histogram::WholeAnswer, steadyNow() - generation->began());
+    if (origin == Origin::Adopted)
+        co_return;
     std::uint64_t unused = generation->maxTokens() - std::min(generation->maxTokens(), static_cast<std::uint64_t>(progress.tokens_.size()));
     onFinished_(generation->entry(), unused);
 }
--- a/test/LeavingTest.cpp
+++ b/test/LeavingTest.cpp
@@ -172,6 +172,35 @@
     CHECK(load.stop() == 0);
 }
 
+TEST_CASE("a request taken over gives back no place that it did not take")
+{
+    DeploymentOptions options;
+    options.dataCentres_ = { "caxias-a", "caxias-b" };
+    options.nodesPerDataCentre_ = 1;
+    options.engineArguments_ = { "--decode_us", "5000" };
+    options.settings_ = "drain:\n  balancer_grace: 50ms\n  handover_margin: 400ms\n";
+    Deployment deployment(options);
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    auto& leaving = deployment.node("caxias-a-1");
+    auto& successor = deployment.node("caxias-b-1");
+    Completion handedOver { Deployment::apiKey("rede"), "planogram", "handed over", 400 };
+    Completion stays { Deployment::apiKey("rede"), "planogram", "stays", 1600 };
+    std::vector<Endpoint> entries { leaving.callers_, successor.callers_ };
+    auto first = std::async(std::launch::async, [=] { return streamToEndBlocking(entries, handedOver, answerPatience); });
+    auto second = std::async(std::launch::async, [=] { return streamCompletionBlocking(entries[1], stays); });
+    REQUIRE(waitUntil([&] { return deployment.metric(leaving, "generations_running") == 1 && deployment.metric(successor, "generations_running") == 1; }));
+    deployment.announceReclaim(leaving.id_, milliseconds(800));
+    Answer answer = first.get();
+    CHECK(answer.isDone_);
+    CHECK(checkAnswer(answer, handedOver) == "");
+    auto limits = deployment.ask(successor, "/limits");
+    std::uint64_t inProgress = 0;
+    for (const auto& line : objectsField(limits.as_object(), "entries"))
+        inProgress += numberField(line, "in_progress");
+    CHECK(inProgress == 1);
+    CHECK(second.get().isDone_);
+}
+
 TEST_CASE("a stop with less time than its streams need hands them over whole")
 {
     auto options = twoEngines();
--- a/unittests/Node/GenerationTest.cpp
+++ b/unittests/Node/GenerationTest.cpp
@@ -4,8 +4,8 @@
 /// The rule that a caller reads only what a replica acknowledged, and that no
 /// attempt's tokens get into another's; event ids and resumption.
 //===----------------------------------------------------------------------===//
-#include "EventStream.h"
 #include "Generation.h"
+#include "EventStream.h"
 
 #include "generated/Peer.pb.h"
 #include <catch2/catch.hpp>
