--- a/unittests/Node/GenerationTest.cpp
+++ b/unittests/Node/GenerationTest.cpp
@@ -23,7 +23,7 @@
     return result;
 }
 
-wire::TokenChunk chunk(std::uint32_t attempt, std::vector<std::uint64_t> positions, const std::string& request = "r")
+wire::TokenChunk chunk(std::uint32_t attempt, const std::vector<std::uint64_t>& positions, const std::string& request = "r")
 {
     wire::TokenChunk result;
     result.set_request_id(request);
