Let go of a handed-over stream instead of cancelling it at the engine

Cause: after a hand-over the old owner reset its stream as cancelled, and the home told the engine to cancel the request, by its id. When that came before the successor had attached, the engine's work was lost and computed again.

Change: PeerStream::release() resets with NO_ERROR, which the home does not take for a cancel.

--- a/include/pistachioloom/Wire.h
+++ b/include/pistachioloom/Wire.h
@@ -37,8 +37,13 @@
     virtual asio::awaitable<Result<wire::Frame>> receiveWithin(milliseconds timeout) = 0;
     /// Ends our side after what was sent.
     virtual void finish() = 0;
-    /// Resets the stream; a refusal tells the peer that nothing was done.
+    /// Resets the stream: the work is not wanted any more. The peer's send()
+    /// fails with Cancelled.
     virtual void cancel() = 0;
+    /// Resets the stream, but the work goes on for somebody else. The peer's
+    /// send() fails with Reset.
+    virtual void release() = 0;
+    /// Resets the stream and tells the peer that nothing was done.
     virtual void refuse() = 0;
     virtual std::string peer() const = 0;
     /// A pointer that keeps the stream.
--- a/lib/Node/Generation.cpp
+++ b/lib/Node/Generation.cpp
@@ -226,6 +226,12 @@
     notify();
 }
 
+bool Generation::isMoved() const
+{
+    std::lock_guard lock(mutex_);
+    return isMoved_;
+}
+
 bool Generation::isOver() const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Node/Generation.h
+++ b/lib/Node/Generation.h
@@ -70,6 +70,7 @@
     void finish();
     void fail(Error error);
     void markMoved();
+    bool isMoved() const;
     /// Finished, failed or moved.
     bool isOver() const;
     std::size_t tokenCount() const;
--- a/lib/Node/GenerationOwner.cpp
+++ b/lib/Node/GenerationOwner.cpp
@@ -139,6 +139,7 @@
             auto outcome = co_await tryEngine(generation, engine, home, true, preference, refusal);
             if (outcome != AttemptOutcome::Pause)
                 co_return outcome;
+            logger_.info("Request " + generation->id() + " could not go on at engine " + engine.value_ + ": " + describe(refusal) + ".");
         }
         preference.isAttach_ = false;
     }
@@ -196,7 +197,11 @@
         generation->setEngine(engine.value_);
         generation->markAccepted();
         auto outcome = co_await takeTokens(generation, stream, engine, home, preference);
-        stream->cancel();
+        // Whoever owns the generation now attaches to what the engine runs.
+        if (generation->isMoved())
+            stream->release();
+        else
+            stream->cancel();
         co_return outcome;
     }
     stream->cancel();
--- a/lib/Wire/LinkStream.cpp
+++ b/lib/Wire/LinkStream.cpp
@@ -116,6 +116,11 @@
     reset(NGHTTP2_CANCEL);
 }
 
+void LinkStream::release()
+{
+    reset(NGHTTP2_NO_ERROR);
+}
+
 void LinkStream::refuse()
 {
     reset(NGHTTP2_REFUSED_STREAM);
--- a/lib/Wire/PeerLink.h
+++ b/lib/Wire/PeerLink.h
@@ -35,6 +35,7 @@
     asio::awaitable<Result<wire::Frame>> receiveWithin(milliseconds timeout) override;
     void finish() override;
     void cancel() override;
+    void release() override;
     void refuse() override;
     std::string peer() const override;
     std::shared_ptr<PeerStream> shared() override { return shared_from_this(); }
--- a/test/LeavingTest.cpp
+++ b/test/LeavingTest.cpp
@@ -203,6 +203,9 @@
 
 TEST_CASE("a stop with less time than its streams need hands them over whole")
 {
+    // A successor may reach the engine long after the old owner let go.
+    auto attachDelay = GENERATE(milliseconds(0), milliseconds(300));
+    INFO("attaching takes " << attachDelay.count() << " ms more");
     auto options = twoEngines();
     options.engineArguments_ = { "--decode_us", "10000" };
     options.settings_ = "drain:\n  balancer_grace: 200ms\n  handover_margin: 800ms\n";
@@ -217,6 +220,8 @@
     for (const Completion& completion : completions)
         streams.push_back(std::async(std::launch::async, [=] { return streamToEndBlocking(entries, completion, answerPatience); }));
     REQUIRE(waitUntil([&] { return deployment.metric(leaving, "generations_running") >= 8; }));
+    for (auto& engine : deployment.engines())
+        Deployment::control(engine.endpoint_, { { "attach_delay_ms", attachDelay.count() } });
     deployment.announceReclaim(leaving.id_, milliseconds(2000));
     CHECK(leaving.process_->wait(milliseconds(6000)) == 0);
     deployment.removeVm(leaving.id_);
--- a/tools/standins/EngineStandin.cpp
+++ b/tools/standins/EngineStandin.cpp
@@ -174,6 +174,8 @@
         for (const json::value& token : *tokens)
             prefix.emplace_back(token.as_string());
     }
+    if (flagField(body, "attach") && controls_["attach_delay_ms"])
+        co_await pause(milliseconds(controls_["attach_delay_ms"]));
     if (controls_["leaving"]) {
         ++startedWhileLeaving_;
         Error refusal { Errc::Leaving, "start generation", name_, "this engine is leaving", Ran::No, {} };
@@ -399,6 +401,8 @@
         { "leaving", 0 },
         { "refuse_import", 0 },
         { "refuse_export", 0 },
+        { "attach_delay_ms", 0 },
+        { "cancel_delay_ms", 0 },
     };
     app.add_option("--port", port, "Port, 0 for any");
     app.add_option("--name", name, "Part of each sampling run's name");
--- a/unittests/Wire/PeerStreamTest.cpp
+++ b/unittests/Wire/PeerStreamTest.cpp
@@ -20,13 +20,20 @@
 const std::string credential = "a-credential-of-tests";
 constexpr milliseconds callTimeout { 10000 };
 
+wire::Frame updateOf(std::size_t size)
+{
+    wire::Frame frame;
+    frame.mutable_vm_list_update()->set_list(std::string(size, 'x'));
+    return frame;
+}
+
 /// A server that answers every frame of a stream with the same frame.
 class EchoServer {
 public:
     EchoServer()
         : work_(asio::make_work_guard(io_))
         , server_(
-              io_.get_executor(), credential, [](std::shared_ptr<PeerStream> stream) { return echo(std::move(stream)); },
+              io_.get_executor(), credential, [this](std::shared_ptr<PeerStream> stream) { return echo(std::move(stream)); },
               [this](const Error& error) { errors_.push_back(describe(error)); std::cerr << describe(error) << std::endl; })
     {
         endpoint_ = { "127.0.0.1", server_.listen({ "127.0.0.1", 0 }).value() };
@@ -54,9 +61,22 @@
     }
 
     asio::io_context io_;
+    /// What ended the stream of a catalogue_fetch.
+    std::promise<Errc> resetBy_;
 
 private:
-    static asio::awaitable<void> echo(std::shared_ptr<PeerStream> stream)
+    asio::awaitable<void> sendUntilReset(std::shared_ptr<PeerStream> stream)
+    {
+        for (;;) {
+            auto sent = co_await stream->send(updateOf(1));
+            if (sent)
+                continue;
+            resetBy_.set_value(sent.error().code_);
+            co_return;
+        }
+    }
+
+    asio::awaitable<void> echo(std::shared_ptr<PeerStream> stream)
     {
         for (;;) {
             auto frame = co_await stream->receive();
@@ -66,6 +86,10 @@
                 stream->refuse();
                 co_return;
             }
+            if (frame.value().has_catalogue_fetch()) {
+                co_await sendUntilReset(std::move(stream));
+                co_return;
+            }
             (void)co_await stream->send(frame.value());
         }
         stream->finish();
@@ -78,13 +102,6 @@
     std::thread thread_;
 };
 
-wire::Frame updateOf(std::size_t size)
-{
-    wire::Frame frame;
-    frame.mutable_vm_list_update()->set_list(std::string(size, 'x'));
-    return frame;
-}
-
 } // namespace
 
 TEST_CASE("a call brings back its own frame, whatever its size")
@@ -131,3 +148,22 @@
     REQUIRE(!reply);
     CHECK(reply.error().ran_ == Ran::No);
 }
+
+TEST_CASE("a peer learns whether its work was cancelled or goes on for somebody else")
+{
+    auto isCancelled = GENERATE(true, false);
+    EchoServer echo;
+    PeerPool pool(echo.io_.get_executor(), credential, {});
+    auto task = [&]() -> asio::awaitable<void> {
+        wire::Frame frame;
+        frame.mutable_catalogue_fetch();
+        auto opened = co_await pool.open(echo.endpoint(), frame, callTimeout);
+        auto first = co_await opened.value()->receive();
+        if (isCancelled)
+            opened.value()->cancel();
+        else
+            opened.value()->release();
+    };
+    asio::co_spawn(asio::make_strand(echo.io_), task, asio::detached);
+    CHECK(echo.resetBy_.get_future().get() == (isCancelled ? Errc::Cancelled : Errc::Reset));
+}
