Let nothing be read beyond the record that is being handed over

Cause: the record was copied for the successor while the old owner went on taking tokens and letting callers read them. A successor that had to compute on from the record then disagreed with what a caller had, who was told to start again (seen once as restarts = 1 in a stressed run of LeavingTest).

Change: beginHandover() fixes how far callers may read until the hand-over is taken or abandoned. Its unit test fails in 6 checks without the bound.

--- a/lib/Node/Generation.cpp
+++ b/lib/Node/Generation.cpp
@@ -102,6 +102,8 @@
     lastRead_ = steadyNow();
     auto count = static_cast<std::size_t>(record_->tokens_size());
     std::size_t readable = isReadableToEnd() ? count : std::min(readable_, count);
+    if (handedOver_)
+        readable = std::min(readable, *handedOver_);
     AnswerPart part;
     for (std::size_t i = from; i < readable; ++i)
         part.tokens_.push_back(record_->tokens(static_cast<int>(i)).text());
@@ -140,6 +142,25 @@
 wire::GenerationRecord Generation::record() const
 {
     std::lock_guard lock(mutex_);
+    return lockedRecord();
+}
+
+wire::GenerationRecord Generation::beginHandover()
+{
+    std::lock_guard lock(mutex_);
+    handedOver_ = static_cast<std::size_t>(record_->tokens_size());
+    return lockedRecord();
+}
+
+void Generation::abandonHandover()
+{
+    std::lock_guard lock(mutex_);
+    handedOver_.reset();
+    notify();
+}
+
+wire::GenerationRecord Generation::lockedRecord() const
+{
     wire::GenerationRecord record = *record_;
     auto left = std::chrono::duration_cast<milliseconds>(deadline_ - steadyNow());
     record.set_deadline_ms(static_cast<std::uint64_t>(std::max(milliseconds {}, left).count()));
--- a/lib/Node/Generation.h
+++ b/lib/Node/Generation.h
@@ -59,6 +59,10 @@
 
     // The owner's side.
     wire::GenerationRecord record() const;
+    /// The record to hand over. Until the hand-over is abandoned nothing beyond
+    /// it may be read, since the successor may compute other tokens there.
+    wire::GenerationRecord beginHandover();
+    void abandonHandover();
     std::uint32_t startAttempt();
     /// Appends what \p chunk brings beyond what is there. \returns an error for
     /// a gap or for the tokens of another attempt.
@@ -99,6 +103,7 @@
 private:
     void notify();
     bool isReadableToEnd() const;
+    wire::GenerationRecord lockedRecord() const;
 
     const std::string id_;
     const std::string organisation_;
@@ -115,6 +120,8 @@
     mutable SteadyTime lastRead_;
     SteadyTime changedAt_;
     std::size_t readable_ = 0;
+    /// Tokens of the record that a successor is being given.
+    std::optional<std::size_t> handedOver_;
     /// A replica has acknowledged the record.
     bool isCopied_ = false;
     /// No node takes a replica at present.
--- a/lib/Node/RecordCopying.cpp
+++ b/lib/Node/RecordCopying.cpp
@@ -134,11 +134,11 @@
         candidates.push_back(node);
     if (candidates.size() > mostReplicasTried)
         candidates.resize(mostReplicasTried);
+    wire::Frame frame;
+    *frame.mutable_record_handover()->mutable_record() = generation->beginHandover();
     for (const VmId& candidate : candidates) {
         if (candidate.isEmpty())
             continue;
-        wire::Frame frame;
-        *frame.mutable_record_handover()->mutable_record() = generation->record();
         auto reply = co_await context_.call(candidate, frame, context_.settings_.replica_.copyTimeout_);
         if (!reply || !reply.value().has_ack())
             continue;
@@ -147,6 +147,7 @@
         generation->markMoved();
         co_return;
     }
+    generation->abandonHandover();
     logger_.error("Request " + generation->id() + " could not be handed over.");
 }
 
--- a/unittests/Node/GenerationTest.cpp
+++ b/unittests/Node/GenerationTest.cpp
@@ -138,3 +138,29 @@
     CHECK(hinted == std::vector<VmId> { { "c" }, { "a" } });
     CHECK(hintedNodes("no-hints", nodes).empty());
 }
+
+TEST_CASE("what is read after a hand-over began is in the record that was handed over")
+{
+    bool isCopyOptional = GENERATE(true, false);
+    Fixture fixture;
+    Generation& generation = *fixture.generation_;
+    std::uint32_t attempt = generation.startAttempt();
+    REQUIRE(generation.append(chunk(attempt, { 0, 1, 2 })));
+    if (isCopyOptional)
+        generation.setReadableToEnd();
+    else
+        generation.setReadable(2);
+    auto handedOver = static_cast<std::size_t>(generation.beginHandover().tokens_size());
+    REQUIRE(generation.append(chunk(attempt, { 3, 4 })));
+    if (!isCopyOptional)
+        generation.setReadable(5);
+    CHECK(generation.read(0).tokens_.size() == handedOver);
+    generation.finish();
+    generation.setReadableToEnd();
+    CHECK(generation.read(0).tokens_.size() == handedOver);
+    CHECK_FALSE(generation.read(0).isFinished_);
+    // Nobody took it: the answer goes on here.
+    generation.abandonHandover();
+    CHECK(generation.read(0).tokens_.size() == 5);
+    CHECK(generation.read(0).isFinished_);
+}
