--- a/include/pistachioloom/Platform.h
+++ b/include/pistachioloom/Platform.h
@@ -90,7 +90,8 @@
 /// A model engine, by its address.
 struct EngineService {
     std::function<asio::awaitable<Result<EngineStream>>(Endpoint engine, EngineRequest request)> generate_;
-    std::function<asio::awaitable<Result<void>>(Endpoint engine, std::string requestId)> cancel_;
+    /// The engine ignores it if it knows a newer attempt.
+    std::function<asio::awaitable<Result<void>>(Endpoint engine, std::string requestId, std::uint32_t attempt)> cancel_;
     /// \returns the handle for an import.
     std::function<asio::awaitable<Result<std::string>>(Endpoint engine, std::string requestId)> exportCache_;
     std::function<asio::awaitable<Result<void>>(Endpoint engine, std::string handle)> importCache_;
--- a/lib/Node/BackendHome.cpp
+++ b/lib/Node/BackendHome.cpp
@@ -188,22 +188,22 @@
         // An owner that died is followed by another, who attaches; one that
         // cancelled wants the engine's work to stop.
         if (sent.error().code_ == Errc::Cancelled)
-            co_await cancelAtEngine(running->engine_, record.request_id());
+            co_await cancelAtEngine(running->engine_, record.request_id(), record.attempt());
         co_return;
     }
     stream.close_();
     bool isGivenUp = running->ending_ == Ending::Recompute || running->ending_ == Ending::Preempted;
     if (isGivenUp)
-        co_await cancelAtEngine(running->engine_, record.request_id());
+        co_await cancelAtEngine(running->engine_, record.request_id(), record.attempt());
     (void)co_await owner->send(last);
 }
 
-asio::awaitable<void> BackendHome::cancelAtEngine(VmId engine, std::string requestId)
+asio::awaitable<void> BackendHome::cancelAtEngine(VmId engine, std::string requestId, std::uint32_t attempt)
 {
     auto endpoint = context_.backendEndpoint(engine);
     if (!endpoint)
         co_return;
-    auto cancelled = co_await context_.engines_.cancel_(*endpoint, std::move(requestId));
+    auto cancelled = co_await context_.engines_.cancel_(*endpoint, std::move(requestId), attempt);
     if (!cancelled)
         logger_.debug("Cancel failed: " + describe(cancelled.error()) + ".");
 }
--- a/lib/Node/BackendHome.h
+++ b/lib/Node/BackendHome.h
@@ -71,7 +71,7 @@
     asio::awaitable<Result<Slot>> acquireEngine(const wire::GenerateRequest& request);
     asio::awaitable<void> forward(std::shared_ptr<PeerStream> owner, const wire::GenerateRequest& request, EngineStream stream, RunningPtr running);
     static void describeEnding(const Running& running, wire::AttemptEnd& end);
-    asio::awaitable<void> cancelAtEngine(VmId engine, std::string requestId);
+    asio::awaitable<void> cancelAtEngine(VmId engine, std::string requestId, std::uint32_t attempt);
     asio::awaitable<void> reclaimLoop();
     void planLeaving(const VmId& engine, milliseconds notice);
     asio::awaitable<void> moveCache(RunningPtr running);
--- a/lib/Platform/EngineService.cpp
+++ b/lib/Platform/EngineService.cpp
@@ -95,10 +95,8 @@
         co_return stream;
     }
 
-    asio::awaitable<Result<std::string>> order(Endpoint engine, std::string target, std::string field, std::string value)
+    asio::awaitable<Result<std::string>> order(Endpoint engine, std::string target, boost::json::object fields)
     {
-        boost::json::object fields;
-        fields[field] = value;
         HttpRequest request { "POST", target, {}, boost::json::serialize(fields) };
         auto response = co_await callHttp(engine, std::move(request), orderTimeout);
         if (!response)
@@ -108,9 +106,9 @@
         co_return std::move(response.value().body_);
     }
 
-    asio::awaitable<Result<void>> orderOnly(Endpoint engine, std::string target, std::string field, std::string value)
+    asio::awaitable<Result<void>> orderOnly(Endpoint engine, std::string target, boost::json::object fields)
     {
-        auto done = co_await order(std::move(engine), std::move(target), std::move(field), std::move(value));
+        auto done = co_await order(std::move(engine), std::move(target), std::move(fields));
         if (!done)
             co_return done.error();
         co_return boost::outcome_v2::success();
@@ -118,7 +116,8 @@
 
     asio::awaitable<Result<std::string>> exportCache(Endpoint engine, std::string requestId)
     {
-        auto body = co_await order(engine, "/v1/cache/export", "request", std::move(requestId));
+        boost::json::object fields { { "request", requestId } };
+        auto body = co_await order(engine, "/v1/cache/export", std::move(fields));
         if (!body)
             co_return body.error();
         auto object = parseJsonObject(body.value());
@@ -134,9 +133,11 @@
 {
     EngineService service;
     service.generate_ = generate;
-    service.cancel_ = [](Endpoint engine, std::string requestId) { return orderOnly(std::move(engine), "/v1/cancel", "request", std::move(requestId)); };
+    service.cancel_ = [](Endpoint engine, std::string requestId, std::uint32_t attempt) {
+        return orderOnly(std::move(engine), "/v1/cancel", { { "request", requestId }, { "attempt", attempt } });
+    };
     service.exportCache_ = exportCache;
-    service.importCache_ = [](Endpoint engine, std::string handle) { return orderOnly(std::move(engine), "/v1/cache/import", "handle", std::move(handle)); };
+    service.importCache_ = [](Endpoint engine, std::string handle) { return orderOnly(std::move(engine), "/v1/cache/import", { { "handle", handle } }); };
     return service;
 }
 
--- a/test/DraftsTest.cpp
+++ b/test/DraftsTest.cpp
@@ -245,3 +245,31 @@
         answerPatience));
     CHECK(checkAnswer(answer, completion) == "");
 }
+
+TEST_CASE("a cancel that comes late ends no newer attempt")
+{
+    DeploymentOptions options;
+    options.dataCentres_ = { "caxias-a" };
+    options.nodesPerDataCentre_ = 1;
+    options.engineArguments_ = { "--decode_us", "5000" };
+    Deployment deployment(options);
+    std::string catalogue = Deployment::standardCatalogue();
+    std::string many = "name: planogram\nkind: engine\nconcurrency: 64";
+    catalogue.replace(catalogue.find(many), many.size(), "name: planogram\nkind: engine\nconcurrency: 1");
+    deployment.applyCatalogue(catalogue);
+    auto& engine = deployment.engines().front();
+    Endpoint entry = deployment.nodes().front().callers_;
+    Completion trial { Deployment::apiKey("visitante"), "planogram", "trial draft", 600 };
+    Completion paid { Deployment::apiKey("rede"), "planogram", "question", 5 };
+    auto draft = std::async(std::launch::async, [=] { return streamCompletionBlocking(entry, trial); });
+    REQUIRE(waitUntil([&] { return deployment.metricOfAll("tokens_delivered_total") > 10; }));
+    // Longer than a home waits for the engine's answer to a cancel.
+    Deployment::control(engine.endpoint_, { { "cancel_delay_ms", 2500 } });
+    CHECK(streamCompletionBlocking(entry, paid).isDone_);
+    Answer answer = draft.get();
+    CHECK(answer.isDone_);
+    CHECK(checkAnswer(answer, trial) == "");
+    auto told = Deployment::control(engine.endpoint_);
+    CHECK(numberField(told, "started") == 3);
+    CHECK(numberField(told, "cancelled") == 0);
+}
--- a/tools/standins/EngineStandin.cpp
+++ b/tools/standins/EngineStandin.cpp
@@ -372,8 +372,11 @@
         co_return;
     }
     if (path == "/v1/cancel") {
+        if (controls_["cancel_delay_ms"])
+            co_await pause(milliseconds(controls_["cancel_delay_ms"]));
         auto found = streams_.find(textField(body, "request"));
-        if (found != streams_.end() && found->second->state_ == Stream::State::Running) {
+        bool isStale = found != streams_.end() && body.contains("attempt") && numberField(body, "attempt") < found->second->attempt_;
+        if (found != streams_.end() && found->second->state_ == Stream::State::Running && !isStale) {
             ++cancelled_;
             found->second->state_ = Stream::State::Cancelled;
             found->second->change();
