Bring engines to the configuration that the catalogue states

A home claims in the log, lets the engine run empty, orders with the claim's offset as fencing token, and ends the claim; loads of a data centre queue in the log's order. Test over processes: a version rolls through six engines under load without a failed answer; an order delayed by 5.5 s, whose home was killed, is refused by an engine that fences and waited out at one that does not.

--- a/include/pistachioloom/Catalogue.h
+++ b/include/pistachioloom/Catalogue.h
@@ -47,6 +47,16 @@
     std::uint64_t priority_ = 0;
 };
 
+/// What an engine is to run, or runs.
+struct EngineConfiguration {
+    std::string version_;
+    std::vector<std::string> adapters_;
+    /// The engine's word for its part, such as `prefill` or `decode`; may be empty.
+    std::string role_;
+
+    auto operator<=>(const EngineConfiguration&) const = default;
+};
+
 /// How the back ends of one model or service are to be treated.
 struct Backend {
     enum class Kind {
@@ -58,7 +68,13 @@
     std::uint64_t concurrency_ = 1;
     /// Whether a call may be repeated without harm.
     bool isRepeatable_ = true;
+    /// Whether an engine refuses an order whose fencing token is older than one
+    /// it has obeyed.
     bool honoursFencing_ = false;
+    /// What the engines are brought to; nullopt leaves them as they are.
+    std::optional<EngineConfiguration> configuration_;
+    /// Engines of one data centre that may be away for a load at once.
+    std::uint64_t mostLoading_ = 1;
 };
 
 /// One entry: either a workload or a backend.
--- a/include/pistachioloom/Orders.h
+++ b/include/pistachioloom/Orders.h
@@ -12,10 +12,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "pistachioloom/Support.h"
-
-#include <map>
-#include <optional>
+#include "pistachioloom/Catalogue.h"
 
 namespace pistachioloom {
 
@@ -23,16 +20,6 @@
 /// Orders with a smaller token than one that was obeyed are stale.
 using FencingToken = Quantity<struct FencingTokenTag>;
 
-/// What an engine is to run, or runs.
-struct EngineConfiguration {
-    std::string version_;
-    std::vector<std::string> adapters_;
-    /// The engine's word for its part, such as `prefill` or `decode`; may be empty.
-    std::string role_;
-
-    auto operator<=>(const EngineConfiguration&) const = default;
-};
-
 /// What an engine says of itself.
 struct EngineState {
     EngineConfiguration configuration_;
@@ -91,7 +78,7 @@
     /// Longest time a node may be frozen between its last look at the clock and
     /// its order, for engines that ignore fencing tokens.
     milliseconds pauseBound_ { 10000 };
-    /// An order that did not lead to its configuration is given again.
+    /// A load that takes longer is ordered anew.
     milliseconds loadPatience_ { 600000 };
 };
 
--- a/include/pistachioloom/Platform.h
+++ b/include/pistachioloom/Platform.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "pistachioloom/Http.h"
+#include "pistachioloom/Orders.h"
 
 namespace pistachioloom {
 
@@ -95,6 +96,9 @@
     /// \returns the handle for an import.
     std::function<asio::awaitable<Result<std::string>>(Endpoint engine, std::string requestId)> exportCache_;
     std::function<asio::awaitable<Result<void>>(Endpoint engine, std::string handle)> importCache_;
+    /// Conflict means that the engine has obeyed a newer token.
+    std::function<asio::awaitable<Result<void>>(Endpoint engine, FencingToken token, EngineConfiguration wanted)> order_;
+    std::function<asio::awaitable<Result<EngineState>>(Endpoint engine)> state_;
 };
 
 /// \p dataCentre is told to the platform with each call.
--- a/include/pistachioloom/Settings.h
+++ b/include/pistachioloom/Settings.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "pistachioloom/Http.h"
+#include "pistachioloom/Orders.h"
 #include "pistachioloom/Telemetry.h"
 #include "pistachioloom/Yaml.h"
 
@@ -75,6 +76,12 @@
     std::uint64_t grantAhead_ = 4;
 };
 
+struct OrderSettings {
+    /// How often an engine that is to change is looked at.
+    milliseconds period_ { 500 };
+    OrderTiming timing_;
+};
+
 struct Settings {
     VmId vm_;
     DataCentreId dataCentre_;
@@ -94,6 +101,7 @@
     DrainSettings drain_;
     ReplicaSettings replica_;
     LimitSettings limits_;
+    OrderSettings orders_;
     LogSettings logs_;
     std::uint64_t spansKept_ = 4096;
 };
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -66,6 +66,7 @@
     PeerErrors,
     SpansDropped,
     GrantMessages,
+    EngineOrders,
     Last,
 };
 
--- a/lib/Catalogue/Entry.cpp
+++ b/lib/Catalogue/Entry.cpp
@@ -15,6 +15,7 @@
     constexpr std::uint64_t mostWeight = 1000;
     constexpr std::uint64_t mostPriority = 9;
     constexpr std::uint64_t mostConcurrency = 4096;
+    constexpr std::uint64_t mostLoading = 1000;
     constexpr std::size_t longestName = 64;
     constexpr std::size_t hashLength = 64;
     constexpr milliseconds leastDeadline { 10 };
@@ -60,6 +61,17 @@
         return workload;
     }
 
+    void parseEngine(YamlMap& map, Backend& backend)
+    {
+        backend.honoursFencing_ = map.flag("honours_fencing", false);
+        backend.mostLoading_ = map.integer("most_loading", 1, mostLoading, 1);
+        EngineConfiguration configuration { map.text("version", ""), map.list("adapters"), map.text("role", "") };
+        if (!configuration.version_.empty())
+            backend.configuration_ = std::move(configuration);
+        else if (!configuration.adapters_.empty() || !configuration.role_.empty())
+            map.fail("version", "expected the version that goes with 'adapters' and 'role'");
+    }
+
     Backend parseBackend(YamlMap& map, Backend::Kind kind)
     {
         Backend backend;
@@ -68,7 +80,7 @@
         if (kind == Backend::Kind::Service)
             backend.isRepeatable_ = map.flag("repeatable");
         else
-            backend.honoursFencing_ = map.flag("honours_fencing", false);
+            parseEngine(map, backend);
         return backend;
     }
 
--- a/lib/Node/BackendHome.cpp
+++ b/lib/Node/BackendHome.cpp
@@ -15,6 +15,9 @@
     constexpr std::uint64_t bytesPerToken = 4;
     constexpr std::uint64_t defaultConcurrency = 8;
     constexpr int statusUnavailable = 503;
+    constexpr milliseconds heldRetry { 1000 };
+    // Told as the wait of an engine that is being changed, so that others are preferred.
+    constexpr milliseconds heldWait { 10000 };
 
     EngineRequest makeEngineRequest(const wire::GenerateRequest& request)
     {
@@ -101,10 +104,10 @@
         (void)co_await owner->send(failureFrame(slot.error()));
         co_return;
     }
-    // Asked after the wait, so that what queued for a leaving engine goes on elsewhere.
-    if (context_.membership()->isLeaving(engine)) {
-        Error leaving { Errc::Leaving, "dispatch", engine.value_, "the engine is leaving", Ran::No, {} };
-        (void)co_await owner->send(failureFrame(leaving));
+    // Asked after the wait, so that what queued for such an engine goes on elsewhere.
+    if (auto refusal = refusalOf(engine)) {
+        scope.span().outcome_ = describe(*refusal);
+        (void)co_await owner->send(failureFrame(*refusal));
         co_return;
     }
     EngineRequest engineRequest = makeEngineRequest(request);
@@ -262,6 +265,43 @@
     co_return frame;
 }
 
+std::optional<Error> BackendHome::refusalOf(const VmId& engine) const
+{
+    if (context_.membership()->isLeaving(engine))
+        return Error { Errc::Leaving, "dispatch", engine.value_, "the engine is leaving", Ran::No, {} };
+    if (isHeld(engine))
+        return Error { Errc::Unavailable, "dispatch", engine.value_, "the engine is being changed", Ran::No, heldRetry };
+    return std::nullopt;
+}
+
+bool BackendHome::isHeld(const VmId& engine) const
+{
+    std::lock_guard lock(mutex_);
+    return held_.contains(engine);
+}
+
+void BackendHome::setAdmission(const VmId& engine, Admission admission)
+{
+    std::lock_guard lock(mutex_);
+    if (admission == Admission::Held)
+        held_.insert(engine);
+    else
+        held_.erase(engine);
+}
+
+std::vector<VmId> BackendHome::ownEngines() const
+{
+    std::vector<VmId> engines;
+    auto view = context_.membership();
+    for (const auto& [name, servers] : view->index_->byServed_) {
+        for (const VmId& server : view->serversOf(name, context_.settings_.dataCentre_)) {
+            if (view->find(server)->kind_ == Vm::Kind::ModelEngine && isHomeOf(server))
+                engines.push_back(server);
+        }
+    }
+    return engines;
+}
+
 std::map<std::string, ModelLoad> BackendHome::loads() const
 {
     std::map<std::string, ModelLoad> loads;
@@ -272,6 +312,8 @@
             if (view->find(server)->kind_ != Vm::Kind::ModelEngine || !isHomeOf(server))
                 continue;
             ModelLoad load = slots_.load(server, capacity);
+            if (isHeld(server))
+                load = { 0, load.queued_, heldWait };
             auto [position, isFirst] = loads.emplace(name, load);
             if (isFirst)
                 continue;
--- a/lib/Node/BackendHome.h
+++ b/lib/Node/BackendHome.h
@@ -38,6 +38,17 @@
     /// Ends every stream such that its owner attaches through another home.
     void passOnStreams();
 
+    /// Engines whose home we are.
+    std::vector<VmId> ownEngines() const;
+    /// Requests that \p engine works on through us.
+    std::uint64_t active(const VmId& engine) const { return slots_.active(engine); }
+    enum class Admission {
+        Open,
+        /// Nothing new is dispatched; what queues is told to go elsewhere.
+        Held,
+    };
+    void setAdmission(const VmId& engine, Admission admission);
+
     struct EngineLoad {
         VmId engine_;
         std::uint64_t active_ = 0;
@@ -81,6 +92,8 @@
     std::size_t freeElsewhere(const VmId& engine) const;
     std::uint64_t concurrencyOf(std::string_view backend) const;
     bool isHomeOf(const VmId& server) const;
+    bool isHeld(const VmId& engine) const;
+    std::optional<Error> refusalOf(const VmId& engine) const;
 
     NodeContext& context_;
     ControlPlane& control_;
@@ -88,6 +101,7 @@
     SlotTable slots_;
     mutable std::mutex mutex_;
     std::vector<RunningPtr> running_;
+    std::set<VmId> held_;
 };
 
 /// Tokens that a prompt takes, as far as planning needs to know: one for every
--- /dev/null
+++ b/lib/Node/EngineOrders.cpp
@@ -0,0 +1,243 @@
+//===- lib/Node/EngineOrders.cpp - bringing engines to their configuration -===//
+///
+/// \file
+/// See EngineOrders.h.
+//===----------------------------------------------------------------------===//
+#include "EngineOrders.h"
+
+#include <boost/asio.hpp>
+
+namespace pistachioloom {
+
+namespace {
+
+    const std::string claimsStream = "claims";
+    constexpr milliseconds appendTimeout { 1000 };
+    // A settled engine is looked at once in so many periods.
+    constexpr int settledPeriods = 20;
+
+} // namespace
+
+EngineOrders::EngineOrders(NodeContext& context, BackendHome& home)
+    : context_(context)
+    , home_(home)
+    , logger_("orders")
+{
+}
+
+void EngineOrders::start()
+{
+    context_.spawn(loop());
+}
+
+std::optional<EngineOrders::Status> EngineOrders::statusOf(const VmId& engine) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = managed_.find(engine);
+    return found == managed_.end() || !found->second.wasVisited_ ? std::nullopt : std::optional(found->second.status_);
+}
+
+std::shared_ptr<const CatalogueEntry> EngineOrders::entryOf(const VmId& engine) const
+{
+    auto view = context_.membership();
+    auto catalogue = context_.catalogue();
+    const Vm* vm = view->find(engine);
+    if (!vm)
+        return nullptr;
+    for (const std::string& model : vm->serves_) {
+        auto entry = catalogue->findEntry({ model });
+        if (entry && entry->backend_ && entry->backend_->configuration_)
+            return entry;
+    }
+    return nullptr;
+}
+
+std::vector<VmId> EngineOrders::takeDue()
+{
+    std::map<VmId, EngineConfiguration> own;
+    for (const VmId& engine : home_.ownEngines()) {
+        if (auto entry = entryOf(engine))
+            own[engine] = *entry->backend_->configuration_;
+    }
+    std::vector<VmId> due;
+    std::lock_guard lock(mutex_);
+    // An engine that is not ours any more is its new home's to hold.
+    std::erase_if(managed_, [&](const auto& item) {
+        bool isGone = !own.contains(item.first) && !item.second.isVisiting_;
+        if (isGone)
+            home_.setAdmission(item.first, BackendHome::Admission::Open);
+        return isGone;
+    });
+    milliseconds period = context_.settings_.orders_.period_;
+    for (const auto& [engine, wanted] : own) {
+        Managed& managed = managed_[engine];
+        bool isChanged = managed.wanted_ != wanted;
+        bool isSettled = managed.wasVisited_ && managed.status_.step_ == OrderStep::Settled && !isChanged;
+        bool isDue = !isSettled || steadyNow() - managed.visitedAt_ > period * settledPeriods;
+        if (managed.isVisiting_ || !isDue)
+            continue;
+        if (isChanged)
+            managed.orderedAt_.reset();
+        managed.wanted_ = wanted;
+        managed.isVisiting_ = true;
+        due.push_back(engine);
+    }
+    return due;
+}
+
+asio::awaitable<void> EngineOrders::loop()
+{
+    for (;;) {
+        for (const VmId& engine : takeDue())
+            context_.spawn(visit(engine));
+        co_await sleepFor(context_.settings_.orders_.period_);
+    }
+}
+
+asio::awaitable<void> EngineOrders::visit(VmId engine)
+{
+    auto endpoint = context_.backendEndpoint(engine);
+    auto entry = entryOf(engine);
+    if (endpoint && entry)
+        co_await decideAndAct(engine, *endpoint, entry);
+    std::lock_guard lock(mutex_);
+    Managed& managed = managed_[engine];
+    managed.isVisiting_ = false;
+    managed.visitedAt_ = steadyNow();
+}
+
+asio::awaitable<void> EngineOrders::decideAndAct(VmId engine, Endpoint endpoint, std::shared_ptr<const CatalogueEntry> entry)
+{
+    auto state = co_await context_.engines_.state_(endpoint);
+    if (!state) {
+        logger_.debug("State of engine " + engine.value_ + " is unknown: " + describe(state.error()) + ".");
+        co_return;
+    }
+    bool isDifferent = state.value().configuration_ != *entry->backend_->configuration_ || state.value().isLoading_;
+    bool needsLog = isDifferent;
+    {
+        // The first look also finds a claim that a home before us left open.
+        std::lock_guard lock(mutex_);
+        needsLog |= !managed_[engine].wasVisited_ || claims_.find(engine);
+    }
+    if (needsLog) {
+        bool isRead = co_await readClaims();
+        if (!isRead)
+            co_return;
+    }
+    FencingToken token;
+    OrderStep step = decide(engine, *entry, state.value(), token);
+    co_await act(engine, endpoint, step, token, *entry);
+}
+
+OrderStep EngineOrders::decide(const VmId& engine, const CatalogueEntry& entry, const EngineState& state, FencingToken& token)
+{
+    auto view = context_.membership();
+    const OrderTiming& timing = context_.settings_.orders_.timing_;
+    std::lock_guard lock(mutex_);
+    Managed& managed = managed_[engine];
+    claims_.forgetOld(timing.loadPatience_, steadyNow());
+    OrderSituation situation;
+    situation.self_ = context_.self();
+    situation.wanted_ = *entry.backend_->configuration_;
+    situation.state_ = state;
+    situation.holder_ = claims_.find(engine);
+    situation.ahead_ = claims_.ahead(engine, [&](const VmId& other) { return view->find(other) && !view->isLeaving(other); });
+    situation.mostLoading_ = entry.backend_->mostLoading_;
+    situation.claimedAt_ = managed.claimedAt_;
+    situation.orderedAt_ = managed.orderedAt_;
+    situation.active_ = home_.active(engine);
+    situation.honoursFencing_ = entry.backend_->honoursFencing_;
+    OrderStep step = nextOrderStep(situation, timing, steadyNow());
+    if (situation.holder_)
+        token = situation.holder_->token_;
+    managed.wasVisited_ = true;
+    managed.status_ = { state.configuration_.version_, situation.wanted_.version_, step };
+    bool isAway = state.isLoading_ || step == OrderStep::Drain || step == OrderStep::Order || managed.orderedAt_;
+    bool isOpen = step == OrderStep::Settled || step == OrderStep::End || !isAway;
+    home_.setAdmission(engine, isOpen ? BackendHome::Admission::Open : BackendHome::Admission::Held);
+    return step;
+}
+
+asio::awaitable<void> EngineOrders::act(VmId engine, Endpoint endpoint, OrderStep step, FencingToken token, const CatalogueEntry& entry)
+{
+    switch (step) {
+    case OrderStep::Settled:
+    case OrderStep::Wait:
+    case OrderStep::Drain:
+        co_return;
+    case OrderStep::Claim:
+        co_await appendClaim(engine, entry.name_.value_, false);
+        co_return;
+    case OrderStep::End:
+        logger_.info("Engine " + engine.value_ + " runs version " + entry.backend_->configuration_->version_ + ".");
+        co_await appendClaim(engine, entry.name_.value_, true);
+        co_return;
+    case OrderStep::Order:
+        co_await order(engine, std::move(endpoint), token, *entry.backend_->configuration_);
+        co_return;
+    }
+}
+
+asio::awaitable<void> EngineOrders::appendClaim(VmId engine, std::string model, bool isEnd)
+{
+    EngineClaim claim;
+    claim.id_ = { makeUuid() };
+    claim.engine_ = engine;
+    claim.node_ = context_.self();
+    claim.queue_ = model + "/" + context_.settings_.dataCentre_.value_;
+    claim.isEnd_ = isEnd;
+    {
+        std::lock_guard lock(mutex_);
+        if (!isEnd)
+            managed_[engine].claimedAt_ = steadyNow();
+        else
+            managed_[engine].orderedAt_.reset();
+    }
+    context_.metrics_.add(Counter::LogAppends);
+    // Without an answer the next look at the log tells; a second claim of ours
+    // changes nothing.
+    auto appended = co_await context_.log_.append_(claimsStream, encodeClaim(claim), appendTimeout);
+    if (!appended)
+        logger_.warn("Claim on engine " + engine.value_ + " is not known to be written: " + describe(appended.error()) + ".");
+}
+
+asio::awaitable<void> EngineOrders::order(VmId engine, Endpoint endpoint, FencingToken token, EngineConfiguration wanted)
+{
+    logger_.info("Engine " + engine.value_ + " is ordered to version " + wanted.version_ + " with token " + std::to_string(token.value_) + ".");
+    context_.metrics_.add(Counter::EngineOrders);
+    auto obeyed = co_await context_.engines_.order_(std::move(endpoint), token, std::move(wanted));
+    std::lock_guard lock(mutex_);
+    Managed& managed = managed_[engine];
+    if (obeyed || obeyed.error().ran_ == Ran::Unknown) {
+        managed.orderedAt_ = steadyNow();
+        co_return;
+    }
+    logger_.warn("Engine " + engine.value_ + " refused an order: " + describe(obeyed.error()) + ".");
+    // A claim that the engine calls stale is given up for a new one.
+    managed.claimedAt_ = {};
+}
+
+asio::awaitable<bool> EngineOrders::readClaims()
+{
+    LogOffset from;
+    for (;;) {
+        {
+            std::lock_guard lock(mutex_);
+            from = claims_.nextOffset();
+        }
+        context_.metrics_.add(Counter::LogReads);
+        auto read = co_await context_.log_.read_(claimsStream, from, milliseconds(0));
+        if (!read) {
+            logger_.debug("Claims cannot be read: " + describe(read.error()) + ".");
+            co_return false;
+        }
+        if (read.value().records_.empty())
+            co_return true;
+        std::lock_guard lock(mutex_);
+        for (const auto& [offset, record] : read.value().records_)
+            claims_.apply(offset, record, steadyNow());
+    }
+}
+
+} // namespace pistachioloom
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -36,6 +36,7 @@
     NodeContext context_;
     ControlPlane control_;
     BackendHome home_;
+    EngineOrders orders_;
     EngineRouter router_;
     LimitDesk limits_;
     GenerationOwner owner_;
@@ -58,6 +59,7 @@
     , context_(std::move(settings), io_.get_executor())
     , control_(context_, [this] { return home_.loads(); })
     , home_(context_, control_)
+    , orders_(context_, home_)
     , router_(context_)
     , limits_(context_)
     , owner_(context_, router_, [this](const std::string& entry, std::uint64_t unused) { limits_.finish({ entry }, unused); })
@@ -67,7 +69,7 @@
     , keeper_(context_, [this](wire::ServiceCall call) { return services_.dispatch(std::move(call)); })
     , callerApi_(context_, owner_, finder_, limits_, services_, [this] { return gauges(); })
     , operatorApi_(
-          context_, control_, home_, owner_, limits_, router_, [this](std::optional<milliseconds> left) { requestDrain(left); }, [this] { return gauges(); })
+          context_, control_, home_, orders_, owner_, limits_, router_, [this](std::optional<milliseconds> left) { requestDrain(left); }, [this] { return gauges(); })
     , peerServer_(
           io_.get_executor(), context_.settings_.peerCredential_, [this](std::shared_ptr<PeerStream> stream) { return servePeer(std::move(stream)); },
           [this](const Error& error) {
@@ -237,6 +239,7 @@
         return operators.error();
     state_->control_.start();
     state_->home_.start();
+    state_->orders_.start();
     state_->limits_.start();
     state_->owner_.start();
     state_->replicas_.start();
--- a/lib/Node/OperatorApi.cpp
+++ b/lib/Node/OperatorApi.cpp
@@ -32,10 +32,11 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(NodeContext& context, ControlPlane& control, BackendHome& home, GenerationOwner& owner, LimitDesk& limits, EngineRouter& router, DrainHook drain, CallerApi::GaugesHook gauges)
+OperatorApi::OperatorApi(NodeContext& context, ControlPlane& control, BackendHome& home, EngineOrders& orders, GenerationOwner& owner, LimitDesk& limits, EngineRouter& router, DrainHook drain, CallerApi::GaugesHook gauges)
     : context_(context)
     , control_(control)
     , home_(home)
+    , orders_(orders)
     , owner_(owner)
     , limits_(limits)
     , router_(router)
@@ -179,6 +180,7 @@
     auto view = context_.membership();
     for (const auto& load : home_.engineLoads()) {
         const Vm* vm = view->find(load.engine_);
+        auto status = orders_.statusOf(load.engine_).value_or(EngineOrders::Status {});
         engines.push_back(json::object {
             { "engine", load.engine_.value_ },
             { "data_centre", vm ? vm->dataCentre_.value_ : std::string() },
@@ -186,6 +188,9 @@
             { "free_slots", load.load_.freeSlots_ },
             { "queued", load.load_.queued_ },
             { "wait_ms", load.load_.wait_.count() },
+            { "version", status.version_ },
+            { "wanted", status.wanted_ },
+            { "order", status.wanted_.empty() ? "" : toString(status.step_) },
         });
     }
     return ok(json::object { { "home", context_.self().value_ }, { "engines", std::move(engines) } });
--- a/lib/Orders/Steps.cpp
+++ b/lib/Orders/Steps.cpp
@@ -47,6 +47,14 @@
     return now - *otherReadAt < timing.claimValidity_ + timing.pauseBound_;
 }
 
+// An engine that does not load soon after its order has not got it.
+static bool isOrderTakingEffect(const OrderSituation& situation, const OrderTiming& timing, SteadyTime now)
+{
+    if (!situation.orderedAt_)
+        return false;
+    return now - *situation.orderedAt_ < (situation.state_.isLoading_ ? timing.loadPatience_ : timing.claimValidity_);
+}
+
 OrderStep nextOrderStep(const OrderSituation& situation, const OrderTiming& timing, SteadyTime now)
 {
     bool isReached = situation.state_.configuration_ == situation.wanted_ && !situation.state_.isLoading_;
@@ -59,7 +67,7 @@
     }
     if (isReached)
         return OrderStep::End;
-    if (situation.orderedAt_ && now - *situation.orderedAt_ < timing.loadPatience_)
+    if (isOrderTakingEffect(situation, timing, now))
         return OrderStep::Wait;
     if (situation.ahead_ >= situation.mostLoading_)
         return OrderStep::Wait;
--- a/lib/Platform/EngineService.cpp
+++ b/lib/Platform/EngineService.cpp
@@ -127,6 +127,35 @@
         co_return handle;
     }
 
+    asio::awaitable<Result<void>> orderConfiguration(Endpoint engine, FencingToken token, EngineConfiguration wanted)
+    {
+        boost::json::array adapters(wanted.adapters_.begin(), wanted.adapters_.end());
+        boost::json::object fields { { "token", token.value_ }, { "version", wanted.version_ }, { "role", wanted.role_ }, { "adapters", std::move(adapters) } };
+        co_return co_await orderOnly(std::move(engine), "/v1/order", std::move(fields));
+    }
+
+    asio::awaitable<Result<EngineState>> readState(Endpoint engine)
+    {
+        HttpRequest request { "GET", "/v1/state", {}, {} };
+        auto response = co_await callHttp(engine, std::move(request), orderTimeout);
+        if (!response)
+            co_return response.error();
+        auto object = parseJsonObject(response.value().body_);
+        if (response.value().status_ != 200 || !object)
+            co_return Error { Errc::Protocol, "read engine state", engine.toString(), "not a state", Ran::No, {} };
+        EngineState state;
+        state.configuration_.version_ = textField(*object, "version");
+        state.configuration_.role_ = textField(*object, "role");
+        state.isLoading_ = flagField(*object, "loading");
+        if (const boost::json::array* adapters = arrayField(*object, "adapters")) {
+            for (const boost::json::value& adapter : *adapters) {
+                if (adapter.is_string())
+                    state.configuration_.adapters_.emplace_back(adapter.as_string());
+            }
+        }
+        co_return state;
+    }
+
 } // namespace
 
 EngineService makeHttpEngineService()
@@ -138,6 +167,8 @@
     };
     service.exportCache_ = exportCache;
     service.importCache_ = [](Endpoint engine, std::string handle) { return orderOnly(std::move(engine), "/v1/cache/import", { { "handle", handle } }); };
+    service.order_ = orderConfiguration;
+    service.state_ = readState;
     return service;
 }
 
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -130,6 +130,16 @@
         map.finish();
     }
 
+    void parseOrders(YamlMap map, OrderSettings& settings)
+    {
+        OrderTiming& timing = settings.timing_;
+        settings.period_ = map.duration("period", milliseconds(20), milliseconds(60000), settings.period_);
+        timing.claimValidity_ = map.duration("claim_validity", milliseconds(100), milliseconds(600000), timing.claimValidity_);
+        timing.pauseBound_ = map.duration("pause_bound", milliseconds(100), milliseconds(3600000), timing.pauseBound_);
+        timing.loadPatience_ = map.duration("load_patience", milliseconds(100), oneDay, timing.loadPatience_);
+        map.finish();
+    }
+
     void parseLogs(YamlMap map, LogSettings& settings)
     {
         const std::vector<std::string> levels { "debug", "info", "warn", "error" };
@@ -192,6 +202,8 @@
         parseReplica(std::move(*map), settings.replica_);
     if (auto map = root->map("limits"))
         parseLimits(std::move(*map), settings.limits_);
+    if (auto map = root->map("orders"))
+        parseOrders(std::move(*map), settings.orders_);
     if (auto map = root->map("logs"))
         parseLogs(std::move(*map), settings.logs_);
     settings.spansKept_ = root->integer("spans_kept", 1, 1000000, settings.spansKept_);
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -44,6 +44,7 @@
         "peer_errors",
         "spans_dropped",
         "grant_messages",
+        "engine_orders",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
--- /dev/null
+++ b/test/OrdersTest.cpp
@@ -0,0 +1,144 @@
+//===- test/OrdersTest.cpp - orders to engines -----------------------------===//
+///
+/// \file
+/// A new version in the catalogue rolls through the engines without a request
+/// lost, and an order of a home that was replaced never undoes a newer one.
+//===----------------------------------------------------------------------===//
+#include "Harness/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <future>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+constexpr milliseconds rollPatience { 40000 };
+
+std::string engineEntry(const std::string& version, bool honoursFencing)
+{
+    return "name: planogram\nkind: engine\nconcurrency: 64\nversion: " + version + "\nhonours_fencing: " + (honoursFencing ? "true" : "false") + "\n";
+}
+
+std::string versionOf(const Deployment::Backend& engine)
+{
+    return textField(Deployment::control(engine.endpoint_), "version");
+}
+
+std::uint64_t countOf(const Deployment::Backend& engine, const char* counter)
+{
+    return numberField(Deployment::control(engine.endpoint_), counter);
+}
+
+/// The node that lists \p engine among its own, or nullptr.
+Deployment::NodeProcess* homeOf(Deployment& deployment, const std::string& engine)
+{
+    for (auto& node : deployment.nodes()) {
+        auto listed = deployment.ask(node, "/engines");
+        if (!listed.is_object())
+            continue;
+        for (const auto& line : objectsField(listed.as_object(), "engines")) {
+            if (textField(line, "engine") == engine)
+                return &node;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+TEST_CASE("a new version rolls through the engines and loses no request")
+{
+    DeploymentOptions options;
+    options.dataCentres_ = { "caxias-a", "caxias-b" };
+    options.nodesPerDataCentre_ = 2;
+    options.enginesPerDataCentre_ = { { "planogram", 3 } };
+    options.engineArguments_ = { "--decode_us", "2000", "--load_ms", "400" };
+    options.settings_ = "orders:\n  period: 100ms\n";
+    Deployment deployment(options);
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    std::atomic<bool> isOver { false };
+    std::atomic<int> answered { 0 };
+    std::atomic<int> failed { 0 };
+    std::vector<std::future<void>> callers;
+    auto entries = deployment.callerEndpoints();
+    for (const Endpoint& entry : entries) {
+        callers.push_back(std::async(std::launch::async, [&, entry] {
+            Completion completion { Deployment::apiKey("rede"), "planogram", "while engines change", 30 };
+            while (!isOver) {
+                Answer answer = streamCompletionBlocking(entry, completion);
+                bool isGood = answer.isDone_ && checkAnswer(answer, completion).empty();
+                ++(isGood ? answered : failed);
+            }
+        }));
+    }
+    REQUIRE(waitUntil([&] { return answered > 10; }));
+    deployment.applyCatalogue(engineEntry("v2", true));
+    std::map<std::string, std::uint64_t> mostLoading;
+    bool isRolled = waitUntil([&] {
+        std::map<std::string, std::uint64_t> loading;
+        bool isEverywhere = true;
+        for (const auto& engine : deployment.engines()) {
+            auto told = Deployment::control(engine.endpoint_);
+            loading[engine.dataCentre_] += numberField(told, "loading");
+            isEverywhere &= textField(told, "version") == "v2";
+        }
+        for (const auto& [dataCentre, count] : loading)
+            mostLoading[dataCentre] = std::max(mostLoading[dataCentre], count);
+        return isEverywhere;
+    },
+        rollPatience);
+    isOver = true;
+    callers.clear();
+    CHECK(isRolled);
+    CHECK(failed == 0);
+    for (const auto& [dataCentre, most] : mostLoading)
+        CHECK(most == 1);
+    for (const auto& engine : deployment.engines()) {
+        CHECK(countOf(engine, "orders_obeyed") == 1);
+        CHECK(countOf(engine, "obeyed_while_active") == 0);
+        CHECK(countOf(engine, "started_while_loading") == 0);
+    }
+    // Once settled, every engine works again.
+    CHECK(waitUntil([&] {
+        std::size_t settled = 0;
+        for (auto& node : deployment.nodes()) {
+            auto listed = deployment.ask(node, "/engines");
+            for (const auto& line : objectsField(listed.as_object(), "engines"))
+                settled += textField(line, "order") == "settled" && numberField(line, "free_slots") == 64 ? 1 : 0;
+        }
+        return settled == deployment.engines().size();
+    }));
+}
+
+TEST_CASE("an order that arrives after its home was replaced undoes nothing")
+{
+    bool honoursFencing = GENERATE(true, false);
+    INFO("engine honours fencing tokens: " << honoursFencing);
+    DeploymentOptions options;
+    options.dataCentres_ = { "caxias-a" };
+    options.nodesPerDataCentre_ = 3;
+    options.engineArguments_ = { "--honours_fencing", honoursFencing ? "1" : "0" };
+    options.settings_ = "orders:\n  period: 50ms\n  claim_validity: 500ms\n  pause_bound: 6s\n";
+    Deployment deployment(options);
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    auto& engine = deployment.engines().front();
+    Deployment::NodeProcess* home = nullptr;
+    REQUIRE(waitUntil([&] { return (home = homeOf(deployment, engine.id_)); }));
+    Deployment::control(engine.endpoint_, { { "order_delay_ms", 5500 } });
+    deployment.applyCatalogue(engineEntry("v2", honoursFencing));
+    REQUIRE(waitUntil([&] { return countOf(engine, "orders_received") == 1; }));
+    home->process_->kill();
+    Deployment::control(engine.endpoint_, { { "order_delay_ms", 0 } });
+    auto& other = deployment.nodes()[home == &deployment.nodes().front() ? 1 : 0];
+    std::ofstream(deployment.directory() + "/v3.yaml") << engineEntry("v3", honoursFencing);
+    REQUIRE(deployment.tool(other, { "catalogue", "apply", deployment.directory() + "/v3.yaml" }).first == 0);
+    CHECK(waitUntil([&] { return versionOf(engine) == "v3"; }, rollPatience));
+    // The late order has been dealt with, one way or the other.
+    CHECK(waitUntil([&] { return countOf(engine, "stale_refused") + countOf(engine, "orders_obeyed") >= 2; }, rollPatience));
+    CHECK(waitUntil([&] { return versionOf(engine) == "v3" && !countOf(engine, "loading"); }));
+    CHECK(countOf(engine, "stale_obeyed") == 0);
+    CHECK(countOf(engine, "stale_refused") == (honoursFencing ? 1 : 0));
+}
--- a/tools/pistachioloomctl/main.cpp
+++ b/tools/pistachioloomctl/main.cpp
@@ -314,7 +314,7 @@
     engines->footer("Example: pistachioloomctl engines");
     engines->callback([&] {
         options.isEverywhere_ = true;
-        code = list(client(), options, "/engines", "engines", "home", { "engine", "data_centre", "home", "active", "free_slots", "queued", "wait_ms" });
+        code = list(client(), options, "/engines", "engines", "home", { "engine", "data_centre", "home", "active", "free_slots", "queued", "wait_ms", "version", "wanted", "order" });
     });
     auto* requests = addJson(app.add_subcommand("requests", "List generations with their owners"));
     requests->footer("Example: pistachioloomctl requests --json");
--- a/tools/standins/EngineStandin.cpp
+++ b/tools/standins/EngineStandin.cpp
@@ -103,6 +103,9 @@
     asio::awaitable<void> write(HttpExchange& exchange, StreamPtr stream, std::size_t from);
     asio::awaitable<void> control(HttpExchange& exchange);
     asio::awaitable<void> exportCache(HttpExchange& exchange, std::string requestId);
+    asio::awaitable<void> order(HttpExchange& exchange, json::object body);
+    asio::awaitable<void> state(HttpExchange& exchange);
+    asio::awaitable<void> load(json::object configuration);
     asio::awaitable<void> importCache(HttpExchange& exchange, std::string handle);
     StreamPtr attachable(const json::object& body, const std::vector<std::string>& prefix);
     static std::string lastLine(const Stream& stream);
@@ -122,6 +125,16 @@
     std::int64_t active_ = 0;
     std::int64_t mostActive_ = 0;
     std::int64_t cancelled_ = 0;
+    json::object configuration_ { { "version", "v1" }, { "role", "" }, { "adapters", json::array {} } };
+    std::uint64_t loads_ = 0;
+    bool isLoading_ = false;
+    std::uint64_t newestToken_ = 0;
+    std::int64_t ordersReceived_ = 0;
+    std::int64_t ordersObeyed_ = 0;
+    std::int64_t staleRefused_ = 0;
+    std::int64_t staleObeyed_ = 0;
+    std::int64_t obeyedWhileActive_ = 0;
+    std::int64_t startedWhileLoading_ = 0;
 };
 
 std::string Engine::tokenLine(std::size_t position, const std::string& text)
@@ -176,6 +189,12 @@
     }
     if (flagField(body, "attach") && controls_["attach_delay_ms"])
         co_await pause(milliseconds(controls_["attach_delay_ms"]));
+    if (isLoading_) {
+        ++startedWhileLoading_;
+        Error refusal { Errc::Unavailable, "start generation", name_, "this engine is loading", Ran::No, {} };
+        (void)co_await exchange.respond(errorResponse(refusal));
+        co_return;
+    }
     if (controls_["leaving"]) {
         ++startedWhileLeaving_;
         Error refusal { Errc::Leaving, "start generation", name_, "this engine is leaving", Ran::No, {} };
@@ -332,6 +351,47 @@
     co_await reply(exchange, 200, json::object {});
 }
 
+asio::awaitable<void> Engine::order(HttpExchange& exchange, json::object body)
+{
+    ++ordersReceived_;
+    // As if the order had been on its way for so long.
+    if (controls_["order_delay_ms"])
+        co_await pause(milliseconds(controls_["order_delay_ms"]));
+    std::uint64_t token = numberField(body, "token");
+    bool isStale = token < newestToken_;
+    if (isStale && controls_["honours_fencing"]) {
+        ++staleRefused_;
+        Error refusal { Errc::Conflict, "take order", name_, "a newer token is known", Ran::No, {} };
+        (void)co_await exchange.respond(errorResponse(refusal));
+        co_return;
+    }
+    newestToken_ = std::max(newestToken_, token);
+    staleObeyed_ += isStale ? 1 : 0;
+    obeyedWhileActive_ += active_ ? 1 : 0;
+    ++ordersObeyed_;
+    body.erase("token");
+    asio::co_spawn(io_, load(std::move(body)), asio::detached);
+    co_await reply(exchange, 200, json::object {});
+}
+
+asio::awaitable<void> Engine::load(json::object configuration)
+{
+    std::uint64_t number = ++loads_;
+    isLoading_ = true;
+    co_await pause(milliseconds(controls_["load_ms"]));
+    if (number != loads_)
+        co_return;
+    configuration_ = std::move(configuration);
+    isLoading_ = false;
+}
+
+asio::awaitable<void> Engine::state(HttpExchange& exchange)
+{
+    json::object answer = configuration_;
+    answer["loading"] = isLoading_;
+    co_await reply(exchange, 200, answer);
+}
+
 asio::awaitable<void> Engine::control(HttpExchange& exchange)
 {
     auto body = parseJsonObject(exchange.request().body_).value_or(json::object {});
@@ -348,6 +408,14 @@
     answer["active"] = active_;
     answer["most_active"] = mostActive_;
     answer["cancelled"] = cancelled_;
+    answer["version"] = configuration_["version"];
+    answer["loading"] = isLoading_ ? 1 : 0;
+    answer["orders_received"] = ordersReceived_;
+    answer["orders_obeyed"] = ordersObeyed_;
+    answer["stale_refused"] = staleRefused_;
+    answer["stale_obeyed"] = staleObeyed_;
+    answer["obeyed_while_active"] = obeyedWhileActive_;
+    answer["started_while_loading"] = startedWhileLoading_;
     co_await reply(exchange, 200, answer);
 }
 
@@ -363,6 +431,14 @@
         co_return;
     }
     auto body = parseJsonObject(exchange.request().body_).value_or(json::object {});
+    if (path == "/v1/state") {
+        co_await state(exchange);
+        co_return;
+    }
+    if (path == "/v1/order") {
+        co_await order(exchange, std::move(body));
+        co_return;
+    }
     if (path == "/v1/cache/export") {
         co_await exportCache(exchange, textField(body, "request"));
         co_return;
@@ -405,6 +481,9 @@
         { "refuse_import", 0 },
         { "refuse_export", 0 },
         { "attach_delay_ms", 0 },
+        { "honours_fencing", 1 },
+        { "load_ms", 300 },
+        { "order_delay_ms", 0 },
         { "cancel_delay_ms", 0 },
     };
     app.add_option("--port", port, "Port, 0 for any");
--- a/unittests/Orders/OrdersTest.cpp
+++ b/unittests/Orders/OrdersTest.cpp
@@ -136,7 +136,8 @@
         { "still at work", "a", 10, false, false, 0, 3, OrderStep::Drain },
         { "ready", "a", 10, false, false, 0, 0, OrderStep::Order },
         { "ready, but the claim lapsed", "a", 150, false, false, 0, 0, OrderStep::Claim },
-        { "loading", "a", 150, false, true, 0, 0, OrderStep::Wait },
+        { "just ordered", "a", 50, false, true, 0, 0, OrderStep::Wait },
+        { "ordered without effect", "a", 150, false, true, 0, 0, OrderStep::Claim },
     }));
     INFO(stepCase.name_);
     ClaimTable table;
