Hold limits over all nodes, and let all of one be used from anywhere

Each node had a token bucket of its own at the full rate, so nine nodes let nine times the tokens a second through; and shares of requests in progress were not lent, so a limit was felt at a third of it in each data centre.

Buckets are kept by the entry's keeper, who hands tokens to nodes with its grants; keepers lend each other slots for a time and transfer tokens for good. All entries of a keeper are renewed in one message, and one question for an entry is under way at a time.

--- a/include/pistachioloom/Catalogue.h
+++ b/include/pistachioloom/Catalogue.h
@@ -33,6 +33,10 @@
     std::uint64_t queueBound_ = 0;
     milliseconds deadline_ {};
     milliseconds latencyTarget_ {};
+
+    /// Without a limit the rate is the largest that can be stated.
+    static constexpr std::uint64_t mostTokensPerSecond = 100000000;
+    bool hasTokenLimit() const { return tokensPerSecond_ && tokensPerSecond_ < mostTokensPerSecond; }
 };
 
 /// A customer's use of the system.
--- a/include/pistachioloom/Limits.h
+++ b/include/pistachioloom/Limits.h
@@ -1,15 +1,18 @@
 //===- pistachioloom/Limits.h - admission and shares of limits -------------===//
 ///
 /// \file
-/// Pure decisions of whether a request may start. An entry's limit of requests
-/// in progress is split into guaranteed shares of the data centres; inside one
-/// a keeper grants slots to the nodes for a short time. Nothing here knows
-/// sockets or clocks: time is passed in.
+/// Pure decisions of whether a request may start. An entry's limits are split
+/// into guaranteed shares of the data centres; inside one a keeper grants slots
+/// to the nodes for a short time and hands out tokens. Keepers lend each other
+/// what their own data centre does not use, so that all of a limit can be used
+/// from anywhere; a cut ends the loans. Nothing here knows sockets or clocks:
+/// time is passed in.
 //===----------------------------------------------------------------------===//
 #pragma once
 
 #include "pistachioloom/Catalogue.h"
 
+#include <deque>
 #include <map>
 
 namespace pistachioloom {
@@ -27,15 +30,72 @@
     /// \p now + \p validity.
     std::uint64_t request(const EntryName& entry, const VmId& node, std::uint64_t share, std::uint64_t inUse, std::uint64_t wanted, milliseconds validity, SteadyTime now);
     std::uint64_t granted(const EntryName& entry, SteadyTime now) const;
+    std::uint64_t grantedToOthers(const EntryName& entry, const VmId& node, SteadyTime now) const;
+    /// What the nodes told to work on.
+    std::uint64_t inUse(const EntryName& entry, SteadyTime now) const;
 
 private:
     struct Grant {
         std::uint64_t slots_ = 0;
+        std::uint64_t inUse_ = 0;
         SteadyTime expires_;
     };
     std::map<EntryName, std::map<VmId, Grant>> grants_;
 };
 
+/// Slots of one entry lent between data centres, seen from one of them.
+///
+/// The lender counts a loan as its own use until it expires. The borrower
+/// counts it only while grants made on it end before the loan does, so the sum
+/// of what all data centres admit stays within the limit.
+class LoanTable {
+public:
+    struct Ask {
+        /// Lent slots that requests run on; they stay lent.
+        std::uint64_t inUse_ = 0;
+        std::uint64_t wanted_ = 0;
+    };
+
+    /// Lends to \p borrower out of \p free slots, those lent to it already not
+    /// among them. A smaller loan than before is free again only once grants
+    /// made on the larger one have ended, and the borrower, who may not get this
+    /// answer, believes in it no more.
+    std::uint64_t lend(const DataCentreId& borrower, std::uint64_t free, const Ask& ask, milliseconds loanValidity, milliseconds grantValidity, SteadyTime now);
+    /// Slots lent to others.
+    std::uint64_t lent(SteadyTime now) const;
+    std::uint64_t lentTo(const DataCentreId& borrower, SteadyTime now) const;
+
+    /// To be called before asking \p lender: no more than \p most of its slots
+    /// are used until it answers.
+    void promise(const DataCentreId& lender, std::uint64_t most);
+    void setBorrowed(const DataCentreId& lender, std::uint64_t slots, SteadyTime expires);
+    /// Borrowed slots whose loans last until \p until.
+    std::uint64_t borrowed(SteadyTime until) const;
+    /// Loans that have not expired, by lender.
+    std::map<DataCentreId, std::uint64_t> borrowedFrom(SteadyTime now) const;
+
+private:
+    struct Lent {
+        std::uint64_t slots_ = 0;
+        SteadyTime expires_;
+        /// What the borrower may still take for lent, and until when.
+        std::uint64_t believed_ = 0;
+        SteadyTime believedUntil_;
+        /// What grants may have been made on, and until when they stand.
+        std::uint64_t granted_ = 0;
+        SteadyTime grantedUntil_;
+    };
+    struct Borrowed {
+        std::uint64_t slots_ = 0;
+        SteadyTime expires_;
+    };
+
+    static std::uint64_t countedOf(const Lent& lent, SteadyTime now);
+
+    std::map<DataCentreId, Lent> lent_;
+    std::map<DataCentreId, Borrowed> borrowed_;
+};
+
 /// Tokens an entry may still generate, refilled at its rate up to its burst.
 class TokenBucket {
 public:
@@ -43,7 +103,12 @@
     /// Takes \p tokens if the bucket is not in debt; a long answer may drive it
     /// into debt, which later answers wait out.
     bool tryTake(std::uint64_t tokens, SteadyTime now);
-    /// Returns what was taken and not used.
+    /// Takes up to \p tokens, but leaves \p kept in the bucket.
+    std::uint64_t takeUpTo(std::uint64_t tokens, std::uint64_t kept, SteadyTime now);
+    /// Takes for a row of requests: as many of \p wanted tokens as there are,
+    /// but at least \p first of them if there is any, into debt.
+    std::uint64_t takeForRequests(std::uint64_t first, std::uint64_t wanted, SteadyTime now);
+    /// Returns what was taken and not used, or adds what another bucket gave.
     void giveBack(std::uint64_t tokens);
     /// How long until tryTake() may succeed.
     milliseconds wait(SteadyTime now) const;
@@ -64,17 +129,41 @@
     enum class Verdict {
         Admitted,
         /// A slot must be asked of the keeper first.
-        NeedsGrant,
-        TokensExhausted,
+        NeedsSlot,
+        /// Tokens must be asked of the keeper first.
+        NeedsTokens,
+    };
+    /// What to ask the keeper for.
+    struct Demand {
+        std::uint64_t inUse_ = 0;
+        std::uint64_t needed_ = 0;
+        std::uint64_t wanted_ = 0;
+        std::uint64_t tokensFirst_ = 0;
+        std::uint64_t tokensWanted_ = 0;
+        std::uint64_t tokensReturned_ = 0;
+    };
+    struct Grant {
+        std::uint64_t slots_ = 0;
+        std::uint64_t tokens_ = 0;
+        SteadyTime expires_;
+        /// When tokens may be had again, if there were none.
+        milliseconds tokenWait_ {};
     };
 
     Verdict tryStart(const CatalogueEntry& entry, std::uint64_t tokens, SteadyTime now);
     /// Ends a request that was admitted; \p unusedTokens go back.
     void finish(const EntryName& entry, std::uint64_t unusedTokens);
-    void setGrant(const EntryName& entry, std::uint64_t slots, SteadyTime expires);
+    /// A request that waits for slots or tokens, until it starts or gives up.
+    void beginWait(const EntryName& entry, std::uint64_t tokens);
+    void endWait(const EntryName& entry, std::uint64_t tokens);
+    /// Holds no more slots than asked for from now on, so that the keeper may
+    /// give the rest to others; what is returned is taken out.
+    Demand makeDemand(const CatalogueEntry& entry, std::uint64_t slotsAhead);
+    void take(const EntryName& entry, const Grant& grant);
     std::uint64_t inProgress(const EntryName& entry) const;
     std::uint64_t held(const EntryName& entry, SteadyTime now) const;
-    milliseconds tokenWait(const EntryName& entry, SteadyTime now) const;
+    milliseconds tokenWait(const EntryName& entry) const;
+    /// Entries with requests in progress or tokens to return.
     std::vector<EntryName> activeEntries() const;
 
 private:
@@ -82,7 +171,12 @@
         std::uint64_t inProgress_ = 0;
         std::uint64_t slots_ = 0;
         SteadyTime expires_;
-        std::optional<TokenBucket> bucket_;
+        std::uint64_t tokens_ = 0;
+        /// Since the last demand; so many are asked for ahead.
+        std::uint64_t tokensSpent_ = 0;
+        milliseconds tokenWait_ {};
+        /// Tokens of each request that waits.
+        std::deque<std::uint64_t> waiting_;
     };
     std::map<EntryName, EntryState> entries_;
 };
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -67,6 +67,7 @@
     SpansDropped,
     GrantMessages,
     EngineOrders,
+    LoanMessages,
     Last,
 };
 
--- a/lib/Catalogue/Entry.cpp
+++ b/lib/Catalogue/Entry.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr std::uint64_t mostRequests = 1000000;
-    constexpr std::uint64_t mostTokensPerSecond = 100000000;
+    constexpr std::uint64_t mostTokensPerSecond = EntryLimits::mostTokensPerSecond;
     constexpr std::uint64_t mostWeight = 1000;
     constexpr std::uint64_t mostPriority = 9;
     constexpr std::uint64_t mostConcurrency = 4096;
--- a/lib/Limits/Grants.cpp
+++ b/lib/Limits/Grants.cpp
@@ -1,7 +1,7 @@
 //===- lib/Limits/Grants.cpp - shares, grants and admission ----------------===//
 ///
 /// \file
-/// Requests in progress and tokens a second, per entry.
+/// The keeper's side: grants to nodes, loans to data centres, and tokens.
 //===----------------------------------------------------------------------===//
 #include "pistachioloom/Limits.h"
 
@@ -20,18 +20,35 @@
 {
     auto& nodes = grants_[entry];
     std::erase_if(nodes, [&](const auto& item) { return item.second.expires_ <= now; });
-    std::uint64_t others = 0;
-    for (const auto& [holder, grant] : nodes) {
-        if (holder != node)
-            others += grant.slots_;
-    }
+    std::uint64_t others = grantedToOthers(entry, node, now);
     std::uint64_t available = share > others ? share - others : 0;
     // Work in progress is counted even beyond the share: it is running.
     std::uint64_t slots = std::max(inUse, std::min(available, std::max(wanted, inUse)));
-    nodes[node] = { slots, now + validity };
+    nodes[node] = { slots, inUse, now + validity };
     return slots;
 }
 
+std::uint64_t GrantTable::grantedToOthers(const EntryName& entry, const VmId& node, SteadyTime now) const
+{
+    auto found = grants_.find(entry);
+    if (found == grants_.end())
+        return 0;
+    auto own = found->second.find(node);
+    bool isCounted = own != found->second.end() && own->second.expires_ > now;
+    return granted(entry, now) - (isCounted ? own->second.slots_ : 0);
+}
+
+std::uint64_t GrantTable::inUse(const EntryName& entry, SteadyTime now) const
+{
+    auto found = grants_.find(entry);
+    std::uint64_t sum = 0;
+    if (found == grants_.end())
+        return sum;
+    for (const auto& [node, grant] : found->second)
+        sum += grant.expires_ > now ? grant.inUse_ : 0;
+    return sum;
+}
+
 std::uint64_t GrantTable::granted(const EntryName& entry, SteadyTime now) const
 {
     auto found = grants_.find(entry);
@@ -45,6 +62,81 @@
     return sum;
 }
 
+std::uint64_t LoanTable::countedOf(const Lent& lent, SteadyTime now)
+{
+    std::uint64_t slots = lent.expires_ > now ? lent.slots_ : 0;
+    if (lent.believedUntil_ > now)
+        slots = std::max(slots, lent.believed_);
+    if (lent.granted_ > slots && lent.grantedUntil_ > now)
+        slots = lent.granted_;
+    return slots;
+}
+
+std::uint64_t LoanTable::lend(const DataCentreId& borrower, std::uint64_t free, const Ask& ask, milliseconds loanValidity, milliseconds grantValidity, SteadyTime now)
+{
+    Lent& lent = lent_[borrower];
+    std::uint64_t before = countedOf(lent, now);
+    std::uint64_t slots = std::max(ask.inUse_, std::min(ask.wanted_, free + before));
+    // Grants made before the question may stand for their validity.
+    lent.granted_ = before;
+    lent.grantedUntil_ = now + grantValidity;
+    // Our answer may be lost: then the borrower goes on believing in what it
+    // had, as far as its question promised.
+    std::uint64_t known = std::max(lent.expires_ > now ? lent.slots_ : 0, lent.believedUntil_ > now ? lent.believed_ : 0);
+    lent.believed_ = std::min(known, std::max(ask.wanted_, ask.inUse_));
+    lent.believedUntil_ = std::max(lent.expires_, lent.believedUntil_);
+    lent.slots_ = slots;
+    lent.expires_ = now + loanValidity;
+    return slots;
+}
+
+std::uint64_t LoanTable::lent(SteadyTime now) const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [borrower, lent] : lent_)
+        sum += countedOf(lent, now);
+    return sum;
+}
+
+std::uint64_t LoanTable::lentTo(const DataCentreId& borrower, SteadyTime now) const
+{
+    auto found = lent_.find(borrower);
+    return found == lent_.end() ? 0 : countedOf(found->second, now);
+}
+
+void LoanTable::promise(const DataCentreId& lender, std::uint64_t most)
+{
+    auto found = borrowed_.find(lender);
+    if (found != borrowed_.end())
+        found->second.slots_ = std::min(found->second.slots_, most);
+}
+
+void LoanTable::setBorrowed(const DataCentreId& lender, std::uint64_t slots, SteadyTime expires)
+{
+    if (slots)
+        borrowed_[lender] = { slots, expires };
+    else
+        borrowed_.erase(lender);
+}
+
+std::uint64_t LoanTable::borrowed(SteadyTime until) const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [lender, loan] : borrowed_)
+        sum += loan.expires_ >= until ? loan.slots_ : 0;
+    return sum;
+}
+
+std::map<DataCentreId, std::uint64_t> LoanTable::borrowedFrom(SteadyTime now) const
+{
+    std::map<DataCentreId, std::uint64_t> loans;
+    for (const auto& [lender, loan] : borrowed_) {
+        if (loan.expires_ > now)
+            loans[lender] = loan.slots_;
+    }
+    return loans;
+}
+
 TokenBucket::TokenBucket(std::uint64_t perSecond, std::uint64_t burst, SteadyTime now)
     : perSecond_(static_cast<double>(perSecond))
     , burst_(static_cast<double>(burst))
@@ -69,6 +161,27 @@
     return true;
 }
 
+std::uint64_t TokenBucket::takeUpTo(std::uint64_t tokens, std::uint64_t kept, SteadyTime now)
+{
+    level_ = levelAt(now);
+    at_ = std::max(at_, now);
+    double spare = std::max(0.0, level_ - static_cast<double>(kept));
+    std::uint64_t taken = std::min(tokens, static_cast<std::uint64_t>(spare));
+    level_ -= static_cast<double>(taken);
+    return taken;
+}
+
+std::uint64_t TokenBucket::takeForRequests(std::uint64_t first, std::uint64_t wanted, SteadyTime now)
+{
+    if (levelAt(now) <= 0)
+        return 0;
+    std::uint64_t taken = takeUpTo(wanted, 0, now);
+    if (taken >= first)
+        return taken;
+    level_ -= static_cast<double>(first - taken);
+    return first;
+}
+
 void TokenBucket::giveBack(std::uint64_t tokens)
 {
     level_ = std::min(burst_, level_ + static_cast<double>(tokens));
@@ -88,67 +201,6 @@
     burst_ = static_cast<double>(burst);
 }
 
-Admission::Verdict Admission::tryStart(const CatalogueEntry& entry, std::uint64_t tokens, SteadyTime now)
-{
-    const EntryLimits& limits = entry.workload_->limits_;
-    EntryState& state = entries_[entry.name_];
-    if (!state.bucket_)
-        state.bucket_.emplace(limits.tokensPerSecond_, limits.burst_, now);
-    state.bucket_->setRate(limits.tokensPerSecond_, limits.burst_);
-    std::uint64_t slots = state.expires_ > now ? state.slots_ : 0;
-    if (state.inProgress_ >= slots)
-        return Verdict::NeedsGrant;
-    if (!state.bucket_->tryTake(tokens, now))
-        return Verdict::TokensExhausted;
-    ++state.inProgress_;
-    return Verdict::Admitted;
-}
-
-void Admission::finish(const EntryName& entry, std::uint64_t unusedTokens)
-{
-    auto found = entries_.find(entry);
-    if (found == entries_.end() || !found->second.inProgress_)
-        return;
-    --found->second.inProgress_;
-    if (found->second.bucket_)
-        found->second.bucket_->giveBack(unusedTokens);
-}
-
-void Admission::setGrant(const EntryName& entry, std::uint64_t slots, SteadyTime expires)
-{
-    EntryState& state = entries_[entry];
-    state.slots_ = slots;
-    state.expires_ = expires;
-}
-
-std::uint64_t Admission::inProgress(const EntryName& entry) const
-{
-    auto found = entries_.find(entry);
-    return found == entries_.end() ? 0 : found->second.inProgress_;
-}
-
-std::uint64_t Admission::held(const EntryName& entry, SteadyTime now) const
-{
-    auto found = entries_.find(entry);
-    return found == entries_.end() || found->second.expires_ <= now ? 0 : found->second.slots_;
-}
-
-milliseconds Admission::tokenWait(const EntryName& entry, SteadyTime now) const
-{
-    auto found = entries_.find(entry);
-    return found == entries_.end() || !found->second.bucket_ ? milliseconds {} : found->second.bucket_->wait(now);
-}
-
-std::vector<EntryName> Admission::activeEntries() const
-{
-    std::vector<EntryName> names;
-    for (const auto& [name, state] : entries_) {
-        if (state.inProgress_)
-            names.push_back(name);
-    }
-    return names;
-}
-
 RetryBudget::RetryBudget(double ratio, double reserve)
     : ratio_(ratio)
     , reserve_(reserve)
--- a/lib/Node/LimitDesk.cpp
+++ b/lib/Node/LimitDesk.cpp
@@ -1,4 +1,4 @@
-//===- lib/Node/LimitDesk.cpp - admission of a node, and the limit keeper --===//
+//===- lib/Node/LimitDesk.cpp - admission of a node ------------------------===//
 ///
 /// \file
 /// See LimitDesk.h.
@@ -12,14 +12,16 @@
 
 namespace {
 
-    constexpr milliseconds grantTimeout { 500 };
+    // A keeper may have to borrow from another data centre first.
+    constexpr milliseconds grantTimeout { 1500 };
     constexpr milliseconds limitRetry { 500 };
-    constexpr int mostAsked = 3;
+    constexpr int mostAsked = 4;
 
 } // namespace
 
-LimitDesk::LimitDesk(NodeContext& context)
+LimitDesk::LimitDesk(NodeContext& context, LimitKeeper& keeper)
     : context_(context)
+    , keeper_(keeper)
     , logger_("limits")
 {
 }
@@ -29,49 +31,36 @@
     context_.spawn(renewLoop());
 }
 
-VmId LimitDesk::keeperOf(const EntryName& entry) const
-{
-    return pickByRendezvous("limits/" + entry.value_, context_.membership()->localNodes_);
-}
-
-std::uint64_t LimitDesk::shareOf(const CatalogueEntry& entry) const
-{
-    auto view = context_.membership();
-    std::size_t rank = 0;
-    for (const auto& [dataCentre, nodes] : view->index_->entryVms_) {
-        if (dataCentre == view->dataCentre_)
-            break;
-        ++rank;
-    }
-    return guaranteedShare(entry.workload_->limits_.requestsInProgress_, rank, view->index_->entryVms_.size());
-}
-
 asio::awaitable<Result<void>> LimitDesk::admit(std::shared_ptr<const CatalogueEntry> entry, std::uint64_t tokens)
 {
+    auto verdict = Admission::Verdict::Admitted;
+    {
+        std::lock_guard lock(mutex_);
+        verdict = admission_.tryStart(*entry, tokens, steadyNow());
+        if (verdict == Admission::Verdict::Admitted)
+            co_return boost::outcome_v2::success();
+        admission_.beginWait(entry->name_, tokens);
+    }
     // Others that arrive at the same time may take what the keeper granted on
     // our word, so it is asked again before the request is refused.
-    for (int asked = 0; asked <= mostAsked; ++asked) {
-        milliseconds tokenWait {};
-        switch (tryStart(*entry, tokens, tokenWait)) {
-        case Admission::Verdict::Admitted:
-            co_return boost::outcome_v2::success();
-        case Admission::Verdict::TokensExhausted:
-            co_return Error { Errc::LimitReached, "admit", entry->name_.value_, "tokens a second are used up", Ran::No, jitter(std::max(tokenWait, limitRetry), randomBits()) };
-        case Admission::Verdict::NeedsGrant:
-            break;
-        }
-        if (asked < mostAsked)
-            co_await askKeeper(entry);
+    for (int asked = 0; asked < mostAsked && verdict != Admission::Verdict::Admitted; ++asked) {
+        co_await askOrJoin(entry);
+        std::lock_guard lock(mutex_);
+        verdict = admission_.tryStart(*entry, tokens, steadyNow());
     }
-    co_return Error { Errc::LimitReached, "admit", entry->name_.value_, "requests in progress are at the limit", Ran::No, jitter(limitRetry, randomBits()) };
+    std::lock_guard lock(mutex_);
+    admission_.endWait(entry->name_, tokens);
+    if (verdict == Admission::Verdict::Admitted)
+        co_return boost::outcome_v2::success();
+    co_return refusal(*entry, verdict);
 }
 
-Admission::Verdict LimitDesk::tryStart(const CatalogueEntry& entry, std::uint64_t tokens, milliseconds& tokenWait)
+Error LimitDesk::refusal(const CatalogueEntry& entry, Admission::Verdict verdict) const
 {
-    std::lock_guard lock(mutex_);
-    auto verdict = admission_.tryStart(entry, tokens, steadyNow());
-    tokenWait = admission_.tokenWait(entry.name_, steadyNow());
-    return verdict;
+    bool isForTokens = verdict == Admission::Verdict::NeedsTokens;
+    milliseconds wait = isForTokens ? std::max(admission_.tokenWait(entry.name_), limitRetry) : limitRetry;
+    std::string reason = isForTokens ? "tokens a second are used up" : "requests in progress are at the limit";
+    return { Errc::LimitReached, "admit", entry.name_.value_, std::move(reason), Ran::No, jitter(wait, randomBits()) };
 }
 
 void LimitDesk::finish(const EntryName& entry, std::uint64_t unusedTokens)
@@ -80,36 +69,63 @@
     admission_.finish(entry, unusedTokens);
 }
 
-asio::awaitable<void> LimitDesk::askKeeper(std::shared_ptr<const CatalogueEntry> entry)
+asio::awaitable<void> LimitDesk::askOrJoin(EntryPtr entry)
 {
-    wire::Frame frame = makeRequest(entry->name_);
-    SteadyTime askedAt = steadyNow();
-    context_.metrics_.add(Counter::GrantMessages);
-    auto reply = co_await context_.call(keeperOf(entry->name_), frame, grantTimeout);
-    bool isGrant = reply && reply.value().has_grant_reply();
-    if (!isGrant)
-        logger_.warn("Keeper of " + entry->name_.value_ + " does not answer.");
-    std::lock_guard lock(mutex_);
-    --waiting_[entry->name_];
-    if (!isGrant)
+    std::shared_ptr<SharedWait> other;
+    {
+        std::lock_guard lock(mutex_);
+        auto found = asking_.find(entry->name_);
+        if (found != asking_.end())
+            other = found->second;
+    }
+    if (other) {
+        co_await other->wait();
         co_return;
-    const wire::GrantReply& grant = reply.value().grant_reply();
-    // Counted from before the question, so that we end before the keeper does.
-    admission_.setGrant(entry->name_, grant.granted(), askedAt + milliseconds(grant.valid_ms()));
+    }
+    VmId keeper = keeper_.keeperOf(entry->name_);
+    std::vector<EntryPtr> entries { entry };
+    co_await askKeeper(std::move(keeper), std::move(entries));
 }
 
-wire::Frame LimitDesk::makeRequest(const EntryName& entry)
+asio::awaitable<void> LimitDesk::askKeeper(VmId keeper, std::vector<EntryPtr> entries)
 {
-    std::lock_guard lock(mutex_);
-    std::uint64_t inUse = admission_.inProgress(entry);
-    std::uint64_t waiting = ++waiting_[entry];
     wire::Frame frame;
     wire::GrantRequest& request = *frame.mutable_grant_request();
-    request.set_entry(entry.value_);
     request.set_node(context_.self().value_);
-    request.set_in_use(static_cast<std::uint32_t>(inUse));
-    request.set_wanted(static_cast<std::uint32_t>(inUse + waiting + context_.settings_.limits_.grantAhead_));
-    return frame;
+    auto asking = std::make_shared<SharedWait>(context_.executor_);
+    {
+        std::lock_guard lock(mutex_);
+        std::erase_if(entries, [&](const EntryPtr& entry) { return !asking_.emplace(entry->name_, asking).second; });
+        for (const EntryPtr& entry : entries) {
+            auto demand = admission_.makeDemand(*entry, context_.settings_.limits_.grantAhead_);
+            wire::EntryDemand& encoded = *request.add_demands();
+            encoded.set_entry(entry->name_.value_);
+            encoded.set_in_use(static_cast<std::uint32_t>(demand.inUse_));
+            encoded.set_needed(static_cast<std::uint32_t>(demand.needed_));
+            encoded.set_wanted(static_cast<std::uint32_t>(demand.wanted_));
+            encoded.set_tokens_first(demand.tokensFirst_);
+            encoded.set_tokens_wanted(demand.tokensWanted_);
+            encoded.set_tokens_returned(demand.tokensReturned_);
+        }
+    }
+    if (entries.empty())
+        co_return;
+    SteadyTime askedAt = steadyNow();
+    context_.metrics_.add(Counter::GrantMessages);
+    auto reply = co_await context_.call(keeper, frame, grantTimeout);
+    bool isGrant = reply && reply.value().has_grant_reply();
+    if (!isGrant)
+        logger_.warn("Limit keeper " + keeper.value_ + " does not answer.");
+    std::lock_guard lock(mutex_);
+    if (isGrant) {
+        // Counted from before the question, so that we end before the keeper does.
+        SteadyTime expires = askedAt + milliseconds(reply.value().grant_reply().valid_ms());
+        for (const wire::EntryGrant& grant : reply.value().grant_reply().grants())
+            admission_.take({ grant.entry() }, { grant.slots(), grant.tokens(), expires, milliseconds(grant.token_wait_ms()) });
+    }
+    for (const EntryPtr& entry : entries)
+        asking_.erase(entry->name_);
+    asking->open();
 }
 
 asio::awaitable<void> LimitDesk::renewLoop()
@@ -121,41 +137,18 @@
             std::lock_guard lock(mutex_);
             active = admission_.activeEntries();
         }
+        // One message for all entries of a keeper.
+        std::map<VmId, std::vector<EntryPtr>> byKeeper;
         for (const EntryName& name : active) {
             auto entry = context_.catalogue()->findEntry(name);
             if (entry && entry->workload_)
-                co_await askKeeper(entry);
+                byKeeper[keeper_.keeperOf(name)].push_back(entry);
         }
+        for (auto& [keeper, entries] : byKeeper)
+            context_.spawn(askKeeper(keeper, std::move(entries)));
     }
 }
 
-wire::Frame LimitDesk::answerGrant(const wire::GrantRequest& request)
-{
-    wire::Frame frame;
-    wire::GrantReply& reply = *frame.mutable_grant_reply();
-    milliseconds validity = context_.settings_.limits_.grantValidity_;
-    reply.set_valid_ms(static_cast<std::uint64_t>(validity.count()));
-    EntryName name { request.entry() };
-    auto entry = context_.catalogue()->findEntry(name);
-    if (!entry || !entry->workload_)
-        return frame;
-    std::uint64_t share = shareOf(*entry);
-    auto view = context_.membership();
-    std::lock_guard lock(mutex_);
-    auto since = keeperSince_.emplace(name, steadyNow()).first->second;
-    bool isNewKeeper = steadyNow() - since < validity;
-    if (isNewKeeper) {
-        // Every node gets an equal part until the grants before us have ended.
-        auto rank = std::find(view->localNodes_.begin(), view->localNodes_.end(), VmId { request.node() }) - view->localNodes_.begin();
-        share = guaranteedShare(share, static_cast<std::size_t>(rank), view->localNodes_.size());
-        reply.set_granted(static_cast<std::uint32_t>(std::max<std::uint64_t>(request.in_use(), std::min<std::uint64_t>(share, request.wanted()))));
-        grants_.request(name, { request.node() }, reply.granted(), request.in_use(), reply.granted(), validity, steadyNow());
-        return frame;
-    }
-    reply.set_granted(static_cast<std::uint32_t>(grants_.request(name, { request.node() }, share, request.in_use(), request.wanted(), validity, steadyNow())));
-    return frame;
-}
-
 std::vector<LimitDesk::EntryUse> LimitDesk::uses() const
 {
     std::vector<EntryUse> uses;
@@ -164,7 +157,7 @@
         if (!entry->workload_)
             continue;
         std::lock_guard lock(mutex_);
-        uses.push_back({ name, admission_.inProgress(name), admission_.held(name, steadyNow()), shareOf(*entry), keeperOf(name) });
+        uses.push_back({ name, admission_.inProgress(name), admission_.held(name, steadyNow()), keeper_.shareOf(*entry), keeper_.keeperOf(name) });
     }
     return uses;
 }
--- a/lib/Node/LimitDesk.h
+++ b/lib/Node/LimitDesk.h
@@ -1,34 +1,26 @@
-//===- lib/Node/LimitDesk.h - admission of a node, and the limit keeper ----===//
+//===- lib/Node/LimitDesk.h - admission of a node --------------------------===//
 ///
 /// \file
-/// The entry's side asks the keeper of an entry for slots, a few ahead; the
-/// keeper's side grants them out of the data centre's guaranteed share. Two
-/// nodes that both believe to be keeper grant too much for one validity at
-/// most; the share of other data centres is never touched.
+/// A node's side of the limits: it asks the keepers of entries for slots and
+/// tokens, a few ahead, and admits requests on what it holds. One question at a
+/// time is under way for an entry; whoever needs more meanwhile waits for it.
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "NodeContext.h"
-#include "pistachioloom/Limits.h"
-
-#include <mutex>
-
-namespace pistachioloom::wire {
-class GrantRequest;
-}
+#include "LimitKeeper.h"
+#include "SharedWait.h"
 
 namespace pistachioloom {
 
 class LimitDesk {
 public:
-    explicit LimitDesk(NodeContext& context);
+    LimitDesk(NodeContext& context, LimitKeeper& keeper);
 
     void start();
     /// Admits a request of \p entry that may use \p tokens. Errors:
     /// LimitReached with the time after which to come back.
     asio::awaitable<Result<void>> admit(std::shared_ptr<const CatalogueEntry> entry, std::uint64_t tokens);
     void finish(const EntryName& entry, std::uint64_t unusedTokens);
-    wire::Frame answerGrant(const wire::GrantRequest& request);
 
     struct EntryUse {
         EntryName entry_;
@@ -40,23 +32,20 @@
     std::vector<EntryUse> uses() const;
 
 private:
-    Admission::Verdict tryStart(const CatalogueEntry& entry, std::uint64_t tokens, milliseconds& tokenWait);
-    wire::Frame makeRequest(const EntryName& entry);
-    asio::awaitable<void> askKeeper(std::shared_ptr<const CatalogueEntry> entry);
+    using EntryPtr = std::shared_ptr<const CatalogueEntry>;
+
+    Error refusal(const CatalogueEntry& entry, Admission::Verdict verdict) const;
+    /// Asks the keeper of \p entry, or waits for the answer to who did already.
+    asio::awaitable<void> askOrJoin(EntryPtr entry);
+    asio::awaitable<void> askKeeper(VmId keeper, std::vector<EntryPtr> entries);
     asio::awaitable<void> renewLoop();
-    std::uint64_t shareOf(const CatalogueEntry& entry) const;
-    VmId keeperOf(const EntryName& entry) const;
 
     NodeContext& context_;
+    LimitKeeper& keeper_;
     Logger logger_;
     mutable std::mutex mutex_;
     Admission admission_;
-    /// Requests that wait for an answer of the keeper.
-    std::map<EntryName, std::uint64_t> waiting_;
-    GrantTable grants_;
-    /// When we were first asked for an entry: until one validity has passed,
-    /// grants of the keeper before us may be out.
-    std::map<EntryName, SteadyTime> keeperSince_;
+    std::map<EntryName, std::shared_ptr<SharedWait>> asking_;
 };
 
 } // namespace pistachioloom
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -38,6 +38,7 @@
     BackendHome home_;
     EngineOrders orders_;
     EngineRouter router_;
+    LimitKeeper limitKeeper_;
     LimitDesk limits_;
     GenerationOwner owner_;
     ReplicaStore replicas_;
@@ -61,7 +62,8 @@
     , home_(context_, control_)
     , orders_(context_, home_)
     , router_(context_)
-    , limits_(context_)
+    , limitKeeper_(context_)
+    , limits_(context_, limitKeeper_)
     , owner_(context_, router_, [this](const std::string& entry, std::uint64_t unused) { limits_.finish({ entry }, unused); })
     , replicas_(context_, owner_)
     , finder_(context_, owner_)
@@ -148,7 +150,10 @@
         (void)co_await stream.send(replicas_.takeHandover(frame.record_handover()));
         co_return;
     case wire::Frame::kGrantRequest:
-        (void)co_await stream.send(limits_.answerGrant(frame.grant_request()));
+        (void)co_await stream.send(co_await limitKeeper_.answerGrants(frame.grant_request()));
+        co_return;
+    case wire::Frame::kLoanRequest:
+        (void)co_await stream.send(limitKeeper_.answerLoan(frame.loan_request()));
         co_return;
     case wire::Frame::kFailure:
     case wire::Frame::kStarted:
@@ -159,6 +164,7 @@
     case wire::Frame::kRecordProgress:
     case wire::Frame::kRecord:
     case wire::Frame::kGrantReply:
+    case wire::Frame::kLoanReply:
     case wire::Frame::kAck:
     case wire::Frame::BODY_NOT_SET:
         break;
@@ -240,6 +246,7 @@
     state_->control_.start();
     state_->home_.start();
     state_->orders_.start();
+    state_->limitKeeper_.start();
     state_->limits_.start();
     state_->owner_.start();
     state_->replicas_.start();
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -45,6 +45,7 @@
         "spans_dropped",
         "grant_messages",
         "engine_orders",
+        "loan_messages",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
--- /dev/null
+++ b/test/LimitsTest.cpp
@@ -0,0 +1,181 @@
+//===- test/LimitsTest.cpp - limits across nodes and data centres ----------===//
+///
+/// \file
+/// An organisation's limits hold over all nodes together, and all of a limit
+/// can be used from any data centre.
+//===----------------------------------------------------------------------===//
+#include "Harness/Deployment.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+constexpr std::uint64_t mostInProgress = 30;
+constexpr std::uint64_t tokensPerSecond = 2000;
+
+std::string limitedCatalogue(const std::string& limits)
+{
+    return "name: rede\nkind: workload\nowner: rede\nclass: paid\napi_key_sha256: " + sha256Hex(Deployment::apiKey("rede"))
+        + "\nmodels: [planogram]\nlimits:\n" + limits + "  queue_bound: 2000\n  deadline: 60s\n---\n"
+        + "name: planogram\nkind: engine\nconcurrency: 64\n";
+}
+
+DeploymentOptions threeByTwo()
+{
+    DeploymentOptions options;
+    options.nodesPerDataCentre_ = 2;
+    options.engineArguments_ = { "--decode_us", "5000", "--slots", "64" };
+    return options;
+}
+
+/// Callers at several entry VMs who ask again as soon as they are answered, and
+/// come back after a pause when they are refused, until the time is over.
+struct Crowd {
+    std::vector<Endpoint> entries_;
+    std::size_t callers_ = 0;
+    std::uint64_t tokens_ = 0;
+    milliseconds lasts_ {};
+
+    struct Outcome {
+        std::size_t answered_ = 0;
+        std::size_t refused_ = 0;
+        std::size_t broken_ = 0;
+        std::uint64_t tokens_ = 0;
+    };
+
+    Outcome run() const
+    {
+        asio::io_context io;
+        Outcome outcome;
+        SteadyTime until = steadyNow() + lasts_;
+        for (std::size_t i = 0; i < callers_; ++i)
+            asio::co_spawn(io, caller(entries_[i % entries_.size()], i, until, outcome), asio::detached);
+        io.run();
+        return outcome;
+    }
+
+private:
+    asio::awaitable<void> caller(Endpoint entry, std::size_t number, SteadyTime until, Outcome& outcome) const
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        while (steadyNow() < until) {
+            Completion completion { Deployment::apiKey("rede"), "planogram", "crowd " + std::to_string(number), tokens_ };
+            Answer answer = co_await streamCompletion(entry, completion);
+            outcome.tokens_ += answer.tokens_.size();
+            if (answer.isDone_) {
+                ++outcome.answered_;
+                continue;
+            }
+            ++(answer.status_ == 429 ? outcome.refused_ : outcome.broken_);
+            timer.expires_after(milliseconds(50));
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+};
+
+std::uint64_t inProgress(Deployment& deployment)
+{
+    std::uint64_t sum = 0;
+    for (auto& engine : deployment.engines())
+        sum += numberField(Deployment::control(engine.endpoint_), "active");
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("a limit on requests in progress holds over all data centres and can be used from one")
+{
+    bool isFromOne = GENERATE(true, false);
+    INFO((isFromOne ? "from one data centre" : "from all"));
+    Deployment deployment(threeByTwo());
+    deployment.applyCatalogue(limitedCatalogue("  requests_in_progress: " + std::to_string(mostInProgress) + "\n"));
+    auto entries = deployment.callerEndpoints();
+    if (isFromOne)
+        entries.resize(2);
+    Crowd crowd { entries, 90, 100, milliseconds(8000) };
+    std::atomic<bool> isOver { false };
+    std::uint64_t most = 0;
+    std::thread watcher([&] {
+        while (!isOver)
+            most = std::max(most, inProgress(deployment));
+    });
+    auto outcome = crowd.run();
+    isOver = true;
+    watcher.join();
+    WARN((isFromOne ? "from one: " : "from all: ") << most << " at once of " << mostInProgress << ", " << outcome.answered_ << " answered, " << outcome.refused_ << " refused");
+    CHECK(outcome.broken_ == 0);
+    CHECK(most <= mostInProgress);
+    CHECK(most >= mostInProgress * 9 / 10);
+}
+
+TEST_CASE("a limit on tokens a second holds over all nodes and can be used from one data centre")
+{
+    bool isFromOne = GENERATE(true, false);
+    INFO((isFromOne ? "from one data centre" : "from all"));
+    Deployment deployment(threeByTwo());
+    deployment.applyCatalogue(limitedCatalogue("  requests_in_progress: 300\n  tokens_per_second: " + std::to_string(tokensPerSecond) + "\n  burst: " + std::to_string(tokensPerSecond) + "\n"));
+    auto entries = deployment.callerEndpoints();
+    if (isFromOne)
+        entries.resize(2);
+    constexpr std::uint64_t seconds = 8;
+    Crowd crowd { entries, 120, 40, milliseconds(seconds * 1000) };
+    SteadyTime began = steadyNow();
+    auto outcome = crowd.run();
+    double lasted = std::chrono::duration<double>(steadyNow() - began).count();
+    double rate = static_cast<double>(outcome.tokens_ - std::min(outcome.tokens_, tokensPerSecond)) / lasted;
+    WARN((isFromOne ? "from one: " : "from all: ") << rate << " tokens a second beyond the burst, of " << tokensPerSecond);
+    CHECK(outcome.broken_ == 0);
+    // Whole requests are admitted, so a little more may be on its way at the end.
+    CHECK(rate <= 1.1 * tokensPerSecond);
+    CHECK(rate >= 0.85 * tokensPerSecond);
+}
+
+TEST_CASE("a keeper that was frozen and replaced exceeds a limit by no more than a share")
+{
+    auto options = threeByTwo();
+    options.nodesPerDataCentre_ = 3;
+    Deployment deployment(options);
+    deployment.applyCatalogue(limitedCatalogue("  requests_in_progress: " + std::to_string(mostInProgress) + "\n"));
+    auto listed = deployment.ask(deployment.node("caxias-a-1"), "/limits");
+    std::string keeperId = textField(objectsField(listed.as_object(), "entries").front(), "keeper");
+    auto& keeper = deployment.node(keeperId);
+    std::vector<Endpoint> entries;
+    for (auto& node : deployment.nodes()) {
+        if (node.id_ != keeperId)
+            entries.push_back(node.callers_);
+    }
+    Crowd crowd { entries, 80, 100, milliseconds(14000) };
+    std::atomic<bool> isOver { false };
+    std::uint64_t most = 0;
+    std::uint64_t last = 0;
+    SteadyTime began = steadyNow();
+    std::thread watcher([&] {
+        bool isFrozen = false;
+        bool isThawed = false;
+        while (!isOver) {
+            auto passed = steadyNow() - began;
+            if (!isFrozen && passed > milliseconds(2000)) {
+                keeper.process_->freeze();
+                isFrozen = true;
+            }
+            if (!isThawed && passed > milliseconds(8000)) {
+                keeper.process_->resume();
+                isThawed = true;
+            }
+            last = inProgress(deployment);
+            most = std::max(most, last);
+        }
+    });
+    auto outcome = crowd.run();
+    isOver = true;
+    watcher.join();
+    WARN(most << " at once of " << mostInProgress << ", " << outcome.answered_ << " answered, " << outcome.broken_ << " broken");
+    CHECK(most <= mostInProgress + mostInProgress / 3);
+    CHECK(most >= mostInProgress * 9 / 10);
+    CHECK(outcome.answered_ > 200);
+}
--- a/unittests/Limits/LimitsTest.cpp
+++ b/unittests/Limits/LimitsTest.cpp
@@ -82,20 +82,187 @@
     CHECK(bucket.tryTake(1, start + wait + milliseconds(20)));
 }
 
+TEST_CASE("tokens that a bucket gives are taken out of it, whoever gets them")
+{
+    TokenBucket bucket(100, 200, start);
+    CHECK(bucket.takeUpTo(500, 50, start) == 150);
+    CHECK(bucket.takeUpTo(500, 50, start) == 0);
+    // A request longer than what is there is granted whole, the rest is not.
+    CHECK(bucket.takeForRequests(80, 1000, start) == 80);
+    CHECK(bucket.takeForRequests(1, 1000, start) == 0);
+    CHECK(bucket.wait(start) >= milliseconds(290));
+    bucket.giveBack(100);
+    CHECK(bucket.takeForRequests(0, 40, start) == 40);
+}
+
 TEST_CASE("admission needs a grant that has not expired")
 {
     Admission admission;
-    CatalogueEntry e = workload(1000000, 1000000);
-    CHECK(admission.tryStart(e, 1, start) == Admission::Verdict::NeedsGrant);
-    admission.setGrant(entry, 2, start + validity);
+    CatalogueEntry e = workload(0, 0);
+    CHECK(admission.tryStart(e, 1, start) == Admission::Verdict::NeedsSlot);
+    admission.take(entry, { 2, 0, start + validity, {} });
     CHECK(admission.tryStart(e, 1, start) == Admission::Verdict::Admitted);
     CHECK(admission.tryStart(e, 1, start) == Admission::Verdict::Admitted);
-    CHECK(admission.tryStart(e, 1, start) == Admission::Verdict::NeedsGrant);
+    CHECK(admission.tryStart(e, 1, start) == Admission::Verdict::NeedsSlot);
     admission.finish(entry, 0);
-    CHECK(admission.tryStart(e, 1, start + validity) == Admission::Verdict::NeedsGrant);
+    CHECK(admission.tryStart(e, 1, start + validity) == Admission::Verdict::NeedsSlot);
     CHECK(admission.inProgress(entry) == 1);
 }
 
+TEST_CASE("a node asks for the tokens it needs and returns those it does not")
+{
+    Admission admission;
+    CatalogueEntry e = workload(1000, 1000);
+    admission.take(entry, { 9, 0, start + validity, milliseconds(70) });
+    CHECK(admission.tryStart(e, 100, start) == Admission::Verdict::NeedsTokens);
+    CHECK(admission.tokenWait(entry) == milliseconds(70));
+    admission.beginWait(entry, 100);
+    admission.beginWait(entry, 30);
+    auto demand = admission.makeDemand(e, 4);
+    CHECK(demand.needed_ == 2);
+    CHECK(demand.wanted_ == 6);
+    CHECK(demand.tokensFirst_ == 100);
+    CHECK(demand.tokensWanted_ == 130);
+    admission.take(entry, { 6, 130, start + validity, {} });
+    CHECK(admission.tryStart(e, 100, start) == Admission::Verdict::Admitted);
+    CHECK(admission.tryStart(e, 30, start) == Admission::Verdict::Admitted);
+    CHECK(admission.tryStart(e, 1, start) == Admission::Verdict::NeedsTokens);
+    admission.endWait(entry, 100);
+    admission.endWait(entry, 30);
+    // What was spent since is wanted ahead; what is left of the answers counts.
+    admission.finish(entry, 90);
+    demand = admission.makeDemand(e, 4);
+    CHECK(demand.tokensWanted_ == 40);
+    CHECK(demand.tokensReturned_ == 0);
+    demand = admission.makeDemand(e, 4);
+    CHECK(demand.tokensReturned_ == 90);
+    CHECK(admission.makeDemand(e, 4).tokensReturned_ == 0);
+}
+
+TEST_CASE("a node holds no more slots than it asked for, from the asking on")
+{
+    Admission admission;
+    CatalogueEntry e = workload(0, 0);
+    admission.take(entry, { 10, 0, start + validity, {} });
+    CHECK(admission.makeDemand(e, 2).wanted_ == 2);
+    CHECK(admission.held(entry, start) == 2);
+}
+
+TEST_CASE("a loan shrinks only after the grants made on it have ended")
+{
+    constexpr milliseconds loanValidity { 6000 };
+    LoanTable lender;
+    DataCentreId borrower { "b" };
+    CHECK(lender.lend(borrower, 10, { 0, 6 }, loanValidity, validity, start) == 6);
+    CHECK(lender.lend(borrower, 4, { 0, 20 }, loanValidity, validity, start) == 10);
+    bool wantsLess = GENERATE(true, false);
+    CHECK(lender.lend(borrower, 0, { 3, wantsLess ? 0U : 10U }, loanValidity, validity, start) == (wantsLess ? 3 : 10));
+    if (!wantsLess)
+        return;
+    CHECK(lender.lent(start + validity - milliseconds(1)) == 10);
+    CHECK(lender.lent(start + validity) == 3);
+    CHECK(lender.lent(start + loanValidity) == 0);
+    // What runs stays lent, even by a lender that has forgotten the loan.
+    LoanTable successor;
+    CHECK(successor.lend(borrower, 0, { 3, 8 }, loanValidity, validity, start) == 3);
+    LoanTable holder;
+    holder.setBorrowed({ "a" }, 5, start + loanValidity);
+    CHECK(holder.borrowed(start + validity) == 5);
+    CHECK(holder.borrowed(start + loanValidity + milliseconds(1)) == 0);
+}
+
+namespace {
+
+/// Three data centres whose keepers lend each other slots over a network that
+/// loses messages and is cut now and then. Requests end within a validity.
+class LoanWorld {
+public:
+    LoanWorld(std::uint64_t seed, std::uint64_t limit)
+        : random_(seed)
+        , limit_(limit)
+    {
+    }
+
+    /// \returns the most that was granted at once, over all.
+    std::uint64_t run()
+    {
+        std::uint64_t most = 0;
+        for (int i = 0; i < 300; ++i) {
+            now_ += milliseconds(random_() % 300);
+            isCut_ = random_() % 20 ? isCut_ : !isCut_;
+            std::size_t site = random_() % sites_.size();
+            borrow(site, (site + 1 + random_() % 2) % sites_.size());
+            request(site);
+            std::uint64_t sum = 0;
+            for (Site& each : sites_)
+                sum += each.grants_.granted(entry, now_);
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+    std::uint64_t borrowedOnce() const { return borrowedOnce_; }
+
+private:
+    static constexpr milliseconds loanValidity { 6000 };
+    struct Site {
+        GrantTable grants_;
+        LoanTable loans_;
+    };
+
+    std::uint64_t shareOf(std::size_t site) const { return guaranteedShare(limit_, site, sites_.size()); }
+
+    std::uint64_t usable(std::size_t site) const
+    {
+        const LoanTable& loans = sites_[site].loans_;
+        std::uint64_t lent = loans.lent(now_);
+        return (shareOf(site) > lent ? shareOf(site) - lent : 0) + loans.borrowed(now_ + validity);
+    }
+
+    void request(std::size_t site)
+    {
+        std::uint64_t wanted = random_() % (limit_ + 1);
+        sites_[site].grants_.request(entry, { "node" }, usable(site), 0, wanted, validity, now_);
+    }
+
+    void borrow(std::size_t from, std::size_t lender)
+    {
+        std::uint64_t wanted = random_() % (limit_ + 1);
+        sites_[from].loans_.promise({ std::to_string(lender) }, wanted);
+        bool isAskLost = isCut_ || random_() % 10 == 0;
+        bool isAnswerLost = random_() % 10 == 0;
+        if (isAskLost)
+            return;
+        Site& other = sites_[lender];
+        std::uint64_t used = other.grants_.granted(entry, now_) + other.loans_.lent(now_);
+        std::uint64_t free = shareOf(lender) > used ? shareOf(lender) - used : 0;
+        std::uint64_t slots = other.loans_.lend({ std::to_string(from) }, free, { 0, wanted }, loanValidity, validity, now_);
+        borrowedOnce_ += slots;
+        if (!isAnswerLost)
+            sites_[from].loans_.setBorrowed({ std::to_string(lender) }, slots, now_ + loanValidity);
+    }
+
+    std::mt19937_64 random_;
+    std::uint64_t limit_;
+    std::vector<Site> sites_ { 3 };
+    SteadyTime now_ = start;
+    bool isCut_ = false;
+    std::uint64_t borrowedOnce_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("data centres that lend to each other never grant more than the limit together")
+{
+    std::uint64_t borrowed = 0;
+    for (std::uint64_t seed = 0; seed < 3000; ++seed) {
+        std::uint64_t limit = 3 + seed % 40;
+        LoanWorld world(seed, limit);
+        REQUIRE(world.run() <= limit);
+        borrowed += world.borrowedOnce();
+    }
+    CHECK(borrowed > 0);
+}
+
 TEST_CASE("paid work goes before trial work, and weights share inside a class")
 {
     FairQueue queue;
