Notice a peer that is frozen or cut off, and choose engines anew behind it

Cause: a stream to a frozen node waited for its own timeout: 40 s for tokens, the whole deadline in a queue. Links with streams are now pinged after a silent second and closed after three; the owner then chooses anew, which finds the engine behind its next home, instead of trying on with the old candidates.

Found by the test of two homes, which failed in two ways before: the successor dispatched nothing for 8 s of freeze; and the thawed home dispatched what had queued there for owners that were gone (32 at once at an engine of 4). Now it looks whether the owner is still there.

--- a/include/pistachioloom/Settings.h
+++ b/include/pistachioloom/Settings.h
@@ -82,6 +82,13 @@
     OrderTiming timing_;
 };
 
+struct PeerSettings {
+    /// A link that brings nothing for so long is pinged.
+    milliseconds keepAlive_ { 1000 };
+    /// Silence after which a link is given up, and its streams with it.
+    milliseconds deadAfter_ { 3000 };
+};
+
 struct Settings {
     VmId vm_;
     DataCentreId dataCentre_;
@@ -102,6 +109,7 @@
     ReplicaSettings replica_;
     LimitSettings limits_;
     OrderSettings orders_;
+    PeerSettings peerLinks_;
     LogSettings logs_;
     std::uint64_t spansKept_ = 4096;
 };
--- a/include/pistachioloom/Wire.h
+++ b/include/pistachioloom/Wire.h
@@ -45,6 +45,8 @@
     virtual void release() = 0;
     /// Resets the stream and tells the peer that nothing was done.
     virtual void refuse() = 0;
+    /// Whether either side reset it, or the link is gone.
+    virtual bool isClosed() const = 0;
     virtual std::string peer() const = 0;
     /// A pointer that keeps the stream.
     virtual std::shared_ptr<PeerStream> shared() = 0;
@@ -54,12 +56,20 @@
 /// Told of input that closed a stream or connection.
 using WireErrorHook = std::function<void(const Error&)>;
 
+/// How a peer that is frozen or cut off is noticed: a link with streams that
+/// brings nothing is pinged, and closed when it stays silent.
+struct KeepAlive {
+    milliseconds interval_ { 1000 };
+    /// Silent intervals in a row before the link is closed.
+    int mostSilent_ = 3;
+};
+
 /// Accepts peers that know the credential.
 class PeerServer {
 public:
     struct State;
 
-    PeerServer(asio::any_io_executor executor, std::string credential, PeerStreamHandler handler, WireErrorHook onError);
+    PeerServer(asio::any_io_executor executor, std::string credential, PeerStreamHandler handler, WireErrorHook onError, KeepAlive keepAlive = {});
     ~PeerServer();
     PeerServer(const PeerServer&) = delete;
     PeerServer& operator=(const PeerServer&) = delete;
@@ -83,7 +93,7 @@
 public:
     struct State;
 
-    PeerPool(asio::any_io_executor executor, std::string credential, WireErrorHook onError);
+    PeerPool(asio::any_io_executor executor, std::string credential, WireErrorHook onError, KeepAlive keepAlive = {});
     ~PeerPool();
     PeerPool(const PeerPool&) = delete;
     PeerPool& operator=(const PeerPool&) = delete;
--- a/lib/Node/BackendHome.cpp
+++ b/lib/Node/BackendHome.cpp
@@ -104,6 +104,9 @@
         (void)co_await owner->send(failureFrame(slot.error()));
         co_return;
     }
+    // Nobody would read it: its owner gave up on us, or died, while it queued.
+    if (owner->isClosed())
+        co_return;
     // Asked after the wait, so that what queued for such an engine goes on elsewhere.
     if (auto refusal = refusalOf(engine)) {
         scope.span().outcome_ = describe(*refusal);
--- a/lib/Node/Generation.h
+++ b/lib/Node/Generation.h
@@ -161,6 +161,8 @@
         Continue,
         /// Go on after a pause.
         Pause,
+        /// This engine did not take the request; another may.
+        TryNext,
     };
     enum class Origin {
         /// Admitted here, so its place in the entry's limits is given back here.
--- a/lib/Node/GenerationOwner.cpp
+++ b/lib/Node/GenerationOwner.cpp
@@ -137,7 +137,10 @@
         if (!home.isEmpty() && !context_.membership()->isLeaving(engine)) {
             Error refusal;
             auto outcome = co_await tryEngine(generation, engine, home, true, preference, refusal);
-            if (outcome != AttemptOutcome::Pause)
+            // The home fell silent: the engine may still run the stream.
+            if (outcome == AttemptOutcome::Pause && preference.excluded_.size() < mostEnginesTried)
+                preference.engine_ = engine;
+            if (outcome != AttemptOutcome::TryNext)
                 co_return outcome;
             logger_.info("Request " + generation->id() + " could not go on at engine " + engine.value_ + ": " + describe(refusal) + ".");
         }
@@ -155,7 +158,7 @@
         for (const EngineCandidate& candidate : candidates) {
             router_.countSent(candidate.home_, generation->model());
             auto outcome = co_await tryEngine(generation, candidate.engine_, candidate.home_, mayQueue, preference, refusal);
-            if (outcome != AttemptOutcome::Pause)
+            if (outcome != AttemptOutcome::TryNext)
                 co_return outcome;
         }
     }
@@ -167,7 +170,6 @@
     co_return AttemptOutcome::Pause;
 }
 
-// Pause means that this engine did not take the request and another may.
 asio::awaitable<GenerationOwner::AttemptOutcome> GenerationOwner::tryEngine(GenerationPtr generation, VmId engine, VmId home, bool mayQueue, Preference& preference, Error& refusal)
 {
     context_.metrics_.add(Counter::Attempts);
@@ -188,7 +190,7 @@
         scope.span().outcome_ = describe(opened.error());
         preference.excluded_.insert(home);
         refusal = opened.error();
-        co_return AttemptOutcome::Pause;
+        co_return AttemptOutcome::TryNext;
     }
     auto stream = opened.value();
     milliseconds patience = mayQueue ? std::max(startTimeout, timeLeft(*generation)) : startTimeout;
@@ -213,11 +215,13 @@
         generation->markMoved();
         co_return AttemptOutcome::Over;
     }
-    // A generation may be computed again, so what is unknown is tried again too;
-    // the engine drops the older attempt when it sees the newer one.
-    if (refusal.ran_ == Ran::Unknown)
-        preference.excluded_.insert(home);
     scope.span().outcome_ = describe(refusal);
+    if (refusal.ran_ == Ran::No)
+        co_return AttemptOutcome::TryNext;
+    // A generation may be computed again, so what is unknown is tried again too;
+    // the engine drops the older attempt when it sees the newer one. Chosen anew,
+    // since the engine may be as good as before behind another home.
+    preference.excluded_.insert(home);
     co_return AttemptOutcome::Pause;
 }
 
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -77,7 +77,8 @@
           [this](const Error& error) {
               context_.metrics_.add(Counter::PeerErrors);
               logger_.warn("Peer was refused: " + describe(error) + ".");
-          })
+          },
+          context_.keepAlive_)
     , callerServer_(
           io_.get_executor(), context_.settings_.caller_.bounds_, [this](HttpExchange& exchange) { return callerApi_.handle(exchange); }, errorResponse)
     , operatorServer_(
--- a/lib/Node/NodeContext.cpp
+++ b/lib/Node/NodeContext.cpp
@@ -10,6 +10,11 @@
 
 namespace pistachioloom {
 
+static KeepAlive makeKeepAlive(const PeerSettings& settings)
+{
+    return { settings.keepAlive_, static_cast<int>(settings.deadAfter_ / settings.keepAlive_) };
+}
+
 NodeContext::NodeContext(Settings settings, const asio::any_io_executor& executor)
     : settings_(std::move(settings))
     , executor_(executor)
@@ -17,11 +22,13 @@
     , log_(makeHttpLogService(settings_.log_, settings_.dataCentre_.value_))
     , vmList_(makeHttpVmListService(settings_.vmList_, settings_.dataCentre_.value_))
     , engines_(makeHttpEngineService())
-    , peers_(executor, settings_.peerCredential_,
-          [this](const Error& error) {
+    , keepAlive_(makeKeepAlive(settings_.peerLinks_))
+    , peers_(
+          executor, settings_.peerCredential_, [this](const Error& error) {
               metrics_.add(Counter::PeerErrors);
               logger_.warn("Peer link failed: " + describe(error) + ".");
-          })
+          },
+          keepAlive_)
     , membership_(std::make_shared<const MembershipView>())
     , catalogue_(std::make_shared<const CatalogueView>())
     , logger_("wire")
--- a/lib/Node/NodeContext.h
+++ b/lib/Node/NodeContext.h
@@ -31,6 +31,7 @@
     LogService log_;
     VmListService vmList_;
     EngineService engines_;
+    const KeepAlive keepAlive_;
     PeerPool peers_;
     std::atomic<bool> isDraining_ { false };
 
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -140,6 +140,15 @@
         map.finish();
     }
 
+    void parsePeers(YamlMap map, PeerSettings& settings)
+    {
+        settings.keepAlive_ = map.duration("keep_alive", milliseconds(20), milliseconds(60000), settings.keepAlive_);
+        settings.deadAfter_ = map.duration("dead_after", milliseconds(40), milliseconds(600000), settings.deadAfter_);
+        if (settings.deadAfter_ < 2 * settings.keepAlive_)
+            map.fail("dead_after", "expected at least twice keep_alive");
+        map.finish();
+    }
+
     void parseLogs(YamlMap map, LogSettings& settings)
     {
         const std::vector<std::string> levels { "debug", "info", "warn", "error" };
@@ -204,6 +213,8 @@
         parseLimits(std::move(*map), settings.limits_);
     if (auto map = root->map("orders"))
         parseOrders(std::move(*map), settings.orders_);
+    if (auto map = root->map("peers"))
+        parsePeers(std::move(*map), settings.peerLinks_);
     if (auto map = root->map("logs"))
         parseLogs(std::move(*map), settings.logs_);
     settings.spansKept_ = root->integer("spans_kept", 1, 1000000, settings.spansKept_);
--- a/lib/Wire/PeerLink.cpp
+++ b/lib/Wire/PeerLink.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 PeerLink::PeerLink(asio::ip::tcp::socket socket, Side side, std::string credential, std::string peer,
-    std::shared_ptr<WireCounters> counters, PeerStreamHandler handler, WireErrorHook onError)
+    std::shared_ptr<WireCounters> counters, PeerStreamHandler handler, WireErrorHook onError, KeepAlive keepAlive)
     : socket_(std::move(socket))
     , side_(side)
     , credential_(std::move(credential))
@@ -47,6 +47,8 @@
     , counters_(std::move(counters))
     , handler_(std::move(handler))
     , onError_(std::move(onError))
+    , keepAlive_(keepAlive)
+    , keepAliveTimer_(socket_.get_executor())
 {
     createSession();
 }
@@ -87,9 +89,34 @@
 {
     asio::co_spawn(
         executor(), [self = shared_from_this()]() { return self->readLoop(); }, asio::detached);
+    asio::co_spawn(
+        executor(), [self = shared_from_this()]() { return self->keepAliveLoop(); }, asio::detached);
     asio::post(executor(), [self = shared_from_this()] { self->pump(); });
 }
 
+// Counted in intervals and not in time, so that a process that was frozen
+// itself reads what came meanwhile before it gives up on its peers.
+asio::awaitable<void> PeerLink::keepAliveLoop()
+{
+    auto self = shared_from_this();
+    while (socket_.is_open()) {
+        keepAliveTimer_.expires_after(keepAlive_.interval_);
+        co_await keepAliveTimer_.async_wait(tokenOf);
+        if (streams_.empty() || !socket_.is_open()) {
+            silentIntervals_ = 0;
+            continue;
+        }
+        if (silentIntervals_ >= keepAlive_.mostSilent_) {
+            close("the peer is silent");
+            co_return;
+        }
+        if (silentIntervals_++) {
+            nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+            pump();
+        }
+    }
+}
+
 asio::awaitable<void> PeerLink::readLoop()
 {
     auto self = shared_from_this();
@@ -101,6 +128,7 @@
             co_return;
         }
         counters_->received_ += count;
+        silentIntervals_ = 0;
         ssize_t taken = nghttp2_session_mem_recv(session_, buffer.data(), count);
         if (taken < 0) {
             report("read frames", nghttp2_strerror(static_cast<int>(taken)));
@@ -236,6 +264,7 @@
         return;
     boost::system::error_code ignored;
     socket_.close(ignored);
+    keepAliveTimer_.cancel();
     if (!streams_.empty())
         report("connection", std::string("closed: ") + std::string(reason));
     auto streams = std::move(streams_);
--- a/lib/Wire/PeerLink.h
+++ b/lib/Wire/PeerLink.h
@@ -37,6 +37,7 @@
     void cancel() override;
     void release() override;
     void refuse() override;
+    bool isClosed() const override { return isClosed_; }
     std::string peer() const override;
     std::shared_ptr<PeerStream> shared() override { return shared_from_this(); }
 
@@ -58,13 +59,14 @@
     std::size_t outputOffset_ = 0;
     bool isOutputEnded_ = false;
     bool isDeferred_ = false;
-    bool isClosed_ = false;
     // Any strand: whole frames in, ended by an error in their order (closing the
     // channel would drop what is unread), and one credit for each unsent frame.
     asio::experimental::concurrent_channel<void(boost::system::error_code, std::string)> frames_;
     asio::experimental::concurrent_channel<void(boost::system::error_code)> credits_;
     // The reader's own: it has seen the end of the frames.
     bool isReadToEnd_ = false;
+    // Written on the link's strand, read on any.
+    std::atomic<bool> isClosed_ { false };
     // Written before the frames end, read after.
     std::atomic<bool> isRefused_ { false };
     std::atomic<bool> isEnded_ { false };
@@ -81,7 +83,7 @@
     };
 
     PeerLink(asio::ip::tcp::socket socket, Side side, std::string credential, std::string peer,
-        std::shared_ptr<WireCounters> counters, PeerStreamHandler handler, WireErrorHook onError);
+        std::shared_ptr<WireCounters> counters, PeerStreamHandler handler, WireErrorHook onError, KeepAlive keepAlive);
     ~PeerLink();
     PeerLink(const PeerLink&) = delete;
     PeerLink& operator=(const PeerLink&) = delete;
@@ -113,6 +115,7 @@
     void createSession();
     asio::awaitable<void> readLoop();
     asio::awaitable<void> writeLoop();
+    asio::awaitable<void> keepAliveLoop();
     void pump();
     void headersDone(std::int32_t streamId);
     void takeData(LinkStream& stream, std::string_view data);
@@ -129,6 +132,10 @@
     std::shared_ptr<WireCounters> counters_;
     PeerStreamHandler handler_;
     WireErrorHook onError_;
+    const KeepAlive keepAlive_;
+    asio::steady_timer keepAliveTimer_;
+    // Intervals in a row that brought no byte while streams were open.
+    int silentIntervals_ = 0;
     nghttp2_session* session_ = nullptr;
     std::unordered_map<std::int32_t, std::shared_ptr<LinkStream>> streams_;
     bool isWriting_ = false;
--- a/lib/Wire/Peers.cpp
+++ b/lib/Wire/Peers.cpp
@@ -42,18 +42,20 @@
     asio::any_io_executor executor_;
     std::string credential_;
     WireErrorHook onError_;
+    KeepAlive keepAlive_;
     std::shared_ptr<WireCounters> counters_ = std::make_shared<WireCounters>();
     std::mutex mutex_;
     std::map<Endpoint, std::shared_ptr<PeerLink>> links_;
     bool isStopped_ = false;
 };
 
-PeerPool::PeerPool(asio::any_io_executor executor, std::string credential, WireErrorHook onError)
+PeerPool::PeerPool(asio::any_io_executor executor, std::string credential, WireErrorHook onError, KeepAlive keepAlive)
     : state_(std::make_shared<State>())
 {
     state_->executor_ = std::move(executor);
     state_->credential_ = std::move(credential);
     state_->onError_ = std::move(onError);
+    state_->keepAlive_ = keepAlive;
 }
 
 PeerPool::~PeerPool()
@@ -104,7 +106,7 @@
         co_return Error { Errc::Unavailable, "connect to peer", peer.toString(), connectCode.message(), Ran::No, {} };
     socket->set_option(tcp::no_delay(true), code);
     auto link = std::make_shared<PeerLink>(std::move(*socket), PeerLink::Side::Client, state->credential_, peer.toString(),
-        state->counters_, nullptr, state->onError_);
+        state->counters_, nullptr, state->onError_, state->keepAlive_);
     link->start();
     std::lock_guard lock(state->mutex_);
     if (!state->isStopped_)
@@ -161,6 +163,7 @@
     std::string credential_;
     PeerStreamHandler handler_;
     WireErrorHook onError_;
+    KeepAlive keepAlive_;
     std::shared_ptr<WireCounters> counters_ = std::make_shared<WireCounters>();
     std::unique_ptr<tcp::acceptor> acceptor_;
     std::mutex mutex_;
@@ -169,13 +172,14 @@
     bool isStopped_ = false;
 };
 
-PeerServer::PeerServer(asio::any_io_executor executor, std::string credential, PeerStreamHandler handler, WireErrorHook onError)
+PeerServer::PeerServer(asio::any_io_executor executor, std::string credential, PeerStreamHandler handler, WireErrorHook onError, KeepAlive keepAlive)
     : state_(std::make_shared<State>())
 {
     state_->executor_ = std::move(executor);
     state_->credential_ = std::move(credential);
     state_->handler_ = std::move(handler);
     state_->onError_ = std::move(onError);
+    state_->keepAlive_ = keepAlive;
 }
 
 PeerServer::~PeerServer()
@@ -206,7 +210,7 @@
         auto remote = socket.remote_endpoint(ignored);
         std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
         auto link = std::make_shared<PeerLink>(std::move(socket), PeerLink::Side::Server, state->credential_, peer,
-            state->counters_, state->handler_, state->onError_);
+            state->counters_, state->handler_, state->onError_, state->keepAlive_);
         adopt(*state, link);
         link->start();
     }
--- a/test/AnswersTest.cpp
+++ b/test/AnswersTest.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace pistachioloom;
 using namespace pistachioloom::test;
@@ -218,3 +219,56 @@
     for (auto& node : deployment.nodes())
         CHECK(streamCompletionBlocking(node.callers_, completion).isDone_);
 }
+
+TEST_CASE("two nodes that both believe to be an engine's home are safe, only wasteful")
+{
+    auto options = answerOptions();
+    options.dataCentres_ = { "caxias-a", "caxias-b" };
+    options.nodesPerDataCentre_ = 3;
+    options.enginesPerDataCentre_ = { { "planogram", 1 } };
+    Deployment deployment(options);
+    constexpr std::uint64_t concurrency = 4;
+    std::string catalogue = manyStreamsCatalogue();
+    std::string from = "concurrency: 400";
+    catalogue.replace(catalogue.find(from), from.size(), "concurrency: " + std::to_string(concurrency));
+    deployment.applyCatalogue(catalogue);
+    auto& engine = deployment.engine("planogram-caxias-a-1");
+    Deployment::NodeProcess* home = nullptr;
+    REQUIRE(waitUntil([&] {
+        for (auto& node : deployment.nodes()) {
+            auto listed = deployment.ask(node, "/engines");
+            for (const auto& line : listed.is_object() ? objectsField(listed.as_object(), "engines") : std::vector<boost::json::object> {})
+                home = textField(line, "engine") == engine.id_ ? &node : home;
+        }
+        return home != nullptr;
+    }));
+    std::vector<Endpoint> entries;
+    for (auto& node : deployment.nodes()) {
+        if (&node != home)
+            entries.push_back(node.callers_);
+    }
+    // More than both engines take; every caller follows its answer to the end.
+    std::vector<Completion> completions;
+    for (int i = 0; i < 40; ++i)
+        completions.push_back({ Deployment::apiKey("rede"), "planogram", "two homes " + std::to_string(i), 500 });
+    asio::io_context io;
+    std::vector<Answer> answers(completions.size());
+    for (std::size_t i = 0; i < completions.size(); ++i) {
+        auto task = [&, i]() -> asio::awaitable<void> { answers[i] = co_await streamToEnd(entries, completions[i], milliseconds(60000)); };
+        asio::co_spawn(io, task, asio::detached);
+    }
+    std::thread callers([&] { io.run(); });
+    REQUIRE(waitUntil([&] { return numberField(Deployment::control(engine.endpoint_), "active") == concurrency; }));
+    home->process_->freeze();
+    // Its successor dispatches while the frozen one still holds its streams.
+    bool isDoubled = waitUntil([&] { return numberField(Deployment::control(engine.endpoint_), "started") > concurrency; }, milliseconds(8000));
+    home->process_->resume();
+    callers.join();
+    CHECK(isDoubled);
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        INFO("caller " << i << (answers[i].error_ ? ": " + describe(*answers[i].error_) : std::string()));
+        CHECK(answers[i].isDone_);
+        CHECK(checkAnswer(answers[i], completions[i]) == "");
+    }
+    CHECK(numberField(Deployment::control(engine.endpoint_), "most_active") <= 2 * concurrency);
+}
--- a/unittests/Wire/PeerStreamTest.cpp
+++ b/unittests/Wire/PeerStreamTest.cpp
@@ -167,3 +167,29 @@
     asio::co_spawn(asio::make_strand(echo.io_), task, asio::detached);
     CHECK(echo.resetBy_.get_future().get() == (isCancelled ? Errc::Cancelled : Errc::Reset));
 }
+
+TEST_CASE("a stream to a peer that is frozen is reset, not left to its deadline")
+{
+    EchoServer echo;
+    asio::io_context io;
+    KeepAlive keepAlive { milliseconds(20), 3 };
+    PeerPool pool(io.get_executor(), credential, {}, keepAlive);
+    std::optional<Errc> ended;
+    auto task = [&]() -> asio::awaitable<void> {
+        auto opened = co_await pool.open(echo.endpoint(), updateOf(1), callTimeout);
+        auto first = co_await opened.value()->receive();
+        // A silent stream of a peer that is alive stays.
+        asio::steady_timer timer(io, milliseconds(300));
+        co_await timer.async_wait(asio::use_awaitable);
+        auto sent = co_await opened.value()->send(updateOf(2));
+        auto second = co_await opened.value()->receive();
+        REQUIRE(second);
+        echo.io_.stop();
+        auto third = co_await opened.value()->receiveWithin(callTimeout);
+        ended = third.error().code_;
+        pool.stop();
+    };
+    asio::co_spawn(asio::make_strand(io), task, asio::detached);
+    io.run();
+    CHECK(ended == Errc::Reset);
+}
