Keep replicas within the region, and contact other data centres in turn

Replicas: another data centre of the same region first, since each token waits for the copy; another region before our own data centre, since a whole one may go at once. The region comes from the VM list.

Contacts: a relay told every other data centre at each heartbeat. Now three, in turn.

--- a/include/pistachioloom/Membership.h
+++ b/include/pistachioloom/Membership.h
@@ -32,6 +32,7 @@
     Kind kind_ = Kind::Entry;
     State state_ = State::Live;
     DataCentreId dataCentre_;
+    RegionId region_;
     std::string host_;
     /// The port of peers for an entry VM, else the one that serves.
     std::uint16_t port_ = 0;
@@ -221,6 +222,19 @@
     std::vector<VmId> allNodes() const;
 };
 
+/// Where a record lives whose replica is sought.
+struct ReplicaPlace {
+    VmId node_;
+    DataCentreId dataCentre_;
+    RegionId region_;
+};
+
+/// Nodes that may keep a replica, best first: another data centre of the same
+/// region, since the copy is waited for; then other regions, since a whole data
+/// centre may go at once; our own data centre last. A list without regions
+/// counts as one region.
+std::vector<VmId> rankReplicas(const MembershipView& view, const ReplicaPlace& place, const std::string& key, const std::set<VmId>& excluded);
+
 /// Puts the sources together. A node takes roles if it is us, or the list has
 /// it, gossip does not suspect it and nobody says that it leaves.
 MembershipView buildView(std::shared_ptr<const VmIndex> index, const GossipTable& gossip, const LeavingTable& leaving, const DataCentreId& own, SteadyTime now);
--- a/include/pistachioloom/Settings.h
+++ b/include/pistachioloom/Settings.h
@@ -20,6 +20,8 @@
     milliseconds suspectAfter_ { 1500 };
     /// Peers of the data centre told at each heartbeat.
     std::uint64_t fanout_ = 1;
+    /// Other data centres that a relay tells at each heartbeat, in turn.
+    std::uint64_t relayFanout_ = 3;
     milliseconds vmListPoll_ { 500 };
     /// Assumed for a leaving VM whose notice names no time.
     milliseconds defaultNotice_ { 30000 };
@@ -92,7 +94,7 @@
 struct Settings {
     VmId vm_;
     DataCentreId dataCentre_;
-    std::string region_;
+    RegionId region_;
     Endpoint callers_;
     Endpoint peers_;
     Endpoint operators_;
--- a/include/pistachioloom/Support.h
+++ b/include/pistachioloom/Support.h
@@ -31,6 +31,7 @@
 };
 
 using VmId = Id<struct VmIdTag>;
+using RegionId = Id<struct RegionIdTag>;
 using DataCentreId = Id<struct DataCentreIdTag>;
 using OrganisationId = Id<struct OrganisationIdTag>;
 using EntryName = Id<struct EntryNameTag>;
--- a/lib/Membership/Gossip.cpp
+++ b/lib/Membership/Gossip.cpp
@@ -151,6 +151,29 @@
     return nodes;
 }
 
+std::vector<VmId> rankReplicas(const MembershipView& view, const ReplicaPlace& place, const std::string& key, const std::set<VmId>& excluded)
+{
+    std::vector<VmId> sameRegion;
+    std::vector<VmId> otherRegions;
+    std::vector<VmId> sameDataCentre;
+    for (const VmId& node : view.allNodes()) {
+        const Vm* vm = view.find(node);
+        if (!vm || node == place.node_ || excluded.contains(node))
+            continue;
+        bool isSameRegion = vm->region_.isEmpty() || place.region_.isEmpty() || vm->region_ == place.region_;
+        if (vm->dataCentre_ == place.dataCentre_)
+            sameDataCentre.push_back(node);
+        else
+            (isSameRegion ? sameRegion : otherRegions).push_back(node);
+    }
+    std::vector<VmId> ranked;
+    for (const auto* group : { &sameRegion, &otherRegions, &sameDataCentre }) {
+        std::vector<VmId> rankedGroup = rankByRendezvous(key, *group);
+        ranked.insert(ranked.end(), rankedGroup.begin(), rankedGroup.end());
+    }
+    return ranked;
+}
+
 MembershipView buildView(std::shared_ptr<const VmIndex> index, const GossipTable& gossip, const LeavingTable& leaving, const DataCentreId& own, SteadyTime now)
 {
     MembershipView view;
--- a/lib/Membership/VmList.cpp
+++ b/lib/Membership/VmList.cpp
@@ -38,6 +38,7 @@
         vm.kind_ = *kind;
         vm.state_ = textField(object, "state") == "leaving" ? Vm::State::Leaving : Vm::State::Live;
         vm.dataCentre_ = { textField(object, "data_centre") };
+        vm.region_ = { textField(object, "region") };
         vm.host_ = textField(object, "host");
         vm.port_ = static_cast<std::uint16_t>(numberField(object, "port"));
         vm.operatorPort_ = static_cast<std::uint16_t>(numberField(object, "operator_port"));
--- a/lib/Node/ControlPlane.h
+++ b/lib/Node/ControlPlane.h
@@ -72,7 +72,10 @@
     void gossipTo(const std::vector<VmId>& peers);
     void gossipEverywhere();
     std::vector<VmId> localPeers() const;
+    /// One node of each other data centre.
     std::vector<VmId> remoteContacts() const;
+    /// The next few of them, in turn.
+    std::vector<VmId> contactsInTurn();
     wire::Frame makeGossip() const;
     /// \returns whether a VM was newly found to leave.
     bool mergeGossip(const wire::Gossip& gossip);
@@ -97,6 +100,7 @@
     SteadyTime snapshotSeenAt_;
     LogOffset snapshotSeen_;
     SteadyTime catalogueCurrentAt_;
+    std::size_t contactTurn_ = 0;
     bool isListReachable_ = true;
     bool isSyncingCatalogue_ = false;
     bool isSyncingVmList_ = false;
--- a/lib/Node/Gossiping.cpp
+++ b/lib/Node/Gossiping.cpp
@@ -89,6 +89,19 @@
     return contacts;
 }
 
+std::vector<VmId> ControlPlane::contactsInTurn()
+{
+    std::vector<VmId> contacts = remoteContacts();
+    std::size_t most = context_.settings_.membership_.relayFanout_;
+    if (contacts.size() <= most)
+        return contacts;
+    std::vector<VmId> chosen;
+    for (std::size_t i = 0; i < most; ++i)
+        chosen.push_back(contacts[(contactTurn_ + i) % contacts.size()]);
+    contactTurn_ = (contactTurn_ + most) % contacts.size();
+    return chosen;
+}
+
 void ControlPlane::gossipTo(const std::vector<VmId>& peers)
 {
     for (const VmId& peer : peers)
@@ -119,7 +132,7 @@
             peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(randomBits() % peers.size()));
         gossipTo(peers);
         if (isRelay())
-            gossipTo(remoteContacts());
+            gossipTo(contactsInTurn());
         co_await sleepFor(settings.heartbeat_);
     }
 }
--- a/lib/Node/RecordCopying.cpp
+++ b/lib/Node/RecordCopying.cpp
@@ -20,21 +20,8 @@
 
 std::vector<VmId> GenerationOwner::replicaCandidates(const std::string& requestId, const std::set<VmId>& failed) const
 {
-    auto view = context_.membership();
-    std::vector<VmId> remote;
-    std::vector<VmId> local;
-    for (const VmId& node : view->allNodes()) {
-        if (node == context_.self() || failed.contains(node))
-            continue;
-        const Vm* vm = view->find(node);
-        if (vm)
-            (vm->dataCentre_ == view->dataCentre_ ? local : remote).push_back(node);
-    }
-    // A whole data centre may go at once, so its own nodes come last.
-    std::vector<VmId> ranked = rankByRendezvous(requestId, remote);
-    std::vector<VmId> rest = rankByRendezvous(requestId, local);
-    ranked.insert(ranked.end(), rest.begin(), rest.end());
-    return ranked;
+    ReplicaPlace place { context_.self(), context_.settings_.dataCentre_, context_.settings_.region_ };
+    return rankReplicas(*context_.membership(), place, requestId, failed);
 }
 
 asio::awaitable<void> GenerationOwner::copyLoop(GenerationPtr generation)
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -40,7 +40,7 @@
     {
         settings.vm_ = { map.text("vm") };
         settings.dataCentre_ = { map.text("data_centre") };
-        settings.region_ = map.text("region", "");
+        settings.region_ = { map.text("region", "") };
         settings.threads_ = map.integer("threads", 1, mostThreads, settings.threads_);
         map.finish();
     }
@@ -72,6 +72,7 @@
         settings.heartbeat_ = map.duration("heartbeat", milliseconds(20), milliseconds(60000), settings.heartbeat_);
         settings.suspectAfter_ = map.duration("suspect_after", milliseconds(100), milliseconds(600000), settings.suspectAfter_);
         settings.fanout_ = map.integer("fanout", 1, 16, settings.fanout_);
+        settings.relayFanout_ = map.integer("relay_fanout", 1, 64, settings.relayFanout_);
         settings.vmListPoll_ = map.duration("vm_list_poll", milliseconds(50), milliseconds(60000), settings.vmListPoll_);
         settings.defaultNotice_ = map.duration("default_notice", milliseconds(100), oneDay, settings.defaultNotice_);
         if (settings.suspectAfter_ < 2 * settings.heartbeat_)
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -255,3 +255,35 @@
     CHECK(store.changesSince(4).base_ == 0);
     CHECK(store.changesSince(5).removed_.size() == 1);
 }
+
+TEST_CASE("a replica goes to another data centre, of the same region if there is one")
+{
+    VmList list { 1, {} };
+    auto add = [&](const std::string& id, const std::string& dataCentre, const std::string& region) {
+        Vm vm;
+        vm.id_ = { id };
+        vm.dataCentre_ = { dataCentre };
+        vm.region_ = { region };
+        list.vms_.push_back(vm);
+    };
+    add("self", "a", "south");
+    add("a2", "a", "south");
+    add("b1", "b", "south");
+    add("b2", "b", "south");
+    add("c1", "c", "north");
+    MembershipView view;
+    view.index_ = indexVmList(list);
+    view.dataCentre_ = { "a" };
+    view.localNodes_ = { { "a2" }, { "self" } };
+    ReplicaPlace place { { "self" }, { "a" }, { "south" } };
+    for (int i = 0; i < 20; ++i) {
+        auto ranked = rankReplicas(view, place, "request " + std::to_string(i), {});
+        REQUIRE(ranked.size() == 4);
+        CHECK(ranked[0].value_.front() == 'b');
+        CHECK(ranked[1].value_.front() == 'b');
+        CHECK(ranked[2] == VmId { "c1" });
+        CHECK(ranked[3] == VmId { "a2" });
+    }
+    auto ranked = rankReplicas(view, place, "request", { { "b1" }, { "b2" } });
+    CHECK(ranked.front() == VmId { "c1" });
+}
