Give paid work room beside a flood of trials

Cause: an engine full of trials looked full to paid requests too: they were refused there, queued behind paid ones elsewhere, and one trial at a time yielded only after that. Change: homes tell how many slots trials hold, paid requests count those as free and take them without queueing, and an engine's paid_reserve slots are left free by trials and restored at once. The victim is who has yielded least, then who loses the fewest tokens; after 8 times a trial yields no more. The queue bound counts what is ahead of the class.

--- a/include/pistachioloom/Catalogue.h
+++ b/include/pistachioloom/Catalogue.h
@@ -70,6 +70,8 @@
     Kind kind_ = Kind::ModelEngine;
     /// Requests one backend server works on at once.
     std::uint64_t concurrency_ = 1;
+    /// Slots of each engine that trial work leaves to paid work.
+    std::uint64_t paidReserve_ = 0;
     /// Whether a call may be repeated without harm.
     bool isRepeatable_ = true;
     /// Whether an engine refuses an order whose fencing token is older than one
--- a/include/pistachioloom/Membership.h
+++ b/include/pistachioloom/Membership.h
@@ -65,6 +65,8 @@
     /// The platform's JSON of each VM that is new or changed.
     std::vector<std::string> changed_;
     std::vector<VmId> removed_;
+    /// Of the list that comes of the changes.
+    std::uint64_t hash_ = 0;
 };
 
 /// The VM list kept such that a peer who is a little behind is told only what
@@ -74,11 +76,15 @@
     /// Takes the platform's whole list. \returns whether it was newer.
     bool adoptList(const std::string& json);
     /// Takes what a peer told. \returns false if it is not newer, or applies to
-    /// another version than ours.
+    /// another version than ours. If the outcome is not the peer's list (the
+    /// platform may give two lists the same version), our version is 0 after it,
+    /// so that the whole list is asked for.
     bool adoptChanges(const VmListChanges& changes);
     /// What a peer at \p version does not know.
     VmListChanges changesSince(std::uint64_t version) const;
     VmList list() const;
+    /// The same for the same lines, in whatever order they came.
+    std::uint64_t hash() const;
     std::uint64_t version() const { return version_; }
 
 private:
@@ -105,6 +111,8 @@
     std::uint32_t freeSlots_ = 0;
     std::uint32_t queued_ = 0;
     milliseconds wait_ {};
+    /// Slots held by trials, which yield to paid work.
+    std::uint32_t trials_ = 0;
 };
 
 /// What one node says of itself.
--- a/include/pistachioloom/Routing.h
+++ b/include/pistachioloom/Routing.h
@@ -39,6 +39,9 @@
     /// Time until a slot of a full engine becomes free.
     milliseconds serviceTime_ { 500 };
     milliseconds latencyTarget_ { 720 };
+    /// Time until a trial has yielded its slot to paid work.
+    milliseconds yieldTime_ { 20 };
+    bool isPaid_ = true;
 };
 
 /// Fills in the estimates and ranks \p candidates: the estimated time to first
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -68,6 +68,7 @@
     GrantMessages,
     EngineOrders,
     LoanMessages,
+    TrialsYielded,
     Last,
 };
 
--- a/lib/Catalogue/Entry.cpp
+++ b/lib/Catalogue/Entry.cpp
@@ -64,6 +64,9 @@
     void parseEngine(YamlMap& map, Backend& backend)
     {
         backend.honoursFencing_ = map.flag("honours_fencing", false);
+        backend.paidReserve_ = map.integer("paid_reserve", 0, mostConcurrency, 0);
+        if (backend.paidReserve_ && backend.paidReserve_ >= backend.concurrency_)
+            map.fail("paid_reserve", "expected less than 'concurrency'");
         backend.mostLoading_ = map.integer("most_loading", 1, mostLoading, 1);
         EngineConfiguration configuration { map.text("version", ""), map.list("adapters"), map.text("role", "") };
         if (!configuration.version_.empty())
--- a/lib/Membership/VmList.cpp
+++ b/lib/Membership/VmList.cpp
@@ -102,7 +102,7 @@
     std::uint64_t version = numberField(*object, "version");
     if (version <= version_)
         return false;
-    VmListChanges whole { version, 0, {}, {} };
+    VmListChanges whole { version, 0, {}, {}, 0 };
     for (const json::object& item : objectsField(*object, "vms"))
         whole.changed_.push_back(json::serialize(item));
     return adoptChanges(whole);
@@ -125,6 +125,11 @@
     gone.insert(changes.removed_.begin(), changes.removed_.end());
     for (const VmId& vm : gone)
         remove(vm, changes.version_);
+    if (changes.hash_ && changes.hash_ != hash()) {
+        version_ = 0;
+        passed_.clear();
+        return true;
+    }
     version_ = changes.version_;
     passed_.insert(version_);
     if (passed_.size() > mostPassed)
@@ -140,7 +145,7 @@
 
 VmListChanges VmListStore::changesSince(std::uint64_t version) const
 {
-    VmListChanges changes { version_, version, {}, {} };
+    VmListChanges changes { version_, version, {}, {}, hash() };
     if (!passed_.contains(version))
         changes.base_ = 0;
     for (const auto& [id, line] : lines_) {
@@ -156,6 +161,14 @@
     return changes;
 }
 
+std::uint64_t VmListStore::hash() const
+{
+    std::uint64_t hash = 0;
+    for (const auto& [id, line] : lines_)
+        hash ^= stableHash(line.text_);
+    return hash;
+}
+
 VmList VmListStore::list() const
 {
     VmList list { version_, {} };
--- a/lib/Node/BackendHome.cpp
+++ b/lib/Node/BackendHome.cpp
@@ -15,6 +15,7 @@
     constexpr std::uint64_t bytesPerToken = 4;
     constexpr std::uint64_t defaultConcurrency = 8;
     constexpr int statusUnavailable = 503;
+    constexpr std::uint32_t mostYields = 8;
     constexpr milliseconds heldRetry { 1000 };
     // Told as the wait of an engine that is being changed, so that others are preferred.
     constexpr milliseconds heldWait { 10000 };
@@ -35,6 +36,13 @@
         return engineRequest;
     }
 
+    // A trial that was accepted is answered too: one that has yielded so often
+    // is not made to yield again.
+    ServiceClass classAtEngine(const wire::GenerationRecord& record)
+    {
+        return record.is_paid() || record.yields() >= mostYields ? ServiceClass::Paid : ServiceClass::Trial;
+    }
+
     wire::Frame failureFrame(const Error& error)
     {
         wire::Frame frame;
@@ -63,6 +71,12 @@
     return entry && entry->backend_ ? entry->backend_->concurrency_ : defaultConcurrency;
 }
 
+std::uint64_t BackendHome::paidReserveOf(std::string_view backend) const
+{
+    auto entry = context_.catalogue()->findEntry({ std::string(backend) });
+    return entry && entry->backend_ ? entry->backend_->paidReserve_ : 0;
+}
+
 bool BackendHome::isHomeOf(const VmId& server) const
 {
     return pickByRendezvous(server.value_, context_.membership()->localNodes_) == context_.self();
@@ -74,8 +88,9 @@
     SlotRequest slot;
     slot.server_ = { request.engine() };
     slot.capacity_ = concurrencyOf(record.model());
+    slot.paidReserve_ = paidReserveOf(record.model());
     slot.entry_ = { record.entry() };
-    slot.class_ = record.is_paid() ? ServiceClass::Paid : ServiceClass::Trial;
+    slot.class_ = classAtEngine(record);
     slot.weight_ = record.weight();
     slot.cost_ = promptTokens(record.prompt()) + record.max_tokens();
     slot.mayQueue_ = request.may_queue();
@@ -132,7 +147,8 @@
     auto running = std::make_shared<Running>();
     running->requestId_ = record.request_id();
     running->engine_ = engine;
-    running->class_ = record.is_paid() ? ServiceClass::Paid : ServiceClass::Trial;
+    running->class_ = classAtEngine(record);
+    running->yields_ = record.yields();
     running->promptTokens_ = promptTokens(record.prompt());
     running->maxTokens_ = record.max_tokens();
     running->generated_ = static_cast<std::uint64_t>(record.tokens_size());
@@ -217,6 +233,7 @@
 void BackendHome::describeEnding(const Running& running, wire::AttemptEnd& end)
 {
     end.set_is_interrupted(true);
+    end.set_has_yielded(running.ending_ == Ending::Preempted);
     if (running.ending_ != Ending::PassOn)
         return;
     end.set_is_attachable(true);
@@ -316,12 +333,13 @@
                 continue;
             ModelLoad load = slots_.load(server, capacity);
             if (isHeld(server))
-                load = { 0, load.queued_, heldWait };
+                load = { 0, load.queued_, heldWait, 0 };
             auto [position, isFirst] = loads.emplace(name, load);
             if (isFirst)
                 continue;
             position->second.freeSlots_ += load.freeSlots_;
             position->second.queued_ += load.queued_;
+            position->second.trials_ += load.trials_;
             position->second.wait_ = std::min(position->second.wait_, load.wait_);
         }
     }
--- a/lib/Node/BackendHome.h
+++ b/lib/Node/BackendHome.h
@@ -69,7 +69,9 @@
     struct Running {
         std::string requestId_;
         VmId engine_;
+        /// Trial for whoever may be made to yield.
         ServiceClass class_ = ServiceClass::Paid;
+        std::uint32_t yields_ = 0;
         std::uint64_t promptTokens_ = 0;
         std::uint64_t maxTokens_ = 0;
         std::atomic<std::uint64_t> generated_ { 0 };
@@ -90,6 +92,7 @@
     void preemptTrial(const VmId& engine);
     std::vector<RunningPtr> runningOn(const VmId& engine) const;
     std::size_t freeElsewhere(const VmId& engine) const;
+    std::uint64_t paidReserveOf(std::string_view backend) const;
     std::uint64_t concurrencyOf(std::string_view backend) const;
     bool isHomeOf(const VmId& server) const;
     bool isHeld(const VmId& engine) const;
--- a/lib/Node/EngineRouter.cpp
+++ b/lib/Node/EngineRouter.cpp
@@ -17,7 +17,7 @@
     // Between data centres of one region; spilling must gain more than this.
     constexpr milliseconds remoteNetwork { 5 };
     constexpr milliseconds prefillPerBlock { 10 };
-    constexpr ModelLoad unknownLoad { 1, 0, {} };
+    constexpr ModelLoad unknownLoad { 1, 0, {}, 0 };
 
 } // namespace
 
@@ -68,6 +68,7 @@
     RoutingCost cost;
     cost.prefill_ = prefillPerBlock * static_cast<std::int64_t>(blocks.size());
     cost.latencyTarget_ = question.latencyTarget_;
+    cost.isPaid_ = question.isPaid_;
     std::vector<EngineCandidate> candidates;
     auto add = [&](std::vector<VmId> engines) {
         std::erase_if(engines, [&](const VmId& engine) { return question.excluded_.contains(engine); });
--- a/lib/Node/EngineRouter.h
+++ b/lib/Node/EngineRouter.h
@@ -20,6 +20,7 @@
     std::string model_;
     std::string prompt_;
     milliseconds latencyTarget_ {};
+    bool isPaid_ = true;
     /// Engines and homes that failed this request.
     std::set<VmId> excluded_;
 };
--- a/lib/Node/Generation.cpp
+++ b/lib/Node/Generation.cpp
@@ -177,6 +177,12 @@
     return record_->attempt();
 }
 
+void Generation::countYield()
+{
+    std::lock_guard lock(mutex_);
+    record_->set_yields(record_->yields() + 1);
+}
+
 Result<std::size_t> Generation::append(const wire::TokenChunk& chunk)
 {
     std::lock_guard lock(mutex_);
--- a/lib/Node/Generation.h
+++ b/lib/Node/Generation.h
@@ -64,6 +64,7 @@
     wire::GenerationRecord beginHandover();
     void abandonHandover();
     std::uint32_t startAttempt();
+    void countYield();
     /// Appends what \p chunk brings beyond what is there. \returns an error for
     /// a gap or for the tokens of another attempt.
     Result<std::size_t> append(const wire::TokenChunk& chunk);
--- a/lib/Node/GenerationOwner.cpp
+++ b/lib/Node/GenerationOwner.cpp
@@ -147,7 +147,7 @@
         preference.isAttach_ = false;
     }
     wire::GenerationRecord record = generation->record();
-    RoutingQuestion question { generation->id(), generation->model(), record.prompt(), milliseconds(record.latency_target_ms()), preference.excluded_ };
+    RoutingQuestion question { generation->id(), generation->model(), record.prompt(), milliseconds(record.latency_target_ms()), record.is_paid(), preference.excluded_ };
     auto candidates = router_.choose(question);
     if (candidates.size() > mostEnginesTried)
         candidates.resize(mostEnginesTried);
@@ -266,6 +266,8 @@
         generation->finish();
         return AttemptOutcome::Over;
     }
+    if (end.has_yielded())
+        generation->countYield();
     if (end.is_interrupted()) {
         preference.kvHandle_ = end.kv_handle();
         preference.engine_ = { end.target_engine() };
--- a/lib/Node/Gossiping.cpp
+++ b/lib/Node/Gossiping.cpp
@@ -56,7 +56,7 @@
             digest.catalogueOffset_ = { gossip.catalogue_offset() };
             digest.vmListVersion_ = gossip.vm_list_version();
             for (const wire::ModelLoad& load : gossip.loads())
-                digest.loads_[load.model()] = { load.free_slots(), load.queued(), milliseconds(load.wait_ms()) };
+                digest.loads_[load.model()] = { load.free_slots(), load.queued(), milliseconds(load.wait_ms()), load.trials() };
         }
         return digests;
     }
@@ -153,6 +153,7 @@
         encoded.set_free_slots(load.freeSlots_);
         encoded.set_queued(load.queued_);
         encoded.set_wait_ms(static_cast<std::uint32_t>(load.wait_.count()));
+        encoded.set_trials(load.trials_);
     }
     for (const NodeDigest& digest : gossip_.digests(steadyNow()))
         encodeDigest(digest, *gossip.add_digests());
@@ -304,7 +305,7 @@
 
 void ControlPlane::adoptVmChanges(const wire::VmListUpdate& update)
 {
-    VmListChanges changes { update.version(), update.base(), { update.changed().begin(), update.changed().end() }, {} };
+    VmListChanges changes { update.version(), update.base(), { update.changed().begin(), update.changed().end() }, {}, update.hash() };
     for (const std::string& vm : update.removed())
         changes.removed_.push_back({ vm });
     adoptVmList([&](VmListStore& store) { return store.adoptChanges(changes); });
@@ -320,6 +321,7 @@
     VmListChanges changes = vmList_.changesSince(fetch.known_version());
     update.set_version(changes.version_);
     update.set_base(changes.base_);
+    update.set_hash(changes.hash_);
     for (std::string& text : changes.changed_)
         update.add_changed(std::move(text));
     for (const VmId& vm : changes.removed_)
--- a/lib/Node/Reclaiming.cpp
+++ b/lib/Node/Reclaiming.cpp
@@ -122,15 +122,21 @@
 
 void BackendHome::preemptTrial(const VmId& engine)
 {
-    RunningPtr youngest;
+    // Who has yielded least often, so that no trial starves; then whoever loses
+    // the fewest tokens.
+    auto isBetter = [](const Running& left, const Running& right) {
+        return std::pair(left.yields_, left.generated_.load()) < std::pair(right.yields_, right.generated_.load());
+    };
+    RunningPtr chosen;
     for (const RunningPtr& running : runningOn(engine)) {
-        if (running->class_ == ServiceClass::Trial && (!youngest || running->began_ > youngest->began_))
-            youngest = running;
+        if (running->class_ == ServiceClass::Trial && (!chosen || isBetter(*running, *chosen)))
+            chosen = running;
     }
-    if (!youngest)
+    if (!chosen)
         return;
-    logger_.info("Trial request " + youngest->requestId_ + " yields engine " + engine.value_ + " to paid work.");
-    endHere(*youngest, Ending::Preempted);
+    logger_.info("Trial request " + chosen->requestId_ + " yields engine " + engine.value_ + " to paid work.");
+    context_.metrics_.add(Counter::TrialsYielded);
+    endHere(*chosen, Ending::Preempted);
 }
 
 void BackendHome::passOnStreams()
--- a/lib/Node/SlotTable.h
+++ b/lib/Node/SlotTable.h
@@ -20,7 +20,7 @@
 class Slot {
 public:
     Slot() = default;
-    Slot(SlotTable* table, VmId server);
+    Slot(SlotTable* table, VmId server, ServiceClass serviceClass);
     ~Slot();
     Slot(Slot&& other) noexcept;
     Slot& operator=(Slot&& other) noexcept;
@@ -30,12 +30,16 @@
 private:
     SlotTable* table_ = nullptr;
     VmId server_;
+    ServiceClass class_ = ServiceClass::Paid;
     SteadyTime began_;
 };
 
 struct SlotRequest {
     VmId server_;
     std::uint64_t capacity_ = 1;
+    /// Slots that trial work leaves free, so that paid work need not wait until
+    /// a trial has yielded.
+    std::uint64_t paidReserve_ = 0;
     EntryName entry_;
     ServiceClass class_ = ServiceClass::Paid;
     std::uint64_t weight_ = 1;
@@ -63,14 +67,22 @@
     struct Waiting;
     struct Server {
         std::uint64_t active_ = 0;
+        std::uint64_t trialActive_ = 0;
+        std::uint64_t capacity_ = 1;
+        std::uint64_t paidReserve_ = 0;
         FairQueue queue_;
         std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
         /// Mean time a slot is held, over the last few.
         milliseconds held_ { 200 };
     };
 
-    Result<std::shared_ptr<Waiting>> enqueue(const SlotRequest& request);
-    void release(const VmId& server, milliseconds held);
+    void release(const VmId& server, ServiceClass serviceClass, milliseconds held);
+    static bool hasRoom(const Server& server, ServiceClass serviceClass);
+    static void start(Server& server, ServiceClass serviceClass);
+    static void startNext(Server& server);
+    /// Whether a trial should yield so that the next paid request finds room.
+    static bool needsRoom(const Server& server);
+    static bool isRefused(const Server& server, const SlotRequest& request, milliseconds wait);
     static milliseconds estimateWait(const Server& server, std::uint64_t capacity, ServiceClass serviceClass);
 
     PreemptHook preempt_;
--- a/lib/Routing/Routing.cpp
+++ b/lib/Routing/Routing.cpp
@@ -32,7 +32,10 @@
     // Our own sends since the report have taken free slots already.
     std::uint32_t free = candidate.load_.freeSlots_ > candidate.sentSince_ ? candidate.load_.freeSlots_ - candidate.sentSince_ : 0;
     milliseconds wait = candidate.load_.wait_;
-    if (!free)
+    bool canPreempt = cost.isPaid_ && candidate.load_.freeSlots_ + candidate.load_.trials_ > candidate.sentSince_;
+    if (!free && canPreempt)
+        wait = cost.yieldTime_;
+    else if (!free)
         wait = std::max(wait, cost.serviceTime_ * (1 + candidate.load_.queued_));
     // Only the prefix's favourite is believed to have it cached.
     milliseconds prefill = candidate.prefixRank_ ? cost.prefill_ : cost.prefill_ / 4;
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -46,6 +46,7 @@
         "grant_messages",
         "engine_orders",
         "loan_messages",
+        "trials_yielded",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
--- a/tools/standins/PlatformStandin.cpp
+++ b/tools/standins/PlatformStandin.cpp
@@ -154,6 +154,12 @@
 {
     auto body = parseJsonObject(exchange.request().body_).value_or(json::object {});
     controls_.update(body);
+    bool changesList = body.contains("put_vms") || body.contains("remove_vms") || body.contains("port_views");
+    // A list and its version change together.
+    if (changesList) {
+        co_await pause(milliseconds(controls_["list_lag_ms"]));
+        ++version_;
+    }
     for (const json::object& vm : objectsField(body, "put_vms"))
         vms_[textField(vm, "id")] = vm;
     if (const json::array* removed = arrayField(body, "remove_vms")) {
@@ -177,11 +183,6 @@
         stream.records_.erase(stream.records_.begin(), stream.records_.begin() + static_cast<std::ptrdiff_t>(count));
         stream.first_ += count;
     }
-    bool changesList = body.contains("put_vms") || body.contains("remove_vms") || body.contains("port_views");
-    if (changesList) {
-        co_await pause(milliseconds(controls_["list_lag_ms"]));
-        ++version_;
-    }
     json::object answer;
     answer["version"] = version_;
     answer["appends"] = appends_;
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -245,11 +245,11 @@
 TEST_CASE("changes to a version that is not reached, or not newer, are refused")
 {
     VmListStore store;
-    CHECK_FALSE(store.adoptChanges({ 5, 3, { line(1, 1) }, {} }));
-    CHECK(store.adoptChanges({ 5, 0, { line(1, 1), line(2, 2), "not a VM" }, {} }));
-    CHECK_FALSE(store.adoptChanges({ 5, 0, {}, {} }));
-    CHECK_FALSE(store.adoptChanges({ 9, 6, {}, {} }));
-    CHECK(store.adoptChanges({ 6, 5, {}, { { "vm-1" } } }));
+    CHECK_FALSE(store.adoptChanges({ 5, 3, { line(1, 1) }, {}, 0 }));
+    CHECK(store.adoptChanges({ 5, 0, { line(1, 1), line(2, 2), "not a VM" }, {}, 0 }));
+    CHECK_FALSE(store.adoptChanges({ 5, 0, {}, {}, 0 }));
+    CHECK_FALSE(store.adoptChanges({ 9, 6, {}, {}, 0 }));
+    CHECK(store.adoptChanges({ 6, 5, {}, { { "vm-1" } }, 0 }));
     CHECK(store.list().vms_.size() == 1);
     // It never was at version 4, and knows no removals since.
     CHECK(store.changesSince(4).base_ == 0);
@@ -287,3 +287,17 @@
     auto ranked = rankReplicas(view, place, "request", { { "b1" }, { "b2" } });
     CHECK(ranked.front() == VmId { "c1" });
 }
+
+TEST_CASE("a list that differs under the same version is replaced by the whole one")
+{
+    VmListStore relay;
+    VmListStore peer;
+    CHECK(relay.adoptChanges({ 5, 0, { line(1, 1), line(2, 2) }, {}, 0 }));
+    CHECK(peer.adoptChanges({ 5, 0, { line(1, 1) }, {}, 0 }));
+    CHECK(relay.adoptChanges({ 6, 5, {}, {}, 0 }));
+    CHECK(peer.adoptChanges(relay.changesSince(5)));
+    CHECK(peer.version() == 0);
+    CHECK(peer.adoptChanges(relay.changesSince(peer.version())));
+    CHECK(peer.version() == 6);
+    CHECK(pricesOf(peer) == pricesOf(relay));
+}
--- /dev/null
+++ b/unittests/Node/SlotTableTest.cpp
@@ -0,0 +1,125 @@
+//===- unittests/Node/SlotTableTest.cpp - slots of a backend server --------===//
+///
+/// \file
+/// Who gets a slot, who waits, who is refused, and when a trial has to yield.
+//===----------------------------------------------------------------------===//
+#include "SlotTable.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+namespace {
+
+const VmId server { "engine" };
+
+struct Fixture {
+    /// Starts an acquisition and runs what can run now.
+    void ask(const std::string& name, ServiceClass serviceClass, bool mayQueue, std::uint64_t queueBound = 10)
+    {
+        SlotRequest request;
+        request.server_ = server;
+        request.capacity_ = 3;
+        request.paidReserve_ = reserve_;
+        request.entry_ = { name };
+        request.class_ = serviceClass;
+        request.mayQueue_ = mayQueue;
+        request.queueBound_ = queueBound;
+        request.patience_ = milliseconds(60000);
+        auto task = [this, name, request]() -> asio::awaitable<void> {
+            auto slot = co_await table_.acquire(request);
+            if (slot)
+                held_[name] = std::move(slot.value());
+            else
+                refused_.insert(name);
+        };
+        asio::co_spawn(io_, task, asio::detached);
+        settle();
+    }
+
+    void release(const std::string& name)
+    {
+        held_.erase(name);
+        settle();
+    }
+
+    void settle()
+    {
+        io_.restart();
+        io_.poll();
+    }
+
+    std::uint64_t reserve_ = 0;
+    asio::io_context io_;
+    int yields_ = 0;
+    SlotTable table_ { [this](const VmId&) { ++yields_; } };
+    std::map<std::string, Slot> held_;
+    std::set<std::string> refused_;
+};
+
+} // namespace
+
+TEST_CASE("paid work finds room where trials run, and goes before them")
+{
+    Fixture fixture;
+    for (const char* name : { "t1", "t2", "t3" })
+        fixture.ask(name, ServiceClass::Trial, false);
+    CHECK(fixture.held_.size() == 3);
+    CHECK(fixture.table_.load(server, 3).trials_ == 3);
+    fixture.ask("t4", ServiceClass::Trial, true);
+    // It need not be allowed to queue: a trial yields to it.
+    fixture.ask("p1", ServiceClass::Paid, false);
+    CHECK(fixture.yields_ == 1);
+    CHECK_FALSE(fixture.refused_.contains("p1"));
+    fixture.release("t2");
+    CHECK(fixture.held_.contains("p1"));
+    CHECK_FALSE(fixture.held_.contains("t4"));
+    fixture.ask("p2", ServiceClass::Paid, false);
+    fixture.ask("p3", ServiceClass::Paid, false);
+    // Every trial has one that waits for it: the next has to queue.
+    fixture.ask("p4", ServiceClass::Paid, false);
+    CHECK(fixture.refused_.contains("p4"));
+    fixture.release("t1");
+    fixture.release("t3");
+    CHECK(fixture.held_.size() == 3);
+    CHECK(fixture.table_.load(server, 3).trials_ == 0);
+    fixture.release("p1");
+    CHECK(fixture.held_.contains("t4"));
+}
+
+TEST_CASE("trials leave the reserve to paid work, which has it restored")
+{
+    Fixture fixture;
+    fixture.reserve_ = 1;
+    for (const char* name : { "t1", "t2", "t3" })
+        fixture.ask(name, ServiceClass::Trial, true);
+    CHECK(fixture.held_.size() == 2);
+    fixture.ask("p1", ServiceClass::Paid, false);
+    CHECK(fixture.held_.contains("p1"));
+    // The reserve is used up, so a trial is to make room for the next one.
+    CHECK(fixture.yields_ == 1);
+    fixture.release("t1");
+    CHECK_FALSE(fixture.held_.contains("t3"));
+    fixture.ask("p2", ServiceClass::Paid, false);
+    CHECK(fixture.held_.contains("p2"));
+    fixture.release("p1");
+    fixture.release("p2");
+    CHECK(fixture.held_.contains("t3"));
+    CHECK(fixture.table_.active(server) == 2);
+}
+
+TEST_CASE("a queue of trials takes no place from paid work")
+{
+    Fixture fixture;
+    for (const char* name : { "p1", "p2", "p3" })
+        fixture.ask(name, ServiceClass::Paid, false);
+    for (const char* name : { "t1", "t2", "t3" })
+        fixture.ask(name, ServiceClass::Trial, true, 2);
+    CHECK(fixture.refused_ == std::set<std::string> { "t3" });
+    fixture.ask("p4", ServiceClass::Paid, true, 1);
+    fixture.ask("p5", ServiceClass::Paid, true, 1);
+    CHECK(fixture.refused_ == std::set<std::string> { "p5", "t3" });
+    fixture.release("p1");
+    CHECK(fixture.held_.contains("p4"));
+}
