--- a/benchmarks/ControlBenchmark.cpp
+++ b/benchmarks/ControlBenchmark.cpp
@@ -9,6 +9,7 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <boost/asio.hpp>
 #include <cstdio>
 #include <fstream>
 #include <numeric>
@@ -67,6 +68,46 @@
     return { mean, most };
 }
 
+std::string workloadName(std::size_t number)
+{
+    return "org-" + std::to_string(number);
+}
+
+/// Entries with work in progress at every node, whose grants are renewed; the
+/// engines are so slow that hardly any token passes.
+class ActiveEntries {
+public:
+    ActiveEntries(Deployment& deployment, std::size_t entries)
+    {
+        std::string catalogue = "name: planogram\nkind: engine\nconcurrency: 4096\n";
+        for (std::size_t i = 0; i < entries; ++i) {
+            std::string name = workloadName(i);
+            catalogue += "---\nname: " + name + "\nkind: workload\nowner: " + name + "\nclass: paid\napi_key_sha256: " + sha256Hex(Deployment::apiKey(name))
+                + "\nmodels: [planogram]\nlimits:\n  requests_in_progress: 6000\n  tokens_per_second: 100000\n  queue_bound: 100\n  deadline: 600s\n";
+        }
+        deployment.applyCatalogue(catalogue);
+        for (auto& node : deployment.nodes()) {
+            for (std::size_t i = 0; i < entries; ++i) {
+                Completion completion { Deployment::apiKey(workloadName(i)), "planogram", "slow", 100 };
+                asio::co_spawn(
+                    io_, [](Endpoint entry, Completion ask) -> asio::awaitable<void> { (void)co_await streamCompletion(entry, ask); }(node.callers_, completion), asio::detached);
+            }
+        }
+        thread_ = std::thread([this] { io_.run(); });
+        auto all = static_cast<double>(deployment.nodes().size() * entries);
+        waitUntil([&] { return deployment.metricOfAll("generations_running") >= all; });
+    }
+    ~ActiveEntries()
+    {
+        io_.stop();
+        thread_.join();
+    }
+
+private:
+    asio::io_context io_;
+    std::thread thread_;
+};
+
 std::string serviceEntry(int value)
 {
     return "name: s\nkind: service\nconcurrency: " + std::to_string(value) + "\nrepeatable: true\n";
@@ -186,10 +227,12 @@
     int seconds = 10;
     int edits = 20;
     std::size_t listed = 2400;
+    std::size_t entries = 0;
     app.add_option("--nodes", sizes, "Nodes of each data centre, several sizes");
     app.add_option("--data-centres", dataCentres, "Data centres");
     app.add_option("--seconds", seconds, "Length of each measurement");
     app.add_option("--edits", edits, "Catalogue edits at each size");
+    app.add_option("--entries", entries, "Entries with a request in progress at every node");
     app.add_option("--listed", listed, "VMs on the list when one changes");
     CLI11_PARSE(app, argc, argv);
     std::printf("%6s %4s | %9s %9s | %9s %9s %9s | %8s %8s | %9s %9s | %9s\n", "nodes", "dcs", "cpu %", "most", "sent B/s", "recv B/s", "most sent", "MiB", "most", "force p50", "force p99", "dead ms");
@@ -200,8 +243,13 @@
             options.dataCentres_.push_back("dc-" + std::to_string(i));
         options.nodesPerDataCentre_ = size;
         options.settings_ = "logs:\n  level: warn\n";
+        if (entries)
+            options.engineArguments_ = { "--decode_us", "60000000", "--slots", "4096" };
         Deployment deployment(options);
         deployment.applyCatalogue(Deployment::standardCatalogue());
+        std::optional<ActiveEntries> active;
+        if (entries)
+            active.emplace(deployment, entries);
         auto [mean, most] = measureIdle(deployment, milliseconds(seconds * 1000));
         auto propagation = measurePropagation(deployment, edits);
         if (listed)
--- a/include/pistachioloom/Settings.h
+++ b/include/pistachioloom/Settings.h
@@ -73,7 +73,7 @@
 };
 
 struct LimitSettings {
-    milliseconds grantValidity_ { 2000 };
+    milliseconds grantValidity_ { 4000 };
     /// Slots asked for beyond those in use.
     std::uint64_t grantAhead_ = 4;
 };
