--- a/benchmarks/ControlBenchmark.cpp
+++ b/benchmarks/ControlBenchmark.cpp
@@ -6,6 +6,7 @@
 /// many messages it costs, and how soon a dead node is known.
 //===----------------------------------------------------------------------===//
 #include "Harness/Deployment.h"
+#include "Percentile.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -27,12 +28,6 @@
     double memoryMiB_ = 0;
 };
 
-double percentile(std::vector<double> values, double share)
-{
-    std::sort(values.begin(), values.end());
-    return values.empty() ? 0 : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-}
-
 /// What the nodes used over \p duration, the mean and the highest of a node.
 std::pair<Sample, Sample> measureIdle(Deployment& deployment, milliseconds duration)
 {
--- a/benchmarks/FloodBenchmark.cpp
+++ b/benchmarks/FloodBenchmark.cpp
@@ -6,6 +6,7 @@
 /// paid callers' first token past its bound.
 //===----------------------------------------------------------------------===//
 #include "Harness/Deployment.h"
+#include "Percentile.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -53,12 +54,6 @@
     }
 };
 
-double percentile(std::vector<double> values, double share)
-{
-    std::sort(values.begin(), values.end());
-    return values.empty() ? 0 : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-}
-
 std::string catalogue(std::uint64_t paidReserve)
 {
     auto workload = [](const std::string& name, const std::string& serviceClass, int queueBound) {
--- a/benchmarks/PathBenchmark.cpp
+++ b/benchmarks/PathBenchmark.cpp
@@ -5,6 +5,7 @@
 /// in one run, at several numbers of concurrent streams.
 //===----------------------------------------------------------------------===//
 #include "Harness/Deployment.h"
+#include "Percentile.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -26,12 +27,6 @@
     std::size_t failures_ = 0;
 };
 
-double percentile(std::vector<double> values, double share)
-{
-    std::sort(values.begin(), values.end());
-    return values.empty() ? 0 : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-}
-
 double sinceMs(SteadyTime began)
 {
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
--- a/lib/Node/BackendHome.cpp
+++ b/lib/Node/BackendHome.cpp
@@ -99,6 +99,33 @@
     co_return co_await slots_.acquire(std::move(slot));
 }
 
+BackendHome::RunningPtr BackendHome::makeRunning(const wire::GenerateRequest& request)
+{
+    const wire::GenerationRecord& record = request.record();
+    auto running = std::make_shared<Running>();
+    running->requestId_ = record.request_id();
+    running->engine_ = { request.engine() };
+    running->class_ = classAtEngine(record);
+    running->yields_ = record.yields();
+    running->promptTokens_ = promptTokens(record.prompt());
+    running->maxTokens_ = record.max_tokens();
+    running->generated_ = static_cast<std::uint64_t>(record.tokens_size());
+    running->began_ = steadyNow();
+    return running;
+}
+
+asio::awaitable<Result<EngineStream>> BackendHome::openAtEngine(Endpoint endpoint, EngineRequest request)
+{
+    if (!request.kvHandle_.empty()) {
+        auto imported = co_await context_.engines_.importCache_(endpoint, request.kvHandle_);
+        if (!imported) {
+            logger_.warn("Cache import failed: " + describe(imported.error()) + ".");
+            request.kvHandle_.clear();
+        }
+    }
+    co_return co_await context_.engines_.generate_(std::move(endpoint), std::move(request));
+}
+
 asio::awaitable<void> BackendHome::serveGeneration(std::shared_ptr<PeerStream> owner, const wire::GenerateRequest& request)
 {
     const wire::GenerationRecord& record = request.record();
@@ -128,15 +155,7 @@
         (void)co_await owner->send(failureFrame(*refusal));
         co_return;
     }
-    EngineRequest engineRequest = makeEngineRequest(request);
-    if (!engineRequest.kvHandle_.empty()) {
-        auto imported = co_await context_.engines_.importCache_(*endpoint, engineRequest.kvHandle_);
-        if (!imported) {
-            logger_.warn("Cache import failed: " + describe(imported.error()) + ".");
-            engineRequest.kvHandle_.clear();
-        }
-    }
-    auto opened = co_await context_.engines_.generate_(*endpoint, std::move(engineRequest));
+    auto opened = co_await openAtEngine(*endpoint, makeEngineRequest(request));
     if (!opened) {
         if (opened.error().code_ == Errc::Leaving)
             control_.markLeaving({ { engine, std::nullopt } });
@@ -144,16 +163,8 @@
         (void)co_await owner->send(failureFrame(opened.error()));
         co_return;
     }
-    auto running = std::make_shared<Running>();
-    running->requestId_ = record.request_id();
-    running->engine_ = engine;
-    running->class_ = classAtEngine(record);
-    running->yields_ = record.yields();
-    running->promptTokens_ = promptTokens(record.prompt());
-    running->maxTokens_ = record.max_tokens();
-    running->generated_ = static_cast<std::uint64_t>(record.tokens_size());
+    RunningPtr running = makeRunning(request);
     running->close_ = opened.value().close_;
-    running->began_ = steadyNow();
     {
         std::lock_guard lock(mutex_);
         running_.push_back(running);
--- a/lib/Node/BackendHome.h
+++ b/lib/Node/BackendHome.h
@@ -81,6 +81,9 @@
     };
     using RunningPtr = std::shared_ptr<Running>;
 
+    static RunningPtr makeRunning(const wire::GenerateRequest& request);
+    /// Imports the cache that \p request names, then starts or attaches.
+    asio::awaitable<Result<EngineStream>> openAtEngine(Endpoint endpoint, EngineRequest request);
     asio::awaitable<Result<Slot>> acquireEngine(const wire::GenerateRequest& request);
     asio::awaitable<void> forward(std::shared_ptr<PeerStream> owner, const wire::GenerateRequest& request, EngineStream stream, RunningPtr running);
     static void describeEnding(const Running& running, wire::AttemptEnd& end);
--- a/lib/Node/RecordCopying.cpp
+++ b/lib/Node/RecordCopying.cpp
@@ -16,6 +16,25 @@
     // Without a replica the record is offered again this often.
     constexpr milliseconds replicaRetry { 1000 };
 
+    wire::Frame progressFrame(const std::string& requestId, const VmId& owner, const Generation::Progress& progress, std::size_t firstPosition)
+    {
+        wire::Frame frame;
+        wire::RecordProgress& message = *frame.mutable_record_progress();
+        message.set_request_id(requestId);
+        message.set_attempt(progress.attempt_);
+        message.set_is_finished(progress.isOver_);
+        message.set_engine(progress.engine_);
+        message.set_owner(owner.value_);
+        if (progress.failure_)
+            *message.mutable_failure() = toWire(*progress.failure_);
+        for (const std::string& text : progress.tokens_) {
+            wire::Token& token = *message.add_tokens();
+            token.set_position(firstPosition++);
+            token.set_text(text);
+        }
+        return frame;
+    }
+
 } // namespace
 
 std::vector<VmId> GenerationOwner::replicaCandidates(const std::string& requestId, const std::set<VmId>& failed) const
@@ -82,20 +101,8 @@
             co_await reader->async_receive(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        wire::Frame frame;
-        wire::RecordProgress& message = *frame.mutable_record_progress();
-        message.set_request_id(generation->id());
-        message.set_attempt(progress.attempt_);
-        message.set_is_finished(progress.isOver_);
-        message.set_engine(progress.engine_);
-        message.set_owner(context_.self().value_);
-        if (progress.failure_)
-            *message.mutable_failure() = toWire(*progress.failure_);
-        for (std::string& text : progress.tokens_) {
-            wire::Token& token = *message.add_tokens();
-            token.set_position(copied++);
-            token.set_text(std::move(text));
-        }
+        wire::Frame frame = progressFrame(generation->id(), context_.self(), progress, copied);
+        copied += progress.tokens_.size();
         SteadyTime sentAt = steadyNow();
         auto sent = co_await stream->send(frame);
         if (!sent)
--- a/test/AnswersTest.cpp
+++ b/test/AnswersTest.cpp
@@ -234,14 +234,7 @@
     deployment.applyCatalogue(catalogue);
     auto& engine = deployment.engine("planogram-caxias-a-1");
     Deployment::NodeProcess* home = nullptr;
-    REQUIRE(waitUntil([&] {
-        for (auto& node : deployment.nodes()) {
-            auto listed = deployment.ask(node, "/engines");
-            for (const auto& line : listed.is_object() ? objectsField(listed.as_object(), "engines") : std::vector<boost::json::object> {})
-                home = textField(line, "engine") == engine.id_ ? &node : home;
-        }
-        return home != nullptr;
-    }));
+    REQUIRE(waitUntil([&] { return (home = deployment.homeOf(engine.id_)); }));
     std::vector<Endpoint> entries;
     for (auto& node : deployment.nodes()) {
         if (&node != home)
--- a/test/Harness/Deployment.cpp
+++ b/test/Harness/Deployment.cpp
@@ -312,6 +312,20 @@
     return -1;
 }
 
+Deployment::NodeProcess* Deployment::homeOf(const std::string& engine)
+{
+    for (NodeProcess& node : nodes_) {
+        json::value listed = ask(node, "/engines");
+        if (!listed.is_object())
+            continue;
+        for (const json::object& line : objectsField(listed.as_object(), "engines")) {
+            if (textField(line, "engine") == engine)
+                return &node;
+        }
+    }
+    return nullptr;
+}
+
 double Deployment::metricOfAll(const std::string& name) const
 {
     double sum = 0;
--- a/test/Harness/Deployment.h
+++ b/test/Harness/Deployment.h
@@ -56,6 +56,8 @@
     std::vector<Backend>& engines() { return engines_; }
     std::vector<Backend>& services() { return services_; }
     Backend& engine(const std::string& id);
+    /// The node that lists \p engine among its own, or nullptr.
+    NodeProcess* homeOf(const std::string& engine);
     const Endpoint& platform() const { return platform_; }
     Process& platformProcess() { return *platformProcess_; }
     std::vector<Endpoint> callerEndpoints() const;
--- a/test/OrdersTest.cpp
+++ b/test/OrdersTest.cpp
@@ -32,21 +32,6 @@
     return numberField(Deployment::control(engine.endpoint_), counter);
 }
 
-/// The node that lists \p engine among its own, or nullptr.
-Deployment::NodeProcess* homeOf(Deployment& deployment, const std::string& engine)
-{
-    for (auto& node : deployment.nodes()) {
-        auto listed = deployment.ask(node, "/engines");
-        if (!listed.is_object())
-            continue;
-        for (const auto& line : objectsField(listed.as_object(), "engines")) {
-            if (textField(line, "engine") == engine)
-                return &node;
-        }
-    }
-    return nullptr;
-}
-
 } // namespace
 
 TEST_CASE("a new version rolls through the engines and loses no request")
@@ -126,7 +111,7 @@
     deployment.applyCatalogue(Deployment::standardCatalogue());
     auto& engine = deployment.engines().front();
     Deployment::NodeProcess* home = nullptr;
-    REQUIRE(waitUntil([&] { return (home = homeOf(deployment, engine.id_)); }));
+    REQUIRE(waitUntil([&] { return (home = deployment.homeOf(engine.id_)); }));
     Deployment::control(engine.endpoint_, { { "order_delay_ms", 5500 } });
     deployment.applyCatalogue(engineEntry("v2", honoursFencing));
     REQUIRE(waitUntil([&] { return countOf(engine, "orders_received") == 1; }));
--- a/unittests/Catalogue/CatalogueTest.cpp
+++ b/unittests/Catalogue/CatalogueTest.cpp
@@ -66,6 +66,28 @@
     CHECK(errors.front().toString().substr(0, bad.expected_.size()) == bad.expected_);
 }
 
+TEST_CASE("an engine's entry states what its engines run and leave free")
+{
+    const std::string good = "name: planogram\nkind: engine\nconcurrency: 16\npaid_reserve: 2\nhonours_fencing: true\nversion: v3\nadapters: [serra]\nrole: mixed\nmost_loading: 2\n";
+    InputErrors errors;
+    auto entry = parseEntry(good, "file", errors);
+    REQUIRE(entry);
+    CHECK(entry->backend_->configuration_ == EngineConfiguration { "v3", { "serra" }, "mixed" });
+    CHECK(entry->backend_->mostLoading_ == 2);
+    CHECK(entry->backend_->paidReserve_ == 2);
+    auto bad = GENERATE(values<BadEntry>({
+        { "version", "version: v3\n", "", "file:1: version: expected the version that goes with 'adapters' and 'role'" },
+        { "reserve", "paid_reserve: 2", "paid_reserve: 16", "file:4: paid_reserve: expected less than 'concurrency'" },
+        { "loading", "most_loading: 2", "most_loading: 0", "file:9: most_loading: expected a whole number from 1 to 1000, found '0'" },
+    }));
+    INFO(bad.name_);
+    std::string text = good;
+    text.replace(text.find(bad.from_), bad.from_.size(), bad.to_);
+    CHECK_FALSE(parseEntry(text, "file", errors));
+    REQUIRE(!errors.empty());
+    CHECK(errors.front().toString() == bad.expected_);
+}
+
 TEST_CASE("of edits on one base the first in the log wins")
 {
     CatalogueState state;
--- a/unittests/Settings/SettingsTest.cpp
+++ b/unittests/Settings/SettingsTest.cpp
@@ -59,6 +59,8 @@
         { "wire: warn", "wire: loud", "logs.parts", "expected one of debug info warn error for part 'wire'" },
         { "peers: a-long-shared-secret", "peers: short", "credentials.peers", "expected at least 16 characters" },
         { "suspect_after: 1500ms", "suspect_after: 600ms", "membership.suspect_after", "expected at least twice the heartbeat" },
+        { "dead_after: 3s", "dead_after: 1s", "peers.dead_after", "expected at least twice keep_alive" },
+        { "pause_bound: 10s", "pause_bound: 10", "orders.pause_bound", "expected a duration such as 500ms, 2s, 10min or 1h, from 100ms to 3600000ms, found '10'" },
         { "region: rs-serra", "region: rs-serra\n  colour: green", "node.colour", "unknown key" },
         { "platform:", "platfrom:", "platform", "missing; expected a map" },
     }));
