--- a/lib/Node/LimitKeeper.h
+++ b/lib/Node/LimitKeeper.h
@@ -4,7 +4,8 @@
 /// The keeper of an entry in a data centre grants slots and tokens to the nodes
 /// there, out of the data centre's share of the entry's limits and of what the
 /// keepers of other data centres lend. A limit is exceeded at most by
-/// - one grant validity of a data centre's share after a change of its keeper,
+/// - a data centre's share for one grant validity after a change of its keeper,
+/// - what the keeper before had lent, until those loans have expired,
 /// - requests that run on borrowed slots when a cut ends the loan,
 /// - tokens worth one second of the share after a change of keeper.
 //===----------------------------------------------------------------------===//
