--- /dev/null
+++ b/include/pistachioloom/Backends.h
@@ -0,0 +1,182 @@
+//===- pistachioloom/Backends.h - backend servers and the choice among them -===//
+///
+/// \file
+/// What a node knows of the backend servers that serve transparent requests:
+/// their registration, the load that this node and its peers have put on them,
+/// and how they have behaved. From this it chooses one for each request. Pure
+/// but for a mutex: time comes in, a decision goes out.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Http.h"
+#include "pistachioloom/Support.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace pistachioloom {
+
+/// One start of a backend server.
+using BackendId = Id<struct BackendIdTag>;
+
+/// A backend server as it registered itself.
+struct BackendRecord {
+    BackendId id_;
+    ServiceName service_;
+    Endpoint endpoint_;
+    DataCentreId dataCentre_;
+    std::uint64_t slots_ = 1;
+    /// It takes no new work.
+    bool isLeaving_ = false;
+    /// It may be taken away at a few seconds' notice.
+    bool isReclaimable_ = false;
+};
+
+/// One shared piece of a prompt.
+struct PromptPart {
+    std::string id_;
+    TokenCount tokens_;
+};
+
+/// What the choice needs to know of a request.
+struct RequestShape {
+    ServiceName service_;
+    TokenCount promptTokens_;
+    TokenCount mostOutputTokens_;
+    std::vector<PromptPart> parts_;
+    /// Lower is more urgent.
+    unsigned urgency_ = 0;
+    bool isForEngine_ = false;
+};
+
+/// Work that some node has under way at one backend server.
+struct BackendLoad {
+    std::uint32_t running_ = 0;
+    /// Prompt tokens of requests that have not begun to answer.
+    std::uint64_t queuedTokens_ = 0;
+};
+
+/// How one request at a backend server ended.
+enum class BackendOutcome {
+    Served,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It said that it has no room.
+    Full,
+    /// Another server has its address now.
+    WrongInstance,
+    /// It could not be connected to.
+    Unreachable,
+    /// It broke off, answered wrong bytes or fell silent.
+    Broken,
+    /// The caller left; this says nothing of the backend server.
+    Abandoned,
+};
+
+std::string_view toString(BackendOutcome outcome);
+
+/// A backend server that was chosen, with what decided it, for the logs.
+struct BackendChoice {
+    BackendRecord backend_;
+    /// Estimated wait for the first byte.
+    milliseconds estimate_ {};
+    /// Candidates that were weighed.
+    std::size_t candidates_ = 0;
+    /// Prompt tokens that it has to read: those that it is not likely to cache.
+    TokenCount uncached_;
+};
+
+/// Figures of the estimates; all may be set, the defaults are measured ones.
+struct ChoiceSettings {
+    /// Prompt tokens that an engine reads in a millisecond until it is known
+    /// better from its answers.
+    double prefillPerMs_ = 50;
+    /// What one more running request adds to a request's wait, in ms: a step of
+    /// a batch takes about a tenth of a millisecond longer for each.
+    double perRunningMs_ = 0.3;
+    /// What a data centre crossing weighs, in ms, beside its network delay.
+    double crossingMs_ = 8;
+    /// How long a shared part counts as cached after this node sent it.
+    milliseconds cacheMemory_ { 20000 };
+    /// First pause after failures in a row; doubles up to the longest.
+    milliseconds firstEjection_ { 500 };
+    milliseconds longestEjection_ { 4000 };
+    /// Failures in a row that eject. One reset may be an idle connection's end.
+    unsigned failuresToEject_ = 2;
+    /// Loads told by peers are left out after this silence.
+    milliseconds peerLoadValidity_ { 1500 };
+    /// How long a backend server that told it was full is passed over.
+    milliseconds fullPause_ { 100 };
+};
+
+/// Thread-safe.
+class BackendBook {
+public:
+    BackendBook(DataCentreId own, ChoiceSettings settings);
+
+    /// Adds or replaces the record of one backend server.
+    void put(const BackendRecord& record);
+    void remove(const BackendId& id);
+    /// Marks one as leaving without its own record; learnt from peers.
+    bool setLeaving(const BackendId& id);
+    std::vector<BackendRecord> records() const;
+    std::optional<BackendRecord> find(const BackendId& id) const;
+
+    /// Chooses for \p shape among those not in \p excluded, and counts the
+    /// request as under way there until end().
+    std::optional<BackendChoice> choose(const RequestShape& shape, const std::set<BackendId>& excluded, SteadyTime now);
+    /// The first byte of an answer came after \p wait.
+    void began(const BackendId& id, const RequestShape& shape, TokenCount uncached, milliseconds wait);
+    /// The request is over; \p hasBegun tells whether began() was called.
+    void end(const BackendId& id, TokenCount uncached, bool hasBegun, BackendOutcome outcome, SteadyTime now);
+
+    /// What this node has under way, for its peers.
+    std::map<BackendId, BackendLoad> ownLoads() const;
+    void setPeerLoads(const VmId& peer, std::map<BackendId, BackendLoad> loads, SteadyTime now);
+
+    /// Slots taken and slots there at a service, over all nodes as far as known.
+    struct Occupancy {
+        std::uint64_t running_ = 0;
+        std::uint64_t slots_ = 0;
+        std::uint64_t queuedTokens_ = 0;
+        std::size_t backends_ = 0;
+    };
+    Occupancy occupancy(const ServiceName& service, SteadyTime now) const;
+
+private:
+    struct Backend {
+        BackendRecord record_;
+        BackendLoad own_;
+        BackendLoad peers_;
+        unsigned failures_ = 0;
+        SteadyTime ejectedUntil_ {};
+        milliseconds ejection_ {};
+        /// Observed wait against the estimate; 1 is as estimated.
+        double slowness_ = 1;
+        /// Recent share of answers that were failures of its own.
+        double failedShare_ = 0;
+        std::unordered_map<std::string, SteadyTime> cached_;
+    };
+    struct PeerLoads {
+        SteadyTime at_ {};
+        std::map<BackendId, BackendLoad> loads_;
+    };
+
+    bool isUsable(const Backend& backend, SteadyTime now) const;
+    double estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const;
+    TokenCount uncachedAt(const Backend& backend, const RequestShape& shape, const BackendId& home, SteadyTime now) const;
+    void fail(Backend& backend, SteadyTime now);
+    void sumPeerLoads(SteadyTime now);
+
+    const DataCentreId ownDataCentre_;
+    const ChoiceSettings settings_;
+    mutable std::mutex mutex_;
+    std::map<BackendId, Backend> backends_;
+    std::map<VmId, PeerLoads> peers_;
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/include/pistachioloom/Duties.h
@@ -0,0 +1,129 @@
+//===- pistachioloom/Duties.h - work that one node at a time does ----------===//
+///
+/// \file
+/// Who holds the duties towards the platform, what is counted for them, and how
+/// many engines are ordered. A claim is a record of the platform's log, written
+/// only if nothing came in between, so its offset orders the holders; every act
+/// is preceded by such a record, so that a holder that was succeeded finds out
+/// before it acts. Pure: time and records come in, decisions go out.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Support.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace pistachioloom {
+
+/// Grows with each holder: the offset of its claim plus one.
+using DutyToken = Quantity<struct DutyTokenTag>;
+/// Windows are counted from the start of 1970.
+using WindowNumber = Quantity<struct WindowNumberTag>;
+using UsageCounts = std::map<OrganisationId, std::uint64_t>;
+
+struct DutyTiming {
+    /// Silence after which a holder is succeeded.
+    milliseconds holderSilence_ { 2600 };
+    /// A new holder waits so long after its claim, so that what its predecessor
+    /// began before it could see the claim is over.
+    milliseconds actAfterClaim_ { 1600 };
+    /// A holder acts only within this time after its last record was begun.
+    milliseconds recordValidity_ { 1000 };
+    /// Nodes wait so long for a holder to be heard after their start.
+    milliseconds firstClaimAfter_ { 1500 };
+    /// What each place in the order of candidates waits longer than the one before.
+    milliseconds rankStep_ { 400 };
+};
+
+/// One node's part in who holds the duties.
+class DutySeat {
+public:
+    DutySeat(VmId self, DutyTiming timing, SteadyTime startedAt);
+
+    /// A peer said that it holds the duties by \p token.
+    void heardHolder(const VmId& holder, DutyToken token, SteadyTime now);
+    /// Whether to claim now. \p rank is this node's place among live candidates.
+    bool shouldClaim(std::size_t rank, SteadyTime now) const;
+    /// A claim of this node was written.
+    void claimed(DutyToken token, SteadyTime now);
+    /// A record of this node could not be written because another came first,
+    /// or its claim is unsure.
+    void lost(SteadyTime now);
+    bool isHolder() const { return isHolder_; }
+    DutyToken token() const { return token_; }
+    /// Whether acts may begin: it holds, and its predecessor has ended.
+    bool mayBegin(SteadyTime now) const;
+    /// Whether an act is still covered by a record begun at \p recordedAt.
+    bool mayAct(SteadyTime recordedAt, SteadyTime now) const;
+    /// The holder this node knows of, itself or a peer; empty if none.
+    VmId knownHolder(SteadyTime now) const;
+
+private:
+    VmId self_;
+    DutyTiming timing_;
+    SteadyTime startedAt_;
+    bool isHolder_ = false;
+    DutyToken token_ {};
+    SteadyTime claimedAt_ {};
+    VmId holder_;
+    SteadyTime holderHeardAt_ {};
+};
+
+/// Counts of requests that began, by window, of this node and its peers.
+/// Thread-safe.
+class UsageBook {
+public:
+    explicit UsageBook(milliseconds window);
+
+    /// Counts one request at \p wallTime, in ms since the start of 1970.
+    void count(const OrganisationId& organisation, std::int64_t wallMs);
+    /// This node's newest windows, for its peers.
+    std::map<WindowNumber, UsageCounts> recent() const;
+    /// A peer's counts; each replaces the one before.
+    void setPeer(const VmId& vm, std::uint64_t incarnation, const std::map<WindowNumber, UsageCounts>& windows);
+    /// The sum over all nodes, also those that are gone.
+    UsageCounts sum(WindowNumber window) const;
+    WindowNumber windowAt(std::int64_t wallMs) const;
+    /// Forgets windows before \p oldest.
+    void forget(WindowNumber oldest);
+    milliseconds window() const { return window_; }
+
+private:
+    using Source = std::pair<VmId, std::uint64_t>;
+
+    const milliseconds window_;
+    mutable std::mutex mutex_;
+    std::map<Source, std::map<WindowNumber, UsageCounts>> sources_;
+};
+
+/// What the clocks of the nodes agree on. Thread-safe.
+class ClockAgreement {
+public:
+    /// A peer's clock was ahead of this node's by \p offset.
+    void setPeer(const VmId& vm, std::int64_t offsetMs, SteadyTime now);
+    /// What to add to this node's time of day: the median of all clocks.
+    std::int64_t correctionMs(SteadyTime now) const;
+
+private:
+    struct Told {
+        std::int64_t offsetMs_ = 0;
+        SteadyTime at_ {};
+    };
+
+    mutable std::mutex mutex_;
+    std::map<VmId, Told> peers_;
+};
+
+/// An order of engines for one data centre.
+struct FleetOrder {
+    ServiceName service_;
+    DataCentreId dataCentre_;
+    bool isReclaimable_ = false;
+    std::uint64_t wanted_ = 0;
+
+    auto operator<=>(const FleetOrder&) const = default;
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/include/pistachioloom/Forward.h
@@ -0,0 +1,107 @@
+//===- pistachioloom/Forward.h - transparent requests, caller to backend ---===//
+///
+/// \file
+/// The straight path: a caller's HTTP/1.1 request goes to one backend server and
+/// its answer comes back unchanged. The header names that carry ids, deadlines
+/// and seals are told from outside; decisions come from the books it is given.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Backends.h"
+#include "pistachioloom/Quota.h"
+#include "pistachioloom/Routes.h"
+#include "pistachioloom/Telemetry.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace pistachioloom {
+
+/// The headers that callers and backend servers use. All in the spelling that
+/// is sent; they are compared without case.
+struct ForwardHeaderNames {
+    /// The id of one attempt of a caller; echoed by backend servers.
+    std::string attempt_;
+    /// Milliseconds that the caller, or this node, will wait.
+    std::string deadline_;
+    /// Names the organisation to backend servers.
+    std::string organisation_;
+    /// The backend server that is meant; any other answers 421.
+    std::string expectedBackend_;
+    /// Proves that an answer is the backend server's.
+    std::string seal_;
+    /// An answer with it says that the request did not run.
+    std::string notRun_;
+    /// Prompt tokens and most output tokens.
+    std::string tokenCount_;
+    /// Shared parts of the prompt.
+    std::string promptParts_;
+    /// 0 to 9 for engines, 0 first.
+    std::string urgency_;
+    /// The last event that the caller has.
+    std::string lastEvent_;
+    /// Headers that only this system sets; dropped from what callers send.
+    std::vector<std::string> reserved_;
+};
+
+/// Figures of the path; all are settings.
+struct ForwardSettings {
+    /// Time for a connection to a backend server.
+    milliseconds connectTimeout_ { 400 };
+    /// Silence in a running stream after which a resumable one goes on elsewhere.
+    milliseconds streamSilence_ { 1400 };
+    /// Part of the remaining time after which an idempotent request without
+    /// an answer is given to another backend server.
+    double patienceShare_ = 0.4;
+    /// A kept connection is not used in the last part of its idle time.
+    milliseconds idleMargin_ { 300 };
+    /// Idle time of a kept connection whose server states none.
+    milliseconds defaultIdle_ { 2000 };
+    /// Bytes that are held for one answer of a plain service.
+    ByteCount longestAnswer_ { 8UL * 1024 * 1024 };
+};
+
+/// What the forwarding of requests tells the rest of the node.
+struct ForwardHooks {
+    /// A request of \p organisation began to run.
+    std::function<void(const OrganisationId& organisation)> onBegan_;
+    /// The current configuration, or nullptr before the first.
+    std::function<std::shared_ptr<const RouteTable>()> table_;
+};
+
+/// What all workers of a node share.
+struct ForwardContext {
+    ForwardHeaderNames names_;
+    ForwardSettings settings_;
+    ForwardHooks hooks_;
+    BackendBook& backends_;
+    QuotaBook& quotas_;
+    RetryBudget& retries_;
+    Metrics& metrics_;
+    std::atomic<bool> isStopping_ { false };
+    std::atomic<std::size_t> running_ { 0 };
+    std::atomic<std::size_t> connections_ { 0 };
+};
+
+/// Serves callers on one io_context of one thread. Workers share an address;
+/// the kernel spreads new connections over them.
+class ForwardWorker {
+public:
+    struct State;
+
+    ForwardWorker(asio::io_context& io, ForwardContext& context);
+    ~ForwardWorker();
+    ForwardWorker(const ForwardWorker&) = delete;
+    ForwardWorker& operator=(const ForwardWorker&) = delete;
+
+    Result<std::uint16_t> listen(const Endpoint& endpoint);
+    /// Closes connections on which no request is under way; the others close
+    /// after their answer.
+    void closeIdle();
+    /// Breaks off what still runs.
+    void abortAll();
+
+private:
+    std::shared_ptr<State> state_;
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/include/pistachioloom/Gateway.h
@@ -0,0 +1,163 @@
+//===- pistachioloom/Gateway.h - a node that forwards transparently --------===//
+///
+/// \file
+/// The daemon's second library: a node that serves transparent requests in front
+/// of backend servers which a platform registers. What the platform offers comes
+/// in as hooks; what must last is kept there. Nodes tell each other what they see
+/// by datagrams, and none is set aside.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Backends.h"
+#include "pistachioloom/Duties.h"
+#include "pistachioloom/Forward.h"
+#include "pistachioloom/Platform.h"
+#include "pistachioloom/Yaml.h"
+
+namespace pistachioloom {
+
+/// A change of the list of backend servers.
+struct RegistryChange {
+    BackendId id_;
+    /// nullopt: its registration is gone.
+    std::optional<BackendRecord> record_;
+};
+
+struct RegistryRead {
+    /// Where to read on.
+    LogOffset next_;
+    /// The changes are the whole list; what is not in it is gone.
+    bool isWhole_ = false;
+    std::vector<RegistryChange> changes_;
+};
+
+struct ConfigurationRead {
+    LogOffset next_;
+    /// The newest version read, if any.
+    std::optional<RouteConfiguration> newest_;
+};
+
+/// Another node of the system, as it announced itself.
+struct AnnouncedNode {
+    VmId vm_;
+    Endpoint gossip_;
+};
+
+/// The platform, as a gateway uses it. Every call fails with step and peer.
+struct GatewayPlatform {
+    /// Reads on from \p from, or the newest state without it; waits up to \p wait
+    /// for a change. Errc::NotFound: the records are gone, begin anew.
+    std::function<asio::awaitable<Result<ConfigurationRead>>(std::optional<LogOffset> from, milliseconds wait)> readConfiguration_;
+    std::function<asio::awaitable<Result<RegistryRead>>(std::optional<LogOffset> from)> readRegistry_;
+    /// Decodes the source text of a configuration that a peer passed on.
+    std::function<Result<RouteConfiguration>(const std::string& source)> decodeConfiguration_;
+    std::function<asio::awaitable<Result<void>>(AnnouncedNode self)> announce_;
+    std::function<asio::awaitable<Result<std::vector<AnnouncedNode>>>()> announced_;
+    /// The log of duties: reads from \p from to its end.
+    std::function<asio::awaitable<Result<LogRead>>(LogOffset from)> readDuties_;
+    /// Appends \p record if the log ends at \p end; Errc::Conflict if it does
+    /// not. An error with `ran_` Unknown: it may yet appear.
+    std::function<asio::awaitable<Result<void>>(LogOffset end, std::string record)> appendDuty_;
+    std::function<asio::awaitable<Result<void>>(VmId holder, DutyToken token, WindowNumber window, UsageCounts counts)> reportUsage_;
+    std::function<asio::awaitable<Result<void>>(VmId holder, DutyToken token, FleetOrder order)> orderFleet_;
+    ForwardHeaderNames headers_;
+};
+
+struct GossipSettings {
+    /// How often a node tells its state to the others.
+    milliseconds period_ { 200 };
+    /// Nodes told in one period; in larger fleets they take turns.
+    std::uint64_t fanout_ = 12;
+    /// Silence after which a node counts as not alive.
+    milliseconds silence_ { 1500 };
+    /// Silence after which it is forgotten.
+    milliseconds forget_ { 30000 };
+};
+
+struct FeedSettings {
+    /// The longest wait of one read for a new configuration; bounds how long a
+    /// connection that fell silent hides a change.
+    milliseconds configurationWait_ { 1000 };
+    /// Least time between two reads of the registry, whose entries change with
+    /// every heartbeat of every backend server.
+    milliseconds registryPeriod_ { 500 };
+    /// Pause after a failed read.
+    milliseconds retryPause_ { 200 };
+    /// After an outage, registrations that are missing are kept for so long:
+    /// their owners write them again.
+    milliseconds lapseGrace_ { 2200 };
+    /// Silence of the platform after which peers are asked.
+    milliseconds askPeersAfter_ { 1200 };
+};
+
+struct FleetSettings {
+    /// Engines ordered in each data centre.
+    std::uint64_t lasting_ = 1;
+    std::uint64_t reclaimable_ = 3;
+    /// How often orders are looked at.
+    milliseconds period_ { 1000 };
+    /// An order is repeated after this time if the engines are not there.
+    milliseconds repeat_ { 3000 };
+};
+
+struct GatewaySettings {
+    VmId vm_;
+    DataCentreId dataCentre_;
+    std::uint64_t threads_ = 1;
+    Endpoint callers_;
+    Endpoint readiness_;
+    Endpoint peers_;
+    Endpoint gossip_;
+    Endpoint metrics_;
+    /// Nodes to contact first; only their hosts count, all use one gossip port.
+    std::vector<Endpoint> seeds_;
+    Endpoint store_;
+    Endpoint duties_;
+    std::string peerCredential_;
+    /// Time between the request to stop and the forced end.
+    milliseconds grace_ { 8000 };
+    /// The balancer sends new connections for so long after readiness is off.
+    milliseconds balancerGrace_ { 2500 };
+    milliseconds usageWindow_ { 5000 };
+    /// A window's usage is reported so long after its end.
+    milliseconds usageDelay_ { 5000 };
+    milliseconds dutyLease_ { 3000 };
+    double retryRatio_ = 0.2;
+    std::uint64_t retryExtra_ = 0;
+    milliseconds retryWindow_ { 10000 };
+    GossipSettings gossiping_;
+    FeedSettings feed_;
+    FleetSettings fleet_;
+    ForwardSettings forward_;
+    ChoiceSettings choice_;
+    LogSettings logs_;
+};
+
+/// Whether \p file holds the settings of a gateway; false if it cannot be read.
+bool isGatewayFile(const std::string& file);
+
+/// Parses settings; nullopt if \p errors got any.
+std::optional<GatewaySettings> parseGatewaySettings(const std::string& text, const std::string& file, InputErrors& errors);
+
+/// Reads and parses a file.
+std::optional<GatewaySettings> loadGatewaySettings(const std::string& file, InputErrors& errors);
+
+class Gateway {
+public:
+    /// \p file is read again on SIGHUP.
+    Gateway(GatewaySettings settings, GatewayPlatform platform, std::string file);
+    ~Gateway();
+    Gateway(const Gateway&) = delete;
+    Gateway& operator=(const Gateway&) = delete;
+
+    /// Binds the ports and starts. \returns the callers' port.
+    Result<std::uint16_t> start();
+    /// Works until SIGTERM or SIGINT, then drains within the grace time.
+    void run();
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace pistachioloom
--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -31,6 +31,9 @@
 /// Errors name \p step.
 Result<std::unique_ptr<asio::ip::tcp::acceptor>> bindAcceptor(const asio::any_io_executor& executor, const Endpoint& endpoint, const std::string& step);
 
+/// Suspends the calling coroutine.
+asio::awaitable<void> sleepFor(milliseconds duration);
+
 /// Header names are lower case.
 using HttpHeaders = std::map<std::string, std::string>;
 
--- /dev/null
+++ b/include/pistachioloom/Quota.h
@@ -0,0 +1,119 @@
+//===- pistachioloom/Quota.h - quotas and retries over all nodes -----------===//
+///
+/// \file
+/// An organisation's quota and the budget of repeats hold over all nodes
+/// together. Each node counts what it admitted and hears what the others did;
+/// for a node that is silent it assumes an equal share. Pure but for a mutex.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Support.h"
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace pistachioloom {
+
+/// An organisation's rate and burst, in requests or tokens.
+struct QuotaLimit {
+    /// 0 for no limit.
+    double ratePerSecond_ = 0;
+    double burst_ = 0;
+};
+
+struct QuotaSettings {
+    /// A node silent for so long is assumed to admit an equal share.
+    milliseconds silence_ { 1000 };
+    /// A silent node is forgotten after this time; it has stopped.
+    milliseconds forget_ { 10000 };
+};
+
+/// What a node has admitted since its start, by organisation.
+using AdmittedCounts = std::map<OrganisationId, double>;
+
+/// Token buckets shared by all nodes. Thread-safe.
+///
+/// The error is bounded by what all nodes admit between two exchanges: the level
+/// may go below zero by that much, and is paid back before more is admitted.
+class QuotaBook {
+public:
+    explicit QuotaBook(QuotaSettings settings = {});
+
+    /// Takes \p cost out of the organisation's bucket.
+    /// \returns nullopt if admitted, else when to come back.
+    std::optional<milliseconds> take(const OrganisationId& organisation, const QuotaLimit& limit, double cost, SteadyTime now);
+    /// Gives back what was taken for a request that did not run.
+    void giveBack(const OrganisationId& organisation, double cost);
+
+    AdmittedCounts admitted() const;
+    /// Levels of the buckets, for a node that has just started.
+    std::map<OrganisationId, double> levels() const;
+    /// A peer's counts; \p incarnation changes with its restart.
+    void setPeer(const VmId& peer, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now);
+
+private:
+    struct Bucket {
+        QuotaLimit limit_;
+        double level_ = 0;
+        SteadyTime filledAt_ {};
+    };
+    struct Peer {
+        std::uint64_t incarnation_ = 0;
+        SteadyTime heardAt_ {};
+        AdmittedCounts counts_;
+        /// Until when its share is already charged, while it is silent.
+        SteadyTime chargedUntil_ {};
+    };
+
+    void fill(Bucket& bucket, SteadyTime now) const;
+    void chargeSilent(SteadyTime now);
+
+    const QuotaSettings settings_;
+    mutable std::mutex mutex_;
+    std::map<OrganisationId, Bucket> buckets_;
+    std::map<VmId, Peer> peers_;
+    AdmittedCounts admitted_;
+    /// Levels heard from a peer before the first own request.
+    std::map<OrganisationId, double> heardLevels_;
+};
+
+struct RetrySettings {
+    /// Repeats allowed for each request of a service.
+    double ratio_ = 0.2;
+    /// Repeats allowed beside in each window, over all nodes.
+    double extra_ = 0;
+    milliseconds window_ { 10000 };
+    /// Nodes that the extra repeats are divided among.
+    std::uint64_t nodes_ = 1;
+    /// Part of the allowance that is used: a window may hold one node's old and
+    /// another's new requests.
+    double used_ = 0.7;
+};
+
+/// Bounds repeats by what this node was asked itself, so that the bound holds
+/// over all nodes without an exchange. Thread-safe.
+class RetryBudget {
+public:
+    explicit RetryBudget(RetrySettings settings);
+
+    /// Counts a request of \p service.
+    void countRequest(const ServiceName& service, SteadyTime now);
+    /// Whether one more repeat is allowed; counts it if so.
+    bool take(const ServiceName& service, SteadyTime now);
+    /// Sets how many nodes share the extra repeats.
+    void setNodes(std::uint64_t nodes);
+
+private:
+    struct Window {
+        std::deque<SteadyTime> requests_;
+        std::deque<SteadyTime> repeats_;
+    };
+
+    RetrySettings settings_;
+    std::mutex mutex_;
+    std::map<ServiceName, Window> windows_;
+};
+
+} // namespace pistachioloom
--- a/include/pistachioloom/Settings.h
+++ b/include/pistachioloom/Settings.h
@@ -122,6 +122,9 @@
 /// Reads and parses a file.
 std::optional<Settings> loadSettings(const std::string& file, InputErrors& errors);
 
+/// Parses the section of log settings.
+void parseLogSettings(YamlMap map, LogSettings& settings);
+
 /// Reads `IP:PORT`; the host must be an IP number.
 std::optional<Endpoint> parseEndpoint(const std::string& text);
 
--- /dev/null
+++ b/lib/Backends/Choice.cpp
@@ -0,0 +1,118 @@
+//===- lib/Backends/Choice.cpp - which backend server takes a request ------===//
+///
+/// \file
+/// The least estimated wait wins. For engines it follows from the prompt tokens
+/// queued ahead and those of the request that the engine is not likely to have
+/// cached; for plain services from the requests under way.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Backends.h"
+
+#include <algorithm>
+
+namespace pistachioloom {
+
+// An engine that failed this share of its recent requests is used only when no
+// other is there. Services fail up to a seventh of their requests on calm days.
+static constexpr double failedShareTolerated = 0.4;
+// A plain service's share of wait for each request before the new one, in ms.
+static constexpr double plainTurnMs = 20;
+// Prompt parts remembered for one engine; a part takes about 100 bytes.
+static constexpr std::size_t mostPartsRemembered = 400;
+
+bool BackendBook::isUsable(const Backend& backend, SteadyTime now) const
+{
+    return !backend.record_.isLeaving_ && backend.ejectedUntil_ <= now;
+}
+
+/// The part that requests share: the last but one, since the last belongs to
+/// the request or its session alone.
+static const PromptPart* sharedPart(const RequestShape& shape)
+{
+    return shape.parts_.size() < 2 ? nullptr : &shape.parts_[shape.parts_.size() - 2];
+}
+
+TokenCount BackendBook::uncachedAt(const Backend& backend, const RequestShape& shape, const BackendId& home, SteadyTime now) const
+{
+    const PromptPart* shared = sharedPart(shape);
+    if (!shared)
+        return shape.promptTokens_;
+    auto sent = backend.cached_.find(shared->id_);
+    bool wasSent = sent != backend.cached_.end() && now - sent->second < settings_.cacheMemory_;
+    if (!wasSent && backend.record_.id_ != home)
+        return shape.promptTokens_;
+    std::uint64_t cached = 0;
+    for (std::size_t i = 0; i + 1 < shape.parts_.size(); ++i)
+        cached += shape.parts_[i].tokens_.value_;
+    return { shape.promptTokens_.value_ - std::min(shape.promptTokens_.value_, cached) };
+}
+
+double BackendBook::estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const
+{
+    double running = backend.own_.running_ + backend.peers_.running_;
+    if (!shape.isForEngine_) {
+        double turns = (running + 1) / static_cast<double>(std::max<std::uint64_t>(1, backend.record_.slots_));
+        return plainTurnMs * turns * backend.slowness_;
+    }
+    double tokens = static_cast<double>(backend.own_.queuedTokens_ + backend.peers_.queuedTokens_ + uncached.value_);
+    return (tokens / settings_.prefillPerMs_ + running * settings_.perRunningMs_) * backend.slowness_;
+}
+
+std::optional<BackendChoice> BackendBook::choose(const RequestShape& shape, const std::set<BackendId>& excluded, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    std::vector<Backend*> usable;
+    std::vector<Backend*> doubtful;
+    for (auto& [id, backend] : backends_) {
+        if (backend.record_.service_ != shape.service_ || backend.record_.isLeaving_ || excluded.contains(id))
+            continue;
+        bool isGood = isUsable(backend, now) && backend.failedShare_ < failedShareTolerated;
+        (isGood ? usable : doubtful).push_back(&backend);
+    }
+    // Better to try a doubtful one than to refuse: its trouble may be over.
+    std::vector<Backend*>& candidates = usable.empty() ? doubtful : usable;
+    if (candidates.empty())
+        return std::nullopt;
+
+    BackendId home;
+    if (const PromptPart* shared = sharedPart(shape)) {
+        std::uint64_t best = 0;
+        for (const Backend* backend : candidates) {
+            std::uint64_t rank = stableHash(shared->id_ + backend->record_.id_.value_);
+            if (home.isEmpty() || rank > best) {
+                home = backend->record_.id_;
+                best = rank;
+            }
+        }
+    }
+    Backend* chosen = nullptr;
+    double least = 0;
+    double ties = 0;
+    BackendChoice choice;
+    for (Backend* backend : candidates) {
+        TokenCount uncached = uncachedAt(*backend, shape, home, now);
+        double estimate = estimateMs(*backend, shape, uncached);
+        double weighed = estimate + (backend->record_.dataCentre_ == ownDataCentre_ ? 0 : settings_.crossingMs_);
+        // Equals are drawn among, or all nodes would pick the same one.
+        bool isTie = chosen && weighed == least;
+        ties = isTie ? ties + 1 : 1;
+        if (chosen && (weighed > least || (isTie && static_cast<double>(randomBits() >> 11) * 0x1p-53 * ties >= 1)))
+            continue;
+        chosen = backend;
+        least = weighed;
+        choice.uncached_ = uncached;
+        choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimate));
+    }
+    chosen->own_.running_ += 1;
+    chosen->own_.queuedTokens_ += choice.uncached_.value_;
+    if (const PromptPart* shared = sharedPart(shape)) {
+        if (chosen->cached_.size() >= mostPartsRemembered)
+            std::erase_if(chosen->cached_, [&](const auto& part) { return now - part.second >= settings_.cacheMemory_; });
+        if (chosen->cached_.size() < mostPartsRemembered)
+            chosen->cached_[shared->id_] = now;
+    }
+    choice.backend_ = chosen->record_;
+    choice.candidates_ = candidates.size();
+    return choice;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Duties/Seat.cpp
@@ -0,0 +1,74 @@
+//===- lib/Duties/Seat.cpp - who holds the duties --------------------------===//
+///
+/// \file
+/// See DutySeat.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Duties.h"
+
+namespace pistachioloom {
+
+DutySeat::DutySeat(VmId self, DutyTiming timing, SteadyTime startedAt)
+    : self_(std::move(self))
+    , timing_(timing)
+    , startedAt_(startedAt)
+{
+}
+
+void DutySeat::heardHolder(const VmId& holder, DutyToken token, SteadyTime now)
+{
+    if (token < token_)
+        return;
+    if (isHolder_ && token > token_)
+        lost(now);
+    if (isHolder_)
+        return;
+    token_ = token;
+    holder_ = holder;
+    holderHeardAt_ = now;
+}
+
+bool DutySeat::shouldClaim(std::size_t rank, SteadyTime now) const
+{
+    if (isHolder_)
+        return false;
+    milliseconds turn = timing_.rankStep_ * static_cast<std::int64_t>(rank);
+    if (now - startedAt_ < timing_.firstClaimAfter_ + turn)
+        return false;
+    return holder_.isEmpty() || now - holderHeardAt_ > timing_.holderSilence_ + turn;
+}
+
+void DutySeat::claimed(DutyToken token, SteadyTime now)
+{
+    isHolder_ = true;
+    token_ = token;
+    claimedAt_ = now;
+    holder_ = self_;
+    holderHeardAt_ = now;
+}
+
+void DutySeat::lost(SteadyTime now)
+{
+    isHolder_ = false;
+    // Whoever came first is given the time to be heard.
+    holder_ = { "unknown" };
+    holderHeardAt_ = now;
+}
+
+bool DutySeat::mayBegin(SteadyTime now) const
+{
+    return isHolder_ && now - claimedAt_ >= timing_.actAfterClaim_;
+}
+
+bool DutySeat::mayAct(SteadyTime recordedAt, SteadyTime now) const
+{
+    return mayBegin(now) && now - recordedAt <= timing_.recordValidity_;
+}
+
+VmId DutySeat::knownHolder(SteadyTime now) const
+{
+    if (isHolder_ || now - holderHeardAt_ <= timing_.holderSilence_)
+        return holder_;
+    return {};
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Duties/Usage.cpp
@@ -0,0 +1,96 @@
+//===- lib/Duties/Usage.cpp - counts by window, and the time of day --------===//
+///
+/// \file
+/// See UsageBook and ClockAgreement.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Duties.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace pistachioloom {
+
+// Windows that are told to peers: a report is due two windows after its end.
+static constexpr std::size_t windowsTold = 4;
+// A clock that was not heard of for so long has no say.
+static constexpr milliseconds clockValidity { 5000 };
+static const VmId ownSource {};
+
+UsageBook::UsageBook(milliseconds window)
+    : window_(window)
+{
+}
+
+WindowNumber UsageBook::windowAt(std::int64_t wallMs) const
+{
+    return { static_cast<std::uint64_t>(wallMs / window_.count()) };
+}
+
+void UsageBook::count(const OrganisationId& organisation, std::int64_t wallMs)
+{
+    std::lock_guard lock(mutex_);
+    ++sources_[{ ownSource, 0 }][windowAt(wallMs)][organisation];
+}
+
+std::map<WindowNumber, UsageCounts> UsageBook::recent() const
+{
+    std::lock_guard lock(mutex_);
+    auto own = sources_.find({ ownSource, 0 });
+    if (own == sources_.end())
+        return {};
+    auto first = own->second.end();
+    for (std::size_t i = 0; i < windowsTold && first != own->second.begin(); ++i)
+        --first;
+    return { first, own->second.end() };
+}
+
+void UsageBook::setPeer(const VmId& vm, std::uint64_t incarnation, const std::map<WindowNumber, UsageCounts>& windows)
+{
+    std::lock_guard lock(mutex_);
+    auto& known = sources_[{ vm, incarnation }];
+    for (const auto& [window, counts] : windows)
+        known[window] = counts;
+}
+
+UsageCounts UsageBook::sum(WindowNumber window) const
+{
+    std::lock_guard lock(mutex_);
+    UsageCounts sum;
+    for (const auto& [source, windows] : sources_) {
+        auto found = windows.find(window);
+        if (found == windows.end())
+            continue;
+        for (const auto& [organisation, count] : found->second)
+            sum[organisation] += count;
+    }
+    return sum;
+}
+
+void UsageBook::forget(WindowNumber oldest)
+{
+    std::lock_guard lock(mutex_);
+    for (auto& [source, windows] : sources_)
+        windows.erase(windows.begin(), windows.lower_bound(oldest));
+    std::erase_if(sources_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+void ClockAgreement::setPeer(const VmId& vm, std::int64_t offsetMs, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    peers_[vm] = { offsetMs, now };
+}
+
+std::int64_t ClockAgreement::correctionMs(SteadyTime now) const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<std::int64_t> offsets { 0 };
+    for (const auto& [vm, told] : peers_) {
+        if (now - told.at_ <= clockValidity)
+            offsets.push_back(told.offsetMs_);
+    }
+    auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+    std::nth_element(offsets.begin(), middle, offsets.end());
+    return *middle;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/Answering.cpp
@@ -0,0 +1,86 @@
+//===- lib/Forward/Answering.cpp - answers to the caller -------------------===//
+///
+/// \file
+/// Writes answers with the caller's own framing.
+//===----------------------------------------------------------------------===//
+#include "Forwarding.h"
+
+#include <boost/beast/http/status.hpp>
+
+namespace pistachioloom {
+
+namespace http = boost::beast::http;
+
+static std::string statusLine(int status)
+{
+    auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason.data(), reason.size()) + "\r\n";
+}
+
+static void appendFields(std::string& head, const HeaderFields& fields)
+{
+    std::vector<std::string> options = connectionOptions(fields);
+    for (const HeaderField& field : fields) {
+        if (!isHopByHop(field.name_))
+            appendField(head, field.name_, field.value_);
+    }
+}
+
+std::string renderAnswer(int status, const HeaderFields& fields, std::string_view body, bool isKept)
+{
+    std::string bytes = statusLine(status);
+    appendFields(bytes, fields);
+    appendField(bytes, "Content-Length", std::to_string(body.size()));
+    if (!isKept)
+        appendField(bytes, "Connection", "close");
+    return bytes.append("\r\n").append(body);
+}
+
+Forwarding::HeldAnswer Forwarding::refusal(int status, std::string reason, milliseconds retryAfter) const
+{
+    HeldAnswer answer { status, {}, {} };
+    if (!id_.empty())
+        answer.fields_.push_back({ context_.names_.attempt_, id_ });
+    answer.fields_.push_back({ "Content-Type", "text/plain" });
+    if (retryAfter.count()) {
+        std::string fraction = std::to_string(1000 + retryAfter.count() % 1000);
+        answer.fields_.push_back({ "Retry-After", std::to_string(retryAfter.count() / 1000) + "." + fraction.substr(1) });
+    }
+    answer.body_ = std::move(reason) + "\n";
+    return answer;
+}
+
+asio::awaitable<bool> Forwarding::deliver(HeldAnswer answer)
+{
+    keepsConnection_ = keepsConnection_ && !context_.isStopping_;
+    finalStatus_ = answer.status_;
+    hasBegunAnswer_ = true;
+    bool isTaken = co_await caller_->write(renderAnswer(answer.status_, answer.fields_, answer.body_, keepsConnection_));
+    context_.metrics_.add(isTaken && answer.status_ < 400 ? Counter::RequestsFinished : Counter::RequestsFailed);
+    co_return isTaken;
+}
+
+asio::awaitable<bool> Forwarding::beginEvents(const HeaderFields& fields)
+{
+    keepsConnection_ = keepsConnection_ && !context_.isStopping_ && !request_.isOldVersion_;
+    std::string head = statusLine(finalStatus_);
+    appendFields(head, fields);
+    if (!request_.isOldVersion_)
+        appendField(head, "Transfer-Encoding", "chunked");
+    if (!keepsConnection_)
+        appendField(head, "Connection", "close");
+    hasBegunAnswer_ = true;
+    co_return co_await caller_->write(head + "\r\n");
+}
+
+asio::awaitable<bool> Forwarding::passEvents(std::string events)
+{
+    if (request_.isOldVersion_)
+        co_return co_await caller_->write(std::move(events));
+    char size[20];
+    int length = std::snprintf(size, sizeof size, "%zx\r\n", events.size());
+    std::string chunk(size, static_cast<std::size_t>(length));
+    co_return co_await caller_->write(chunk.append(events).append("\r\n"));
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/BackendPool.h
@@ -0,0 +1,58 @@
+//===- lib/Forward/BackendPool.h - kept connections to backend servers -----===//
+///
+/// \file
+/// Connections of one worker to backend servers. A connection serves one
+/// request at a time and is kept only after a whole, well-framed answer.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "Signal.h"
+#include "pistachioloom/Backends.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace pistachioloom {
+
+struct BackendConnection {
+    explicit BackendConnection(const asio::any_io_executor& executor)
+        : socket_(executor)
+    {
+    }
+
+    /// Ends every operation on it; safe to call twice.
+    void close();
+
+    asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+    BackendId backend_;
+    /// Not used after this moment: the server may be closing it.
+    SteadyTime usableUntil_ {};
+    bool isReused_ = false;
+    /// An operation that writes the request is still under way.
+    bool isWriting_ = false;
+};
+
+using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
+
+class BackendPool {
+public:
+    explicit BackendPool(asio::any_io_executor executor)
+        : executor_(std::move(executor))
+    {
+    }
+
+    /// A kept connection that is still open, or nullptr.
+    BackendConnectionPtr take(const BackendId& backend, SteadyTime now);
+    /// A closed connection for this server, to be connected by the caller.
+    BackendConnectionPtr make(const BackendId& backend) const;
+    void put(BackendConnectionPtr connection);
+    const asio::any_io_executor& executor() const { return executor_; }
+    /// Closes what is past its time.
+    void expire(SteadyTime now);
+
+private:
+    asio::any_io_executor executor_;
+    std::map<BackendId, std::vector<BackendConnectionPtr>> idle_;
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/CallerConnection.cpp
@@ -0,0 +1,128 @@
+//===- lib/Forward/CallerConnection.cpp - one caller's connection ----------===//
+///
+/// \file
+/// See CallerConnection.h.
+//===----------------------------------------------------------------------===//
+#include "CallerConnection.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr std::size_t readSize = 8UL * 1024;
+    // Bytes held unread for one connection: a few pipelined requests.
+    constexpr std::size_t mostHeld = 64UL * 1024;
+    // Bodies arrive within this time of the last byte, or the caller is gone.
+    constexpr milliseconds bodySilence { 10000 };
+
+    Error badRequest(const BadRequest& problem, const std::string& peer)
+    {
+        Errc code = problem.status_ == 413 || problem.status_ == 431 ? Errc::TooLarge : Errc::InvalidInput;
+        return { code, "read request", peer, problem.reason_, Ran::No, {} };
+    }
+
+} // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket))
+    , arrived_(socket_.get_executor())
+    , drained_(socket_.get_executor())
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto remote = socket_.remote_endpoint(ignored);
+    peer_ = remote.address().to_string() + ":" + std::to_string(remote.port());
+}
+
+void CallerConnection::start()
+{
+    asio::co_spawn(
+        socket_.get_executor(), [self = shared_from_this()] { return self->readAlways(); }, asio::detached);
+}
+
+asio::awaitable<void> CallerConnection::readAlways()
+{
+    std::vector<char> chunk(readSize);
+    for (;;) {
+        if (input_.size() >= mostHeld) {
+            (void)co_await drained_.waitUntil(steadyNow() + bodySilence);
+            continue;
+        }
+        auto [code, count] = co_await socket_.async_read_some(asio::buffer(chunk), asTuple);
+        if (code)
+            break;
+        input_.append(chunk.data(), count);
+        arrived_.notify();
+    }
+    isGone_ = true;
+    arrived_.notify();
+    if (auto hook = std::exchange(goneHook_, nullptr))
+        hook();
+}
+
+void CallerConnection::setGoneHook(std::function<void()> hook)
+{
+    if (isGone_ && hook)
+        hook();
+    else
+        goneHook_ = std::move(hook);
+}
+
+asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::next(CallerBounds bounds)
+{
+    isIdle_ = true;
+    SteadyTime idleUntil = steadyNow() + bounds.idle_;
+    while (input_.empty()) {
+        if (isGone_ || !co_await arrived_.waitUntil(idleUntil))
+            co_return std::nullopt;
+    }
+    isIdle_ = false;
+    co_return co_await readRequest(bounds);
+}
+
+asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::readRequest(const CallerBounds& bounds)
+{
+    RequestReader reader(bounds, steadyNow());
+    SteadyTime headUntil = steadyNow() + bounds.headerTime_;
+    for (;;) {
+        RequestReader::Progress progress = reader.feed(input_);
+        drained_.notify();
+        if (progress == RequestReader::Progress::Done)
+            co_return reader.take();
+        if (progress == RequestReader::Progress::Bad) {
+            badStatus_ = reader.problem().status_;
+            co_return badRequest(reader.problem(), peer_);
+        }
+        if (isGone_)
+            co_return std::nullopt;
+        if (reader.hasHead() && reader.takeExpectation() && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
+            co_return std::nullopt;
+        SteadyTime until = reader.hasHead() ? steadyNow() + bodySilence : headUntil;
+        if (co_await arrived_.waitUntil(until))
+            continue;
+        badStatus_ = 408;
+        co_return Error { Errc::Timeout, "read request", peer_, "the request did not arrive in time", Ran::No, {} };
+    }
+}
+
+asio::awaitable<bool> CallerConnection::write(std::string bytes)
+{
+    if (isGone_)
+        co_return false;
+    auto [code, count] = co_await asio::async_write(socket_, asio::buffer(bytes), asTuple);
+    co_return !code;
+}
+
+void CallerConnection::abort()
+{
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void CallerConnection::finish()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/CallerConnection.h
@@ -0,0 +1,54 @@
+//===- lib/Forward/CallerConnection.h - one caller's connection ------------===//
+///
+/// \file
+/// Reads all the time, so that a caller who closes is noticed while a backend
+/// server works; what arrives early waits for its turn.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "RequestReader.h"
+#include "Signal.h"
+
+namespace pistachioloom {
+
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+public:
+    explicit CallerConnection(asio::ip::tcp::socket socket);
+
+    /// Starts reading.
+    void start();
+    /// The next request; a status to answer with if it is bad; nullopt when the
+    /// connection is to be closed without an answer.
+    asio::awaitable<std::optional<Result<CallerRequest>>> next(CallerBounds bounds);
+    /// Writes \p bytes. \returns whether they were taken.
+    asio::awaitable<bool> write(std::string bytes);
+    /// Called once when the caller closes or breaks.
+    void setGoneHook(std::function<void()> hook);
+    bool isGone() const { return isGone_; }
+    /// No request is being read or answered.
+    bool isIdle() const { return isIdle_ && input_.empty(); }
+    /// Ends the connection at once.
+    void abort();
+    /// Ends it after what was written.
+    void finish();
+    std::string peer() const { return peer_; }
+
+    /// The status of the last bad request.
+    int badStatus() const { return badStatus_; }
+
+private:
+    asio::awaitable<void> readAlways();
+    asio::awaitable<std::optional<Result<CallerRequest>>> readRequest(const CallerBounds& bounds);
+
+    asio::ip::tcp::socket socket_;
+    std::string input_;
+    Signal arrived_;
+    Signal drained_;
+    std::function<void()> goneHook_;
+    bool isGone_ = false;
+    bool isIdle_ = true;
+    int badStatus_ = 0;
+    std::string peer_;
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/EventSplitter.cpp
@@ -0,0 +1,70 @@
+//===- lib/Forward/EventSplitter.cpp - whole events of an event stream -----===//
+///
+/// \file
+/// See EventSplitter.h. Events end with a blank line; the id is a line of its
+/// own (WHATWG HTML, 9.2.6).
+//===----------------------------------------------------------------------===//
+#include "EventSplitter.h"
+
+#include "Headers.h"
+
+namespace pistachioloom {
+
+static std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    constexpr std::string_view prefix = "id:";
+    while (!event.empty()) {
+        std::string_view line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
+        if (!line.starts_with(prefix))
+            continue;
+        line.remove_prefix(prefix.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        return parseNumber(line);
+    }
+    return std::nullopt;
+}
+
+/// Where the first event of \p text ends, or npos.
+static std::size_t eventEnd(std::string_view text)
+{
+    std::size_t plain = text.find("\n\n");
+    std::size_t withReturn = text.find("\r\n\r\n");
+    if (plain == std::string_view::npos && withReturn == std::string_view::npos)
+        return std::string_view::npos;
+    if (withReturn < plain)
+        return withReturn + 4;
+    return plain + 2;
+}
+
+std::string EventSplitter::take(std::string_view bytes)
+{
+    partial_.append(bytes);
+    std::string whole;
+    std::size_t at = 0;
+    while (!isBroken_) {
+        std::string_view rest = std::string_view(partial_).substr(at);
+        std::size_t length = eventEnd(rest);
+        if (length == std::string_view::npos)
+            break;
+        std::string_view event = rest.substr(0, length);
+        at += length;
+        auto id = eventId(event);
+        if (id && last_ && *id <= *last_)
+            continue;
+        if (id && last_ && *id != *last_ + 1) {
+            isBroken_ = true;
+            break;
+        }
+        if (id)
+            last_ = id;
+        whole.append(event);
+    }
+    partial_.erase(0, at);
+    return whole;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/Forwarding.cpp
@@ -0,0 +1,264 @@
+//===- lib/Forward/Forwarding.cpp - the course of one request --------------===//
+///
+/// \file
+/// Admission, the loop over attempts, and time. Sending is in Sending.cpp,
+/// answers to the caller in Answering.cpp.
+//===----------------------------------------------------------------------===//
+#include "Forwarding.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    // A node without a configuration expects one within a poll of its source.
+    constexpr milliseconds retryUnconfigured { 300 };
+    // Backend servers that are full have room again after a few answers.
+    constexpr milliseconds retryFull { 150 };
+    // Connections that may fail for one request before it is given up.
+    constexpr unsigned mostUnreachable = 4;
+    // Weight versions and the like begin at this urgency if nothing is said.
+    constexpr unsigned mostUrgency = 9;
+    // Silence before a first event that means more than a long queue, as a
+    // multiple of the latency objective.
+    constexpr int objectivesOfPatience = 3;
+
+    const Logger& logger()
+    {
+        static const Logger logger("forward");
+        return logger;
+    }
+
+} // namespace
+
+Forwarding::Forwarding(ForwardContext& context, BackendPool& pool, std::shared_ptr<CallerConnection> caller, CallerRequest request)
+    : context_(context)
+    , pool_(pool)
+    , caller_(std::move(caller))
+    , request_(std::move(request))
+    , id_(request_.field(context.names_.attempt_))
+    , timer_(pool.executor())
+{
+    keepsConnection_ = request_.isKeepAlive_;
+}
+
+std::optional<Forwarding::HeldAnswer> Forwarding::authorise()
+{
+    const RouteConfiguration& configuration = table_->configuration();
+    if (!configuration.needsCredentials_ || route_->isPublic_)
+        return std::nullopt;
+    constexpr std::string_view scheme = "Bearer ";
+    std::string_view credential = request_.field("Authorization");
+    if (credential.size() > scheme.size() && equalWithoutCase(credential.substr(0, scheme.size()), scheme))
+        organisation_ = table_->findOrganisation(std::string(credential.substr(scheme.size())));
+    if (!organisation_)
+        return refusal(401, "unknown credential", {});
+    return std::nullopt;
+}
+
+RequestShape Forwarding::shapeOf() const
+{
+    RequestShape shape;
+    shape.service_ = pickService(*route_, randomBits());
+    if (auto counts = parseTokenCounts(request_.field(context_.names_.tokenCount_))) {
+        shape.promptTokens_ = counts->first;
+        shape.mostOutputTokens_ = counts->second;
+    }
+    shape.parts_ = parsePromptParts(request_.field(context_.names_.promptParts_));
+    const ServicePolicy* service = table_->findService(shape.service_);
+    shape.isForEngine_ = service && service->engine_;
+    shape.urgency_ = urgency_;
+    return shape;
+}
+
+std::optional<Forwarding::HeldAnswer> Forwarding::takeQuota()
+{
+    if (!organisation_)
+        return std::nullopt;
+    std::uint64_t tokens = shape_.promptTokens_.value_ + shape_.mostOutputTokens_.value_;
+    cost_ = 1;
+    if (organisation_->countsTokens_)
+        cost_ = static_cast<double>(tokens ? tokens : organisation_->plainTokens_);
+    auto wait = context_.quotas_.take(organisation_->name_, { organisation_->ratePerSecond_, organisation_->burst_ }, cost_, steadyNow());
+    if (wait) {
+        context_.metrics_.add(Counter::RequestsRefused);
+        return refusal(429, "quota of " + organisation_->name_.value_ + " used up", *wait);
+    }
+    hasQuota_ = true;
+    return std::nullopt;
+}
+
+std::optional<Forwarding::HeldAnswer> Forwarding::admit()
+{
+    table_ = context_.hooks_.table_();
+    if (!table_)
+        return refusal(503, "no configuration known yet", retryUnconfigured);
+    route_ = table_->findRoute(request_.field("Host"), request_.path());
+    if (!route_)
+        return refusal(404, "no route", {});
+    if (auto refused = authorise())
+        return refused;
+    urgency_ = std::min(mostUrgency, organisation_ && organisation_->priority_ ? *organisation_->priority_ : route_->priority_);
+    shape_ = shapeOf();
+    events_ = EventSplitter(parseNumber(request_.field(context_.names_.lastEvent_)));
+    deadline_ = request_.receivedAt_ + route_->timeout_;
+    if (auto told = parseNumber(request_.field(context_.names_.deadline_)))
+        deadline_ = std::min(deadline_, request_.receivedAt_ + milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(*told, 3600000))));
+    return takeQuota();
+}
+
+milliseconds Forwarding::timeLeft() const
+{
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(deadline_ - steadyNow()));
+}
+
+void Forwarding::armTimer()
+{
+    timer_.expires_at(std::min(deadline_, patienceUntil_));
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code& code) {
+        if (!code)
+            self->onTimer();
+    });
+}
+
+void Forwarding::onTimer()
+{
+    if (isFinished_)
+        return;
+    SteadyTime now = steadyNow();
+    if (now >= deadline_)
+        return stop(StopReason::TimeOver);
+    if (now >= patienceUntil_) {
+        patienceUntil_ = SteadyTime::max();
+        stop(StopReason::Silence);
+    }
+    armTimer();
+}
+
+void Forwarding::stop(StopReason reason)
+{
+    stopped_ = reason;
+    if (current_)
+        current_->close();
+    // A slow reader must not keep a request beyond its time.
+    if (reason == StopReason::TimeOver && hasBegunAnswer_)
+        caller_->abort();
+}
+
+bool Forwarding::mayTryAgain(SendEnd end)
+{
+    if (stopped_ == StopReason::CallerGone || stopped_ == StopReason::TimeOver || timeLeft() <= milliseconds(0))
+        return false;
+    if (end == SendEnd::Unreachable)
+        return ++unreachable_ < mostUnreachable;
+    if (sends_ >= route_->mostAttempts_)
+        return false;
+    if (end != SendEnd::NotRun && !route_->mayRepeat())
+        return false;
+    return context_.retries_.take(shape_.service_, steadyNow());
+}
+
+asio::awaitable<void> Forwarding::serve()
+{
+    for (;;) {
+        auto choice = context_.backends_.choose(shape_, excluded_, steadyNow());
+        if (!choice)
+            break;
+        Attempt attempt;
+        attempt.choice_ = std::move(*choice);
+        attempt.startedAt_ = steadyNow();
+        excluded_.insert(attempt.choice_.backend_.id_);
+        stopped_ = StopReason::None;
+        SendEnd end = co_await send(attempt);
+        finishAttempt(attempt, end);
+        if (end == SendEnd::Delivered || caller_->isGone())
+            co_return;
+        if (end == SendEnd::Lost || end == SendEnd::Held)
+            mayHaveRun_ = true;
+        if (!mayTryAgain(end))
+            break;
+        context_.metrics_.add(Counter::Retries);
+        logger().info("Try again: id=" + id_ + " after=" + attempt.choice_.backend_.id_.value_ + " sends=" + std::to_string(sends_)
+            + " why=" + attempt.detail_ + " left_ms=" + std::to_string(timeLeft().count()));
+        // A stopped engine has noticed its closed connection long before another
+        // has begun: the close is sent first, on a path no longer than the send's.
+    }
+    if (caller_->isGone())
+        co_return;
+    if (hasBegunAnswer_) {
+        caller_->abort();
+        co_return;
+    }
+    if (!held_)
+        held_ = finalFailure();
+    (void)co_await deliver(std::move(*held_));
+}
+
+asio::awaitable<bool> Forwarding::run()
+{
+    auto self = shared_from_this();
+    context_.metrics_.add(Counter::RequestsAccepted);
+    if (auto refused = admit()) {
+        logger().info("Refused: id=" + id_ + " status=" + std::to_string(refused->status_) + " why=" + lastDetail_ + " target=" + request_.target_
+            + " version=" + (table_ ? std::to_string(table_->version()) : "none"));
+        bool isTaken = co_await deliver(std::move(*refused));
+        co_return isTaken && keepsConnection_;
+    }
+    context_.retries_.countRequest(shape_.service_, steadyNow());
+    patienceUntil_ = SteadyTime::max();
+    armTimer();
+    caller_->setGoneHook([this] { stop(StopReason::CallerGone); });
+    co_await serve();
+    caller_->setGoneHook(nullptr);
+    isFinished_ = true;
+    timer_.cancel();
+    if (!hasCountedBegin_ && hasQuota_ && !mayHaveRun_)
+        context_.quotas_.giveBack(organisation_->name_, cost_);
+    co_return keepsConnection_ && !caller_->isGone();
+}
+
+void Forwarding::finishAttempt(Attempt& attempt, SendEnd end)
+{
+    BackendOutcome outcome = BackendOutcome::Served;
+    switch (end) {
+    case SendEnd::Delivered:
+        outcome = BackendOutcome::Served;
+        break;
+    case SendEnd::Held:
+        outcome = BackendOutcome::Failed;
+        break;
+    case SendEnd::NotRun:
+        outcome = attempt.detail_ == "wrong_instance" ? BackendOutcome::WrongInstance : BackendOutcome::Full;
+        break;
+    case SendEnd::Unreachable:
+        outcome = BackendOutcome::Unreachable;
+        break;
+    case SendEnd::Lost:
+        outcome = BackendOutcome::Broken;
+        break;
+    case SendEnd::Stopped:
+        outcome = BackendOutcome::Abandoned;
+        break;
+    }
+    current_ = nullptr;
+    SteadyTime now = steadyNow();
+    context_.backends_.end(attempt.choice_.backend_.id_, attempt.choice_.uncached_, attempt.hasBegun_, outcome, now);
+    auto took = std::chrono::duration_cast<milliseconds>(now - request_.receivedAt_);
+    context_.metrics_.observe(Histogram::WholeAnswer, now - request_.receivedAt_);
+    logger().info("Sent: id=" + id_ + " route=" + route_->name_ + " organisation=" + (organisation_ ? organisation_->name_.value_ : "-")
+        + " backend=" + attempt.choice_.backend_.id_.value_ + " dc=" + attempt.choice_.backend_.dataCentre_.value_ + " of=" + std::to_string(attempt.choice_.candidates_)
+        + " estimate_ms=" + std::to_string(attempt.choice_.estimate_.count()) + " uncached=" + std::to_string(attempt.choice_.uncached_.value_)
+        + " outcome=" + std::string(toString(outcome)) + (attempt.detail_.empty() ? "" : " why=" + attempt.detail_) + " status=" + std::to_string(finalStatus_)
+        + " last_event=" + (events_.last() ? std::to_string(*events_.last()) : "-") + " took_ms=" + std::to_string(took.count()) + " version=" + std::to_string(table_->version()));
+    lastDetail_ = attempt.detail_;
+}
+
+Forwarding::HeldAnswer Forwarding::finalFailure() const
+{
+    // 503 promises that the request has not run and never will.
+    if (!mayHaveRun_ && stopped_ != StopReason::TimeOver)
+        return refusal(503, lastDetail_.empty() ? "no backend server" : lastDetail_, retryFull);
+    int status = stopped_ == StopReason::TimeOver ? 504 : 502;
+    return refusal(status, lastDetail_.empty() ? "the backend server broke off" : lastDetail_, {});
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/Forwarding.h
@@ -0,0 +1,140 @@
+//===- lib/Forward/Forwarding.h - the course of one request ----------------===//
+///
+/// \file
+/// From a whole request to its one final answer: admission, choice, sends to
+/// backend servers, and going on elsewhere where that is allowed.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "BackendPool.h"
+#include "CallerConnection.h"
+#include "EventSplitter.h"
+
+#include <boost/beast/http.hpp>
+
+namespace pistachioloom {
+
+/// How one send to a backend server ended, as far as the request goes.
+enum class SendEnd {
+    /// The caller has the whole answer.
+    Delivered,
+    /// The answer is whole and held; it may be delivered or repeated.
+    Held,
+    /// It surely did not run there.
+    NotRun,
+    /// Nothing reached the backend server.
+    Unreachable,
+    /// It may have run, and there is no whole answer.
+    Lost,
+    /// The caller left, or the time is over.
+    Stopped,
+};
+
+/// Why work on a request was stopped from outside.
+enum class StopReason {
+    None,
+    CallerGone,
+    /// The caller's deadline or the route's timeout.
+    TimeOver,
+    /// The backend server was silent for too long.
+    Silence,
+};
+
+class Forwarding : public std::enable_shared_from_this<Forwarding> {
+public:
+    Forwarding(ForwardContext& context, BackendPool& pool, std::shared_ptr<CallerConnection> caller, CallerRequest request);
+
+    /// Serves the request. \returns whether the connection may be kept.
+    asio::awaitable<bool> run();
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    /// One send and what came of it.
+    struct Attempt {
+        BackendChoice choice_;
+        BackendConnectionPtr connection_;
+        SteadyTime startedAt_ {};
+        bool hasBegun_ = false;
+        std::string detail_;
+    };
+    /// A whole answer of a backend server, not yet passed on.
+    struct HeldAnswer {
+        int status_ = 0;
+        HeaderFields fields_;
+        std::string body_;
+    };
+
+    // Admission.
+    std::optional<HeldAnswer> admit();
+    std::optional<HeldAnswer> authorise();
+    std::optional<HeldAnswer> takeQuota();
+    RequestShape shapeOf() const;
+
+    // Attempts.
+    asio::awaitable<void> serve();
+    asio::awaitable<SendEnd> send(Attempt& attempt);
+    asio::awaitable<SendEnd> connect(Attempt& attempt);
+    asio::awaitable<SendEnd> receive(Attempt& attempt);
+    asio::awaitable<SendEnd> receiveWhole(Attempt& attempt, Parser& parser);
+    asio::awaitable<SendEnd> relayEvents(Attempt& attempt, Parser& parser);
+    asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, Parser& parser);
+    bool mayTryAgain(SendEnd end);
+    void finishAttempt(Attempt& attempt, SendEnd end);
+    std::optional<SendEnd> checkHead(Attempt& attempt, const Parser& parser);
+    void startWriting(Attempt& attempt);
+    std::string headFor(const BackendRecord& backend) const;
+    void noteBegun(Attempt& attempt);
+    void releaseConnection(Attempt& attempt, const Parser& parser);
+
+    // Answers.
+    asio::awaitable<bool> deliver(HeldAnswer answer);
+    asio::awaitable<bool> beginEvents(const HeaderFields& fields);
+    asio::awaitable<bool> passEvents(std::string events);
+    HeldAnswer refusal(int status, std::string reason, milliseconds retryAfter) const;
+    HeldAnswer finalFailure() const;
+
+    // Time.
+    void armTimer();
+    void onTimer();
+    void stop(StopReason reason);
+    milliseconds timeLeft() const;
+
+    ForwardContext& context_;
+    BackendPool& pool_;
+    std::shared_ptr<CallerConnection> caller_;
+    CallerRequest request_;
+    std::string id_;
+
+    std::shared_ptr<const RouteTable> table_;
+    const Route* route_ = nullptr;
+    const OrganisationPolicy* organisation_ = nullptr;
+    RequestShape shape_;
+    unsigned urgency_ = 0;
+    double cost_ = 0;
+    bool hasQuota_ = false;
+
+    SteadyTime deadline_ {};
+    SteadyTime patienceUntil_ {};
+    asio::steady_timer timer_;
+    StopReason stopped_ = StopReason::None;
+    BackendConnectionPtr current_;
+
+    std::set<BackendId> excluded_;
+    unsigned sends_ = 0;
+    unsigned unreachable_ = 0;
+    bool mayHaveRun_ = false;
+    bool hasCountedBegin_ = false;
+    bool hasBegunAnswer_ = false;
+    bool isFinished_ = false;
+    bool keepsConnection_ = false;
+    EventSplitter events_ { std::nullopt };
+    std::optional<HeldAnswer> held_;
+    std::string lastDetail_;
+    int finalStatus_ = 0;
+};
+
+/// Answers a request that cannot be read; the connection closes after it.
+std::string renderAnswer(int status, const HeaderFields& fields, std::string_view body, bool isKept);
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/Sending.cpp
@@ -0,0 +1,302 @@
+//===- lib/Forward/Sending.cpp - one send to a backend server --------------===//
+///
+/// \file
+/// Connects, writes the request and reads the answer. What an answer says is
+/// believed only from the instance that was meant, for the request that was
+/// sent, and whole.
+//===----------------------------------------------------------------------===//
+#include "Forwarding.h"
+
+#include <boost/algorithm/string.hpp>
+
+namespace pistachioloom {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+static std::string_view view(beast::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+static HeaderFields fieldsOf(const http::response_parser<http::string_body>& parser)
+{
+    HeaderFields fields;
+    for (const auto& field : parser.get())
+        fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    return fields;
+}
+
+std::string Forwarding::headFor(const BackendRecord& backend) const
+{
+    const ForwardHeaderNames& names = context_.names_;
+    std::vector<std::string> options = connectionOptions(request_.fields_);
+    std::string head = request_.method_ + " " + request_.target_ + " HTTP/1.1\r\n";
+    bool hadLength = false;
+    for (const HeaderField& field : request_.fields_) {
+        hadLength |= equalWithoutCase(field.name_, "content-length") || equalWithoutCase(field.name_, "transfer-encoding");
+        bool isOurs = equalWithoutCase(field.name_, "authorization") || equalWithoutCase(field.name_, names.deadline_) || equalWithoutCase(field.name_, names.lastEvent_);
+        for (const std::string& reserved : names.reserved_)
+            isOurs |= equalWithoutCase(field.name_, reserved);
+        if (isOurs || isHopByHop(field.name_) || std::find(options.begin(), options.end(), boost::to_lower_copy(field.name_)) != options.end())
+            continue;
+        appendField(head, field.name_, field.value_);
+    }
+    appendField(head, names.deadline_, std::to_string(timeLeft().count()));
+    appendField(head, names.expectedBackend_, backend.id_.value_);
+    if (organisation_)
+        appendField(head, names.organisation_, organisation_->name_.value_);
+    if (shape_.isForEngine_)
+        appendField(head, names.urgency_, std::to_string(urgency_));
+    if (events_.last() && route_->isStream_)
+        appendField(head, names.lastEvent_, std::to_string(*events_.last()));
+    if (hadLength || !request_.body_.empty())
+        appendField(head, "Content-Length", std::to_string(request_.body_.size()));
+    return head + "\r\n";
+}
+
+asio::awaitable<SendEnd> Forwarding::connect(Attempt& attempt)
+{
+    const BackendRecord& backend = attempt.choice_.backend_;
+    attempt.connection_ = pool_.take(backend.id_, steadyNow());
+    if (attempt.connection_) {
+        current_ = attempt.connection_;
+        co_return SendEnd::Held;
+    }
+    attempt.connection_ = pool_.make(backend.id_);
+    current_ = attempt.connection_;
+    beast::error_code invalid;
+    tcp::endpoint address(asio::ip::make_address(backend.endpoint_.host_, invalid), backend.endpoint_.port_);
+    if (invalid) {
+        attempt.detail_ = "bad_address";
+        co_return SendEnd::Unreachable;
+    }
+    patienceUntil_ = steadyNow() + context_.settings_.connectTimeout_;
+    armTimer();
+    auto [code] = co_await attempt.connection_->socket_.async_connect(address, asTuple);
+    patienceUntil_ = SteadyTime::max();
+    if (!code) {
+        beast::error_code ignored;
+        attempt.connection_->socket_.set_option(tcp::no_delay(true), ignored);
+        co_return SendEnd::Held;
+    }
+    attempt.detail_ = stopped_ == StopReason::Silence ? "connect_timeout" : "connect:" + code.message();
+    bool isOver = stopped_ == StopReason::CallerGone || stopped_ == StopReason::TimeOver;
+    co_return isOver ? SendEnd::Stopped : SendEnd::Unreachable;
+}
+
+void Forwarding::startWriting(Attempt& attempt)
+{
+    struct Outgoing {
+        std::string head_;
+        std::shared_ptr<Forwarding> owner_;
+    };
+    auto outgoing = std::make_shared<Outgoing>(Outgoing { headFor(attempt.choice_.backend_), shared_from_this() });
+    std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoing->head_), asio::buffer(request_.body_) };
+    attempt.connection_->isWriting_ = true;
+    asio::async_write(attempt.connection_->socket_, buffers, [outgoing, connection = attempt.connection_](const beast::error_code& code, std::size_t) {
+        connection->isWriting_ = static_cast<bool>(code);
+    });
+}
+
+asio::awaitable<SendEnd> Forwarding::send(Attempt& attempt)
+{
+    SendEnd connected = co_await connect(attempt);
+    if (connected != SendEnd::Held) {
+        attempt.connection_->close();
+        co_return connected;
+    }
+    ++sends_;
+    context_.metrics_.add(Counter::Attempts);
+    if (route_->mayRepeat()) {
+        auto patience = std::chrono::duration_cast<milliseconds>(timeLeft() * context_.settings_.patienceShare_);
+        if (route_->isStream_)
+            patience = std::min(patience, std::max(3 * route_->objective_, attempt.choice_.estimate_ * 2));
+        patienceUntil_ = steadyNow() + patience;
+        armTimer();
+    }
+    startWriting(attempt);
+    SendEnd end = co_await receive(attempt);
+    patienceUntil_ = SteadyTime::max();
+    if (end != SendEnd::Delivered && attempt.connection_)
+        attempt.connection_->close();
+    if ((end == SendEnd::Lost) && (stopped_ == StopReason::CallerGone || stopped_ == StopReason::TimeOver)) {
+        mayHaveRun_ = true;
+        attempt.detail_ = stopped_ == StopReason::CallerGone ? "caller_gone" : "time_over";
+        co_return SendEnd::Stopped;
+    }
+    if (end == SendEnd::Lost && stopped_ == StopReason::Silence)
+        attempt.detail_ = "silent";
+    co_return end;
+}
+
+asio::awaitable<beast::error_code> Forwarding::readSome(Attempt& attempt, Parser& parser)
+{
+    auto [code, count] = co_await http::async_read_some(attempt.connection_->socket_, attempt.connection_->buffer_, parser, asTuple);
+    co_return code;
+}
+
+/// What the head alone decides; nullopt to read on.
+std::optional<SendEnd> Forwarding::checkHead(Attempt& attempt, const Parser& parser)
+{
+    const auto& message = parser.get();
+    int status = static_cast<int>(message.result_int());
+    if (status == 421) {
+        attempt.detail_ = "wrong_instance";
+        return SendEnd::NotRun;
+    }
+    std::string_view echoed = view(message[context_.names_.attempt_]);
+    bool isOurs = id_.empty() || echoed == id_;
+    if (!isOurs && !(echoed.empty() && status >= 400)) {
+        attempt.detail_ = "other_answer";
+        return SendEnd::Lost;
+    }
+    if (message.find(context_.names_.notRun_) != message.end()) {
+        attempt.detail_ = "not_run:" + std::to_string(status);
+        return SendEnd::NotRun;
+    }
+    bool isSuccess = status >= 200 && status < 300;
+    bool hasSeal = !view(message[context_.names_.seal_]).empty();
+    if (isSuccess && (!hasSeal || !view(message["Content-Encoding"]).empty())) {
+        attempt.detail_ = "unproven_answer";
+        return SendEnd::Lost;
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<SendEnd> Forwarding::receive(Attempt& attempt)
+{
+    for (;;) {
+        Parser parser;
+        parser.body_limit(boost::none);
+        if (equalWithoutCase(request_.method_, "HEAD"))
+            parser.skip(true);
+        // An event stream is read as it comes; everything else is read whole.
+        parser.eager(false);
+        auto [code, count] = co_await http::async_read_header(attempt.connection_->socket_, attempt.connection_->buffer_, parser, asTuple);
+        if (code) {
+            attempt.detail_ = "head:" + code.message();
+            co_return SendEnd::Lost;
+        }
+        if (parser.get().result_int() / 100 == 1)
+            continue;
+        if (auto decided = checkHead(attempt, parser))
+            co_return *decided;
+        parser.eager(true);
+        bool isSuccess = parser.get().result_int() / 100 == 2;
+        if (route_->isStream_ && isSuccess)
+            co_return co_await relayEvents(attempt, parser);
+        co_return co_await receiveWhole(attempt, parser);
+    }
+}
+
+void Forwarding::noteBegun(Attempt& attempt)
+{
+    if (attempt.hasBegun_)
+        return;
+    attempt.hasBegun_ = true;
+    auto wait = std::chrono::duration_cast<milliseconds>(steadyNow() - attempt.startedAt_);
+    context_.backends_.began(attempt.choice_.backend_.id_, shape_, attempt.choice_.uncached_, wait);
+    if (hasCountedBegin_)
+        return;
+    hasCountedBegin_ = true;
+    context_.metrics_.observe(Histogram::FirstToken, steadyNow() - request_.receivedAt_);
+    if (organisation_)
+        context_.hooks_.onBegan_(organisation_->name_);
+}
+
+asio::awaitable<SendEnd> Forwarding::receiveWhole(Attempt& attempt, Parser& parser)
+{
+    while (!parser.is_done()) {
+        if (auto code = co_await readSome(attempt, parser)) {
+            attempt.detail_ = "body:" + code.message();
+            co_return SendEnd::Lost;
+        }
+        if (parser.get().body().size() > context_.settings_.longestAnswer_.value_) {
+            attempt.detail_ = "answer_too_large";
+            co_return SendEnd::Lost;
+        }
+    }
+    noteBegun(attempt);
+    HeldAnswer answer { static_cast<int>(parser.get().result_int()), fieldsOf(parser), parser.get().body() };
+    finalStatus_ = answer.status_;
+    releaseConnection(attempt, parser);
+    bool isServerFailure = answer.status_ >= 500;
+    if (isServerFailure && route_->mayRepeat()) {
+        // Another may do better; if none may be asked, this answer stands.
+        attempt.detail_ = "failed:" + std::to_string(answer.status_);
+        held_ = std::move(answer);
+        co_return SendEnd::Held;
+    }
+    bool isTaken = co_await deliver(std::move(answer));
+    co_return isTaken ? SendEnd::Delivered : SendEnd::Stopped;
+}
+
+asio::awaitable<SendEnd> Forwarding::relayEvents(Attempt& attempt, Parser& parser)
+{
+    HeaderFields fields = fieldsOf(parser);
+    finalStatus_ = static_cast<int>(parser.get().result_int());
+    while (!parser.is_done()) {
+        if (auto code = co_await readSome(attempt, parser)) {
+            attempt.detail_ = "events:" + code.message();
+            co_return SendEnd::Lost;
+        }
+        std::string events = events_.take(parser.get().body());
+        parser.get().body().clear();
+        if (events_.isBroken()) {
+            attempt.detail_ = "event_missing";
+            co_return SendEnd::Lost;
+        }
+        if (events.empty())
+            continue;
+        noteBegun(attempt);
+        if (route_->mayRepeat()) {
+            patienceUntil_ = steadyNow() + context_.settings_.streamSilence_;
+            // The timer looks again when it fires; it is set only if it would
+            // fire too late.
+            if (timer_.expiry() > patienceUntil_)
+                armTimer();
+        }
+        if (!hasBegunAnswer_ && !co_await beginEvents(fields))
+            co_return SendEnd::Stopped;
+        if (!co_await passEvents(std::move(events)))
+            co_return SendEnd::Stopped;
+    }
+    if (events_.hasPartial()) {
+        attempt.detail_ = "event_cut";
+        co_return SendEnd::Lost;
+    }
+    releaseConnection(attempt, parser);
+    if (!hasBegunAnswer_ && !co_await beginEvents(fields))
+        co_return SendEnd::Stopped;
+    if (!request_.isOldVersion_ && !co_await caller_->write("0\r\n\r\n"))
+        co_return SendEnd::Stopped;
+    if (request_.isOldVersion_)
+        keepsConnection_ = false;
+    co_return SendEnd::Delivered;
+}
+
+/// Keeps the connection if nothing speaks against it.
+void Forwarding::releaseConnection(Attempt& attempt, const Parser& parser)
+{
+    BackendConnectionPtr connection = std::move(attempt.connection_);
+    current_ = nullptr;
+    if (!parser.get().keep_alive() || parser.need_eof() || connection->isWriting_ || connection->buffer_.size()) {
+        connection->close();
+        return;
+    }
+    milliseconds idle = context_.settings_.defaultIdle_;
+    std::string_view keepAlive = view(parser.get()[http::field::keep_alive]);
+    constexpr std::string_view timeout = "timeout=";
+    std::size_t at = keepAlive.find(timeout);
+    if (at != std::string_view::npos) {
+        keepAlive.remove_prefix(at + timeout.size());
+        if (auto seconds = parseNumber(keepAlive.substr(0, keepAlive.find_first_not_of("0123456789"))))
+            idle = milliseconds(static_cast<std::int64_t>(*seconds) * 1000);
+    }
+    connection->usableUntil_ = steadyNow() + idle - context_.settings_.idleMargin_;
+    pool_.put(std::move(connection));
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Forward/Worker.cpp
@@ -0,0 +1,164 @@
+//===- lib/Forward/Worker.cpp - accepts callers ----------------------------===//
+///
+/// \file
+/// One worker serves its connections on one thread.
+//===----------------------------------------------------------------------===//
+#include "Forwarding.h"
+
+#include <unordered_set>
+
+namespace pistachioloom {
+
+using tcp = asio::ip::tcp;
+
+namespace {
+
+    // Kept connections past their time are closed this often.
+    constexpr milliseconds sweepPeriod { 1000 };
+    // After a failed accept (no descriptors left) there is a pause.
+    constexpr milliseconds acceptPause { 20 };
+    // A closing connection waits so long for the caller's close, so that an
+    // answer on its way is not reset.
+    constexpr milliseconds lingerTime { 500 };
+
+} // namespace
+
+struct ForwardWorker::State : std::enable_shared_from_this<ForwardWorker::State> {
+    State(asio::io_context& io, ForwardContext& context)
+        : io_(io)
+        , context_(context)
+        , pool_(io.get_executor())
+        , acceptor_(io)
+    {
+    }
+
+    asio::awaitable<void> acceptAll();
+    asio::awaitable<void> serveConnection(std::shared_ptr<CallerConnection> caller);
+    asio::awaitable<void> answerBad(CallerConnection& caller, const Error& error);
+    asio::awaitable<void> sweep();
+    CallerBounds bounds() const;
+
+    asio::io_context& io_;
+    ForwardContext& context_;
+    BackendPool pool_;
+    tcp::acceptor acceptor_;
+    std::unordered_set<std::shared_ptr<CallerConnection>> callers_;
+    Logger logger_ { "forward" };
+};
+
+CallerBounds ForwardWorker::State::bounds() const
+{
+    auto table = context_.hooks_.table_();
+    return table ? table->configuration().bounds_ : CallerBounds {};
+}
+
+asio::awaitable<void> ForwardWorker::State::answerBad(CallerConnection& caller, const Error& error)
+{
+    logger_.info("Bad request: " + describe(error) + " status=" + std::to_string(caller.badStatus()));
+    context_.metrics_.add(Counter::RequestsRefused);
+    HeaderFields fields;
+    fields.push_back({ "Content-Type", "text/plain" });
+    (void)co_await caller.write(renderAnswer(caller.badStatus(), fields, error.message_ + "\n", false));
+}
+
+asio::awaitable<void> ForwardWorker::State::serveConnection(std::shared_ptr<CallerConnection> caller)
+{
+    CountGuard counted(context_.connections_);
+    callers_.insert(caller);
+    caller->start();
+    for (;;) {
+        auto request = co_await caller->next(bounds());
+        if (!request)
+            break;
+        if (!*request) {
+            co_await answerBad(*caller, request->error());
+            break;
+        }
+        CountGuard running(context_.running_);
+        auto forwarding = std::make_shared<Forwarding>(context_, pool_, caller, std::move(request->value()));
+        if (!co_await forwarding->run())
+            break;
+    }
+    caller->finish();
+    if (!caller->isGone()) {
+        asio::steady_timer linger(io_, lingerTime);
+        (void)co_await linger.async_wait(asTuple);
+    }
+    caller->abort();
+    callers_.erase(caller);
+}
+
+asio::awaitable<void> ForwardWorker::State::acceptAll()
+{
+    for (;;) {
+        auto [code, socket] = co_await acceptor_.async_accept(asTuple);
+        if (code == asio::error::operation_aborted)
+            co_return;
+        if (code) {
+            logger_.warn("Accept failed: " + code.message() + ".");
+            asio::steady_timer pause(io_, acceptPause);
+            (void)co_await pause.async_wait(asTuple);
+            continue;
+        }
+        asio::co_spawn(io_, serveConnection(std::make_shared<CallerConnection>(std::move(socket))), asio::detached);
+    }
+}
+
+asio::awaitable<void> ForwardWorker::State::sweep()
+{
+    for (;;) {
+        asio::steady_timer timer(io_, sweepPeriod);
+        (void)co_await timer.async_wait(asTuple);
+        pool_.expire(steadyNow());
+    }
+}
+
+ForwardWorker::ForwardWorker(asio::io_context& io, ForwardContext& context)
+    : state_(std::make_shared<State>(io, context))
+{
+}
+
+ForwardWorker::~ForwardWorker() = default;
+
+Result<std::uint16_t> ForwardWorker::listen(const Endpoint& endpoint)
+{
+    boost::system::error_code code;
+    tcp::endpoint address(asio::ip::make_address(endpoint.host_, code), endpoint.port_);
+    tcp::acceptor& acceptor = state_->acceptor_;
+    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    if (!code)
+        acceptor.open(address.protocol(), code);
+    if (!code)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        acceptor.set_option(ReusePort(true), code);
+    if (!code)
+        acceptor.bind(address, code);
+    if (!code)
+        acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+        return Error { Errc::Unavailable, "listen for callers", endpoint.toString(), code.message(), Ran::No, {} };
+    asio::co_spawn(state_->io_, [state = state_] { return state->acceptAll(); }, asio::detached);
+    asio::co_spawn(state_->io_, [state = state_] { return state->sweep(); }, asio::detached);
+    return acceptor.local_endpoint().port();
+}
+
+void ForwardWorker::closeIdle()
+{
+    asio::post(state_->io_, [state = state_] {
+        for (const auto& caller : state->callers_) {
+            if (caller->isIdle())
+                caller->abort();
+        }
+    });
+}
+
+void ForwardWorker::abortAll()
+{
+    asio::post(state_->io_, [state = state_] {
+        for (const auto& caller : state->callers_)
+            caller->abort();
+    });
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/DutyRunner.cpp
@@ -0,0 +1,266 @@
+//===- lib/Gateway/DutyRunner.cpp - usage reports and fleet orders ---------===//
+///
+/// \file
+/// See DutyRunner.h.
+//===----------------------------------------------------------------------===//
+#include "DutyRunner.h"
+
+#include "generated/Peer.pb.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr milliseconds runPeriod { 250 };
+    // An append without an answer is repeated this often, each time under the
+    // same condition, so that it happens at most once.
+    constexpr int appendTries = 4;
+    // Windows that are remembered; older ones are past their due time.
+    constexpr std::uint64_t windowsKept = 8;
+
+    DutyTiming timingFor(milliseconds lease)
+    {
+        DutyTiming timing;
+        // Together more than the lease, so that a holder that comes back later
+        // never acts within one lease of its earlier acts.
+        timing.holderSilence_ = lease * 85 / 100;
+        timing.actAfterClaim_ = lease / 2 + milliseconds(100);
+        timing.recordValidity_ = lease / 3;
+        return timing;
+    }
+
+    std::map<WindowNumber, UsageCounts> usageOf(const wire::DutyRecord& record)
+    {
+        UsageCounts counts;
+        for (const auto& [organisation, count] : record.usage().counts())
+            counts[{ organisation }] = count;
+        return { { { record.usage().number() }, counts } };
+    }
+
+} // namespace
+
+DutyRunner::DutyRunner(asio::io_context& io, GatewayContext& context)
+    : io_(io)
+    , context_(context)
+    , seat_(context.settings_.vm_, timingFor(context.settings_.dutyLease_), steadyNow())
+{
+}
+
+void DutyRunner::start(const PeerReports& reports)
+{
+    reports_ = &reports;
+    asio::co_spawn(io_, run(), asio::detached);
+}
+
+DutyToken DutyRunner::heldToken() const
+{
+    std::lock_guard lock(mutex_);
+    return seat_.isHolder() ? seat_.token() : DutyToken {};
+}
+
+void DutyRunner::heardHolder(const VmId& holder, DutyToken token)
+{
+    std::lock_guard lock(mutex_);
+    bool was = seat_.isHolder();
+    seat_.heardHolder(holder, token, steadyNow());
+    if (was && !seat_.isHolder())
+        logger_.info("Duties are held by " + holder.value_ + ": token=" + std::to_string(token.value_));
+}
+
+void DutyRunner::resign(const std::string& why)
+{
+    std::lock_guard lock(mutex_);
+    seat_.lost(steadyNow());
+    logger_.info("Give up the duties: " + why);
+}
+
+asio::awaitable<void> DutyRunner::run()
+{
+    for (;;) {
+        co_await sleepFor(runPeriod);
+        // A node that is stopping leaves the duties to those that stay.
+        if (context_.isStopping_)
+            continue;
+        bool shouldClaim = false;
+        bool mayBegin = false;
+        {
+            std::size_t rank = reports_->rankFor("duties");
+            std::lock_guard lock(mutex_);
+            shouldClaim = context_.table() && seat_.shouldClaim(rank, steadyNow());
+            mayBegin = seat_.mayBegin(steadyNow());
+        }
+        if (shouldClaim)
+            co_await claim();
+        else if (mayBegin)
+            co_await act();
+    }
+}
+
+/// Reads the log of duties to its end. \returns whether it was read.
+asio::awaitable<bool> DutyRunner::readLog()
+{
+    for (;;) {
+        auto read = co_await context_.platform_.readDuties_(end_);
+        if (!read) {
+            logger_.warn("Log of duties cannot be read: " + describe(read.error()));
+            co_return false;
+        }
+        for (const auto& [offset, bytes] : read.value().records_) {
+            wire::DutyRecord record;
+            if (!record.ParseFromString(bytes)) {
+                logger_.warn("Record " + std::to_string(offset.value_) + " of duties cannot be read.");
+                continue;
+            }
+            if (record.has_usage())
+                recorded_.merge(usageOf(record));
+        }
+        bool isAtEnd = read.value().records_.empty();
+        end_ = read.value().next_;
+        if (isAtEnd)
+            co_return true;
+    }
+}
+
+asio::awaitable<DutyRunner::Recorded> DutyRunner::record(const wire::DutyRecord& record)
+{
+    std::string bytes = record.SerializeAsString();
+    for (int i = 0; i < appendTries; ++i) {
+        auto appended = co_await context_.platform_.appendDuty_(end_, bytes);
+        if (appended) {
+            ++end_.value_;
+            co_return Recorded::Yes;
+        }
+        if (appended.error().code_ != Errc::Conflict)
+            continue;
+        // An earlier try of this very record may be what came first.
+        LogOffset mine = end_;
+        auto read = co_await context_.platform_.readDuties_(mine);
+        if (read && !read.value().records_.empty() && read.value().records_.front().second == bytes) {
+            ++end_.value_;
+            co_return Recorded::Yes;
+        }
+        co_return Recorded::Superseded;
+    }
+    co_return Recorded::Unsure;
+}
+
+asio::awaitable<void> DutyRunner::claim()
+{
+    if (!co_await readLog())
+        co_return;
+    wire::DutyRecord claim;
+    claim.set_vm(context_.settings_.vm_.value_);
+    claim.set_incarnation(context_.incarnation_);
+    Recorded recorded = co_await record(claim);
+    if (recorded != Recorded::Yes)
+        co_return resign(recorded == Recorded::Superseded ? "another claimed first" : "the claim has no answer");
+    std::lock_guard lock(mutex_);
+    // The token is the claim's offset plus one, which is the end after it.
+    seat_.claimed({ end_.value_ }, steadyNow());
+    logger_.info("Hold the duties: token=" + std::to_string(end_.value_));
+}
+
+asio::awaitable<void> DutyRunner::act()
+{
+    co_await reportUsage();
+    if (steadyNow() - fleetAt_ < context_.settings_.fleet_.period_)
+        co_return;
+    fleetAt_ = steadyNow();
+    co_await orderFleet();
+}
+
+asio::awaitable<void> DutyRunner::reportUsage()
+{
+    // The newest window whose counts have had time to arrive from all nodes.
+    std::int64_t settled = context_.agreedWallMs() - context_.settings_.usageDelay_.count();
+    WindowNumber due = context_.usage_.windowAt(settled);
+    if (!due.value_)
+        co_return;
+    --due.value_;
+    if (reported_.contains(due))
+        co_return;
+    UsageCounts counts = context_.usage_.sum(due);
+    auto earlier = recorded_.find(due);
+    if (earlier != recorded_.end())
+        counts = earlier->second;
+    if (counts.empty()) {
+        reported_.insert(due);
+        co_return;
+    }
+    SteadyTime recordedAt = steadyNow();
+    wire::DutyRecord intent;
+    intent.set_vm(context_.settings_.vm_.value_);
+    intent.set_incarnation(context_.incarnation_);
+    intent.mutable_usage()->set_number(due.value_);
+    for (const auto& [organisation, count] : counts)
+        (*intent.mutable_usage()->mutable_counts())[organisation.value_] = count;
+    Recorded recorded = co_await record(intent);
+    if (recorded != Recorded::Yes)
+        co_return resign("usage of window " + std::to_string(due.value_) + " could not be recorded");
+    recorded_[due] = counts;
+    DutyToken token = heldToken();
+    if (!seat_.mayAct(recordedAt, steadyNow()))
+        co_return;
+    auto sent = co_await context_.platform_.reportUsage_(context_.settings_.vm_, token, due, counts);
+    std::uint64_t sum = 0;
+    for (const auto& [organisation, count] : counts)
+        sum += count;
+    logger_.info("Usage of window " + std::to_string(due.value_) + ": requests=" + std::to_string(sum) + " token=" + std::to_string(token.value_) + (sent ? "" : " failed=" + describe(sent.error())));
+    if (!sent)
+        co_return;
+    reported_.insert(due);
+    context_.usage_.forget({ due.value_ - std::min(due.value_, windowsKept) });
+    recorded_.erase(recorded_.begin(), recorded_.lower_bound({ due.value_ - std::min(due.value_, windowsKept) }));
+}
+
+std::vector<FleetOrder> DutyRunner::wantedOrders() const
+{
+    std::vector<FleetOrder> orders;
+    auto table = context_.table();
+    for (const ServicePolicy& service : table->configuration().services_) {
+        if (!service.fleet_)
+            continue;
+        for (const auto& [dataCentre, price] : service.fleet_->prices_) {
+            orders.push_back({ service.name_, dataCentre, true, context_.settings_.fleet_.reclaimable_ });
+            orders.push_back({ service.name_, dataCentre, false, context_.settings_.fleet_.lasting_ });
+        }
+    }
+    return orders;
+}
+
+asio::awaitable<void> DutyRunner::orderFleet()
+{
+    std::vector<FleetOrder> due;
+    SteadyTime now = steadyNow();
+    std::map<std::tuple<ServiceName, DataCentreId, bool>, std::uint64_t> present;
+    for (const BackendRecord& record : context_.backends_.records()) {
+        if (!record.isLeaving_)
+            ++present[{ record.service_, record.dataCentre_, record.isReclaimable_ }];
+    }
+    for (const FleetOrder& order : wantedOrders()) {
+        bool isThere = present[{ order.service_, order.dataCentre_, order.isReclaimable_ }] == order.wanted_;
+        auto last = ordered_.find(order);
+        if (isThere || (last != ordered_.end() && now - last->second < context_.settings_.fleet_.repeat_))
+            continue;
+        due.push_back(order);
+    }
+    if (due.empty())
+        co_return;
+    wire::DutyRecord intent;
+    intent.set_vm(context_.settings_.vm_.value_);
+    intent.set_incarnation(context_.incarnation_);
+    for (const FleetOrder& order : due)
+        intent.add_orders(order.service_.value_ + "/" + order.dataCentre_.value_ + "/" + std::to_string(order.wanted_));
+    if (co_await record(intent) != Recorded::Yes)
+        co_return resign("orders could not be recorded");
+    for (const FleetOrder& order : due) {
+        if (!seat_.mayAct(now, steadyNow()))
+            co_return;
+        auto sent = co_await context_.platform_.orderFleet_(context_.settings_.vm_, heldToken(), order);
+        ordered_[order] = steadyNow();
+        logger_.info("Order " + std::to_string(order.wanted_) + (order.isReclaimable_ ? " reclaimable" : " lasting") + " engines of " + order.service_.value_ + " in " + order.dataCentre_.value_
+            + ": token=" + std::to_string(heldToken().value_) + (sent ? "" : " failed=" + describe(sent.error())));
+    }
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/DutyRunner.h
@@ -0,0 +1,60 @@
+//===- lib/Gateway/DutyRunner.h - usage reports and fleet orders -----------===//
+///
+/// \file
+/// Drives the duties when this node holds them: records each act in the log of
+/// duties before it, and acts only if that record was the next one.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "PeerReports.h"
+
+namespace pistachioloom::wire {
+class DutyRecord;
+}
+
+namespace pistachioloom {
+
+class DutyRunner {
+public:
+    DutyRunner(asio::io_context& io, GatewayContext& context);
+
+    void start(const PeerReports& reports);
+    /// The token by which this node holds the duties, or 0.
+    DutyToken heldToken() const;
+    void heardHolder(const VmId& holder, DutyToken token);
+
+private:
+    enum class Recorded {
+        Yes,
+        /// Another record came first.
+        Superseded,
+        /// It may or may not be there; ask again.
+        Unsure,
+    };
+
+    asio::awaitable<void> run();
+    asio::awaitable<void> claim();
+    asio::awaitable<void> act();
+    asio::awaitable<void> reportUsage();
+    asio::awaitable<void> orderFleet();
+    asio::awaitable<bool> readLog();
+    asio::awaitable<Recorded> record(const wire::DutyRecord& record);
+    std::vector<FleetOrder> wantedOrders() const;
+    void resign(const std::string& why);
+
+    asio::io_context& io_;
+    GatewayContext& context_;
+    const PeerReports* reports_ = nullptr;
+    mutable std::mutex mutex_;
+    DutySeat seat_;
+    /// The end of the log as far as this node has read it.
+    LogOffset end_;
+    /// What was or may have been reported, by any holder.
+    std::map<WindowNumber, UsageCounts> recorded_;
+    std::set<WindowNumber> reported_;
+    std::map<FleetOrder, SteadyTime> ordered_;
+    SteadyTime fleetAt_ {};
+    Logger logger_ { "duties" };
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/Feed.cpp
@@ -0,0 +1,226 @@
+//===- lib/Gateway/Feed.cpp - configuration and registry, kept up to date --===//
+///
+/// \file
+/// See Feed.h.
+//===----------------------------------------------------------------------===//
+#include "Feed.h"
+
+#include "generated/Peer.pb.h"
+#include "pistachioloom/Settings.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    // A peer's answer is awaited for so long; it comes from memory.
+    constexpr milliseconds peerPatience { 500 };
+    // How often a node looks whether it has to ask peers.
+    constexpr milliseconds askPeriod { 250 };
+    // A peer's list of backend servers is used only while it is this fresh.
+    constexpr std::uint64_t freshEnoughMs = 1500;
+
+} // namespace
+
+Feed::Feed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers)
+    : io_(io)
+    , context_(context)
+    , reports_(reports)
+    , peers_(peers)
+{
+}
+
+void Feed::start()
+{
+    asio::co_spawn(io_, followConfiguration(), asio::detached);
+    asio::co_spawn(io_, followRegistry(), asio::detached);
+    asio::co_spawn(io_, askPeers(), asio::detached);
+}
+
+asio::awaitable<void> Feed::followConfiguration()
+{
+    std::optional<LogOffset> from;
+    bool isReachable = true;
+    for (;;) {
+        auto read = co_await context_.platform_.readConfiguration_(from, context_.settings_.feed_.configurationWait_);
+        if (isReachable != read.has_value())
+            logger_.info(read ? "Configuration can be read again." : "Configuration cannot be read: " + describe(read.error()));
+        isReachable = read.has_value();
+        if (!read) {
+            if (read.error().code_ == Errc::NotFound)
+                from.reset();
+            co_await sleepFor(context_.settings_.feed_.retryPause_);
+            continue;
+        }
+        configurationReadAt_ = steadyNow();
+        from = read.value().next_;
+        if (read.value().newest_)
+            (void)context_.publish(std::move(*read.value().newest_), "platform");
+        else if (!context_.table())
+            co_await sleepFor(context_.settings_.feed_.retryPause_);
+    }
+}
+
+void Feed::applyChange(const RegistryChange& change)
+{
+    if (!change.record_) {
+        if (!context_.backends_.find(change.id_))
+            return;
+        if (steadyNow() < graceUntil_) {
+            missing_.insert(change.id_);
+            return;
+        }
+        logger_.info("Backend server " + change.id_.value_ + " is gone from the registry.");
+        reports_.noteLeaving(change.id_);
+        context_.backends_.remove(change.id_);
+        return;
+    }
+    missing_.erase(change.id_);
+    auto before = context_.backends_.find(change.id_);
+    context_.backends_.put(*change.record_);
+    if (!before)
+        logger_.info("Backend server " + change.id_.value_ + " of " + change.record_->service_.value_ + " registered at " + change.record_->endpoint_.toString()
+            + ": dc=" + change.record_->dataCentre_.value_ + " reclaimable=" + std::to_string(change.record_->isReclaimable_) + " leaving=" + std::to_string(change.record_->isLeaving_));
+    if (change.record_->isLeaving_ && (!before || !before->isLeaving_)) {
+        logger_.info("Backend server " + change.id_.value_ + " is leaving: from=platform");
+        reports_.noteLeaving(change.id_);
+    }
+}
+
+void Feed::removeMissing(const RegistryRead& whole)
+{
+    std::set<BackendId> present;
+    for (const RegistryChange& change : whole.changes_)
+        present.insert(change.id_);
+    for (const BackendRecord& record : context_.backends_.records()) {
+        if (!present.contains(record.id_))
+            applyChange({ record.id_, std::nullopt });
+    }
+}
+
+void Feed::applyDueRemovals()
+{
+    if (missing_.empty() || steadyNow() < graceUntil_)
+        return;
+    for (const BackendId& id : std::exchange(missing_, {}))
+        applyChange({ id, std::nullopt });
+}
+
+void Feed::apply(const RegistryRead& read)
+{
+    for (const RegistryChange& change : read.changes_)
+        applyChange(change);
+    if (read.isWhole_)
+        removeMissing(read);
+    applyDueRemovals();
+}
+
+asio::awaitable<void> Feed::followRegistry()
+{
+    const FeedSettings& settings = context_.settings_.feed_;
+    std::optional<LogOffset> from;
+    bool isReachable = true;
+    for (;;) {
+        auto read = co_await context_.platform_.readRegistry_(from);
+        if (isReachable != read.has_value()) {
+            logger_.info(read ? "Registry can be read again." : "Registry cannot be read: " + describe(read.error()));
+            if (read && context_.backends_.records().size())
+                graceUntil_ = steadyNow() + settings.lapseGrace_;
+        }
+        isReachable = read.has_value();
+        if (!read && read.error().code_ == Errc::NotFound)
+            from.reset();
+        if (read) {
+            from = read.value().next_;
+            registryReadAt_ = steadyNow();
+            apply(read.value());
+        }
+        co_await sleepFor(read ? settings.registryPeriod_ : settings.retryPause_);
+    }
+}
+
+bool Feed::isConfigurationBehind() const
+{
+    auto table = context_.table();
+    std::uint64_t own = table ? table->version() : 0;
+    for (const auto& [vm, peer] : reports_.live()) {
+        if (peer.configurationVersion_ > own)
+            return true;
+    }
+    return false;
+}
+
+asio::awaitable<void> Feed::askPeers()
+{
+    for (;;) {
+        co_await sleepFor(askPeriod);
+        SteadyTime now = steadyNow();
+        bool isRegistryOld = now - registryReadAt_.load() > context_.settings_.feed_.askPeersAfter_;
+        if (!isRegistryOld && !isConfigurationBehind())
+            continue;
+        auto live = reports_.live();
+        auto table = context_.table();
+        std::erase_if(live, [&](const auto& entry) { return entry.second.configurationVersion_ < (table ? table->version() : 0) || !entry.second.configurationVersion_; });
+        if (live.empty())
+            continue;
+        const auto& [vm, peer] = live[randomBits() % live.size()];
+        co_await askPeer(vm, peer);
+    }
+}
+
+asio::awaitable<void> Feed::askPeer(VmId vm, PeerReports::Peer peer)
+{
+    auto table = context_.table();
+    wire::Frame request;
+    request.mutable_configuration_fetch()->set_known_version(table ? table->version() : 0);
+    auto reply = co_await peers_.call(peer.peers_, request, peerPatience);
+    if (!reply || !reply.value().has_configuration_update()) {
+        logger_.warn("Peer " + vm.value_ + " gave no configuration: " + (reply ? "other frame" : describe(reply.error())));
+        co_return;
+    }
+    const wire::ConfigurationUpdate& update = reply.value().configuration_update();
+    if (!update.source().empty()) {
+        auto decoded = context_.platform_.decodeConfiguration_(update.source());
+        if (!decoded)
+            logger_.warn("Configuration of peer " + vm.value_ + " is refused: " + describe(decoded.error()));
+        else
+            (void)context_.publish(std::move(decoded.value()), vm.value_);
+    }
+    bool isRegistryOld = steadyNow() - registryReadAt_.load() > context_.settings_.feed_.askPeersAfter_;
+    if (!isRegistryOld || update.backends_age_ms() > freshEnoughMs)
+        co_return;
+    RegistryRead read;
+    read.isWhole_ = true;
+    for (const wire::BackendEntry& entry : update.backends()) {
+        auto endpoint = parseEndpoint(entry.address());
+        if (endpoint)
+            read.changes_.push_back({ { entry.id() }, BackendRecord { { entry.id() }, { entry.service() }, *endpoint, { entry.data_centre() }, entry.slots(), entry.is_leaving(), entry.is_reclaimable() } });
+    }
+    apply(read);
+}
+
+wire::Frame Feed::answer(const wire::Frame& request) const
+{
+    wire::Frame frame;
+    wire::ConfigurationUpdate& update = *frame.mutable_configuration_update();
+    auto table = context_.table();
+    if (table) {
+        update.set_version(table->version());
+        if (table->version() > request.configuration_fetch().known_version())
+            update.set_source(table->configuration().source_);
+    }
+    auto age = std::chrono::duration_cast<milliseconds>(steadyNow() - registryReadAt_.load());
+    update.set_backends_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count())));
+    for (const BackendRecord& record : context_.backends_.records()) {
+        wire::BackendEntry& entry = *update.add_backends();
+        entry.set_id(record.id_.value_);
+        entry.set_service(record.service_.value_);
+        entry.set_address(record.endpoint_.toString());
+        entry.set_data_centre(record.dataCentre_.value_);
+        entry.set_slots(record.slots_);
+        entry.set_is_leaving(record.isLeaving_);
+        entry.set_is_reclaimable(record.isReclaimable_);
+    }
+    return frame;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/Gateway.cpp
@@ -0,0 +1,245 @@
+//===- lib/Gateway/Gateway.cpp - a node that forwards transparently --------===//
+///
+/// \file
+/// Wires the parts together; starts, reloads and drains them.
+//===----------------------------------------------------------------------===//
+#include "DutyRunner.h"
+#include "Feed.h"
+#include "generated/Peer.pb.h"
+
+#include <thread>
+
+namespace pistachioloom {
+
+namespace {
+
+    // A node that has heard no peer looks for announcements this often.
+    constexpr milliseconds announcePeriod { 3000 };
+    // The wait for requests in progress looks this often whether they are over.
+    constexpr milliseconds drainPeriod { 50 };
+    // What still runs is broken off this long before the forced end, so that
+    // callers can go on elsewhere.
+    constexpr milliseconds drainMargin { 700 };
+
+} // namespace
+
+struct Gateway::State {
+    State(GatewaySettings settings, GatewayPlatform platform, std::string file);
+
+    asio::awaitable<void> servePeer(std::shared_ptr<PeerStream> stream);
+    asio::awaitable<void> findPeers();
+    asio::awaitable<void> drain();
+    asio::awaitable<void> watchSignals();
+    HttpResponse readiness() const;
+    HttpResponse metricsPage() const;
+    void reload();
+    bool isReady() const;
+
+    std::string file_;
+    GatewayContext context_;
+    std::vector<std::unique_ptr<asio::io_context>> ios_;
+    PeerPool peerPool_;
+    PeerReports reports_;
+    DutyRunner duties_;
+    Feed feed_;
+    PeerServer peerServer_;
+    HttpServer readinessServer_;
+    HttpServer metricsServer_;
+    std::vector<std::unique_ptr<ForwardWorker>> workers_;
+    asio::signal_set signals_;
+    Logger logger_ { "node" };
+};
+
+static std::vector<std::unique_ptr<asio::io_context>> makeContexts(std::uint64_t count)
+{
+    std::vector<std::unique_ptr<asio::io_context>> contexts;
+    for (std::uint64_t i = 0; i < count; ++i)
+        contexts.push_back(std::make_unique<asio::io_context>(1));
+    return contexts;
+}
+
+Gateway::State::State(GatewaySettings settings, GatewayPlatform platform, std::string file)
+    : file_(std::move(file))
+    , context_(std::move(settings), std::move(platform))
+    , ios_(makeContexts(context_.settings_.threads_))
+    , peerPool_(ios_[0]->get_executor(), context_.settings_.peerCredential_, [this](const Error& error) { logger_.warn("Peer link: " + describe(error)); })
+    , reports_(*ios_[0], context_, { [this] { return duties_.heldToken(); }, [this](const VmId& vm, DutyToken token) { duties_.heardHolder(vm, token); } })
+    , duties_(*ios_[0], context_)
+    , feed_(*ios_[0], context_, reports_, peerPool_)
+    , peerServer_(
+          ios_[0]->get_executor(), context_.settings_.peerCredential_, [this](std::shared_ptr<PeerStream> stream) { return servePeer(std::move(stream)); },
+          [this](const Error& error) { logger_.warn("Peer was refused: " + describe(error)); })
+    , readinessServer_(
+          ios_[0]->get_executor(), HttpBounds {}, [this](HttpExchange& exchange) -> asio::awaitable<void> { (void)co_await exchange.respond(readiness()); }, errorResponse)
+    , metricsServer_(
+          ios_[0]->get_executor(), HttpBounds {}, [this](HttpExchange& exchange) -> asio::awaitable<void> { (void)co_await exchange.respond(metricsPage()); }, errorResponse)
+    , signals_(*ios_[0], SIGTERM, SIGINT, SIGHUP)
+{
+    for (const auto& io : ios_)
+        workers_.push_back(std::make_unique<ForwardWorker>(*io, context_.forward_));
+}
+
+bool Gateway::State::isReady() const
+{
+    return !context_.isStopping_ && context_.table();
+}
+
+HttpResponse Gateway::State::readiness() const
+{
+    if (isReady())
+        return { 200, {}, "ready\n" };
+    return { 503, {}, context_.isStopping_ ? "stopping\n" : "no configuration yet\n" };
+}
+
+HttpResponse Gateway::State::metricsPage() const
+{
+    auto table = context_.table();
+    std::map<std::string, double> gauges {
+        { "caller_connections", static_cast<double>(context_.forward_.connections_) },
+        { "requests_running", static_cast<double>(context_.forward_.running_) },
+        { "configuration_version", table ? static_cast<double>(table->version()) : 0 },
+        { "backend_servers", static_cast<double>(context_.backends_.records().size()) },
+        { "peers_live", static_cast<double>(reports_.live().size()) },
+        { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
+    };
+    return { 200, { { "content-type", "text/plain; version=0.0.4" } }, context_.metrics_.render(gauges) };
+}
+
+asio::awaitable<void> Gateway::State::servePeer(std::shared_ptr<PeerStream> stream)
+{
+    auto frame = co_await stream->receive();
+    if (frame && frame.value().has_configuration_fetch())
+        (void)co_await stream->send(feed_.answer(frame.value()));
+    else if (frame)
+        logger_.warn("Peer " + stream->peer() + " opened a stream with a frame that asks nothing.");
+    stream->finish();
+}
+
+/// Announces this node, and looks for others while none is heard.
+asio::awaitable<void> Gateway::State::findPeers()
+{
+    bool isAnnounced = false;
+    for (;;) {
+        if (!isAnnounced) {
+            auto announced = co_await context_.platform_.announce_({ context_.settings_.vm_, context_.settings_.gossip_ });
+            isAnnounced = announced.has_value();
+            if (!announced)
+                logger_.warn("Announcement failed: " + describe(announced.error()));
+        }
+        if (reports_.live().empty()) {
+            auto nodes = co_await context_.platform_.announced_();
+            if (nodes) {
+                for (const AnnouncedNode& node : nodes.value())
+                    reports_.addKnown(node.vm_, node.gossip_);
+            } else
+                logger_.warn("Announcements cannot be read: " + describe(nodes.error()));
+        }
+        co_await sleepFor(announcePeriod);
+    }
+}
+
+void Gateway::State::reload()
+{
+    InputErrors errors;
+    auto settings = loadGatewaySettings(file_, errors);
+    if (!settings) {
+        for (const InputError& error : errors)
+            logger_.error("Settings are refused, the ones before stay: " + error.toString());
+        return;
+    }
+    initialiseLogging(settings->logs_, settings->vm_.value_);
+    logger_.info("Settings were read again: levels of logs apply now, the rest at the next start.");
+}
+
+asio::awaitable<void> Gateway::State::watchSignals()
+{
+    for (;;) {
+        auto [code, signal] = co_await signals_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (code)
+            co_return;
+        if (signal == SIGHUP) {
+            reload();
+            continue;
+        }
+        if (!context_.isStopping_.exchange(true))
+            asio::co_spawn(*ios_[0], drain(), asio::detached);
+    }
+}
+
+asio::awaitable<void> Gateway::State::drain()
+{
+    const GatewaySettings& settings = context_.settings_;
+    SteadyTime stopAt = steadyNow() + settings.grace_ - drainMargin;
+    context_.forward_.isStopping_ = true;
+    logger_.info("Stopping: running=" + std::to_string(context_.forward_.running_) + " connections=" + std::to_string(context_.forward_.connections_));
+    co_await sleepFor(std::min(settings.balancerGrace_, settings.grace_ - drainMargin));
+    while (steadyNow() < stopAt && context_.forward_.connections_) {
+        for (const auto& worker : workers_)
+            worker->closeIdle();
+        co_await sleepFor(drainPeriod);
+    }
+    if (context_.forward_.running_) {
+        logger_.warn("Break off what runs at the end of the grace time: running=" + std::to_string(context_.forward_.running_));
+        for (const auto& worker : workers_)
+            worker->abortAll();
+        co_await sleepFor(drainPeriod);
+    }
+    logger_.info("Stopped.");
+    for (const auto& io : ios_)
+        io->stop();
+}
+
+Gateway::Gateway(GatewaySettings settings, GatewayPlatform platform, std::string file)
+    : state_(std::make_unique<State>(std::move(settings), std::move(platform), std::move(file)))
+{
+}
+
+Gateway::~Gateway() = default;
+
+Result<std::uint16_t> Gateway::start()
+{
+    RcuThread registered;
+    const GatewaySettings& settings = state_->context_.settings_;
+    std::uint16_t port = 0;
+    for (const auto& worker : state_->workers_) {
+        auto bound = worker->listen({ settings.callers_.host_, port ? port : settings.callers_.port_ });
+        if (!bound)
+            return bound.error();
+        port = bound.value();
+    }
+    auto readiness = state_->readinessServer_.listen(settings.readiness_);
+    if (!readiness)
+        return readiness.error();
+    auto metrics = state_->metricsServer_.listen(settings.metrics_);
+    if (!metrics)
+        return metrics.error();
+    auto peers = state_->peerServer_.listen(settings.peers_);
+    if (!peers)
+        return peers.error();
+    auto reports = state_->reports_.start();
+    if (!reports)
+        return reports.error();
+    state_->feed_.start();
+    state_->duties_.start(state_->reports_);
+    asio::co_spawn(*state_->ios_[0], state_->findPeers(), asio::detached);
+    asio::co_spawn(*state_->ios_[0], state_->watchSignals(), asio::detached);
+    state_->logger_.info("Started in " + settings.dataCentre_.value_ + ": callers=" + settings.callers_.toString() + " incarnation=" + std::to_string(state_->context_.incarnation_));
+    return port;
+}
+
+void Gateway::run()
+{
+    std::vector<std::thread> threads;
+    for (std::size_t i = 1; i < state_->ios_.size(); ++i) {
+        threads.emplace_back([this, i] {
+            RcuThread registered;
+            state_->ios_[i]->run();
+        });
+    }
+    RcuThread registered;
+    state_->ios_[0]->run();
+    for (std::thread& thread : threads)
+        thread.join();
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/GatewayContext.cpp
@@ -0,0 +1,62 @@
+//===- lib/Gateway/GatewayContext.cpp - what the parts of a gateway share --===//
+///
+/// \file
+/// See GatewayContext.h.
+//===----------------------------------------------------------------------===//
+#include "GatewayContext.h"
+
+namespace pistachioloom {
+
+std::int64_t ownWallMs()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+static RetrySettings retrySettings(const GatewaySettings& settings)
+{
+    RetrySettings retries;
+    retries.ratio_ = settings.retryRatio_;
+    retries.extra_ = static_cast<double>(settings.retryExtra_);
+    retries.window_ = settings.retryWindow_;
+    retries.nodes_ = std::max<std::uint64_t>(1, settings.gossiping_.fanout_);
+    return retries;
+}
+
+GatewayContext::GatewayContext(GatewaySettings settings, GatewayPlatform platform)
+    : settings_(std::move(settings))
+    , platform_(std::move(platform))
+    , incarnation_(randomBits())
+    , backends_(settings_.dataCentre_, settings_.choice_)
+    , retries_(retrySettings(settings_))
+    , usage_(settings_.usageWindow_)
+    , forward_ { platform_.headers_, settings_.forward_, {}, backends_, quotas_, retries_, metrics_, {}, {}, {} }
+    , table_(nullptr)
+{
+    forward_.hooks_.table_ = [this] { return table(); };
+    forward_.hooks_.onBegan_ = [this](const OrganisationId& organisation) { usage_.count(organisation, agreedWallMs()); };
+}
+
+std::shared_ptr<const RouteTable> GatewayContext::table() const
+{
+    return table_.read([](const std::shared_ptr<const RouteTable>& table) { return table; });
+}
+
+std::int64_t GatewayContext::agreedWallMs() const
+{
+    return ownWallMs() + clocks_.correctionMs(steadyNow());
+}
+
+bool GatewayContext::publish(RouteConfiguration configuration, const std::string& source)
+{
+    std::lock_guard lock(publishing_);
+    auto current = table();
+    if (current && configuration.version_ <= current->version())
+        return false;
+    logger_.info("Version " + std::to_string(configuration.version_) + " is in force: from=" + source + " before=" + (current ? std::to_string(current->version()) : "none")
+        + " routes=" + std::to_string(configuration.routes_.size()) + " organisations=" + std::to_string(configuration.organisations_.size()));
+    metrics_.add(Counter::CatalogueRecords);
+    table_.publish(RouteTable::build(std::move(configuration)));
+    return true;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -0,0 +1,184 @@
+//===- lib/Gateway/GatewaySettings.cpp - settings of a gateway -------------===//
+///
+/// \file
+/// One function per section; every key has its range here.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Gateway.h"
+#include "pistachioloom/Settings.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace pistachioloom {
+
+namespace {
+
+    constexpr milliseconds oneDay { 24LL * 3600 * 1000 };
+    constexpr milliseconds oneMinute { 60000 };
+    constexpr std::uint64_t mostThreads = 64;
+    constexpr const char* rootKey = "gateway";
+
+    Endpoint endpoint(YamlMap& map, const std::string& key)
+    {
+        std::string text = map.text(key);
+        auto parsed = parseEndpoint(text);
+        if (!parsed && !text.empty())
+            map.fail(key, "expected IP:PORT, found '" + text + "'");
+        return parsed.value_or(Endpoint {});
+    }
+
+    void parseListen(YamlMap map, GatewaySettings& settings)
+    {
+        settings.callers_ = endpoint(map, "callers");
+        settings.readiness_ = endpoint(map, "readiness");
+        settings.peers_ = endpoint(map, "peers");
+        settings.gossip_ = endpoint(map, "gossip");
+        settings.metrics_ = endpoint(map, "metrics");
+        map.finish();
+    }
+
+    void parseFleet(YamlMap map, FleetSettings& settings)
+    {
+        settings.lasting_ = map.integer("lasting", 0, 10000, settings.lasting_);
+        settings.reclaimable_ = map.integer("reclaimable", 0, 10000, settings.reclaimable_);
+        settings.period_ = map.duration("period", milliseconds(100), oneMinute, settings.period_);
+        settings.repeat_ = map.duration("repeat", milliseconds(100), oneDay, settings.repeat_);
+        map.finish();
+    }
+
+    void parseGossip(YamlMap map, GossipSettings& settings)
+    {
+        settings.period_ = map.duration("period", milliseconds(20), oneMinute, settings.period_);
+        settings.fanout_ = map.integer("fanout", 1, 1000, settings.fanout_);
+        settings.silence_ = map.duration("silence", milliseconds(50), oneMinute, settings.silence_);
+        settings.forget_ = map.duration("forget", milliseconds(1000), oneDay, settings.forget_);
+        map.finish();
+    }
+
+    void parseFeed(YamlMap map, FeedSettings& settings)
+    {
+        settings.configurationWait_ = map.duration("configuration_wait", milliseconds(50), oneMinute, settings.configurationWait_);
+        settings.registryPeriod_ = map.duration("registry_period", milliseconds(20), oneMinute, settings.registryPeriod_);
+        settings.lapseGrace_ = map.duration("lapse_grace", milliseconds(0), oneMinute, settings.lapseGrace_);
+        settings.askPeersAfter_ = map.duration("ask_peers_after", milliseconds(100), oneMinute, settings.askPeersAfter_);
+        map.finish();
+    }
+
+    void parseForward(YamlMap map, ForwardSettings& settings)
+    {
+        settings.connectTimeout_ = map.duration("connect_timeout", milliseconds(10), oneMinute, settings.connectTimeout_);
+        settings.streamSilence_ = map.duration("stream_silence", milliseconds(50), oneDay, settings.streamSilence_);
+        settings.patienceShare_ = map.number("patience_share", 0.01, 1, settings.patienceShare_);
+        settings.defaultIdle_ = map.duration("default_idle", milliseconds(0), oneDay, settings.defaultIdle_);
+        map.finish();
+    }
+
+    void parseRetries(YamlMap map, GatewaySettings& settings)
+    {
+        settings.retryRatio_ = map.number("ratio", 0, 10, settings.retryRatio_);
+        settings.retryExtra_ = map.integer("extra", 0, 1000000, settings.retryExtra_);
+        settings.retryWindow_ = map.duration("window", milliseconds(100), oneDay, settings.retryWindow_);
+        map.finish();
+    }
+
+    void parseDuties(YamlMap map, GatewaySettings& settings)
+    {
+        settings.duties_ = endpoint(map, "address");
+        settings.dutyLease_ = map.duration("lease", milliseconds(300), oneDay, settings.dutyLease_);
+        settings.usageWindow_ = map.duration("usage_window", milliseconds(100), oneDay, settings.usageWindow_);
+        settings.usageDelay_ = map.duration("usage_delay", milliseconds(0), oneDay, settings.usageDelay_);
+        map.finish();
+    }
+
+    void parseStopping(YamlMap map, GatewaySettings& settings)
+    {
+        settings.grace_ = map.duration("grace", milliseconds(1000), oneDay, settings.grace_);
+        settings.balancerGrace_ = map.duration("balancer_grace", milliseconds(0), oneDay, settings.balancerGrace_);
+        map.finish();
+    }
+
+    void parseSeeds(YamlMap& map, GatewaySettings& settings)
+    {
+        for (const std::string& text : map.list("seeds")) {
+            auto parsed = parseEndpoint(text);
+            if (parsed)
+                settings.seeds_.push_back(*parsed);
+            else
+                map.fail("seeds", "expected IP:PORT, found '" + text + "'");
+        }
+    }
+
+    void parseGateway(YamlMap map, GatewaySettings& settings)
+    {
+        settings.vm_ = { map.text("vm") };
+        settings.dataCentre_ = { map.text("data_centre") };
+        settings.threads_ = map.integer("threads", 1, mostThreads, settings.threads_);
+        settings.peerCredential_ = map.text("peer_credential");
+        settings.store_ = endpoint(map, "store");
+        parseSeeds(map, settings);
+        if (auto section = map.map("listen", true))
+            parseListen(std::move(*section), settings);
+        if (auto section = map.map("duties", true))
+            parseDuties(std::move(*section), settings);
+        if (auto section = map.map("stopping"))
+            parseStopping(std::move(*section), settings);
+        if (auto section = map.map("retries"))
+            parseRetries(std::move(*section), settings);
+        if (auto section = map.map("gossip"))
+            parseGossip(std::move(*section), settings.gossiping_);
+        if (auto section = map.map("feed"))
+            parseFeed(std::move(*section), settings.feed_);
+        if (auto section = map.map("fleet"))
+            parseFleet(std::move(*section), settings.fleet_);
+        if (auto section = map.map("forward"))
+            parseForward(std::move(*section), settings.forward_);
+        map.finish();
+    }
+
+    std::optional<std::string> readFile(const std::string& file)
+    {
+        std::ifstream input(file);
+        if (!input)
+            return std::nullopt;
+        std::ostringstream text;
+        text << input.rdbuf();
+        return text.str();
+    }
+
+} // namespace
+
+bool isGatewayFile(const std::string& file)
+{
+    auto text = readFile(file);
+    InputErrors ignored;
+    auto root = text ? YamlMap::parse(*text, file, ignored) : std::nullopt;
+    return root && root->has(rootKey);
+}
+
+std::optional<GatewaySettings> parseGatewaySettings(const std::string& text, const std::string& file, InputErrors& errors)
+{
+    std::size_t before = errors.size();
+    auto root = YamlMap::parse(text, file, errors);
+    if (!root)
+        return std::nullopt;
+    GatewaySettings settings;
+    if (auto map = root->map(rootKey, true))
+        parseGateway(std::move(*map), settings);
+    if (auto map = root->map("logs"))
+        parseLogSettings(std::move(*map), settings.logs_);
+    root->finish();
+    if (errors.size() != before)
+        return std::nullopt;
+    return settings;
+}
+
+std::optional<GatewaySettings> loadGatewaySettings(const std::string& file, InputErrors& errors)
+{
+    auto text = readFile(file);
+    if (text)
+        return parseGatewaySettings(*text, file, errors);
+    errors.push_back({ file, 0, "(file)", "cannot be read" });
+    return std::nullopt;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Http/Sleep.cpp
@@ -0,0 +1,18 @@
+//===- lib/Http/Sleep.cpp - pauses of coroutines ---------------------------===//
+///
+/// \file
+/// See sleepFor().
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Http.h"
+
+#include <boost/asio.hpp>
+
+namespace pistachioloom {
+
+asio::awaitable<void> sleepFor(milliseconds duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    (void)co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace pistachioloom
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -167,6 +167,8 @@
     case wire::Frame::kRecord:
     case wire::Frame::kGrantReply:
     case wire::Frame::kLoanReply:
+    case wire::Frame::kConfigurationFetch:
+    case wire::Frame::kConfigurationUpdate:
     case wire::Frame::kAck:
     case wire::Frame::BODY_NOT_SET:
         break;
--- a/lib/Node/NodeContext.cpp
+++ b/lib/Node/NodeContext.cpp
@@ -106,12 +106,6 @@
     asio::post(strand, [strand, report, task = std::move(task)]() mutable { asio::co_spawn(strand, std::move(task), report); });
 }
 
-asio::awaitable<void> sleepFor(milliseconds duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 Error unavailable(std::string step, std::string peer, std::string message)
 {
     return { Errc::Unavailable, std::move(step), std::move(peer), std::move(message), Ran::No, {} };
--- a/lib/Node/NodeContext.h
+++ b/lib/Node/NodeContext.h
@@ -58,8 +58,6 @@
     Logger logger_;
 };
 
-asio::awaitable<void> sleepFor(milliseconds duration);
-
 /// The error for something that this node does not know or cannot reach.
 Error unavailable(std::string step, std::string peer, std::string message);
 
--- /dev/null
+++ b/lib/Routes/Routes.cpp
@@ -0,0 +1,86 @@
+//===- lib/Routes/Routes.cpp - indices over one configuration --------------===//
+///
+/// \file
+/// See Routes.h.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Routes.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pistachioloom {
+
+std::shared_ptr<const RouteTable> RouteTable::build(RouteConfiguration configuration)
+{
+    auto table = std::make_shared<RouteTable>();
+    table->configuration_ = std::move(configuration);
+    for (const Route& route : table->configuration_.routes_)
+        table->byHost_[route.host_].push_back(&route);
+    for (auto& [host, routes] : table->byHost_)
+        std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) { return left->pathPrefix_.size() > right->pathPrefix_.size(); });
+    for (const OrganisationPolicy& organisation : table->configuration_.organisations_) {
+        for (const std::string& credential : organisation.credentials_)
+            table->byCredential_[credential] = &organisation;
+    }
+    for (const ServicePolicy& service : table->configuration_.services_)
+        table->services_[service.name_] = &service;
+    return table;
+}
+
+const Route* RouteTable::findRoute(std::string_view host, std::string_view path) const
+{
+    auto found = byHost_.find(canonicalHost(host));
+    if (found == byHost_.end())
+        return nullptr;
+    for (const Route* route : found->second) {
+        if (path.substr(0, route->pathPrefix_.size()) == route->pathPrefix_)
+            return route;
+    }
+    return nullptr;
+}
+
+const OrganisationPolicy* RouteTable::findOrganisation(const std::string& credential) const
+{
+    auto found = byCredential_.find(credential);
+    return found == byCredential_.end() ? nullptr : found->second;
+}
+
+const OrganisationPolicy* RouteTable::findOrganisation(const OrganisationId& name) const
+{
+    for (const OrganisationPolicy& organisation : configuration_.organisations_) {
+        if (organisation.name_ == name)
+            return &organisation;
+    }
+    return nullptr;
+}
+
+const ServicePolicy* RouteTable::findService(const ServiceName& name) const
+{
+    auto found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+ServiceName pickService(const Route& route, std::uint64_t draw)
+{
+    assert(!route.split_.empty() && "a decoded route has a service");
+    double sum = 0;
+    for (const SplitShare& share : route.split_)
+        sum += share.weight_;
+    // The top 53 bits make a double in [0, 1).
+    double left = static_cast<double>(draw >> 11) * 0x1p-53 * sum;
+    for (const SplitShare& share : route.split_) {
+        left -= share.weight_;
+        if (left < 0)
+            return share.service_;
+    }
+    return route.split_.back().service_;
+}
+
+std::string canonicalHost(std::string_view host)
+{
+    std::string name(host.substr(0, host.rfind(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return name;
+}
+
+} // namespace pistachioloom
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -150,23 +150,23 @@
         map.finish();
     }
 
-    void parseLogs(YamlMap map, LogSettings& settings)
-    {
-        const std::vector<std::string> levels { "debug", "info", "warn", "error" };
-        settings.level_ = static_cast<LogLevel>(map.choice("level", levels, static_cast<std::size_t>(settings.level_)));
-        settings.isJson_ = map.flag("json", settings.isJson_);
-        for (const auto& [part, level] : map.pairs("parts")) {
-            auto found = std::find(levels.begin(), levels.end(), level);
-            if (found == levels.end())
-                map.fail("parts", "expected one of debug info warn error for part '" + part + "'");
-            else
-                settings.parts_[part] = static_cast<LogLevel>(found - levels.begin());
-        }
-        map.finish();
-    }
-
 } // namespace
 
+void parseLogSettings(YamlMap map, LogSettings& settings)
+{
+    const std::vector<std::string> levels { "debug", "info", "warn", "error" };
+    settings.level_ = static_cast<LogLevel>(map.choice("level", levels, static_cast<std::size_t>(settings.level_)));
+    settings.isJson_ = map.flag("json", settings.isJson_);
+    for (const auto& [part, level] : map.pairs("parts")) {
+        auto found = std::find(levels.begin(), levels.end(), level);
+        if (found == levels.end())
+            map.fail("parts", "expected one of debug info warn error for part '" + part + "'");
+        else
+            settings.parts_[part] = static_cast<LogLevel>(found - levels.begin());
+    }
+    map.finish();
+}
+
 std::optional<Endpoint> parseEndpoint(const std::string& text)
 {
     std::size_t colon = text.rfind(':');
@@ -217,7 +217,7 @@
     if (auto map = root->map("peers"))
         parsePeers(std::move(*map), settings.peerLinks_);
     if (auto map = root->map("logs"))
-        parseLogs(std::move(*map), settings.logs_);
+        parseLogSettings(std::move(*map), settings.logs_);
     settings.spansKept_ = root->integer("spans_kept", 1, 1000000, settings.spansKept_);
     root->finish();
     if (errors.size() != before)
--- a/lib/Yaml/Yaml.cpp
+++ b/lib/Yaml/Yaml.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cassert>
 #include <charconv>
+#include <cmath>
 #include <yaml-cpp/yaml.h>
 
 namespace pistachioloom {
@@ -40,12 +41,34 @@
         return value;
     }
 
+    /// A number such as 2.5s, whose value is a whole number of the smallest unit.
+    template <std::size_t Count>
+    std::optional<std::uint64_t> parseFraction(std::string_view text, std::size_t point, const std::array<Unit, Count>& units)
+    {
+        std::size_t end = text.find_first_not_of("0123456789", point + 1);
+        if (end == std::string_view::npos || end == point + 1)
+            return std::nullopt;
+        auto whole = parseUnsigned(text.substr(0, point));
+        auto part = parseUnsigned(text.substr(point + 1, end - point - 1));
+        if (!whole || !part || *whole > std::numeric_limits<std::uint32_t>::max())
+            return std::nullopt;
+        double value = static_cast<double>(*whole) + static_cast<double>(*part) / std::pow(10.0, static_cast<double>(end - point - 1));
+        for (const Unit& unit : units) {
+            double scaled = value * static_cast<double>(unit.factor_);
+            if (text.substr(end) == unit.name_ && std::abs(scaled - std::round(scaled)) < 1e-6)
+                return static_cast<std::uint64_t>(std::llround(scaled));
+        }
+        return std::nullopt;
+    }
+
     template <std::size_t Count>
     std::optional<std::uint64_t> parseWithUnit(std::string_view text, const std::array<Unit, Count>& units)
     {
         std::size_t digits = text.find_first_not_of("0123456789");
         if (!digits || digits == std::string_view::npos)
             return std::nullopt;
+        if (text[digits] == '.')
+            return parseFraction(text, digits, units);
         auto count = parseUnsigned(text.substr(0, digits));
         if (!count)
             return std::nullopt;
--- a/tools/pistachioloomd/main.cpp
+++ b/tools/pistachioloomd/main.cpp
@@ -3,6 +3,8 @@
 /// \file
 /// Parses options and settings, and runs a node until it has drained.
 //===----------------------------------------------------------------------===//
+#include "platform/Platform.h"
+#include "pistachioloom/Gateway.h"
 #include "pistachioloom/Node.h"
 
 #include <CLI/CLI.hpp>
@@ -16,29 +18,23 @@
 constexpr int exitBadSettings = 2;
 constexpr int exitCannotStart = 3;
 
-} // namespace
-
-int main(int argc, char** argv)
+void printErrors(const InputErrors& errors)
 {
-    CLI::App app { "pistachioloomd serves language model requests on reclaimable VMs." };
-    std::string file;
-    bool isCheck = false;
-    app.add_option("--settings", file, "YAML file of settings")->required();
-    app.add_flag("--check", isCheck, "Check the settings and exit");
-    app.footer("Exit codes: 0 drained, 1 wrong options, 2 wrong settings, 3 cannot start.\nExample: pistachioloomd --settings entry.yaml --check");
-    CLI11_PARSE(app, argc, argv);
+    for (const InputError& error : errors)
+        std::cerr << error.toString() << '\n';
+}
 
+int runNode(const std::string& file, bool isCheck)
+{
     InputErrors errors;
     auto settings = loadSettings(file, errors);
-    for (const InputError& error : errors)
-        std::cerr << error.toString() << '\n';
+    printErrors(errors);
     if (!settings)
         return exitBadSettings;
     if (isCheck) {
         std::cout << file << ": settings are good\n";
         return 0;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     initialiseLogging(settings->logs_, settings->vm_.value_);
     Node node(std::move(*settings));
     auto ports = node.start();
@@ -55,3 +51,44 @@
     std::cout.flush();
     std::_Exit(0);
 }
+
+int runGateway(const std::string& file, bool isCheck)
+{
+    InputErrors errors;
+    auto settings = loadGatewaySettings(file, errors);
+    printErrors(errors);
+    if (!settings)
+        return exitBadSettings;
+    if (isCheck) {
+        std::cout << file << ": settings are good\n";
+        return 0;
+    }
+    initialiseLogging(settings->logs_, settings->vm_.value_);
+    GatewayPlatform platform = platform::makePlatform(*settings);
+    Gateway gateway(std::move(*settings), std::move(platform), file);
+    auto port = gateway.start();
+    if (!port) {
+        std::cerr << describe(port.error()) << '\n';
+        return exitCannotStart;
+    }
+    gateway.run();
+    // As in runNode(): nothing is left that a destructor would have to save.
+    std::cout.flush();
+    std::_Exit(0);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "pistachioloomd serves language model requests on reclaimable VMs." };
+    std::string file;
+    bool isCheck = false;
+    app.add_option("--settings", file, "YAML file of settings")->required();
+    app.add_flag("--check", isCheck, "Check the settings and exit");
+    app.footer("Exit codes: 0 drained, 1 wrong options, 2 wrong settings, 3 cannot start.\nExample: pistachioloomd --settings entry.yaml --check");
+    CLI11_PARSE(app, argc, argv);
+
+    std::signal(SIGPIPE, SIG_IGN);
+    return isGatewayFile(file) ? runGateway(file, isCheck) : runNode(file, isCheck);
+}
