--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 namespace pistachioloom {
 
@@ -126,4 +127,33 @@
     auto operator<=>(const FleetOrder&) const = default;
 };
 
+/// Engines of one service in one data centre.
+struct FleetPlace {
+    DataCentreId dataCentre_;
+    /// Price of a lasting engine's second there.
+    double price_ = 1;
+    /// Engines that take new work.
+    std::uint64_t lasting_ = 0;
+    std::uint64_t reclaimable_ = 0;
+    /// What was last ordered, if anything.
+    std::optional<std::uint64_t> lastingOrdered_;
+    std::optional<std::uint64_t> reclaimableOrdered_;
+};
+
+struct FleetDemand {
+    /// Engines that the demand needs at the utilisation aimed at.
+    std::uint64_t needed_ = 0;
+    /// Bounds of both kinds together in each data centre.
+    std::uint64_t least_ = 0;
+    std::uint64_t most_ = 0;
+    /// Reclaimable engines to hold in each data centre.
+    std::uint64_t reclaimablePerPlace_ = 0;
+};
+
+/// What to order in each place: as many reclaimable engines as are to be had,
+/// and lasting ones for what is missing, cheapest data centre first. Lasting
+/// engines cost about five times a reclaimable one, but a missing engine costs
+/// more than both.
+std::vector<FleetOrder> planFleet(const ServiceName& service, const FleetDemand& demand, const std::vector<FleetPlace>& places);
+
 } // namespace pistachioloom
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -91,13 +91,17 @@
 };
 
 struct FleetSettings {
-    /// Engines ordered in each data centre.
-    std::uint64_t lasting_ = 1;
-    std::uint64_t reclaimable_ = 3;
+    /// Engines wanted in all.
+    std::uint64_t needed_ = 15;
+    /// Reclaimable engines wanted in each data centre.
+    std::uint64_t reclaimable_ = 5;
     /// How often orders are looked at.
     milliseconds period_ { 1000 };
     /// An order is repeated after this time if the engines are not there.
-    milliseconds repeat_ { 3000 };
+    milliseconds repeat_ { 8000 };
+    /// An order that was refused, since no engine was to be had, is repeated
+    /// after this time.
+    milliseconds refusedRepeat_ { 2000 };
 };
 
 struct GatewaySettings {
--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -39,7 +39,9 @@
 /// may go below zero by that much, and is paid back before more is admitted.
 class QuotaBook {
 public:
-    explicit QuotaBook(QuotaSettings settings = {});
+    /// \p startedAt is when this node started: buckets begin empty then, so that
+    /// nodes that are killed and restarted do not hand out full bursts again.
+    explicit QuotaBook(SteadyTime startedAt, QuotaSettings settings = {});
 
     /// Takes \p cost out of the organisation's bucket.
     /// \returns nullopt if admitted, else when to come back.
@@ -70,6 +72,7 @@
     void fill(Bucket& bucket, SteadyTime now) const;
     void chargeSilent(SteadyTime now);
 
+    const SteadyTime startedAt_;
     const QuotaSettings settings_;
     mutable std::mutex mutex_;
     std::map<OrganisationId, Bucket> buckets_;
--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -95,8 +95,10 @@
         }
         if (isGone_)
             co_return std::nullopt;
-        if (reader.hasHead() && reader.takeExpectation() && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
-            co_return std::nullopt;
+        if (reader.hasHead() && reader.takeExpectation()) {
+            std::string leave = "HTTP/1.1 100 Continue\r\n\r\n";
+            (void)co_await write(std::move(leave));
+        }
         SteadyTime until = reader.hasHead() ? steadyNow() + bodySilence : headUntil;
         if (co_await arrived_.waitUntil(until))
             continue;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -15,6 +15,9 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+// Bytes asked of a backend server's connection at once.
+static constexpr std::size_t readSize = 4UL * 1024;
+
 static std::string_view view(beast::string_view text)
 {
     return { text.data(), text.size() };
@@ -131,10 +134,30 @@
     co_return end;
 }
 
+/// Reads until the body has grown or the message is whole. The library's own
+/// read_some goes on until a message is whole, which holds back events by up to
+/// the length of their stream (measured: 2.2 s at the median).
 asio::awaitable<beast::error_code> Forwarding::readSome(Attempt& attempt, Parser& parser)
 {
-    auto [code, count] = co_await http::async_read_some(attempt.connection_->socket_, attempt.connection_->buffer_, parser, asTuple);
-    co_return code;
+    beast::flat_buffer& buffer = attempt.connection_->buffer_;
+    for (;;) {
+        beast::error_code code;
+        if (buffer.size())
+            buffer.consume(parser.put(buffer.data(), code));
+        if (code && code != http::error::need_more)
+            co_return code;
+        if (parser.is_done() || !parser.get().body().empty())
+            co_return beast::error_code {};
+        auto [readCode, count] = co_await attempt.connection_->socket_.async_read_some(buffer.prepare(readSize), asTuple);
+        if (readCode == asio::error::eof) {
+            // An answer without a length ends here; any other is cut off.
+            parser.put_eof(code);
+            co_return code;
+        }
+        if (readCode)
+            co_return readCode;
+        buffer.commit(count);
+    }
 }
 
 /// What the head alone decides; nullopt to read on.
@@ -208,18 +231,20 @@
 
 asio::awaitable<SendEnd> Forwarding::receiveWhole(Attempt& attempt, Parser& parser)
 {
+    std::string body;
     while (!parser.is_done()) {
         if (auto code = co_await readSome(attempt, parser)) {
             attempt.detail_ = "body:" + code.message();
             co_return SendEnd::Lost;
         }
-        if (parser.get().body().size() > context_.settings_.longestAnswer_.value_) {
+        body.append(std::exchange(parser.get().body(), {}));
+        if (body.size() > context_.settings_.longestAnswer_.value_) {
             attempt.detail_ = "answer_too_large";
             co_return SendEnd::Lost;
         }
     }
     noteBegun(attempt);
-    HeldAnswer answer { static_cast<int>(parser.get().result_int()), fieldsOf(parser), parser.get().body() };
+    HeldAnswer answer { static_cast<int>(parser.get().result_int()), fieldsOf(parser), std::move(body) };
     finalStatus_ = answer.status_;
     releaseConnection(attempt, parser);
     bool isServerFailure = answer.status_ >= 500;
@@ -270,11 +295,11 @@
     releaseConnection(attempt, parser);
     if (!hasBegunAnswer_ && !co_await beginEvents(fields))
         co_return SendEnd::Stopped;
-    if (!request_.isOldVersion_ && !co_await caller_->write("0\r\n\r\n"))
-        co_return SendEnd::Stopped;
     if (request_.isOldVersion_)
-        keepsConnection_ = false;
-    co_return SendEnd::Delivered;
+        co_return SendEnd::Delivered;
+    std::string lastChunk = "0\r\n\r\n";
+    bool isTaken = co_await caller_->write(std::move(lastChunk));
+    co_return isTaken ? SendEnd::Delivered : SendEnd::Stopped;
 }
 
 /// Keeps the connection if nothing speaks against it.
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -213,37 +213,53 @@
     recorded_.erase(recorded_.begin(), recorded_.lower_bound({ due.value_ - std::min(due.value_, windowsKept) }));
 }
 
-std::vector<FleetOrder> DutyRunner::wantedOrders() const
+std::vector<FleetPlace> DutyRunner::placesOf(const ServicePolicy& service) const
 {
-    std::vector<FleetOrder> orders;
+    std::map<DataCentreId, FleetPlace> places;
+    for (const auto& [dataCentre, price] : service.fleet_->prices_)
+        places[dataCentre] = { dataCentre, price, 0, 0, {}, {} };
+    for (const BackendRecord& record : context_.backends_.records()) {
+        auto found = places.find(record.dataCentre_);
+        if (record.service_ != service.name_ || record.isLeaving_ || found == places.end())
+            continue;
+        ++(record.isReclaimable_ ? found->second.reclaimable_ : found->second.lasting_);
+    }
+    std::vector<FleetPlace> all;
+    for (auto& [dataCentre, place] : places)
+        all.push_back(std::move(place));
+    return all;
+}
+
+/// Orders that are not in force yet as far as the registry shows.
+std::vector<FleetOrder> DutyRunner::dueOrders(SteadyTime now) const
+{
+    const FleetSettings& settings = context_.settings_.fleet_;
+    std::vector<FleetOrder> due;
     auto table = context_.table();
     for (const ServicePolicy& service : table->configuration().services_) {
         if (!service.fleet_)
             continue;
-        for (const auto& [dataCentre, price] : service.fleet_->prices_) {
-            orders.push_back({ service.name_, dataCentre, true, context_.settings_.fleet_.reclaimable_ });
-            orders.push_back({ service.name_, dataCentre, false, context_.settings_.fleet_.lasting_ });
+        std::vector<FleetPlace> places = placesOf(service);
+        FleetDemand demand { settings.needed_, service.fleet_->least_, service.fleet_->most_, settings.reclaimable_ };
+        for (const FleetOrder& order : planFleet(service.name_, demand, places)) {
+            auto place = std::find_if(places.begin(), places.end(), [&](const FleetPlace& candidate) { return candidate.dataCentre_ == order.dataCentre_; });
+            std::uint64_t present = order.isReclaimable_ ? place->reclaimable_ : place->lasting_;
+            auto last = ordered_.find({ order.service_, order.dataCentre_, order.isReclaimable_ });
+            bool isSame = last != ordered_.end() && last->second.wanted_ == order.wanted_;
+            // An order that was taken is in force, though engines take time to come.
+            bool isRecent = isSame && now - last->second.at_ < (last->second.isTaken_ ? settings.repeat_ : settings.refusedRepeat_);
+            if (isRecent || (isSame && last->second.isTaken_ && present == order.wanted_))
+                continue;
+            due.push_back(order);
         }
     }
-    return orders;
+    return due;
 }
 
 asio::awaitable<void> DutyRunner::orderFleet()
 {
-    std::vector<FleetOrder> due;
     SteadyTime now = steadyNow();
-    std::map<std::tuple<ServiceName, DataCentreId, bool>, std::uint64_t> present;
-    for (const BackendRecord& record : context_.backends_.records()) {
-        if (!record.isLeaving_)
-            ++present[{ record.service_, record.dataCentre_, record.isReclaimable_ }];
-    }
-    for (const FleetOrder& order : wantedOrders()) {
-        bool isThere = present[{ order.service_, order.dataCentre_, order.isReclaimable_ }] == order.wanted_;
-        auto last = ordered_.find(order);
-        if (isThere || (last != ordered_.end() && now - last->second < context_.settings_.fleet_.repeat_))
-            continue;
-        due.push_back(order);
-    }
+    std::vector<FleetOrder> due = dueOrders(now);
     if (due.empty())
         co_return;
     wire::DutyRecord intent;
@@ -257,7 +273,7 @@
         if (!seat_.mayAct(now, steadyNow()))
             co_return;
         auto sent = co_await context_.platform_.orderFleet_(context_.settings_.vm_, heldToken(), order);
-        ordered_[order] = steadyNow();
+        ordered_[{ order.service_, order.dataCentre_, order.isReclaimable_ }] = { order.wanted_, sent.has_value(), steadyNow() };
         logger_.info("Order " + std::to_string(order.wanted_) + (order.isReclaimable_ ? " reclaimable" : " lasting") + " engines of " + order.service_.value_ + " in " + order.dataCentre_.value_
             + ": token=" + std::to_string(heldToken().value_) + (sent ? "" : " failed=" + describe(sent.error())));
     }
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -32,6 +32,12 @@
         Unsure,
     };
 
+    struct LastOrder {
+        std::uint64_t wanted_ = 0;
+        bool isTaken_ = false;
+        SteadyTime at_ {};
+    };
+
     asio::awaitable<void> run();
     asio::awaitable<void> claim();
     asio::awaitable<void> act();
@@ -39,7 +45,8 @@
     asio::awaitable<void> orderFleet();
     asio::awaitable<bool> readLog();
     asio::awaitable<Recorded> record(const wire::DutyRecord& record);
-    std::vector<FleetOrder> wantedOrders() const;
+    std::vector<FleetPlace> placesOf(const ServicePolicy& service) const;
+    std::vector<FleetOrder> dueOrders(SteadyTime now) const;
     void resign(const std::string& why);
 
     asio::io_context& io_;
@@ -52,7 +59,8 @@
     /// What was or may have been reported, by any holder.
     std::map<WindowNumber, UsageCounts> recorded_;
     std::set<WindowNumber> reported_;
-    std::map<FleetOrder, SteadyTime> ordered_;
+    /// The newest order for each service, data centre and kind.
+    std::map<std::tuple<ServiceName, DataCentreId, bool>, LastOrder> ordered_;
     SteadyTime fleetAt_ {};
     Logger logger_ { "duties" };
 };
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -119,9 +119,10 @@
 asio::awaitable<void> Gateway::State::findPeers()
 {
     bool isAnnounced = false;
+    AnnouncedNode self { context_.settings_.vm_, context_.settings_.gossip_ };
     for (;;) {
         if (!isAnnounced) {
-            auto announced = co_await context_.platform_.announce_({ context_.settings_.vm_, context_.settings_.gossip_ });
+            auto announced = co_await context_.platform_.announce_(self);
             isAnnounced = announced.has_value();
             if (!announced)
                 logger_.warn("Announcement failed: " + describe(announced.error()));
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -27,6 +27,7 @@
     , platform_(std::move(platform))
     , incarnation_(randomBits())
     , backends_(settings_.dataCentre_, settings_.choice_)
+    , quotas_(steadyNow())
     , retries_(retrySettings(settings_))
     , usage_(settings_.usageWindow_)
     , forward_ { platform_.headers_, settings_.forward_, {}, backends_, quotas_, retries_, metrics_, {}, {}, {} }
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -39,7 +39,7 @@
 
     void parseFleet(YamlMap map, FleetSettings& settings)
     {
-        settings.lasting_ = map.integer("lasting", 0, 10000, settings.lasting_);
+        settings.needed_ = map.integer("needed", 0, 10000, settings.needed_);
         settings.reclaimable_ = map.integer("reclaimable", 0, 10000, settings.reclaimable_);
         settings.period_ = map.duration("period", milliseconds(100), oneMinute, settings.period_);
         settings.repeat_ = map.duration("repeat", milliseconds(100), oneDay, settings.repeat_);
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -14,8 +14,9 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-QuotaBook::QuotaBook(QuotaSettings settings)
-    : settings_(settings)
+QuotaBook::QuotaBook(SteadyTime startedAt, QuotaSettings settings)
+    : startedAt_(startedAt)
+    , settings_(settings)
 {
 }
 
@@ -50,9 +51,8 @@
     Bucket& bucket = found->second;
     if (isNew) {
         auto heard = heardLevels_.find(organisation);
-        // A node that starts alone has only its share of a full bucket: many may
-        // start at one moment.
-        bucket.level_ = heard != heardLevels_.end() ? heard->second : limit.burst_ / static_cast<double>(peers_.size() + 1);
+        double filled = std::min(limit.burst_, secondsOf(now - startedAt_) * limit.ratePerSecond_);
+        bucket.level_ = heard != heardLevels_.end() ? heard->second : filled;
         bucket.filledAt_ = now;
     }
     bucket.limit_ = limit;
