--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -77,7 +77,10 @@
     QuotaBook& quotas_;
     RetryBudget& retries_;
     Metrics& metrics_;
+    /// Connections close after their answer.
     std::atomic<bool> isStopping_ { false };
+    /// New requests are refused: there may be no time left for them.
+    std::atomic<bool> refusesNew_ { false };
     std::atomic<std::size_t> running_ { 0 };
     std::atomic<std::size_t> connections_ { 0 };
 };
--- a/lib/Forward/EventSplitter.h
+++ b/lib/Forward/EventSplitter.h
@@ -24,6 +24,8 @@
     /// the caller. An event older than the last one is left out; an event whose
     /// predecessor is missing makes the stream broken.
     std::string take(std::string_view bytes);
+    /// Forgets a part of an event: its stream broke off, and another follows.
+    void dropPartial() { partial_.clear(); }
     /// The newest event handed out.
     std::optional<std::uint64_t> last() const { return last_; }
     /// Whether a part of an event is held.
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -12,6 +12,8 @@
 
     // A node without a configuration expects one within a poll of its source.
     constexpr milliseconds retryUnconfigured { 300 };
+    // Another node takes a request at once that a stopping one refuses.
+    constexpr milliseconds retryStopping { 10 };
     // Backend servers that are full have room again after a few answers.
     constexpr milliseconds retryFull { 150 };
     // Connections that may fail for one request before it is given up.
@@ -92,6 +94,8 @@
     table_ = context_.hooks_.table_();
     if (!table_)
         return refusal(503, "no configuration known yet", retryUnconfigured);
+    if (context_.refusesNew_)
+        return refusal(503, "this node is stopping", retryStopping);
     route_ = table_->findRoute(request_.field("Host"), request_.path());
     if (!route_)
         return refusal(404, "no route", {});
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -261,6 +261,8 @@
 asio::awaitable<SendEnd> Forwarding::relayEvents(Attempt& attempt, Parser& parser)
 {
     HeaderFields fields = fieldsOf(parser);
+    // An engine may have stopped in the middle of an event before this one.
+    events_.dropPartial();
     finalStatus_ = static_cast<int>(parser.get().result_int());
     while (!parser.is_done()) {
         if (auto code = co_await readSome(attempt, parser)) {
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -174,6 +174,8 @@
     context_.forward_.isStopping_ = true;
     logger_.info("Stopping: running=" + std::to_string(context_.forward_.running_) + " connections=" + std::to_string(context_.forward_.connections_));
     co_await sleepFor(std::min(settings.balancerGrace_, settings.grace_ - drainMargin));
+    // A stream taken later than this might not end within the grace time.
+    context_.forward_.refusesNew_ = true;
     while (steadyNow() < stopAt && context_.forward_.connections_) {
         for (const auto& worker : workers_)
             worker->closeIdle();
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -30,7 +30,7 @@
     , quotas_(steadyNow())
     , retries_(retrySettings(settings_))
     , usage_(settings_.usageWindow_)
-    , forward_ { platform_.headers_, settings_.forward_, {}, backends_, quotas_, retries_, metrics_, {}, {}, {} }
+    , forward_ { platform_.headers_, settings_.forward_, {}, backends_, quotas_, retries_, metrics_, {}, {}, {}, {} }
     , table_(nullptr)
 {
     forward_.hooks_.table_ = [this] { return table(); };
