Order engines by the demand that all nodes see

Change: nodes tell each other the prompt tokens they sent and the reading rate they learnt from answers (least squares, requests without a queue ahead); the holder of the duties orders for their peak, reclaimable engines first.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -88,6 +88,8 @@
     std::size_t candidates_ = 0;
     /// Prompt tokens that it has to read: those that it is not likely to cache.
     TokenCount uncached_;
+    /// Prompt tokens that were queued there before this request.
+    TokenCount queuedAhead_;
 };
 
 /// Figures of the estimates; all may be set, the defaults are measured ones.
@@ -130,7 +132,7 @@
     /// request as under way there until end().
     std::optional<BackendChoice> choose(const RequestShape& shape, const std::set<BackendId>& excluded, SteadyTime now);
     /// The first byte of an answer came after \p wait.
-    void began(const BackendId& id, const RequestShape& shape, TokenCount uncached, milliseconds wait);
+    void began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait);
     /// The request is over; \p hasBegun tells whether began() was called.
     void end(const BackendId& id, TokenCount uncached, bool hasBegun, BackendOutcome outcome, SteadyTime now);
 
@@ -139,6 +141,16 @@
     void setPeerLoads(const VmId& peer, std::map<BackendId, BackendLoad> loads, SteadyTime now);
 
     /// Slots taken and slots there at a service, over all nodes as far as known.
+    /// What this node has sent to the engines of one service, and learnt of them.
+    struct ServiceView {
+        /// Prompt tokens since the start, without those cached.
+        std::uint64_t tokensSent_ = 0;
+        /// Prompt tokens that an engine reads in a millisecond.
+        double prefillPerMs_ = 0;
+        std::uint64_t observations_ = 0;
+    };
+    std::map<ServiceName, ServiceView> services() const;
+
     struct Occupancy {
         std::uint64_t running_ = 0;
         std::uint64_t slots_ = 0;
@@ -167,6 +179,21 @@
     };
 
     bool isUsable(const Backend& backend, SteadyTime now) const;
+    /// A straight line through waits over prompt tokens, by least squares with
+    /// fading weights: its slope is the time that a token takes to read.
+    struct ServiceRate {
+        void observe(double tokens, double waitedMs);
+        double prefillPerMs(double fallback) const;
+
+        std::uint64_t observations_ = 0;
+        double meanTokens_ = 0;
+        double meanWait_ = 0;
+        double meanSquare_ = 0;
+        double meanProduct_ = 0;
+        std::uint64_t tokensSent_ = 0;
+    };
+
+    double rateOf(const ServiceName& service) const;
     double estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const;
     TokenCount uncachedAt(const Backend& backend, const RequestShape& shape, const BackendId& home, SteadyTime now) const;
     void fail(Backend& backend, SteadyTime now);
@@ -177,6 +204,7 @@
     mutable std::mutex mutex_;
     std::map<BackendId, Backend> backends_;
     std::map<VmId, PeerLoads> peers_;
+    std::map<ServiceName, ServiceRate> rates_;
 };
 
 } // namespace pistachioloom
--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -127,6 +127,60 @@
     auto operator<=>(const FleetOrder&) const = default;
 };
 
+struct DemandTiming {
+    /// The rate is taken over this time.
+    milliseconds window_ { 4000 };
+    /// The highest rate of this time counts: engines take seconds to boot, and
+    /// demand that fell may come back.
+    milliseconds memory_ { 5000 };
+};
+
+/// What one node tells of its requests to a service's engines.
+struct DemandTold {
+    /// Prompt tokens since its start.
+    TokenCount sent_;
+    /// What an engine reads in a millisecond, and the answers that show it.
+    double prefillPerMs_ = 0;
+    std::uint64_t observations_ = 0;
+};
+
+/// Prompt tokens that all nodes send to each service in a second. Thread-safe.
+class DemandBook {
+public:
+    explicit DemandBook(DemandTiming timing = {})
+        : timing_(timing)
+    {
+    }
+
+    void setSource(const VmId& vm, std::uint64_t incarnation, const ServiceName& service, const DemandTold& told);
+    /// What an engine reads in a millisecond: the mean over nodes, weighted by
+    /// what each has seen.
+    double prefillPerMs(const ServiceName& service, double fallback) const;
+    /// Takes a reading; call it at regular times.
+    void sample(SteadyTime now);
+    /// The highest rate of the memory, in tokens a second; nullopt until a whole
+    /// window was seen.
+    std::optional<double> peakRate(const ServiceName& service, SteadyTime now) const;
+
+private:
+    struct Reading {
+        SteadyTime at_ {};
+        double tokens_ = 0;
+    };
+
+    const DemandTiming timing_;
+    mutable std::mutex mutex_;
+    struct Source {
+        std::uint64_t incarnation_ = 0;
+        DemandTold told_;
+    };
+
+    /// Counted as it grows, so that a node that restarts or goes takes nothing back.
+    std::map<std::pair<ServiceName, VmId>, Source> sources_;
+    std::map<ServiceName, double> totals_;
+    std::map<ServiceName, std::vector<Reading>> readings_;
+};
+
 /// Engines of one service in one data centre.
 struct FleetPlace {
     DataCentreId dataCentre_;
@@ -148,12 +202,18 @@
     std::uint64_t most_ = 0;
     /// Reclaimable engines to hold in each data centre.
     std::uint64_t reclaimablePerPlace_ = 0;
+    /// Part of the largest data centre's reclaimable engines that is not counted
+    /// on: they go all at once.
+    double reserveShare_ = 1;
 };
 
-/// What to order in each place: as many reclaimable engines as are to be had,
-/// and lasting ones for what is missing, cheapest data centre first. Lasting
-/// engines cost about five times a reclaimable one, but a missing engine costs
-/// more than both.
+/// Engines that \p tokensPerSecond need when an engine reads \p prefillPerMs and
+/// is to be busy for \p utilisation of its time.
+std::uint64_t enginesFor(double tokensPerSecond, double prefillPerMs, double utilisation);
+
+/// What to order in each place: reclaimable engines as wanted, and lasting ones
+/// for what would be missing if the data centre with most reclaimable engines
+/// lost the reserved part of them; cheapest data centre first.
 std::vector<FleetOrder> planFleet(const ServiceName& service, const FleetDemand& demand, const std::vector<FleetPlace>& places);
 
 } // namespace pistachioloom
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -91,12 +91,15 @@
 };
 
 struct FleetSettings {
-    /// Engines wanted in all.
-    std::uint64_t needed_ = 15;
-    /// Reclaimable engines wanted in each data centre.
-    std::uint64_t reclaimable_ = 5;
+    /// Part of its time that an engine is to be busy reading prompts.
+    double utilisation_ = 0.55;
+    /// Reclaimable engines wanted in each data centre, as part of those needed
+    /// in all.
+    double reclaimableShare_ = 0.7;
+    /// Part of the largest data centre's reclaimable engines that is not counted on.
+    double reserveShare_ = 0.25;
     /// How often orders are looked at.
-    milliseconds period_ { 1000 };
+    milliseconds period_ { 500 };
     /// An order is repeated after this time if the engines are not there.
     milliseconds repeat_ { 8000 };
     /// An order that was refused, since no engine was to be had, is repeated
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -12,6 +12,11 @@
 
 // How much one observation moves a running average.
 static constexpr double learningRate = 0.15;
+// The reading rate of a service is learnt from some hundred requests.
+static constexpr double rateLearning = 0.005;
+static constexpr std::uint64_t leastObservations = 12;
+// A learnt rate may differ from the configured one by this factor at most.
+static constexpr double mostOffFallback = 8;
 static constexpr double leastSlowness = 0.5;
 static constexpr double mostSlowness = 8;
 
@@ -84,17 +89,58 @@
     return found == backends_.end() ? std::nullopt : std::optional(found->second.record_);
 }
 
-void BackendBook::began(const BackendId& id, const RequestShape& shape, TokenCount uncached, milliseconds wait)
+double BackendBook::rateOf(const ServiceName& service) const
+{
+    auto found = rates_.find(service);
+    return found == rates_.end() ? settings_.prefillPerMs_ : found->second.prefillPerMs(settings_.prefillPerMs_);
+}
+
+std::map<ServiceName, BackendBook::ServiceView> BackendBook::services() const
 {
     std::lock_guard lock(mutex_);
-    auto found = backends_.find(id);
+    std::map<ServiceName, ServiceView> views;
+    for (const auto& [service, rate] : rates_)
+        views[service] = { rate.tokensSent_, rateOf(service), rate.observations_ };
+    return views;
+}
+
+void BackendBook::began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait)
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(choice.backend_.id_);
     if (found == backends_.end())
         return;
     Backend& backend = found->second;
-    double estimated = std::max(1.0, estimateMs(backend, shape, uncached) / backend.slowness_);
-    backend.own_.queuedTokens_ -= std::min(backend.own_.queuedTokens_, uncached.value_);
-    double observed = std::clamp(static_cast<double>(wait.count()) / estimated, leastSlowness, mostSlowness);
+    backend.own_.queuedTokens_ -= std::min(backend.own_.queuedTokens_, choice.uncached_.value_);
+    double waited = std::max(1.0, static_cast<double>(wait.count()));
+    double estimated = std::max(1.0, static_cast<double>(choice.estimate_.count()) / backend.slowness_);
+    double observed = std::clamp(waited / estimated, leastSlowness, mostSlowness);
     backend.slowness_ += learningRate * (observed - backend.slowness_);
+    std::uint64_t tokens = choice.uncached_.value_;
+    // Behind a queue the rate would be that of others' requests, which are known
+    // late: what has long been read would count as read by this one.
+    if (!shape.isForEngine_ || choice.queuedAhead_.value_)
+        return;
+    rates_[shape.service_].observe(static_cast<double>(tokens), waited);
+}
+
+void BackendBook::ServiceRate::observe(double tokens, double waitedMs)
+{
+    // The first observations count alike.
+    double weight = std::max(rateLearning, 1.0 / static_cast<double>(++observations_));
+    meanTokens_ += weight * (tokens - meanTokens_);
+    meanWait_ += weight * (waitedMs - meanWait_);
+    meanSquare_ += weight * (tokens * tokens - meanSquare_);
+    meanProduct_ += weight * (tokens * waitedMs - meanProduct_);
+}
+
+double BackendBook::ServiceRate::prefillPerMs(double fallback) const
+{
+    double variance = meanSquare_ - meanTokens_ * meanTokens_;
+    double covariance = meanProduct_ - meanTokens_ * meanWait_;
+    if (observations_ < leastObservations || variance <= 0 || covariance <= 0)
+        return fallback;
+    return std::clamp(variance / covariance, fallback / mostOffFallback, fallback * mostOffFallback);
 }
 
 void BackendBook::fail(Backend& backend, SteadyTime now)
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -54,7 +54,7 @@
         return plainTurnMs * turns * backend.slowness_;
     }
     double tokens = static_cast<double>(backend.own_.queuedTokens_ + backend.peers_.queuedTokens_ + uncached.value_);
-    return (tokens / settings_.prefillPerMs_ + running * settings_.perRunningMs_) * backend.slowness_;
+    return (tokens / rateOf(shape.service_) + running * settings_.perRunningMs_) * backend.slowness_;
 }
 
 std::optional<BackendChoice> BackendBook::choose(const RequestShape& shape, const std::set<BackendId>& excluded, SteadyTime now)
@@ -100,8 +100,10 @@
         chosen = backend;
         least = weighed;
         choice.uncached_ = uncached;
+        choice.queuedAhead_ = { backend->own_.queuedTokens_ + backend->peers_.queuedTokens_ };
         choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimate));
     }
+    rates_[shape.service_].tokensSent_ += choice.uncached_.value_;
     chosen->own_.running_ += 1;
     chosen->own_.queuedTokens_ += choice.uncached_.value_;
     if (const PromptPart* shared = sharedPart(shape)) {
--- a/lib/Duties/Fleet.cpp
+++ b/lib/Duties/Fleet.cpp
@@ -6,15 +6,28 @@
 #include "pistachioloom/Duties.h"
 
 #include <algorithm>
+#include <cassert>
+#include <cmath>
 
 namespace pistachioloom {
 
+std::uint64_t enginesFor(double tokensPerSecond, double prefillPerMs, double utilisation)
+{
+    assert(prefillPerMs > 0 && utilisation > 0 && "rates are positive");
+    return static_cast<std::uint64_t>(std::ceil(tokensPerSecond / (prefillPerMs * 1000 * utilisation)));
+}
+
 std::vector<FleetOrder> planFleet(const ServiceName& service, const FleetDemand& demand, const std::vector<FleetPlace>& places)
 {
     std::uint64_t reclaimable = 0;
-    for (const FleetPlace& place : places)
-        reclaimable += std::min(place.reclaimable_, demand.reclaimablePerPlace_);
-    std::uint64_t lasting = demand.needed_ - std::min(demand.needed_, reclaimable);
+    std::uint64_t largest = 0;
+    for (const FleetPlace& place : places) {
+        std::uint64_t counted = std::min(place.reclaimable_, demand.reclaimablePerPlace_);
+        reclaimable += counted;
+        largest = std::max(largest, counted);
+    }
+    std::uint64_t safe = reclaimable - static_cast<std::uint64_t>(std::ceil(static_cast<double>(largest) * demand.reserveShare_));
+    std::uint64_t lasting = demand.needed_ - std::min(demand.needed_, safe);
 
     std::vector<const FleetPlace*> byPrice;
     for (const FleetPlace& place : places)
@@ -23,12 +36,14 @@
 
     // One at a time in turn, so that no data centre holds most of them.
     std::map<DataCentreId, std::uint64_t> share;
-    std::uint64_t room = demand.most_ - std::min(demand.most_, demand.reclaimablePerPlace_);
     std::uint64_t placed = 0;
-    for (std::uint64_t round = 0; round < room; ++round) {
+    for (std::uint64_t round = 0; round < demand.most_; ++round) {
         for (const FleetPlace* place : byPrice) {
+            // What is there of the other kind takes room, what is only wanted
+            // does not: it may not be to be had.
+            bool hasRoom = round + std::min(place->reclaimable_, demand.reclaimablePerPlace_) < demand.most_;
             bool isLeast = round < demand.least_;
-            if (!isLeast && placed >= lasting)
+            if (!isLeast && (placed >= lasting || !hasRoom))
                 continue;
             ++share[place->dataCentre_];
             ++placed;
@@ -36,8 +51,9 @@
     }
     std::vector<FleetOrder> orders;
     for (const FleetPlace& place : places) {
-        orders.push_back({ service, place.dataCentre_, true, std::min(demand.reclaimablePerPlace_, demand.most_) });
-        orders.push_back({ service, place.dataCentre_, false, share[place.dataCentre_] });
+        std::uint64_t wanted = share[place.dataCentre_];
+        orders.push_back({ service, place.dataCentre_, true, std::min(demand.reclaimablePerPlace_, demand.most_ - wanted) });
+        orders.push_back({ service, place.dataCentre_, false, wanted });
     }
     return orders;
 }
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -220,7 +220,7 @@
         return;
     attempt.hasBegun_ = true;
     auto wait = std::chrono::duration_cast<milliseconds>(steadyNow() - attempt.startedAt_);
-    context_.backends_.began(attempt.choice_.backend_.id_, shape_, attempt.choice_.uncached_, wait);
+    context_.backends_.began(attempt.choice_, shape_, wait);
     if (hasCountedBegin_)
         return;
     hasCountedBegin_ = true;
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -7,6 +7,8 @@
 
 #include "generated/Peer.pb.h"
 
+#include <cmath>
+
 namespace pistachioloom {
 
 namespace {
@@ -78,6 +80,7 @@
 {
     for (;;) {
         co_await sleepFor(runPeriod);
+        sampleDemand();
         // A node that is stopping leaves the duties to those that stay.
         if (context_.isStopping_)
             continue;
@@ -96,6 +99,13 @@
     }
 }
 
+void DutyRunner::sampleDemand()
+{
+    for (const auto& [service, view] : context_.backends_.services())
+        context_.demand_.setSource(context_.settings_.vm_, context_.incarnation_, service, { { view.tokensSent_ }, view.prefillPerMs_, view.observations_ });
+    context_.demand_.sample(steadyNow());
+}
+
 /// Reads the log of duties to its end. \returns whether it was read.
 asio::awaitable<bool> DutyRunner::readLog()
 {
@@ -230,8 +240,33 @@
     return all;
 }
 
+/// What the service needs now. Before a whole window of demand was seen, what is
+/// there is taken for what is needed, so that a new holder changes nothing.
+FleetDemand DutyRunner::demandOf(const ServicePolicy& service, const std::vector<FleetPlace>& places, SteadyTime now)
+{
+    const FleetSettings& settings = context_.settings_.fleet_;
+    std::uint64_t present = 0;
+    for (const FleetPlace& place : places)
+        present += place.lasting_ + place.reclaimable_;
+    double rate = context_.demand_.prefillPerMs(service.name_, context_.settings_.choice_.prefillPerMs_);
+    auto tokens = context_.demand_.peakRate(service.name_, now);
+    FleetDemand demand { present, service.fleet_->least_, service.fleet_->most_, 0, settings.reserveShare_ };
+    if (tokens)
+        demand.needed_ = enginesFor(*tokens, rate, settings.utilisation_);
+    else if (neededBefore_.contains(service.name_))
+        demand.needed_ = neededBefore_.at(service.name_);
+    double reclaimable = std::ceil(static_cast<double>(demand.needed_) * settings.reclaimableShare_);
+    std::uint64_t room = demand.most_ - std::min(demand.most_, demand.least_);
+    demand.reclaimablePerPlace_ = std::min(room, static_cast<std::uint64_t>(reclaimable));
+    if (demand.needed_ != neededBefore_[service.name_])
+        logger_.info("Service " + service.name_.value_ + " needs " + std::to_string(demand.needed_) + " engines: tokens_per_s=" + (tokens ? std::to_string(static_cast<std::uint64_t>(*tokens)) : "unknown")
+            + " prefill_per_ms=" + std::to_string(rate) + " present=" + std::to_string(present));
+    neededBefore_[service.name_] = demand.needed_;
+    return demand;
+}
+
 /// Orders that are not in force yet as far as the registry shows.
-std::vector<FleetOrder> DutyRunner::dueOrders(SteadyTime now) const
+std::vector<FleetOrder> DutyRunner::dueOrders(SteadyTime now)
 {
     const FleetSettings& settings = context_.settings_.fleet_;
     std::vector<FleetOrder> due;
@@ -240,7 +275,7 @@
         if (!service.fleet_)
             continue;
         std::vector<FleetPlace> places = placesOf(service);
-        FleetDemand demand { settings.needed_, service.fleet_->least_, service.fleet_->most_, settings.reclaimable_ };
+        FleetDemand demand = demandOf(service, places, now);
         for (const FleetOrder& order : planFleet(service.name_, demand, places)) {
             auto place = std::find_if(places.begin(), places.end(), [&](const FleetPlace& candidate) { return candidate.dataCentre_ == order.dataCentre_; });
             std::uint64_t present = order.isReclaimable_ ? place->reclaimable_ : place->lasting_;
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -46,7 +46,9 @@
     asio::awaitable<bool> readLog();
     asio::awaitable<Recorded> record(const wire::DutyRecord& record);
     std::vector<FleetPlace> placesOf(const ServicePolicy& service) const;
-    std::vector<FleetOrder> dueOrders(SteadyTime now) const;
+    FleetDemand demandOf(const ServicePolicy& service, const std::vector<FleetPlace>& places, SteadyTime now);
+    std::vector<FleetOrder> dueOrders(SteadyTime now);
+    void sampleDemand();
     void resign(const std::string& why);
 
     asio::io_context& io_;
@@ -62,6 +64,7 @@
     /// The newest order for each service, data centre and kind.
     std::map<std::tuple<ServiceName, DataCentreId, bool>, LastOrder> ordered_;
     SteadyTime fleetAt_ {};
+    std::map<ServiceName, std::uint64_t> neededBefore_;
     Logger logger_ { "duties" };
 };
 
--- a/lib/Gateway/GatewayContext.h
+++ b/lib/Gateway/GatewayContext.h
@@ -10,12 +10,6 @@
 
 namespace pistachioloom {
 
-/// Prompt tokens and requests sent to a service by this node since its start.
-struct ServiceDemand {
-    std::uint64_t promptTokens_ = 0;
-    std::uint64_t requests_ = 0;
-};
-
 class GatewayContext {
 public:
     GatewayContext(GatewaySettings settings, GatewayPlatform platform);
@@ -35,6 +29,7 @@
     RetryBudget retries_;
     UsageBook usage_;
     ClockAgreement clocks_;
+    DemandBook demand_;
     ForwardContext forward_;
     std::atomic<bool> isStopping_ { false };
 
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -39,8 +39,9 @@
 
     void parseFleet(YamlMap map, FleetSettings& settings)
     {
-        settings.needed_ = map.integer("needed", 0, 10000, settings.needed_);
-        settings.reclaimable_ = map.integer("reclaimable", 0, 10000, settings.reclaimable_);
+        settings.utilisation_ = map.number("utilisation", 0.01, 1, settings.utilisation_);
+        settings.reclaimableShare_ = map.number("reclaimable_share", 0, 2, settings.reclaimableShare_);
+        settings.reserveShare_ = map.number("reserve_share", 0, 1, settings.reserveShare_);
         settings.period_ = map.duration("period", milliseconds(100), oneMinute, settings.period_);
         settings.repeat_ = map.duration("repeat", milliseconds(100), oneDay, settings.repeat_);
         map.finish();
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -143,6 +143,13 @@
         for (const auto& [organisation, count] : counts)
             (*told.mutable_counts())[organisation.value_] = count;
     }
+    for (const auto& [service, view] : context_.backends_.services()) {
+        wire::DemandReport& told = *report.add_demand();
+        told.set_service(service.value_);
+        told.set_prompt_tokens(view.tokensSent_);
+        told.set_prefill_per_ms(view.prefillPerMs_);
+        told.set_observations(view.observations_);
+    }
     while (!leaving_.empty() && now - leaving_.front().first > leavingTold)
         leaving_.pop_front();
     for (const auto& [at, id] : leaving_)
@@ -259,6 +266,8 @@
         admitted[{ told.organisation() }] = told.admitted();
         levels[{ told.organisation() }] = told.level();
     }
+    for (const wire::DemandReport& told : report.demand())
+        context_.demand_.setSource(vm, report.incarnation(), { told.service() }, { { told.prompt_tokens() }, told.prefill_per_ms(), told.observations() });
     context_.quotas_.setPeer(vm, report.incarnation(), admitted, levels, now);
     takeUsage(report);
     context_.clocks_.setPeer(vm, report.wall_ms() - ownWallMs(), now);
