--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -92,7 +92,7 @@
 
 struct FleetSettings {
     /// Part of its time that an engine is to be busy reading prompts.
-    double utilisation_ = 0.55;
+    double utilisation_ = 0.7;
     /// Reclaimable engines wanted in each data centre, as part of those needed
     /// in all.
     double reclaimableShare_ = 0.7;
@@ -100,6 +100,8 @@
     double reserveShare_ = 0.25;
     /// How often orders are looked at.
     milliseconds period_ { 500 };
+    /// The highest need of this time is ordered for.
+    milliseconds hold_ { 5000 };
     /// An order is repeated after this time if the engines are not there.
     milliseconds repeat_ { 8000 };
     /// An order that was refused, since no engine was to be had, is repeated
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -21,23 +21,51 @@
     Error,
 };
 
+enum class LogOutput {
+    StandardOutput,
+    StandardError,
+};
+
 struct LogSettings {
     LogLevel level_ = LogLevel::Info;
+    LogOutput output_ = LogOutput::StandardOutput;
+    /// Lines written in a second; more are counted and left out. At 300 bytes a
+    /// line this bounds the volume to 150 KB/s.
+    std::uint64_t linesPerSecond_ = 500;
     /// Levels of single parts, by prefix.
     std::map<std::string, LogLevel> parts_;
     bool isJson_ = false;
 };
 
-/// Sets up log4cplus to write to standard error. Call it once, first.
+/// Sets up log4cplus; call it first, and again to apply changed settings. A
+/// reader that does not read costs lines, never time.
 void initialiseLogging(const LogSettings& settings, const std::string& node);
 
+/// Lines left out since the start, for want of a reader or over the bound.
+std::uint64_t droppedLogLines();
+
+/// A sentence with named values, which become fields of their own in JSON.
+class LogLine {
+public:
+    explicit LogLine(std::string sentence);
+    LogLine& add(std::string_view name, std::string_view value);
+    LogLine& add(std::string_view name, std::int64_t value);
+    /// As the layouts expect it.
+    const std::string& encoded() const { return encoded_; }
+
+private:
+    std::string encoded_;
+};
+
 /// Writes short sentences under one fixed prefix.
 class Logger {
 public:
     explicit Logger(std::string part);
     void debug(const std::string& sentence) const;
     void info(const std::string& sentence) const;
+    void info(const LogLine& line) const { info(line.encoded()); }
     void warn(const std::string& sentence) const;
+    void warn(const LogLine& line) const { warn(line.encoded()); }
     void error(const std::string& sentence) const;
 
 private:
--- a/lib/Duties/Demand.cpp
+++ b/lib/Duties/Demand.cpp
@@ -44,6 +44,9 @@
 {
     std::lock_guard lock(mutex_);
     for (const auto& [service, total] : totals_) {
+        // Before the first request there is no demand to speak of, rather than none.
+        if (total <= 0)
+            continue;
         std::vector<Reading>& readings = readings_[service];
         readings.push_back({ now, total });
         std::erase_if(readings, [&](const Reading& reading) { return now - reading.at_ > timing_.memory_ + timing_.window_; });
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -181,8 +181,7 @@
         if (!mayTryAgain(end))
             break;
         context_.metrics_.add(Counter::Retries);
-        logger().info("Try again: id=" + id_ + " after=" + attempt.choice_.backend_.id_.value_ + " sends=" + std::to_string(sends_)
-            + " why=" + attempt.detail_ + " left_ms=" + std::to_string(timeLeft().count()));
+        logger().info(LogLine("Try again.").add("id", id_).add("after", attempt.choice_.backend_.id_.value_).add("sends", sends_).add("why", attempt.detail_).add("left_ms", timeLeft().count()));
         // A stopped engine has noticed its closed connection long before another
         // has begun: the close is sent first, on a path no longer than the send's.
     }
@@ -192,8 +191,10 @@
         caller_->abort();
         co_return;
     }
-    if (!held_)
+    if (!held_) {
         held_ = finalFailure();
+        logRefusal(*held_);
+    }
     (void)co_await deliver(std::move(*held_));
 }
 
@@ -202,8 +203,7 @@
     auto self = shared_from_this();
     context_.metrics_.add(Counter::RequestsAccepted);
     if (auto refused = admit()) {
-        logger().info("Refused: id=" + id_ + " status=" + std::to_string(refused->status_) + " why=" + lastDetail_ + " target=" + request_.target_
-            + " version=" + (table_ ? std::to_string(table_->version()) : "none"));
+        logRefusal(*refused);
         bool isTaken = co_await deliver(std::move(*refused));
         co_return isTaken && keepsConnection_;
     }
@@ -248,14 +248,33 @@
     context_.backends_.end(attempt.choice_.backend_.id_, attempt.choice_.uncached_, attempt.hasBegun_, outcome, now);
     auto took = std::chrono::duration_cast<milliseconds>(now - request_.receivedAt_);
     context_.metrics_.observe(Histogram::WholeAnswer, now - request_.receivedAt_);
-    logger().info("Sent: id=" + id_ + " route=" + route_->name_ + " organisation=" + (organisation_ ? organisation_->name_.value_ : "-")
-        + " backend=" + attempt.choice_.backend_.id_.value_ + " dc=" + attempt.choice_.backend_.dataCentre_.value_ + " of=" + std::to_string(attempt.choice_.candidates_)
-        + " estimate_ms=" + std::to_string(attempt.choice_.estimate_.count()) + " uncached=" + std::to_string(attempt.choice_.uncached_.value_)
-        + " outcome=" + std::string(toString(outcome)) + (attempt.detail_.empty() ? "" : " why=" + attempt.detail_) + " status=" + std::to_string(finalStatus_)
-        + " last_event=" + (events_.last() ? std::to_string(*events_.last()) : "-") + " took_ms=" + std::to_string(took.count()) + " version=" + std::to_string(table_->version()));
+    logAttempt(attempt, outcome, took);
     lastDetail_ = attempt.detail_;
 }
 
+void Forwarding::logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took) const
+{
+    const BackendChoice& choice = attempt.choice_;
+    LogLine line("Attempt ended.");
+    line.add("id", id_).add("outcome", toString(outcome)).add("why", attempt.detail_).add("status", finalStatus_).add("attempt", sends_);
+    line.add("route", route_->name_).add("organisation", organisation_ ? organisation_->name_.value_ : "").add("configuration", static_cast<std::int64_t>(table_->version()));
+    line.add("backend", choice.backend_.id_.value_).add("service", shape_.service_.value_).add("data_centre", choice.backend_.dataCentre_.value_).add("candidates", static_cast<std::int64_t>(choice.candidates_));
+    line.add("estimate_ms", choice.estimate_.count()).add("queued_tokens", static_cast<std::int64_t>(choice.queuedAhead_.value_)).add("uncached_tokens", static_cast<std::int64_t>(choice.uncached_.value_));
+    if (route_->isStream_)
+        line.add("last_event", events_.last() ? static_cast<std::int64_t>(*events_.last()) : 0);
+    line.add("first_byte_ms", firstByte_.count()).add("took_ms", took.count()).add("left_ms", timeLeft().count());
+    logger().info(line);
+}
+
+void Forwarding::logRefusal(const HeldAnswer& answer) const
+{
+    LogLine line("Refused.");
+    line.add("id", id_).add("status", answer.status_).add("why", std::string_view(answer.body_).substr(0, answer.body_.find('\n')));
+    line.add("target", request_.target_).add("host", request_.field("Host")).add("route", route_ ? route_->name_ : "").add("organisation", organisation_ ? organisation_->name_.value_ : "");
+    line.add("configuration", table_ ? static_cast<std::int64_t>(table_->version()) : 0).add("peer", caller_->peer());
+    logger().info(line);
+}
+
 Forwarding::HeldAnswer Forwarding::finalFailure() const
 {
     // 503 promises that the request has not run and never will.
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -81,6 +81,8 @@
     asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, Parser& parser);
     bool mayTryAgain(SendEnd end);
     void finishAttempt(Attempt& attempt, SendEnd end);
+    void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took) const;
+    void logRefusal(const HeldAnswer& answer) const;
     std::optional<SendEnd> checkHead(Attempt& attempt, const Parser& parser);
     void startWriting(Attempt& attempt);
     std::string headFor(const BackendRecord& backend) const;
@@ -131,6 +133,8 @@
     EventSplitter events_ { std::nullopt };
     std::optional<HeldAnswer> held_;
     std::string lastDetail_;
+    /// From the request's arrival to the first byte of an answer.
+    milliseconds firstByte_ {};
     int finalStatus_ = 0;
 };
 
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -224,6 +224,7 @@
     if (hasCountedBegin_)
         return;
     hasCountedBegin_ = true;
+    firstByte_ = std::chrono::duration_cast<milliseconds>(steadyNow() - request_.receivedAt_);
     context_.metrics_.observe(Histogram::FirstToken, steadyNow() - request_.receivedAt_);
     if (organisation_)
         context_.hooks_.onBegan_(organisation_->name_);
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -66,14 +66,14 @@
     bool was = seat_.isHolder();
     seat_.heardHolder(holder, token, steadyNow());
     if (was && !seat_.isHolder())
-        logger_.info("Duties are held by " + holder.value_ + ": token=" + std::to_string(token.value_));
+        logger_.info(LogLine("Another node holds the duties.").add("holder", holder.value_).add("token", static_cast<std::int64_t>(token.value_)));
 }
 
 void DutyRunner::resign(const std::string& why)
 {
     std::lock_guard lock(mutex_);
     seat_.lost(steadyNow());
-    logger_.info("Give up the duties: " + why);
+    logger_.info(LogLine("Give up the duties.").add("why", why));
 }
 
 asio::awaitable<void> DutyRunner::run()
@@ -167,7 +167,7 @@
     std::lock_guard lock(mutex_);
     // The token is the claim's offset plus one, which is the end after it.
     seat_.claimed({ end_.value_ }, steadyNow());
-    logger_.info("Hold the duties: token=" + std::to_string(end_.value_));
+    logger_.info(LogLine("Hold the duties.").add("token", static_cast<std::int64_t>(end_.value_)));
 }
 
 asio::awaitable<void> DutyRunner::act()
@@ -215,7 +215,9 @@
     std::uint64_t sum = 0;
     for (const auto& [organisation, count] : counts)
         sum += count;
-    logger_.info("Usage of window " + std::to_string(due.value_) + ": requests=" + std::to_string(sum) + " token=" + std::to_string(token.value_) + (sent ? "" : " failed=" + describe(sent.error())));
+    LogLine line("Usage is reported.");
+    line.add("window", static_cast<std::int64_t>(due.value_)).add("requests", static_cast<std::int64_t>(sum)).add("token", static_cast<std::int64_t>(token.value_)).add("error", sent ? "" : describe(sent.error()));
+    logger_.info(line);
     if (!sent)
         co_return;
     reported_.insert(due);
@@ -250,17 +252,25 @@
         present += place.lasting_ + place.reclaimable_;
     double rate = context_.demand_.prefillPerMs(service.name_, context_.settings_.choice_.prefillPerMs_);
     auto tokens = context_.demand_.peakRate(service.name_, now);
-    FleetDemand demand { present, service.fleet_->least_, service.fleet_->most_, 0, settings.reserveShare_ };
+    // The highest need of a while counts, so that engines are not given up in one
+    // moment and missed in the next.
+    std::deque<std::pair<SteadyTime, std::uint64_t>>& recent = needs_[service.name_];
     if (tokens)
-        demand.needed_ = enginesFor(*tokens, rate, settings.utilisation_);
-    else if (neededBefore_.contains(service.name_))
+        recent.emplace_back(now, enginesFor(*tokens, rate, settings.utilisation_));
+    while (!recent.empty() && now - recent.front().first > settings.hold_)
+        recent.pop_front();
+    FleetDemand demand { present, service.fleet_->least_, service.fleet_->most_, 0, settings.reserveShare_ };
+    if (recent.empty() && neededBefore_.contains(service.name_))
         demand.needed_ = neededBefore_.at(service.name_);
+    if (!recent.empty())
+        demand.needed_ = 0;
+    for (const auto& [at, needed] : recent)
+        demand.needed_ = std::max(demand.needed_, needed);
     double reclaimable = std::ceil(static_cast<double>(demand.needed_) * settings.reclaimableShare_);
     std::uint64_t room = demand.most_ - std::min(demand.most_, demand.least_);
     demand.reclaimablePerPlace_ = std::min(room, static_cast<std::uint64_t>(reclaimable));
     if (demand.needed_ != neededBefore_[service.name_])
-        logger_.info("Service " + service.name_.value_ + " needs " + std::to_string(demand.needed_) + " engines: tokens_per_s=" + (tokens ? std::to_string(static_cast<std::uint64_t>(*tokens)) : "unknown")
-            + " prefill_per_ms=" + std::to_string(rate) + " present=" + std::to_string(present));
+        logger_.info(LogLine("Engines needed.").add("service", service.name_.value_).add("needed", static_cast<std::int64_t>(demand.needed_)).add("present", static_cast<std::int64_t>(present)).add("tokens_per_s", tokens ? std::to_string(static_cast<std::int64_t>(*tokens)) : "").add("prefill_per_ms", std::to_string(rate)));
     neededBefore_[service.name_] = demand.needed_;
     return demand;
 }
@@ -309,8 +319,10 @@
             co_return;
         auto sent = co_await context_.platform_.orderFleet_(context_.settings_.vm_, heldToken(), order);
         ordered_[{ order.service_, order.dataCentre_, order.isReclaimable_ }] = { order.wanted_, sent.has_value(), steadyNow() };
-        logger_.info("Order " + std::to_string(order.wanted_) + (order.isReclaimable_ ? " reclaimable" : " lasting") + " engines of " + order.service_.value_ + " in " + order.dataCentre_.value_
-            + ": token=" + std::to_string(heldToken().value_) + (sent ? "" : " failed=" + describe(sent.error())));
+        LogLine line("Engines are ordered.");
+        line.add("service", order.service_.value_).add("data_centre", order.dataCentre_.value_).add("kind", order.isReclaimable_ ? "reclaimable" : "lasting").add("wanted", static_cast<std::int64_t>(order.wanted_));
+        line.add("token", static_cast<std::int64_t>(heldToken().value_)).add("error", sent ? "" : describe(sent.error()));
+        logger_.info(line);
     }
 }
 
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -65,6 +65,7 @@
     std::map<std::tuple<ServiceName, DataCentreId, bool>, LastOrder> ordered_;
     SteadyTime fleetAt_ {};
     std::map<ServiceName, std::uint64_t> neededBefore_;
+    std::map<ServiceName, std::deque<std::pair<SteadyTime, std::uint64_t>>> needs_;
     Logger logger_ { "duties" };
 };
 
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -43,7 +43,7 @@
     for (;;) {
         auto read = co_await context_.platform_.readConfiguration_(from, context_.settings_.feed_.configurationWait_);
         if (isReachable != read.has_value())
-            logger_.info(read ? "Configuration can be read again." : "Configuration cannot be read: " + describe(read.error()));
+            logReachable("configuration", read ? nullptr : &read.error());
         isReachable = read.has_value();
         if (!read) {
             if (read.error().code_ == Errc::NotFound)
@@ -60,6 +60,15 @@
     }
 }
 
+void Feed::logReachable(const std::string& what, const Error* error) const
+{
+    LogLine line(error ? "Platform is lost." : "Platform is back.");
+    line.add("reading", what);
+    if (error)
+        line.add("error", describe(*error));
+    logger_.info(line);
+}
+
 void Feed::applyChange(const RegistryChange& change)
 {
     if (!change.record_) {
@@ -69,7 +78,7 @@
             missing_.insert(change.id_);
             return;
         }
-        logger_.info("Backend server " + change.id_.value_ + " is gone from the registry.");
+        logger_.info(LogLine("Backend server is gone.").add("backend", change.id_.value_));
         reports_.noteLeaving(change.id_);
         context_.backends_.remove(change.id_);
         return;
@@ -78,10 +87,9 @@
     auto before = context_.backends_.find(change.id_);
     context_.backends_.put(*change.record_);
     if (!before)
-        logger_.info("Backend server " + change.id_.value_ + " of " + change.record_->service_.value_ + " registered at " + change.record_->endpoint_.toString()
-            + ": dc=" + change.record_->dataCentre_.value_ + " reclaimable=" + std::to_string(change.record_->isReclaimable_) + " leaving=" + std::to_string(change.record_->isLeaving_));
+        logger_.info(LogLine("Backend server is there.").add("backend", change.id_.value_).add("service", change.record_->service_.value_).add("address", change.record_->endpoint_.toString()).add("data_centre", change.record_->dataCentre_.value_).add("reclaimable", change.record_->isReclaimable_).add("leaving", change.record_->isLeaving_));
     if (change.record_->isLeaving_ && (!before || !before->isLeaving_)) {
-        logger_.info("Backend server " + change.id_.value_ + " is leaving: from=platform");
+        logger_.info(LogLine("Backend server is leaving.").add("backend", change.id_.value_).add("from", "platform"));
         reports_.noteLeaving(change.id_);
     }
 }
@@ -122,7 +130,7 @@
     for (;;) {
         auto read = co_await context_.platform_.readRegistry_(from);
         if (isReachable != read.has_value()) {
-            logger_.info(read ? "Registry can be read again." : "Registry cannot be read: " + describe(read.error()));
+            logReachable("registry", read ? nullptr : &read.error());
             if (read && context_.backends_.records().size())
                 graceUntil_ = steadyNow() + settings.lapseGrace_;
         }
--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -23,6 +23,7 @@
     asio::awaitable<void> followRegistry();
     asio::awaitable<void> askPeers();
     asio::awaitable<void> askPeer(VmId vm, PeerReports::Peer peer);
+    void logReachable(const std::string& what, const Error* error) const;
     void apply(const RegistryRead& read);
     void applyChange(const RegistryChange& change);
     void removeMissing(const RegistryRead& whole);
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -100,6 +100,7 @@
         { "configuration_version", table ? static_cast<double>(table->version()) : 0 },
         { "backend_servers", static_cast<double>(context_.backends_.records().size()) },
         { "peers_live", static_cast<double>(reports_.live().size()) },
+        { "log_lines_dropped", static_cast<double>(droppedLogLines()) },
         { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
     };
     return { 200, { { "content-type", "text/plain; version=0.0.4" } }, context_.metrics_.render(gauges) };
@@ -172,7 +173,7 @@
     const GatewaySettings& settings = context_.settings_;
     SteadyTime stopAt = steadyNow() + settings.grace_ - drainMargin;
     context_.forward_.isStopping_ = true;
-    logger_.info("Stopping: running=" + std::to_string(context_.forward_.running_) + " connections=" + std::to_string(context_.forward_.connections_));
+    logger_.info(LogLine("Stopping.").add("running", static_cast<std::int64_t>(context_.forward_.running_)).add("connections", static_cast<std::int64_t>(context_.forward_.connections_)));
     co_await sleepFor(std::min(settings.balancerGrace_, settings.grace_ - drainMargin));
     // A stream taken later than this might not end within the grace time.
     context_.forward_.refusesNew_ = true;
@@ -182,7 +183,7 @@
         co_await sleepFor(drainPeriod);
     }
     if (context_.forward_.running_) {
-        logger_.warn("Break off what runs at the end of the grace time: running=" + std::to_string(context_.forward_.running_));
+        logger_.warn(LogLine("Break off what runs at the end of the grace time.").add("running", static_cast<std::int64_t>(context_.forward_.running_)));
         for (const auto& worker : workers_)
             worker->abortAll();
         co_await sleepFor(drainPeriod);
@@ -226,7 +227,7 @@
     state_->duties_.start(state_->reports_);
     asio::co_spawn(*state_->ios_[0], state_->findPeers(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->watchSignals(), asio::detached);
-    state_->logger_.info("Started in " + settings.dataCentre_.value_ + ": callers=" + settings.callers_.toString() + " incarnation=" + std::to_string(state_->context_.incarnation_));
+    state_->logger_.info(LogLine("Started.").add("data_centre", settings.dataCentre_.value_).add("callers", settings.callers_.toString()).add("incarnation", std::to_string(state_->context_.incarnation_)));
     return port;
 }
 
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -53,8 +53,10 @@
     auto current = table();
     if (current && configuration.version_ <= current->version())
         return false;
-    logger_.info("Version " + std::to_string(configuration.version_) + " is in force: from=" + source + " before=" + (current ? std::to_string(current->version()) : "none")
-        + " routes=" + std::to_string(configuration.routes_.size()) + " organisations=" + std::to_string(configuration.organisations_.size()));
+    LogLine line("Configuration is in force.");
+    line.add("configuration", static_cast<std::int64_t>(configuration.version_)).add("before", current ? static_cast<std::int64_t>(current->version()) : 0).add("from", source);
+    line.add("routes", static_cast<std::int64_t>(configuration.routes_.size())).add("organisations", static_cast<std::int64_t>(configuration.organisations_.size()));
+    logger_.info(line);
     metrics_.add(Counter::CatalogueRecords);
     table_.publish(RouteTable::build(std::move(configuration)));
     return true;
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -214,7 +214,7 @@
         const Peer& peer = entry.second;
         bool isGone = peer.heardAt_ != SteadyTime {} && now - peer.heardAt_ > context_.settings_.gossiping_.forget_;
         if (isGone)
-            logger_.info("Forget " + entry.first.value_ + ": silent for " + std::to_string(context_.settings_.gossiping_.forget_.count()) + " ms.");
+            logger_.info(LogLine("Peer is forgotten.").add("peer", entry.first.value_).add("silent_ms", context_.settings_.gossiping_.forget_.count()));
         return isGone;
     });
 }
@@ -249,7 +249,7 @@
             return;
         bool wasSilent = now - peer.heardAt_ > context_.settings_.gossiping_.silence_;
         if (!isSame || wasSilent)
-            logger_.info("Hear " + vm.value_ + " at " + report.address() + (isSame ? " again" : "") + ": version=" + std::to_string(report.configuration_version()));
+            logger_.info(LogLine(isSame ? "Peer is heard again." : "Peer is heard.").add("peer", vm.value_).add("address", report.address()).add("configuration", static_cast<std::int64_t>(report.configuration_version())));
         peer = { *gossip, *peers, { report.data_centre() }, report.incarnation(), report.sequence(), report.configuration_version(), report.is_stopping(), now };
     }
     for (const wire::KnownNode& known : report.nodes()) {
@@ -273,7 +273,7 @@
     context_.clocks_.setPeer(vm, report.wall_ms() - ownWallMs(), now);
     for (const std::string& id : report.leaving()) {
         if (context_.backends_.setLeaving({ id }))
-            logger_.info("Backend server " + id + " is leaving: from=" + vm.value_);
+            logger_.info(LogLine("Backend server is leaving.").add("backend", id).add("from", vm.value_));
     }
     if (report.duty_token())
         hooks_.onHolder_(vm, { report.duty_token() });
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -157,6 +157,9 @@
     const std::vector<std::string> levels { "debug", "info", "warn", "error" };
     settings.level_ = static_cast<LogLevel>(map.choice("level", levels, static_cast<std::size_t>(settings.level_)));
     settings.isJson_ = map.flag("json", settings.isJson_);
+    const std::vector<std::string> outputs { "stdout", "stderr" };
+    settings.output_ = static_cast<LogOutput>(map.choice("output", outputs, static_cast<std::size_t>(settings.output_)));
+    settings.linesPerSecond_ = map.integer("lines_per_second", 1, 1000000, settings.linesPerSecond_);
     for (const auto& [part, level] : map.pairs("parts")) {
         auto found = std::find(levels.begin(), levels.end(), level);
         if (found == levels.end())
--- a/test/Harness/Process.cpp
+++ b/test/Harness/Process.cpp
@@ -30,18 +30,19 @@
         int output_ = -1;
     };
 
-    Spawned spawn(const std::string& program, const std::vector<std::string>& arguments, const std::string& errorFile)
+    /// Both outputs go to \p file, or to the pipe if it is empty.
+    Spawned spawn(const std::string& program, const std::vector<std::string>& arguments, const std::string& file)
     {
         int pipeEnds[2];
         if (pipe2(pipeEnds, O_CLOEXEC))
             throw std::runtime_error("no pipe");
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_adddup2(&actions, pipeEnds[outputEnd], STDOUT_FILENO);
-        if (errorFile.empty())
-            posix_spawn_file_actions_adddup2(&actions, pipeEnds[outputEnd], STDERR_FILENO);
+        if (file.empty())
+            posix_spawn_file_actions_adddup2(&actions, pipeEnds[outputEnd], STDOUT_FILENO);
         else
-            posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
         std::vector<char*> argv { const_cast<char*>(program.c_str()) };
         for (const std::string& argument : arguments)
             argv.push_back(const_cast<char*>(argument.c_str()));
@@ -63,21 +64,36 @@
     return std::string(PISTACHIOLOOM_PROGRAMS) + "/" + name;
 }
 
+/// The line of bound ports among those that \p file got after \p from.
+static std::optional<boost::json::object> findPorts(const std::string& file, std::streamoff from)
+{
+    std::ifstream input(file);
+    input.seekg(from);
+    std::string line;
+    while (std::getline(input, line)) {
+        // Log lines are text, or JSON with a message.
+        auto object = parseJsonObject(line);
+        if (object && !object->contains("message") && !input.eof())
+            return object;
+    }
+    return std::nullopt;
+}
+
 Process::Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile)
 {
+    std::ifstream before(logFile, std::ios::ate);
+    std::streamoff from = before ? static_cast<std::streamoff>(before.tellg()) : 0;
     Spawned spawned = spawn(program, arguments, logFile);
-    id_ = spawned.id_;
-    std::string line;
-    char byte = 0;
-    while (read(spawned.output_, &byte, 1) == 1 && byte != '\n')
-        line += byte;
     close(spawned.output_);
-    auto object = parseJsonObject(line);
-    if (!object) {
-        kill();
-        throw std::runtime_error(program + " did not start; see " + logFile);
+    id_ = spawned.id_;
+    while (isRunning()) {
+        if (auto ports = findPorts(logFile, from)) {
+            firstLine_ = std::move(*ports);
+            return;
+        }
+        std::this_thread::sleep_for(pollPeriod);
     }
-    firstLine_ = std::move(*object);
+    throw std::runtime_error(program + " did not start; see " + logFile);
 }
 
 Process::~Process()
--- /dev/null
+++ b/unittests/Backends/BackendsTest.cpp
@@ -0,0 +1,160 @@
+//===- unittests/Backends/BackendsTest.cpp - the choice among backends -----===//
+///
+/// \file
+/// Loads, caches, failures and departures, each with the choice that it changes.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Backends.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+namespace {
+
+const SteadyTime start { milliseconds(1000000) };
+const ServiceName service { "s" };
+
+BackendRecord record(const std::string& id, const std::string& dataCentre = "a")
+{
+    return { { id }, service, { "10.0.0.1", 80 }, { dataCentre }, 4, false, false };
+}
+
+RequestShape engineRequest(std::uint64_t tokens, std::vector<PromptPart> parts = {})
+{
+    RequestShape shape;
+    shape.service_ = service;
+    shape.promptTokens_ = { tokens };
+    shape.parts_ = std::move(parts);
+    shape.isForEngine_ = true;
+    return shape;
+}
+
+RequestShape plainRequest()
+{
+    RequestShape shape;
+    shape.service_ = service;
+    return shape;
+}
+
+std::string chosen(BackendBook& book, const RequestShape& shape, const std::set<BackendId>& excluded = {}, SteadyTime now = start)
+{
+    auto choice = book.choose(shape, excluded, now);
+    return choice ? choice->backend_.id_.value_ : "";
+}
+
+} // namespace
+
+TEST_CASE("work goes where fewer prompt tokens are queued", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    book.put(record("y"));
+    book.setPeerLoads({ "peer" }, { { { "x" }, { 3, 9000 } } }, start);
+    CHECK(chosen(book, engineRequest(1000)) == "y");
+    // Own sends count at once: y has 1,000 queued now, x has 9,000.
+    for (int i = 0; i < 7; ++i)
+        CHECK(chosen(book, engineRequest(1000)) == "y");
+    // A peer that fell silent says nothing of the present.
+    SteadyTime later = start + milliseconds(5000);
+    book.setPeerLoads({ "other" }, {}, later);
+    CHECK(chosen(book, engineRequest(1000), {}, later) == "x");
+}
+
+TEST_CASE("a shared part goes to the engine that has it, until that one is busy", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    for (const char* id : { "v", "w", "x", "y" })
+        book.put(record(id));
+    RequestShape shape = engineRequest(12000, { { "common", { 500 } }, { "subject", { 10000 } }, { "own", { 1500 } } });
+    auto first = book.choose(shape, {}, start);
+    REQUIRE(first);
+    CHECK(first->uncached_.value_ == 1500);
+    for (int i = 0; i < 3; ++i)
+        CHECK(chosen(book, shape) == first->backend_.id_.value_);
+    book.setPeerLoads({ "peer" }, { { first->backend_.id_, { 10, 60000 } } }, start);
+    CHECK(chosen(book, shape) != first->backend_.id_.value_);
+}
+
+TEST_CASE("leaving, gone and excluded ones take nothing", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    for (const char* id : { "w", "x", "y" })
+        book.put(record(id));
+    CHECK(book.setLeaving({ "w" }));
+    CHECK_FALSE(book.setLeaving({ "w" }));
+    book.remove({ "x" });
+    CHECK(chosen(book, plainRequest()) == "y");
+    CHECK(chosen(book, plainRequest(), { { "y" } }).empty());
+    // An old record does not call it back.
+    book.put(record("w"));
+    CHECK(chosen(book, plainRequest(), { { "y" } }).empty());
+}
+
+TEST_CASE("what failed is passed over for a while and tried again", "[backends]")
+{
+    struct Row {
+        BackendOutcome outcome_;
+        int times_;
+        milliseconds passedOver_;
+    };
+    auto row = GENERATE(values<Row>({
+        { BackendOutcome::Broken, 1, milliseconds(0) },
+        { BackendOutcome::Broken, 2, milliseconds(500) },
+        { BackendOutcome::Broken, 3, milliseconds(1000) },
+        { BackendOutcome::Unreachable, 1, milliseconds(500) },
+        { BackendOutcome::Full, 1, milliseconds(100) },
+        { BackendOutcome::Abandoned, 3, milliseconds(0) },
+    }));
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    book.put(record("y", "far"));
+    for (int i = 0; i < row.times_; ++i)
+        book.end({ "x" }, {}, false, row.outcome_, start);
+    CAPTURE(toString(row.outcome_), row.times_);
+    if (row.passedOver_.count())
+        CHECK(chosen(book, plainRequest(), {}, start + row.passedOver_ - milliseconds(1)) == "y");
+    book.end({ "y" }, {}, false, BackendOutcome::Served, start);
+    CHECK(chosen(book, plainRequest(), {}, start + row.passedOver_) == "x");
+}
+
+TEST_CASE("a doubtful one is better than none", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    book.end({ "x" }, {}, false, BackendOutcome::Unreachable, start);
+    CHECK(chosen(book, plainRequest()) == "x");
+}
+
+TEST_CASE("a stale record is dropped when another has its address", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    book.end({ "x" }, {}, false, BackendOutcome::WrongInstance, start);
+    CHECK_FALSE(book.find({ "x" }));
+}
+
+TEST_CASE("an engine that fails most of its requests is left out", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    book.put(record("y", "far"));
+    for (int i = 0; i < 10; ++i)
+        book.end({ "x" }, {}, true, i % 4 ? BackendOutcome::Failed : BackendOutcome::Served, start);
+    CHECK(chosen(book, plainRequest()) == "y");
+}
+
+TEST_CASE("the reading rate is learnt beside a fixed part of each wait", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    for (int i = 0; i < 200; ++i) {
+        RequestShape shape = engineRequest(1000 + 97 * static_cast<std::uint64_t>(i % 50));
+        auto choice = book.choose(shape, {}, start);
+        REQUIRE(choice);
+        double wait = 31 + static_cast<double>(shape.promptTokens_.value_) / 112;
+        book.began(*choice, shape, milliseconds(static_cast<std::int64_t>(wait)));
+        book.end({ "x" }, choice->uncached_, true, BackendOutcome::Served, start);
+    }
+    CHECK(book.services()[service].prefillPerMs_ == Approx(112).epsilon(0.1));
+    CHECK(book.services()[service].observations_ == 200);
+}
--- /dev/null
+++ b/unittests/Duties/DutiesTest.cpp
@@ -0,0 +1,229 @@
+//===- unittests/Duties/DutiesTest.cpp - who holds duties, and what for ----===//
+///
+/// \file
+/// Races of holders with freezes and lost reports, usage by window, clocks, and
+/// orders of engines.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Duties.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace pistachioloom;
+
+namespace {
+
+const SteadyTime start { milliseconds(1000000) };
+constexpr milliseconds lease { 3000 };
+
+DutyTiming timing()
+{
+    DutyTiming timing;
+    timing.holderSilence_ = milliseconds(2550);
+    timing.actAfterClaim_ = milliseconds(1600);
+    timing.recordValidity_ = milliseconds(1000);
+    return timing;
+}
+
+struct Act {
+    std::size_t node_ = 0;
+    DutyToken token_;
+    SteadyTime at_ {};
+};
+
+/// Nodes over one log: a claim or record is written only at the log's end.
+class Race {
+public:
+    Race(std::uint32_t seed, std::size_t nodes)
+        : random_(seed)
+    {
+        for (std::size_t i = 0; i < nodes; ++i)
+            nodes_.push_back({ DutySeat({ std::to_string(i) }, timing(), start), 0, start, start });
+    }
+
+    std::vector<Act> play(milliseconds duration)
+    {
+        for (milliseconds t {}; t < duration; t += milliseconds(50))
+            step(start + t);
+        return acts_;
+    }
+
+private:
+    struct Participant {
+        DutySeat seat_;
+        std::uint64_t end_ = 0;
+        SteadyTime frozenUntil_;
+        SteadyTime silentUntil_;
+    };
+
+    bool chance(double share) { return std::uniform_real_distribution<>(0, 1)(random_) < share; }
+
+    void step(SteadyTime now)
+    {
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            if (chance(0.004))
+                nodes_[i].frozenUntil_ = now + milliseconds(500 + random_() % 6000);
+            if (chance(0.004))
+                nodes_[i].silentUntil_ = now + milliseconds(500 + random_() % 6000);
+        }
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            if (nodes_[i].frozenUntil_ <= now)
+                run(i, now);
+        }
+    }
+
+    void run(std::size_t index, SteadyTime now)
+    {
+        Participant& node = nodes_[index];
+        for (std::size_t other = 0; other < nodes_.size(); ++other) {
+            const Participant& peer = nodes_[other];
+            bool isHeard = other != index && peer.frozenUntil_ <= now && peer.silentUntil_ <= now && node.silentUntil_ <= now;
+            if (isHeard && peer.seat_.isHolder())
+                node.seat_.heardHolder({ std::to_string(other) }, peer.seat_.token(), now);
+        }
+        if (node.seat_.shouldClaim(index, now)) {
+            // It reads the log, and another may come first.
+            node.end_ = log_;
+            if (chance(0.2))
+                ++log_;
+            if (node.end_ != log_)
+                return node.seat_.lost(now);
+            node.end_ = ++log_;
+            node.seat_.claimed({ log_ }, now);
+            return;
+        }
+        if (!node.seat_.mayBegin(now) || !chance(0.3))
+            return;
+        if (node.end_ != log_)
+            return node.seat_.lost(now);
+        node.end_ = ++log_;
+        // A freeze may fall between the record and the act.
+        SteadyTime actAt = now + milliseconds(chance(0.1) ? 5000 : 5);
+        if (node.seat_.mayAct(now, actAt))
+            acts_.push_back({ index, node.seat_.token(), actAt });
+    }
+
+    std::mt19937 random_;
+    std::vector<Participant> nodes_;
+    std::uint64_t log_ = 0;
+    std::vector<Act> acts_;
+};
+
+} // namespace
+
+TEST_CASE("holders never overlap, whatever freezes and falls silent", "[duties]")
+{
+    std::size_t changes = 0;
+    for (std::uint32_t seed = 0; seed < 400; ++seed) {
+        std::vector<Act> acts = Race(seed, 4).play(milliseconds(60000));
+        std::map<std::size_t, SteadyTime> lastOf;
+        for (std::size_t i = 1; i < acts.size(); ++i) {
+            CAPTURE(seed, i);
+            REQUIRE(acts[i].token_ >= acts[i - 1].token_);
+            bool isSameHolder = acts[i].node_ == acts[i - 1].node_;
+            REQUIRE((acts[i].token_ == acts[i - 1].token_) <= isSameHolder);
+            changes += !isSameHolder;
+            lastOf[acts[i - 1].node_] = acts[i - 1].at_;
+            // A, B, A within one lease.
+            if (!isSameHolder && lastOf.contains(acts[i].node_))
+                REQUIRE(acts[i].at_ - lastOf[acts[i].node_] > lease);
+        }
+    }
+    // The races are worth something only if holders change.
+    CHECK(changes > 500);
+}
+
+TEST_CASE("usage is summed over nodes, also those that are gone", "[duties]")
+{
+    UsageBook book(milliseconds(5000));
+    const OrganisationId north { "north" };
+    book.count(north, 12000);
+    book.count(north, 14999);
+    book.count(north, 15000);
+    book.setPeer({ "b" }, 1, { { { 2 }, { { north, 5 } } } });
+    book.setPeer({ "b" }, 1, { { { 2 }, { { north, 6 } } } });
+    book.setPeer({ "b" }, 2, { { { 2 }, { { north, 1 } } } });
+    CHECK(book.sum({ 2 })[north] == 2 + 6 + 1);
+    CHECK(book.sum({ 3 })[north] == 1);
+    CHECK(book.recent().size() == 2);
+    book.forget({ 3 });
+    CHECK(book.sum({ 2 }).empty());
+}
+
+TEST_CASE("the time of day is what most clocks say", "[duties]")
+{
+    ClockAgreement clocks;
+    CHECK(clocks.correctionMs(start) == 0);
+    clocks.setPeer({ "b" }, 2400, start);
+    clocks.setPeer({ "c" }, 2390, start);
+    clocks.setPeer({ "d" }, 2410, start);
+    CHECK(clocks.correctionMs(start) >= 2390);
+    clocks.setPeer({ "b" }, 5, start);
+    clocks.setPeer({ "c" }, -5, start);
+    CHECK(std::abs(clocks.correctionMs(start)) <= 5);
+    CHECK(clocks.correctionMs(start + milliseconds(60000)) == 0);
+}
+
+TEST_CASE("demand outlives restarts of nodes", "[duties]")
+{
+    DemandBook demand;
+    const ServiceName service { "s" };
+    std::uint64_t sent = 0;
+    for (int i = 0; i < 40; ++i) {
+        SteadyTime now = start + milliseconds(250 * i);
+        sent += 250;
+        // Restarted in the middle: its count begins anew.
+        std::uint64_t incarnation = i < 20 ? 1 : 2;
+        std::uint64_t told = i < 20 ? sent : sent - 5000;
+        demand.setSource({ "a" }, incarnation, service, { { told }, 50, 100 });
+        demand.sample(now);
+        if (i < 16)
+            CHECK_FALSE(demand.peakRate(service, now));
+    }
+    auto rate = demand.peakRate(service, start + milliseconds(9750));
+    REQUIRE(rate);
+    CHECK(*rate == Approx(1000).margin(60));
+    CHECK_FALSE(demand.peakRate({ "other" }, start));
+    demand.setSource({ "b" }, 1, service, { { 0 }, 80, 50 });
+    CHECK(demand.prefillPerMs(service, 10) == Approx((50 * 100 + 80 * 50) / 150.0));
+    CHECK(demand.prefillPerMs({ "other" }, 10) == 10);
+}
+
+TEST_CASE("lasting engines stand in for reclaimable ones that are missing", "[duties]")
+{
+    struct Row {
+        const char* name_;
+        FleetDemand demand_;
+        std::vector<std::uint64_t> reclaimable_;
+        std::uint64_t lasting_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "none is there yet", { 12, 1, 12, 6, 1 }, { 0, 0, 0 }, 12 },
+        { "enough without the largest", { 12, 1, 12, 6, 1 }, { 6, 6, 6 }, 3 },
+        { "one data centre lost", { 12, 1, 12, 6, 1 }, { 6, 6, 0 }, 6 },
+        { "nothing reserved", { 12, 1, 12, 6, 0 }, { 6, 6, 0 }, 3 },
+        { "more than may be ordered", { 100, 1, 12, 6, 0 }, { 0, 0, 0 }, 36 },
+        { "nothing needed", { 0, 2, 12, 0, 0 }, { 0, 0, 0 }, 6 },
+    }));
+    std::vector<FleetPlace> places { { { "a" }, 1.2, 0, row.reclaimable_[0], {}, {} }, { { "b" }, 0.85, 0, row.reclaimable_[1], {}, {} }, { { "c" }, 1, 0, row.reclaimable_[2], {}, {} } };
+    CAPTURE(row.name_);
+    std::uint64_t lasting = 0;
+    for (const FleetOrder& order : planFleet({ "s" }, row.demand_, places)) {
+        if (order.isReclaimable_) {
+            CHECK(order.wanted_ <= row.demand_.reclaimablePerPlace_);
+            continue;
+        }
+        lasting += order.wanted_;
+        CHECK(order.wanted_ >= row.demand_.least_);
+        CHECK(order.wanted_ <= row.demand_.most_);
+    }
+    CHECK(lasting == row.lasting_);
+}
+
+TEST_CASE("engines needed follow from tokens, rate and utilisation", "[duties]")
+{
+    CHECK(enginesFor(0, 50, 0.5) == 0);
+    CHECK(enginesFor(25000, 50, 0.5) == 1);
+    CHECK(enginesFor(25001, 50, 0.5) == 2);
+    CHECK(enginesFor(1100000, 112, 0.5) == 20);
+}
--- /dev/null
+++ b/unittests/Forward/ForwardTest.cpp
@@ -0,0 +1,129 @@
+//===- unittests/Forward/ForwardTest.cpp - bytes of callers and engines ----===//
+///
+/// \file
+/// What is refused of callers' bytes, and how event streams are cut.
+//===----------------------------------------------------------------------===//
+#include "EventSplitter.h"
+#include "RequestReader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+using Progress = RequestReader::Progress;
+
+static CallerBounds bounds()
+{
+    CallerBounds bounds;
+    bounds.header_ = { 256 };
+    bounds.body_ = { 64 };
+    return bounds;
+}
+
+TEST_CASE("ambiguous or broken requests are refused", "[forward]")
+{
+    struct Row {
+        const char* name_;
+        std::string bytes_;
+        int status_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab", 400 },
+        { "length and chunks", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "chunks and length", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n", 400 },
+        { "other encoding", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 400 },
+        { "almost chunked", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n", 400 },
+        { "signed length", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +2\r\n\r\nab", 400 },
+        { "folded line", "GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n", 400 },
+        { "bare line feed", "GET / HTTP/1.1\r\nHost: h\nX: a\r\n\r\n", 400 },
+        { "only line feeds", "GET / HTTP/1.1\nHost: h\n\n\r", 400 },
+        { "blank before colon", "GET / HTTP/1.1\r\nHost: h\r\nX : a\r\n\r\n", 400 },
+        { "no host", "GET / HTTP/1.1\r\nX: a\r\n\r\n", 400 },
+        { "two hosts", "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400 },
+        { "chunks in 1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "long head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x'), 431 },
+        { "long body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", 413 },
+        { "long chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + std::string(65, 'x'), 413 },
+    }));
+    RequestReader reader(bounds(), {});
+    std::string input = row.bytes_;
+    CAPTURE(row.name_);
+    REQUIRE(reader.feed(input) == Progress::Bad);
+    CHECK(reader.problem().status_ == row.status_);
+}
+
+TEST_CASE("a request is the same however its bytes arrive", "[forward]")
+{
+    const std::string bytes = "POST /a/b?c HTTP/1.1\r\nHost: h\r\nX-Twice: 1\r\nX-Twice: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3;e=1\r\ncde\r\n0\r\n\r\nGET ";
+    auto step = GENERATE(1, 2, 3, 7, 1000);
+    RequestReader reader(bounds(), {});
+    std::string input;
+    std::string rest;
+    for (std::size_t at = 0; at < bytes.size(); at += static_cast<std::size_t>(step)) {
+        input += bytes.substr(at, static_cast<std::size_t>(step));
+        if (reader.feed(input) == Progress::Done) {
+            rest = input + bytes.substr(std::min(bytes.size(), at + static_cast<std::size_t>(step)));
+            break;
+        }
+    }
+    CallerRequest request = reader.take();
+    CHECK(request.method_ == "POST");
+    CHECK(request.target_ == "/a/b?c");
+    CHECK(request.path() == "/a/b");
+    CHECK(request.body_ == "abcde");
+    CHECK(request.isKeepAlive_);
+    CHECK(std::count_if(request.fields_.begin(), request.fields_.end(), [](const HeaderField& field) { return field.name_ == "X-Twice"; }) == 2);
+    // What follows is the next request's.
+    CHECK(rest == "GET ");
+}
+
+TEST_CASE("events are handed out whole, in order and once", "[forward]")
+{
+    struct Row {
+        const char* name_;
+        std::optional<std::uint64_t> last_;
+        std::vector<std::string> pieces_;
+        std::string whole_;
+        bool hasPartial_;
+        bool isBroken_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "one piece", {}, { "id: 1\ndata: a\n\n" }, "id: 1\ndata: a\n\n", false, false },
+        { "torn", {}, { "id: 1\nda", "ta: a\n", "\nid: 2" }, "id: 1\ndata: a\n\n", true, false },
+        { "carriage returns", {}, { "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n" }, "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", false, false },
+        { "already there", 2, { "id: 2\ndata: a\n\nid: 3\ndata: b\n\n" }, "id: 3\ndata: b\n\n", false, false },
+        { "missing", 2, { "id: 4\ndata: a\n\n" }, "", false, true },
+        { "missing later", {}, { "id: 1\n\n", "id: 3\n\n", "id: 4\n\n" }, "id: 1\n\n", true, true },
+        { "without ids", {}, { "data: a\n\n: note\n\n" }, "data: a\n\n: note\n\n", false, false },
+    }));
+    CAPTURE(row.name_);
+    EventSplitter splitter(row.last_);
+    std::string whole;
+    for (const std::string& piece : row.pieces_)
+        whole += splitter.take(piece);
+    CHECK(whole == row.whole_);
+    CHECK(splitter.isBroken() == row.isBroken_);
+    if (!row.isBroken_)
+        CHECK(splitter.hasPartial() == row.hasPartial_);
+}
+
+TEST_CASE("an event that a first engine cut is not joined to a second engine's", "[forward]")
+{
+    EventSplitter splitter(std::nullopt);
+    CHECK(splitter.take("id: 1\ndata: a\n\nid: 2\ndata: ha") == "id: 1\ndata: a\n\n");
+    splitter.dropPartial();
+    CHECK(splitter.take("id: 2\ndata: whole\n\n") == "id: 2\ndata: whole\n\n");
+    CHECK(splitter.last() == 2U);
+}
+
+TEST_CASE("token counts and prompt parts are read or refused whole", "[forward]")
+{
+    CHECK(parseTokenCounts("1460,80")->first.value_ == 1460);
+    CHECK(parseTokenCounts("1460,80")->second.value_ == 80);
+    auto bad = GENERATE("", "1460", "1460,", ",80", "a,b", "1460,80,1", "-1,2");
+    CHECK_FALSE(parseTokenCounts(bad));
+    auto parts = parsePromptParts("5c1e:800,91bd:410,e440:250");
+    REQUIRE(parts.size() == 3);
+    CHECK(parts[1].id_ == "91bd");
+    CHECK(parts[2].tokens_.value_ == 250);
+    CHECK(parsePromptParts("5c1e:800,91bd").empty());
+}
--- /dev/null
+++ b/unittests/Gateway/GatewaySettingsTest.cpp
@@ -0,0 +1,68 @@
+//===- unittests/Gateway/GatewaySettingsTest.cpp - settings of a gateway ---===//
+///
+/// \file
+/// Good settings are read whole; bad ones name line and key.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Gateway.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+static const std::string good = R"(gateway:
+  vm: "node-1"
+  data_centre: "a"
+  peer_credential: "sixteen characters"
+  store: "10.0.0.9:80"
+  seeds: ["10.0.0.1:70", "10.0.0.2:70"]
+  listen:
+    callers: "10.0.0.1:60"
+    readiness: "10.0.0.1:61"
+    peers: "10.0.0.1:70"
+    gossip: "10.0.0.1:71"
+    metrics: "10.0.0.1:72"
+  duties:
+    address: "10.0.0.9:81"
+    usage_window: 2.5s
+  stopping:
+    grace: 8s
+)";
+
+TEST_CASE("settings of a gateway are read", "[gateway]")
+{
+    InputErrors errors;
+    auto settings = parseGatewaySettings(good, "f", errors);
+    for (const InputError& error : errors)
+        UNSCOPED_INFO(error.toString());
+    REQUIRE(settings);
+    CHECK(settings->vm_.value_ == "node-1");
+    CHECK(settings->seeds_.size() == 2);
+    CHECK(settings->usageWindow_ == milliseconds(2500));
+    CHECK(settings->logs_.output_ == LogOutput::StandardOutput);
+}
+
+TEST_CASE("wrong settings name line and key", "[gateway]")
+{
+    struct Row {
+        const char* from_;
+        const char* to_;
+        const char* complaint_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "store: \"10.0.0.9:80\"", "store: \"nowhere\"", "f:5: gateway.store" },
+        { "grace: 8s", "grace: 8", "f:17: gateway.stopping.grace" },
+        { "grace: 8s", "grace: 5ms", "f:17: gateway.stopping.grace" },
+        { "usage_window: 2.5s", "usage_window: 2.5.1s", "f:15: gateway.duties.usage_window" },
+        { "usage_window: 2.5s", "usage_window: 0.0001s", "f:15: gateway.duties.usage_window" },
+        { "  vm: \"node-1\"\n", "", "gateway.vm" },
+        { "  stopping:", "  stoping:", "stoping" },
+        { "\"10.0.0.2:70\"", "\"here\"", "gateway.seeds" },
+    }));
+    std::string text = good;
+    text.replace(text.find(row.from_), std::string(row.from_).size(), row.to_);
+    InputErrors errors;
+    CHECK_FALSE(parseGatewaySettings(text, "f", errors));
+    REQUIRE_FALSE(errors.empty());
+    CAPTURE(row.to_, errors.front().toString());
+    CHECK(errors.front().toString().find(row.complaint_) != std::string::npos);
+}
--- /dev/null
+++ b/unittests/UsersPlatform/DecodingTest.cpp
@@ -0,0 +1,77 @@
+//===- unittests/UsersPlatform/DecodingTest.cpp - the platform's entries ---===//
+///
+/// \file
+/// Configurations and registrations as the platform spells them.
+//===----------------------------------------------------------------------===//
+#include "platform/Platform.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+using namespace pistachioloom::platform;
+
+static const std::string configuration = R"({"version":7,"routes":[
+{"name":"q","hostname":"H.example","path_prefix":"/q/","type":"stream","timeout_ms":3000,"goal_ms":500,"priority":0,"service":"e","attempts":1,"public":false,"affinity":true,"resumable":false,"gap_aim_ms":400},
+{"name":"p","hostname":"h.example","path_prefix":"/p/","type":"stream","timeout_ms":15000,"goal_ms":1200,"priority":1,"split":[{"service":"e","wt":90},{"service":"f","wt":10},{"service":"g","wt":0}],"attempts":2,"public":true,"resumable":true},
+{"name":"s","hostname":"h.example","path_prefix":"/s/","type":"safe","timeout_ms":800,"goal_ms":100,"priority":2,"service":"f","attempts":2}],
+"services":[{"name":"e","health_path":"/healthz","max_conns":370,"engine":{"slot_count":64,"kv_tokens":617645,"stride":5},"scale":{"min_count":1,"max_count":12,"boot_s":4.0,"spot_price":0.18,"zone_prices":{"a":0.85,"b":1.2}}},{"name":"f","max_conns":110}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"n","api_keys":["k1","k2"],"priority":1,"unit":"tokens","plain_tokens":200,"rate_per_s":275637,"burst_max":275637}],"new_field":{"x":1}})";
+
+TEST_CASE("a configuration is decoded into routes, services and organisations", "[platform]")
+{
+    auto decoded = decodeConfiguration(configuration);
+    REQUIRE(decoded);
+    const RouteConfiguration& value = decoded.value();
+    CHECK(value.version_ == 7);
+    REQUIRE(value.routes_.size() == 3);
+    CHECK(value.routes_[0].host_ == "h.example");
+    CHECK(value.routes_[0].isStream_);
+    CHECK_FALSE(value.routes_[0].mayRepeat());
+    CHECK(value.routes_[1].isPublic_);
+    CHECK(value.routes_[1].split_.size() == 2);
+    CHECK(value.routes_[1].mayRepeat());
+    CHECK(value.routes_[2].isIdempotent_);
+    CHECK(value.routes_[2].objective_ == milliseconds(100));
+    REQUIRE(value.services_[0].engine_);
+    CHECK(value.services_[0].engine_->tokensPerEvent_ == 5);
+    REQUIRE(value.services_[0].fleet_);
+    CHECK(value.services_[0].fleet_->prices_.at({ "b" }) == Approx(1.2));
+    CHECK_FALSE(value.services_[1].engine_);
+    CHECK(value.needsCredentials_);
+    CHECK(value.organisations_[0].countsTokens_);
+    CHECK(value.bounds_.idle_ == milliseconds(15000));
+}
+
+TEST_CASE("a configuration that cannot be decoded is refused with the reason", "[platform]")
+{
+    struct Row {
+        const char* from_;
+        const char* to_;
+        const char* complaint_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "{\"version\":7", "[7", "configuration" },
+        { "\"version\":7", "\"version\":\"x\"", "configuration" },
+        { "\"type\":\"safe\"", "\"type\":\"odd\"", "route s" },
+        { "\"hostname\":\"H.example\"", "\"hostname\":7", "route q" },
+        { "\"name\":\"f\",\"max", "\"max", "service" },
+    }));
+    std::string text = configuration;
+    text.replace(text.find(row.from_), std::string(row.from_).size(), row.to_);
+    auto decoded = decodeConfiguration(text);
+    REQUIRE_FALSE(decoded);
+    CAPTURE(describe(decoded.error()));
+    CHECK(decoded.error().step_.find(row.complaint_) != std::string::npos);
+}
+
+TEST_CASE("a registration is decoded or refused", "[platform]")
+{
+    auto good = decodeRegistration({ "i-1" }, R"({"service":"e","address":"10.128.0.9:8080","zone":"a","slot_count":64,"phase":"draining","spot":true})");
+    REQUIRE(good);
+    CHECK(good.value().endpoint_.toString() == "10.128.0.9:8080");
+    CHECK(good.value().isLeaving_);
+    CHECK(good.value().isReclaimable_);
+    auto bad = GENERATE("", "[]", R"({"service":"e","address":"somewhere"})", R"({"address":"10.0.0.1:1"})");
+    CHECK_FALSE(decodeRegistration({ "i-1" }, bad));
+}
