Prove the transparent path over real processes, before a stand-in of the platform

Ten cases over the daemon: headers, refusals, smuggled requests, one run only, resumption within one answer, callers who leave, leaving backend servers, versions with the platform away, SIGTERM, SIGHUP, and the duties with a killed holder.

--- /dev/null
+++ b/test/GatewayTest.cpp
@@ -0,0 +1,320 @@
+//===- test/GatewayTest.cpp - transparent requests over real processes -----===//
+///
+/// \file
+/// Gateways before a stand-in of the users' platform: what reaches backend
+/// servers, what callers get, and what failures may not change.
+//===----------------------------------------------------------------------===//
+#include "Harness/GatewayDeployment.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+namespace json = boost::json;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr milliseconds patience { 15000 };
+
+std::size_t runsOf(const GatewayDeployment& deployment, const std::string& id)
+{
+    std::size_t count = 0;
+    for (const char* backend : { "p-1", "p-2", "e-1", "e-2" }) {
+        json::object arrived = deployment.backend(backend);
+        for (const json::value& run : arrived.at("runs").as_array())
+            count += run.as_string() == id;
+    }
+    return count;
+}
+
+void setAll(const GatewayDeployment& deployment, const json::object& faults)
+{
+    for (const char* backend : { "p-1", "p-2", "e-1", "e-2" })
+        deployment.backend(backend, faults);
+}
+
+std::string eventsUpTo(int last)
+{
+    std::string events;
+    for (int id = 1; id <= last; ++id)
+        events += "id: " + std::to_string(id) + "\ndata: event " + std::to_string(id) + "\n\n";
+    return events;
+}
+
+/// A connection that sends bytes as they are and reads to its end.
+class RawCaller {
+public:
+    explicit RawCaller(const Endpoint& endpoint)
+        : socket_(io_)
+    {
+        socket_.connect({ boost::asio::ip::make_address(endpoint.host_), endpoint.port_ });
+    }
+
+    void send(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
+    std::string readToEnd()
+    {
+        std::string bytes;
+        boost::system::error_code code;
+        boost::asio::read(socket_, boost::asio::dynamic_buffer(bytes), code);
+        return bytes;
+    }
+    std::string readUntil(const std::string& text)
+    {
+        std::string bytes;
+        boost::system::error_code code;
+        boost::asio::read_until(socket_, boost::asio::dynamic_buffer(bytes), text, code);
+        return bytes;
+    }
+    void close() { socket_.close(); }
+
+private:
+    boost::asio::io_context io_;
+    tcp::socket socket_;
+};
+
+} // namespace
+
+TEST_CASE("a request reaches its service unchanged, with what the system sets", "[gateway]")
+{
+    GatewayDeployment deployment(2);
+    CHECK_FALSE(deployment.isReady(deployment.gateways()[0]));
+    CHECK(deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "early")).status_ == 503);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[1];
+    CHECK(deployment.isReady(gateway));
+    deployment.backend("p-2", { { "full", 1 } });
+
+    HttpRequest request = gatewayRequest("POST", "/safe/x?y=1", "r-1");
+    request.headers_["X-Pistachioloom-Tenant"] = "south";
+    request.headers_["X-Pistachioloom-Hold"] = "h";
+    request.headers_["Kv-From"] = "k";
+    request.headers_["X-Own"] = "kept";
+    HttpResponse answer = deployment.call(gateway, request);
+    CHECK(answer.status_ == 200);
+    CHECK(answer.body_ == "POST /safe/x?y=1 body of r-1");
+    CHECK(answer.headers_["x-pistachioloom-engine-seal"] == "seal-p-1");
+    json::object headers = deployment.backend("p-1").at("headers").as_object();
+    CHECK(textField(headers, "x-pistachioloom-tenant") == "north");
+    CHECK(textField(headers, "x-pistachioloom-expect-instance") == "p-1");
+    CHECK(textField(headers, "x-own") == "kept");
+    CHECK(textField(headers, "host") == "h.example");
+    CHECK_FALSE(headers.contains("authorization"));
+    CHECK_FALSE(headers.contains("x-pistachioloom-hold"));
+    CHECK_FALSE(headers.contains("kv-from"));
+    auto left = std::stoi(textField(headers, "x-pistachioloom-deadline-ms"));
+    CHECK(left <= 2000);
+    CHECK(left > 1000);
+}
+
+TEST_CASE("what the configuration does not allow is refused", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    struct Row {
+        const char* path_;
+        const char* credential_;
+        int status_;
+    };
+    const std::vector<Row> rows { { "/safe/x", "Bearer key-north", 200 }, { "/safe/x", "Bearer other", 401 }, { "/safe/x", "key-north", 401 }, { "/none/x", "Bearer key-north", 404 }, { "/open/x", "", 200 } };
+    for (const Row& row : rows) {
+        HttpRequest request = gatewayRequest("GET", row.path_, "r");
+        request.headers_["Authorization"] = row.credential_;
+        CAPTURE(row.path_, row.credential_);
+        CHECK(deployment.call(gateway, request).status_ == row.status_);
+    }
+    HttpRequest request = gatewayRequest("GET", "/safe/x", "r");
+    request.headers_["Authorization"] = "Bearer key-small";
+    (void)deployment.call(gateway, request);
+    HttpResponse refused = deployment.call(gateway, request);
+    CHECK(refused.status_ == 429);
+    CHECK(std::stod(refused.headers_["retry-after"]) > 0.1);
+
+    RawCaller raw(gateway.callers_);
+    raw.send("POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /once/smuggled HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    CHECK(raw.readToEnd().find("HTTP/1.1 400") == 0);
+    CHECK(runsOf(deployment, "") == 0);
+}
+
+TEST_CASE("what may run once runs once, and is not called refused after it ran", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    setAll(deployment, { { "lose_answers", 1 } });
+    HttpResponse once = deployment.call(gateway, gatewayRequest("POST", "/once/x", "once-1"));
+    CHECK(once.status_ == 502);
+    CHECK(runsOf(deployment, "once-1") == 1);
+    // One that may be repeated is, at another backend server.
+    deployment.backend("p-1", { { "lose_answers", 0 } });
+    deployment.backend("p-2", { { "lose_answers", 0 } });
+    deployment.backend("p-1", { { "other_id", 1 } });
+    for (int i = 0; i < 4; ++i) {
+        std::string id = "safe-" + std::to_string(i);
+        CHECK(deployment.call(gateway, gatewayRequest("GET", "/safe/x", id)).status_ == 200);
+    }
+    setAll(deployment, { { "other_id", 0 }, { "full", 1 } });
+    HttpResponse full = deployment.call(gateway, gatewayRequest("POST", "/once/x", "once-2"));
+    CHECK(full.status_ == 503);
+    CHECK(full.headers_.contains("retry-after"));
+    CHECK(runsOf(deployment, "once-2") == 0);
+    setAll(deployment, { { "full", 0 }, { "no_seal", 1 } });
+    CHECK(deployment.call(gateway, gatewayRequest("POST", "/once/x", "once-3")).status_ == 502);
+}
+
+TEST_CASE("a resumable stream goes on elsewhere without a gap, any other is cut", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    setAll(deployment, { { "events", 12 } });
+    deployment.backend("e-1", { { "cut_at", 5 } });
+    deployment.backend("e-2", { { "cut_at", 8 } });
+    HttpResponse answer = deployment.call(gateway, gatewayRequest("POST", "/draft/stream", "d-1"));
+    // The first engine stops within event 5 or 8; the second ends or stops later.
+    std::size_t runs = runsOf(deployment, "d-1");
+    CHECK(runs == 2);
+    deployment.backend("e-2", { { "cut_at", 0 } });
+    for (int i = 0; i < 6; ++i) {
+        answer = deployment.call(gateway, gatewayRequest("POST", "/draft/stream", "d-2" + std::to_string(i)));
+        CHECK(answer.status_ == 200);
+        CHECK(answer.body_ == eventsUpTo(12));
+    }
+    setAll(deployment, { { "cut_at", 3 } });
+    answer = deployment.call(gateway, gatewayRequest("POST", "/ask/stream", "a-1"));
+    CHECK(answer.status_ == 0);
+    CHECK(runsOf(deployment, "a-1") == 1);
+}
+
+TEST_CASE("a caller who leaves ends the engine's work", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    setAll(deployment, { { "events", 1000 }, { "gap_ms", 20 } });
+    RawCaller raw(deployment.gateways()[0].callers_);
+    raw.send("POST /draft/stream HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-north\r\nX-Pistachioloom-Attempt-Id: left\r\nContent-Length: 0\r\n\r\n");
+    CHECK(raw.readUntil("id: 3").find("200 OK") != std::string::npos);
+    raw.close();
+    CHECK(waitUntil([&] { return deployment.backend("e-1").at("gone").as_array().size() + deployment.backend("e-2").at("gone").as_array().size() == 1; }, milliseconds(1000)));
+}
+
+TEST_CASE("a leaving backend server gets no new work", "[gateway]")
+{
+    GatewayDeployment deployment(2);
+    deployment.standard();
+    json::object unused = deployment.backend("p-1");
+    deployment.setLeaving("p-1", "plain", "127.0.0.1:1");
+    // Both gateways know within two reads of the registry.
+    std::this_thread::sleep_for(milliseconds(1500));
+    std::size_t before = deployment.backend("p-1").at("runs").as_array().size();
+    for (int i = 0; i < 20; ++i)
+        CHECK(deployment.call(deployment.gateways()[i % 2], gatewayRequest("GET", "/safe/x", "after")).status_ == 200);
+    CHECK(deployment.backend("p-1").at("runs").as_array().size() == before);
+}
+
+TEST_CASE("a new version is in force everywhere, also at a node that the platform does not serve", "[gateway]")
+{
+    GatewayDeployment deployment(3);
+    deployment.standard();
+    deployment.putConfiguration(2, R"(,{"name":"new","hostname":"h.example","path_prefix":"/new/","type":"safe","timeout_ms":2000,"goal_ms":100,"priority":2,"service":"plain","attempts":2})");
+    CHECK(deployment.waitForVersion(2, milliseconds(2000)));
+    for (auto& gateway : deployment.gateways())
+        CHECK(deployment.call(gateway, gatewayRequest("GET", "/new/x", "n")).status_ == 200);
+    // The platform is away: a restarted node learns all from its peers.
+    deployment.control({ { "down", 1 } });
+    auto& restarted = deployment.gateways()[2];
+    restarted.process_->kill();
+    deployment.restart(restarted);
+    CHECK(waitUntil([&] { return deployment.isReady(restarted); }, patience));
+    CHECK(waitUntil([&] { return deployment.call(restarted, gatewayRequest("GET", "/new/x", "n")).status_ == 200; }, patience));
+    CHECK(deployment.metric(restarted, "configuration_version") == 2);
+}
+
+TEST_CASE("a stopping node serves what it has and ends by itself", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    setAll(deployment, { { "events", 40 }, { "gap_ms", 20 } });
+    std::string body;
+    std::thread caller([&] { body = deployment.call(gateway, gatewayRequest("POST", "/draft/stream", "d")).body_; });
+    REQUIRE(waitUntil([&] { return runsOf(deployment, "d") == 1; }, patience));
+    gateway.process_->signal(SIGTERM);
+    CHECK(waitUntil([&] { return !deployment.isReady(gateway); }, milliseconds(1000)));
+    // The balancer has not noticed yet.
+    CHECK(deployment.call(gateway, gatewayRequest("GET", "/safe/x", "late")).status_ == 200);
+    caller.join();
+    CHECK(body == eventsUpTo(40));
+    CHECK(gateway.process_->wait(milliseconds(3000)) == 0);
+}
+
+TEST_CASE("changed settings are applied or refused, and the node runs on", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    gateway.process_->signal(SIGHUP);
+    auto logHas = [&](const std::string& text) {
+        return waitUntil([&] {
+            std::ifstream log(deployment.logFile(gateway));
+            return std::string(std::istreambuf_iterator<char>(log), {}).find(text) != std::string::npos;
+        }, patience);
+    };
+    CHECK(logHas("Settings were read again"));
+    std::ofstream(deployment.settingsFile(gateway), std::ios::app) << "unknown_key: 1\n";
+    gateway.process_->signal(SIGHUP);
+    CHECK(logHas("unknown_key"));
+    CHECK(deployment.call(gateway, gatewayRequest("GET", "/safe/x", "r")).status_ == 200);
+}
+
+TEST_CASE("one node at a time holds the duties, and tokens only rise", "[gateway]")
+{
+    GatewayDeployment deployment(3);
+    deployment.standard();
+    auto duties = [&] { return deployment.control().at("duties").as_array(); };
+    auto callSome = [&] {
+        for (auto& gateway : deployment.gateways()) {
+            if (gateway.process_->isRunning())
+                (void)deployment.call(gateway, gatewayRequest("GET", "/safe/x", "r"));
+        }
+    };
+    auto hasUsageOf = [&](const std::function<bool(const std::string&)>& isHolder) {
+        callSome();
+        json::array seen = duties();
+        for (const json::value& duty : seen) {
+            if (textField(duty.as_object(), "call") == "/usage" && isHolder(textField(duty.as_object(), "holder")))
+                return true;
+        }
+        return false;
+    };
+    REQUIRE(waitUntil([&] { return hasUsageOf([](const std::string&) { return true; }); }, patience));
+    json::array seen = duties();
+    std::string first = textField(seen.back().as_object(), "holder");
+    for (auto& gateway : deployment.gateways()) {
+        if (gateway.vm_ == first)
+            gateway.process_->kill();
+    }
+    CHECK(waitUntil([&] { return hasUsageOf([&](const std::string& holder) { return holder != first; }); }, patience));
+    std::uint64_t token = 0;
+    std::map<std::uint64_t, std::string> reported;
+    std::string holder = first;
+    seen = duties();
+    for (const json::value& value : seen) {
+        const json::object& duty = value.as_object();
+        CHECK(numberField(duty, "token") >= token);
+        CHECK((numberField(duty, "token") > token || textField(duty, "holder") == holder));
+        token = numberField(duty, "token");
+        holder = textField(duty, "holder");
+        if (textField(duty, "call") != "/usage")
+            continue;
+        const json::object& body = duty.at("body").as_object();
+        std::string counts = json::serialize(body.at("counts"));
+        auto [known, isNew] = reported.try_emplace(numberField(body, "window_no"), counts);
+        CHECK((isNew || known->second == counts));
+    }
+}
--- a/test/Harness/Deployment.h
+++ b/test/Harness/Deployment.h
@@ -116,7 +116,4 @@
     std::map<std::pair<std::string, std::string>, std::unique_ptr<RelaySet>> relays_;
 };
 
-/// Waits for \p condition, asking again every few milliseconds.
-bool waitUntil(const std::function<bool()>& condition, milliseconds patience = milliseconds(20000));
-
 } // namespace pistachioloom::test
--- a/test/Harness/Process.h
+++ b/test/Harness/Process.h
@@ -9,6 +9,7 @@
 #include "pistachioloom/Json.h"
 #include "pistachioloom/Support.h"
 
+#include <functional>
 #include <sys/types.h>
 
 namespace pistachioloom::test {
@@ -48,4 +49,7 @@
 /// The path of one of the project's programs.
 std::string programPath(const std::string& name);
 
+/// Waits for \p condition, asking again every few milliseconds.
+bool waitUntil(const std::function<bool()>& condition, milliseconds patience = milliseconds(20000));
+
 } // namespace pistachioloom::test
--- a/tools/pistachioloomd/main.cpp
+++ b/tools/pistachioloomd/main.cpp
@@ -71,6 +71,7 @@
         std::cerr << describe(port.error()) << '\n';
         return exitCannotStart;
     }
+    std::cout << "{\"callers\":" << port.value() << "}" << std::endl;
     gateway.run();
     // As in runNode(): nothing is left that a destructor would have to save.
     std::cout.flush();
--- /dev/null
+++ b/tools/standins/FleetStandin.cpp
@@ -0,0 +1,301 @@
+//===- tools/standins/FleetStandin.cpp - the users' platform, small ---------===//
+///
+/// \file
+/// A store that is a log of topics, the interface for duties, and backend
+/// servers on ports of their own, all in one process. `POST /control` sets
+/// faults and tells what arrived. It keeps what the tests ask about, no more.
+//===----------------------------------------------------------------------===//
+#include "Standin.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/endian/conversion.hpp>
+#include <iostream>
+
+using namespace pistachioloom;
+using namespace pistachioloom::standin;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds waitStep { 10 };
+constexpr const char* seal = "X-Pistachioloom-Engine-Seal";
+constexpr const char* attemptId = "X-Pistachioloom-Attempt-Id";
+
+struct KeyedEntry {
+    std::string value_;
+    std::uint64_t offset_ = 0;
+};
+
+/// Topics of records; those of keyed topics are also kept by key.
+class Log {
+public:
+    std::uint64_t append(const std::string& topic, std::string record)
+    {
+        std::vector<std::string>& records = topics_[topic];
+        if (topic.starts_with("keyed.")) {
+            auto length = static_cast<unsigned char>(record.at(0));
+            std::string key = record.substr(1, length);
+            std::string value = record.substr(1 + length);
+            if (value.empty())
+                keyed_[topic].erase(key);
+            else
+                keyed_[topic][key] = { value, records.size() };
+        }
+        records.push_back(std::move(record));
+        return records.size() - 1;
+    }
+
+    void put(const std::string& topic, const std::string& key, const std::string& value)
+    {
+        append(topic, std::string(1, static_cast<char>(key.size())) + key + value);
+    }
+
+    std::uint64_t end(const std::string& topic) { return topics_[topic].size(); }
+    const std::vector<std::string>& records(const std::string& topic) { return topics_[topic]; }
+    const std::map<std::string, KeyedEntry>& keyed(const std::string& topic) { return keyed_[topic]; }
+
+private:
+    std::map<std::string, std::vector<std::string>> topics_;
+    std::map<std::string, std::map<std::string, KeyedEntry>> keyed_;
+};
+
+void appendBig64(std::string& bytes, std::uint64_t number)
+{
+    unsigned char big[8];
+    boost::endian::store_big_u64(big, number);
+    bytes.append(reinterpret_cast<char*>(big), sizeof big);
+}
+
+std::string encodeBase64(const std::string& bytes)
+{
+    std::string text(boost::beast::detail::base64::encoded_size(bytes.size()), '\0');
+    text.resize(boost::beast::detail::base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+/// One backend server: plain answers, or event streams for paths with /stream.
+class Backend {
+public:
+    Backend(asio::io_context& io, std::string id)
+        : id_(std::move(id))
+        , server_(
+              io.get_executor(), HttpBounds { { 64UL * 1024 }, { 64UL * 1024 * 1024 }, milliseconds(60000) }, [this](HttpExchange& exchange) { return handle(exchange); }, errorResponse)
+    {
+    }
+
+    std::uint16_t listen() { return server_.listen({ "127.0.0.1", 0 }).value(); }
+    const std::string& id() const { return id_; }
+
+    json::object control(const json::object& body)
+    {
+        controls_.update(body);
+        return { { "runs", runs_ }, { "gone", gone_ }, { "headers", headers_ } };
+    }
+
+private:
+    asio::awaitable<void> handle(HttpExchange& exchange)
+    {
+        const HttpRequest& request = exchange.request();
+        HttpResponse answer { 200, { { seal, "seal-" + id_ }, { attemptId, request.header("x-pistachioloom-attempt-id") } }, {} };
+        if (request.header("x-pistachioloom-expect-instance") != id_) {
+            answer.status_ = 421;
+            (void)co_await exchange.respond(std::move(answer));
+            co_return;
+        }
+        if (controls_["full"]) {
+            answer.status_ = 503;
+            answer.headers_["X-Pistachioloom-Not-Executed"] = "1";
+            (void)co_await exchange.respond(std::move(answer));
+            co_return;
+        }
+        noteRun(request);
+        if (request.path().find("/stream") != std::string::npos)
+            co_return co_await stream(exchange, std::move(answer));
+        co_await pause(milliseconds(controls_["delay_ms"]));
+        if (controls_["lose_answers"]) {
+            exchange.abort();
+            co_return;
+        }
+        if (controls_["other_id"])
+            answer.headers_[attemptId] = "somebody-else";
+        if (controls_["no_seal"])
+            answer.headers_.erase(seal);
+        answer.body_ = request.method_ + " " + request.target_ + " " + request.body_;
+        (void)co_await exchange.respond(std::move(answer));
+    }
+
+    void noteRun(const HttpRequest& request)
+    {
+        runs_.emplace_back(request.header("x-pistachioloom-attempt-id"));
+        headers_.clear();
+        for (const auto& [name, value] : request.headers_)
+            headers_[name] = value;
+    }
+
+    asio::awaitable<void> stream(HttpExchange& exchange, HttpResponse head)
+    {
+        head.headers_["Content-Type"] = "text/event-stream";
+        std::string last = exchange.request().header("last-event-id");
+        std::int64_t next = last.empty() ? 1 : std::stoll(last) + 1;
+        if (!co_await exchange.beginStream(std::move(head)))
+            co_return;
+        for (std::int64_t id = next; id <= controls_["events"]; ++id) {
+            if (id == controls_["cut_at"]) {
+                // It stops in the middle of an event.
+                std::string part = "id: " + std::to_string(id) + "\nda";
+                (void)co_await exchange.writeChunk(std::move(part));
+                exchange.abort();
+                co_return;
+            }
+            std::string event = "id: " + std::to_string(id) + "\ndata: event " + std::to_string(id) + "\n\n";
+            auto written = co_await exchange.writeChunk(std::move(event));
+            if (!written) {
+                gone_.emplace_back(exchange.request().header("x-pistachioloom-attempt-id"));
+                co_return;
+            }
+            co_await pause(milliseconds(controls_["gap_ms"]));
+        }
+        (void)co_await exchange.endStream();
+    }
+
+    std::string id_;
+    HttpServer server_;
+    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "lose_answers", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 } } };
+    json::array runs_;
+    json::array gone_;
+    json::object headers_;
+};
+
+class Fleet {
+public:
+    explicit Fleet(asio::io_context& io)
+        : io_(io)
+    {
+    }
+
+    asio::awaitable<void> handle(HttpExchange& exchange)
+    {
+        const std::string path = exchange.request().path();
+        if (path == "/control")
+            co_return co_await control(exchange);
+        if (controls_["down"]) {
+            exchange.abort();
+            co_return;
+        }
+        if (path == "/log-append")
+            co_return co_await append(exchange);
+        if (path == "/log-read")
+            co_return co_await read(exchange);
+        if (path == "/log-newest")
+            co_return co_await newest(exchange);
+        noteDuty(exchange.request(), path);
+        co_await reply(exchange, 200, json::object {});
+    }
+
+private:
+    /// `backends`: more of a service; `put`: entries of keyed topics; `backend`:
+    /// faults of one of them. \returns what arrived.
+    asio::awaitable<void> control(HttpExchange& exchange)
+    {
+        json::object body = parseJsonObject(exchange.request().body_).value_or(json::object {});
+        controls_.update(body);
+        json::object answer;
+        for (const json::object& wanted : objectsField(body, "backends"))
+            start(wanted);
+        for (const json::object& entry : objectsField(body, "put"))
+            log_.put(textField(entry, "topic"), textField(entry, "key"), textField(entry, "value"));
+        auto chosen = backends_.find(textField(body, "backend"));
+        if (chosen != backends_.end())
+            answer = chosen->second->control(body);
+        answer["duties"] = duties_;
+        co_await reply(exchange, 200, answer);
+    }
+
+    void start(const json::object& wanted)
+    {
+        std::string id = textField(wanted, "id");
+        auto backend = std::make_unique<Backend>(io_, id);
+        json::object entry = wanted;
+        entry.erase("id");
+        entry["address"] = "127.0.0.1:" + std::to_string(backend->listen());
+        log_.put("keyed.servers", id, json::serialize(entry));
+        backends_[id] = std::move(backend);
+    }
+
+    asio::awaitable<void> append(HttpExchange& exchange)
+    {
+        const HttpRequest& request = exchange.request();
+        std::string topic = request.query("topic");
+        std::string at = request.query("at");
+        if (!at.empty() && std::stoull(at) != log_.end(topic)) {
+            json::object conflict { { "end", log_.end(topic) } };
+            co_return co_await reply(exchange, 412, conflict);
+        }
+        std::uint64_t offset = log_.append(topic, request.body_.substr(4));
+        if (controls_["lose_appends"]) {
+            exchange.abort();
+            co_return;
+        }
+        json::object done { { "offset", offset }, { "end", log_.end(topic) } };
+        co_await reply(exchange, 200, done);
+    }
+
+    asio::awaitable<void> read(HttpExchange& exchange)
+    {
+        const HttpRequest& request = exchange.request();
+        std::string topic = request.query("topic");
+        std::uint64_t from = std::stoull(request.query("from"));
+        std::string wait = request.query("wait_ms");
+        SteadyTime until = steadyNow() + milliseconds(wait.empty() ? 0 : std::stoll(wait));
+        while (from >= log_.end(topic) && steadyNow() < until && !controls_["down"])
+            co_await pause(waitStep);
+        std::string body;
+        appendBig64(body, log_.end(topic));
+        appendBig64(body, 0);
+        for (std::uint64_t offset = from; offset < log_.end(topic); ++offset) {
+            const std::string& record = log_.records(topic)[offset];
+            unsigned char length[4];
+            boost::endian::store_big_u32(length, static_cast<std::uint32_t>(record.size()));
+            body.append(reinterpret_cast<char*>(length), sizeof length).append(record);
+        }
+        HttpResponse answer { 200, {}, std::move(body) };
+        (void)co_await exchange.respond(std::move(answer));
+    }
+
+    asio::awaitable<void> newest(HttpExchange& exchange)
+    {
+        std::string topic = exchange.request().query("topic");
+        json::array entries;
+        for (const auto& [key, entry] : log_.keyed(topic))
+            entries.push_back(json::object { { "key", key }, { "value", encodeBase64(entry.value_) }, { "offset", entry.offset_ } });
+        json::object answer { { "entries", entries }, { "has_more", false }, { "end", log_.end(topic) } };
+        co_await reply(exchange, 200, answer);
+    }
+
+    void noteDuty(const HttpRequest& request, const std::string& path)
+    {
+        json::object duty { { "call", path }, { "holder", request.header("x-pistachioloom-duty-holder") }, { "token", std::stoll("0" + request.header("x-pistachioloom-fence-token")) } };
+        duty["body"] = parseJsonObject(request.body_).value_or(json::object {});
+        duties_.push_back(std::move(duty));
+    }
+
+    asio::io_context& io_;
+    Log log_;
+    Controls controls_ { { { "down", 0 }, { "lose_appends", 0 } } };
+    std::map<std::string, std::unique_ptr<Backend>> backends_;
+    json::array duties_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "Stand-in for the users' platform: store, duties and backend servers." };
+    std::uint16_t port = 0;
+    app.add_option("--port", port, "Port, 0 for any");
+    CLI11_PARSE(app, argc, argv);
+    asio::io_context io;
+    Fleet fleet(io);
+    return serve(io, port, [&](HttpExchange& exchange) { return fleet.handle(exchange); });
+}
