Hold what was needed until demand has been known for 5 s

Cause: the first whole window of demand lay before the callers' first second, so that the fleet was ordered down to one engine a data centre at their start.

--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -92,7 +92,7 @@
 
 struct FleetSettings {
     /// Part of its time that an engine is to be busy reading prompts.
-    double utilisation_ = 0.7;
+    double utilisation_ = 0.6;
     /// Reclaimable engines wanted in each data centre, as part of those needed
     /// in all.
     double reclaimableShare_ = 0.7;
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -255,15 +255,12 @@
     // The highest need of a while counts, so that engines are not given up in one
     // moment and missed in the next.
     std::deque<std::pair<SteadyTime, std::uint64_t>>& recent = needs_[service.name_];
-    if (tokens)
-        recent.emplace_back(now, enginesFor(*tokens, rate, settings.utilisation_));
+    auto before = neededBefore_.find(service.name_);
+    std::uint64_t unknown = before == neededBefore_.end() ? present : before->second;
+    recent.emplace_back(now, tokens ? enginesFor(*tokens, rate, settings.utilisation_) : unknown);
     while (!recent.empty() && now - recent.front().first > settings.hold_)
         recent.pop_front();
-    FleetDemand demand { present, service.fleet_->least_, service.fleet_->most_, 0, settings.reserveShare_ };
-    if (recent.empty() && neededBefore_.contains(service.name_))
-        demand.needed_ = neededBefore_.at(service.name_);
-    if (!recent.empty())
-        demand.needed_ = 0;
+    FleetDemand demand { 0, service.fleet_->least_, service.fleet_->most_, 0, settings.reserveShare_ };
     for (const auto& [at, needed] : recent)
         demand.needed_ = std::max(demand.needed_, needed);
     double reclaimable = std::ceil(static_cast<double>(demand.needed_) * settings.reclaimableShare_);
