Let few nodes read from the platform, and the others learn from them

Change: one reader a data centre and three in all, decided by each node alone from reports 200 ms old; the others ask a reader whose list differs from theirs.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -126,6 +126,8 @@
     /// Marks one as leaving without its own record; learnt from peers.
     bool setLeaving(const BackendId& id);
     std::vector<BackendRecord> records() const;
+    /// Equal for books that know the same backend servers, leaving or not.
+    std::uint64_t fingerprint() const;
     std::optional<BackendRecord> find(const BackendId& id) const;
 
     /// Chooses for \p shape among those not in \p excluded, and counts the
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -86,6 +86,11 @@
     /// After an outage, registrations that are missing are kept for so long:
     /// their owners write them again.
     milliseconds lapseGrace_ { 2200 };
+    /// Nodes that read from the platform, beside one in each data centre; the
+    /// others learn from them.
+    std::uint64_t readers_ = 3;
+    /// Silence after which a reader is succeeded: four reports.
+    milliseconds readerSilence_ { 800 };
     /// Silence of the platform after which peers are asked.
     milliseconds askPeersAfter_ { 1200 };
 };
@@ -97,7 +102,7 @@
     /// in all.
     double reclaimableShare_ = 0.7;
     /// Part of the largest data centre's reclaimable engines that is not counted on.
-    double reserveShare_ = 0.25;
+    double reserveShare_ = 0.5;
     /// How often orders are looked at.
     milliseconds period_ { 500 };
     /// The highest need of this time is ordered for.
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -82,6 +82,15 @@
     return records;
 }
 
+std::uint64_t BackendBook::fingerprint() const
+{
+    std::lock_guard lock(mutex_);
+    std::uint64_t hash = 0;
+    for (const auto& [id, backend] : backends_)
+        hash = stableHash(id.value_ + (backend.record_.isLeaving_ ? "-" : "+"), hash);
+    return hash;
+}
+
 std::optional<BackendRecord> BackendBook::find(const BackendId& id) const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -15,7 +15,9 @@
     // A peer's answer is awaited for so long; it comes from memory.
     constexpr milliseconds peerPatience { 500 };
     // How often a node looks whether it has to ask peers.
-    constexpr milliseconds askPeriod { 250 };
+    constexpr milliseconds askPeriod { 150 };
+    // How often a node looks whether it is its turn to read.
+    constexpr milliseconds turnPeriod { 150 };
     // A peer's list of backend servers is used only while it is this fresh.
     constexpr std::uint64_t freshEnoughMs = 1500;
 
@@ -36,22 +38,48 @@
     asio::co_spawn(io_, askPeers(), asio::detached);
 }
 
+std::vector<ReaderView> Feed::readerViews() const
+{
+    std::vector<ReaderView> views;
+    for (const auto& [vm, peer] : reports_.heardWithin(context_.settings_.feed_.readerSilence_))
+        views.push_back({ vm, peer.dataCentre_, peer.isStopping_, peer.isPlatformLost_, peer.isReader_ });
+    return views;
+}
+
+bool Feed::isReader() const
+{
+    const GatewaySettings& settings = context_.settings_;
+    return isPlatformLost() || shouldRead(settings.vm_, settings.dataCentre_, readerViews(), settings.feed_.readers_);
+}
+
+/// Suspends while other nodes read. What was read before is then too old to read
+/// on from: \p from is forgotten.
+asio::awaitable<void> Feed::waitForTurn(std::string reading, std::optional<LogOffset>& from)
+{
+    if (!context_.table() || isReader())
+        co_return;
+    logger_.info(LogLine("Other nodes read.").add("reading", reading));
+    while (!isReader())
+        co_await sleepFor(turnPeriod);
+    from.reset();
+    logger_.info(LogLine("This node reads.").add("reading", reading));
+}
+
 asio::awaitable<void> Feed::followConfiguration()
 {
     std::optional<LogOffset> from;
-    bool isReachable = true;
+    const std::string reading = "configuration";
     for (;;) {
+        co_await waitForTurn(reading, from);
         auto read = co_await context_.platform_.readConfiguration_(from, context_.settings_.feed_.configurationWait_);
-        if (isReachable != read.has_value())
+        if (isConfigurationLost_.exchange(!read) == read.has_value())
             logReachable("configuration", read ? nullptr : &read.error());
-        isReachable = read.has_value();
         if (!read) {
             if (read.error().code_ == Errc::NotFound)
                 from.reset();
             co_await sleepFor(context_.settings_.feed_.retryPause_);
             continue;
         }
-        configurationReadAt_ = steadyNow();
         from = read.value().next_;
         if (read.value().newest_)
             (void)context_.publish(std::move(*read.value().newest_), "platform");
@@ -126,15 +154,17 @@
 {
     const FeedSettings& settings = context_.settings_.feed_;
     std::optional<LogOffset> from;
-    bool isReachable = true;
+    const std::string reading = "registry";
     for (;;) {
+        co_await waitForTurn(reading, from);
         auto read = co_await context_.platform_.readRegistry_(from);
-        if (isReachable != read.has_value()) {
+        bool wasLost = isRegistryLost_.exchange(!read);
+        if (wasLost == read.has_value())
             logReachable("registry", read ? nullptr : &read.error());
-            if (read && context_.backends_.records().size())
-                graceUntil_ = steadyNow() + settings.lapseGrace_;
-        }
-        isReachable = read.has_value();
+        // Registrations that lapsed in an outage are written again soon after it.
+        bool endsOutage = wasLost || (isRegistryOld() && haveAllReadersLost(readerViews()));
+        if (read && endsOutage && !context_.backends_.records().empty())
+            graceUntil_ = steadyNow() + settings.lapseGrace_;
         if (!read && read.error().code_ == Errc::NotFound)
             from.reset();
         if (read) {
@@ -157,21 +187,51 @@
     return false;
 }
 
+bool Feed::isRegistryOld() const
+{
+    return steadyNow() - registryReadAt_.load() > context_.settings_.feed_.askPeersAfter_;
+}
+
+std::optional<std::pair<VmId, PeerReports::Peer>> Feed::differingReader() const
+{
+    std::optional<std::pair<VmId, PeerReports::Peer>> chosen;
+    for (const auto& entry : reports_.heardWithin(context_.settings_.feed_.readerSilence_)) {
+        const PeerReports::Peer& peer = entry.second;
+        if (!peer.isReader_ || peer.isPlatformLost_)
+            continue;
+        // The near one, or any if there is none.
+        if (!chosen || peer.dataCentre_ == context_.settings_.dataCentre_)
+            chosen = entry;
+    }
+    if (chosen && chosen->second.registryFingerprint_ == context_.backends_.fingerprint())
+        return std::nullopt;
+    return chosen;
+}
+
+std::optional<std::pair<VmId, PeerReports::Peer>> Feed::peerToAsk() const
+{
+    bool needsRegistry = isRegistryOld() || !isReader();
+    if (needsRegistry) {
+        if (auto reader = differingReader())
+            return reader;
+    }
+    if (!isConfigurationBehind())
+        return std::nullopt;
+    auto table = context_.table();
+    auto live = reports_.live();
+    std::erase_if(live, [&](const auto& entry) { return entry.second.configurationVersion_ <= (table ? table->version() : 0); });
+    if (live.empty())
+        return std::nullopt;
+    return live[randomBits() % live.size()];
+}
+
 asio::awaitable<void> Feed::askPeers()
 {
     for (;;) {
         co_await sleepFor(askPeriod);
-        SteadyTime now = steadyNow();
-        bool isRegistryOld = now - registryReadAt_.load() > context_.settings_.feed_.askPeersAfter_;
-        if (!isRegistryOld && !isConfigurationBehind())
-            continue;
-        auto live = reports_.live();
-        auto table = context_.table();
-        std::erase_if(live, [&](const auto& entry) { return entry.second.configurationVersion_ < (table ? table->version() : 0) || !entry.second.configurationVersion_; });
-        if (live.empty())
-            continue;
-        const auto& [vm, peer] = live[randomBits() % live.size()];
-        co_await askPeer(vm, peer);
+        auto chosen = peerToAsk();
+        if (chosen)
+            co_await askPeer(chosen->first, chosen->second);
     }
 }
 
@@ -193,8 +253,9 @@
         else
             (void)context_.publish(std::move(decoded.value()), vm.value_);
     }
-    bool isRegistryOld = steadyNow() - registryReadAt_.load() > context_.settings_.feed_.askPeersAfter_;
-    if (!isRegistryOld || update.backends_age_ms() > freshEnoughMs)
+    // A reader's list is used by others; readers that cannot read use it too.
+    bool mayUse = !isReader() || isRegistryOld();
+    if (!mayUse || update.backends_age_ms() > freshEnoughMs)
         co_return;
     RegistryRead read;
     read.isWhole_ = true;
--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "PeerReports.h"
+#include "Readers.h"
 
 namespace pistachioloom {
 
@@ -15,6 +16,10 @@
     Feed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers);
 
     void start();
+    /// Whether this node reads from the platform now: the first of its data
+    /// centre, or one of the first of all, among nodes that reach the platform.
+    bool isReader() const;
+    bool isPlatformLost() const { return isRegistryLost_ || isConfigurationLost_; }
     /// Answers a peer that asks for what the platform told this node.
     wire::Frame answer(const wire::Frame& request) const;
 
@@ -29,13 +34,20 @@
     void removeMissing(const RegistryRead& whole);
     void applyDueRemovals();
     bool isConfigurationBehind() const;
+    bool isRegistryOld() const;
+    std::vector<ReaderView> readerViews() const;
+    /// A reader whose list of backend servers differs from this node's.
+    std::optional<std::pair<VmId, PeerReports::Peer>> differingReader() const;
+    std::optional<std::pair<VmId, PeerReports::Peer>> peerToAsk() const;
+    asio::awaitable<void> waitForTurn(std::string reading, std::optional<LogOffset>& from);
 
     asio::io_context& io_;
     GatewayContext& context_;
     PeerReports& reports_;
     PeerPool& peers_;
     std::atomic<SteadyTime> registryReadAt_ { SteadyTime {} };
-    std::atomic<SteadyTime> configurationReadAt_ { SteadyTime {} };
+    std::atomic<bool> isRegistryLost_ { false };
+    std::atomic<bool> isConfigurationLost_ { false };
     /// Until when registrations that vanish are kept, after an outage.
     SteadyTime graceUntil_ {};
     std::set<BackendId> missing_;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -61,6 +61,8 @@
         settings.configurationWait_ = map.duration("configuration_wait", milliseconds(50), oneMinute, settings.configurationWait_);
         settings.registryPeriod_ = map.duration("registry_period", milliseconds(20), oneMinute, settings.registryPeriod_);
         settings.lapseGrace_ = map.duration("lapse_grace", milliseconds(0), oneMinute, settings.lapseGrace_);
+        settings.readers_ = map.integer("readers", 1, 1000, settings.readers_);
+        settings.readerSilence_ = map.duration("reader_silence", milliseconds(50), oneMinute, settings.readerSilence_);
         settings.askPeersAfter_ = map.duration("ask_peers_after", milliseconds(100), oneMinute, settings.askPeersAfter_);
         map.finish();
     }
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -46,12 +46,17 @@
 }
 
 std::vector<std::pair<VmId, PeerReports::Peer>> PeerReports::live() const
+{
+    return heardWithin(context_.settings_.gossiping_.silence_);
+}
+
+std::vector<std::pair<VmId, PeerReports::Peer>> PeerReports::heardWithin(milliseconds silence) const
 {
     std::lock_guard lock(mutex_);
     std::vector<std::pair<VmId, Peer>> live;
     SteadyTime now = steadyNow();
     for (const auto& [vm, peer] : peers_) {
-        if (peer.heardAt_ != SteadyTime {} && now - peer.heardAt_ <= context_.settings_.gossiping_.silence_)
+        if (peer.heardAt_ != SteadyTime {} && now - peer.heardAt_ <= silence)
             live.emplace_back(vm, peer);
     }
     return live;
@@ -108,7 +113,7 @@
     return chosen;
 }
 
-std::string PeerReports::compose()
+std::string PeerReports::compose(bool isReader)
 {
     const GatewaySettings& settings = context_.settings_;
     SteadyTime now = steadyNow();
@@ -124,6 +129,9 @@
     report.set_wall_ms(ownWallMs());
     report.set_duty_token(hooks_.ownToken_().value_);
     report.set_is_stopping(context_.isStopping_);
+    report.set_is_platform_lost(hooks_.isPlatformLost_());
+    report.set_is_reader(isReader);
+    report.set_registry_fingerprint(context_.backends_.fingerprint());
     for (const auto& [id, load] : context_.backends_.ownLoads()) {
         wire::BackendLoadReport& told = *report.add_loads();
         told.set_backend(id.value_);
@@ -170,10 +178,12 @@
     for (;;) {
         std::string datagram;
         std::vector<Endpoint> receivers;
+        // Asked before the lock is taken: the answer needs the list of peers.
+        bool isReader = hooks_.isReader_();
         {
             std::lock_guard lock(mutex_);
             forgetSilent(steadyNow());
-            datagram = compose();
+            datagram = compose(isReader);
             receivers = targets();
         }
         for (const Endpoint& receiver : receivers) {
@@ -250,7 +260,7 @@
         bool wasSilent = now - peer.heardAt_ > context_.settings_.gossiping_.silence_;
         if (!isSame || wasSilent)
             logger_.info(LogLine(isSame ? "Peer is heard again." : "Peer is heard.").add("peer", vm.value_).add("address", report.address()).add("configuration", static_cast<std::int64_t>(report.configuration_version())));
-        peer = { *gossip, *peers, { report.data_centre() }, report.incarnation(), report.sequence(), report.configuration_version(), report.is_stopping(), now };
+        peer = { *gossip, *peers, { report.data_centre() }, report.incarnation(), report.sequence(), report.configuration_version(), report.is_stopping(), report.is_platform_lost(), report.is_reader(), report.registry_fingerprint(), now };
     }
     for (const wire::KnownNode& known : report.nodes()) {
         if (auto address = parseEndpoint(known.address()))
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -25,6 +25,9 @@
         /// The token by which this node holds the duties, or 0.
         std::function<DutyToken()> ownToken_;
         std::function<void(const VmId&, DutyToken)> onHolder_;
+        /// Whether this node reads from the platform, and whether that fails.
+        std::function<bool()> isReader_;
+        std::function<bool()> isPlatformLost_;
     };
 
     struct Peer {
@@ -35,6 +38,9 @@
         std::uint64_t sequence_ = 0;
         std::uint64_t configurationVersion_ = 0;
         bool isStopping_ = false;
+        bool isPlatformLost_ = false;
+        bool isReader_ = false;
+        std::uint64_t registryFingerprint_ = 0;
         SteadyTime heardAt_ {};
     };
 
@@ -43,6 +49,8 @@
     Result<void> start();
     /// Peers heard within the silence bound.
     std::vector<std::pair<VmId, Peer>> live() const;
+    /// Peers heard within \p silence.
+    std::vector<std::pair<VmId, Peer>> heardWithin(milliseconds silence) const;
     /// A node announced elsewhere; it is told of this node from now on.
     void addKnown(const VmId& vm, const Endpoint& gossip);
     /// Tells peers that a backend server is leaving, for some seconds.
@@ -53,7 +61,7 @@
 private:
     asio::awaitable<void> tell();
     asio::awaitable<void> hear();
-    std::string compose();
+    std::string compose(bool isReader);
     void take(const wire::NodeReport& report, SteadyTime now);
     void takeUsage(const wire::NodeReport& report);
     std::vector<Endpoint> targets();
--- /dev/null
+++ b/lib/Gateway/Readers.h
@@ -0,0 +1,31 @@
+//===- lib/Gateway/Readers.h - which nodes read from the platform ----------===//
+///
+/// \file
+/// Reads are priced and bounded, so few nodes read and the others learn from
+/// them. Every node decides alone, from what it hears of its peers. Pure.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Support.h"
+
+namespace pistachioloom {
+
+/// What a peer says of its part in reading.
+struct ReaderView {
+    VmId vm_;
+    DataCentreId dataCentre_;
+    bool isStopping_ = false;
+    /// Its last read failed.
+    bool isPlatformLost_ = false;
+    bool isReader_ = false;
+};
+
+/// Whether \p self reads: as the first of its data centre, or one of the first
+/// \p readers of all, among nodes that the platform serves.
+bool shouldRead(const VmId& self, const DataCentreId& dataCentre, const std::vector<ReaderView>& peers, std::uint64_t readers);
+
+/// Whether the platform serves none of the readers that are heard. One that is
+/// turned away alone says nothing of registrations.
+bool haveAllReadersLost(const std::vector<ReaderView>& peers);
+
+} // namespace pistachioloom
