Give a backend server all the time left when there is no other to try

Ruled out: the backend server, which answered others meanwhile. A test over processes fails before (502) and passes after (200).

--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -80,6 +80,7 @@
     asio::awaitable<SendEnd> relayEvents(Attempt& attempt, Parser& parser);
     asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, Parser& parser);
     bool mayTryAgain(SendEnd end);
+    bool mayGoElsewhere(const Attempt& attempt) const;
     void finishAttempt(Attempt& attempt, SendEnd end);
     void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took) const;
     void logRefusal(const HeldAnswer& answer) const;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -103,6 +103,13 @@
     });
 }
 
+/// Whether silence is worth ending: with nowhere else to go, the backend server
+/// has all the time that is left.
+bool Forwarding::mayGoElsewhere(const Attempt& attempt) const
+{
+    return route_->mayRepeat() && sends_ < route_->mostAttempts_ && attempt.choice_.candidates_ > 1;
+}
+
 asio::awaitable<SendEnd> Forwarding::send(Attempt& attempt)
 {
     SendEnd connected = co_await connect(attempt);
@@ -112,7 +119,7 @@
     }
     ++sends_;
     context_.metrics_.add(Counter::Attempts);
-    if (route_->mayRepeat()) {
+    if (mayGoElsewhere(attempt)) {
         auto patience = std::chrono::duration_cast<milliseconds>(timeLeft() * context_.settings_.patienceShare_);
         if (route_->isStream_)
             patience = std::min(patience, std::max(3 * route_->objective_, attempt.choice_.estimate_ * 2));
@@ -279,7 +286,7 @@
         if (events.empty())
             continue;
         noteBegun(attempt);
-        if (route_->mayRepeat()) {
+        if (mayGoElsewhere(attempt)) {
             patienceUntil_ = steadyNow() + context_.settings_.streamSilence_;
             // The timer looks again when it fires; it is set only if it would
             // fire too late.
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -167,6 +167,16 @@
     CHECK(deployment.call(gateway, gatewayRequest("POST", "/once/x", "once-3")).status_ == 502);
 }
 
+TEST_CASE("a slow backend server has all the time left when there is no other to try", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    setAll(deployment, { { "delay_ms", 1200 } });
+    // Of 2,000 ms: the first try is given up, the second is the last one.
+    CHECK(deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "slow")).status_ == 200);
+    CHECK(runsOf(deployment, "slow") == 2);
+}
+
 TEST_CASE("a resumable stream goes on elsewhere without a gap, any other is cut", "[gateway]")
 {
     GatewayDeployment deployment(1);
