--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -205,7 +205,7 @@
     if (auto refused = admit()) {
         logRefusal(*refused);
         bool isTaken = co_await deliver(std::move(*refused));
-        co_return isTaken && keepsConnection_;
+        co_return isTaken&& keepsConnection_;
     }
     context_.retries_.countRequest(shape_.service_, steadyNow());
     patienceUntil_ = SteadyTime::max();
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -138,8 +138,10 @@
         acceptor.listen(asio::socket_base::max_listen_connections, code);
     if (code)
         return Error { Errc::Unavailable, "listen for callers", endpoint.toString(), code.message(), Ran::No, {} };
-    asio::co_spawn(state_->io_, [state = state_] { return state->acceptAll(); }, asio::detached);
-    asio::co_spawn(state_->io_, [state = state_] { return state->sweep(); }, asio::detached);
+    asio::co_spawn(
+        state_->io_, [state = state_] { return state->acceptAll(); }, asio::detached);
+    asio::co_spawn(
+        state_->io_, [state = state_] { return state->sweep(); }, asio::detached);
     return acceptor.local_endpoint().port();
 }
 
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -273,7 +273,8 @@
         return waitUntil([&] {
             std::ifstream log(deployment.logFile(gateway));
             return std::string(std::istreambuf_iterator<char>(log), {}).find(text) != std::string::npos;
-        }, patience);
+        },
+            patience);
     };
     CHECK(logHas("Settings were read again"));
     std::ofstream(deployment.settingsFile(gateway), std::ios::app) << "unknown_key: 1\n";
--- a/tools/pistachioloomd/main.cpp
+++ b/tools/pistachioloomd/main.cpp
@@ -3,9 +3,9 @@
 /// \file
 /// Parses options and settings, and runs a node until it has drained.
 //===----------------------------------------------------------------------===//
-#include "platform/Platform.h"
 #include "pistachioloom/Gateway.h"
 #include "pistachioloom/Node.h"
+#include "platform/Platform.h"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
