--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -126,6 +126,7 @@
     /// Nodes to contact first; only their hosts count, all use one gossip port.
     std::vector<Endpoint> seeds_;
     Endpoint store_;
+    /// Where duties are done; port 0 if this deployment has none.
     Endpoint duties_;
     std::string peerCredential_;
     /// Time between the request to stop and the forced end.
@@ -137,7 +138,8 @@
     milliseconds usageDelay_ { 5000 };
     milliseconds dutyLease_ { 3000 };
     double retryRatio_ = 0.2;
-    std::uint64_t retryExtra_ = 0;
+    /// Repeats of all nodes in a window, beside the ratio.
+    double retryExtra_ = 0;
     milliseconds retryWindow_ { 10000 };
     GossipSettings gossiping_;
     FeedSettings feed_;
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -51,6 +51,10 @@
 void DutyRunner::start(const PeerReports& reports)
 {
     reports_ = &reports;
+    if (!context_.settings_.duties_.port_) {
+        logger_.info("This deployment has no duties.");
+        return;
+    }
     asio::co_spawn(io_, run(), asio::detached);
 }
 
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -16,7 +16,7 @@
 {
     RetrySettings retries;
     retries.ratio_ = settings.retryRatio_;
-    retries.extra_ = static_cast<double>(settings.retryExtra_);
+    retries.extra_ = settings.retryExtra_;
     retries.window_ = settings.retryWindow_;
     retries.nodes_ = std::max<std::uint64_t>(1, settings.gossiping_.fanout_);
     return retries;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -79,7 +79,7 @@
     void parseRetries(YamlMap map, GatewaySettings& settings)
     {
         settings.retryRatio_ = map.number("ratio", 0, 10, settings.retryRatio_);
-        settings.retryExtra_ = map.integer("extra", 0, 1000000, settings.retryExtra_);
+        settings.retryExtra_ = map.number("extra", 0, 1000000, settings.retryExtra_);
         settings.retryWindow_ = map.duration("window", milliseconds(100), oneDay, settings.retryWindow_);
         map.finish();
     }
--- a/test/Harness/GatewayDeployment.cpp
+++ b/test/Platform/GatewayDeployment.cpp
@@ -1,4 +1,4 @@
-//===- test/Harness/GatewayDeployment.cpp - gateways before a stand-in -----===//
+//===- test/Platform/GatewayDeployment.cpp - gateways before a stand-in ----===//
 ///
 /// \file
 /// See GatewayDeployment.h. Each gateway has a loopback address of its own, so
--- a/test/Harness/GatewayDeployment.h
+++ b/test/Platform/GatewayDeployment.h
@@ -1,11 +1,11 @@
-//===- test/Harness/GatewayDeployment.h - gateways before a stand-in -------===//
+//===- test/Platform/GatewayDeployment.h - gateways before a stand-in ------===//
 ///
 /// \file
 /// Starts gateways as processes before one stand-in of the users' platform.
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "Process.h"
+#include "Harness/Process.h"
 #include "pistachioloom/Http.h"
 
 #include <memory>
--- a/test/GatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -1,10 +1,10 @@
-//===- test/GatewayTest.cpp - transparent requests over real processes -----===//
+//===- test/PlatformGatewayTest.cpp - transparent requests, whole processes ===//
 ///
 /// \file
 /// Gateways before a stand-in of the users' platform: what reaches backend
 /// servers, what callers get, and what failures may not change.
 //===----------------------------------------------------------------------===//
-#include "Harness/GatewayDeployment.h"
+#include "Platform/GatewayDeployment.h"
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
