--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -53,6 +53,12 @@
     bool isForEngine_ = false;
 };
 
+/// A backend server's id, hashed to 32 bits for messages. Of 2,100 servers two
+/// share one with a chance of 0.05%, and then count each other's load.
+using BackendKey = std::uint32_t;
+
+BackendKey keyOf(const BackendId& id);
+
 /// Work that some node has under way at one backend server.
 struct BackendLoad {
     std::uint32_t running_ = 0;
@@ -139,10 +145,11 @@
     void end(const BackendId& id, TokenCount uncached, bool hasBegun, BackendOutcome outcome, SteadyTime now);
 
     /// What this node has under way, for its peers.
-    std::map<BackendId, BackendLoad> ownLoads() const;
-    void setPeerLoads(const VmId& peer, std::map<BackendId, BackendLoad> loads, SteadyTime now);
+    std::map<BackendKey, BackendLoad> ownLoads() const;
+    void setPeerLoads(const VmId& peer, std::map<BackendKey, BackendLoad> loads, SteadyTime now);
+    /// Forgets \p peer, whose loads come through another one from now on.
+    void forgetPeer(const VmId& peer);
 
-    /// Slots taken and slots there at a service, over all nodes as far as known.
     /// What this node has sent to the engines of one service, and learnt of them.
     struct ServiceView {
         /// Prompt tokens since the start, without those cached.
@@ -153,6 +160,7 @@
     };
     std::map<ServiceName, ServiceView> services() const;
 
+    /// Slots taken and slots there at a service, over all nodes as far as known.
     struct Occupancy {
         std::uint64_t running_ = 0;
         std::uint64_t slots_ = 0;
@@ -164,6 +172,7 @@
 private:
     struct Backend {
         BackendRecord record_;
+        BackendKey key_ = 0;
         BackendLoad own_;
         BackendLoad peers_;
         unsigned failures_ = 0;
@@ -177,7 +186,7 @@
     };
     struct PeerLoads {
         SteadyTime at_ {};
-        std::map<BackendId, BackendLoad> loads_;
+        std::map<BackendKey, BackendLoad> loads_;
     };
 
     bool isUsable(const Backend& backend, SteadyTime now) const;
--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -82,10 +82,14 @@
     void count(const OrganisationId& organisation, std::int64_t wallMs);
     /// This node's newest windows, for its peers.
     std::map<WindowNumber, UsageCounts> recent() const;
-    /// A peer's counts; each replaces the one before.
+    /// A peer's counts. They only grow, so the higher of two stays.
     void setPeer(const VmId& vm, std::uint64_t incarnation, const std::map<WindowNumber, UsageCounts>& windows);
+    /// Forgets all counts of \p vm, which come through another source from now on.
+    void forgetPeer(const VmId& vm);
     /// The sum over all nodes, also those that are gone.
     UsageCounts sum(WindowNumber window) const;
+    /// All windows, summed over all nodes but one start of one peer.
+    std::map<WindowNumber, UsageCounts> sumsWithout(const VmId& vm, std::uint64_t incarnation) const;
     WindowNumber windowAt(std::int64_t wallMs) const;
     /// Forgets windows before \p oldest.
     void forget(WindowNumber oldest);
@@ -156,6 +160,8 @@
     /// What an engine reads in a millisecond: the mean over nodes, weighted by
     /// what each has seen.
     double prefillPerMs(const ServiceName& service, double fallback) const;
+    /// Forgets \p vm, which is told of through another source from now on.
+    void forgetSource(const VmId& vm);
     /// Takes a reading; call it at regular times.
     void sample(SteadyTime now);
     /// The highest rate of the memory, in tokens a second; nullopt until a whole
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -66,8 +66,12 @@
 struct GossipSettings {
     /// How often a node tells its state to the others.
     milliseconds period_ { 200 };
-    /// Nodes told in one period; in larger fleets they take turns.
-    std::uint64_t fanout_ = 12;
+    /// Peers up to which every node tells every other one: 24 of them are 120
+    /// datagrams a second. Relays sum the reports of larger fleets.
+    std::uint64_t fanout_ = 24;
+    /// Nodes of each data centre that sum its reports in a large fleet: one more
+    /// than needed, so that nothing is missed when one goes.
+    std::uint64_t relays_ = 2;
     /// Silence after which a node counts as not alive.
     milliseconds silence_ { 1500 };
     /// Silence after which it is forgotten.
@@ -118,6 +122,8 @@
     VmId vm_;
     DataCentreId dataCentre_;
     std::uint64_t threads_ = 1;
+    /// Processor cores of this VM. Where nodes differ, those with most are relays.
+    double cores_ = 1;
     Endpoint callers_;
     Endpoint readiness_;
     Endpoint peers_;
--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -52,8 +52,11 @@
     AdmittedCounts admitted() const;
     /// Levels of the buckets, for a node that has just started.
     std::map<OrganisationId, double> levels() const;
-    /// A peer's counts; \p incarnation changes with its restart.
-    void setPeer(const VmId& peer, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now);
+    /// A peer's counts; \p incarnation changes with its restart. The peer may
+    /// stand for several \p nodes, whose sum it tells.
+    void setPeer(const VmId& peer, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes = 1);
+    /// Forgets \p peer, whose counts come through another one from now on.
+    void forgetPeer(const VmId& peer);
 
 private:
     struct Bucket {
@@ -65,6 +68,7 @@
         std::uint64_t incarnation_ = 0;
         SteadyTime heardAt_ {};
         AdmittedCounts counts_;
+        std::uint64_t nodes_ = 1;
         /// Until when its share is already charged, while it is silent.
         SteadyTime chargedUntil_ {};
     };
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -41,6 +41,11 @@
     return "unknown";
 }
 
+BackendKey keyOf(const BackendId& id)
+{
+    return static_cast<BackendKey>(stableHash(id.value_));
+}
+
 BackendBook::BackendBook(DataCentreId own, ChoiceSettings settings)
     : ownDataCentre_(std::move(own))
     , settings_(settings)
@@ -54,6 +59,7 @@
     // A leaving backend server never takes new work again under the same id.
     bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_;
     backend.record_ = record;
+    backend.key_ = keyOf(record.id_);
     backend.record_.isLeaving_ = isLeaving;
 }
 
@@ -200,37 +206,41 @@
     }
 }
 
-std::map<BackendId, BackendLoad> BackendBook::ownLoads() const
+std::map<BackendKey, BackendLoad> BackendBook::ownLoads() const
 {
     std::lock_guard lock(mutex_);
-    std::map<BackendId, BackendLoad> loads;
+    std::map<BackendKey, BackendLoad> loads;
     for (const auto& [id, backend] : backends_) {
         if (backend.own_.running_)
-            loads[id] = backend.own_;
+            loads[backend.key_] = backend.own_;
     }
     return loads;
 }
 
-void BackendBook::setPeerLoads(const VmId& peer, std::map<BackendId, BackendLoad> loads, SteadyTime now)
+void BackendBook::setPeerLoads(const VmId& peer, std::map<BackendKey, BackendLoad> loads, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
     peers_[peer] = { now, std::move(loads) };
     sumPeerLoads(now);
 }
 
+void BackendBook::forgetPeer(const VmId& peer)
+{
+    std::lock_guard lock(mutex_);
+    peers_.erase(peer);
+}
+
 void BackendBook::sumPeerLoads(SteadyTime now)
 {
-    for (auto& [id, backend] : backends_)
+    std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.at_ > settings_.peerLoadValidity_; });
+    for (auto& [id, backend] : backends_) {
         backend.peers_ = {};
-    for (const auto& [peer, told] : peers_) {
-        if (now - told.at_ > settings_.peerLoadValidity_)
-            continue;
-        for (const auto& [id, load] : told.loads_) {
-            auto found = backends_.find(id);
-            if (found == backends_.end())
+        for (const auto& [peer, told] : peers_) {
+            auto found = told.loads_.find(backend.key_);
+            if (found == told.loads_.end())
                 continue;
-            found->second.peers_.running_ += load.running_;
-            found->second.peers_.queuedTokens_ += load.queuedTokens_;
+            backend.peers_.running_ += found->second.running_;
+            backend.peers_.queuedTokens_ += found->second.queuedTokens_;
         }
     }
 }
--- a/lib/Duties/Demand.cpp
+++ b/lib/Duties/Demand.cpp
@@ -24,6 +24,12 @@
     source = { incarnation, told };
 }
 
+void DemandBook::forgetSource(const VmId& vm)
+{
+    std::lock_guard lock(mutex_);
+    std::erase_if(sources_, [&](const auto& entry) { return entry.first.second == vm; });
+}
+
 double DemandBook::prefillPerMs(const ServiceName& service, double fallback) const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Duties/Usage.cpp
+++ b/lib/Duties/Usage.cpp
@@ -15,6 +15,15 @@
 // A clock that was not heard of for so long has no say.
 static constexpr milliseconds clockValidity { 5000 };
 static const VmId ownSource {};
+// Windows kept of each source, two minutes of 5 s each; a report is due within
+// four, and without a bound a node that never reports would keep them for good.
+static constexpr std::size_t windowsKept = 24;
+
+static void dropOldWindows(std::map<WindowNumber, UsageCounts>& windows)
+{
+    while (windows.size() > windowsKept)
+        windows.erase(windows.begin());
+}
 
 UsageBook::UsageBook(milliseconds window)
     : window_(window)
@@ -29,7 +38,9 @@
 void UsageBook::count(const OrganisationId& organisation, std::int64_t wallMs)
 {
     std::lock_guard lock(mutex_);
-    ++sources_[{ ownSource, 0 }][windowAt(wallMs)][organisation];
+    auto& own = sources_[{ ownSource, 0 }];
+    ++own[windowAt(wallMs)][organisation];
+    dropOldWindows(own);
 }
 
 std::map<WindowNumber, UsageCounts> UsageBook::recent() const
@@ -48,8 +59,19 @@
 {
     std::lock_guard lock(mutex_);
     auto& known = sources_[{ vm, incarnation }];
-    for (const auto& [window, counts] : windows)
-        known[window] = counts;
+    for (const auto& [window, counts] : windows) {
+        for (const auto& [organisation, count] : counts) {
+            std::uint64_t& before = known[window][organisation];
+            before = std::max(before, count);
+        }
+    }
+    dropOldWindows(known);
+}
+
+void UsageBook::forgetPeer(const VmId& vm)
+{
+    std::lock_guard lock(mutex_);
+    std::erase_if(sources_, [&](const auto& entry) { return entry.first.first == vm; });
 }
 
 UsageCounts UsageBook::sum(WindowNumber window) const
@@ -66,6 +88,21 @@
     return sum;
 }
 
+std::map<WindowNumber, UsageCounts> UsageBook::sumsWithout(const VmId& vm, std::uint64_t incarnation) const
+{
+    std::lock_guard lock(mutex_);
+    std::map<WindowNumber, UsageCounts> sums;
+    for (const auto& [source, windows] : sources_) {
+        if (source == Source { vm, incarnation })
+            continue;
+        for (const auto& [window, counts] : windows) {
+            for (const auto& [organisation, count] : counts)
+                sums[window][organisation] += count;
+        }
+    }
+    return sums;
+}
+
 void UsageBook::forget(WindowNumber oldest)
 {
     std::lock_guard lock(mutex_);
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -192,11 +192,11 @@
     return steadyNow() - registryReadAt_.load() > context_.settings_.feed_.askPeersAfter_;
 }
 
-std::optional<std::pair<VmId, PeerReports::Peer>> Feed::differingReader() const
+std::optional<KnownPeer> Feed::differingReader() const
 {
-    std::optional<std::pair<VmId, PeerReports::Peer>> chosen;
+    std::optional<KnownPeer> chosen;
     for (const auto& entry : reports_.heardWithin(context_.settings_.feed_.readerSilence_)) {
-        const PeerReports::Peer& peer = entry.second;
+        const Peer& peer = entry.second;
         if (!peer.isReader_ || peer.isPlatformLost_)
             continue;
         // The near one, or any if there is none.
@@ -208,7 +208,7 @@
     return chosen;
 }
 
-std::optional<std::pair<VmId, PeerReports::Peer>> Feed::peerToAsk() const
+std::optional<KnownPeer> Feed::peerToAsk() const
 {
     bool needsRegistry = isRegistryOld() || !isReader();
     if (needsRegistry) {
@@ -235,7 +235,7 @@
     }
 }
 
-asio::awaitable<void> Feed::askPeer(VmId vm, PeerReports::Peer peer)
+asio::awaitable<void> Feed::askPeer(VmId vm, Peer peer)
 {
     auto table = context_.table();
     wire::Frame request;
--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -27,7 +27,7 @@
     asio::awaitable<void> followConfiguration();
     asio::awaitable<void> followRegistry();
     asio::awaitable<void> askPeers();
-    asio::awaitable<void> askPeer(VmId vm, PeerReports::Peer peer);
+    asio::awaitable<void> askPeer(VmId vm, Peer peer);
     void logReachable(const std::string& what, const Error* error) const;
     void apply(const RegistryRead& read);
     void applyChange(const RegistryChange& change);
@@ -37,8 +37,8 @@
     bool isRegistryOld() const;
     std::vector<ReaderView> readerViews() const;
     /// A reader whose list of backend servers differs from this node's.
-    std::optional<std::pair<VmId, PeerReports::Peer>> differingReader() const;
-    std::optional<std::pair<VmId, PeerReports::Peer>> peerToAsk() const;
+    std::optional<KnownPeer> differingReader() const;
+    std::optional<KnownPeer> peerToAsk() const;
     asio::awaitable<void> waitForTurn(std::string reading, std::optional<LogOffset>& from);
 
     asio::io_context& io_;
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -18,7 +18,7 @@
     retries.ratio_ = settings.retryRatio_;
     retries.extra_ = settings.retryExtra_;
     retries.window_ = settings.retryWindow_;
-    retries.nodes_ = std::max<std::uint64_t>(1, settings.gossiping_.fanout_);
+    retries.nodes_ = leastNodesAssumed;
     return retries;
 }
 
--- a/lib/Gateway/GatewayContext.h
+++ b/lib/Gateway/GatewayContext.h
@@ -10,6 +10,10 @@
 
 namespace pistachioloom {
 
+/// Nodes that share the extra repeats at least: one that has just started knows
+/// few of the others.
+constexpr std::uint64_t leastNodesAssumed = 12;
+
 class GatewayContext {
 public:
     GatewayContext(GatewaySettings settings, GatewayPlatform platform);
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -51,6 +51,7 @@
     {
         settings.period_ = map.duration("period", milliseconds(20), oneMinute, settings.period_);
         settings.fanout_ = map.integer("fanout", 1, 1000, settings.fanout_);
+        settings.relays_ = map.integer("relays", 1, 16, settings.relays_);
         settings.silence_ = map.duration("silence", milliseconds(50), oneMinute, settings.silence_);
         settings.forget_ = map.duration("forget", milliseconds(1000), oneDay, settings.forget_);
         map.finish();
@@ -115,6 +116,7 @@
     {
         settings.vm_ = { map.text("vm") };
         settings.dataCentre_ = { map.text("data_centre") };
+        settings.cores_ = map.number("cores", 0.001, 1000, settings.cores_);
         settings.threads_ = map.integer("threads", 1, mostThreads, settings.threads_);
         settings.peerCredential_ = map.text("peer_credential");
         settings.store_ = endpoint(map, "store");
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -1,11 +1,10 @@
 //===- lib/Gateway/PeerReports.cpp - what nodes tell each other ------------===//
 ///
 /// \file
-/// See PeerReports.h.
+/// Sends and takes the datagrams; ReportMessages.cpp composes them.
 //===----------------------------------------------------------------------===//
 #include "PeerReports.h"
 
-#include "generated/Peer.pb.h"
 #include "pistachioloom/Settings.h"
 
 namespace pistachioloom {
@@ -14,11 +13,27 @@
 
 namespace {
 
-    constexpr std::size_t longestDatagram = 60UL * 1024;
-    // Peers hear of a leaving backend server for this long.
-    constexpr milliseconds leavingTold { 10000 };
-    // Other nodes named in one datagram.
-    constexpr std::size_t nodesNamed = 24;
+    // The largest datagram that UDP carries.
+    constexpr std::size_t longestDatagram = 64UL * 1024;
+    // Other nodes that a node of a large fleet introduces itself to in a period.
+    // It is heard by each of 370 within 25 s, and what presses comes by digests.
+    constexpr std::size_t introductions = 3;
+    // Nodes never heard before that are told of this one in a period: 60 nodes
+    // that start at once know each other after a second.
+    constexpr std::size_t firstIntroductions = 12;
+
+    /// The peer that stands for all others in the books of a large fleet.
+    const VmId& allOthers()
+    {
+        static const VmId vm { "(all others)" };
+        return vm;
+    }
+
+    Endpoint endpointOr(const std::string& text, const Endpoint& fallback)
+    {
+        auto parsed = parseEndpoint(text);
+        return parsed ? *parsed : fallback;
+    }
 
 } // namespace
 
@@ -26,6 +41,8 @@
     : context_(context)
     , hooks_(std::move(hooks))
     , socket_(io)
+    , table_(context.settings_.vm_, context.settings_.dataCentre_, context.settings_.cores_, context.settings_.gossiping_)
+    , relayBook_(context.settings_.usageWindow_)
 {
 }
 
@@ -45,156 +62,142 @@
     return boost::outcome_v2::success();
 }
 
-std::vector<std::pair<VmId, PeerReports::Peer>> PeerReports::live() const
+std::vector<KnownPeer> PeerReports::live() const
 {
     return heardWithin(context_.settings_.gossiping_.silence_);
 }
 
-std::vector<std::pair<VmId, PeerReports::Peer>> PeerReports::heardWithin(milliseconds silence) const
-{
-    std::lock_guard lock(mutex_);
-    std::vector<std::pair<VmId, Peer>> live;
-    SteadyTime now = steadyNow();
-    for (const auto& [vm, peer] : peers_) {
-        if (peer.heardAt_ != SteadyTime {} && now - peer.heardAt_ <= silence)
-            live.emplace_back(vm, peer);
-    }
-    return live;
-}
-
 void PeerReports::addKnown(const VmId& vm, const Endpoint& gossip)
 {
-    if (vm == context_.settings_.vm_ || gossip == context_.settings_.gossip_)
-        return;
-    std::lock_guard lock(mutex_);
-    auto [found, isNew] = peers_.try_emplace(vm);
-    // What a node says of itself goes before what others say of it.
-    if (isNew || found->second.heardAt_ == SteadyTime {})
-        found->second.gossip_ = gossip;
+    if (gossip != context_.settings_.gossip_)
+        table_.addKnown(vm, gossip);
 }
 
 void PeerReports::noteLeaving(const BackendId& id)
 {
-    std::lock_guard lock(mutex_);
+    std::lock_guard lock(leavingMutex_);
     leaving_.emplace_back(steadyNow(), id);
 }
 
-std::size_t PeerReports::rankFor(const std::string& key) const
+void PeerReports::send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers)
 {
-    std::vector<VmId> candidates { context_.settings_.vm_ };
-    for (const auto& [vm, peer] : live()) {
-        if (!peer.isStopping_)
-            candidates.push_back(vm);
+    std::string bytes = datagram.SerializeAsString();
+    for (const Endpoint& receiver : receivers) {
+        boost::system::error_code code;
+        udp::endpoint address(asio::ip::make_address(receiver.host_, code), receiver.port_);
+        // A full socket or a missing route loses this one; the next replaces it.
+        if (!code)
+            socket_.send_to(asio::buffer(bytes), address, 0, code);
+        context_.metrics_.add(code ? Counter::PeerErrors : Counter::GossipMessages);
     }
-    std::vector<VmId> ranked = rankByRendezvous(key, candidates);
-    return static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), context_.settings_.vm_) - ranked.begin());
 }
 
-std::vector<Endpoint> PeerReports::targets()
+asio::awaitable<void> PeerReports::tell()
 {
-    std::vector<Endpoint> all;
-    std::set<std::string> hosts;
-    for (const auto& [vm, peer] : peers_) {
-        all.push_back(peer.gossip_);
-        hosts.insert(peer.gossip_.host_);
-    }
-    for (const Endpoint& seed : context_.settings_.seeds_) {
-        Endpoint gossip { seed.host_, context_.settings_.gossip_.port_ };
-        if (seed.host_ != context_.settings_.gossip_.host_ && !hosts.contains(seed.host_))
-            all.push_back(gossip);
+    for (;;) {
+        SteadyTime now = steadyNow();
+        forgetSilent(now);
+        // The extra repeats are shared by all nodes known, also those cut off.
+        std::uint64_t known = table_.size() + 1;
+        context_.retries_.setNodes(std::max(leastNodesAssumed, known));
+        bool isLarge = table_.isLarge();
+        if (isLarge != wasLarge_)
+            logger_.info(LogLine(isLarge ? "Fleet is large: relays sum the reports." : "Fleet is small: every node hears every other.").add("nodes", static_cast<std::int64_t>(known)));
+        if (!isLarge && wasLarge_)
+            forgetCounts(allOthers());
+        wasLarge_ = isLarge;
+        if (isLarge)
+            tellRelays(now);
+        else
+            tellAll();
+        co_await sleepFor(context_.settings_.gossiping_.period_);
     }
-    std::size_t fanout = context_.settings_.gossiping_.fanout_;
-    if (all.size() <= fanout)
-        return all;
-    std::vector<Endpoint> chosen;
-    for (std::size_t i = 0; i < fanout; ++i)
-        chosen.push_back(all[(turn_ + i) % all.size()]);
-    turn_ += fanout;
-    return chosen;
 }
 
-std::string PeerReports::compose(bool isReader)
+void PeerReports::tellAll()
 {
-    const GatewaySettings& settings = context_.settings_;
-    SteadyTime now = steadyNow();
-    wire::NodeReport report;
-    report.set_vm(settings.vm_.value_);
-    report.set_data_centre(settings.dataCentre_.value_);
-    report.set_incarnation(context_.incarnation_);
-    report.set_sequence(++sequence_);
-    report.set_address(settings.gossip_.toString());
-    report.set_peers_address(settings.peers_.toString());
-    auto table = context_.table();
-    report.set_configuration_version(table ? table->version() : 0);
-    report.set_wall_ms(ownWallMs());
-    report.set_duty_token(hooks_.ownToken_().value_);
-    report.set_is_stopping(context_.isStopping_);
-    report.set_is_platform_lost(hooks_.isPlatformLost_());
-    report.set_is_reader(isReader);
-    report.set_registry_fingerprint(context_.backends_.fingerprint());
-    for (const auto& [id, load] : context_.backends_.ownLoads()) {
-        wire::BackendLoadReport& told = *report.add_loads();
-        told.set_backend(id.value_);
-        told.set_running(load.running_);
-        told.set_queued_tokens(load.queuedTokens_);
-    }
-    auto levels = context_.quotas_.levels();
-    for (const auto& [organisation, admitted] : context_.quotas_.admitted()) {
-        wire::QuotaReport& told = *report.add_quotas();
-        told.set_organisation(organisation.value_);
-        told.set_admitted(admitted);
-        told.set_level(levels[organisation]);
-    }
-    for (const auto& [window, counts] : context_.usage_.recent()) {
-        wire::UsageWindow& told = *report.add_usage();
-        told.set_number(window.value_);
-        for (const auto& [organisation, count] : counts)
-            (*told.mutable_counts())[organisation.value_] = count;
-    }
-    for (const auto& [service, view] : context_.backends_.services()) {
-        wire::DemandReport& told = *report.add_demand();
-        told.set_service(service.value_);
-        told.set_prompt_tokens(view.tokensSent_);
-        told.set_prefill_per_ms(view.prefillPerMs_);
-        told.set_observations(view.observations_);
+    wire::Datagram datagram;
+    composeIntroduction(*datagram.mutable_report());
+    composeState(*datagram.mutable_report());
+    send(datagram, addressesKnown());
+}
+
+void PeerReports::tellRelays(SteadyTime now)
+{
+    introduce();
+    wire::Datagram datagram;
+    wire::NodeReport& report = *datagram.mutable_report();
+    composeIntroduction(report);
+    composeState(report);
+    report.set_wants_digest(true);
+    std::vector<Endpoint> relays;
+    bool isRelay = false;
+    for (const VmId& vm : table_.chooseRelays(now)) {
+        auto address = table_.gossipOf(vm);
+        if (vm == context_.settings_.vm_) {
+            isRelay = true;
+            relayBook_.takeReport(report, now);
+        } else if (address)
+            relays.push_back(*address);
     }
-    while (!leaving_.empty() && now - leaving_.front().first > leavingTold)
-        leaving_.pop_front();
-    for (const auto& [at, id] : leaving_)
-        report.add_leaving(id.value_);
-    std::size_t named = 0;
-    for (const auto& [vm, peer] : peers_) {
-        if (now - peer.heardAt_ > settings.gossiping_.silence_ || ++named > nodesNamed)
-            continue;
-        wire::KnownNode& known = *report.add_nodes();
-        known.set_vm(vm.value_);
-        known.set_address(peer.gossip_.toString());
+    send(datagram, relays);
+    tellSums(isRelay, now);
+}
+
+void PeerReports::introduce()
+{
+    wire::Datagram datagram;
+    composeIntroduction(*datagram.mutable_report());
+    datagram.mutable_report()->set_is_brief(true);
+    std::vector<Endpoint> receivers;
+    for (const auto& [vm, peer] : table_.all()) {
+        if (peer.heardAt_ == SteadyTime {} && receivers.size() < firstIntroductions)
+            receivers.push_back(peer.gossip_);
     }
-    return report.SerializeAsString();
+    std::vector<Endpoint> all = addressesKnown();
+    for (std::size_t i = 0; i < std::min(introductions, all.size()); ++i)
+        receivers.push_back(all[introduceTurn_++ % all.size()]);
+    send(datagram, receivers);
 }
 
-asio::awaitable<void> PeerReports::tell()
+/// Tells each node that reports here what all others told, and the relays of
+/// other data centres what this one's nodes told.
+void PeerReports::tellSums(bool isRelay, SteadyTime now)
 {
-    for (;;) {
-        std::string datagram;
-        std::vector<Endpoint> receivers;
-        // Asked before the lock is taken: the answer needs the list of peers.
-        bool isReader = hooks_.isReader_();
-        {
-            std::lock_guard lock(mutex_);
-            forgetSilent(steadyNow());
-            datagram = compose(isReader);
-            receivers = targets();
+    std::vector<VmId> receivers = relayBook_.receivers(now);
+    if (receivers.empty())
+        return;
+    wire::Datagram datagram;
+    wire::RelayReport& report = *datagram.mutable_relayed();
+    report.set_vm(context_.settings_.vm_.value_);
+    report.set_data_centre(context_.settings_.dataCentre_.value_);
+    report.set_incarnation(context_.incarnation_);
+    report.set_is_digest(true);
+    composeMembers(report, membersToName(now), now);
+    ReportTotals totals = relayBook_.totals(now);
+    for (const VmId& vm : receivers) {
+        *report.mutable_sums() = relayBook_.digestFor(vm, totals, now);
+        if (vm == context_.settings_.vm_)
+            takeDigest(vm, context_.incarnation_, report.sums(), now);
+        else if (auto address = table_.gossipOf(vm)) {
+            std::vector<Endpoint> receiver { *address };
+            send(datagram, receiver);
         }
-        for (const Endpoint& receiver : receivers) {
-            boost::system::error_code code;
-            udp::endpoint address(asio::ip::make_address(receiver.host_, code), receiver.port_);
-            // A full socket or a missing route loses this one; the next replaces it.
-            if (!code)
-                socket_.send_to(asio::buffer(datagram), address, 0, code);
-            context_.metrics_.add(code ? Counter::PeerErrors : Counter::GossipMessages);
+    }
+    if (!isRelay)
+        return;
+    report.set_is_digest(false);
+    ++relayTurn_;
+    for (const DataCentreId& dataCentre : table_.otherDataCentres()) {
+        // Those that tell their sums are relays; without one, nodes are tried in turn.
+        std::vector<VmId> relays = relayBook_.relaysOf(dataCentre, now);
+        if (relays.empty())
+            relays = table_.likelyRelays(dataCentre, relayTurn_, now);
+        *report.mutable_sums() = relayBook_.summaryFor(dataCentre, now);
+        for (const VmId& vm : relays) {
+            if (auto address = table_.gossipOf(vm))
+                send(datagram, { *address });
         }
-        co_await sleepFor(context_.settings_.gossiping_.period_);
     }
 }
 
@@ -208,36 +211,43 @@
             co_return;
         if (code)
             continue;
-        wire::NodeReport report;
-        if (!report.ParseFromArray(buffer.data(), static_cast<int>(count)) || report.vm().empty()) {
+        wire::Datagram datagram;
+        bool isGood = datagram.ParseFromArray(buffer.data(), static_cast<int>(count));
+        if (isGood && datagram.has_report() && !datagram.report().vm().empty())
+            take(datagram.report(), steadyNow());
+        else if (isGood && datagram.has_relayed() && !datagram.relayed().vm().empty())
+            takeRelayed(datagram.relayed(), steadyNow());
+        else {
             context_.metrics_.add(Counter::PeerErrors);
             logger_.warn("Datagram from " + sender.address().to_string() + " is no report.");
-            continue;
         }
-        take(report, steadyNow());
     }
 }
 
+void PeerReports::forgetCounts(const VmId& vm)
+{
+    context_.backends_.forgetPeer(vm);
+    context_.quotas_.forgetPeer(vm);
+    context_.demand_.forgetSource(vm);
+    context_.usage_.forgetPeer(vm);
+}
+
 void PeerReports::forgetSilent(SteadyTime now)
 {
-    std::erase_if(peers_, [&](const auto& entry) {
-        const Peer& peer = entry.second;
-        bool isGone = peer.heardAt_ != SteadyTime {} && now - peer.heardAt_ > context_.settings_.gossiping_.forget_;
-        if (isGone)
-            logger_.info(LogLine("Peer is forgotten.").add("peer", entry.first.value_).add("silent_ms", context_.settings_.gossiping_.forget_.count()));
-        return isGone;
-    });
+    for (const VmId& vm : table_.forgetSilent(now)) {
+        forgetCounts(vm);
+        logger_.info(LogLine("Peer is forgotten.").add("peer", vm.value_).add("silent_ms", context_.settings_.gossiping_.forget_.count()));
+    }
 }
 
-void PeerReports::takeUsage(const wire::NodeReport& report)
+void PeerReports::takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from)
 {
-    std::map<WindowNumber, UsageCounts> windows;
-    for (const wire::UsageWindow& told : report.usage()) {
-        UsageCounts& counts = windows[{ told.number() }];
-        for (const auto& [organisation, count] : told.counts())
-            counts[{ organisation }] = count;
+    for (const std::string& id : leaving) {
+        if (!context_.backends_.setLeaving({ id }))
+            continue;
+        logger_.info(LogLine("Backend server is leaving.").add("backend", id).add("from", from.value_));
+        noteLeaving({ id });
     }
-    context_.usage_.setPeer({ report.vm() }, report.incarnation(), windows);
 }
 
 void PeerReports::take(const wire::NodeReport& report, SteadyTime now)
@@ -251,42 +261,92 @@
         logger_.warn("Report of " + vm.value_ + " has no address.");
         return;
     }
-    {
-        std::lock_guard lock(mutex_);
-        Peer& peer = peers_[vm];
-        bool isSame = peer.incarnation_ == report.incarnation();
-        if (isSame && report.sequence() <= peer.sequence_)
-            return;
-        bool wasSilent = now - peer.heardAt_ > context_.settings_.gossiping_.silence_;
-        if (!isSame || wasSilent)
-            logger_.info(LogLine(isSame ? "Peer is heard again." : "Peer is heard.").add("peer", vm.value_).add("address", report.address()).add("configuration", static_cast<std::int64_t>(report.configuration_version())));
-        peer = { *gossip, *peers, { report.data_centre() }, report.incarnation(), report.sequence(), report.configuration_version(), report.is_stopping(), report.is_platform_lost(), report.is_reader(), report.registry_fingerprint(), now };
-    }
+    Peer peer { *gossip, *peers, { report.data_centre() }, report.incarnation(), report.sequence(), report.configuration_version(), report.is_stopping(), report.is_platform_lost(), report.is_reader(), report.registry_fingerprint(), report.cores(), now };
+    PeerTable::Heard heard = table_.take(vm, std::move(peer));
+    if (heard == PeerTable::Heard::Old)
+        return;
+    if (heard != PeerTable::Heard::Again)
+        logger_.info(LogLine(heard == PeerTable::Heard::AfterSilence ? "Peer is heard again." : "Peer is heard.").add("peer", vm.value_).add("address", report.address()).add("configuration", static_cast<std::int64_t>(report.configuration_version())));
     for (const wire::KnownNode& known : report.nodes()) {
         if (auto address = parseEndpoint(known.address()))
             addKnown({ known.vm() }, *address);
     }
-    std::map<BackendId, BackendLoad> loads;
-    for (const wire::BackendLoadReport& told : report.loads())
-        loads[{ told.backend() }] = { told.running(), told.queued_tokens() };
-    context_.backends_.setPeerLoads(vm, std::move(loads), now);
+    context_.clocks_.setPeer(vm, report.wall_ms() - ownWallMs(), now);
+    takeLeaving(report.leaving(), vm);
+    if (report.duty_token())
+        hooks_.onHolder_(vm, { report.duty_token() });
+    if (report.wants_digest())
+        relayBook_.takeReport(report, now);
+    // In a large fleet the relays' sums hold what each node told.
+    if (!report.is_brief() && !wasLarge_)
+        takeState(report, now);
+}
+
+void PeerReports::takeState(const wire::NodeReport& report, SteadyTime now)
+{
+    VmId vm { report.vm() };
+    context_.backends_.setPeerLoads(vm, loadsOf(report.loads()), now);
     AdmittedCounts admitted;
     std::map<OrganisationId, double> levels;
     for (const wire::QuotaReport& told : report.quotas()) {
         admitted[{ told.organisation() }] = told.admitted();
         levels[{ told.organisation() }] = told.level();
     }
+    context_.quotas_.setPeer(vm, report.incarnation(), admitted, levels, now);
     for (const wire::DemandReport& told : report.demand())
         context_.demand_.setSource(vm, report.incarnation(), { told.service() }, { { told.prompt_tokens() }, told.prefill_per_ms(), told.observations() });
-    context_.quotas_.setPeer(vm, report.incarnation(), admitted, levels, now);
-    takeUsage(report);
-    context_.clocks_.setPeer(vm, report.wall_ms() - ownWallMs(), now);
-    for (const std::string& id : report.leaving()) {
-        if (context_.backends_.setLeaving({ id }))
-            logger_.info(LogLine("Backend server is leaving.").add("backend", id).add("from", vm.value_));
+    context_.usage_.setPeer(vm, report.incarnation(), usageOf(report.usage()));
+}
+
+void PeerReports::takeRelayed(const wire::RelayReport& report, SteadyTime now)
+{
+    VmId relay { report.vm() };
+    if (relay == context_.settings_.vm_)
+        return;
+    for (const wire::MemberEntry& member : report.members()) {
+        auto gossip = parseEndpoint(member.address());
+        if (!gossip)
+            continue;
+        Peer peer { *gossip, endpointOr(member.peers_address(), {}), { member.data_centre() }, member.incarnation(), 0, member.configuration_version(), member.is_stopping(), member.is_platform_lost(), member.is_reader(), member.registry_fingerprint(), member.cores(), now - milliseconds(member.age_ms()) };
+        table_.takeHearsay({ member.vm() }, peer);
+    }
+    if (report.is_digest()) {
+        table_.noteDigest(relay, now);
+        takeDigest(relay, report.incarnation(), report.sums(), now);
+    } else {
+        takeLeaving(report.sums().leaving(), relay);
+        relayBook_.takeSummary(report, now);
+    }
+}
+
+void PeerReports::takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now)
+{
+    takeLeaving(sums.leaving(), relay);
+    if (sums.duty_token() && VmId { sums.holder() } != context_.settings_.vm_)
+        hooks_.onHolder_({ sums.holder() }, { sums.duty_token() });
+    context_.usage_.setPeer(allOthers(), 0, usageOf(sums.usage()));
+    if (!wasLarge_ || !others_.take(relay, incarnation, sums, now))
+        return;
+    if (relay != countingRelay_ || sums.nodes() != nodesSummed_)
+        logger_.info(LogLine("Relay sums other nodes.").add("relay", relay.value_).add("before", countingRelay_.value_).add("nodes", static_cast<std::int64_t>(sums.nodes())).add("nodes_before", static_cast<std::int64_t>(nodesSummed_)));
+    countingRelay_ = relay;
+    nodesSummed_ = sums.nodes();
+    // What single nodes told before the fleet grew is in the sums now.
+    for (const auto& [vm, peer] : table_.all())
+        forgetCounts(vm);
+    context_.backends_.setPeerLoads(allOthers(), loadsOf(sums.loads()), now);
+    AdmittedCounts admitted;
+    for (const auto& [organisation, count] : others_.admitted())
+        admitted[{ organisation }] = count;
+    std::map<OrganisationId, double> levels;
+    for (const wire::QuotaReport& told : sums.quotas())
+        levels[{ told.organisation() }] = told.level();
+    context_.quotas_.setPeer(allOthers(), context_.incarnation_, admitted, levels, now, sums.nodes());
+    for (const wire::DemandReport& told : sums.demand()) {
+        auto tokens = others_.tokens().find(told.service());
+        auto sent = tokens == others_.tokens().end() ? 0 : static_cast<std::uint64_t>(std::max(0.0, tokens->second));
+        context_.demand_.setSource(allOthers(), context_.incarnation_, { told.service() }, { { sent }, told.prefill_per_ms(), told.observations() });
     }
-    if (report.duty_token())
-        hooks_.onHolder_(vm, { report.duty_token() });
 }
 
 } // namespace pistachioloom
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -2,20 +2,19 @@
 ///
 /// \file
 /// A datagram every fraction of a second tells a node's whole state; the next
-/// one replaces it, so a lost one costs nothing but time. Larger fleets take
-/// turns, so that a node sends a bounded number of datagrams.
+/// one replaces it, so a lost one costs nothing but time. In a small fleet every
+/// node tells every other one. In a large one it tells the relays of its data
+/// centre (RelayBook.h), and introduces itself to a few others in turn.
 //===----------------------------------------------------------------------===//
 #pragma once
 
 #include "GatewayContext.h"
+#include "PeerTable.h"
+#include "RelayBook.h"
 
 #include <boost/asio.hpp>
 #include <deque>
 
-namespace pistachioloom::wire {
-class NodeReport;
-}
-
 namespace pistachioloom {
 
 class PeerReports {
@@ -30,51 +29,63 @@
         std::function<bool()> isPlatformLost_;
     };
 
-    struct Peer {
-        Endpoint gossip_;
-        Endpoint peers_;
-        DataCentreId dataCentre_;
-        std::uint64_t incarnation_ = 0;
-        std::uint64_t sequence_ = 0;
-        std::uint64_t configurationVersion_ = 0;
-        bool isStopping_ = false;
-        bool isPlatformLost_ = false;
-        bool isReader_ = false;
-        std::uint64_t registryFingerprint_ = 0;
-        SteadyTime heardAt_ {};
-    };
-
     PeerReports(asio::io_context& io, GatewayContext& context, Hooks hooks);
 
     Result<void> start();
     /// Peers heard within the silence bound.
-    std::vector<std::pair<VmId, Peer>> live() const;
+    std::vector<KnownPeer> live() const;
     /// Peers heard within \p silence.
-    std::vector<std::pair<VmId, Peer>> heardWithin(milliseconds silence) const;
+    std::vector<KnownPeer> heardWithin(milliseconds silence) const { return table_.heardWithin(silence, steadyNow()); }
     /// A node announced elsewhere; it is told of this node from now on.
     void addKnown(const VmId& vm, const Endpoint& gossip);
     /// Tells peers that a backend server is leaving, for some seconds.
     void noteLeaving(const BackendId& id);
     /// This node's place among live nodes in the order for \p key.
-    std::size_t rankFor(const std::string& key) const;
+    std::size_t rankFor(const std::string& key) const { return table_.rankFor(key, steadyNow()); }
 
 private:
     asio::awaitable<void> tell();
     asio::awaitable<void> hear();
-    std::string compose(bool isReader);
+    void tellAll();
+    void tellRelays(SteadyTime now);
+    void tellSums(bool isRelay, SteadyTime now);
+    void introduce();
+    void send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
+
+    void composeIntroduction(wire::NodeReport& report);
+    void composeState(wire::NodeReport& report);
+    void composeMembers(wire::RelayReport& report, const std::vector<KnownPeer>& members, SteadyTime now);
+    /// Nodes to name in a digest: all that read, and others of this data centre
+    /// in turn.
+    std::vector<KnownPeer> membersToName(SteadyTime now);
+    /// Of peers, and of seeds that were not heard yet.
+    std::vector<Endpoint> addressesKnown();
+
     void take(const wire::NodeReport& report, SteadyTime now);
-    void takeUsage(const wire::NodeReport& report);
-    std::vector<Endpoint> targets();
+    void takeState(const wire::NodeReport& report, SteadyTime now);
+    void takeRelayed(const wire::RelayReport& report, SteadyTime now);
+    void takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
+    void takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from);
+    void forgetCounts(const VmId& vm);
     void forgetSilent(SteadyTime now);
 
     GatewayContext& context_;
     Hooks hooks_;
     asio::ip::udp::socket socket_;
-    mutable std::mutex mutex_;
-    std::map<VmId, Peer> peers_;
+    PeerTable table_;
+    RelayBook relayBook_;
+    /// All other nodes, as relays sum them.
+    SumGroup others_;
+    VmId countingRelay_;
+    std::uint64_t nodesSummed_ = 0;
+    std::mutex leavingMutex_;
     std::deque<std::pair<SteadyTime, BackendId>> leaving_;
     std::uint64_t sequence_ = 0;
-    std::size_t turn_ = 0;
+    std::size_t introduceTurn_ = 0;
+    std::size_t memberTurn_ = 0;
+    std::size_t digestTurn_ = 0;
+    std::size_t relayTurn_ = 0;
+    bool wasLarge_ = false;
     Logger logger_ { "peers" };
 };
 
--- /dev/null
+++ b/lib/Gateway/PeerTable.h
@@ -0,0 +1,98 @@
+//===- lib/Gateway/PeerTable.h - the nodes that this one knows -------------===//
+///
+/// \file
+/// Who is there, who was heard when, and which nodes of a data centre sum its
+/// reports. Every node decides alone, from what it hears. Thread-safe; time comes
+/// in.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Gateway.h"
+
+namespace pistachioloom {
+
+/// What a node says of itself, or what is said of it.
+struct Peer {
+    Endpoint gossip_;
+    Endpoint peers_;
+    /// Empty until it was heard.
+    DataCentreId dataCentre_;
+    std::uint64_t incarnation_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t configurationVersion_ = 0;
+    bool isStopping_ = false;
+    bool isPlatformLost_ = false;
+    bool isReader_ = false;
+    std::uint64_t registryFingerprint_ = 0;
+    /// Processor cores of its VM.
+    double cores_ = 0;
+    SteadyTime heardAt_ {};
+};
+
+using KnownPeer = std::pair<VmId, Peer>;
+
+class PeerTable {
+public:
+    enum class Heard {
+        /// Older than what is known.
+        Old,
+        Again,
+        /// For the first time, or after a silence.
+        AfterSilence,
+        /// Since its restart.
+        Restarted,
+    };
+
+    PeerTable(VmId self, DataCentreId own, double cores, GossipSettings settings);
+
+    /// A node that was named; nothing else is known of it.
+    void addKnown(const VmId& vm, const Endpoint& gossip);
+    /// A node told of itself; \p peer holds when.
+    Heard take(const VmId& vm, Peer peer);
+    /// A relay told of a node.
+    void takeHearsay(const VmId& vm, const Peer& peer);
+    /// A relay told sums, to this node or to its data centre.
+    void noteDigest(const VmId& relay, SteadyTime now);
+    /// Drops nodes that were silent for too long. \returns them.
+    std::vector<VmId> forgetSilent(SteadyTime now);
+
+    /// Whether the fleet is too large for everyone to hear everyone.
+    bool isLarge() const;
+    std::size_t size() const;
+    /// Nodes heard within \p silence.
+    std::vector<KnownPeer> heardWithin(milliseconds silence, SteadyTime now) const;
+    std::vector<KnownPeer> all() const;
+    /// This node's place among live nodes in the order for \p key.
+    std::size_t rankFor(const std::string& key, SteadyTime now) const;
+    /// The nodes of this one's data centre that sum its reports, itself perhaps.
+    /// One that has told nothing for a while after it was asked is passed over.
+    std::vector<VmId> chooseRelays(SteadyTime now);
+    /// Nodes of another data centre that may be relays there, in the order in
+    /// which its own nodes choose; \p turn moves on along it.
+    std::vector<VmId> likelyRelays(const DataCentreId& dataCentre, std::size_t turn, SteadyTime now) const;
+    /// Data centres of known nodes but the own one.
+    std::vector<DataCentreId> otherDataCentres() const;
+    std::optional<Endpoint> gossipOf(const VmId& vm) const;
+
+private:
+    /// Candidates for relays of \p dataCentre, best first: those with most
+    /// processor cores, whose links are the widest, then as drawn.
+    std::vector<VmId> rankRelays(const DataCentreId& dataCentre, const std::vector<VmId>& candidates) const;
+
+    /// What has come of asking a node to be a relay.
+    struct Asked {
+        SteadyTime since_ {};
+        SteadyTime digestAt_ {};
+        SteadyTime avoidedUntil_ {};
+    };
+
+    const VmId self_;
+    const DataCentreId own_;
+    const double cores_;
+    const GossipSettings settings_;
+    mutable std::mutex mutex_;
+    std::map<VmId, Peer> peers_;
+    std::map<VmId, Asked> asked_;
+};
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/RelayBook.cpp
@@ -0,0 +1,280 @@
+//===- lib/Gateway/RelayBook.cpp - reports summed by relays ----------------===//
+///
+/// \file
+/// See RelayBook.h.
+//===----------------------------------------------------------------------===//
+#include "RelayBook.h"
+
+#include <algorithm>
+
+namespace pistachioloom {
+
+namespace {
+
+    // A node that stopped is forgotten after this time; its usage is reported
+    // within four windows of 5 s.
+    constexpr milliseconds nodeMemory { 60000 };
+    // The source under which the usage of another data centre is kept: its
+    // relays tell the same sums, and the higher ones count.
+    constexpr std::uint64_t anyIncarnation = 0;
+
+    // Windows told; the one that is reported next is the third newest.
+    constexpr std::size_t windowsTold = 6;
+
+    std::map<WindowNumber, UsageCounts> newest(std::map<WindowNumber, UsageCounts> windows)
+    {
+        while (windows.size() > windowsTold)
+            windows.erase(windows.begin());
+        return windows;
+    }
+
+    void addCounts(NamedCounts& totals, const NamedCounts& counts, double sign = 1)
+    {
+        for (const auto& [name, count] : counts)
+            totals[name] += sign * count;
+    }
+
+} // namespace
+
+std::map<WindowNumber, UsageCounts> usageOf(const google::protobuf::RepeatedPtrField<wire::UsageWindow>& message)
+{
+    std::map<WindowNumber, UsageCounts> windows;
+    for (const wire::UsageWindow& told : message) {
+        UsageCounts& counts = windows[{ told.number() }];
+        for (const auto& [organisation, count] : told.counts())
+            counts[{ organisation }] = count;
+    }
+    return windows;
+}
+
+void putUsage(const std::map<WindowNumber, UsageCounts>& windows, google::protobuf::RepeatedPtrField<wire::UsageWindow>& message)
+{
+    for (const auto& [window, counts] : windows) {
+        wire::UsageWindow& told = *message.Add();
+        told.set_number(window.value_);
+        for (const auto& [organisation, count] : counts)
+            (*told.mutable_counts())[organisation.value_] = count;
+    }
+}
+
+LoadTable loadsOf(const wire::BackendLoads& message)
+{
+    LoadTable loads;
+    for (int i = 0; i < message.backends_size(); ++i) {
+        BackendLoad& load = loads[message.backends(i)];
+        load.running_ = i < message.running_size() ? message.running(i) : 0;
+        load.queuedTokens_ = i < message.queued_tokens_size() ? message.queued_tokens(i) : 0;
+    }
+    return loads;
+}
+
+void putLoads(const LoadTable& loads, wire::BackendLoads& message)
+{
+    for (const auto& [backend, load] : loads) {
+        if (!load.running_ && !load.queuedTokens_)
+            continue;
+        message.add_backends(backend);
+        message.add_running(load.running_);
+        message.add_queued_tokens(load.queuedTokens_);
+    }
+}
+
+wire::NodeSums sumsOf(const wire::NodeReport& report)
+{
+    wire::NodeSums sums;
+    sums.set_nodes(1);
+    *sums.mutable_loads() = report.loads();
+    *sums.mutable_quotas() = report.quotas();
+    *sums.mutable_usage() = report.usage();
+    *sums.mutable_demand() = report.demand();
+    *sums.mutable_leaving() = report.leaving();
+    if (report.duty_token()) {
+        sums.set_holder(report.vm());
+        sums.set_duty_token(report.duty_token());
+    }
+    return sums;
+}
+
+void ReportTotals::addCurrent(const wire::NodeSums& sums)
+{
+    nodes_ += sums.nodes();
+    for (const auto& [backend, load] : loadsOf(sums.loads())) {
+        BackendLoad& total = loads_[backend];
+        total.running_ += load.running_;
+        total.queuedTokens_ += load.queuedTokens_;
+    }
+    // The lowest level: a node that starts must not hand out what others have.
+    for (const wire::QuotaReport& quota : sums.quotas()) {
+        auto [found, isNew] = levels_.try_emplace(quota.organisation(), quota.level());
+        found->second = std::min(found->second, quota.level());
+    }
+    for (const wire::DemandReport& demand : sums.demand()) {
+        Demand& total = demand_[demand.service()];
+        total.weightedRate_ += demand.prefill_per_ms() * static_cast<double>(demand.observations());
+        total.observations_ += demand.observations();
+    }
+    leaving_.insert(sums.leaving().begin(), sums.leaving().end());
+    if (sums.duty_token() > dutyToken_.value_) {
+        holder_ = sums.holder();
+        dutyToken_ = { sums.duty_token() };
+    }
+}
+
+void ReportTotals::addCounted(const SumGroup& group)
+{
+    addCounts(admitted_, group.admitted());
+    for (const auto& [service, tokens] : group.tokens())
+        demand_[service].tokens_ += tokens;
+}
+
+void ReportTotals::remove(const wire::NodeSums& sums, const SumGroup& counted)
+{
+    nodes_ -= std::min(nodes_, sums.nodes());
+    for (const auto& [backend, load] : loadsOf(sums.loads())) {
+        BackendLoad& total = loads_[backend];
+        total.running_ -= std::min(total.running_, load.running_);
+        total.queuedTokens_ -= std::min(total.queuedTokens_, load.queuedTokens_);
+    }
+    addCounts(admitted_, counted.admitted(), -1);
+    for (const auto& [service, tokens] : counted.tokens())
+        demand_[service].tokens_ -= tokens;
+}
+
+wire::NodeSums ReportTotals::toMessage() const
+{
+    wire::NodeSums sums;
+    sums.set_nodes(nodes_);
+    putLoads(loads_, *sums.mutable_loads());
+    NamedCounts admitted = admitted_;
+    for (const auto& [organisation, level] : levels_)
+        admitted.try_emplace(organisation, 0);
+    for (const auto& [organisation, count] : admitted) {
+        wire::QuotaReport& told = *sums.add_quotas();
+        told.set_organisation(organisation);
+        told.set_admitted(count);
+        auto level = levels_.find(organisation);
+        told.set_level(level == levels_.end() ? 0 : level->second);
+    }
+    for (const auto& [service, demand] : demand_) {
+        wire::DemandReport& told = *sums.add_demand();
+        told.set_service(service);
+        told.set_prompt_tokens(static_cast<std::uint64_t>(std::max(0.0, demand.tokens_)));
+        told.set_observations(demand.observations_);
+        told.set_prefill_per_ms(demand.observations_ ? demand.weightedRate_ / static_cast<double>(demand.observations_) : 0);
+    }
+    for (const std::string& id : leaving_)
+        sums.add_leaving(id);
+    sums.set_holder(holder_);
+    sums.set_duty_token(dutyToken_.value_);
+    return sums;
+}
+
+RelayBook::RelayBook(milliseconds usageWindow)
+    : ownUsage_(usageWindow)
+    , othersUsage_(usageWindow)
+{
+}
+
+void RelayBook::forgetSilent(SteadyTime now)
+{
+    std::erase_if(nodes_, [&](const auto& entry) {
+        const Node& node = entry.second;
+        if (now - node.heardAt_ <= nodeMemory)
+            return false;
+        // Its counts stay in the totals, which never fall.
+        addCounts(goneAdmitted_, node.group_.admitted());
+        addCounts(goneTokens_, node.group_.tokens());
+        ownUsage_.forgetPeer(entry.first);
+        return true;
+    });
+}
+
+void RelayBook::takeReport(const wire::NodeReport& report, SteadyTime now)
+{
+    forgetSilent(now);
+    VmId vm { report.vm() };
+    Node& node = nodes_[vm];
+    node.incarnation_ = report.incarnation();
+    node.heardAt_ = now;
+    (void)node.group_.take(vm, report.incarnation(), sumsOf(report), now);
+    ownUsage_.setPeer(vm, report.incarnation(), usageOf(report.usage()));
+}
+
+void RelayBook::takeSummary(const wire::RelayReport& summary, SteadyTime now)
+{
+    (void)others_[{ summary.data_centre() }].take({ summary.vm() }, summary.incarnation(), summary.sums(), now);
+    othersUsage_.setPeer({ summary.data_centre() }, anyIncarnation, usageOf(summary.sums().usage()));
+}
+
+std::vector<VmId> RelayBook::receivers(SteadyTime now) const
+{
+    std::vector<VmId> receivers;
+    for (const auto& [vm, node] : nodes_) {
+        if (node.group_.current(now))
+            receivers.push_back(vm);
+    }
+    return receivers;
+}
+
+std::vector<VmId> RelayBook::relaysOf(const DataCentreId& dataCentre, SteadyTime now) const
+{
+    auto found = others_.find(dataCentre);
+    return found == others_.end() ? std::vector<VmId> {} : found->second.liveSources(now);
+}
+
+ReportTotals RelayBook::ownTotals(SteadyTime now) const
+{
+    ReportTotals totals;
+    for (const auto& [vm, node] : nodes_) {
+        totals.addCounted(node.group_);
+        if (const wire::NodeSums* current = node.group_.current(now))
+            totals.addCurrent(*current);
+    }
+    addCounts(totals.admitted_, goneAdmitted_);
+    for (const auto& [service, tokens] : goneTokens_)
+        totals.demand_[service].tokens_ += tokens;
+    return totals;
+}
+
+wire::NodeSums RelayBook::summaryFor(const DataCentreId& receiver, SteadyTime now) const
+{
+    wire::NodeSums sums = ownTotals(now).toMessage();
+    auto found = others_.find(receiver);
+    const wire::NodeSums* theirs = found == others_.end() ? nullptr : found->second.current(now);
+    if (theirs && theirs->duty_token())
+        putUsage(newest(ownUsage_.sumsWithout({}, anyIncarnation)), *sums.mutable_usage());
+    return sums;
+}
+
+ReportTotals RelayBook::totals(SteadyTime now) const
+{
+    ReportTotals totals = ownTotals(now);
+    for (const auto& [dataCentre, group] : others_) {
+        totals.addCounted(group);
+        if (const wire::NodeSums* current = group.current(now))
+            totals.addCurrent(*current);
+    }
+    return totals;
+}
+
+wire::NodeSums RelayBook::digestFor(const VmId& receiver, const ReportTotals& totals, SteadyTime now) const
+{
+    auto found = nodes_.find(receiver);
+    const wire::NodeSums* own = found == nodes_.end() ? nullptr : found->second.group_.current(now);
+    if (!own)
+        return totals.toMessage();
+    ReportTotals rest = totals;
+    rest.remove(*own, found->second.group_);
+    wire::NodeSums sums = rest.toMessage();
+    if (!own->duty_token())
+        return sums;
+    std::map<WindowNumber, UsageCounts> usage = ownUsage_.sumsWithout(receiver, found->second.incarnation_);
+    for (const auto& [window, counts] : othersUsage_.sumsWithout({}, anyIncarnation)) {
+        for (const auto& [organisation, count] : counts)
+            usage[window][organisation] += count;
+    }
+    putUsage(newest(std::move(usage)), *sums.mutable_usage());
+    return sums;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/ReportMessages.cpp
@@ -0,0 +1,139 @@
+//===- lib/Gateway/ReportMessages.cpp - what the datagrams hold ------------===//
+///
+/// \file
+/// Composes the reports and digests of PeerReports.
+//===----------------------------------------------------------------------===//
+#include "PeerReports.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pistachioloom {
+
+namespace {
+
+    // Peers hear of a leaving backend server for this long.
+    constexpr milliseconds leavingTold { 10000 };
+    // Other nodes named in one datagram, so that nodes which know different ones
+    // find each other.
+    constexpr std::size_t nodesNamed = 24;
+    // In a large fleet digests name nodes; an introduction of 24 names would be
+    // five times as long.
+    constexpr std::size_t nodesNamedInLarge = 3;
+    // Members of the own data centre that a digest tells of, in turn: 26 of them
+    // are told of within seven periods, 1.4 s.
+    constexpr std::size_t membersNamed = 4;
+
+} // namespace
+
+/// What any node may hear: who this is, and what presses.
+void PeerReports::composeIntroduction(wire::NodeReport& report)
+{
+    const GatewaySettings& settings = context_.settings_;
+    SteadyTime now = steadyNow();
+    report.set_vm(settings.vm_.value_);
+    report.set_data_centre(settings.dataCentre_.value_);
+    report.set_incarnation(context_.incarnation_);
+    report.set_sequence(++sequence_);
+    report.set_address(settings.gossip_.toString());
+    report.set_peers_address(settings.peers_.toString());
+    auto table = context_.table();
+    report.set_configuration_version(table ? table->version() : 0);
+    report.set_wall_ms(ownWallMs());
+    report.set_duty_token(hooks_.ownToken_().value_);
+    report.set_is_stopping(context_.isStopping_);
+    report.set_is_platform_lost(hooks_.isPlatformLost_());
+    report.set_is_reader(hooks_.isReader_());
+    report.set_cores(settings.cores_);
+    report.set_registry_fingerprint(context_.backends_.fingerprint());
+    {
+        std::lock_guard lock(leavingMutex_);
+        while (!leaving_.empty() && now - leaving_.front().first > leavingTold)
+            leaving_.pop_front();
+        for (const auto& [at, id] : leaving_)
+            report.add_leaving(id.value_);
+    }
+    std::vector<KnownPeer> known = live();
+    for (std::size_t i = 0; i < std::min(wasLarge_ ? nodesNamedInLarge : nodesNamed, known.size()); ++i) {
+        const auto& [vm, peer] = known[(sequence_ + i) % known.size()];
+        wire::KnownNode& named = *report.add_nodes();
+        named.set_vm(vm.value_);
+        named.set_address(peer.gossip_.toString());
+    }
+}
+
+/// Loads, counts and demand of this node.
+void PeerReports::composeState(wire::NodeReport& report)
+{
+    putLoads(context_.backends_.ownLoads(), *report.mutable_loads());
+    auto levels = context_.quotas_.levels();
+    for (const auto& [organisation, admitted] : context_.quotas_.admitted()) {
+        wire::QuotaReport& told = *report.add_quotas();
+        told.set_organisation(organisation.value_);
+        told.set_admitted(admitted);
+        told.set_level(levels[organisation]);
+    }
+    putUsage(context_.usage_.recent(), *report.mutable_usage());
+    for (const auto& [service, view] : context_.backends_.services()) {
+        wire::DemandReport& told = *report.add_demand();
+        told.set_service(service.value_);
+        told.set_prompt_tokens(view.tokensSent_);
+        told.set_prefill_per_ms(view.prefillPerMs_);
+        told.set_observations(view.observations_);
+    }
+}
+
+std::vector<KnownPeer> PeerReports::membersToName(SteadyTime now)
+{
+    // Readers are named in every other digest: their silence bound is four.
+    bool namesReaders = ++digestTurn_ % 2;
+    std::vector<KnownPeer> named;
+    std::vector<KnownPeer> others;
+    for (const KnownPeer& known : table_.heardWithin(context_.settings_.gossiping_.silence_, now)) {
+        if (known.second.isReader_ && namesReaders)
+            named.push_back(known);
+        else if (!known.second.isReader_ && known.second.dataCentre_ == context_.settings_.dataCentre_)
+            others.push_back(known);
+    }
+    for (std::size_t i = 0; i < std::min(membersNamed, others.size()); ++i)
+        named.push_back(others[memberTurn_++ % others.size()]);
+    return named;
+}
+
+void PeerReports::composeMembers(wire::RelayReport& report, const std::vector<KnownPeer>& members, SteadyTime now)
+{
+    for (const auto& [vm, peer] : members) {
+        wire::MemberEntry& entry = *report.add_members();
+        entry.set_vm(vm.value_);
+        entry.set_data_centre(peer.dataCentre_.value_);
+        entry.set_address(peer.gossip_.toString());
+        entry.set_peers_address(peer.peers_.toString());
+        entry.set_incarnation(peer.incarnation_);
+        entry.set_configuration_version(peer.configurationVersion_);
+        entry.set_is_stopping(peer.isStopping_);
+        entry.set_is_platform_lost(peer.isPlatformLost_);
+        entry.set_is_reader(peer.isReader_);
+        entry.set_cores(peer.cores_);
+        entry.set_registry_fingerprint(peer.registryFingerprint_);
+        entry.set_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(now - peer.heardAt_).count())));
+    }
+}
+
+/// In a small fleet these are all; seeds are told until they are heard.
+std::vector<Endpoint> PeerReports::addressesKnown()
+{
+    std::vector<Endpoint> all;
+    std::set<std::string> hosts;
+    for (const auto& [vm, peer] : table_.all()) {
+        all.push_back(peer.gossip_);
+        hosts.insert(peer.gossip_.host_);
+    }
+    for (const Endpoint& seed : context_.settings_.seeds_) {
+        Endpoint gossip { seed.host_, context_.settings_.gossip_.port_ };
+        if (seed.host_ != context_.settings_.gossip_.host_ && !hosts.contains(seed.host_))
+            all.insert(all.begin(), gossip);
+    }
+    return all;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/SumGroup.cpp
@@ -0,0 +1,100 @@
+//===- lib/Gateway/SumGroup.cpp - what a group of nodes told, from relays --===//
+///
+/// \file
+/// See SumGroup.h.
+//===----------------------------------------------------------------------===//
+#include "SumGroup.h"
+
+namespace pistachioloom {
+
+namespace {
+
+    // Five reports in a row are missing: a lost datagram or a slow VM loses one
+    // or two.
+    constexpr milliseconds sourceSilence { 1000 };
+    // A source that sums so many times the nodes of the one that counts takes its
+    // place: that one hears only a part of them.
+    constexpr double moreNodes = 1.25;
+
+    NamedCounts admittedOf(const wire::NodeSums& sums)
+    {
+        NamedCounts counts;
+        for (const wire::QuotaReport& quota : sums.quotas())
+            counts[quota.organisation()] = quota.admitted();
+        return counts;
+    }
+
+    NamedCounts tokensOf(const wire::NodeSums& sums)
+    {
+        NamedCounts counts;
+        for (const wire::DemandReport& demand : sums.demand())
+            counts[demand.service()] = static_cast<double>(demand.prompt_tokens());
+        return counts;
+    }
+
+    void addGrowth(NamedCounts& totals, const NamedCounts& before, const NamedCounts& after)
+    {
+        for (const auto& [name, count] : after) {
+            auto found = before.find(name);
+            totals[name] += count - (found == before.end() ? 0 : found->second);
+        }
+    }
+
+} // namespace
+
+bool SumGroup::isLive(const Source& source, SteadyTime now) const
+{
+    return now - source.heardAt_ <= sourceSilence;
+}
+
+void SumGroup::chooseCounting(SteadyTime now)
+{
+    auto counting = sources_.find(counting_);
+    bool hasOne = counting != sources_.end() && isLive(counting->second, now);
+    double bound = hasOne ? moreNodes * static_cast<double>(counting->second.sums_.nodes()) : -1;
+    for (const auto& [vm, source] : sources_) {
+        auto nodes = static_cast<double>(source.sums_.nodes());
+        if (!isLive(source, now) || nodes <= bound)
+            continue;
+        counting_ = vm;
+        bound = nodes;
+    }
+}
+
+bool SumGroup::take(const VmId& vm, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now)
+{
+    std::erase_if(sources_, [&](const auto& entry) { return !isLive(entry.second, now) && entry.first != vm; });
+    Source& source = sources_[vm];
+    // The counts of a source that has just been heard cannot be compared yet.
+    bool isFollowed = source.heardAt_ != SteadyTime {} && source.incarnation_ == incarnation;
+    Source before = std::move(source);
+    source = { incarnation, now, sums };
+    chooseCounting(now);
+    if (counting_ != vm)
+        return false;
+    if (isFollowed) {
+        addGrowth(admitted_, admittedOf(before.sums_), admittedOf(sums));
+        addGrowth(tokens_, tokensOf(before.sums_), tokensOf(sums));
+    }
+    return true;
+}
+
+const wire::NodeSums* SumGroup::current(SteadyTime now) const
+{
+    auto counting = sources_.find(counting_);
+    if (counting == sources_.end() || !isLive(counting->second, now))
+        return nullptr;
+    return &counting->second.sums_;
+}
+
+std::vector<VmId> SumGroup::liveSources(SteadyTime now) const
+{
+    std::vector<VmId> live;
+    for (const auto& [vm, source] : sources_) {
+        if (isLive(source, now))
+            live.push_back(vm);
+    }
+    return live;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Gateway/SumGroup.h
@@ -0,0 +1,51 @@
+//===- lib/Gateway/SumGroup.h - what a group of nodes told, from relays ----===//
+///
+/// \file
+/// Several relays may tell the sums of the same nodes. One of them counts at a
+/// time, so that nothing counts twice; the others are followed beside it, so that
+/// nothing is lost when one of them takes its place. Pure: time comes in.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "generated/Peer.pb.h"
+#include "pistachioloom/Support.h"
+
+#include <map>
+
+namespace pistachioloom {
+
+/// Counters by name: of an organisation, or of a service.
+using NamedCounts = std::map<std::string, double>;
+
+class SumGroup {
+public:
+    /// Takes what \p source told; \p incarnation changes with its restart.
+    /// \returns whether it is the source that counts now.
+    bool take(const VmId& source, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
+    /// The newest sums of the source that counts; nullptr if it is silent.
+    const wire::NodeSums* current(SteadyTime now) const;
+    /// Sources heard lately.
+    std::vector<VmId> liveSources(SteadyTime now) const;
+    /// What was admitted of each organisation's quota since this group was first
+    /// heard; grows on whatever source counts.
+    const NamedCounts& admitted() const { return admitted_; }
+    /// Prompt tokens sent to each service, likewise.
+    const NamedCounts& tokens() const { return tokens_; }
+
+private:
+    struct Source {
+        std::uint64_t incarnation_ = 0;
+        SteadyTime heardAt_ {};
+        wire::NodeSums sums_;
+    };
+
+    bool isLive(const Source& source, SteadyTime now) const;
+    void chooseCounting(SteadyTime now);
+
+    std::map<VmId, Source> sources_;
+    VmId counting_;
+    NamedCounts admitted_;
+    NamedCounts tokens_;
+};
+
+} // namespace pistachioloom
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -29,14 +29,16 @@
 /// Charges what silent peers may have admitted since they were last heard.
 void QuotaBook::chargeSilent(SteadyTime now)
 {
-    auto nodes = static_cast<double>(peers_.size() + 1);
+    std::uint64_t nodes = 1;
+    for (const auto& [id, peer] : peers_)
+        nodes += peer.nodes_;
     for (auto& [id, peer] : peers_) {
         if (now - peer.heardAt_ < settings_.silence_ || now - peer.heardAt_ > settings_.forget_)
             continue;
         double silent = secondsOf(now - std::max(peer.chargedUntil_, peer.heardAt_));
         peer.chargedUntil_ = now;
         for (auto& [organisation, bucket] : buckets_)
-            bucket.level_ -= silent * bucket.limit_.ratePerSecond_ / nodes;
+            bucket.level_ -= silent * bucket.limit_.ratePerSecond_ * static_cast<double>(peer.nodes_) / static_cast<double>(nodes);
     }
 }
 
@@ -91,10 +93,11 @@
     return levels;
 }
 
-void QuotaBook::setPeer(const VmId& id, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now)
+void QuotaBook::setPeer(const VmId& id, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes)
 {
     std::lock_guard lock(mutex_);
     Peer& peer = peers_[id];
+    peer.nodes_ = nodes;
     bool isFirst = peer.heardAt_ == SteadyTime {};
     bool hasRestarted = peer.incarnation_ != incarnation;
     if (hasRestarted)
@@ -116,6 +119,12 @@
     std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heardAt_ > 2 * settings_.forget_; });
 }
 
+void QuotaBook::forgetPeer(const VmId& peer)
+{
+    std::lock_guard lock(mutex_);
+    peers_.erase(peer);
+}
+
 RetryBudget::RetryBudget(RetrySettings settings)
     : settings_(settings)
 {
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -49,7 +49,7 @@
     BackendBook book({ "a" }, ChoiceSettings {});
     book.put(record("x"));
     book.put(record("y"));
-    book.setPeerLoads({ "peer" }, { { { "x" }, { 3, 9000 } } }, start);
+    book.setPeerLoads({ "peer" }, { { keyOf({ "x" }), { 3, 9000 } } }, start);
     CHECK(chosen(book, engineRequest(1000)) == "y");
     // Own sends count at once: y has 1,000 queued now, x has 9,000.
     for (int i = 0; i < 7; ++i)
@@ -71,7 +71,7 @@
     CHECK(first->uncached_.value_ == 1500);
     for (int i = 0; i < 3; ++i)
         CHECK(chosen(book, shape) == first->backend_.id_.value_);
-    book.setPeerLoads({ "peer" }, { { first->backend_.id_, { 10, 60000 } } }, start);
+    book.setPeerLoads({ "peer" }, { { keyOf(first->backend_.id_), { 10, 60000 } } }, start);
     CHECK(chosen(book, shape) != first->backend_.id_.value_);
 }
 
--- /dev/null
+++ b/unittests/Gateway/PeerTableTest.cpp
@@ -0,0 +1,139 @@
+//===- unittests/Gateway/PeerTableTest.cpp - choice of relays --------------===//
+///
+/// \file
+/// Nodes that know the same peers choose the same relays, and pass over those
+/// that fall silent.
+//===----------------------------------------------------------------------===//
+#include "PeerTable.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace pistachioloom;
+
+namespace {
+
+constexpr SteadyTime start { std::chrono::hours(1) };
+constexpr milliseconds period { 200 };
+const DataCentreId near { "near" };
+const DataCentreId far { "far" };
+
+VmId vmOf(int index)
+{
+    return { "vm-" + std::to_string(index) };
+}
+
+Peer peerAt(const DataCentreId& dataCentre, double cores, SteadyTime heardAt, std::uint64_t sequence)
+{
+    Peer peer;
+    peer.gossip_ = { "10.0.0.1", 7500 };
+    peer.dataCentre_ = dataCentre;
+    peer.incarnation_ = 1;
+    peer.sequence_ = sequence;
+    peer.cores_ = cores;
+    peer.heardAt_ = heardAt;
+    return peer;
+}
+
+/// Lets node \p self hear all others of \p count nodes.
+void hearAll(PeerTable& table, int self, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        if (i != self)
+            (void)table.take(vmOf(i), peerAt(near, 1, start, 1));
+    }
+}
+
+} // namespace
+
+TEST_CASE("all nodes of a data centre choose the same relays", "[peers]")
+{
+    auto count = GENERATE(2, 5, 26);
+    std::set<std::vector<VmId>> choices;
+    for (int self = 0; self < count; ++self) {
+        PeerTable table(vmOf(self), near, 1, {});
+        hearAll(table, self, count);
+        choices.insert(table.chooseRelays(start));
+    }
+    CHECK(choices.size() == 1);
+    CHECK(choices.begin()->size() == 2);
+}
+
+TEST_CASE("nodes with more processor cores are chosen first", "[peers]")
+{
+    PeerTable table(vmOf(0), near, 0.25, {});
+    hearAll(table, 0, 26);
+    (void)table.take(vmOf(40), peerAt(near, 8, start, 1));
+    (void)table.take(vmOf(41), peerAt(near, 4, start, 1));
+    (void)table.take(vmOf(42), peerAt(far, 64, start, 1));
+    CHECK(table.chooseRelays(start) == std::vector<VmId> { vmOf(40), vmOf(41) });
+    CHECK(table.likelyRelays(far, 0, start) == std::vector<VmId> { vmOf(42) });
+    CHECK(table.otherDataCentres() == std::vector<DataCentreId> { far });
+}
+
+TEST_CASE("a relay that tells nothing is passed over, and asked again later", "[peers]")
+{
+    PeerTable table(vmOf(0), near, 0.1, {});
+    (void)table.take(vmOf(1), peerAt(near, 8, start, 1));
+    (void)table.take(vmOf(2), peerAt(near, 4, start, 1));
+    (void)table.take(vmOf(3), peerAt(near, 2, start, 1));
+    SteadyTime now = start;
+    for (; now <= start + 3 * period; now += period) {
+        CHECK(table.chooseRelays(now) == std::vector<VmId> { vmOf(1), vmOf(2) });
+        table.noteDigest(vmOf(2), now);
+    }
+    CHECK(table.chooseRelays(now) == std::vector<VmId> { vmOf(2), vmOf(3) });
+    for (; now <= start + milliseconds(3200); now += period) {
+        table.noteDigest(vmOf(2), now);
+        table.noteDigest(vmOf(3), now);
+        (void)table.chooseRelays(now);
+    }
+    CHECK(table.chooseRelays(now).front() == vmOf(1));
+}
+
+TEST_CASE("relays that all go at once are succeeded within a second", "[peers]")
+{
+    PeerTable table(vmOf(0), near, 0.1, {});
+    for (int i = 1; i <= 4; ++i)
+        (void)table.take(vmOf(i), peerAt(near, 10 - i, start, 1));
+    // 3 and 4 live on; nobody is heard directly.
+    SteadyTime now = start;
+    std::vector<VmId> chosen;
+    for (; now <= start + milliseconds(1000); now += period) {
+        chosen = table.chooseRelays(now);
+        for (const VmId& vm : chosen) {
+            if (vm == vmOf(3) || vm == vmOf(4))
+                table.noteDigest(vm, now);
+        }
+    }
+    CHECK(chosen == std::vector<VmId> { vmOf(3), vmOf(4) });
+}
+
+TEST_CASE("what a relay tells of a node is older than what the node tells itself", "[peers]")
+{
+    PeerTable table(vmOf(0), near, 1, {});
+    Peer told = peerAt(near, 1, start, 5);
+    told.configurationVersion_ = 8;
+    CHECK(table.take(vmOf(1), told) == PeerTable::Heard::Restarted);
+    Peer hearsay = peerAt(near, 1, start - milliseconds(100), 0);
+    hearsay.configurationVersion_ = 7;
+    table.takeHearsay(vmOf(1), hearsay);
+    CHECK(table.heardWithin(milliseconds(1), start).front().second.configurationVersion_ == 8);
+    hearsay.heardAt_ = start + milliseconds(100);
+    table.takeHearsay(vmOf(1), hearsay);
+    CHECK(table.heardWithin(milliseconds(1), start + milliseconds(100)).front().second.configurationVersion_ == 7);
+    // Its numbers go on where they were.
+    CHECK(table.take(vmOf(1), peerAt(near, 1, start + milliseconds(200), 5)) == PeerTable::Heard::Old);
+    CHECK(table.take(vmOf(1), peerAt(near, 1, start + milliseconds(200), 6)) == PeerTable::Heard::Again);
+}
+
+TEST_CASE("nodes that are silent for long are forgotten", "[peers]")
+{
+    PeerTable table(vmOf(0), near, 1, {});
+    table.addKnown(vmOf(9), { "10.0.0.9", 7500 });
+    (void)table.take(vmOf(1), peerAt(near, 1, start, 1));
+    CHECK(table.forgetSilent(start + milliseconds(29000)).empty());
+    CHECK(table.forgetSilent(start + milliseconds(31000)) == std::vector<VmId> { vmOf(1) });
+    // One that was named but never heard is told on.
+    CHECK(table.size() == 1);
+}
--- /dev/null
+++ b/unittests/Gateway/RelayBookTest.cpp
@@ -0,0 +1,182 @@
+//===- unittests/Gateway/RelayBookTest.cpp - sums by relays ----------------===//
+///
+/// \file
+/// What a node hears of all others through relays equals what they told, whoever
+/// relays it, and nothing counts twice when relays change.
+//===----------------------------------------------------------------------===//
+#include "RelayBook.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+namespace {
+
+constexpr SteadyTime start { std::chrono::hours(1) };
+constexpr milliseconds window { 5000 };
+const std::string organisation = "north";
+const std::string service = "drafts";
+
+struct Told {
+    double admitted_ = 0;
+    std::uint64_t tokens_ = 0;
+    std::uint64_t begun_ = 0;
+    std::uint32_t running_ = 0;
+};
+
+wire::NodeReport report(const std::string& vm, const Told& told, std::uint64_t incarnation = 1, std::uint64_t duty = 0)
+{
+    wire::NodeReport report;
+    report.set_vm(vm);
+    report.set_incarnation(incarnation);
+    report.set_duty_token(duty);
+    wire::QuotaReport& quota = *report.add_quotas();
+    quota.set_organisation(organisation);
+    quota.set_admitted(told.admitted_);
+    wire::DemandReport& demand = *report.add_demand();
+    demand.set_service(service);
+    demand.set_prompt_tokens(told.tokens_);
+    demand.set_prefill_per_ms(50);
+    demand.set_observations(100);
+    putLoads({ { 7, { told.running_, 1000 } } }, *report.mutable_loads());
+    putUsage({ { { 3 }, { { { organisation }, told.begun_ } } } }, *report.mutable_usage());
+    return report;
+}
+
+wire::RelayReport summaryOf(const std::string& vm, const std::string& dataCentre, const wire::NodeSums& sums, std::uint64_t incarnation = 1)
+{
+    wire::RelayReport summary;
+    summary.set_vm(vm);
+    summary.set_data_centre(dataCentre);
+    summary.set_incarnation(incarnation);
+    *summary.mutable_sums() = sums;
+    return summary;
+}
+
+double admittedIn(const wire::NodeSums& sums)
+{
+    double sum = 0;
+    for (const wire::QuotaReport& quota : sums.quotas())
+        sum += quota.admitted();
+    return sum;
+}
+
+std::uint64_t usageIn(const wire::NodeSums& sums)
+{
+    std::uint64_t sum = 0;
+    for (const auto& [window, counts] : usageOf(sums.usage())) {
+        for (const auto& [organisation, count] : counts)
+            sum += count;
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("a digest holds what all others told, and not what its receiver did", "[relay]")
+{
+    RelayBook book(window);
+    for (int round = 0; round < 3; ++round) {
+        SteadyTime now = start + round * milliseconds(200);
+        double factor = round;
+        book.takeReport(report("a", { 10 * factor, 100, 4, 1 }, 1, 5), now);
+        book.takeReport(report("b", { 20 * factor, 200, 5, 2 }), now);
+        book.takeReport(report("c", { 40 * factor, 400, 6, 3 }), now);
+    }
+    SteadyTime now = start + milliseconds(400);
+    ReportTotals totals = book.totals(now);
+    wire::NodeSums digest = book.digestFor({ "a" }, totals, now);
+    CHECK(digest.nodes() == 2);
+    // Counted since it was first heard.
+    CHECK(admittedIn(digest) == 120);
+    CHECK(loadsOf(digest.loads()).at(7).running_ == 5);
+    CHECK(loadsOf(digest.loads()).at(7).queuedTokens_ == 2000);
+    // The holder of the duties alone is told usage.
+    CHECK(usageIn(digest) == 11);
+    CHECK(usageIn(book.digestFor({ "b" }, totals, now)) == 0);
+    CHECK(book.digestFor({ "b" }, totals, now).holder() == "a");
+    CHECK(book.receivers(now).size() == 3);
+}
+
+TEST_CASE("what a node counted stays in the sums after it stops", "[relay]")
+{
+    RelayBook book(window);
+    book.takeReport(report("a", {}), start);
+    book.takeReport(report("b", {}), start);
+    book.takeReport(report("b", { 30, 300, 2, 4 }), start + milliseconds(200));
+    SteadyTime later = start + milliseconds(1300);
+    book.takeReport(report("a", {}), later);
+    wire::NodeSums digest = book.digestFor({ "a" }, book.totals(later), later);
+    CHECK(digest.nodes() == 0);
+    CHECK(loadsOf(digest.loads()).empty());
+    CHECK(admittedIn(digest) == 30);
+    SteadyTime muchLater = start + std::chrono::minutes(3);
+    book.takeReport(report("a", {}), muchLater);
+    CHECK(admittedIn(book.digestFor({ "a" }, book.totals(muchLater), muchLater)) == 30);
+}
+
+TEST_CASE("a restarted node's counts begin anew and take nothing back", "[relay]")
+{
+    RelayBook book(window);
+    book.takeReport(report("a", {}), start);
+    book.takeReport(report("b", { 100, 0, 3, 0 }, 1), start);
+    book.takeReport(report("b", { 130, 0, 4, 0 }, 1), start + milliseconds(200));
+    book.takeReport(report("b", { 2, 0, 1, 0 }, 2), start + milliseconds(400));
+    book.takeReport(report("b", { 7, 0, 2, 0 }, 2), start + milliseconds(600));
+    book.takeReport(report("a", {}, 1, 9), start + milliseconds(600));
+    SteadyTime now = start + milliseconds(600);
+    wire::NodeSums digest = book.digestFor({ "a" }, book.totals(now), now);
+    CHECK(admittedIn(digest) == 35);
+    // The usage of both of its starts counts.
+    CHECK(usageIn(digest) == 6);
+}
+
+TEST_CASE("a data centre counts once, though two relays tell of it", "[relay]")
+{
+    RelayBook book(window);
+    // The second relay tells the same later, and goes on after the first stops.
+    auto secondLag = GENERATE(0, 100, 200);
+    auto stopsAfter = GENERATE(3, 6, 50);
+    double last = 0;
+    for (int round = 0; round < 40; ++round) {
+        SteadyTime now = start + round * milliseconds(200);
+        last = round * 10;
+        book.takeReport(report("near", {}, 1), now);
+        wire::NodeSums sums = sumsOf(report("far", { last, 0, 1, 2 }));
+        if (round < stopsAfter)
+            book.takeSummary(summaryOf("relay-1", "far", sums), now);
+        book.takeSummary(summaryOf("relay-2", "far", sums), now + milliseconds(secondLag));
+    }
+    SteadyTime now = start + 39 * milliseconds(200) + milliseconds(200);
+    wire::NodeSums digest = book.digestFor({ "near" }, book.totals(now), now);
+    CHECK(digest.nodes() == 1);
+    CHECK(loadsOf(digest.loads()).at(7).running_ == 2);
+    // What went by before the second was found to count is all that may lack:
+    // one second of silence, at 50 a second.
+    CHECK(admittedIn(digest) <= last);
+    CHECK(admittedIn(digest) >= last - 60);
+}
+
+TEST_CASE("usage crosses data centres only to the one that reports it", "[relay]")
+{
+    RelayBook book(window);
+    book.takeReport(report("near", { 0, 0, 8, 0 }), start);
+    CHECK(usageIn(book.summaryFor({ "far" }, start)) == 0);
+    book.takeSummary(summaryOf("relay", "far", sumsOf(report("holder", {}, 1, 12))), start);
+    CHECK(usageIn(book.summaryFor({ "far" }, start)) == 8);
+    CHECK(usageIn(book.summaryFor({ "third" }, start)) == 0);
+}
+
+TEST_CASE("a relay that hears more of the nodes takes the place of one that hears few", "[relay]")
+{
+    SumGroup group;
+    wire::NodeSums few;
+    few.set_nodes(3);
+    wire::NodeSums many;
+    many.set_nodes(20);
+    CHECK(group.take({ "few" }, 1, few, start));
+    CHECK(group.take({ "many" }, 1, many, start));
+    CHECK_FALSE(group.take({ "few" }, 1, few, start + milliseconds(200)));
+    CHECK(group.current(start + milliseconds(200))->nodes() == 20);
+    CHECK(group.current(start + milliseconds(1500)) == nullptr);
+}
