--- /dev/null
+++ b/unittests/Duties/SeatExplorationTest.cpp
@@ -0,0 +1,156 @@
+//===- unittests/Duties/SeatExplorationTest.cpp - every schedule of two ----===//
+///
+/// \file
+/// Two nodes over one log of duties: every way in which they run, freeze, freeze
+/// between a record and its act, or do not hear each other, for five steps.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Duties.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+namespace {
+
+const SteadyTime start { std::chrono::hours(1) };
+constexpr milliseconds lease { 3000 };
+constexpr milliseconds step { 900 };
+constexpr int steps = 5;
+
+enum class Choice {
+    Runs,
+    HearsNobody,
+    Frozen,
+    FreezesBeforeActing,
+};
+constexpr int choices = 4;
+
+struct Act {
+    int node_ = 0;
+    DutyToken token_;
+    SteadyTime at_ {};
+};
+
+struct Participant {
+    DutySeat seat_;
+    /// The log's end as it knows it.
+    std::uint64_t end_ = 0;
+    /// When a record was begun whose act is still to come.
+    std::optional<SteadyTime> recordedAt_;
+};
+
+struct World {
+    std::vector<Participant> nodes_;
+    std::uint64_t log_ = 0;
+    std::vector<Act> acts_;
+};
+
+World initialWorld()
+{
+    DutyTiming timing;
+    timing.holderSilence_ = lease * 85 / 100;
+    timing.actAfterClaim_ = lease / 2 + milliseconds(100);
+    timing.recordValidity_ = lease / 3;
+    World world;
+    for (const char* name : { "0", "1" })
+        world.nodes_.push_back({ DutySeat({ name }, timing, start), 0, std::nullopt });
+    return world;
+}
+
+void act(World& world, int index, SteadyTime now)
+{
+    Participant& node = world.nodes_[static_cast<std::size_t>(index)];
+    if (node.recordedAt_ && node.seat_.mayAct(*node.recordedAt_, now))
+        world.acts_.push_back({ index, node.seat_.token(), now });
+    node.recordedAt_.reset();
+}
+
+void run(World& world, int index, Choice choice, SteadyTime now)
+{
+    if (choice == Choice::Frozen)
+        return;
+    Participant& node = world.nodes_[static_cast<std::size_t>(index)];
+    const Participant& peer = world.nodes_[static_cast<std::size_t>(1 - index)];
+    // What it was about to do when it froze comes first.
+    act(world, index, now);
+    if (choice != Choice::HearsNobody && peer.seat_.isHolder())
+        node.seat_.heardHolder({ std::to_string(1 - index) }, peer.seat_.token(), now);
+    if (node.seat_.shouldClaim(static_cast<std::size_t>(index), now)) {
+        node.end_ = ++world.log_;
+        return node.seat_.claimed({ node.end_ }, now);
+    }
+    if (!node.seat_.mayBegin(now))
+        return;
+    if (node.end_ != world.log_)
+        return node.seat_.lost(now);
+    node.end_ = ++world.log_;
+    node.recordedAt_ = now;
+    if (choice != Choice::FreezesBeforeActing)
+        act(world, index, now);
+}
+
+/// Returns what is wrong with the order of acts, or nothing.
+std::string problemOf(const std::vector<Act>& acts)
+{
+    std::map<int, SteadyTime> lastOf;
+    for (std::size_t i = 1; i < acts.size(); ++i) {
+        const Act& before = acts[i - 1];
+        const Act& now = acts[i];
+        lastOf[before.node_] = before.at_;
+        if (now.token_ < before.token_)
+            return "a token falls";
+        if (now.node_ == before.node_)
+            continue;
+        if (now.token_ == before.token_)
+            return "two nodes act with one token";
+        if (lastOf.contains(now.node_) && now.at_ - lastOf[now.node_] <= lease)
+            return "a node acts again within a lease of another's act";
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("no schedule of two nodes lets their acts overlap", "[duties]")
+{
+    World settled = initialWorld();
+    SteadyTime now = start;
+    for (int i = 0; i < 5; ++i, now += step) {
+        run(settled, 0, Choice::Runs, now);
+        run(settled, 1, Choice::Runs, now);
+    }
+    REQUIRE_FALSE(settled.acts_.empty());
+    int schedules = 1;
+    for (int i = 0; i < steps; ++i)
+        schedules *= choices * choices;
+    int changes = 0;
+    for (int schedule = 0; schedule < schedules; ++schedule) {
+        World world = settled;
+        SteadyTime at = now;
+        int rest = schedule;
+        for (int i = 0; i < steps; ++i, at += step) {
+            run(world, 0, static_cast<Choice>(rest % choices), at);
+            rest /= choices;
+            run(world, 1, static_cast<Choice>(rest % choices), at);
+            rest /= choices;
+        }
+        // Then both run undisturbed for two leases.
+        for (int i = 0; i < 7; ++i, at += step) {
+            run(world, 0, Choice::Runs, at);
+            run(world, 1, Choice::Runs, at);
+        }
+        std::string problem = problemOf(world.acts_);
+        if (!problem.empty()) {
+            CAPTURE(schedule);
+            FAIL(problem);
+        }
+        changes += world.acts_.back().node_ != settled.acts_.front().node_;
+        // Somebody holds the duties in the end.
+        if (at - world.acts_.back().at_ > 2 * step) {
+            CAPTURE(schedule);
+            FAIL("nobody acts after both run again");
+        }
+    }
+    // Schedules are worth something only if holders change.
+    CHECK(changes > schedules / 50);
+}
--- /dev/null
+++ b/unittests/Fuzz/FuzzTest.cpp
@@ -0,0 +1,199 @@
+//===- unittests/Fuzz/FuzzTest.cpp - parsers that face others --------------===//
+///
+/// \file
+/// Requests of callers, event streams of engines, records of the platform and
+/// datagrams of peers, changed at random, under the sanitizers. What is read must
+/// not depend on the pieces in which it came.
+//===----------------------------------------------------------------------===//
+#include "EventSplitter.h"
+#include "Mutator.h"
+#include "RelayBook.h"
+#include "RequestReader.h"
+#include "platform/Platform.h"
+#include "platform/Records.h"
+
+#include <catch2/catch.hpp>
+#include <google/protobuf/stubs/logging.h>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+
+namespace {
+
+// Some seconds of CI under the sanitizers.
+constexpr std::uint64_t standardRuns = 30000;
+constexpr std::uint64_t standardSeed = 20261202;
+
+std::uint64_t runs()
+{
+    return fuzzSetting("PISTACHIOLOOM_FUZZ_RUNS", standardRuns);
+}
+
+std::uint64_t seed()
+{
+    return fuzzSetting("PISTACHIOLOOM_FUZZ_SEED", standardSeed);
+}
+
+struct Parsed {
+    RequestReader::Progress progress_ = RequestReader::Progress::NeedsMore;
+    CallerRequest request_;
+    int status_ = 0;
+    std::string rest_;
+};
+
+Parsed parse(const std::vector<std::string>& pieces, const CallerBounds& bounds)
+{
+    Parsed parsed;
+    RequestReader reader(bounds, SteadyTime {});
+    std::string input;
+    for (const std::string& piece : pieces) {
+        input += piece;
+        if (parsed.progress_ == RequestReader::Progress::NeedsMore)
+            parsed.progress_ = reader.feed(input);
+    }
+    if (parsed.progress_ == RequestReader::Progress::Done)
+        parsed.request_ = reader.take();
+    if (parsed.progress_ == RequestReader::Progress::Bad)
+        parsed.status_ = reader.problem().status_;
+    parsed.rest_ = input;
+    return parsed;
+}
+
+/// Events of \p bytes as a splitter passes them on, in \p pieces.
+std::string splitEvents(const std::vector<std::string>& pieces, std::optional<std::uint64_t> last, EventSplitter& splitter)
+{
+    splitter = EventSplitter(last);
+    std::string events;
+    for (const std::string& piece : pieces)
+        events += splitter.take(piece);
+    return events;
+}
+
+} // namespace
+
+TEST_CASE("requests mean the same in whatever pieces they come, within their bounds", "[fuzz]")
+{
+    Mutator mutator(seed(), {
+                                "GET /a?b=1 HTTP/1.1\r\nHost: h\r\n\r\n",
+                                "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+                                "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                                "POST /p HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+                                "GET / HTTP/1.0\r\nConnection: keep-alive\r\nX: y\r\n\r\nGET /next HTTP/1.1\r\n\r\n",
+                            });
+    CallerBounds bounds;
+    bounds.header_ = { 300 };
+    bounds.body_ = { 60 };
+    for (std::uint64_t run = 0; run < runs(); ++run) {
+        std::string bytes = mutator.next();
+        Parsed whole = parse({ bytes }, bounds);
+        Parsed inPieces = parse(mutator.pieces(bytes), bounds);
+        CAPTURE(run, bytes);
+        REQUIRE(whole.progress_ == inPieces.progress_);
+        REQUIRE(whole.request_.method_ == inPieces.request_.method_);
+        REQUIRE(whole.request_.target_ == inPieces.request_.target_);
+        REQUIRE(whole.request_.body_ == inPieces.request_.body_);
+        REQUIRE(whole.request_.body_.size() <= bounds.body_.value_);
+        if (whole.progress_ == RequestReader::Progress::Done)
+            REQUIRE(whole.rest_ == inPieces.rest_);
+        if (whole.progress_ == RequestReader::Progress::Bad)
+            REQUIRE(whole.status_ / 100 == 4);
+    }
+}
+
+TEST_CASE("events come whole and in order, whatever an engine sends", "[fuzz]")
+{
+    Mutator mutator(seed(), {
+                                "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+                                "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+                                "data: without\n\n: comment\n\nid:4\ndata\n\n",
+                            });
+    for (std::uint64_t run = 0; run < runs(); ++run) {
+        std::string bytes = mutator.next();
+        std::optional<std::uint64_t> last;
+        if (mutator.below(2))
+            last = mutator.below(4);
+        EventSplitter splitter(last);
+        EventSplitter other(last);
+        std::string events = splitEvents({ bytes }, last, splitter);
+        CAPTURE(run, bytes);
+        REQUIRE(events == splitEvents(mutator.pieces(bytes), last, other));
+        REQUIRE(splitter.isBroken() == other.isBroken());
+        REQUIRE(events.size() <= bytes.size());
+        if (last && splitter.last())
+            REQUIRE(*splitter.last() >= *last);
+    }
+}
+
+TEST_CASE("header values of any kind are read or left", "[fuzz]")
+{
+    Mutator mutator(seed(), { "12000,480", "a:512,b:4870,c:6610", "close, X-Own", "timeout=5" });
+    for (std::uint64_t run = 0; run < runs(); ++run) {
+        std::string text = mutator.next();
+        (void)parseTokenCounts(text);
+        (void)connectionOptions({ { "Connection", text } });
+        (void)parseNumber(text);
+        for (const PromptPart& part : parsePromptParts(text))
+            REQUIRE(text.find(part.id_) != std::string::npos);
+    }
+}
+
+TEST_CASE("what the platform sends is decoded or refused with a reason", "[fuzz]")
+{
+    std::string log(16, '\0');
+    log += platform::frameRecord("record") + platform::frameRecord("") + platform::frameRecord(std::string("\x03key", 4) + "value");
+    Mutator mutator(seed(), {
+                                log,
+                                std::string("\x03key", 4) + "value",
+                                R"({"entries":[{"key":"k","value":"dmFsdWU=","offset":3}],"has_more":false,"end":7})",
+                                R"({"service":"e","address":"10.0.0.1:80","zone":"a","slot_count":8,"phase":"up","spot":true})",
+                                R"({"version":7,"routes":[{"name":"q","hostname":"H","path_prefix":"/q/","type":"stream","timeout_ms":3000,"goal_ms":500,"priority":0,"service":"e","attempts":1}],"services":[{"name":"e","max_conns":3,"scale":{"min_count":1,"max_count":2,"boot_s":4.0,"zone_prices":{"a":0.85}}}],"limits":{"max_body_bytes":9},"tenants":[{"name":"n","api_keys":["k"],"rate_per_s":1.5}]})",
+                            });
+    for (std::uint64_t run = 0; run < runs(); ++run) {
+        std::string bytes = mutator.next();
+        CAPTURE(run, bytes);
+        auto read = platform::decodeLog(bytes, { 5 });
+        if (read)
+            REQUIRE(read.value().next_.value_ == 5 + read.value().records_.size());
+        auto keyed = platform::decodeKeyed(bytes);
+        if (keyed)
+            REQUIRE(keyed.value().key_.size() < bytes.size());
+        auto newest = platform::decodeNewest(bytes);
+        auto configuration = platform::decodeConfiguration(bytes);
+        auto registration = platform::decodeRegistration({ "b" }, bytes);
+        if (!configuration)
+            REQUIRE_FALSE(configuration.error().message_.empty());
+        if (!registration)
+            REQUIRE_FALSE(registration.error().message_.empty());
+        if (configuration)
+            (void)RouteTable::build(std::move(configuration.value()));
+    }
+}
+
+TEST_CASE("datagrams of any content are summed or refused", "[fuzz]")
+{
+    google::protobuf::LogSilencer silencer;
+    wire::Datagram report;
+    report.mutable_report()->set_vm("a");
+    putLoads({ { 7, { 1, 1000 } } }, *report.mutable_report()->mutable_loads());
+    putUsage({ { { 3 }, { { { "north" }, 4 } } } }, *report.mutable_report()->mutable_usage());
+    wire::Datagram relayed;
+    relayed.mutable_relayed()->set_vm("r");
+    relayed.mutable_relayed()->set_data_centre("far");
+    *relayed.mutable_relayed()->mutable_sums() = sumsOf(report.report());
+    Mutator mutator(seed(), { report.SerializeAsString(), relayed.SerializeAsString() });
+    RelayBook book(milliseconds(5000));
+    SteadyTime now { std::chrono::hours(1) };
+    for (std::uint64_t run = 0; run < runs(); ++run) {
+        std::string bytes = mutator.next();
+        now += milliseconds(mutator.below(400));
+        wire::Datagram datagram;
+        if (!datagram.ParseFromString(bytes))
+            continue;
+        if (datagram.has_report())
+            book.takeReport(datagram.report(), now);
+        if (datagram.has_relayed())
+            book.takeSummary(datagram.relayed(), now);
+        // All that is told may be told on.
+        REQUIRE(book.digestFor({ "a" }, book.totals(now), now).IsInitialized());
+    }
+}
--- /dev/null
+++ b/unittests/Fuzz/Mutator.h
@@ -0,0 +1,89 @@
+//===- unittests/Fuzz/Mutator.h - bytes that are nearly right --------------===//
+///
+/// \file
+/// Changes good inputs at random, from a seed, so that parsers meet what a
+/// faulty or hostile peer may send.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include <cstdlib>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pistachioloom::test {
+
+/// A number from the environment, or \p fallback. PISTACHIOLOOM_FUZZ_RUNS and
+/// PISTACHIOLOOM_FUZZ_SEED make longer or other runs than CI's.
+inline std::uint64_t fuzzSetting(const char* name, std::uint64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+class Mutator {
+public:
+    Mutator(std::uint64_t seed, std::vector<std::string> corpus)
+        : random_(seed)
+        , corpus_(std::move(corpus))
+    {
+    }
+
+    std::size_t below(std::size_t bound) { return bound ? random_() % bound : 0; }
+
+    /// One of the corpus, with up to six changes.
+    std::string next()
+    {
+        std::string bytes = corpus_[below(corpus_.size())];
+        for (std::size_t i = below(7); i; --i)
+            change(bytes);
+        return bytes;
+    }
+
+    /// \p bytes in pieces of random lengths.
+    std::vector<std::string> pieces(const std::string& bytes)
+    {
+        std::vector<std::string> pieces;
+        for (std::size_t at = 0; at < bytes.size();) {
+            std::size_t length = 1 + below(below(4) ? 8 : bytes.size());
+            pieces.push_back(bytes.substr(at, length));
+            at += length;
+        }
+        return pieces;
+    }
+
+private:
+    void change(std::string& bytes)
+    {
+        constexpr const char* tokens[] = { "\r\n", "\n", "\r\n\r\n", ":", " ", "\t", "0", "-1", "18446744073709551616", "id: ", "data: ", "{", "}", "[", "]", "\"", ",", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "null", "1e999", "\\u0000" };
+        std::size_t at = below(bytes.size() + 1);
+        switch (below(6)) {
+        case 0:
+            if (at < bytes.size())
+                bytes[at] = static_cast<char>(bytes[at] ^ (1 << below(8)));
+            return;
+        case 1:
+            bytes.insert(at, 1, static_cast<char>(random_()));
+            return;
+        case 2:
+            bytes.erase(at, 1 + below(10));
+            return;
+        case 3:
+            bytes.insert(at, tokens[below(std::size(tokens))]);
+            return;
+        case 4:
+            bytes.resize(at);
+            return;
+        default: {
+            // A part of another one.
+            const std::string& other = corpus_[below(corpus_.size())];
+            bytes.insert(at, other.substr(below(other.size() + 1), below(60)));
+        }
+        }
+    }
+
+    std::mt19937_64 random_;
+    std::vector<std::string> corpus_;
+};
+
+} // namespace pistachioloom::test
