Refuse streams that would wait beyond their objective; share connections; sample engines

Cause: under overload every stream was taken and became late, worth a tenth. Change: a stream whose estimated wait for those ahead is beyond its objective (or twice that of a more urgent route) is refused at once with the time to return. Cause: 63 nodes that all choose the least loaded of 112 engines on loads 0.4 s old choose the same one: a tenth of requests estimated at 28 ms waited over 582 ms. The hash of an engine is kept instead of built per request. Connections: each worker keeps to its share of what a backend server accepts from all nodes.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -90,6 +90,8 @@
     BackendRecord backend_;
     /// Estimated wait for the first byte.
     milliseconds estimate_ {};
+    /// The part of it that is for requests ahead of this one.
+    milliseconds ahead_ {};
     /// Candidates that were weighed.
     std::size_t candidates_ = 0;
     /// Prompt tokens that it has to read: those that it is not likely to cache.
@@ -117,6 +119,12 @@
     unsigned failuresToEject_ = 2;
     /// Loads told by peers are left out after this silence.
     milliseconds peerLoadValidity_ { 1500 };
+    /// In a service with more backend servers than this, a request weighs only a
+    /// sample of them, beside those that may have its prompt's part cached: nodes
+    /// that all weigh all on loads 0.4 s old send what they do at the same time to
+    /// the same few.
+    std::size_t weighAllUpTo_ = 24;
+    std::size_t sample_ = 4;
     /// How long a backend server that told it was full is passed over.
     milliseconds fullPause_ { 100 };
 };
@@ -172,6 +180,8 @@
 private:
     struct Backend {
         BackendRecord record_;
+        /// Of its id; the key is its lower half.
+        std::uint64_t hash_ = 0;
         BackendKey key_ = 0;
         BackendLoad own_;
         BackendLoad peers_;
@@ -207,6 +217,10 @@
     double rateOf(const ServiceName& service) const;
     double estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const;
     TokenCount uncachedAt(const Backend& backend, const RequestShape& shape, const BackendId& home, SteadyTime now) const;
+    /// The backend server that reads the shared part of \p shape unless it is busy.
+    BackendId homeOf(const RequestShape& shape, const std::vector<Backend*>& candidates) const;
+    /// Leaves a sample of \p candidates, and those that may have the part cached.
+    void takeSample(std::vector<Backend*>& candidates, const RequestShape& shape, const BackendId& home, SteadyTime now) const;
     void fail(Backend& backend, SteadyTime now);
     void sumPeerLoads(SteadyTime now);
 
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -52,6 +52,9 @@
     /// Part of the remaining time after which an idempotent request without
     /// an answer is given to another backend server.
     double patienceShare_ = 0.4;
+    /// A stream is refused when the estimated wait for those ahead of it is longer
+    /// than this part of what its route admits. 0.7 to 1.4 are alike within 0.03 of worth.
+    double admittedShare_ = 1;
     /// A kept connection is not used in the last part of its idle time.
     milliseconds idleMargin_ { 300 };
     /// Idle time of a kept connection whose server states none.
@@ -83,6 +86,10 @@
     std::atomic<bool> refusesNew_ { false };
     std::atomic<std::size_t> running_ { 0 };
     std::atomic<std::size_t> connections_ { 0 };
+    /// Nodes that share what backend servers accept.
+    std::atomic<std::uint64_t> nodes_ { 1 };
+    /// Workers of this node, which share its part.
+    std::uint64_t workers_ = 1;
 };
 
 /// Serves callers on one io_context of one thread. Workers share an address;
--- a/include/pistachioloom/Routes.h
+++ b/include/pistachioloom/Routes.h
@@ -50,6 +50,10 @@
     /// 0 is the most urgent.
     unsigned priority_ = 0;
     std::vector<SplitShare> split_;
+    /// The wait for an engine by which its admission is bounded: the objective, but
+    /// no more than twice that of more urgent routes to the same service, which
+    /// would wait behind it. Set by RouteTable::build().
+    milliseconds admittedWait_ {};
 
     /// Whether a request may be sent again after it may have run.
     bool mayRepeat() const { return isStream_ ? isResumable_ : isIdempotent_; }
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -59,6 +59,7 @@
     // A leaving backend server never takes new work again under the same id.
     bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_;
     backend.record_ = record;
+    backend.hash_ = stableHash(record.id_.value_);
     backend.key_ = keyOf(record.id_);
     backend.record_.isLeaving_ = isLeaving;
 }
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -14,6 +14,14 @@
 // An engine that failed this share of its recent requests is used only when no
 // other is there. Services fail up to a seventh of their requests on calm days.
 static constexpr double failedShareTolerated = 0.4;
+/// Spreads the bits of \p value evenly (the finaliser of SplitMix64).
+static std::uint64_t mixBits(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+    return value ^ (value >> 31);
+}
+
 // A plain service's share of wait for each request before the new one, in ms.
 static constexpr double plainTurnMs = 20;
 // Prompt parts remembered for one engine; a part takes about 100 bytes.
@@ -46,6 +54,41 @@
     return { shape.promptTokens_.value_ - std::min(shape.promptTokens_.value_, cached) };
 }
 
+BackendId BackendBook::homeOf(const RequestShape& shape, const std::vector<Backend*>& candidates) const
+{
+    const PromptPart* shared = sharedPart(shape);
+    if (!shared)
+        return {};
+    BackendId home;
+    std::uint64_t part = stableHash(shared->id_);
+    std::uint64_t best = 0;
+    for (const Backend* backend : candidates) {
+        std::uint64_t rank = mixBits(part ^ backend->hash_);
+        if (home.isEmpty() || rank > best) {
+            home = backend->record_.id_;
+            best = rank;
+        }
+    }
+    return home;
+}
+
+void BackendBook::takeSample(std::vector<Backend*>& candidates, const RequestShape& shape, const BackendId& home, SteadyTime now) const
+{
+    const PromptPart* shared = sharedPart(shape);
+    auto mayCache = [&](const Backend* backend) {
+        if (!shared)
+            return false;
+        auto sent = backend->cached_.find(shared->id_);
+        return backend->record_.id_ == home || (sent != backend->cached_.end() && now - sent->second < settings_.cacheMemory_);
+    };
+    auto others = std::partition(candidates.begin(), candidates.end(), mayCache);
+    auto left = static_cast<std::size_t>(candidates.end() - others);
+    std::size_t taken = std::min(settings_.sample_, left);
+    for (std::size_t i = 0; i < taken; ++i)
+        std::swap(others[static_cast<std::ptrdiff_t>(i)], others[static_cast<std::ptrdiff_t>(i + randomBits() % (left - i))]);
+    candidates.erase(others + static_cast<std::ptrdiff_t>(taken), candidates.end());
+}
+
 double BackendBook::estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const
 {
     double running = backend.own_.running_ + backend.peers_.running_;
@@ -73,21 +116,14 @@
     if (candidates.empty())
         return std::nullopt;
 
-    BackendId home;
-    if (const PromptPart* shared = sharedPart(shape)) {
-        std::uint64_t best = 0;
-        for (const Backend* backend : candidates) {
-            std::uint64_t rank = stableHash(shared->id_ + backend->record_.id_.value_);
-            if (home.isEmpty() || rank > best) {
-                home = backend->record_.id_;
-                best = rank;
-            }
-        }
-    }
+    BackendChoice choice;
+    choice.candidates_ = candidates.size();
+    BackendId home = homeOf(shape, candidates);
+    if (candidates.size() > settings_.weighAllUpTo_)
+        takeSample(candidates, shape, home, now);
     Backend* chosen = nullptr;
     double least = 0;
     double ties = 0;
-    BackendChoice choice;
     for (Backend* backend : candidates) {
         TokenCount uncached = uncachedAt(*backend, shape, home, now);
         double estimate = estimateMs(*backend, shape, uncached);
@@ -102,6 +138,7 @@
         choice.uncached_ = uncached;
         choice.queuedAhead_ = { backend->own_.queuedTokens_ + backend->peers_.queuedTokens_ };
         choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimate));
+        choice.ahead_ = milliseconds(static_cast<std::int64_t>(estimateMs(*backend, shape, {})));
     }
     rates_[shape.service_].tokensSent_ += choice.uncached_.value_;
     chosen->own_.running_ += 1;
@@ -113,7 +150,6 @@
             chosen->cached_[shared->id_] = now;
     }
     choice.backend_ = chosen->record_;
-    choice.candidates_ = candidates.size();
     return choice;
 }
 
--- a/lib/Forward/BackendPool.cpp
+++ b/lib/Forward/BackendPool.cpp
@@ -9,6 +9,18 @@
 
 namespace pistachioloom {
 
+BackendConnection::BackendConnection(const asio::any_io_executor& executor, std::shared_ptr<std::size_t> open)
+    : socket_(executor)
+    , open_(std::move(open))
+{
+    ++*open_;
+}
+
+BackendConnection::~BackendConnection()
+{
+    --*open_;
+}
+
 void BackendConnection::close()
 {
     boost::system::error_code ignored;
@@ -43,9 +55,18 @@
     return nullptr;
 }
 
-BackendConnectionPtr BackendPool::make(const BackendId& backend) const
+std::size_t BackendPool::openTo(const BackendId& backend) const
+{
+    auto found = open_.find(backend);
+    return found == open_.end() ? 0 : *found->second;
+}
+
+BackendConnectionPtr BackendPool::make(const BackendId& backend)
 {
-    auto connection = std::make_shared<BackendConnection>(executor_);
+    auto [found, isNew] = open_.try_emplace(backend);
+    if (isNew)
+        found->second = std::make_shared<std::size_t>(0);
+    auto connection = std::make_shared<BackendConnection>(executor_, found->second);
     connection->backend_ = backend;
     return connection;
 }
@@ -67,6 +88,7 @@
         });
     }
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(open_, [](const auto& entry) { return *entry.second == 0; });
 }
 
 } // namespace pistachioloom
--- a/lib/Forward/BackendPool.h
+++ b/lib/Forward/BackendPool.h
@@ -14,10 +14,10 @@
 namespace pistachioloom {
 
 struct BackendConnection {
-    explicit BackendConnection(const asio::any_io_executor& executor)
-        : socket_(executor)
-    {
-    }
+    BackendConnection(const asio::any_io_executor& executor, std::shared_ptr<std::size_t> open);
+    ~BackendConnection();
+    BackendConnection(const BackendConnection&) = delete;
+    BackendConnection& operator=(const BackendConnection&) = delete;
 
     /// Ends every operation on it; safe to call twice.
     void close();
@@ -30,6 +30,8 @@
     bool isReused_ = false;
     /// An operation that writes the request is still under way.
     bool isWriting_ = false;
+    /// Connections to the same backend server; this one counts until it ends.
+    std::shared_ptr<std::size_t> open_;
 };
 
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
@@ -44,7 +46,9 @@
     /// A kept connection that is still open, or nullptr.
     BackendConnectionPtr take(const BackendId& backend, SteadyTime now);
     /// A closed connection for this server, to be connected by the caller.
-    BackendConnectionPtr make(const BackendId& backend) const;
+    BackendConnectionPtr make(const BackendId& backend);
+    /// Connections to \p backend, kept or in use.
+    std::size_t openTo(const BackendId& backend) const;
     void put(BackendConnectionPtr connection);
     const asio::any_io_executor& executor() const { return executor_; }
     /// Closes what is past its time.
@@ -53,6 +57,7 @@
 private:
     asio::any_io_executor executor_;
     std::map<BackendId, std::vector<BackendConnectionPtr>> idle_;
+    std::map<BackendId, std::shared_ptr<std::size_t>> open_;
 };
 
 } // namespace pistachioloom
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -16,6 +16,9 @@
     constexpr milliseconds retryStopping { 10 };
     // Backend servers that are full have room again after a few answers.
     constexpr milliseconds retryFull { 150 };
+    // The longest time after which a refused caller is asked to return: the
+    // strictest objectives are 400 ms, and callers wait a third of their time.
+    constexpr milliseconds longestRetry { 800 };
     // Connections that may fail for one request before it is given up.
     constexpr unsigned mostUnreachable = 4;
     // Weight versions and the like begin at this urgency if nothing is said.
@@ -149,7 +152,7 @@
 {
     if (stopped_ == StopReason::CallerGone || stopped_ == StopReason::TimeOver || timeLeft() <= milliseconds(0))
         return false;
-    if (end == SendEnd::Unreachable)
+    if (end == SendEnd::Unreachable || end == SendEnd::NoConnection)
         return ++unreachable_ < mostUnreachable;
     if (sends_ >= route_->mostAttempts_)
         return false;
@@ -158,12 +161,35 @@
     return context_.retries_.take(shape_.service_, steadyNow());
 }
 
+/// A request that would be late takes the time of an engine from those behind it,
+/// which are late then too. One that has events already is not given up.
+bool Forwarding::isHopeless(const BackendChoice& choice) const
+{
+    if (sends_ || !shape_.isForEngine_ || !route_->isStream_ || events_.last())
+        return false;
+    return choice.ahead_ > route_->admittedWait_ * context_.settings_.admittedShare_;
+}
+
+Forwarding::HeldAnswer Forwarding::refuseForWait(const BackendChoice& choice) const
+{
+    // Half of what is admitted: by then there is room for more than the first.
+    milliseconds wait = std::clamp(choice.ahead_ - route_->admittedWait_ / 2, retryFull, longestRetry);
+    return refusal(503, "engines are busy for " + std::to_string(choice.ahead_.count()) + " ms", wait);
+}
+
 asio::awaitable<void> Forwarding::serve()
 {
     for (;;) {
         auto choice = context_.backends_.choose(shape_, excluded_, steadyNow());
         if (!choice)
             break;
+        if (isHopeless(*choice)) {
+            context_.backends_.end(choice->backend_.id_, choice->uncached_, false, BackendOutcome::Abandoned, steadyNow());
+            context_.metrics_.add(Counter::RequestsRefused);
+            held_ = refuseForWait(*choice);
+            logRefusal(*held_);
+            break;
+        }
         Attempt attempt;
         attempt.choice_ = std::move(*choice);
         attempt.startedAt_ = steadyNow();
@@ -239,6 +265,9 @@
     case SendEnd::Stopped:
         outcome = BackendOutcome::Abandoned;
         break;
+    case SendEnd::NoConnection:
+        outcome = BackendOutcome::Full;
+        break;
     }
     current_ = nullptr;
     SteadyTime now = steadyNow();
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -28,6 +28,8 @@
     Lost,
     /// The caller left, or the time is over.
     Stopped,
+    /// All connections that this node may open there are in use.
+    NoConnection,
 };
 
 /// Why work on a request was stopped from outside.
@@ -75,11 +77,15 @@
     asio::awaitable<void> serve();
     asio::awaitable<SendEnd> send(Attempt& attempt);
     asio::awaitable<SendEnd> connect(Attempt& attempt);
+    bool mayConnect(const BackendId& backend) const;
     asio::awaitable<SendEnd> receive(Attempt& attempt);
     asio::awaitable<SendEnd> receiveWhole(Attempt& attempt, Parser& parser);
     asio::awaitable<SendEnd> relayEvents(Attempt& attempt, Parser& parser);
     asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, Parser& parser);
     bool mayTryAgain(SendEnd end);
+    /// Whether the wait is so long that the request had better come back.
+    bool isHopeless(const BackendChoice& choice) const;
+    HeldAnswer refuseForWait(const BackendChoice& choice) const;
     bool mayGoElsewhere(const Attempt& attempt) const;
     void finishAttempt(Attempt& attempt, SendEnd end);
     void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took) const;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -62,6 +62,16 @@
     return head + "\r\n";
 }
 
+/// A backend server resets connections beyond those that it accepts from all nodes
+/// together, so each worker of each node keeps to its share.
+bool Forwarding::mayConnect(const BackendId& backend) const
+{
+    const ServicePolicy* service = table_->findService(shape_.service_);
+    std::uint64_t sharers = std::max<std::uint64_t>(1, context_.nodes_ * context_.workers_);
+    std::uint64_t share = std::max<std::uint64_t>(1, service ? service->mostConnections_ / sharers : 1);
+    return pool_.openTo(backend) < share;
+}
+
 asio::awaitable<SendEnd> Forwarding::connect(Attempt& attempt)
 {
     const BackendRecord& backend = attempt.choice_.backend_;
@@ -70,6 +80,10 @@
         current_ = attempt.connection_;
         co_return SendEnd::Held;
     }
+    if (!mayConnect(backend.id_)) {
+        attempt.detail_ = "no_connection_left";
+        co_return SendEnd::NoConnection;
+    }
     attempt.connection_ = pool_.make(backend.id_);
     current_ = attempt.connection_;
     beast::error_code invalid;
@@ -117,7 +131,8 @@
 {
     SendEnd connected = co_await connect(attempt);
     if (connected != SendEnd::Held) {
-        attempt.connection_->close();
+        if (attempt.connection_)
+            attempt.connection_->close();
         co_return connected;
     }
     ++sends_;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -100,6 +100,7 @@
         { "configuration_version", table ? static_cast<double>(table->version()) : 0 },
         { "backend_servers", static_cast<double>(context_.backends_.records().size()) },
         { "peers_live", static_cast<double>(reports_.live().size()) },
+        { "nodes_known_of", static_cast<double>(reports_.nodesKnownOf()) },
         { "log_lines_dropped", static_cast<double>(droppedLogLines()) },
         { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
     };
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -36,6 +36,8 @@
     , forward_ { platform_.headers_, settings_.forward_, {}, backends_, quotas_, retries_, metrics_, {}, {}, {}, {} }
     , table_(nullptr)
 {
+    forward_.nodes_ = leastNodesAssumed;
+    forward_.workers_ = settings_.threads_;
     forward_.hooks_.table_ = [this] { return table(); };
     forward_.hooks_.onBegan_ = [this](const OrganisationId& organisation) { usage_.count(organisation, agreedWallMs()); };
 }
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -67,6 +67,11 @@
     return heardWithin(context_.settings_.gossiping_.silence_);
 }
 
+std::uint64_t PeerReports::nodesKnownOf() const
+{
+    return wasLarge_ ? nodesSummed_.load() : live().size();
+}
+
 void PeerReports::addKnown(const VmId& vm, const Endpoint& gossip)
 {
     if (gossip != context_.settings_.gossip_)
@@ -100,6 +105,7 @@
         // The extra repeats are shared by all nodes known, also those cut off.
         std::uint64_t known = table_.size() + 1;
         context_.retries_.setNodes(std::max(leastNodesAssumed, known));
+        context_.forward_.nodes_ = std::max(leastNodesAssumed, known);
         bool isLarge = table_.isLarge();
         if (isLarge != wasLarge_)
             logger_.info(LogLine(isLarge ? "Fleet is large: relays sum the reports." : "Fleet is small: every node hears every other.").add("nodes", static_cast<std::int64_t>(known)));
@@ -328,7 +334,7 @@
     if (!wasLarge_ || !others_.take(relay, incarnation, sums, now))
         return;
     if (relay != countingRelay_ || sums.nodes() != nodesSummed_)
-        logger_.info(LogLine("Relay sums other nodes.").add("relay", relay.value_).add("before", countingRelay_.value_).add("nodes", static_cast<std::int64_t>(sums.nodes())).add("nodes_before", static_cast<std::int64_t>(nodesSummed_)));
+        logger_.info(LogLine("Relay sums other nodes.").add("relay", relay.value_).add("before", countingRelay_.value_).add("nodes", static_cast<std::int64_t>(sums.nodes())).add("nodes_before", static_cast<std::int64_t>(nodesSummed_.load())));
     countingRelay_ = relay;
     nodesSummed_ = sums.nodes();
     // What single nodes told before the fleet grew is in the sums now.
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -36,6 +36,8 @@
     std::vector<KnownPeer> live() const;
     /// Peers heard within \p silence.
     std::vector<KnownPeer> heardWithin(milliseconds silence) const { return table_.heardWithin(silence, steadyNow()); }
+    /// Nodes that this one knows the work of, itself left out.
+    std::uint64_t nodesKnownOf() const;
     /// A node announced elsewhere; it is told of this node from now on.
     void addKnown(const VmId& vm, const Endpoint& gossip);
     /// Tells peers that a backend server is leaving, for some seconds.
@@ -77,7 +79,7 @@
     /// All other nodes, as relays sum them.
     SumGroup others_;
     VmId countingRelay_;
-    std::uint64_t nodesSummed_ = 0;
+    std::atomic<std::uint64_t> nodesSummed_ { 0 };
     std::mutex leavingMutex_;
     std::deque<std::pair<SteadyTime, BackendId>> leaving_;
     std::uint64_t sequence_ = 0;
@@ -85,7 +87,7 @@
     std::size_t memberTurn_ = 0;
     std::size_t digestTurn_ = 0;
     std::size_t relayTurn_ = 0;
-    bool wasLarge_ = false;
+    std::atomic<bool> wasLarge_ { false };
     Logger logger_ { "peers" };
 };
 
--- a/lib/Routes/Routes.cpp
+++ b/lib/Routes/Routes.cpp
@@ -10,10 +10,29 @@
 
 namespace pistachioloom {
 
+static bool shareService(const Route& left, const Route& right)
+{
+    return std::any_of(left.split_.begin(), left.split_.end(), [&](const SplitShare& share) {
+        return std::any_of(right.split_.begin(), right.split_.end(), [&](const SplitShare& other) { return other.service_ == share.service_; });
+    });
+}
+
+static milliseconds admittedWait(const Route& route, const std::vector<Route>& routes)
+{
+    milliseconds wait = route.objective_;
+    for (const Route& other : routes) {
+        if (other.priority_ < route.priority_ && shareService(route, other))
+            wait = std::min(wait, other.objective_ * 2);
+    }
+    return wait;
+}
+
 std::shared_ptr<const RouteTable> RouteTable::build(RouteConfiguration configuration)
 {
     auto table = std::make_shared<RouteTable>();
     table->configuration_ = std::move(configuration);
+    for (Route& route : table->configuration_.routes_)
+        route.admittedWait_ = admittedWait(route, table->configuration_.routes_);
     for (const Route& route : table->configuration_.routes_)
         table->byHost_[route.host_].push_back(&route);
     for (auto& [host, routes] : table->byHost_)
--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -329,3 +329,43 @@
         CHECK((isNew || known->second == counts));
     }
 }
+
+TEST_CASE("in a large fleet relays tell every node of all others, also after some are lost", "[gateway]")
+{
+    GatewayDeploymentOptions options;
+    options.count_ = 6;
+    options.dataCentres_ = 2;
+    options.moreSettings_ = [](const std::string&) { return "  gossip:\n    fanout: 1\n"; };
+    GatewayDeployment deployment(std::move(options));
+    deployment.standard();
+    auto knowsOf = [&](std::size_t from, double nodes) {
+        return waitUntil([&] {
+            auto first = deployment.gateways().begin() + static_cast<std::ptrdiff_t>(from);
+            return std::all_of(first, deployment.gateways().end(), [&](const auto& gateway) { return deployment.metric(gateway, "nodes_known_of") == nodes; });
+        },
+            patience);
+    };
+    CHECK(knowsOf(0, 5));
+
+    // The small organisation has one request, and half of one a second. Each node
+    // may admit one before it hears of the others.
+    auto begin = steadyNow();
+    int admitted = 0;
+    for (int round = 0; round < 30; ++round) {
+        for (auto& gateway : deployment.gateways()) {
+            HttpRequest request = gatewayRequest("GET", "/safe/x", "small-" + std::to_string(round) + gateway.vm_);
+            request.headers_["Authorization"] = "Bearer key-small";
+            admitted += deployment.call(gateway, request).status_ == 200;
+        }
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    double seconds = std::chrono::duration<double>(steadyNow() - begin).count();
+    CHECK(admitted >= 1);
+    CHECK(admitted <= 6 + 1 + 0.5 * seconds);
+
+    // One node of each data centre, a relay perhaps.
+    for (std::size_t i : { 0U, 1U })
+        deployment.gateways()[i].process_->kill();
+    CHECK(knowsOf(2, 3));
+    CHECK(deployment.call(deployment.gateways()[2], gatewayRequest("GET", "/safe/x", "after")).status_ == 200);
+}
