--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #include "Platform/GatewayDeployment.h"
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -369,3 +370,60 @@
     CHECK(knowsOf(2, 3));
     CHECK(deployment.call(deployment.gateways()[2], gatewayRequest("GET", "/safe/x", "after")).status_ == 200);
 }
+
+TEST_CASE("a stream that would wait beyond its objective is refused at once, and has not run", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    setAll(deployment, { { "delay_ms", 1500 } });
+    // 60,000 tokens are 1.2 s at 50 a millisecond; the objective is 0.5 s.
+    auto request = [](const std::string& id) {
+        HttpRequest request = gatewayRequest("POST", "/ask/stream", id);
+        request.headers_["X-Pistachioloom-Token-Count"] = "60000,5";
+        return request;
+    };
+    std::vector<std::thread> running;
+    std::atomic<int> served { 0 };
+    for (const char* id : { "first", "second" })
+        running.emplace_back([&, id] { served += deployment.call(gateway, request(id)).status_ == 200; });
+    // Both engines read a long prompt.
+    REQUIRE(waitUntil([&] { return runsOf(deployment, "first") == 1 && runsOf(deployment, "second") == 1; }, patience));
+    auto begin = steadyNow();
+    HttpResponse refused = deployment.call(gateway, request("third"));
+    CHECK(refused.status_ == 503);
+    CHECK(refused.headers_["retry-after"] == "0.800");
+    CHECK(steadyNow() - begin < milliseconds(400));
+    CHECK(runsOf(deployment, "third") == 0);
+    for (std::thread& thread : running)
+        thread.join();
+    CHECK(served == 2);
+    setAll(deployment, { { "delay_ms", 0 } });
+    CHECK(deployment.call(gateway, request("fourth")).status_ == 200);
+}
+
+TEST_CASE("a node opens no more connections than its share", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    // 24 for all of at least 12 nodes with two workers each: one for each worker.
+    deployment.putConfiguration(2, {}, 24);
+    REQUIRE(deployment.waitForVersion(2, patience));
+    setAll(deployment, { { "delay_ms", 1000 } });
+    std::vector<std::thread> callers;
+    std::atomic<int> served { 0 };
+    std::atomic<int> refused { 0 };
+    for (int i = 0; i < 12; ++i) {
+        callers.emplace_back([&, i] {
+            HttpResponse answer = deployment.call(gateway, gatewayRequest("POST", "/once/x", "c" + std::to_string(i)));
+            served += answer.status_ == 200;
+            refused += answer.status_ == 503 && answer.headers_.contains("retry-after");
+        });
+    }
+    for (std::thread& caller : callers)
+        caller.join();
+    CHECK(served >= 1);
+    CHECK(served <= 4);
+    CHECK(served + refused == 12);
+}
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -138,6 +138,7 @@
         head.headers_["Content-Type"] = "text/event-stream";
         std::string last = exchange.request().header("last-event-id");
         std::int64_t next = last.empty() ? 1 : std::stoll(last) + 1;
+        co_await pause(milliseconds(controls_["delay_ms"]));
         if (!co_await exchange.beginStream(std::move(head)))
             co_return;
         for (std::int64_t id = next; id <= controls_["events"]; ++id) {
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -158,3 +158,34 @@
     CHECK(book.services()[service].prefillPerMs_ == Approx(112).epsilon(0.1));
     CHECK(book.services()[service].observations_ == 200);
 }
+
+TEST_CASE("nodes that know the same late loads do not all send to one engine", "[backends]")
+{
+    // Forty engines are busy alike, but for one.
+    constexpr int nodes = 20;
+    int atIdle = 0;
+    for (int node = 0; node < nodes; ++node) {
+        BackendBook book({ "a" }, ChoiceSettings {});
+        std::map<BackendKey, BackendLoad> loads;
+        for (int i = 0; i < 40; ++i) {
+            std::string id = "e" + std::to_string(i);
+            book.put(record(id));
+            loads[keyOf({ id })] = { 2, i ? 9000U : 0U };
+        }
+        book.setPeerLoads({ "peer" }, loads, start);
+        atIdle += chosen(book, engineRequest(1000)) == "e0";
+    }
+    // A tenth of samples hold it; more than 12 of 20 come once in ten million runs.
+    CHECK(atIdle <= 12);
+}
+
+TEST_CASE("an estimate tells the wait for those ahead from the own prompt's", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    book.setPeerLoads({ "peer" }, { { keyOf({ "x" }), { 0, 10000 } } }, start);
+    auto choice = book.choose(engineRequest(5000), {}, start);
+    REQUIRE(choice);
+    CHECK(choice->ahead_ == milliseconds(200));
+    CHECK(choice->estimate_ == milliseconds(300));
+}
--- a/unittests/Routes/RoutesTest.cpp
+++ b/unittests/Routes/RoutesTest.cpp
@@ -87,3 +87,20 @@
     route.isResumable_ = true;
     CHECK(route.mayRepeat());
 }
+
+TEST_CASE("what a route admits follows from its objective and more urgent ones", "[routes]")
+{
+    Route urgent = routeOf("urgent", "h", "/u/");
+    urgent.objective_ = milliseconds(400);
+    Route plan = routeOf("plan", "h", "/p/");
+    plan.objective_ = milliseconds(1000);
+    plan.priority_ = 1;
+    Route elsewhere = plan;
+    elsewhere.name_ = "elsewhere";
+    elsewhere.split_ = { { { "b" }, 1 } };
+    auto table = tableOf({ urgent, plan, elsewhere });
+    const auto& routes = table->configuration().routes_;
+    CHECK(routes[0].admittedWait_ == milliseconds(400));
+    CHECK(routes[1].admittedWait_ == milliseconds(800));
+    CHECK(routes[2].admittedWait_ == milliseconds(1000));
+}
