--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -108,6 +108,8 @@
     for (const auto& [service, view] : context_.backends_.services())
         context_.demand_.setSource(context_.settings_.vm_, context_.incarnation_, service, { { view.tokensSent_ }, view.prefillPerMs_, view.observations_ });
     context_.demand_.sample(steadyNow());
+    for (const BackendRecord& record : context_.backends_.records())
+        firstSeen_.try_emplace(record.service_, steadyNow());
 }
 
 /// Reads the log of duties to its end. \returns whether it was read.
@@ -246,21 +248,25 @@
     return all;
 }
 
-/// What the service needs now. Before a whole window of demand was seen, what is
-/// there is taken for what is needed, so that a new holder changes nothing.
+/// What the service needs now. Before a whole window of demand was seen, the most
+/// that was there is taken for what is needed, so that a new holder changes nothing.
 FleetDemand DutyRunner::demandOf(const ServicePolicy& service, const std::vector<FleetPlace>& places, SteadyTime now)
 {
     const FleetSettings& settings = context_.settings_.fleet_;
     std::uint64_t present = 0;
-    for (const FleetPlace& place : places)
+    std::uint64_t lasting = 0;
+    for (const FleetPlace& place : places) {
         present += place.lasting_ + place.reclaimable_;
+        lasting += place.lasting_;
+    }
     double rate = context_.demand_.prefillPerMs(service.name_, context_.settings_.choice_.prefillPerMs_);
     auto tokens = context_.demand_.peakRate(service.name_, now);
     // The highest need of a while counts, so that engines are not given up in one
     // moment and missed in the next.
     std::deque<std::pair<SteadyTime, std::uint64_t>>& recent = needs_[service.name_];
-    auto before = neededBefore_.find(service.name_);
-    std::uint64_t unknown = before == neededBefore_.end() ? present : before->second;
+    std::uint64_t& before = neededBefore_[service.name_];
+    // Engines that were ordered here may be more than what is needed.
+    std::uint64_t unknown = std::max(before, ordered_.empty() ? present : lasting);
     recent.emplace_back(now, tokens ? enginesFor(*tokens, rate, settings.margin_) : unknown);
     while (!recent.empty() && now - recent.front().first > settings.hold_)
         recent.pop_front();
@@ -270,12 +276,20 @@
     double reclaimable = std::ceil(static_cast<double>(demand.needed_) * settings.reclaimableShare_);
     std::uint64_t room = demand.most_ - std::min(demand.most_, demand.least_);
     demand.reclaimablePerPlace_ = std::min(room, static_cast<std::uint64_t>(reclaimable));
-    if (demand.needed_ != neededBefore_[service.name_])
+    if (demand.needed_ != before)
         logger_.info(LogLine("Engines needed.").add("service", service.name_.value_).add("needed", static_cast<std::int64_t>(demand.needed_)).add("present", static_cast<std::int64_t>(present)).add("tokens_per_s", tokens ? std::to_string(static_cast<std::int64_t>(*tokens)) : "").add("prefill_per_ms", std::to_string(rate)));
-    neededBefore_[service.name_] = demand.needed_;
+    before = demand.needed_;
     return demand;
 }
 
+/// Whether engines have been known for long enough that those that are there have
+/// registered. An order given before would dismiss the others.
+bool DutyRunner::isSettled(const ServiceName& service, SteadyTime now) const
+{
+    auto first = firstSeen_.find(service);
+    return first != firstSeen_.end() && now - first->second >= context_.settings_.fleet_.settling_;
+}
+
 /// Orders that are not in force yet as far as the registry shows.
 std::vector<FleetOrder> DutyRunner::dueOrders(SteadyTime now)
 {
@@ -285,6 +299,8 @@
     for (const ServicePolicy& service : table->configuration().services_) {
         if (!service.fleet_)
             continue;
+        if (!isSettled(service.name_, now))
+            continue;
         std::vector<FleetPlace> places = placesOf(service);
         FleetDemand demand = demandOf(service, places, now);
         for (const FleetOrder& order : planFleet(service.name_, demand, places)) {
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -46,6 +46,7 @@
     asio::awaitable<bool> readLog();
     asio::awaitable<Recorded> record(const wire::DutyRecord& record);
     std::vector<FleetPlace> placesOf(const ServicePolicy& service) const;
+    bool isSettled(const ServiceName& service, SteadyTime now) const;
     FleetDemand demandOf(const ServicePolicy& service, const std::vector<FleetPlace>& places, SteadyTime now);
     std::vector<FleetOrder> dueOrders(SteadyTime now);
     void sampleDemand();
@@ -65,6 +66,8 @@
     std::map<std::tuple<ServiceName, DataCentreId, bool>, LastOrder> ordered_;
     SteadyTime fleetAt_ {};
     std::map<ServiceName, std::uint64_t> neededBefore_;
+    /// When a first backend server of each service was seen, on any node.
+    std::map<ServiceName, SteadyTime> firstSeen_;
     std::map<ServiceName, std::deque<std::pair<SteadyTime, std::uint64_t>>> needs_;
     Logger logger_ { "duties" };
 };
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -43,6 +43,7 @@
         settings.reclaimableShare_ = map.number("reclaimable_share", 0, 2, settings.reclaimableShare_);
         settings.reserveShare_ = map.number("reserve_share", 0, 1, settings.reserveShare_);
         settings.period_ = map.duration("period", milliseconds(100), oneMinute, settings.period_);
+        settings.settling_ = map.duration("settling", milliseconds(0), oneDay, settings.settling_);
         settings.repeat_ = map.duration("repeat", milliseconds(100), oneDay, settings.repeat_);
         map.finish();
     }
