Count cut-off nodes in the quota through relays; share it as requests come

Cause: a relay's sums leave out what it no longer hears, so in a large fleet a data centre that is cut off took its nodes out of the others' count within a second and both sides used the whole quota; each silent peer of a small fleet is charged for 10 s. Change: digests tell how many nodes fell silent, and these are charged. Second: equal shares of a quota's rest starve an organisation whose callers keep to one node. Shares are half equal, half as requests came; what others may have admitted unseen follows from how they were spread. A kept connection is served through a stop (process test, six callers).

--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -43,7 +43,7 @@
 /// Token buckets shared by all nodes. Thread-safe.
 ///
 /// While more is left than all nodes may admit unseen, any node admits. Below that
-/// each admits its equal share of the rate, so that nodes which hear each other
+/// each admits its share of the rate, so that nodes which hear each other
 /// late do not all use the same rest: without it 9 nodes that are asked for 7.5
 /// times the quota and hear each other 0.4 s late admit 10.2 million tokens in
 /// the worst 8 s where 8.2 million are granted (unit test). What goes below zero
@@ -66,6 +66,9 @@
     /// A peer's counts; \p incarnation changes with its restart. The peer may
     /// stand for several \p nodes, whose sum it tells.
     void setPeer(const VmId& peer, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes = 1);
+    /// \p nodes others are cut off, as relays tell: each is assumed to admit an equal
+    /// share for as long as this is said again.
+    void setSilentNodes(std::uint64_t nodes, SteadyTime now);
     /// Forgets \p peer, whose counts come through another one from now on.
     void forgetPeer(const VmId& peer);
 
@@ -77,6 +80,9 @@
         /// What was admitted lately, fading: by this node, and by the others.
         double ownRecent_ = 0;
         double othersRecent_ = 0;
+        /// The same over a longer time: how the organisation's requests are spread.
+        double ownLong_ = 0;
+        double othersLong_ = 0;
         /// This node's share of the rate, while the rest is divided.
         std::optional<double> share_;
         /// What silent peers were charged since they were last heard.
@@ -94,6 +100,9 @@
     void fill(Bucket& bucket, SteadyTime now) const;
     void chargeSilent(SteadyTime now);
     double nodes() const;
+    /// This node's part of an organisation's requests: half of it equal, half as
+    /// they came, since callers keep to the nodes that they are connected to.
+    double shareOf(const Bucket& bucket) const;
     /// What may have been admitted that this node has not heard of.
     double unseen(const Bucket& bucket) const;
     std::optional<milliseconds> takeShare(Bucket& bucket, double cost);
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -109,8 +109,15 @@
         bool isLarge = table_.isLarge();
         if (isLarge != wasLarge_)
             logger_.info(LogLine(isLarge ? "Fleet is large: relays sum the reports." : "Fleet is small: every node hears every other.").add("nodes", static_cast<std::int64_t>(known)));
-        if (!isLarge && wasLarge_)
+        if (!isLarge && wasLarge_) {
             forgetCounts(allOthers());
+            context_.quotas_.setSilentNodes(0, now);
+        }
+        if (isLarge && !wasLarge_) {
+            // What single nodes told is in the relays' sums from now on.
+            for (const auto& [vm, peer] : table_.all())
+                forgetCounts(vm);
+        }
         wasLarge_ = isLarge;
         if (isLarge)
             tellRelays(now);
@@ -337,9 +344,6 @@
         logger_.info(LogLine("Relay sums other nodes.").add("relay", relay.value_).add("before", countingRelay_.value_).add("nodes", static_cast<std::int64_t>(sums.nodes())).add("nodes_before", static_cast<std::int64_t>(nodesSummed_.load())));
     countingRelay_ = relay;
     nodesSummed_ = sums.nodes();
-    // What single nodes told before the fleet grew is in the sums now.
-    for (const auto& [vm, peer] : table_.all())
-        forgetCounts(vm);
     context_.backends_.setPeerLoads(allOthers(), loadsOf(sums.loads()), now);
     AdmittedCounts admitted;
     for (const auto& [organisation, count] : others_.admitted())
@@ -348,6 +352,7 @@
     for (const wire::QuotaReport& told : sums.quotas())
         levels[{ told.organisation() }] = told.level();
     context_.quotas_.setPeer(allOthers(), context_.incarnation_, admitted, levels, now, sums.nodes());
+    context_.quotas_.setSilentNodes(sums.silent_nodes(), now);
     for (const wire::DemandReport& told : sums.demand()) {
         auto tokens = others_.tokens().find(told.service());
         auto sent = tokens == others_.tokens().end() ? 0 : static_cast<std::uint64_t>(std::max(0.0, tokens->second));
--- a/lib/Gateway/RelayBook.cpp
+++ b/lib/Gateway/RelayBook.cpp
@@ -120,11 +120,14 @@
     }
 }
 
-void ReportTotals::addCounted(const SumGroup& group)
+void ReportTotals::add(const SumGroup& group, SteadyTime now)
 {
     addCounts(admitted_, group.admitted());
     for (const auto& [service, tokens] : group.tokens())
         demand_[service].tokens_ += tokens;
+    if (const wire::NodeSums* current = group.current(now))
+        addCurrent(*current);
+    silentNodes_ += group.silentNodes(now);
 }
 
 void ReportTotals::remove(const wire::NodeSums& sums, const SumGroup& counted)
@@ -166,6 +169,7 @@
         sums.add_leaving(id);
     sums.set_holder(holder_);
     sums.set_duty_token(dutyToken_.value_);
+    sums.set_silent_nodes(silentNodes_);
     return sums;
 }
 
@@ -225,11 +229,8 @@
 ReportTotals RelayBook::ownTotals(SteadyTime now) const
 {
     ReportTotals totals;
-    for (const auto& [vm, node] : nodes_) {
-        totals.addCounted(node.group_);
-        if (const wire::NodeSums* current = node.group_.current(now))
-            totals.addCurrent(*current);
-    }
+    for (const auto& [vm, node] : nodes_)
+        totals.add(node.group_, now);
     addCounts(totals.admitted_, goneAdmitted_);
     for (const auto& [service, tokens] : goneTokens_)
         totals.demand_[service].tokens_ += tokens;
@@ -249,11 +250,8 @@
 ReportTotals RelayBook::totals(SteadyTime now) const
 {
     ReportTotals totals = ownTotals(now);
-    for (const auto& [dataCentre, group] : others_) {
-        totals.addCounted(group);
-        if (const wire::NodeSums* current = group.current(now))
-            totals.addCurrent(*current);
-    }
+    for (const auto& [dataCentre, group] : others_)
+        totals.add(group, now);
     return totals;
 }
 
--- a/lib/Gateway/RelayBook.h
+++ b/lib/Gateway/RelayBook.h
@@ -28,15 +28,17 @@
         std::uint64_t observations_ = 0;
     };
 
-    /// Adds what holds now: loads, levels, rates, what is leaving, the holder.
-    void addCurrent(const wire::NodeSums& sums);
-    /// Adds what was counted, also by nodes that are gone.
-    void addCounted(const SumGroup& group);
+    /// Adds a group: what it told now, and what it counted even if it is silent.
+    void add(const SumGroup& group, SteadyTime now);
     /// Takes out what one of the nodes told.
     void remove(const wire::NodeSums& sums, const SumGroup& counted);
     wire::NodeSums toMessage() const;
 
+    /// Adds what holds now: loads, levels, rates, what is leaving, the holder.
+    void addCurrent(const wire::NodeSums& sums);
+
     std::uint64_t nodes_ = 0;
+    std::uint64_t silentNodes_ = 0;
     LoadTable loads_;
     NamedCounts admitted_;
     NamedCounts levels_;
--- a/lib/Gateway/SumGroup.cpp
+++ b/lib/Gateway/SumGroup.cpp
@@ -12,6 +12,8 @@
     // Five reports in a row are missing: a lost datagram or a slow VM loses one
     // or two.
     constexpr milliseconds sourceSilence { 1000 };
+    // A group that is silent for longer has stopped, rather than been cut off.
+    constexpr milliseconds silenceCounted { 10000 };
     // A source that sums so many times the nodes of the one that counts takes its
     // place: that one hears only a part of them.
     constexpr double moreNodes = 1.25;
@@ -72,6 +74,8 @@
     chooseCounting(now);
     if (counting_ != vm)
         return false;
+    lastNodes_ = sums.nodes();
+    lastHeardAt_ = now;
     if (isFollowed) {
         addGrowth(admitted_, admittedOf(before.sums_), admittedOf(sums));
         addGrowth(tokens_, tokensOf(before.sums_), tokensOf(sums));
@@ -87,6 +91,13 @@
     return &counting->second.sums_;
 }
 
+std::uint64_t SumGroup::silentNodes(SteadyTime now) const
+{
+    if (const wire::NodeSums* sums = current(now))
+        return sums->silent_nodes();
+    return now - lastHeardAt_ <= silenceCounted ? lastNodes_ : 0;
+}
+
 std::vector<VmId> SumGroup::liveSources(SteadyTime now) const
 {
     std::vector<VmId> live;
--- a/lib/Gateway/SumGroup.h
+++ b/lib/Gateway/SumGroup.h
@@ -24,6 +24,8 @@
     bool take(const VmId& source, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
     /// The newest sums of the source that counts; nullptr if it is silent.
     const wire::NodeSums* current(SteadyTime now) const;
+    /// Nodes of the group that are heard no more, though they were a moment ago.
+    std::uint64_t silentNodes(SteadyTime now) const;
     /// Sources heard lately.
     std::vector<VmId> liveSources(SteadyTime now) const;
     /// What was admitted of each organisation's quota since this group was first
@@ -44,6 +46,8 @@
 
     std::map<VmId, Source> sources_;
     VmId counting_;
+    std::uint64_t lastNodes_ = 0;
+    SteadyTime lastHeardAt_ {};
     NamedCounts admitted_;
     NamedCounts tokens_;
 };
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -13,6 +13,8 @@
 // What was admitted lately fades with this time constant, in seconds: long enough
 // to see requests of 12,000 tokens that come once a second to each node.
 static constexpr double recentSeconds = 1;
+// How an organisation's requests are spread over nodes is seen over this time.
+static constexpr double longSeconds = 10;
 // The share of a rate that a node may save up, in seconds.
 static constexpr double shareSaved = 0.5;
 // Steps of the golden ratio spread phases evenly however many are taken.
@@ -46,7 +48,10 @@
     double fading = std::exp(-seconds / recentSeconds);
     bucket.ownRecent_ *= fading;
     bucket.othersRecent_ *= fading;
-    double shareRate = bucket.limit_.ratePerSecond_ / nodes();
+    double longFading = std::exp(-seconds / longSeconds);
+    bucket.ownLong_ *= longFading;
+    bucket.othersLong_ *= longFading;
+    double shareRate = bucket.limit_.ratePerSecond_ * shareOf(bucket);
     if (bucket.share_)
         bucket.share_ = std::min(shareRate * shareSaved, *bucket.share_ + seconds * shareRate);
 }
@@ -69,12 +74,23 @@
     }
 }
 
+double QuotaBook::shareOf(const Bucket& bucket) const
+{
+    double all = bucket.ownLong_ + bucket.othersLong_;
+    double asCame = all > 0 ? bucket.ownLong_ / all : 1 / nodes();
+    return 0.5 / nodes() + 0.5 * asCame;
+}
+
 double QuotaBook::unseen(const Bucket& bucket) const
 {
     bool isRelayed = std::any_of(peers_.begin(), peers_.end(), [](const auto& entry) { return entry.second.nodes_ > 1; });
     double lag = secondsOf(isRelayed ? settings_.relayedLag_ : settings_.lag_);
-    // Others get what this node gets, though it has not heard of it yet.
-    double likeOwn = bucket.ownRecent_ * (nodes() - 1);
+    // Others get what this node gets, though it has not heard of it yet: as much
+    // for each as it gets itself, until it was seen how requests are spread.
+    double others = nodes() - 1;
+    double unknown = bucket.limit_.ratePerSecond_ / nodes();
+    double ratio = (bucket.othersLong_ + unknown * others) / (bucket.ownLong_ + unknown);
+    double likeOwn = bucket.ownRecent_ * ratio;
     return std::max(bucket.othersRecent_, likeOwn) / recentSeconds * lag;
 }
 
@@ -90,7 +106,7 @@
         *bucket.share_ -= cost;
         return std::nullopt;
     }
-    double wait = -*bucket.share_ * nodes() / bucket.limit_.ratePerSecond_;
+    double wait = -*bucket.share_ / (bucket.limit_.ratePerSecond_ * shareOf(bucket));
     return milliseconds(static_cast<std::int64_t>(wait * 1000) + 1);
 }
 
@@ -123,6 +139,7 @@
         return wait;
     bucket.level_ -= cost;
     bucket.ownRecent_ += cost;
+    bucket.ownLong_ += cost;
     admitted_[organisation] += cost;
     return std::nullopt;
 }
@@ -169,6 +186,7 @@
             continue;
         bucket->second.level_ -= count - before;
         bucket->second.othersRecent_ += std::max(0.0, count - before);
+        bucket->second.othersLong_ += std::max(0.0, count - before);
     }
     // What it was charged while it was silent is replaced by what it did.
     for (auto& [organisation, bucket] : buckets_) {
@@ -187,6 +205,22 @@
     std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heardAt_ > 2 * settings_.forget_; });
 }
 
+void QuotaBook::setSilentNodes(std::uint64_t nodes, SteadyTime now)
+{
+    static const VmId silentNodes { "(silent nodes)" };
+    std::lock_guard lock(mutex_);
+    if (!nodes) {
+        peers_.erase(silentNodes);
+        return;
+    }
+    auto [found, isNew] = peers_.try_emplace(silentNodes);
+    Peer& peer = found->second;
+    peer.nodes_ = nodes;
+    if (isNew)
+        peer.chargedUntil_ = now;
+    peer.heardAt_ = now - settings_.silence_;
+}
+
 void QuotaBook::forgetPeer(const VmId& peer)
 {
     std::lock_guard lock(mutex_);
--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -8,6 +8,8 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
@@ -78,6 +80,37 @@
     tcp::socket socket_;
 };
 
+/// A caller that keeps its connection.
+class KeptCaller {
+public:
+    explicit KeptCaller(const Endpoint& endpoint)
+        : socket_(io_)
+    {
+        socket_.connect({ boost::asio::ip::make_address(endpoint.host_), endpoint.port_ });
+    }
+
+    /// Sends one request and reads its answer; nullopt if the connection ended.
+    std::optional<boost::beast::http::response<boost::beast::http::string_body>> call(const std::string& id)
+    {
+        namespace http = boost::beast::http;
+        http::request<http::empty_body> request(http::verb::get, "/safe/" + id, 11);
+        request.set(http::field::host, "h.example");
+        request.set(http::field::authorization, "Bearer key-north");
+        request.set("X-Pistachioloom-Attempt-Id", id);
+        boost::system::error_code code;
+        http::write(socket_, request, code);
+        http::response<http::string_body> answer;
+        if (!code)
+            http::read(socket_, buffer_, answer, code);
+        return code ? std::nullopt : std::optional(std::move(answer));
+    }
+
+private:
+    boost::asio::io_context io_;
+    tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+};
+
 } // namespace
 
 TEST_CASE("a request reaches its service unchanged, with what the system sets", "[gateway]")
@@ -427,3 +460,39 @@
     CHECK(served <= 4);
     CHECK(served + refused == 12);
 }
+
+TEST_CASE("kept connections are served through a stop, and closed only after saying so", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    setAll(deployment, { { "delay_ms", 100 } });
+    // Callers that never stop asking, on connections from before the stop.
+    std::atomic<bool> isStopping { false };
+    std::atomic<int> answeredInStop { 0 };
+    std::atomic<int> lost { 0 };
+    std::vector<std::thread> callers;
+    for (int number = 0; number < 6; ++number) {
+        callers.emplace_back([&, number] {
+            KeptCaller caller(gateway.callers_);
+            for (int i = 0;; ++i) {
+                auto answer = caller.call("k" + std::to_string(number) + "-" + std::to_string(i));
+                if (!answer) {
+                    ++lost;
+                    return;
+                }
+                answeredInStop += isStopping;
+                if (!answer->keep_alive())
+                    return;
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    isStopping = true;
+    gateway.process_->signal(SIGTERM);
+    CHECK(gateway.process_->wait(milliseconds(4500)) == 0);
+    for (std::thread& caller : callers)
+        caller.join();
+    CHECK(lost == 0);
+    CHECK(answeredInStop >= 6);
+}
--- a/unittests/Gateway/RelayBookTest.cpp
+++ b/unittests/Gateway/RelayBookTest.cpp
@@ -157,6 +157,26 @@
     CHECK(admittedIn(digest) >= last - 60);
 }
 
+TEST_CASE("nodes that fall silent are told of for as long as they may be cut off", "[relay]")
+{
+    RelayBook book(window);
+    book.takeReport(report("near", {}), start);
+    book.takeReport(report("gone", {}), start);
+    wire::NodeSums sums = sumsOf(report("far", {}));
+    sums.set_nodes(20);
+    sums.set_silent_nodes(3);
+    book.takeSummary(summaryOf("relay", "far", sums), start);
+    CHECK(book.digestFor({ "near" }, book.totals(start), start).silent_nodes() == 3);
+    struct Row {
+        milliseconds later_;
+        std::uint64_t silent_;
+    };
+    auto row = GENERATE(values<Row>({ { milliseconds(1500), 21 }, { milliseconds(9000), 21 }, { milliseconds(11000), 0 } }));
+    SteadyTime now = start + row.later_;
+    book.takeReport(report("near", {}), now);
+    CHECK(book.digestFor({ "near" }, book.totals(now), now).silent_nodes() == row.silent_);
+}
+
 TEST_CASE("usage crosses data centres only to the one that reports it", "[relay]")
 {
     RelayBook book(window);
--- a/unittests/Quota/QuotaTest.cpp
+++ b/unittests/Quota/QuotaTest.cpp
@@ -157,6 +157,27 @@
     CHECK(nodes.sumSince(hot) >= 0.9 * 12 * tokens.ratePerSecond_);
 }
 
+TEST_CASE("an organisation whose callers keep to one node gets its quota there", "[quota]")
+{
+    // 62 others are heard, and none of them is asked by it.
+    auto asked = GENERATE(0.9, 3.0);
+    CAPTURE(asked);
+    const QuotaLimit tokens { 700000, 2600000 };
+    constexpr double cost = 12000;
+    QuotaBook book(start);
+    std::mt19937_64 random(7);
+    SteadyTime begin = start + milliseconds(10000);
+    double admitted = 0;
+    for (milliseconds t {}; t < milliseconds(20000); t += milliseconds(1)) {
+        if (t.count() % 200 == 0)
+            book.setPeer({ "others" }, 1, {}, {}, begin + t, 62);
+        if (std::uniform_real_distribution<>(0, 1)(random) < asked * tokens.ratePerSecond_ / cost / 1000)
+            admitted += book.take(north, tokens, cost, begin + t) ? 0 : cost;
+    }
+    double granted = 20 * tokens.ratePerSecond_ * std::min(1.0, asked);
+    CHECK(admitted >= 0.93 * granted);
+}
+
 TEST_CASE("what was charged for a silent peer is given back when it speaks again", "[quota]")
 {
     // As after a freeze: nobody used anything meanwhile.
@@ -186,6 +207,26 @@
     CHECK(book.levels()[north] == Approx(500));
 }
 
+TEST_CASE("nodes that relays tell of as silent are charged their shares", "[quota]")
+{
+    QuotaBook book(start);
+    SteadyTime cut = start + milliseconds(20000);
+    // Five are heard through relays, and four are cut off.
+    double admitted = 0;
+    for (milliseconds t {}; t < milliseconds(8000); t += milliseconds(1)) {
+        if (t.count() % 200 == 0) {
+            book.setPeer({ "others" }, 1, {}, {}, cut + t, 5);
+            book.setSilentNodes(4, cut + t);
+        }
+        admitted += book.take(north, limit, 1, cut + t) ? 0 : 1;
+    }
+    // The burst, and six tenths of eight seconds.
+    CHECK(admitted <= 1000 + 0.6 * 8000 + 400);
+    CHECK(admitted >= 4000);
+    book.setSilentNodes(0, cut + milliseconds(8000));
+    CHECK_FALSE(book.take(north, limit, 1, cut + milliseconds(10000)));
+}
+
 TEST_CASE("nodes together admit the rate and little more", "[quota]")
 {
     auto count = GENERATE(1U, 3U, 9U);
