--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -112,9 +112,10 @@
     milliseconds period_ { 500 };
     /// The highest need of this time is ordered for.
     milliseconds hold_ { 5000 };
-    /// Engines register within this time of each other; no order before. With 112
-    /// engines whose registrations came over 3 s, 22 were left when requests came.
-    milliseconds settling_ { 4000 };
+    /// No order until no engine has registered for so long: a heartbeat of 1.2 s and
+    /// its way. With 112 engines whose registrations came over 3 s, and an order
+    /// before their end, 22 were left when requests came.
+    milliseconds settling_ { 1500 };
     /// An order is repeated after this time if the engines are not there.
     milliseconds repeat_ { 8000 };
     /// An order that was refused, since no engine was to be had, is repeated
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -108,8 +108,7 @@
     for (const auto& [service, view] : context_.backends_.services())
         context_.demand_.setSource(context_.settings_.vm_, context_.incarnation_, service, { { view.tokensSent_ }, view.prefillPerMs_, view.observations_ });
     context_.demand_.sample(steadyNow());
-    for (const BackendRecord& record : context_.backends_.records())
-        firstSeen_.try_emplace(record.service_, steadyNow());
+    noteRegistrations(steadyNow());
 }
 
 /// Reads the log of duties to its end. \returns whether it was read.
@@ -282,12 +281,26 @@
     return demand;
 }
 
-/// Whether engines have been known for long enough that those that are there have
-/// registered. An order given before would dismiss the others.
-bool DutyRunner::isSettled(const ServiceName& service, SteadyTime now) const
+/// Notes how many backend servers of each service have registered.
+void DutyRunner::noteRegistrations(SteadyTime now)
+{
+    std::map<ServiceName, std::uint64_t> counts;
+    for (const BackendRecord& record : context_.backends_.records())
+        ++counts[record.service_];
+    for (const auto& [service, count] : counts) {
+        Registrations& known = registrations_[service];
+        if (count > known.most_)
+            known = { count, now, known.isSettled_ };
+        known.isSettled_ |= now - known.grewAt_ >= context_.settings_.fleet_.settling_;
+    }
+}
+
+/// Whether the engines that are there have registered. An order given before would
+/// dismiss the others.
+bool DutyRunner::isSettled(const ServiceName& service) const
 {
-    auto first = firstSeen_.find(service);
-    return first != firstSeen_.end() && now - first->second >= context_.settings_.fleet_.settling_;
+    auto known = registrations_.find(service);
+    return known != registrations_.end() && known->second.isSettled_;
 }
 
 /// Orders that are not in force yet as far as the registry shows.
@@ -299,7 +312,7 @@
     for (const ServicePolicy& service : table->configuration().services_) {
         if (!service.fleet_)
             continue;
-        if (!isSettled(service.name_, now))
+        if (!isSettled(service.name_))
             continue;
         std::vector<FleetPlace> places = placesOf(service);
         FleetDemand demand = demandOf(service, places, now);
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -46,7 +46,8 @@
     asio::awaitable<bool> readLog();
     asio::awaitable<Recorded> record(const wire::DutyRecord& record);
     std::vector<FleetPlace> placesOf(const ServicePolicy& service) const;
-    bool isSettled(const ServiceName& service, SteadyTime now) const;
+    void noteRegistrations(SteadyTime now);
+    bool isSettled(const ServiceName& service) const;
     FleetDemand demandOf(const ServicePolicy& service, const std::vector<FleetPlace>& places, SteadyTime now);
     std::vector<FleetOrder> dueOrders(SteadyTime now);
     void sampleDemand();
@@ -66,8 +67,13 @@
     std::map<std::tuple<ServiceName, DataCentreId, bool>, LastOrder> ordered_;
     SteadyTime fleetAt_ {};
     std::map<ServiceName, std::uint64_t> neededBefore_;
-    /// When a first backend server of each service was seen, on any node.
-    std::map<ServiceName, SteadyTime> firstSeen_;
+    /// How a service's backend servers have come to be known, on any node.
+    struct Registrations {
+        std::uint64_t most_ = 0;
+        SteadyTime grewAt_ {};
+        bool isSettled_ = false;
+    };
+    std::map<ServiceName, Registrations> registrations_;
     std::map<ServiceName, std::deque<std::pair<SteadyTime, std::uint64_t>>> needs_;
     Logger logger_ { "duties" };
 };
