Never take an older list of backend servers for news; hand the duties over in a stop

Logs: node-6 read the platform's list with four servers, then a reader's older list without them, took them for gone, and told all nodes so; a server that is leaving is never taken back. Ruled out: load as such, connection shares (the reason in the logs is 'no backend server'), relays (the rumour is in every fleet; they only spread it further). Change: lists go by the time at which they were read, taken from when a peer was asked; absence in a peer's list is not told on.

--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -45,6 +45,9 @@
 
     /// A peer said that it holds the duties by \p token.
     void heardHolder(const VmId& holder, DutyToken token, SteadyTime now);
+    /// A peer said that it is stopping: if it is the holder it acts no more, and is
+    /// succeeded without waiting for its silence.
+    void heardStopping(const VmId& peer, SteadyTime now);
     /// Whether to claim now. \p rank is this node's place among live candidates.
     bool shouldClaim(std::size_t rank, SteadyTime now) const;
     /// A claim of this node was written.
--- a/lib/Duties/Seat.cpp
+++ b/lib/Duties/Seat.cpp
@@ -27,6 +27,12 @@
     holderHeardAt_ = now;
 }
 
+void DutySeat::heardStopping(const VmId& peer, SteadyTime now)
+{
+    if (!isHolder_ && holder_ == peer)
+        holderHeardAt_ = now - timing_.holderSilence_;
+}
+
 bool DutySeat::shouldClaim(std::size_t rank, SteadyTime now) const
 {
     if (isHolder_)
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -64,6 +64,17 @@
     return seat_.isHolder() ? seat_.token() : DutyToken {};
 }
 
+DutyToken DutyRunner::toldToken() const
+{
+    return context_.isStopping_ ? DutyToken {} : heldToken();
+}
+
+void DutyRunner::heardStopping(const VmId& peer)
+{
+    std::lock_guard lock(mutex_);
+    seat_.heardStopping(peer, steadyNow());
+}
+
 void DutyRunner::heardHolder(const VmId& holder, DutyToken token)
 {
     std::lock_guard lock(mutex_);
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -21,6 +21,9 @@
     void start(const PeerReports& reports);
     /// The token by which this node holds the duties, or 0.
     DutyToken heldToken() const;
+    /// The token to tell peers: a stopping node holds no duties any more.
+    DutyToken toldToken() const;
+    void heardStopping(const VmId& peer);
     void heardHolder(const VmId& holder, DutyToken token);
 
 private:
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -18,6 +18,8 @@
     constexpr milliseconds askPeriod { 150 };
     // How often a node looks whether it is its turn to read.
     constexpr milliseconds turnPeriod { 150 };
+    // Where what the platform itself told comes from, in logs.
+    const std::string platformSource = "platform";
     // A peer's list of backend servers is used only while it is this fresh.
     constexpr std::uint64_t freshEnoughMs = 1500;
 
@@ -97,7 +99,7 @@
     logger_.info(line);
 }
 
-void Feed::applyChange(const RegistryChange& change)
+void Feed::applyChange(const RegistryChange& change, const std::string& source)
 {
     if (!change.record_) {
         if (!context_.backends_.find(change.id_))
@@ -106,8 +108,10 @@
             missing_.insert(change.id_);
             return;
         }
-        logger_.info(LogLine("Backend server is gone.").add("backend", change.id_.value_));
-        reports_.noteLeaving(change.id_);
+        logger_.info(LogLine("Backend server is gone.").add("backend", change.id_.value_).add("from", source));
+        // What a peer's list lacks is no news for others: they have theirs.
+        if (source == platformSource)
+            reports_.noteLeaving(change.id_);
         context_.backends_.remove(change.id_);
         return;
     }
@@ -117,19 +121,19 @@
     if (!before)
         logger_.info(LogLine("Backend server is there.").add("backend", change.id_.value_).add("service", change.record_->service_.value_).add("address", change.record_->endpoint_.toString()).add("data_centre", change.record_->dataCentre_.value_).add("reclaimable", change.record_->isReclaimable_).add("leaving", change.record_->isLeaving_));
     if (change.record_->isLeaving_ && (!before || !before->isLeaving_)) {
-        logger_.info(LogLine("Backend server is leaving.").add("backend", change.id_.value_).add("from", "platform"));
+        logger_.info(LogLine("Backend server is leaving.").add("backend", change.id_.value_).add("from", source));
         reports_.noteLeaving(change.id_);
     }
 }
 
-void Feed::removeMissing(const RegistryRead& whole)
+void Feed::removeMissing(const RegistryRead& whole, const std::string& source)
 {
     std::set<BackendId> present;
     for (const RegistryChange& change : whole.changes_)
         present.insert(change.id_);
     for (const BackendRecord& record : context_.backends_.records()) {
         if (!present.contains(record.id_))
-            applyChange({ record.id_, std::nullopt });
+            applyChange({ record.id_, std::nullopt }, source);
     }
 }
 
@@ -138,15 +142,15 @@
     if (missing_.empty() || steadyNow() < graceUntil_)
         return;
     for (const BackendId& id : std::exchange(missing_, {}))
-        applyChange({ id, std::nullopt });
+        applyChange({ id, std::nullopt }, platformSource);
 }
 
-void Feed::apply(const RegistryRead& read)
+void Feed::apply(const RegistryRead& read, const std::string& source)
 {
     for (const RegistryChange& change : read.changes_)
-        applyChange(change);
+        applyChange(change, source);
     if (read.isWhole_)
-        removeMissing(read);
+        removeMissing(read, source);
     applyDueRemovals();
 }
 
@@ -170,7 +174,8 @@
         if (read) {
             from = read.value().next_;
             registryReadAt_ = steadyNow();
-            apply(read.value());
+            listReadAt_ = steadyNow();
+            apply(read.value(), platformSource);
         }
         co_await sleepFor(read ? settings.registryPeriod_ : settings.retryPause_);
     }
@@ -240,6 +245,7 @@
     auto table = context_.table();
     wire::Frame request;
     request.mutable_configuration_fetch()->set_known_version(table ? table->version() : 0);
+    SteadyTime askedAt = steadyNow();
     auto reply = co_await peers_.call(peer.peers_, request, peerPatience);
     if (!reply || !reply.value().has_configuration_update()) {
         logger_.warn("Peer " + vm.value_ + " gave no configuration: " + (reply ? "other frame" : describe(reply.error())));
@@ -257,6 +263,12 @@
     bool mayUse = !isReader() || isRegistryOld();
     if (!mayUse || update.backends_age_ms() > freshEnoughMs)
         co_return;
+    // Its age was taken after the question was sent. A list that was read before
+    // this node's may lack what has registered since.
+    SteadyTime readAt = askedAt - milliseconds(update.backends_age_ms());
+    if (readAt <= listReadAt_)
+        co_return;
+    listReadAt_ = readAt;
     RegistryRead read;
     read.isWhole_ = true;
     for (const wire::BackendEntry& entry : update.backends()) {
@@ -264,7 +276,7 @@
         if (endpoint)
             read.changes_.push_back({ { entry.id() }, BackendRecord { { entry.id() }, { entry.service() }, *endpoint, { entry.data_centre() }, entry.slots(), entry.is_leaving(), entry.is_reclaimable() } });
     }
-    apply(read);
+    apply(read, vm.value_);
 }
 
 wire::Frame Feed::answer(const wire::Frame& request) const
--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -29,9 +29,10 @@
     asio::awaitable<void> askPeers();
     asio::awaitable<void> askPeer(VmId vm, Peer peer);
     void logReachable(const std::string& what, const Error* error) const;
-    void apply(const RegistryRead& read);
-    void applyChange(const RegistryChange& change);
-    void removeMissing(const RegistryRead& whole);
+    /// \p source is the platform or the peer that told.
+    void apply(const RegistryRead& read, const std::string& source);
+    void applyChange(const RegistryChange& change, const std::string& source);
+    void removeMissing(const RegistryRead& whole, const std::string& source);
     void applyDueRemovals();
     bool isConfigurationBehind() const;
     bool isRegistryOld() const;
@@ -46,6 +47,8 @@
     PeerReports& reports_;
     PeerPool& peers_;
     std::atomic<SteadyTime> registryReadAt_ { SteadyTime {} };
+    /// When the list in use was read, by this node or a peer.
+    SteadyTime listReadAt_ {};
     std::atomic<bool> isRegistryLost_ { false };
     std::atomic<bool> isConfigurationLost_ { false };
     /// Until when registrations that vanish are kept, after an outage.
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -274,6 +274,7 @@
         logger_.warn("Report of " + vm.value_ + " has no address.");
         return;
     }
+    bool beginsToStop = report.is_stopping() && !table_.isStopping(vm);
     Peer peer { *gossip, *peers, { report.data_centre() }, report.incarnation(), report.sequence(), report.configuration_version(), report.is_stopping(), report.is_platform_lost(), report.is_reader(), report.registry_fingerprint(), report.cores(), now };
     PeerTable::Heard heard = table_.take(vm, std::move(peer));
     if (heard == PeerTable::Heard::Old)
@@ -288,6 +289,8 @@
     takeLeaving(report.leaving(), vm);
     if (report.duty_token())
         hooks_.onHolder_(vm, { report.duty_token() });
+    if (beginsToStop)
+        hooks_.onStopping_(vm);
     if (report.wants_digest())
         relayBook_.takeReport(report, now);
     // In a large fleet the relays' sums hold what each node told.
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -24,6 +24,8 @@
         /// The token by which this node holds the duties, or 0.
         std::function<DutyToken()> ownToken_;
         std::function<void(const VmId&, DutyToken)> onHolder_;
+        /// A peer began to stop.
+        std::function<void(const VmId&)> onStopping_;
         /// Whether this node reads from the platform, and whether that fails.
         std::function<bool()> isReader_;
         std::function<bool()> isPlatformLost_;
--- a/lib/Gateway/PeerTable.cpp
+++ b/lib/Gateway/PeerTable.cpp
@@ -202,6 +202,13 @@
     return { found.begin(), found.end() };
 }
 
+bool PeerTable::isStopping(const VmId& vm) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = peers_.find(vm);
+    return found != peers_.end() && found->second.isStopping_;
+}
+
 std::optional<Endpoint> PeerTable::gossipOf(const VmId& vm) const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Gateway/PeerTable.h
+++ b/lib/Gateway/PeerTable.h
@@ -72,6 +72,8 @@
     std::vector<VmId> likelyRelays(const DataCentreId& dataCentre, std::size_t turn, SteadyTime now) const;
     /// Data centres of known nodes but the own one.
     std::vector<DataCentreId> otherDataCentres() const;
+    /// Whether a node is known to be stopping.
+    bool isStopping(const VmId& vm) const;
     std::optional<Endpoint> gossipOf(const VmId& vm) const;
 
 private:
--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -496,3 +496,34 @@
     CHECK(lost == 0);
     CHECK(answeredInStop >= 6);
 }
+
+TEST_CASE("a holder of the duties that stops is succeeded while it still drains", "[gateway]")
+{
+    GatewayDeployment deployment(3);
+    deployment.standard();
+    auto& gateways = deployment.gateways();
+    auto holderOf = [&]() -> std::size_t {
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            if (gateways[i].process_->isRunning() && deployment.metric(gateways[i], "duty_token_held") > 0)
+                return i;
+        }
+        return gateways.size();
+    };
+    REQUIRE(waitUntil([&] { return holderOf() < gateways.size(); }, patience));
+    std::size_t first = holderOf();
+    // A long stream holds the stopping node for all of its grace time of 3 s.
+    setAll(deployment, { { "events", 1000 } });
+    std::thread caller([&] { (void)deployment.call(gateways[first], gatewayRequest("POST", "/ask/stream", "long")); });
+    REQUIRE(waitUntil([&] { return deployment.metric(gateways[first], "requests_running") > 0; }, patience));
+    gateways[first].process_->signal(SIGTERM);
+    auto isSucceeded = [&] {
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            if (i != first && deployment.metric(gateways[i], "duty_token_held") > 0)
+                return true;
+        }
+        return false;
+    };
+    CHECK(waitUntil(isSucceeded, milliseconds(2000)));
+    CHECK(gateways[first].process_->isRunning());
+    caller.join();
+}
--- a/unittests/Duties/DutiesTest.cpp
+++ b/unittests/Duties/DutiesTest.cpp
@@ -133,6 +133,20 @@
     CHECK(changes > 500);
 }
 
+TEST_CASE("a holder that stops is succeeded at once, any other stop changes nothing", "[duties]")
+{
+    DutySeat seat({ "b" }, timing(), start);
+    SteadyTime now = start + milliseconds(10000);
+    seat.heardHolder({ "a" }, { 7 }, now);
+    seat.heardStopping({ "c" }, now);
+    CHECK_FALSE(seat.shouldClaim(0, now + milliseconds(100)));
+    seat.heardStopping({ "a" }, now);
+    CHECK(seat.shouldClaim(0, now + milliseconds(100)));
+    // The next in the order waits for the first.
+    CHECK_FALSE(seat.shouldClaim(1, now + milliseconds(100)));
+    CHECK(seat.shouldClaim(1, now + milliseconds(500)));
+}
+
 TEST_CASE("usage is summed over nodes, also those that are gone", "[duties]")
 {
     UsageBook book(milliseconds(5000));
