--- a/test/Platform/GatewayDeployment.cpp
+++ b/test/Platform/GatewayDeployment.cpp
@@ -108,6 +108,12 @@
     return control(faults);
 }
 
+void GatewayDeployment::disturbAll(const json::object& faults) const
+{
+    for (const char* id : { "p-1", "p-2", "e-1", "e-2" })
+        backend(id, faults);
+}
+
 void GatewayDeployment::startBackend(const std::string& id, const std::string& service)
 {
     json::object entry { { "id", id }, { "service", service }, { "zone", "a" }, { "slot_count", 8 }, { "phase", "up" } };
--- a/test/Platform/GatewayDeployment.h
+++ b/test/Platform/GatewayDeployment.h
@@ -48,6 +48,8 @@
     boost::json::object control(const boost::json::object& body = {}) const;
     /// Faults of one backend server, and what arrived there.
     boost::json::object backend(const std::string& id, boost::json::object faults = {}) const;
+    /// Faults of all four backend servers of standard().
+    void disturbAll(const boost::json::object& faults) const;
     void startBackend(const std::string& id, const std::string& service);
     void setLeaving(const std::string& id, const std::string& service, const std::string& address) const;
     /// \p connections is what each backend server accepts from all nodes.
--- a/test/Soak/FaultProxy.cpp
+++ b/test/Platform/Soak/FaultProxy.cpp
@@ -1,4 +1,4 @@
-//===- test/Soak/FaultProxy.cpp - connections that misbehave ---------------===//
+//===- test/Platform/Soak/FaultProxy.cpp - connections that misbehave -----===//
 ///
 /// \file
 /// See FaultProxy.h.
--- a/test/Soak/FaultProxy.h
+++ b/test/Platform/Soak/FaultProxy.h
@@ -1,4 +1,4 @@
-//===- test/Soak/FaultProxy.h - connections that misbehave -----------------===//
+//===- test/Platform/Soak/FaultProxy.h - connections that misbehave -------===//
 ///
 /// \file
 /// A loopback proxy between two of the programs. Its connections can be delayed,
--- a/test/Soak/Promises.cpp
+++ b/test/Platform/Soak/Promises.cpp
@@ -1,4 +1,4 @@
-//===- test/Soak/Promises.cpp - what must hold through every fault ---------===//
+//===- test/Platform/Soak/Promises.cpp - what must hold through every fault ===//
 ///
 /// \file
 /// See Promises.h.
--- a/test/Soak/Promises.h
+++ b/test/Platform/Soak/Promises.h
@@ -1,4 +1,4 @@
-//===- test/Soak/Promises.h - what must hold through every fault -----------===//
+//===- test/Platform/Soak/Promises.h - what must hold through every fault -===//
 ///
 /// \file
 /// Checks what callers, backend servers and the platform saw against what the
--- a/test/Soak/Schedule.cpp
+++ b/test/Platform/Soak/Schedule.cpp
@@ -1,4 +1,4 @@
-//===- test/Soak/Schedule.cpp - which faults come when ---------------------===//
+//===- test/Platform/Soak/Schedule.cpp - which faults come when -----------===//
 ///
 /// \file
 /// See Schedule.h.
--- a/test/Soak/Schedule.h
+++ b/test/Platform/Soak/Schedule.h
@@ -1,4 +1,4 @@
-//===- test/Soak/Schedule.h - which faults come when -----------------------===//
+//===- test/Platform/Soak/Schedule.h - which faults come when -------------===//
 ///
 /// \file
 /// Draws a run's faults from a seed. They come in series and overlap; the same
--- a/test/Soak/Soak.cpp
+++ b/test/Platform/Soak/Soak.cpp
@@ -1,4 +1,4 @@
-//===- test/Soak/Soak.cpp - faults at random, promises checked -------------===//
+//===- test/Platform/Soak/Soak.cpp - faults at random, promises checked ---===//
 ///
 /// \file
 /// Runs gateways as processes before a stand-in of the users' platform, with
--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -8,8 +8,6 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
@@ -35,12 +33,6 @@
     return count;
 }
 
-void setAll(const GatewayDeployment& deployment, const json::object& faults)
-{
-    for (const char* backend : { "p-1", "p-2", "e-1", "e-2" })
-        deployment.backend(backend, faults);
-}
-
 std::string eventsUpTo(int last)
 {
     std::string events;
@@ -80,37 +72,6 @@
     tcp::socket socket_;
 };
 
-/// A caller that keeps its connection.
-class KeptCaller {
-public:
-    explicit KeptCaller(const Endpoint& endpoint)
-        : socket_(io_)
-    {
-        socket_.connect({ boost::asio::ip::make_address(endpoint.host_), endpoint.port_ });
-    }
-
-    /// Sends one request and reads its answer; nullopt if the connection ended.
-    std::optional<boost::beast::http::response<boost::beast::http::string_body>> call(const std::string& id)
-    {
-        namespace http = boost::beast::http;
-        http::request<http::empty_body> request(http::verb::get, "/safe/" + id, 11);
-        request.set(http::field::host, "h.example");
-        request.set(http::field::authorization, "Bearer key-north");
-        request.set("X-Pistachioloom-Attempt-Id", id);
-        boost::system::error_code code;
-        http::write(socket_, request, code);
-        http::response<http::string_body> answer;
-        if (!code)
-            http::read(socket_, buffer_, answer, code);
-        return code ? std::nullopt : std::optional(std::move(answer));
-    }
-
-private:
-    boost::asio::io_context io_;
-    tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
-};
-
 } // namespace
 
 TEST_CASE("a request reaches its service unchanged, with what the system sets", "[gateway]")
@@ -180,7 +141,7 @@
     GatewayDeployment deployment(1);
     deployment.standard();
     auto& gateway = deployment.gateways()[0];
-    setAll(deployment, { { "lose_answers", 1 } });
+    deployment.disturbAll({ { "lose_answers", 1 } });
     HttpResponse once = deployment.call(gateway, gatewayRequest("POST", "/once/x", "once-1"));
     CHECK(once.status_ == 502);
     CHECK(runsOf(deployment, "once-1") == 1);
@@ -192,12 +153,12 @@
         std::string id = "safe-" + std::to_string(i);
         CHECK(deployment.call(gateway, gatewayRequest("GET", "/safe/x", id)).status_ == 200);
     }
-    setAll(deployment, { { "other_id", 0 }, { "full", 1 } });
+    deployment.disturbAll({ { "other_id", 0 }, { "full", 1 } });
     HttpResponse full = deployment.call(gateway, gatewayRequest("POST", "/once/x", "once-2"));
     CHECK(full.status_ == 503);
     CHECK(full.headers_.contains("retry-after"));
     CHECK(runsOf(deployment, "once-2") == 0);
-    setAll(deployment, { { "full", 0 }, { "no_seal", 1 } });
+    deployment.disturbAll({ { "full", 0 }, { "no_seal", 1 } });
     CHECK(deployment.call(gateway, gatewayRequest("POST", "/once/x", "once-3")).status_ == 502);
 }
 
@@ -205,7 +166,7 @@
 {
     GatewayDeployment deployment(1);
     deployment.standard();
-    setAll(deployment, { { "delay_ms", 1200 } });
+    deployment.disturbAll({ { "delay_ms", 1200 } });
     // Of 2,000 ms: the first try is given up, the second is the last one.
     CHECK(deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "slow")).status_ == 200);
     CHECK(runsOf(deployment, "slow") == 2);
@@ -216,7 +177,7 @@
     GatewayDeployment deployment(1);
     deployment.standard();
     auto& gateway = deployment.gateways()[0];
-    setAll(deployment, { { "events", 12 } });
+    deployment.disturbAll({ { "events", 12 } });
     deployment.backend("e-1", { { "cut_at", 5 } });
     deployment.backend("e-2", { { "cut_at", 8 } });
     HttpResponse answer = deployment.call(gateway, gatewayRequest("POST", "/draft/stream", "d-1"));
@@ -229,7 +190,7 @@
         CHECK(answer.status_ == 200);
         CHECK(answer.body_ == eventsUpTo(12));
     }
-    setAll(deployment, { { "cut_at", 3 } });
+    deployment.disturbAll({ { "cut_at", 3 } });
     answer = deployment.call(gateway, gatewayRequest("POST", "/ask/stream", "a-1"));
     CHECK(answer.status_ == 0);
     CHECK(runsOf(deployment, "a-1") == 1);
@@ -239,7 +200,7 @@
 {
     GatewayDeployment deployment(1);
     deployment.standard();
-    setAll(deployment, { { "events", 1000 }, { "gap_ms", 20 } });
+    deployment.disturbAll({ { "events", 1000 }, { "gap_ms", 20 } });
     RawCaller raw(deployment.gateways()[0].callers_);
     raw.send("POST /draft/stream HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-north\r\nX-Pistachioloom-Attempt-Id: left\r\nContent-Length: 0\r\n\r\n");
     CHECK(raw.readUntil("id: 3").find("200 OK") != std::string::npos);
@@ -284,7 +245,7 @@
     GatewayDeployment deployment(1);
     deployment.standard();
     auto& gateway = deployment.gateways()[0];
-    setAll(deployment, { { "events", 40 }, { "gap_ms", 20 } });
+    deployment.disturbAll({ { "events", 40 }, { "gap_ms", 20 } });
     std::string body;
     std::thread caller([&] { body = deployment.call(gateway, gatewayRequest("POST", "/draft/stream", "d")).body_; });
     REQUIRE(waitUntil([&] { return runsOf(deployment, "d") == 1; }, patience));
@@ -364,52 +325,12 @@
     }
 }
 
-TEST_CASE("in a large fleet relays tell every node of all others, also after some are lost", "[gateway]")
-{
-    GatewayDeploymentOptions options;
-    options.count_ = 6;
-    options.dataCentres_ = 2;
-    options.moreSettings_ = [](const std::string&) { return "  gossip:\n    fanout: 1\n"; };
-    GatewayDeployment deployment(std::move(options));
-    deployment.standard();
-    auto knowsOf = [&](std::size_t from, double nodes) {
-        return waitUntil([&] {
-            auto first = deployment.gateways().begin() + static_cast<std::ptrdiff_t>(from);
-            return std::all_of(first, deployment.gateways().end(), [&](const auto& gateway) { return deployment.metric(gateway, "nodes_known_of") == nodes; });
-        },
-            patience);
-    };
-    CHECK(knowsOf(0, 5));
-
-    // The small organisation has one request, and half of one a second. Each node
-    // may admit one before it hears of the others.
-    auto begin = steadyNow();
-    int admitted = 0;
-    for (int round = 0; round < 30; ++round) {
-        for (auto& gateway : deployment.gateways()) {
-            HttpRequest request = gatewayRequest("GET", "/safe/x", "small-" + std::to_string(round) + gateway.vm_);
-            request.headers_["Authorization"] = "Bearer key-small";
-            admitted += deployment.call(gateway, request).status_ == 200;
-        }
-        std::this_thread::sleep_for(milliseconds(100));
-    }
-    double seconds = std::chrono::duration<double>(steadyNow() - begin).count();
-    CHECK(admitted >= 1);
-    CHECK(admitted <= 6 + 1 + 0.5 * seconds);
-
-    // One node of each data centre, a relay perhaps.
-    for (std::size_t i : { 0U, 1U })
-        deployment.gateways()[i].process_->kill();
-    CHECK(knowsOf(2, 3));
-    CHECK(deployment.call(deployment.gateways()[2], gatewayRequest("GET", "/safe/x", "after")).status_ == 200);
-}
-
 TEST_CASE("a stream that would wait beyond its objective is refused at once, and has not run", "[gateway]")
 {
     GatewayDeployment deployment(1);
     deployment.standard();
     auto& gateway = deployment.gateways()[0];
-    setAll(deployment, { { "delay_ms", 1500 } });
+    deployment.disturbAll({ { "delay_ms", 1500 } });
     // 60,000 tokens are 1.2 s at 50 a millisecond; the objective is 0.5 s.
     auto request = [](const std::string& id) {
         HttpRequest request = gatewayRequest("POST", "/ask/stream", id);
@@ -431,7 +352,7 @@
     for (std::thread& thread : running)
         thread.join();
     CHECK(served == 2);
-    setAll(deployment, { { "delay_ms", 0 } });
+    deployment.disturbAll({ { "delay_ms", 0 } });
     CHECK(deployment.call(gateway, request("fourth")).status_ == 200);
 }
 
@@ -443,7 +364,7 @@
     // 24 for all of at least 12 nodes with two workers each: one for each worker.
     deployment.putConfiguration(2, {}, 24);
     REQUIRE(deployment.waitForVersion(2, patience));
-    setAll(deployment, { { "delay_ms", 1000 } });
+    deployment.disturbAll({ { "delay_ms", 1000 } });
     std::vector<std::thread> callers;
     std::atomic<int> served { 0 };
     std::atomic<int> refused { 0 };
@@ -460,70 +381,3 @@
     CHECK(served <= 4);
     CHECK(served + refused == 12);
 }
-
-TEST_CASE("kept connections are served through a stop, and closed only after saying so", "[gateway]")
-{
-    GatewayDeployment deployment(1);
-    deployment.standard();
-    auto& gateway = deployment.gateways()[0];
-    setAll(deployment, { { "delay_ms", 100 } });
-    // Callers that never stop asking, on connections from before the stop.
-    std::atomic<bool> isStopping { false };
-    std::atomic<int> answeredInStop { 0 };
-    std::atomic<int> lost { 0 };
-    std::vector<std::thread> callers;
-    for (int number = 0; number < 6; ++number) {
-        callers.emplace_back([&, number] {
-            KeptCaller caller(gateway.callers_);
-            for (int i = 0;; ++i) {
-                auto answer = caller.call("k" + std::to_string(number) + "-" + std::to_string(i));
-                if (!answer) {
-                    ++lost;
-                    return;
-                }
-                answeredInStop += isStopping;
-                if (!answer->keep_alive())
-                    return;
-            }
-        });
-    }
-    std::this_thread::sleep_for(milliseconds(300));
-    isStopping = true;
-    gateway.process_->signal(SIGTERM);
-    CHECK(gateway.process_->wait(milliseconds(4500)) == 0);
-    for (std::thread& caller : callers)
-        caller.join();
-    CHECK(lost == 0);
-    CHECK(answeredInStop >= 6);
-}
-
-TEST_CASE("a holder of the duties that stops is succeeded while it still drains", "[gateway]")
-{
-    GatewayDeployment deployment(3);
-    deployment.standard();
-    auto& gateways = deployment.gateways();
-    auto holderOf = [&]() -> std::size_t {
-        for (std::size_t i = 0; i < gateways.size(); ++i) {
-            if (gateways[i].process_->isRunning() && deployment.metric(gateways[i], "duty_token_held") > 0)
-                return i;
-        }
-        return gateways.size();
-    };
-    REQUIRE(waitUntil([&] { return holderOf() < gateways.size(); }, patience));
-    std::size_t first = holderOf();
-    // A long stream holds the stopping node for all of its grace time of 3 s.
-    setAll(deployment, { { "events", 1000 } });
-    std::thread caller([&] { (void)deployment.call(gateways[first], gatewayRequest("POST", "/ask/stream", "long")); });
-    REQUIRE(waitUntil([&] { return deployment.metric(gateways[first], "requests_running") > 0; }, patience));
-    gateways[first].process_->signal(SIGTERM);
-    auto isSucceeded = [&] {
-        for (std::size_t i = 0; i < gateways.size(); ++i) {
-            if (i != first && deployment.metric(gateways[i], "duty_token_held") > 0)
-                return true;
-        }
-        return false;
-    };
-    CHECK(waitUntil(isSucceeded, milliseconds(2000)));
-    CHECK(gateways[first].process_->isRunning());
-    caller.join();
-}
