--- a/test/Platform/Soak/SoakCaller.cpp
+++ b/test/Platform/Soak/SoakCaller.cpp
@@ -1,4 +1,4 @@
-//===- test/Platform/Soak/SoakCaller.cpp - callers that keep their connections -----===//
+//===- test/Platform/Soak/SoakCaller.cpp - callers that keep their connections ===//
 ///
 /// \file
 /// See SoakCaller.h.
--- a/test/Platform/Soak/SoakCaller.h
+++ b/test/Platform/Soak/SoakCaller.h
@@ -1,4 +1,4 @@
-//===- test/Platform/Soak/SoakCaller.h - callers that keep their connections -------===//
+//===- test/Platform/Soak/SoakCaller.h - callers that keep their connections ===//
 ///
 /// \file
 /// A caller sends one request after the other on a kept connection, until the
