A thread frozen after it looked at the clock takes nothing out of a quota

One worker had taken its time before the freeze; another filled the bucket after it, and the first then took the length of the freeze back out of it. Ruled out: charges for silent peers (they are added back and capped; a unit test of that passes). Change: a bucket and a silent peer's charge only go forward in time. A gateway with one worker, as on the users' platform, does not meet it.

--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -42,6 +42,9 @@
 
 void QuotaBook::fill(Bucket& bucket, SteadyTime now) const
 {
+    // A thread that was frozen after it looked at the clock comes with an old time.
+    if (now <= bucket.filledAt_)
+        return;
     double seconds = secondsOf(now - bucket.filledAt_);
     bucket.level_ = std::min(bucket.limit_.burst_, bucket.level_ + seconds * bucket.limit_.ratePerSecond_);
     bucket.filledAt_ = now;
@@ -64,6 +67,8 @@
     for (auto& [id, peer] : peers_) {
         if (now - peer.heardAt_ < settings_.silence_ || now - peer.heardAt_ > settings_.forget_)
             continue;
+        if (now <= peer.chargedUntil_)
+            continue;
         double silent = secondsOf(now - std::max(peer.chargedUntil_, peer.heardAt_));
         peer.chargedUntil_ = now;
         for (auto& [organisation, bucket] : buckets_) {
--- a/unittests/Quota/QuotaTest.cpp
+++ b/unittests/Quota/QuotaTest.cpp
@@ -207,6 +207,17 @@
     CHECK(book.levels()[north] == Approx(500));
 }
 
+TEST_CASE("a thread that was frozen after it looked at the clock takes nothing back", "[quota]")
+{
+    QuotaBook book(start);
+    SteadyTime before = start + milliseconds(20000);
+    SteadyTime after = before + milliseconds(2000);
+    REQUIRE_FALSE(book.take(north, limit, 1, before));
+    CHECK_FALSE(book.take(north, limit, 1, after));
+    CHECK_FALSE(book.take(north, limit, 1, before));
+    CHECK(book.levels()[north] == Approx(998));
+}
+
 TEST_CASE("nodes that relays tell of as silent are charged their shares", "[quota]")
 {
     QuotaBook book(start);
