Reset connections of requests that are given up

An orderly close leaves the bytes that a cut held up with the kernel, which sends them when the link heals. Change: an attempt that is given up resets its connection, which drops them. Unit test (the server sees a reset). Answers that are whole close as before.

--- a/lib/Forward/BackendPool.cpp
+++ b/lib/Forward/BackendPool.cpp
@@ -27,6 +27,13 @@
     socket_.close(ignored);
 }
 
+void BackendConnection::abort()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+}
+
 /// Whether the socket is open and nothing has arrived on it: bytes that nobody
 /// asked for belong to no request.
 static bool isQuiet(asio::ip::tcp::socket& socket)
--- a/lib/Forward/BackendPool.h
+++ b/lib/Forward/BackendPool.h
@@ -21,6 +21,10 @@
 
     /// Ends every operation on it; safe to call twice.
     void close();
+    /// Resets it, for a request that is given up: after an orderly close the kernel
+    /// goes on sending what a cut link held up, and a backend server got requests
+    /// 3.3 s after their callers had left.
+    void abort();
 
     asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -142,7 +142,7 @@
 {
     stopped_ = reason;
     if (current_)
-        current_->close();
+        current_->abort();
     // A slow reader must not keep a request beyond its time.
     if (reason == StopReason::TimeOver && hasBegunAnswer_)
         caller_->abort();
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -132,7 +132,7 @@
     SendEnd connected = co_await connect(attempt);
     if (connected != SendEnd::Held) {
         if (attempt.connection_)
-            attempt.connection_->close();
+            attempt.connection_->abort();
         co_return connected;
     }
     ++sends_;
@@ -148,7 +148,7 @@
     SendEnd end = co_await receive(attempt);
     patienceUntil_ = SteadyTime::max();
     if (end != SendEnd::Delivered && attempt.connection_)
-        attempt.connection_->close();
+        attempt.connection_->abort();
     if ((end == SendEnd::Lost) && (stopped_ == StopReason::CallerGone || stopped_ == StopReason::TimeOver)) {
         mayHaveRun_ = true;
         attempt.detail_ = stopped_ == StopReason::CallerGone ? "caller_gone" : "time_over";
--- a/unittests/Forward/BackendPoolTest.cpp
+++ b/unittests/Forward/BackendPoolTest.cpp
@@ -30,3 +30,20 @@
     BackendConnectionPtr third = pool.make(backend);
     CHECK(pool.openTo(backend) == 1);
 }
+
+TEST_CASE("a request that is given up is reset, so that nothing of it comes later", "[forward]")
+{
+    using tcp = asio::ip::tcp;
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    BackendPool pool(io.get_executor());
+    bool isGivenUp = GENERATE(true, false);
+    BackendConnectionPtr connection = pool.make({ "b" });
+    connection->socket_.connect(acceptor.local_endpoint());
+    tcp::socket server = acceptor.accept();
+    isGivenUp ? connection->abort() : connection->close();
+    char byte = 0;
+    boost::system::error_code code;
+    (void)server.read_some(asio::buffer(&byte, 1), code);
+    CHECK(code == (isGivenUp ? boost::system::error_code(asio::error::connection_reset) : boost::system::error_code(asio::error::eof)));
+}
