Give the test of a slow backend server half a second either way

The second try began after 799 of 2,000 ms and needed 1,200 of the 1,200 ms left: the attempt's log lines show first_byte_ms 1999 and left_ms 0 in three of three passing runs, a margin of 1 ms. Ruled out: a fault of the gateway; both tries got the time they should.

Change: a route of 5,000 ms, and answers after 2,500. It stays as strict: with patience limited on the last attempt the second try would be given up after 0.4 of 3,000 ms.

--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -166,9 +166,15 @@
 {
     GatewayDeployment deployment(1);
     deployment.standard();
-    deployment.disturbAll({ { "delay_ms", 1200 } });
-    // Of 2,000 ms: the first try is given up, the second is the last one.
-    CHECK(deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "slow")).status_ == 200);
+    // The first try is given up after 0.4 of 5,000 ms. The second needs 2,500 of the
+    // 3,000 ms left, far beyond 0.4 of them: it answers only if it may use them all.
+    // Either bound is 500 ms away, so that a slow machine does not decide.
+    deployment.putConfiguration(2, R"(,{"name":"patient","hostname":"h.example","path_prefix":"/patient/","type":"safe","timeout_ms":5000,"goal_ms":100,"priority":2,"service":"plain","attempts":2})");
+    REQUIRE(deployment.waitForVersion(2, milliseconds(5000)));
+    deployment.disturbAll({ { "delay_ms", 2500 } });
+    HttpRequest request = gatewayRequest("GET", "/patient/x", "slow");
+    request.headers_["X-Pistachioloom-Deadline-Ms"] = "5000";
+    CHECK(deployment.call(deployment.gateways()[0], request).status_ == 200);
     CHECK(runsOf(deployment, "slow") == 2);
 }
 
