Tell demand as rates, and count the waits for slots

Change: nodes tell tokens a second; a record is tried for a third of the lease; the choice, admission and the fleet count what is under way against slots, with the mean time a slot is held learnt from answers.

Estimates in an overload are still poor: new engines are seen as empty for 0.5 s and get 60 requests in that time.

A test of the choice by tokens got engines with slots enough, since its requests now wait for slots there; the wait has a test of its own.

--- a/benchmarks/RelayBenchmark.cpp
+++ b/benchmarks/RelayBenchmark.cpp
@@ -72,7 +72,7 @@
     }
     wire::DemandReport& demand = *report.add_demand();
     demand.set_service("drafts");
-    demand.set_prompt_tokens(1000000);
+    demand.set_tokens_per_second(100000);
     demand.set_prefill_per_ms(45);
     demand.set_observations(500);
     return report;
@@ -90,7 +90,7 @@
     shape.isForEngine_ = true;
     return timeOf(200, [&] {
         auto choice = book.choose(shape, {}, start);
-        book.end(choice->backend_.id_, choice->uncached_, false, BackendOutcome::Abandoned, start);
+        book.end(choice->backend_.id_, { BackendOutcome::Abandoned, choice->uncached_ }, start);
     });
 }
 
--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -98,6 +98,19 @@
     TokenCount uncached_;
     /// Prompt tokens that were queued there before this request.
     TokenCount queuedAhead_;
+    /// Requests under way there before this one, waiting or not.
+    std::uint64_t running_ = 0;
+};
+
+/// How one send to a backend server went.
+struct SendResult {
+    BackendOutcome outcome_ = BackendOutcome::Served;
+    /// As BackendChoice told.
+    TokenCount uncached_ {};
+    /// Whether began() was called.
+    bool hasBegun_ = false;
+    /// From the first byte to the end.
+    milliseconds streamed_ {};
 };
 
 /// Figures of the estimates; all may be set, the defaults are measured ones.
@@ -108,6 +121,9 @@
     /// What one more running request adds to a request's wait, in ms: a step of
     /// a batch takes about a tenth of a millisecond longer for each.
     double perRunningMs_ = 0.3;
+    /// How long a request holds its slot, from its first event to its end, until the
+    /// mean is learnt from answers.
+    milliseconds slotHeld_ { 500 };
     /// What a data centre crossing weighs, in ms, beside its network delay.
     double crossingMs_ = 8;
     /// How long a shared part counts as cached after this node sent it.
@@ -156,8 +172,8 @@
     void refuse(const BackendChoice& choice);
     /// The first byte of an answer came after \p wait.
     void began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait);
-    /// The request is over; \p hasBegun tells whether began() was called.
-    void end(const BackendId& id, TokenCount uncached, bool hasBegun, BackendOutcome outcome, SteadyTime now);
+    /// The request is over.
+    void end(const BackendId& id, const SendResult& result, SteadyTime now);
 
     /// What this node has under way, for its peers.
     std::map<BackendKey, BackendLoad> ownLoads() const;
@@ -175,6 +191,15 @@
     };
     std::map<ServiceName, ServiceView> services() const;
 
+    /// Requests under way at a service's backend servers, waiting or not, and the
+    /// slots of those that take new work, over all nodes as far as known.
+    struct Occupancy {
+        std::uint64_t running_ = 0;
+        std::uint64_t slots_ = 0;
+        std::size_t backends_ = 0;
+    };
+    Occupancy occupancy(const ServiceName& service) const;
+
 private:
     struct Backend {
         BackendRecord record_;
@@ -202,6 +227,7 @@
     /// fading weights: its slope is the time that a token takes to read.
     struct ServiceRate {
         void observe(double tokens, double waitedMs);
+        void observeHeld(milliseconds held);
         double prefillPerMs(double fallback) const;
 
         std::uint64_t observations_ = 0;
@@ -210,10 +236,13 @@
         double meanSquare_ = 0;
         double meanProduct_ = 0;
         std::uint64_t tokensAsked_ = 0;
+        /// Mean time that a request holds its slot.
+        std::optional<double> heldMs_;
     };
 
     double rateOf(const ServiceName& service) const;
     double estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const;
+    double slotWaitMs(const Backend& backend) const;
     TokenCount uncachedAt(const Backend& backend, const RequestShape& shape, const BackendId& home, SteadyTime now) const;
     /// The backend server that reads the shared part of \p shape unless it is busy.
     BackendId homeOf(const RequestShape& shape, const std::vector<Backend*>& candidates) const;
--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -11,6 +11,7 @@
 
 #include "pistachioloom/Support.h"
 
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -135,23 +136,29 @@
 };
 
 struct DemandTiming {
-    /// The rate is taken over this time.
+    /// A node's rate is taken over this time.
     milliseconds window_ { 4000 };
     /// The highest rate of this time counts: engines take seconds to boot, and
     /// demand that fell may come back.
     milliseconds memory_ { 5000 };
+    /// A node that is silent for longer has gone, and its callers to other nodes.
+    milliseconds validity_ { 3000 };
 };
 
-/// What one node tells of its requests to a service's engines.
+/// What one node, or several, tell of the requests to a service's engines.
 struct DemandTold {
-    /// Prompt tokens since its start.
-    TokenCount asked_;
+    double tokensPerSecond_ = 0;
     /// What an engine reads in a millisecond, and the answers that show it.
     double prefillPerMs_ = 0;
     std::uint64_t observations_ = 0;
 };
 
-/// Prompt tokens that all nodes are asked for of each service in a second. Thread-safe.
+/// Prompt tokens that all nodes are asked for of each service in a second.
+/// Thread-safe.
+///
+/// Nodes tell rates and not counts: when 22 of 63 nodes came back that had been cut
+/// off for 12 s, their counts arrived at once and looked like 9.1 million tokens a
+/// second where about 4 million were asked for (a played day).
 class DemandBook {
 public:
     explicit DemandBook(DemandTiming timing = {})
@@ -159,13 +166,17 @@
     {
     }
 
-    void setSource(const VmId& vm, std::uint64_t incarnation, const ServiceName& service, const DemandTold& told);
+    /// This node was asked for \p asked tokens since its start.
+    void countOwn(const ServiceName& service, TokenCount asked, SteadyTime now);
+    /// This node's tokens in a second.
+    double ownRate(const ServiceName& service) const;
+    void setSource(const VmId& vm, const ServiceName& service, const DemandTold& told, SteadyTime now);
     /// What an engine reads in a millisecond: the mean over nodes, weighted by
     /// what each has seen.
     double prefillPerMs(const ServiceName& service, double fallback) const;
     /// Forgets \p vm, which is told of through another source from now on.
     void forgetSource(const VmId& vm);
-    /// Takes a reading; call it at regular times.
+    /// Takes a reading over all nodes; call it at regular times.
     void sample(SteadyTime now);
     /// The highest rate of the memory, in tokens a second; nullopt until a whole
     /// window was seen.
@@ -176,18 +187,25 @@
         SteadyTime at_ {};
         double tokens_ = 0;
     };
-
-    const DemandTiming timing_;
-    mutable std::mutex mutex_;
     struct Source {
-        std::uint64_t incarnation_ = 0;
         DemandTold told_;
+        SteadyTime at_ {};
+    };
+    struct Demand {
+        /// Tokens that this node was asked for, over the last window.
+        std::deque<Reading> own_;
+        std::map<VmId, Source> sources_;
+        /// Tokens a second of all nodes.
+        std::deque<Reading> rates_;
+        /// When the first request was seen anywhere.
+        std::optional<SteadyTime> firstAt_;
     };
 
-    /// Counted as it grows, so that a node that restarts or goes takes nothing back.
-    std::map<std::pair<ServiceName, VmId>, Source> sources_;
-    std::map<ServiceName, double> totals_;
-    std::map<ServiceName, std::vector<Reading>> readings_;
+    static double rateOf(const std::deque<Reading>& own);
+
+    const DemandTiming timing_;
+    mutable std::mutex mutex_;
+    std::map<ServiceName, Demand> demand_;
 };
 
 /// Engines of one service in one data centre.
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -103,6 +103,9 @@
     /// Engines beyond those that the demand keeps busy, as a multiple of the square
     /// root of that number. 1.3 is 0.6 of the time busy for 4 engines.
     double margin_ = 1.3;
+    /// Part of an engine's slots that is planned to be taken: with all of them taken
+    /// requests wait for one.
+    double slotsUsed_ = 0.75;
     /// Reclaimable engines wanted in each data centre, as part of those needed
     /// in all.
     double reclaimableShare_ = 0.7;
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -14,6 +14,8 @@
 static constexpr double learningRate = 0.15;
 // The reading rate of a service is learnt from some hundred requests.
 static constexpr double rateLearning = 0.005;
+// How long slots are held differs a hundredfold between requests.
+static constexpr double heldLearning = 0.02;
 static constexpr std::uint64_t leastObservations = 12;
 // A learnt rate may differ from the configured one by this factor at most.
 static constexpr double mostOffFallback = 8;
@@ -158,8 +160,9 @@
     backend.slowness_ += learningRate * (observed - backend.slowness_);
     std::uint64_t tokens = choice.uncached_.value_;
     // Behind a queue the rate would be that of others' requests, which are known
-    // late: what has long been read would count as read by this one.
-    if (!shape.isForEngine_ || choice.queuedAhead_.value_)
+    // late: what has long been read would count as read by this one. The same holds
+    // for the wait for a slot.
+    if (!shape.isForEngine_ || choice.queuedAhead_.value_ || choice.running_ >= choice.backend_.slots_)
         return;
     rates_[shape.service_].observe(static_cast<double>(tokens), waited);
 }
@@ -174,6 +177,13 @@
     meanProduct_ += weight * (tokens * waitedMs - meanProduct_);
 }
 
+void BackendBook::ServiceRate::observeHeld(milliseconds held)
+{
+    auto ms = static_cast<double>(held.count());
+    heldMs_ = heldMs_.value_or(ms);
+    *heldMs_ += heldLearning * (ms - *heldMs_);
+}
+
 double BackendBook::ServiceRate::prefillPerMs(double fallback) const
 {
     double variance = meanSquare_ - meanTokens_ * meanTokens_;
@@ -191,16 +201,17 @@
     backend.ejectedUntil_ = now + backend.ejection_;
 }
 
-void BackendBook::end(const BackendId& id, TokenCount uncached, bool hasBegun, BackendOutcome outcome, SteadyTime now)
+void BackendBook::end(const BackendId& id, const SendResult& result, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
     if (found == backends_.end())
         return;
     Backend& backend = found->second;
-    takeBack(backend, uncached, hasBegun);
-    switch (outcome) {
+    takeBack(backend, result.uncached_, result.hasBegun_);
+    switch (result.outcome_) {
     case BackendOutcome::Served:
+        rates_[backend.record_.service_].observeHeld(result.streamed_);
         backend.failures_ = 0;
         backend.ejection_ = {};
         backend.failedShare_ -= learningRate * backend.failedShare_;
@@ -267,4 +278,20 @@
     }
 }
 
+BackendBook::Occupancy BackendBook::occupancy(const ServiceName& service) const
+{
+    std::lock_guard lock(mutex_);
+    Occupancy sum;
+    for (const auto& [id, backend] : backends_) {
+        if (backend.record_.service_ != service)
+            continue;
+        sum.running_ += backend.own_.running_ + backend.peers_.running_;
+        if (backend.record_.isLeaving_)
+            continue;
+        sum.slots_ += backend.record_.slots_;
+        ++sum.backends_;
+    }
+    return sum;
+}
+
 } // namespace pistachioloom
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -89,6 +89,20 @@
     candidates.erase(others + static_cast<std::ptrdiff_t>(taken), candidates.end());
 }
 
+/// How long a request waits for a slot when all are taken: slots come free at a steady
+/// pace, and those that wait already go first.
+double BackendBook::slotWaitMs(const Backend& backend) const
+{
+    std::uint64_t slots = std::max<std::uint64_t>(1, backend.record_.slots_);
+    std::uint64_t running = backend.own_.running_ + backend.peers_.running_;
+    if (running < slots)
+        return 0;
+    auto rate = rates_.find(backend.record_.service_);
+    auto fallback = static_cast<double>(settings_.slotHeld_.count());
+    double held = rate == rates_.end() ? fallback : rate->second.heldMs_.value_or(fallback);
+    return static_cast<double>(running + 1 - slots) * held / static_cast<double>(slots);
+}
+
 double BackendBook::estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const
 {
     double running = backend.own_.running_ + backend.peers_.running_;
@@ -97,7 +111,7 @@
         return plainTurnMs * turns * backend.slowness_;
     }
     double tokens = static_cast<double>(backend.own_.queuedTokens_ + backend.peers_.queuedTokens_ + uncached.value_);
-    return (tokens / rateOf(shape.service_) + running * settings_.perRunningMs_) * backend.slowness_;
+    return (tokens / rateOf(shape.service_) + running * settings_.perRunningMs_ + slotWaitMs(backend)) * backend.slowness_;
 }
 
 std::optional<BackendChoice> BackendBook::choose(const RequestShape& shape, const std::set<BackendId>& excluded, SteadyTime now)
@@ -137,6 +151,7 @@
         least = weighed;
         choice.uncached_ = uncached;
         choice.queuedAhead_ = { backend->own_.queuedTokens_ + backend->peers_.queuedTokens_ };
+        choice.running_ = backend->own_.running_ + backend->peers_.running_;
         choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimate));
         choice.ahead_ = milliseconds(static_cast<std::int64_t>(estimateMs(*backend, shape, {})));
     }
--- a/lib/Duties/Demand.cpp
+++ b/lib/Duties/Demand.cpp
@@ -14,29 +14,56 @@
 // With fewer answers a node has no say.
 static constexpr std::uint64_t leastWeight = 12;
 
-void DemandBook::setSource(const VmId& vm, std::uint64_t incarnation, const ServiceName& service, const DemandTold& told)
+// A rate over less than this, in seconds, would be that of single requests.
+static constexpr double shortestSpan = 1;
+
+double DemandBook::rateOf(const std::deque<Reading>& own)
+{
+    if (own.size() < 2)
+        return 0;
+    double span = std::chrono::duration<double>(own.back().at_ - own.front().at_).count();
+    return (own.back().tokens_ - own.front().tokens_) / std::max(span, shortestSpan);
+}
+
+void DemandBook::countOwn(const ServiceName& service, TokenCount asked, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    std::deque<Reading>& own = demand_[service].own_;
+    own.push_back({ now, static_cast<double>(asked.value_) });
+    while (now - own.front().at_ > timing_.window_)
+        own.pop_front();
+}
+
+double DemandBook::ownRate(const ServiceName& service) const
 {
     std::lock_guard lock(mutex_);
-    Source& source = sources_[{ service, vm }];
-    std::uint64_t before = source.incarnation_ == incarnation ? source.told_.asked_.value_ : 0;
-    if (told.asked_.value_ > before)
-        totals_[service] += static_cast<double>(told.asked_.value_ - before);
-    source = { incarnation, told };
+    auto found = demand_.find(service);
+    return found == demand_.end() ? 0 : rateOf(found->second.own_);
+}
+
+void DemandBook::setSource(const VmId& vm, const ServiceName& service, const DemandTold& told, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    demand_[service].sources_[vm] = { told, now };
 }
 
 void DemandBook::forgetSource(const VmId& vm)
 {
     std::lock_guard lock(mutex_);
-    std::erase_if(sources_, [&](const auto& entry) { return entry.first.second == vm; });
+    for (auto& [service, demand] : demand_)
+        demand.sources_.erase(vm);
 }
 
 double DemandBook::prefillPerMs(const ServiceName& service, double fallback) const
 {
     std::lock_guard lock(mutex_);
+    auto found = demand_.find(service);
+    if (found == demand_.end())
+        return fallback;
     double sum = 0;
     double weights = 0;
-    for (auto entry = sources_.lower_bound({ service, {} }); entry != sources_.end() && entry->first.first == service; ++entry) {
-        const DemandTold& told = entry->second.told_;
+    for (const auto& [vm, source] : found->second.sources_) {
+        const DemandTold& told = source.told_;
         if (told.observations_ < leastWeight)
             continue;
         auto weight = static_cast<double>(std::min(told.observations_, mostWeight));
@@ -49,33 +76,32 @@
 void DemandBook::sample(SteadyTime now)
 {
     std::lock_guard lock(mutex_);
-    for (const auto& [service, total] : totals_) {
+    for (auto& [service, demand] : demand_) {
+        double sum = rateOf(demand.own_);
+        for (const auto& [vm, source] : demand.sources_) {
+            if (now - source.at_ <= timing_.validity_)
+                sum += source.told_.tokensPerSecond_;
+        }
         // Before the first request there is no demand to speak of, rather than none.
-        if (total <= 0)
+        if (sum <= 0 && !demand.firstAt_)
             continue;
-        std::vector<Reading>& readings = readings_[service];
-        readings.push_back({ now, total });
-        std::erase_if(readings, [&](const Reading& reading) { return now - reading.at_ > timing_.memory_ + timing_.window_; });
+        if (!demand.firstAt_)
+            demand.firstAt_ = now;
+        demand.rates_.push_back({ now, sum });
+        while (now - demand.rates_.front().at_ > timing_.memory_)
+            demand.rates_.pop_front();
     }
 }
 
 std::optional<double> DemandBook::peakRate(const ServiceName& service, SteadyTime now) const
 {
     std::lock_guard lock(mutex_);
-    auto found = readings_.find(service);
-    if (found == readings_.end())
+    auto found = demand_.find(service);
+    if (found == demand_.end() || !found->second.firstAt_ || now - *found->second.firstAt_ < timing_.window_)
         return std::nullopt;
-    std::optional<double> peak;
-    const std::vector<Reading>& readings = found->second;
-    std::size_t begin = 0;
-    for (const Reading& end : readings) {
-        while (end.at_ - readings[begin + 1].at_ >= timing_.window_)
-            ++begin;
-        auto span = std::chrono::duration<double>(end.at_ - readings[begin].at_).count();
-        if (end.at_ - readings[begin].at_ < timing_.window_ || now - end.at_ > timing_.memory_)
-            continue;
-        peak = std::max(peak.value_or(0), (end.tokens_ - readings[begin].tokens_) / span);
-    }
+    double peak = 0;
+    for (const Reading& reading : found->second.rates_)
+        peak = std::max(peak, reading.tokens_);
     return peak;
 }
 
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -272,7 +272,8 @@
     }
     current_ = nullptr;
     SteadyTime now = steadyNow();
-    context_.backends_.end(attempt.choice_.backend_.id_, attempt.choice_.uncached_, attempt.hasBegun_, outcome, now);
+    auto streamed = attempt.hasBegun_ ? std::chrono::duration_cast<milliseconds>(now - attempt.begunAt_) : milliseconds(0);
+    context_.backends_.end(attempt.choice_.backend_.id_, { outcome, attempt.choice_.uncached_, attempt.hasBegun_, streamed }, now);
     auto took = std::chrono::duration_cast<milliseconds>(now - request_.receivedAt_);
     context_.metrics_.observe(Histogram::WholeAnswer, now - request_.receivedAt_);
     logAttempt(attempt, outcome, took);
@@ -286,7 +287,7 @@
     line.add("id", id_).add("outcome", toString(outcome)).add("why", attempt.detail_).add("status", finalStatus_).add("attempt", sends_);
     line.add("route", route_->name_).add("organisation", organisation_ ? organisation_->name_.value_ : "").add("configuration", static_cast<std::int64_t>(table_->version()));
     line.add("backend", choice.backend_.id_.value_).add("service", shape_.service_.value_).add("data_centre", choice.backend_.dataCentre_.value_).add("candidates", static_cast<std::int64_t>(choice.candidates_));
-    line.add("estimate_ms", choice.estimate_.count()).add("queued_tokens", static_cast<std::int64_t>(choice.queuedAhead_.value_)).add("uncached_tokens", static_cast<std::int64_t>(choice.uncached_.value_));
+    line.add("estimate_ms", choice.estimate_.count()).add("running", static_cast<std::int64_t>(choice.running_)).add("queued_tokens", static_cast<std::int64_t>(choice.queuedAhead_.value_)).add("uncached_tokens", static_cast<std::int64_t>(choice.uncached_.value_));
     line.add("charged", static_cast<std::int64_t>(cost_));
     if (route_->isStream_)
         line.add("last_event", events_.last() ? static_cast<std::int64_t>(*events_.last()) : 0);
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -58,6 +58,7 @@
         BackendConnectionPtr connection_;
         SteadyTime startedAt_ {};
         bool hasBegun_ = false;
+        SteadyTime begunAt_ {};
         std::string detail_;
     };
     /// A whole answer of a backend server, not yet passed on.
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -244,7 +244,8 @@
     if (attempt.hasBegun_)
         return;
     attempt.hasBegun_ = true;
-    auto wait = std::chrono::duration_cast<milliseconds>(steadyNow() - attempt.startedAt_);
+    attempt.begunAt_ = steadyNow();
+    auto wait = std::chrono::duration_cast<milliseconds>(attempt.begunAt_ - attempt.startedAt_);
     context_.backends_.began(attempt.choice_, shape_, wait);
     if (hasCountedBegin_)
         return;
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -116,10 +116,14 @@
 
 void DutyRunner::sampleDemand()
 {
-    for (const auto& [service, view] : context_.backends_.services())
-        context_.demand_.setSource(context_.settings_.vm_, context_.incarnation_, service, { { view.tokensAsked_ }, view.prefillPerMs_, view.observations_ });
-    context_.demand_.sample(steadyNow());
-    noteRegistrations(steadyNow());
+    SteadyTime now = steadyNow();
+    for (const auto& [service, view] : context_.backends_.services()) {
+        context_.demand_.countOwn(service, { view.tokensAsked_ }, now);
+        // What it tells its peers stands beside theirs; the rate is counted above.
+        context_.demand_.setSource(context_.settings_.vm_, service, { 0, view.prefillPerMs_, view.observations_ }, now);
+    }
+    context_.demand_.sample(now);
+    noteRegistrations(now);
 }
 
 /// Reads the log of duties to its end. \returns whether it was read.
@@ -150,7 +154,11 @@
 asio::awaitable<DutyRunner::Recorded> DutyRunner::record(const wire::DutyRecord& record)
 {
     std::string bytes = record.SerializeAsString();
-    for (int i = 0; i < appendTries; ++i) {
+    // An act that is recorded later than this is not covered any more, and a holder
+    // that the platform does not answer makes room for another: one that was cut off
+    // tried for 8 s, and no engine was ordered for 11 s (a played day).
+    SteadyTime until = steadyNow() + timingFor(context_.settings_.dutyLease_).recordValidity_;
+    for (int i = 0; i < appendTries && steadyNow() < until; ++i) {
         auto appended = co_await context_.platform_.appendDuty_(end_, bytes);
         if (appended) {
             ++end_.value_;
@@ -258,6 +266,16 @@
     return all;
 }
 
+/// Engines whose slots hold what is under way, with some to spare.
+std::uint64_t DutyRunner::enginesForSlots(const ServiceName& service) const
+{
+    BackendBook::Occupancy occupancy = context_.backends_.occupancy(service);
+    if (!occupancy.slots_)
+        return 0;
+    double perEngine = static_cast<double>(occupancy.slots_) / static_cast<double>(occupancy.backends_);
+    return static_cast<std::uint64_t>(std::ceil(static_cast<double>(occupancy.running_) / (perEngine * context_.settings_.fleet_.slotsUsed_)));
+}
+
 /// What the service needs now. Before a whole window of demand was seen, the most
 /// that was there is taken for what is needed, so that a new holder changes nothing.
 FleetDemand DutyRunner::demandOf(const ServicePolicy& service, const std::vector<FleetPlace>& places, SteadyTime now)
@@ -277,7 +295,7 @@
     std::uint64_t& before = neededBefore_[service.name_];
     // Engines that were ordered here may be more than what is needed.
     std::uint64_t unknown = std::max(before, ordered_.empty() ? present : lasting);
-    recent.emplace_back(now, tokens ? enginesFor(*tokens, rate, settings.margin_) : unknown);
+    recent.emplace_back(now, tokens ? std::max(enginesFor(*tokens, rate, settings.margin_), enginesForSlots(service.name_)) : unknown);
     while (!recent.empty() && now - recent.front().first > settings.hold_)
         recent.pop_front();
     FleetDemand demand { 0, service.fleet_->least_, service.fleet_->most_, 0, settings.reserveShare_ };
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -51,6 +51,7 @@
     std::vector<FleetPlace> placesOf(const ServicePolicy& service) const;
     void noteRegistrations(SteadyTime now);
     bool isSettled(const ServiceName& service) const;
+    std::uint64_t enginesForSlots(const ServiceName& service) const;
     FleetDemand demandOf(const ServicePolicy& service, const std::vector<FleetPlace>& places, SteadyTime now);
     std::vector<FleetOrder> dueOrders(SteadyTime now);
     void sampleDemand();
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -40,9 +40,11 @@
     void parseFleet(YamlMap map, FleetSettings& settings)
     {
         settings.margin_ = map.number("margin", 0, 100, settings.margin_);
+        settings.slotsUsed_ = map.number("slots_used", 0.01, 1, settings.slotsUsed_);
         settings.reclaimableShare_ = map.number("reclaimable_share", 0, 2, settings.reclaimableShare_);
         settings.reserveShare_ = map.number("reserve_share", 0, 1, settings.reserveShare_);
         settings.period_ = map.duration("period", milliseconds(100), oneMinute, settings.period_);
+        settings.hold_ = map.duration("hold", milliseconds(0), oneDay, settings.hold_);
         settings.settling_ = map.duration("settling", milliseconds(0), oneDay, settings.settling_);
         settings.repeat_ = map.duration("repeat", milliseconds(100), oneDay, settings.repeat_);
         map.finish();
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -328,7 +328,7 @@
     }
     context_.quotas_.setPeer(vm, report.incarnation(), admitted, levels, now);
     for (const wire::DemandReport& told : report.demand())
-        context_.demand_.setSource(vm, report.incarnation(), { told.service() }, { { told.prompt_tokens() }, told.prefill_per_ms(), told.observations() });
+        context_.demand_.setSource(vm, { told.service() }, { told.tokens_per_second(), told.prefill_per_ms(), told.observations() }, now);
     context_.usage_.setPeer(vm, report.incarnation(), usageOf(report.usage()));
 }
 
@@ -374,11 +374,8 @@
         levels[{ told.organisation() }] = told.level();
     context_.quotas_.setPeer(allOthers(), context_.incarnation_, admitted, levels, now, sums.nodes());
     context_.quotas_.setSilentNodes(sums.silent_nodes(), now);
-    for (const wire::DemandReport& told : sums.demand()) {
-        auto tokens = others_.tokens().find(told.service());
-        auto sent = tokens == others_.tokens().end() ? 0 : static_cast<std::uint64_t>(std::max(0.0, tokens->second));
-        context_.demand_.setSource(allOthers(), context_.incarnation_, { told.service() }, { { sent }, told.prefill_per_ms(), told.observations() });
-    }
+    for (const wire::DemandReport& told : sums.demand())
+        context_.demand_.setSource(allOthers(), { told.service() }, { told.tokens_per_second(), told.prefill_per_ms(), told.observations() }, now);
 }
 
 } // namespace pistachioloom
--- a/lib/Gateway/RelayBook.cpp
+++ b/lib/Gateway/RelayBook.cpp
@@ -110,6 +110,7 @@
     }
     for (const wire::DemandReport& demand : sums.demand()) {
         Demand& total = demand_[demand.service()];
+        total.tokensPerSecond_ += demand.tokens_per_second();
         total.weightedRate_ += demand.prefill_per_ms() * static_cast<double>(demand.observations());
         total.observations_ += demand.observations();
     }
@@ -123,8 +124,6 @@
 void ReportTotals::add(const SumGroup& group, SteadyTime now)
 {
     addCounts(admitted_, group.admitted());
-    for (const auto& [service, tokens] : group.tokens())
-        demand_[service].tokens_ += tokens;
     if (const wire::NodeSums* current = group.current(now))
         addCurrent(*current);
     silentNodes_ += group.silentNodes(now);
@@ -139,8 +138,8 @@
         total.queuedTokens_ -= std::min(total.queuedTokens_, load.queuedTokens_);
     }
     addCounts(admitted_, counted.admitted(), -1);
-    for (const auto& [service, tokens] : counted.tokens())
-        demand_[service].tokens_ -= tokens;
+    for (const wire::DemandReport& demand : sums.demand())
+        demand_[demand.service()].tokensPerSecond_ -= demand.tokens_per_second();
 }
 
 wire::NodeSums ReportTotals::toMessage() const
@@ -161,7 +160,7 @@
     for (const auto& [service, demand] : demand_) {
         wire::DemandReport& told = *sums.add_demand();
         told.set_service(service);
-        told.set_prompt_tokens(static_cast<std::uint64_t>(std::max(0.0, demand.tokens_)));
+        told.set_tokens_per_second(std::max(0.0, demand.tokensPerSecond_));
         told.set_observations(demand.observations_);
         told.set_prefill_per_ms(demand.observations_ ? demand.weightedRate_ / static_cast<double>(demand.observations_) : 0);
     }
@@ -187,7 +186,6 @@
             return false;
         // Its counts stay in the totals, which never fall.
         addCounts(goneAdmitted_, node.group_.admitted());
-        addCounts(goneTokens_, node.group_.tokens());
         ownUsage_.forgetPeer(entry.first);
         return true;
     });
@@ -232,8 +230,6 @@
     for (const auto& [vm, node] : nodes_)
         totals.add(node.group_, now);
     addCounts(totals.admitted_, goneAdmitted_);
-    for (const auto& [service, tokens] : goneTokens_)
-        totals.demand_[service].tokens_ += tokens;
     return totals;
 }
 
--- a/lib/Gateway/RelayBook.h
+++ b/lib/Gateway/RelayBook.h
@@ -22,7 +22,7 @@
 /// Sums of several groups of nodes, on the way to a message.
 struct ReportTotals {
     struct Demand {
-        double tokens_ = 0;
+        double tokensPerSecond_ = 0;
         /// Reading rates times the answers that show them.
         double weightedRate_ = 0;
         std::uint64_t observations_ = 0;
@@ -85,7 +85,6 @@
     UsageBook othersUsage_;
     /// Counts of nodes that were forgotten.
     NamedCounts goneAdmitted_;
-    NamedCounts goneTokens_;
 };
 
 /// What one node told, as the sum over itself.
--- a/lib/Gateway/SumGroup.cpp
+++ b/lib/Gateway/SumGroup.cpp
@@ -26,14 +26,6 @@
         return counts;
     }
 
-    NamedCounts tokensOf(const wire::NodeSums& sums)
-    {
-        NamedCounts counts;
-        for (const wire::DemandReport& demand : sums.demand())
-            counts[demand.service()] = static_cast<double>(demand.prompt_tokens());
-        return counts;
-    }
-
     void addGrowth(NamedCounts& totals, const NamedCounts& before, const NamedCounts& after)
     {
         for (const auto& [name, count] : after) {
@@ -76,10 +68,8 @@
         return false;
     lastNodes_ = sums.nodes();
     lastHeardAt_ = now;
-    if (isFollowed) {
+    if (isFollowed)
         addGrowth(admitted_, admittedOf(before.sums_), admittedOf(sums));
-        addGrowth(tokens_, tokensOf(before.sums_), tokensOf(sums));
-    }
     return true;
 }
 
--- a/lib/Gateway/SumGroup.h
+++ b/lib/Gateway/SumGroup.h
@@ -31,8 +31,6 @@
     /// What was admitted of each organisation's quota since this group was first
     /// heard; grows on whatever source counts.
     const NamedCounts& admitted() const { return admitted_; }
-    /// Prompt tokens sent to each service, likewise.
-    const NamedCounts& tokens() const { return tokens_; }
 
 private:
     struct Source {
@@ -49,7 +47,6 @@
     std::uint64_t lastNodes_ = 0;
     SteadyTime lastHeardAt_ {};
     NamedCounts admitted_;
-    NamedCounts tokens_;
 };
 
 } // namespace pistachioloom
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -47,8 +47,12 @@
 TEST_CASE("work goes where fewer prompt tokens are queued", "[backends]")
 {
     BackendBook book({ "a" }, ChoiceSettings {});
-    book.put(record("x"));
-    book.put(record("y"));
+    // Slots enough for all: only tokens decide.
+    for (const char* id : { "x", "y" }) {
+        BackendRecord roomy = record(id);
+        roomy.slots_ = 24;
+        book.put(roomy);
+    }
     book.setPeerLoads({ "peer" }, { { keyOf({ "x" }), { 3, 9000 } } }, start);
     CHECK(chosen(book, engineRequest(1000)) == "y");
     // Own sends count at once: y has 1,000 queued now, x has 9,000.
@@ -93,6 +97,30 @@
     CHECK(book.ownLoads().size() == 1);
 }
 
+TEST_CASE("where all slots are taken, a request waits for one", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    book.put(record("y"));
+    // Four slots: x has room, though more prompt tokens are queued there than at y.
+    book.setPeerLoads({ "peer" }, { { keyOf({ "x" }), { 3, 5000 } }, { keyOf({ "y" }), { 12, 0 } } }, start);
+    auto choice = book.choose(engineRequest(1000), {}, start);
+    REQUIRE(choice);
+    CHECK(choice->backend_.id_.value_ == "x");
+    CHECK(choice->running_ == 3);
+    book.remove({ "x" });
+    // Nine are before it, and four slots are held for 500 ms each until it is known better.
+    choice = book.choose(engineRequest(1000), {}, start);
+    REQUIRE(choice);
+    CHECK(choice->ahead_ >= milliseconds(9 * 500 / 4));
+    for (int i = 0; i < 400; ++i)
+        book.end({ "y" }, { BackendOutcome::Served, {}, true, milliseconds(100) }, start);
+    choice = book.choose(engineRequest(1000), {}, start);
+    REQUIRE(choice);
+    CHECK(choice->ahead_ >= milliseconds(9 * 100 / 4));
+    CHECK(choice->ahead_ < milliseconds(400));
+}
+
 TEST_CASE("leaving, gone and excluded ones take nothing", "[backends]")
 {
     BackendBook book({ "a" }, ChoiceSettings {});
@@ -127,11 +155,11 @@
     book.put(record("x"));
     book.put(record("y", "far"));
     for (int i = 0; i < row.times_; ++i)
-        book.end({ "x" }, {}, false, row.outcome_, start);
+        book.end({ "x" }, { row.outcome_ }, start);
     CAPTURE(toString(row.outcome_), row.times_);
     if (row.passedOver_.count())
         CHECK(chosen(book, plainRequest(), {}, start + row.passedOver_ - milliseconds(1)) == "y");
-    book.end({ "y" }, {}, false, BackendOutcome::Served, start);
+    book.end({ "y" }, { BackendOutcome::Served }, start);
     CHECK(chosen(book, plainRequest(), {}, start + row.passedOver_) == "x");
 }
 
@@ -139,7 +167,7 @@
 {
     BackendBook book({ "a" }, ChoiceSettings {});
     book.put(record("x"));
-    book.end({ "x" }, {}, false, BackendOutcome::Unreachable, start);
+    book.end({ "x" }, { BackendOutcome::Unreachable }, start);
     CHECK(chosen(book, plainRequest()) == "x");
 }
 
@@ -147,7 +175,7 @@
 {
     BackendBook book({ "a" }, ChoiceSettings {});
     book.put(record("x"));
-    book.end({ "x" }, {}, false, BackendOutcome::WrongInstance, start);
+    book.end({ "x" }, { BackendOutcome::WrongInstance }, start);
     CHECK_FALSE(book.find({ "x" }));
 }
 
@@ -157,7 +185,7 @@
     book.put(record("x"));
     book.put(record("y", "far"));
     for (int i = 0; i < 10; ++i)
-        book.end({ "x" }, {}, true, i % 4 ? BackendOutcome::Failed : BackendOutcome::Served, start);
+        book.end({ "x" }, { i % 4 ? BackendOutcome::Failed : BackendOutcome::Served, {}, true }, start);
     CHECK(chosen(book, plainRequest()) == "y");
 }
 
@@ -171,7 +199,7 @@
         REQUIRE(choice);
         double wait = 31 + static_cast<double>(shape.promptTokens_.value_) / 112;
         book.began(*choice, shape, milliseconds(static_cast<std::int64_t>(wait)));
-        book.end({ "x" }, choice->uncached_, true, BackendOutcome::Served, start);
+        book.end({ "x" }, { BackendOutcome::Served, choice->uncached_, true }, start);
     }
     CHECK(book.services()[service].prefillPerMs_ == Approx(112).epsilon(0.1));
     CHECK(book.services()[service].observations_ == 200);
--- a/unittests/Duties/DutiesTest.cpp
+++ b/unittests/Duties/DutiesTest.cpp
@@ -178,27 +178,66 @@
     CHECK(clocks.correctionMs(start + milliseconds(60000)) == 0);
 }
 
-TEST_CASE("demand outlives restarts of nodes", "[duties]")
+TEST_CASE("demand is the sum of what nodes are asked for a second, and its peak stays a while", "[duties]")
 {
     DemandBook demand;
     const ServiceName service { "s" };
-    std::uint64_t sent = 0;
-    for (int i = 0; i < 40; ++i) {
-        SteadyTime now = start + milliseconds(250 * i);
-        sent += 250;
-        // Restarted in the middle: its count begins anew.
-        std::uint64_t incarnation = i < 20 ? 1 : 2;
-        std::uint64_t told = i < 20 ? sent : sent - 5000;
-        demand.setSource({ "a" }, incarnation, service, { { told }, 50, 100 });
+    SteadyTime now = start;
+    auto step = [&](std::uint64_t asked, double told) {
+        now += milliseconds(250);
+        demand.countOwn(service, { asked }, now);
+        demand.setSource({ "b" }, service, { told, 50, 100 }, now);
         demand.sample(now);
-        if (i < 16)
-            CHECK_FALSE(demand.peakRate(service, now));
+    };
+    // Nothing is known before a whole window was seen.
+    for (std::uint64_t i = 0; i < 16; ++i) {
+        step(250 * i, 500);
+        CHECK_FALSE(demand.peakRate(service, now));
     }
-    auto rate = demand.peakRate(service, start + milliseconds(9750));
-    REQUIRE(rate);
-    CHECK(*rate == Approx(1000).margin(60));
-    CHECK_FALSE(demand.peakRate({ "other" }, start));
-    demand.setSource({ "b" }, 1, service, { { 0 }, 80, 50 });
+    step(250 * 16, 500);
+    CHECK(demand.ownRate(service) == Approx(1000));
+    CHECK(demand.peakRate(service, now) == Approx(1500));
+    // Both fall; the peak stays for 5 s.
+    for (int i = 0; i < 16; ++i)
+        step(250 * 16, 100);
+    CHECK(demand.ownRate(service) == Approx(0));
+    CHECK(*demand.peakRate(service, now) > 1400);
+    for (int i = 0; i < 20; ++i)
+        step(250 * 16, 100);
+    CHECK(demand.peakRate(service, now) == Approx(100));
+    CHECK_FALSE(demand.peakRate({ "other" }, now));
+}
+
+TEST_CASE("a node that comes back after a silence brings no demand of that time", "[duties]")
+{
+    DemandBook demand;
+    const ServiceName service { "s" };
+    SteadyTime now = start;
+    double highest = 0;
+    for (int i = 0; i < 100; ++i) {
+        now += milliseconds(250);
+        demand.countOwn(service, {}, now);
+        // Silent for 12 s, while it was asked for 1,000 tokens a second.
+        if (i < 20 || i >= 68)
+            demand.setSource({ "b" }, service, { 1000, 50, 100 }, now);
+        demand.sample(now);
+        highest = std::max(highest, demand.peakRate(service, now).value_or(0));
+        if (i == 60)
+            CHECK(demand.peakRate(service, now) == Approx(0));
+    }
+    CHECK(highest == Approx(1000));
+    demand.forgetSource({ "b" });
+    now += milliseconds(6000);
+    demand.sample(now);
+    CHECK(demand.peakRate(service, now) == Approx(0));
+}
+
+TEST_CASE("the reading rate is the mean of what nodes learnt", "[duties]")
+{
+    DemandBook demand;
+    const ServiceName service { "s" };
+    demand.setSource({ "a" }, service, { 1, 50, 100 }, start);
+    demand.setSource({ "b" }, service, { 1, 80, 50 }, start);
     CHECK(demand.prefillPerMs(service, 10) == Approx((50 * 100 + 80 * 50) / 150.0));
     CHECK(demand.prefillPerMs({ "other" }, 10) == 10);
 }
--- a/unittests/Gateway/RelayBookTest.cpp
+++ b/unittests/Gateway/RelayBookTest.cpp
@@ -19,7 +19,7 @@
 
 struct Told {
     double admitted_ = 0;
-    std::uint64_t tokens_ = 0;
+    double tokensPerSecond_ = 0;
     std::uint64_t begun_ = 0;
     std::uint32_t running_ = 0;
 };
@@ -35,7 +35,7 @@
     quota.set_admitted(told.admitted_);
     wire::DemandReport& demand = *report.add_demand();
     demand.set_service(service);
-    demand.set_prompt_tokens(told.tokens_);
+    demand.set_tokens_per_second(told.tokensPerSecond_);
     demand.set_prefill_per_ms(50);
     demand.set_observations(100);
     putLoads({ { 7, { told.running_, 1000 } } }, *report.mutable_loads());
