Hold the need of lasting engines for 2 s

The memory of demand holds its peak for 5 s already; the same again cost engines that nobody needed.

--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -114,7 +114,7 @@
     /// How often orders are looked at.
     milliseconds period_ { 500 };
     /// The highest need of this time is ordered for, beside the memory of demand.
-    milliseconds hold_ { 5000 };
+    milliseconds hold_ { 2000 };
     /// Reclaimable engines are ordered for the highest need of this time: they cost a
     /// fifth of lasting ones, and where all of two data centres went at once the third
     /// one's 24 were left of 72, ordered for the need of 2 s (a played day; worth 0.227
