Do not wait for a claim of a node that is stopping

They found the claim in the log and awaited its holder, which tells its token no more. Came with the waiting for claims in the log.

Change: a claim of a node that said that it is stopping is no news.

--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -191,6 +191,8 @@
     // Somebody claimed whom this node has not heard yet. Without this four holders
     // followed each other within 1.5 s of the start of 63 nodes.
     bool isNews = newestClaim_.token_ > before.token_ && newestClaim_.vm_ != context_.settings_.vm_;
+    // One that is stopping already will not be heard.
+    isNews &= !reports_->isStopping(newestClaim_.vm_);
     if (isNews) {
         std::lock_guard lock(mutex_);
         if (newestClaim_.token_ > seat_.token()) {
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -40,6 +40,8 @@
     std::vector<KnownPeer> heardWithin(milliseconds silence) const { return table_.heardWithin(silence, steadyNow()); }
     /// Nodes that this one knows the work of, itself left out.
     std::uint64_t nodesKnownOf() const;
+    /// Whether \p vm said that it is stopping.
+    bool isStopping(const VmId& vm) const { return table_.isStopping(vm); }
     /// A node announced elsewhere; it is told of this node from now on.
     void addKnown(const VmId& vm, const Endpoint& gossip);
     /// All announced nodes were added.
