--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -170,6 +170,7 @@
     void countOwn(const ServiceName& service, TokenCount asked, SteadyTime now);
     /// This node's tokens in a second.
     double ownRate(const ServiceName& service) const;
+    /// What \p vm tells; it counts until told anew, or for the validity.
     void setSource(const VmId& vm, const ServiceName& service, const DemandTold& told, SteadyTime now);
     /// What an engine reads in a millisecond: the mean over nodes, weighted by
     /// what each has seen.
