Charge silent peers to a bucket only from its beginning

The node had started 0.25 s before the freeze (its log). Its bucket began with that request and was charged for 2.2 s of three silent peers, while the rate was added from the request on.

Change: a bucket begins when its level was told, or at the node's start; the rate and silent peers count from then on.

--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -84,6 +84,11 @@
     struct Bucket {
         QuotaLimit limit_;
         double level_ = 0;
+        /// When the level that it began with was known. Silent peers are charged from
+        /// then on only, as the rate is added from then on: else a node frozen for 2 s
+        /// before its first request of an organisation refused it at a thousandth of
+        /// its quota (one of three runs of a soak).
+        SteadyTime begunAt_ {};
         SteadyTime filledAt_ {};
         /// What was admitted lately, fading: by this node, and by the others.
         double ownRecent_ = 0;
@@ -96,6 +101,10 @@
         /// What silent peers were charged since they were last heard.
         std::map<VmId, double> charged_;
     };
+    struct HeardLevel {
+        double level_ = 0;
+        SteadyTime at_ {};
+    };
     struct Peer {
         std::uint64_t incarnation_ = 0;
         SteadyTime heardAt_ {};
@@ -127,7 +136,7 @@
     /// Where the next division of a rest begins; see QuotaSettings::phase_.
     double phase_;
     /// Levels heard from a peer before the first own request.
-    std::map<OrganisationId, double> heardLevels_;
+    std::map<OrganisationId, HeardLevel> heardLevels_;
 };
 
 struct RetrySettings {
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -80,9 +80,10 @@
             continue;
         if (now <= peer.chargedUntil_)
             continue;
-        double silent = secondsOf(now - std::max(peer.chargedUntil_, peer.heardAt_));
+        SteadyTime from = std::max(peer.chargedUntil_, peer.heardAt_);
         peer.chargedUntil_ = now;
         for (auto& [organisation, bucket] : buckets_) {
+            double silent = std::max(0.0, secondsOf(now - std::max(from, bucket.begunAt_)));
             double charge = silent * bucket.limit_.ratePerSecond_ * static_cast<double>(peer.nodes_) / all;
             bucket.level_ -= charge;
             bucket.charged_[id] += charge;
@@ -143,9 +144,9 @@
     Bucket& bucket = found->second;
     if (isNew) {
         auto heard = heardLevels_.find(organisation);
-        double filled = std::min(limit.burst_, secondsOf(now - startedAt_) * limit.ratePerSecond_);
-        bucket.level_ = heard != heardLevels_.end() ? heard->second : filled;
-        bucket.filledAt_ = now;
+        bucket.level_ = heard != heardLevels_.end() ? heard->second.level_ : 0;
+        bucket.begunAt_ = heard != heardLevels_.end() ? heard->second.at_ : startedAt_;
+        bucket.filledAt_ = bucket.begunAt_;
     }
     bucket.limit_ = limit;
     // Charged before the rate is added: a full bucket does not overflow first.
@@ -220,7 +221,7 @@
     }
     for (const auto& [organisation, level] : levels) {
         if (!buckets_.contains(organisation))
-            heardLevels_[organisation] = level;
+            heardLevels_[organisation] = { level, now };
     }
     peer.incarnation_ = incarnation;
     peer.heardAt_ = now;
--- a/unittests/Quota/QuotaTest.cpp
+++ b/unittests/Quota/QuotaTest.cpp
@@ -228,6 +228,35 @@
     CHECK(book.levels()[north] == Approx(998));
 }
 
+TEST_CASE("a node frozen before its first request of an organisation admits it after", "[quota]")
+{
+    // Its peers told full buckets just before, and are silent for as long as it is frozen.
+    auto frozen = GENERATE(900, 2200, 6000);
+    CAPTURE(frozen);
+    QuotaBook book(start);
+    book.setNodes(4);
+    SteadyTime heard = start + milliseconds(100);
+    for (const char* peer : { "1", "2", "3" })
+        book.setPeer({ peer }, 1, { { north, 5000 } }, { { north, 1000 } }, heard);
+    SteadyTime thawed = heard + milliseconds(frozen);
+    CHECK_FALSE(book.take(north, limit, 1, thawed));
+    // What they used meanwhile counts, and so does the rate of that time.
+    for (const char* peer : { "1", "2", "3" })
+        book.setPeer({ peer }, 1, { { north, 5000 + 0.25 * frozen } }, {}, thawed);
+    CHECK_FALSE(book.take(north, limit, 1, thawed));
+}
+
+TEST_CASE("what peers told before a node's first request is not given out again", "[quota]")
+{
+    QuotaBook book(start);
+    SteadyTime heard = start + milliseconds(20000);
+    book.setPeer({ "peer" }, 1, { { north, 5000 } }, { { north, 10 } }, heard);
+    SteadyTime first = heard + milliseconds(200);
+    REQUIRE_FALSE(book.take(north, limit, 1, first));
+    // What was left, and the rate of 200 ms.
+    CHECK(book.levels()[north] == Approx(10 + 200 - 1));
+}
+
 TEST_CASE("nodes that relays tell of as silent are charged their shares", "[quota]")
 {
     QuotaBook book(start);
