--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -119,10 +119,8 @@
 TEST_CASE("lasting engines stay while reclaimable ones are being taken away", "[fleet]")
 {
     FleetBook book({});
-    FleetView before = viewOf({ { 8, 14 }, { 8, 14 }, { 8, 14 } }, {});
+    FleetView before = viewOf({ { 8, 14 }, { 8, 14 }, { 8, 14 } }, 500000);
     SteadyTime now = settle(book, before);
-    for (const FleetOrder& order : book.dueOrders(before, now))
-        book.noteOrdered(order, true, now);
     FleetView lost = viewOf({ { 8, 0 }, { 8, 14 }, { 8, 14 } }, 500000);
     now += milliseconds(500);
     book.observe(lost, now);
