Move running streams off engines that are about to be taken away

Ruled out: noticing too late (the list tells 0.5 to 0.9 s before the end).

Change: a stream on a reclaimable engine that leaves is copied while it runs, then stopped, and the same request goes on with its KV cache at an engine that does not go with it. A refused copy changes nothing; a lost copy is read again.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -51,6 +51,9 @@
     /// Lower is more urgent.
     unsigned urgency_ = 0;
     bool isForEngine_ = false;
+    /// Set for a stream that moves: the reclaimable engines of its data centre are
+    /// taken away together, so none of them is chosen.
+    std::optional<DataCentreId> reclaimed_;
 };
 
 /// A backend server's id, hashed to 32 bits for messages. Of 2,100 servers two
@@ -159,6 +162,8 @@
     /// Equal for books that know the same backend servers, leaving or not.
     std::uint64_t fingerprint() const;
     std::optional<BackendRecord> find(const BackendId& id) const;
+    /// Whether \p id will be gone within seconds: it is reclaimable and leaving.
+    bool isDeparting(const BackendId& id) const;
 
     /// Chooses for \p shape among those not in \p excluded, and counts the
     /// request as under way there until end().
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -39,6 +39,8 @@
     std::string urgency_;
     /// The last event that the caller has.
     std::string lastEvent_;
+    /// Where the KV cache lies that a moved stream goes on from.
+    std::string resumeFrom_;
     /// Headers that only this system sets; dropped from what callers send.
     std::vector<std::string> reserved_;
 };
@@ -63,12 +65,25 @@
     ByteCount longestAnswer_ { 8UL * 1024 * 1024 };
 };
 
+/// A copy of a running stream's KV cache, from one engine to another.
+struct StreamCopy {
+    Endpoint from_;
+    Endpoint to_;
+    /// The id of the attempt, as the engine knows the run.
+    std::string run_;
+    /// The run stops, and its stream closes without an end; without it, it goes on.
+    bool isLast_ = false;
+};
+
 /// What the forwarding of requests tells the rest of the node.
 struct ForwardHooks {
     /// A request of \p organisation began to run.
     std::function<void(const OrganisationId& organisation)> onBegan_;
     /// The current configuration, or nullptr before the first.
     std::function<std::shared_ptr<const RouteTable>()> table_;
+    /// Copies a stream's KV cache; a second copy of the same holds only what is new.
+    /// \returns the value of ForwardHeaderNames::resumeFrom_ for going on from it.
+    std::function<asio::awaitable<Result<std::string>>(StreamCopy copy)> copyStream_;
 };
 
 /// What all workers of a node share.
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -61,6 +61,8 @@
     std::function<asio::awaitable<Result<void>>(LogOffset end, std::string record)> appendDuty_;
     std::function<asio::awaitable<Result<void>>(VmId holder, DutyToken token, WindowNumber window, UsageCounts counts)> reportUsage_;
     std::function<asio::awaitable<Result<void>>(VmId holder, DutyToken token, FleetOrder order)> orderFleet_;
+    /// See ForwardHooks::copyStream_.
+    std::function<asio::awaitable<Result<std::string>>(StreamCopy copy)> copyStream_;
     ForwardHeaderNames headers_;
 };
 
--- a/include/pistachioloom/Routes.h
+++ b/include/pistachioloom/Routes.h
@@ -66,6 +66,8 @@
     TokenCount memory_;
     /// Tokens in one event of a stream.
     std::uint64_t tokensPerEvent_ = 1;
+    /// A running stream's KV cache can be moved to another engine.
+    bool canMove_ = false;
 };
 
 /// How many engines of a service may be ordered in each data centre.
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -107,6 +107,13 @@
     return found == backends_.end() ? std::nullopt : std::optional(found->second.record_);
 }
 
+bool BackendBook::isDeparting(const BackendId& id) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    return found != backends_.end() && found->second.record_.isLeaving_ && found->second.record_.isReclaimable_;
+}
+
 double BackendBook::rateOf(const ServiceName& service) const
 {
     auto found = rates_.find(service);
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -122,6 +122,8 @@
     for (auto& [id, backend] : backends_) {
         if (backend.record_.service_ != shape.service_ || backend.record_.isLeaving_ || excluded.contains(id))
             continue;
+        if (backend.record_.isReclaimable_ && shape.reclaimed_ == backend.record_.dataCentre_)
+            continue;
         bool isGood = isUsable(backend, now) && backend.failedShare_ < failedShareTolerated;
         (isGood ? usable : doubtful).push_back(&backend);
     }
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -180,7 +180,9 @@
 asio::awaitable<void> Forwarding::serve()
 {
     for (;;) {
-        auto choice = context_.backends_.choose(shape_, excluded_, steadyNow());
+        auto choice = takeMoveTarget();
+        if (!choice)
+            choice = context_.backends_.choose(shape_, excluded_, steadyNow());
         if (!choice)
             break;
         if (isHopeless(*choice)) {
@@ -200,6 +202,8 @@
         finishAttempt(attempt, end);
         if (end == SendEnd::Delivered || caller_->isGone())
             co_return;
+        if (end == SendEnd::Moved)
+            continue;
         if (end == SendEnd::Lost || end == SendEnd::Held)
             mayHaveRun_ = true;
         if (!mayTryAgain(end))
@@ -238,6 +242,7 @@
     co_await serve();
     caller_->setGoneHook(nullptr);
     isFinished_ = true;
+    dropMove();
     timer_.cancel();
     if (!hasCountedBegin_ && hasQuota_ && !mayHaveRun_)
         context_.quotas_.giveBack(organisation_->name_, cost_);
@@ -264,6 +269,7 @@
         outcome = BackendOutcome::Broken;
         break;
     case SendEnd::Stopped:
+    case SendEnd::Moved:
         outcome = BackendOutcome::Abandoned;
         break;
     case SendEnd::NoConnection:
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -9,6 +9,7 @@
 #include "BackendPool.h"
 #include "CallerConnection.h"
 #include "EventSplitter.h"
+#include "Signal.h"
 
 #include <boost/beast/http.hpp>
 
@@ -30,6 +31,8 @@
     Stopped,
     /// All connections that this node may open there are in use.
     NoConnection,
+    /// It was stopped to go on at another engine, which has its KV cache.
+    Moved,
 };
 
 /// Why work on a request was stopped from outside.
@@ -88,6 +91,15 @@
     bool isHopeless(const BackendChoice& choice) const;
     HeldAnswer refuseForWait(const BackendChoice& choice) const;
     bool mayGoElsewhere(const Attempt& attempt) const;
+    asio::awaitable<SendEnd> afterBreak(Attempt& attempt, const boost::system::error_code& code);
+
+    // Moves of a running stream.
+    bool shouldMove(const Attempt& attempt) const;
+    void startMove(const Attempt& attempt);
+    asio::awaitable<void> move(BackendRecord from, BackendChoice to);
+    std::optional<BackendChoice> takeMoveTarget();
+    void giveUpTarget(const BackendChoice& to);
+    void dropMove();
     void finishAttempt(Attempt& attempt, SendEnd end);
     void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took) const;
     void logRefusal(const HeldAnswer& answer) const;
@@ -139,6 +151,24 @@
     bool isFinished_ = false;
     bool keepsConnection_ = false;
     EventSplitter events_ { std::nullopt };
+    /// A move of the running stream; the last one.
+    struct Move {
+        explicit Move(const asio::any_io_executor& executor)
+            : done_(executor)
+        {
+        }
+
+        Signal done_;
+        bool isOver_ = false;
+        /// The stream goes on without it.
+        bool isDropped_ = false;
+        /// Set once the stream is stopped and its KV cache is there.
+        std::optional<BackendChoice> to_;
+        std::string resumeFrom_;
+    };
+    std::shared_ptr<Move> move_;
+    /// Sent with the next attempt, once.
+    std::string resumeFrom_;
     std::optional<HeldAnswer> held_;
     std::string lastDetail_;
     /// From the request's arrival to the first byte of an answer.
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -57,6 +57,8 @@
         appendField(head, names.urgency_, std::to_string(urgency_));
     if (events_.last() && route_->isStream_)
         appendField(head, names.lastEvent_, std::to_string(*events_.last()));
+    if (!resumeFrom_.empty())
+        appendField(head, names.resumeFrom_, resumeFrom_);
     if (hadLength || !request_.body_.empty())
         appendField(head, "Content-Length", std::to_string(request_.body_.size()));
     return head + "\r\n";
@@ -113,6 +115,7 @@
         std::shared_ptr<Forwarding> owner_;
     };
     auto outgoing = std::make_shared<Outgoing>(Outgoing { headFor(attempt.choice_.backend_), shared_from_this() });
+    resumeFrom_.clear();
     std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoing->head_), asio::buffer(request_.body_) };
     attempt.connection_->isWriting_ = true;
     asio::async_write(attempt.connection_->socket_, buffers, [outgoing, connection = attempt.connection_](const beast::error_code& code, std::size_t) {
@@ -292,10 +295,8 @@
     events_.dropPartial();
     finalStatus_ = static_cast<int>(parser.get().result_int());
     while (!parser.is_done()) {
-        if (auto code = co_await readSome(attempt, parser)) {
-            attempt.detail_ = "events:" + code.message();
-            co_return SendEnd::Lost;
-        }
+        if (auto code = co_await readSome(attempt, parser))
+            co_return co_await afterBreak(attempt, code);
         std::string events = events_.take(parser.get().body());
         parser.get().body().clear();
         if (events_.isBroken()) {
@@ -316,6 +317,8 @@
             co_return SendEnd::Stopped;
         if (!co_await passEvents(std::move(events)))
             co_return SendEnd::Stopped;
+        if (shouldMove(attempt))
+            startMove(attempt);
     }
     if (events_.hasPartial()) {
         attempt.detail_ = "event_cut";
--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -202,6 +202,55 @@
     CHECK(runsOf(deployment, "a-1") == 1);
 }
 
+TEST_CASE("a stream moves on from an engine that is about to be taken away", "[gateway]")
+{
+    struct Row {
+        const char* name_;
+        json::object faults_;
+        bool isStopped_;
+        std::size_t resumed_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "moved", {}, true, 1 },
+        { "no room elsewhere: it runs on", { { "refuse_moves", 1 } }, false, 0 },
+        { "the copy is gone: the prompt is read again", { { "lose_copies", 1 } }, true, 0 },
+    }));
+    CAPTURE(row.name_);
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    deployment.startBackend("e-3", "engines");
+    REQUIRE(deployment.waitForBackends(5));
+    auto& gateway = deployment.gateways()[0];
+    constexpr int events = 60;
+    const std::vector<std::string> engines { "e-1", "e-2", "e-3" };
+    for (const std::string& engine : engines) {
+        deployment.backend(engine, { { "events", events }, { "gap_ms", 25 } });
+        deployment.backend(engine, row.faults_);
+    }
+    HttpResponse answer;
+    std::thread caller([&] { answer = deployment.call(gateway, gatewayRequest("POST", "/draft/stream", "m-1")); });
+    auto count = [&](const std::string& engine, const char* what) { return deployment.backend(engine).at(what).as_array().size(); };
+    auto first = engines.end();
+    CHECK(waitUntil([&] {
+        first = std::find_if(engines.begin(), engines.end(), [&](const std::string& engine) { return count(engine, "runs"); });
+        return first != engines.end();
+    },
+        patience));
+    deployment.control({ { "reclaim", *first } });
+    caller.join();
+    CHECK(answer.status_ == 200);
+    CHECK(answer.body_ == eventsUpTo(events));
+    CHECK(count(*first, "moved") == (row.isStopped_ ? 1 : 0));
+    std::size_t resumed = 0;
+    std::size_t runs = 0;
+    for (const std::string& engine : engines) {
+        resumed += count(engine, "resumed");
+        runs += count(engine, "runs");
+    }
+    CHECK(resumed == row.resumed_);
+    CHECK(runs == (row.isStopped_ ? 2 : 1));
+}
+
 TEST_CASE("a caller who leaves ends the engine's work", "[gateway]")
 {
     GatewayDeployment deployment(1);
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -90,13 +90,15 @@
     json::object control(const json::object& body)
     {
         controls_.update(body);
-        return { { "runs", runs_ }, { "gone", gone_ }, { "headers", headers_ } };
+        return { { "runs", runs_ }, { "gone", gone_ }, { "headers", headers_ }, { "moved", moved_ }, { "resumed", resumed_ } };
     }
 
 private:
     asio::awaitable<void> handle(HttpExchange& exchange)
     {
         const HttpRequest& request = exchange.request();
+        if (request.path() == "/kv-move")
+            co_return co_await move(exchange);
         HttpResponse answer { 200, { { seal, "seal-" + id_ }, { attemptId, request.header("x-pistachioloom-attempt-id") } }, {} };
         if (request.header("x-pistachioloom-expect-instance") != id_) {
             answer.status_ = 421;
@@ -109,6 +111,15 @@
             (void)co_await exchange.respond(std::move(answer));
             co_return;
         }
+        std::string from = request.header("kv-from");
+        if (!from.empty() && controls_["lose_copies"]) {
+            answer.status_ = 503;
+            answer.headers_["X-Pistachioloom-Not-Executed"] = "1";
+            (void)co_await exchange.respond(std::move(answer));
+            co_return;
+        }
+        if (!from.empty())
+            resumed_.emplace_back(from);
         noteRun(request);
         if (request.path().find("/stream") != std::string::npos)
             co_return co_await stream(exchange, std::move(answer));
@@ -133,7 +144,39 @@
             headers_[name] = value;
     }
 
+    /// Copies the memory of a run, and stops the run if that was asked for.
+    asio::awaitable<void> move(HttpExchange& exchange)
+    {
+        json::object body = parseJsonObject(exchange.request().body_).value_or(json::object {});
+        std::string id = textField(body, "id");
+        auto found = streams_.find(id);
+        co_await pause(milliseconds(controls_["move_ms"]));
+        if (controls_["refuse_moves"])
+            co_return co_await reply(exchange, 503, json::object {});
+        if (found == streams_.end())
+            co_return co_await reply(exchange, 404, json::object {});
+        if (flagField(body, "last")) {
+            found->second.isStopped_ = true;
+            moved_.emplace_back(id);
+        }
+        json::object copied { { "handle", "copy-of-" + id }, { "create_revision", found->second.made_ } };
+        co_await reply(exchange, 200, copied);
+    }
+
     asio::awaitable<void> stream(HttpExchange& exchange, HttpResponse head)
+    {
+        std::string id = exchange.request().header("x-pistachioloom-attempt-id");
+        streams_[id] = {};
+        co_await writeEvents(exchange, std::move(head), streams_[id]);
+        streams_.erase(id);
+    }
+
+    struct Stream {
+        std::int64_t made_ = 0;
+        bool isStopped_ = false;
+    };
+
+    asio::awaitable<void> writeEvents(HttpExchange& exchange, HttpResponse head, Stream& stream)
     {
         head.headers_["Content-Type"] = "text/event-stream";
         std::string last = exchange.request().header("last-event-id");
@@ -155,6 +198,11 @@
                 gone_.emplace_back(exchange.request().header("x-pistachioloom-attempt-id"));
                 co_return;
             }
+            stream.made_ = id;
+            if (stream.isStopped_) {
+                exchange.abort();
+                co_return;
+            }
             co_await pause(milliseconds(controls_["gap_ms"]));
         }
         (void)co_await exchange.endStream();
@@ -162,10 +210,15 @@
 
     std::string id_;
     HttpServer server_;
-    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "lose_answers", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 } } };
+    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "lose_answers", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     json::array runs_;
     json::array gone_;
     json::object headers_;
+    std::map<std::string, Stream> streams_;
+    /// Runs that were stopped to go on elsewhere.
+    json::array moved_;
+    /// Where memory came from, of requests that go on from a copy.
+    json::array resumed_;
 };
 
 class Fleet {
@@ -196,8 +249,8 @@
 
 private:
     /// `backends`: more of a service, which do not register themselves if they are
-    /// `unregistered`; `put`: entries of keyed topics; `backend`:
-    /// faults of one of them. \returns what arrived.
+    /// `unregistered`; `put`: entries of keyed topics; `reclaim`: one
+    /// says that it is about to be taken away; `backend`: faults of one of them. \returns what arrived.
     asio::awaitable<void> control(HttpExchange& exchange)
     {
         json::object body = parseJsonObject(exchange.request().body_).value_or(json::object {});
@@ -208,6 +261,12 @@
             ports[textField(wanted, "id")] = start(wanted);
         for (const json::object& entry : objectsField(body, "put"))
             log_.put(textField(entry, "topic"), textField(entry, "key"), textField(entry, "value"));
+        auto reclaimed = entries_.find(textField(body, "reclaim"));
+        if (reclaimed != entries_.end()) {
+            reclaimed->second["phase"] = "draining";
+            reclaimed->second["spot"] = true;
+            log_.put("keyed.servers", reclaimed->first, json::serialize(reclaimed->second));
+        }
         auto chosen = backends_.find(textField(body, "backend"));
         if (chosen != backends_.end())
             answer = chosen->second->control(body);
@@ -226,6 +285,7 @@
         entry["address"] = "127.0.0.1:" + std::to_string(port);
         if (!entry.contains("unregistered"))
             log_.put("keyed.servers", id, json::serialize(entry));
+        entries_[id] = std::move(entry);
         backends_[id] = std::move(backend);
         return port;
     }
@@ -292,6 +352,8 @@
     Log log_;
     Controls controls_ { { { "down", 0 }, { "lose_appends", 0 } } };
     std::map<std::string, std::unique_ptr<Backend>> backends_;
+    /// What each registered.
+    std::map<std::string, json::object> entries_;
     json::array duties_;
 };
 
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -235,3 +235,33 @@
     CHECK(choice->ahead_ == milliseconds(200));
     CHECK(choice->estimate_ == milliseconds(300));
 }
+
+TEST_CASE("a stream does not move to engines that are taken away with its own", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    BackendRecord first = record("first", "a");
+    first.isReclaimable_ = true;
+    BackendRecord second = record("second", "a");
+    second.isReclaimable_ = true;
+    book.put(first);
+    book.put(second);
+    CHECK_FALSE(book.isDeparting(first.id_));
+    first.isLeaving_ = true;
+    book.put(first);
+    CHECK(book.isDeparting(first.id_));
+    RequestShape moved = engineRequest(0);
+    moved.reclaimed_ = { "a" };
+    CHECK(chosen(book, engineRequest(0)) == "second");
+    CHECK(chosen(book, moved).empty());
+    book.put(record("lasting", "a"));
+    CHECK(chosen(book, moved) == "lasting");
+    BackendRecord elsewhere = record("elsewhere", "b");
+    elsewhere.isReclaimable_ = true;
+    book.put(elsewhere);
+    CHECK(chosen(book, moved, { { "lasting" } }) == "elsewhere");
+    // An engine that only leaves serves on for as long as its streams last.
+    BackendRecord leaving = record("lasting", "a");
+    leaving.isLeaving_ = true;
+    book.put(leaving);
+    CHECK_FALSE(book.isDeparting(leaving.id_));
+}
