--- a/test/Platform/Soak/Schedule.cpp
+++ b/test/Platform/Soak/Schedule.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "Schedule.h"
 
+#include <algorithm>
 #include <random>
 
 namespace pistachioloom::test {
@@ -18,6 +19,14 @@
     constexpr std::int64_t leastLength = 100;
     constexpr std::int64_t mostLength = 3000;
     constexpr std::int64_t longestDelay = 300;
+    // Reclaims come this far apart, with a notice of 0.5 to 2.5 s; that of the users'
+    // platform is 1 to 3 s.
+    constexpr std::int64_t leastReclaimPause = 500;
+    constexpr std::int64_t mostReclaimPause = 4000;
+    constexpr std::int64_t leastNotice = 500;
+    constexpr std::int64_t mostNotice = 2500;
+    // They are drawn apart, so that seeds that are kept draw the same other faults.
+    constexpr std::uint64_t reclaimSeed = 0x5ec1a1;
 
     struct Weighted {
         FaultKind kind_;
@@ -76,12 +85,30 @@
         return "backend_fault";
     case FaultKind::Replace:
         return "replace";
+    case FaultKind::Reclaim:
+        return "reclaim";
     case FaultKind::Configure:
         return "configure";
     }
     return "unknown";
 }
 
+static std::vector<Fault> drawReclaims(std::uint64_t seed, milliseconds length)
+{
+    std::mt19937_64 random(seed ^ reclaimSeed);
+    auto draw = [&](std::int64_t least, std::int64_t most) { return std::uniform_int_distribution<std::int64_t>(least, most)(random); };
+    std::vector<Fault> faults;
+    for (milliseconds at(draw(leastReclaimPause, mostReclaimPause)); at < length; at += milliseconds(draw(leastReclaimPause, mostReclaimPause))) {
+        Fault fault;
+        fault.at_ = at;
+        fault.kind_ = FaultKind::Reclaim;
+        fault.target_ = static_cast<std::size_t>(draw(0, 1000));
+        fault.for_ = milliseconds(draw(leastNotice, mostNotice));
+        faults.push_back(std::move(fault));
+    }
+    return faults;
+}
+
 std::vector<Fault> drawFaults(std::uint64_t seed, milliseconds length)
 {
     std::mt19937_64 random(seed);
@@ -111,6 +138,9 @@
             fault.strength_ = draw(1, 5);
         faults.push_back(std::move(fault));
     }
+    for (Fault& fault : drawReclaims(seed, length))
+        faults.push_back(std::move(fault));
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault& left, const Fault& right) { return left.at_ < right.at_; });
     return faults;
 }
 
--- a/test/Platform/Soak/Schedule.h
+++ b/test/Platform/Soak/Schedule.h
@@ -33,6 +33,9 @@
     BackendFault,
     /// A backend server leaves, and another one comes.
     Replace,
+    /// A reclaimable engine says that it goes, and is gone after a notice; another
+    /// one comes.
+    Reclaim,
     /// New versions of the configuration, one after the other.
     Configure,
 };
