Keep lasting engines where they are while more are wanted; order for growth

Change: those that are there stay; only the others are placed where fewest are. The row "a few more are wanted" of FleetTests failed before. `caution` and `growth` are settings.

--- a/lib/Fleet/FleetBook.cpp
+++ b/lib/Fleet/FleetBook.cpp
@@ -75,7 +75,7 @@
     // Engines that were ordered here may be more than what is needed.
     std::uint64_t needed = std::max(before, ordered_.empty() ? view.engines() : view.lasting());
     if (view.tokensPerSecond_)
-        needed = std::max(enginesFor(*view.tokensPerSecond_, view.prefillPerMs_, settings_.margin_), enginesForSlots(view, settings_.slotsUsed_));
+        needed = std::max(enginesFor(*view.tokensPerSecond_ * (1 + settings_.growth_), view.prefillPerMs_, settings_.margin_), enginesForSlots(view, settings_.slotsUsed_));
     // The highest need of a while counts, so that engines are not given up in one
     // moment and missed in the next.
     std::deque<Need>& recent = needs_[view.service_];
--- a/lib/Fleet/Plan.cpp
+++ b/lib/Fleet/Plan.cpp
@@ -35,16 +35,25 @@
         byPrice.push_back(&place);
     std::stable_sort(byPrice.begin(), byPrice.end(), [](const FleetPlace* left, const FleetPlace* right) { return left->price_ < right->price_; });
 
-    // One at a time in turn, so that no data centre holds most of them.
+    // Engines that are there stay while more are wanted than there are: one that moves
+    // to another data centre is missing for its boot time.
     std::map<DataCentreId, std::uint64_t> share;
     std::uint64_t placed = 0;
-    for (std::uint64_t round = 0; round < demand.most_; ++round) {
+    std::uint64_t present = 0;
+    for (const FleetPlace& place : places)
+        present += std::max(place.lasting_, demand.least_);
+    for (const FleetPlace& place : places) {
+        std::uint64_t kept = std::min(present <= lasting ? std::max(place.lasting_, demand.least_) : demand.least_, demand.most_);
+        share[place.dataCentre_] = kept;
+        placed += kept;
+    }
+    // The others one at a time where fewest are, so that no data centre holds most.
+    for (std::uint64_t level = demand.least_; level < demand.most_; ++level) {
         for (const FleetPlace* place : byPrice) {
             // What is there of the other kind takes room, what is only wanted
             // does not: it may not be to be had.
-            bool hasRoom = round + std::min(place->reclaimable_, demand.reclaimablePerPlace_) < demand.most_;
-            bool isLeast = round < demand.least_;
-            if (!isLeast && (placed >= lasting || !hasRoom))
+            bool hasRoom = level + std::min(place->reclaimable_, demand.reclaimablePerPlace_) < demand.most_;
+            if (share[place->dataCentre_] != level || placed >= lasting || !hasRoom)
                 continue;
             ++share[place->dataCentre_];
             ++placed;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -40,6 +40,7 @@
     void parseFleet(YamlMap map, FleetSettings& settings)
     {
         settings.margin_ = map.number("margin", 0, 100, settings.margin_);
+        settings.growth_ = map.number("growth", 0, 10, settings.growth_);
         settings.slotsUsed_ = map.number("slots_used", 0.01, 1, settings.slotsUsed_);
         settings.reclaimableShare_ = map.number("reclaimable_share", 0, 2, settings.reclaimableShare_);
         settings.reserveShare_ = map.number("reserve_share", 0, 1, settings.reserveShare_);
@@ -47,6 +48,7 @@
         settings.hold_ = map.duration("hold", milliseconds(0), oneDay, settings.hold_);
         settings.reclaimableHold_ = map.duration("reclaimable_hold", milliseconds(0), oneDay, settings.reclaimableHold_);
         settings.settling_ = map.duration("settling", milliseconds(0), oneDay, settings.settling_);
+        settings.caution_ = map.duration("caution", milliseconds(0), oneDay, settings.caution_);
         settings.repeat_ = map.duration("repeat", milliseconds(100), oneDay, settings.repeat_);
         map.finish();
     }
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -85,6 +85,31 @@
     CHECK(enginesFor(5000000, 50, 1) == 110);
 }
 
+TEST_CASE("engines stay where they are while more are wanted", "[fleet]")
+{
+    struct Row {
+        const char* name_;
+        std::vector<std::pair<std::uint64_t, std::uint64_t>> engines_;
+        std::uint64_t needed_;
+        std::vector<std::uint64_t> lasting_;
+    };
+    auto row = GENERATE(values<Row>({
+        // The third data centre had no room while reclaimable engines were there.
+        { "room comes free elsewhere", { { 9, 0 }, { 9, 0 }, { 1, 0 } }, 27, { 9, 9, 9 } },
+        { "a few more are wanted", { { 9, 0 }, { 9, 0 }, { 1, 0 } }, 21, { 9, 9, 3 } },
+        { "fewer are wanted: evenly", { { 9, 0 }, { 9, 0 }, { 1, 0 } }, 12, { 4, 4, 4 } },
+        { "no more than may be there", { { 9, 0 }, { 9, 0 }, { 1, 0 } }, 90, { 20, 20, 20 } },
+    }));
+    CAPTURE(row.name_);
+    FleetDemand demand { row.needed_, 1, 20, 10, 1 };
+    std::vector<std::uint64_t> lasting;
+    for (const FleetOrder& order : planFleet(service, demand, viewOf(row.engines_, {}).places_)) {
+        if (!order.isReclaimable_)
+            lasting.push_back(order.wanted_);
+    }
+    CHECK(lasting == row.lasting_);
+}
+
 TEST_CASE("lasting engines are not ordered before all have registered", "[fleet]")
 {
     FleetBook book({});
