--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -294,7 +294,7 @@
     line.add("route", route_->name_).add("organisation", organisation_ ? organisation_->name_.value_ : "").add("configuration", static_cast<std::int64_t>(table_->version()));
     line.add("backend", choice.backend_.id_.value_).add("service", shape_.service_.value_).add("data_centre", choice.backend_.dataCentre_.value_).add("candidates", static_cast<std::int64_t>(choice.candidates_));
     line.add("estimate_ms", choice.estimate_.count()).add("running", static_cast<std::int64_t>(choice.running_)).add("queued_tokens", static_cast<std::int64_t>(choice.queuedAhead_.value_)).add("uncached_tokens", static_cast<std::int64_t>(choice.uncached_.value_));
-    line.add("charged", static_cast<std::int64_t>(cost_));
+    line.add("charged", static_cast<std::int64_t>(cost_)).add("shared_part", shape_.parts_.size() < 2 ? "" : shape_.parts_[shape_.parts_.size() - 2].id_);
     if (route_->isStream_)
         line.add("last_event", events_.last() ? static_cast<std::int64_t>(*events_.last()) : 0);
     line.add("first_byte_ms", firstByte_.count()).add("took_ms", took.count()).add("left_ms", timeLeft().count());
