Let what an engine takes beside reading count apart, and call it slow only beyond chance

Waits were held against the time to read alone, and an engine with a cached prompt, where that is short, counted as up to eight times slower than others. Ruled out: different lists of engines on nodes (their numbers agree within a moment), engines that forget (memory for 25 s of their prompts).

Change: the time to a first event beside reading is learnt apart and part of the estimate; waits that differ by up to 1.7 times are chance. The new test failed in 16 of 30 requests, and with waits that differ in 18 of 90. An older test's estimate holds the first event now, 330 ms instead of 300.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -121,6 +121,11 @@
     /// Prompt tokens that an engine reads in a millisecond until it is known
     /// better from its answers.
     double prefillPerMs_ = 50;
+    /// What an engine takes for a first event beside reading the prompt, until it is
+    /// known better. Without it an engine whose request of 1,000 tokens took 65 ms
+    /// counted as three times slower than others, and prompts' shared parts went to
+    /// the engine that had read them in 25 to 45 of 100 requests (logs of 63 nodes).
+    double firstEventMs_ = 30;
     /// What one more running request adds to a request's wait, in ms: a step of
     /// a batch takes about a tenth of a millisecond longer for each.
     double perRunningMs_ = 0.3;
@@ -234,6 +239,7 @@
         void observe(double tokens, double waitedMs);
         void observeHeld(milliseconds held);
         double prefillPerMs(double fallback) const;
+        double firstEventMs(double prefillPerMs, double fallback) const;
 
         std::uint64_t observations_ = 0;
         double meanTokens_ = 0;
@@ -246,6 +252,10 @@
     };
 
     double rateOf(const ServiceName& service) const;
+    double firstEventMs(const ServiceName& service) const;
+    static double slowFactor(const Backend& backend);
+    /// The wait for those that are at \p backend already.
+    double aheadMs(const Backend& backend, const RequestShape& shape) const;
     double estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const;
     double slotWaitMs(const Backend& backend) const;
     TokenCount uncachedAt(const Backend& backend, const RequestShape& shape, const BackendId& home, SteadyTime now) const;
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -19,6 +19,9 @@
 static constexpr std::uint64_t leastObservations = 12;
 // A learnt rate may differ from the configured one by this factor at most.
 static constexpr double mostOffFallback = 8;
+// A first event takes no longer than this beside the prompt, in ms: 15 ms and some
+// steps of a batch.
+static constexpr double longestFirstEventMs = 150;
 static constexpr double leastSlowness = 0.5;
 static constexpr double mostSlowness = 8;
 
@@ -120,6 +123,12 @@
     return found == rates_.end() ? settings_.prefillPerMs_ : found->second.prefillPerMs(settings_.prefillPerMs_);
 }
 
+double BackendBook::firstEventMs(const ServiceName& service) const
+{
+    auto found = rates_.find(service);
+    return found == rates_.end() ? settings_.firstEventMs_ : found->second.firstEventMs(rateOf(service), settings_.firstEventMs_);
+}
+
 std::map<ServiceName, BackendBook::ServiceView> BackendBook::services() const
 {
     std::lock_guard lock(mutex_);
@@ -162,7 +171,7 @@
     Backend& backend = found->second;
     backend.own_.queuedTokens_ -= std::min(backend.own_.queuedTokens_, choice.uncached_.value_);
     double waited = std::max(1.0, static_cast<double>(wait.count()));
-    double estimated = std::max(1.0, static_cast<double>(choice.estimate_.count()) / backend.slowness_);
+    double estimated = std::max(1.0, static_cast<double>(choice.estimate_.count()) / (shape.isForEngine_ ? slowFactor(backend) : backend.slowness_));
     double observed = std::clamp(waited / estimated, leastSlowness, mostSlowness);
     backend.slowness_ += learningRate * (observed - backend.slowness_);
     std::uint64_t tokens = choice.uncached_.value_;
@@ -200,6 +209,13 @@
     return std::clamp(variance / covariance, fallback / mostOffFallback, fallback * mostOffFallback);
 }
 
+double BackendBook::ServiceRate::firstEventMs(double prefillPerMs, double fallback) const
+{
+    if (observations_ < leastObservations)
+        return fallback;
+    return std::clamp(meanWait_ - meanTokens_ / prefillPerMs, 0.0, longestFirstEventMs);
+}
+
 void BackendBook::fail(Backend& backend, SteadyTime now)
 {
     if (++backend.failures_ < settings_.failuresToEject_)
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -24,6 +24,10 @@
 
 // A plain service's share of wait for each request before the new one, in ms.
 static constexpr double plainTurnMs = 20;
+// Engines of one service wait so differently by chance. Without it those that had a
+// prompt's shared part read got 40 of 100 of its requests in calm seconds, since others
+// seemed faster (logs of 63 nodes).
+static constexpr double slownessTolerated = 1.7;
 // Prompt parts remembered for one engine; a part takes about 100 bytes.
 static constexpr std::size_t mostPartsRemembered = 400;
 
@@ -103,15 +107,28 @@
     return static_cast<double>(running + 1 - slots) * held / static_cast<double>(slots);
 }
 
-double BackendBook::estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const
+/// How many times slower than others an engine is, beyond what single waits differ.
+double BackendBook::slowFactor(const Backend& backend)
+{
+    return std::max(1.0, backend.slowness_ / slownessTolerated);
+}
+
+double BackendBook::aheadMs(const Backend& backend, const RequestShape& shape) const
 {
     double running = backend.own_.running_ + backend.peers_.running_;
-    if (!shape.isForEngine_) {
-        double turns = (running + 1) / static_cast<double>(std::max<std::uint64_t>(1, backend.record_.slots_));
-        return plainTurnMs * turns * backend.slowness_;
-    }
-    double tokens = static_cast<double>(backend.own_.queuedTokens_ + backend.peers_.queuedTokens_ + uncached.value_);
-    return (tokens / rateOf(shape.service_) + running * settings_.perRunningMs_ + slotWaitMs(backend)) * backend.slowness_;
+    if (!shape.isForEngine_)
+        return plainTurnMs * running / static_cast<double>(std::max<std::uint64_t>(1, backend.record_.slots_)) * backend.slowness_;
+    auto queued = static_cast<double>(backend.own_.queuedTokens_ + backend.peers_.queuedTokens_);
+    return (queued / rateOf(shape.service_) + running * settings_.perRunningMs_ + slotWaitMs(backend)) * slowFactor(backend);
+}
+
+double BackendBook::estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const
+{
+    double ahead = aheadMs(backend, shape);
+    if (!shape.isForEngine_)
+        return ahead + plainTurnMs / static_cast<double>(std::max<std::uint64_t>(1, backend.record_.slots_)) * backend.slowness_;
+    double own = firstEventMs(shape.service_) + static_cast<double>(uncached.value_) / rateOf(shape.service_);
+    return ahead + own * slowFactor(backend);
 }
 
 std::optional<BackendChoice> BackendBook::choose(const RequestShape& shape, const std::set<BackendId>& excluded, SteadyTime now)
@@ -155,7 +172,7 @@
         choice.queuedAhead_ = { backend->own_.queuedTokens_ + backend->peers_.queuedTokens_ };
         choice.running_ = backend->own_.running_ + backend->peers_.running_;
         choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimate));
-        choice.ahead_ = milliseconds(static_cast<std::int64_t>(estimateMs(*backend, shape, {})));
+        choice.ahead_ = milliseconds(static_cast<std::int64_t>(aheadMs(*backend, shape)));
     }
     chosen->own_.running_ += 1;
     chosen->own_.queuedTokens_ += choice.uncached_.value_;
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -233,7 +233,28 @@
     auto choice = book.choose(engineRequest(5000), {}, start);
     REQUIRE(choice);
     CHECK(choice->ahead_ == milliseconds(200));
-    CHECK(choice->estimate_ == milliseconds(300));
+    // 15,000 tokens at 50 a millisecond, and the first event.
+    CHECK(choice->estimate_ == milliseconds(330));
+}
+
+TEST_CASE("an engine that has a part keeps its requests though all take a while to begin", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    for (const char* id : { "v", "w", "x", "y" })
+        book.put(record(id));
+    RequestShape shape = engineRequest(3000, { { "subject", { 2000 } }, { "own", { 1000 } } });
+    // Some wait behind others that this node has not heard of.
+    auto waits = GENERATE(values<std::vector<int>>({ { 65 }, { 40, 40, 110 }, { 50, 160, 50 } }));
+    std::string home = chosen(book, shape);
+    book.end({ home }, { BackendOutcome::Abandoned, { 1000 }, false, {} }, start);
+    for (int i = 0; i < 30; ++i) {
+        SteadyTime now = start + milliseconds(100 * i);
+        auto choice = book.choose(shape, {}, now);
+        REQUIRE(choice);
+        CHECK(choice->backend_.id_.value_ == home);
+        book.began(*choice, shape, milliseconds(waits[static_cast<std::size_t>(i) % waits.size()]));
+        book.end(choice->backend_.id_, { BackendOutcome::Served, choice->uncached_, true, {} }, now);
+    }
 }
 
 TEST_CASE("a stream does not move to engines that are taken away with its own", "[backends]")
