Give back what silent nodes were charged when relays tell of them again

Nodes that relays tell of as silent are charged their shares; when they came back, what they had done was charged as well, and the shares stayed charged. Ruled out: organisations beyond their quotas (refusals of 20 to 50 in 2 s before the cut).

Change: what was charged is given back for those that come back, not for those that are forgotten.

--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -72,9 +72,10 @@
     /// A peer's counts; \p incarnation changes with its restart. The peer may
     /// stand for several \p nodes, whose sum it tells.
     void setPeer(const VmId& peer, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes = 1);
-    /// \p nodes others are cut off, as relays tell: each is assumed to admit an equal
-    /// share for as long as this is said again.
-    void setSilentNodes(std::uint64_t nodes, SteadyTime now);
+    /// \p nodes others are cut off, as relays tell, and \p live are heard: each of the
+    /// former is assumed to admit an equal share for as long as this is said again. For
+    /// those that are heard again, what they did counts instead.
+    void setSilentNodes(std::uint64_t nodes, std::uint64_t live, SteadyTime now);
     /// \p nodes share the quotas as far as known, heard or not.
     void setNodes(std::uint64_t nodes);
     /// Forgets \p peer, whose counts come through another one from now on.
@@ -116,6 +117,7 @@
 
     void fill(Bucket& bucket, SteadyTime now) const;
     void chargeSilent(SteadyTime now);
+    void returnCharged(const VmId& peer, double part);
     double nodes() const;
     /// Whether this node has just started, and all others may have too.
     bool isStarting(const Bucket& bucket, SteadyTime now) const;
@@ -132,6 +134,8 @@
     std::map<OrganisationId, Bucket> buckets_;
     std::map<VmId, Peer> peers_;
     std::uint64_t nodesKnown_ = 1;
+    /// Nodes that relays tell of as heard.
+    std::uint64_t liveNodes_ = 0;
     AdmittedCounts admitted_;
     /// Where the next division of a rest begins; see QuotaSettings::phase_.
     double phase_;
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -191,6 +191,19 @@
     return levels;
 }
 
+/// Gives back a part of what \p peer was charged while it was silent.
+void QuotaBook::returnCharged(const VmId& peer, double part)
+{
+    for (auto& [organisation, bucket] : buckets_) {
+        auto charged = bucket.charged_.find(peer);
+        if (charged != bucket.charged_.end()) {
+            bucket.level_ += charged->second * part;
+            charged->second *= 1 - part;
+        }
+        bucket.level_ = std::min(bucket.limit_.burst_, bucket.level_);
+    }
+}
+
 void QuotaBook::setPeer(const VmId& id, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes)
 {
     std::lock_guard lock(mutex_);
@@ -212,13 +225,7 @@
         bucket->second.othersLong_ += std::max(0.0, count - before);
     }
     // What it was charged while it was silent is replaced by what it did.
-    for (auto& [organisation, bucket] : buckets_) {
-        auto charged = bucket.charged_.find(id);
-        if (charged != bucket.charged_.end())
-            bucket.level_ += charged->second;
-        bucket.charged_.erase(id);
-        bucket.level_ = std::min(bucket.limit_.burst_, bucket.level_);
-    }
+    returnCharged(id, 1);
     for (const auto& [organisation, level] : levels) {
         if (!buckets_.contains(organisation))
             heardLevels_[organisation] = { level, now };
@@ -228,16 +235,24 @@
     std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heardAt_ > 2 * settings_.forget_; });
 }
 
-void QuotaBook::setSilentNodes(std::uint64_t nodes, SteadyTime now)
+void QuotaBook::setSilentNodes(std::uint64_t nodes, std::uint64_t live, SteadyTime now)
 {
     static const VmId silentNodes { "(silent nodes)" };
     std::lock_guard lock(mutex_);
+    auto [found, isNew] = peers_.try_emplace(silentNodes);
+    Peer& peer = found->second;
+    std::uint64_t before = isNew ? 0 : peer.nodes_;
+    // Those that are silent no more are back, or forgotten.
+    std::uint64_t back = std::min(before - std::min(before, nodes), live - std::min(live, liveNodes_));
+    liveNodes_ = live;
+    if (back)
+        returnCharged(silentNodes, static_cast<double>(back) / static_cast<double>(before));
     if (!nodes) {
-        peers_.erase(silentNodes);
+        peers_.erase(found);
+        for (auto& [organisation, bucket] : buckets_)
+            bucket.charged_.erase(silentNodes);
         return;
     }
-    auto [found, isNew] = peers_.try_emplace(silentNodes);
-    Peer& peer = found->second;
     peer.nodes_ = nodes;
     if (isNew)
         peer.chargedUntil_ = now;
--- a/unittests/Quota/QuotaTest.cpp
+++ b/unittests/Quota/QuotaTest.cpp
@@ -266,17 +266,52 @@
     for (milliseconds t {}; t < milliseconds(8000); t += milliseconds(1)) {
         if (t.count() % 200 == 0) {
             book.setPeer({ "others" }, 1, {}, {}, cut + t, 5);
-            book.setSilentNodes(4, cut + t);
+            book.setSilentNodes(4, 5, cut + t);
         }
         admitted += book.take(north, limit, 1, cut + t) ? 0 : 1;
     }
     // The burst, and six tenths of eight seconds.
     CHECK(admitted <= 1000 + 0.6 * 8000 + 400);
     CHECK(admitted >= 4000);
-    book.setSilentNodes(0, cut + milliseconds(8000));
+    book.setSilentNodes(0, 9, cut + milliseconds(8000));
     CHECK_FALSE(book.take(north, limit, 1, cut + milliseconds(10000)));
 }
 
+TEST_CASE("nodes that relays tell of as back are charged what they used, and only that", "[quota]")
+{
+    struct Row {
+        const char* name_;
+        double used_;
+        std::uint64_t live_;
+        double least_;
+        double most_;
+    };
+    // Four of ten nodes are silent for 5 s of a rate of 1,000; the others use their shares.
+    auto row = GENERATE(values<Row>({
+        { "they used their shares", 4 * 500, 9, 0, 200 },
+        { "they used nothing", 0, 9, 900, 1000 },
+        { "they used more than the rate", 5500, 9, -3600, -3200 },
+        { "they are forgotten, not back", 0, 5, 0, 200 },
+    }));
+    CAPTURE(row.name_);
+    QuotaBook book(start);
+    SteadyTime cut = start + milliseconds(20000);
+    REQUIRE_FALSE(book.take(north, limit, 900, cut));
+    milliseconds t {};
+    for (; t < milliseconds(5000); t += milliseconds(10)) {
+        if (t.count() % 200 == 0) {
+            book.setPeer({ "others" }, 1, { { north, 0.5 * static_cast<double>(t.count()) } }, {}, cut + t, 5);
+            book.setSilentNodes(4, 5, cut + t);
+        }
+        (void)book.take(north, limit, 1, cut + t);
+    }
+    SteadyTime back = cut + t;
+    book.setPeer({ "others" }, 1, { { north, 0.5 * static_cast<double>(t.count()) + row.used_ } }, {}, back, row.live_);
+    book.setSilentNodes(0, row.live_, back);
+    CHECK(book.levels()[north] >= row.least_);
+    CHECK(book.levels()[north] <= row.most_);
+}
+
 TEST_CASE("nodes together admit the rate and little more", "[quota]")
 {
     auto count = GENERATE(1U, 3U, 9U);
