Count engines on their way, and order reclaimable ones within their room

Reclaimable ones ordered beside lasting ones that were still there were taken for an order and did not come, for 8 s; and each that came put off the moment at which all count as registered.

Change: what was ordered counts as there when lasting engines are placed; reclaimable ones are ordered for the room beside lasting ones; only lasting ones tell that all have registered. Each has a test that failed. Who claims the duties first of all, at offset 0 of the log, has no predecessor and begins at once (its test failed).

--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -71,6 +71,8 @@
     /// Engines that take new work.
     std::uint64_t lasting_ = 0;
     std::uint64_t reclaimable_ = 0;
+    /// Lasting engines that are there or on their way, if more were ordered.
+    std::uint64_t lastingOrdered_ = 0;
 };
 
 struct FleetDemand {
@@ -140,7 +142,7 @@
     };
     /// How a service's engines have come to be known, on any node.
     struct Registrations {
-        std::uint64_t most_ = 0;
+        std::uint64_t mostLasting_ = 0;
         SteadyTime grewAt_ {};
         bool isSettled_ = false;
         /// Reclaimable engines of each data centre when last seen.
--- a/lib/Duties/Seat.cpp
+++ b/lib/Duties/Seat.cpp
@@ -9,6 +9,9 @@
 
 namespace pistachioloom {
 
+// A claim at offset 0. Offsets are never used again, also when records expire.
+static constexpr DutyToken firstToken { 1 };
+
 DutySeat::DutySeat(VmId self, DutyTiming timing, SteadyTime startedAt)
     : self_(std::move(self))
     , timing_(timing)
@@ -59,7 +62,8 @@
 {
     isHolder_ = true;
     token_ = token;
-    claimedAt_ = now;
+    // The log's first record ever: nobody acted before.
+    claimedAt_ = token == firstToken ? now - timing_.actAfterClaim_ : now;
     holder_ = self_;
     holderHeardAt_ = now;
 }
--- a/lib/Fleet/FleetBook.cpp
+++ b/lib/Fleet/FleetBook.cpp
@@ -43,11 +43,12 @@
 void FleetBook::observe(const FleetView& view, SteadyTime now)
 {
     Registrations& known = registrations_[view.service_];
-    if (view.engines() > known.most_) {
-        known.most_ = view.engines();
+    // Reclaimable ones come later, as they are ordered.
+    if (view.lasting() > known.mostLasting_) {
+        known.mostLasting_ = view.lasting();
         known.grewAt_ = now;
     }
-    known.isSettled_ |= known.most_ && now - known.grewAt_ >= settings_.settling_;
+    known.isSettled_ |= known.mostLasting_ && now - known.grewAt_ >= settings_.settling_;
     for (const FleetPlace& place : view.places_) {
         std::uint64_t& before = known.reclaimable_[place.dataCentre_];
         const LastOrder* ordered = lastOrder({ view.service_, place.dataCentre_, true, 0 });
@@ -121,11 +122,29 @@
     FleetDemand demand = demandOf(view, now);
     std::vector<FleetOrder> dismissals;
     std::vector<FleetOrder> additions;
-    for (const FleetOrder& order : planFleet(view.service_, demand, view.places_)) {
-        auto place = std::find_if(view.places_.begin(), view.places_.end(), [&](const FleetPlace& candidate) { return candidate.dataCentre_ == order.dataCentre_; });
-        std::uint64_t present = order.isReclaimable_ ? place->reclaimable_ : place->lasting_;
-        if (isDue(order, present, registrations_[view.service_], now))
-            (order.wanted_ < present ? dismissals : additions).push_back(order);
+    std::vector<FleetPlace> places = view.places_;
+    std::map<DataCentreId, const FleetPlace*> placeOf;
+    // Lasting engines as ordered, by which the platform bounds the others.
+    std::map<DataCentreId, std::uint64_t> lasting;
+    for (FleetPlace& place : places) {
+        const LastOrder* last = lastOrder({ view.service_, place.dataCentre_, false, 0 });
+        bool isOrdered = last && last->isTaken_;
+        place.lastingOrdered_ = isOrdered ? last->wanted_ : 0;
+        lasting[place.dataCentre_] = isOrdered ? last->wanted_ : place.lasting_;
+        placeOf[place.dataCentre_] = &place;
+    }
+    std::vector<FleetOrder> orders = planFleet(view.service_, demand, places);
+    std::stable_partition(orders.begin(), orders.end(), [](const FleetOrder& order) { return !order.isReclaimable_; });
+    for (FleetOrder& order : orders) {
+        const FleetPlace& place = *placeOf[order.dataCentre_];
+        std::uint64_t present = order.isReclaimable_ ? place.reclaimable_ : place.lasting_;
+        if (order.isReclaimable_)
+            order.wanted_ = std::min(order.wanted_, demand.most_ - std::min(demand.most_, lasting[order.dataCentre_]));
+        if (!isDue(order, present, registrations_[view.service_], now))
+            continue;
+        if (!order.isReclaimable_)
+            lasting[order.dataCentre_] = order.wanted_;
+        (order.wanted_ < present ? dismissals : additions).push_back(order);
     }
     dismissals.insert(dismissals.end(), additions.begin(), additions.end());
     return dismissals;
--- a/lib/Fleet/Plan.cpp
+++ b/lib/Fleet/Plan.cpp
@@ -35,15 +35,16 @@
         byPrice.push_back(&place);
     std::stable_sort(byPrice.begin(), byPrice.end(), [](const FleetPlace* left, const FleetPlace* right) { return left->price_ < right->price_; });
 
-    // Engines that are there stay while more are wanted than there are: one that moves
-    // to another data centre is missing for its boot time.
+    // Engines that are there, or on their way, stay while more are wanted than there are:
+    // one that moves to another data centre is missing for its boot time.
     std::map<DataCentreId, std::uint64_t> share;
     std::uint64_t placed = 0;
     std::uint64_t present = 0;
+    auto expected = [&](const FleetPlace& place) { return std::max({ place.lasting_, place.lastingOrdered_, demand.least_ }); };
     for (const FleetPlace& place : places)
-        present += std::max(place.lasting_, demand.least_);
+        present += expected(place);
     for (const FleetPlace& place : places) {
-        std::uint64_t kept = std::min(present <= lasting ? std::max(place.lasting_, demand.least_) : demand.least_, demand.most_);
+        std::uint64_t kept = std::min(present <= lasting ? expected(place) : demand.least_, demand.most_);
         share[place.dataCentre_] = kept;
         placed += kept;
     }
--- a/unittests/Duties/DutiesTest.cpp
+++ b/unittests/Duties/DutiesTest.cpp
@@ -133,6 +133,17 @@
     CHECK(changes > 500);
 }
 
+TEST_CASE("only who claims first of all begins without waiting for a predecessor", "[duties]")
+{
+    DutySeat first({ "a" }, timing(), start);
+    first.claimed({ 1 }, start);
+    CHECK(first.mayBegin(start));
+    DutySeat second({ "b" }, timing(), start);
+    second.claimed({ 2 }, start);
+    CHECK_FALSE(second.mayBegin(start));
+    CHECK(second.mayBegin(start + timing().actAfterClaim_));
+}
+
 TEST_CASE("a holder is succeeded by the age of what is heard of it", "[duties]")
 {
     DutyTiming timing;
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -110,6 +110,29 @@
     CHECK(lasting == row.lasting_);
 }
 
+TEST_CASE("engines on their way are not given up for others elsewhere", "[fleet]")
+{
+    // 13 of 22 lasting engines in two data centres are booting when a third one's
+    // reclaimable engines go and there is room.
+    FleetDemand demand { 45, 1, 40, 10, 1 };
+    std::vector<FleetPlace> places = viewOf({ { 9, 0 }, { 9, 0 }, { 1, 0 } }, {}).places_;
+    places[0].lastingOrdered_ = 22;
+    places[1].lastingOrdered_ = 22;
+    for (const FleetOrder& order : planFleet(service, demand, places)) {
+        if (!order.isReclaimable_)
+            CHECK(order.wanted_ == (order.dataCentre_.value_ == "c" ? 1 : 22));
+    }
+    // The book knows what it ordered.
+    FleetBook book({});
+    FleetView view = viewOf({ { 2, 0 }, { 2, 0 }, { 2, 0 } }, 1000000);
+    SteadyTime now = settle(book, view);
+    book.noteOrdered({ service, { "a" }, false, 15 }, true, now);
+    for (const FleetOrder& order : book.dueOrders(view, now)) {
+        if (!order.isReclaimable_)
+            CHECK_FALSE(order.dataCentre_.value_ == "a");
+    }
+}
+
 TEST_CASE("lasting engines are not ordered before all have registered", "[fleet]")
 {
     FleetBook book({});
@@ -141,6 +164,28 @@
     CHECK(hasAdded);
 }
 
+TEST_CASE("no more reclaimable engines are ordered than there is room beside lasting ones", "[fleet]")
+{
+    // Ordered beside lasting ones that had not registered yet, 64 were taken for an order
+    // and 39 came, for 8 s.
+    FleetBook book({});
+    FleetView view = viewOf({ { 12, 0 }, { 12, 0 }, { 12, 0 } }, {});
+    book.observe(view, start);
+    for (const FleetOrder& order : book.dueOrders(view, start)) {
+        CHECK(order.isReclaimable_);
+        CHECK(order.wanted_ == 20 - 12);
+        book.noteOrdered(order, true, start);
+    }
+    // Those that come do not count as engines that were there.
+    view.places_[0].reclaimable_ = 8;
+    SteadyTime now = start + milliseconds(1500);
+    book.observe(view, now);
+    view.tokensPerSecond_ = 100000;
+    now += milliseconds(2500);
+    std::vector<FleetOrder> orders = book.dueOrders(view, now);
+    CHECK(std::any_of(orders.begin(), orders.end(), [](const FleetOrder& order) { return !order.isReclaimable_ && order.wanted_ < 12; }));
+}
+
 TEST_CASE("lasting engines stay while reclaimable ones are being taken away", "[fleet]")
 {
     FleetBook book({});
