End the division of quotas after a start once others are heard

Others' counts were no help, since what they had counted before they were first heard was left out.

Change: counts tell how long ago they began; those that began lately count whole when they are first heard, at relays and at nodes. The division ends after 1.2 s if nine tenths of the nodes are heard. A node of a version that does not tell counts as before.

--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -38,6 +38,8 @@
     /// 8.17 million tokens of an organisation in 8 s where 7.82 million are tolerated
     /// (counted at the engines).
     milliseconds startup_ { 3000 };
+    /// It ends after this time, two ways through relays, if all but a few are heard.
+    milliseconds leastStartup_ { 1200 };
     /// 0 to 1, different on each node, so that nodes which divide the rest of a
     /// quota do not all take their first request at once.
     double phase_ = 0;
@@ -70,8 +72,10 @@
     /// Levels of the buckets, for a node that has just started.
     std::map<OrganisationId, double> levels() const;
     /// A peer's counts; \p incarnation changes with its restart. The peer may
-    /// stand for several \p nodes, whose sum it tells.
-    void setPeer(const VmId& peer, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes = 1);
+    /// stand for several \p nodes, whose sum it tells. Its counts began lately if
+    /// \p isFresh: then they count whole when first heard, and no levels are taken from
+    /// it, since it knows no more than this node.
+    void setPeer(const VmId& peer, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes = 1, bool isFresh = false);
     /// \p nodes others are cut off, as relays tell, and \p live are heard: each of the
     /// former is assumed to admit an equal share for as long as this is said again. For
     /// those that are heard again, what they did counts instead.
@@ -110,6 +114,8 @@
         std::uint64_t incarnation_ = 0;
         SteadyTime heardAt_ {};
         AdmittedCounts counts_;
+        /// All of its counts are taken out of buckets.
+        bool isWhole_ = false;
         std::uint64_t nodes_ = 1;
         /// Until when its share is already charged, while it is silent.
         SteadyTime chargedUntil_ {};
@@ -121,6 +127,9 @@
     double nodes() const;
     /// Whether this node has just started, and all others may have too.
     bool isStarting(const Bucket& bucket, SteadyTime now) const;
+    /// Whether all but a few nodes are heard, so that their counts tell what is left.
+    bool hasHeardMost(SteadyTime now) const;
+    void begin(Bucket& bucket, const OrganisationId& organisation) const;
     /// This node's part of an organisation's requests: half of it equal, half as
     /// they came, since callers keep to the nodes that they are connected to.
     double shareOf(const Bucket& bucket) const;
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -188,6 +188,11 @@
     send(datagram, receivers);
 }
 
+std::uint64_t PeerReports::countedMs(SteadyTime now) const
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(now - startedAt_).count()));
+}
+
 /// Tells each node that reports here what all others told, and the relays of
 /// other data centres what this one's nodes told.
 void PeerReports::tellSums(bool isRelay, SteadyTime now)
@@ -205,6 +210,7 @@
     ReportTotals totals = relayBook_.totals(now);
     for (const VmId& vm : receivers) {
         *report.mutable_sums() = relayBook_.digestFor(vm, totals, now);
+        report.mutable_sums()->set_counted_ms(countedMs(now));
         if (vm == context_.settings_.vm_)
             takeDigest(vm, context_.incarnation_, report.sums(), now);
         else if (auto address = table_.gossipOf(vm)) {
@@ -222,6 +228,7 @@
         if (relays.empty())
             relays = table_.likelyRelays(dataCentre, relayTurn_, now);
         *report.mutable_sums() = relayBook_.summaryFor(dataCentre, now);
+        report.mutable_sums()->set_counted_ms(countedMs(now));
         for (const VmId& vm : relays) {
             if (auto address = table_.gossipOf(vm))
                 send(datagram, { *address });
@@ -328,7 +335,7 @@
         admitted[{ told.organisation() }] = told.admitted();
         levels[{ told.organisation() }] = told.level();
     }
-    context_.quotas_.setPeer(vm, report.incarnation(), admitted, levels, now);
+    context_.quotas_.setPeer(vm, report.incarnation(), admitted, levels, now, 1, isFresh(report.counted_ms()));
     for (const wire::DemandReport& told : report.demand())
         context_.demand_.setSource(vm, { told.service() }, { told.tokens_per_second(), told.prefill_per_ms(), told.observations() }, now);
     context_.usage_.setPeer(vm, report.incarnation(), usageOf(report.usage()));
@@ -376,7 +383,7 @@
     std::map<OrganisationId, double> levels;
     for (const wire::QuotaReport& told : sums.quotas())
         levels[{ told.organisation() }] = told.level();
-    context_.quotas_.setPeer(allOthers(), context_.incarnation_, admitted, levels, now, sums.nodes());
+    context_.quotas_.setPeer(allOthers(), context_.incarnation_, admitted, levels, now, sums.nodes(), isFresh(sums.counted_ms()));
     context_.quotas_.setSilentNodes(sums.silent_nodes(), sums.nodes(), now);
     for (const wire::DemandReport& told : sums.demand())
         context_.demand_.setSource(allOthers(), { told.service() }, { told.tokens_per_second(), told.prefill_per_ms(), told.observations() }, now);
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -59,6 +59,8 @@
 private:
     asio::awaitable<void> tell();
     asio::awaitable<void> hear();
+    /// Time since this node's counts began, in ms.
+    std::uint64_t countedMs(SteadyTime now) const;
     void tellAll();
     void tellRelays(SteadyTime now);
     void tellSums(bool isRelay, SteadyTime now);
--- a/lib/Gateway/RelayBook.cpp
+++ b/lib/Gateway/RelayBook.cpp
@@ -93,6 +93,7 @@
         sums.set_duty_token(report.duty_token());
     }
     sums.set_released_token(report.released_token());
+    sums.set_counted_ms(report.counted_ms());
     return sums;
 }
 
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -42,6 +42,7 @@
     report.set_wall_ms(context_.ownWallMs());
     report.set_duty_token(hooks_.ownToken_().value_);
     report.set_released_token(hooks_.releasedToken_().value_);
+    report.set_counted_ms(countedMs(now));
     report.set_is_stopping(context_.isStopping_);
     report.set_is_platform_lost(hooks_.isPlatformLost_());
     report.set_is_reader(hooks_.isReader_());
--- a/lib/Gateway/SumGroup.cpp
+++ b/lib/Gateway/SumGroup.cpp
@@ -12,6 +12,8 @@
     // Five reports in a row are missing: a lost datagram or a slow VM loses one
     // or two.
     constexpr milliseconds sourceSilence { 1000 };
+    // Within this time of a node's start others hear of it.
+    constexpr milliseconds freshCounts { 3000 };
     // A group that is silent for longer has stopped, rather than been cut off.
     constexpr milliseconds silenceCounted { 10000 };
     // A source that sums so many times the nodes of the one that counts takes its
@@ -36,6 +38,12 @@
 
 } // namespace
 
+bool isFresh(std::uint64_t countedMs)
+{
+    // Not told: a node of an earlier version.
+    return countedMs && milliseconds(countedMs) <= freshCounts;
+}
+
 bool SumGroup::isLive(const Source& source, SteadyTime now) const
 {
     return now - source.heardAt_ <= sourceSilence;
@@ -61,6 +69,9 @@
     Source& source = sources_[vm];
     // The counts of a source that has just been heard cannot be compared yet.
     bool isFollowed = source.heardAt_ != SteadyTime {} && source.incarnation_ == incarnation;
+    // What a node counted since its start is new where none of its group was heard
+    // before, or the node itself as it was before its restart.
+    bool isNew = isFresh(sums.counted_ms()) && (lastHeardAt_ == SteadyTime {} || (source.heardAt_ != SteadyTime {} && counting_ == vm));
     Source before = std::move(source);
     source = { incarnation, now, sums };
     chooseCounting(now);
@@ -70,6 +81,8 @@
     lastHeardAt_ = now;
     if (isFollowed)
         addGrowth(admitted_, admittedOf(before.sums_), admittedOf(sums));
+    else if (isNew)
+        addGrowth(admitted_, {}, admittedOf(sums));
     return true;
 }
 
--- a/lib/Gateway/SumGroup.h
+++ b/lib/Gateway/SumGroup.h
@@ -17,6 +17,10 @@
 /// Counters by name: of an organisation, or of a service.
 using NamedCounts = std::map<std::string, double>;
 
+/// Whether counts that began \p countedMs ago count whole when they are first heard:
+/// all of them are of the last seconds.
+bool isFresh(std::uint64_t countedMs);
+
 class SumGroup {
 public:
     /// Takes what \p source told; \p incarnation changes with its restart.
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -19,6 +19,8 @@
 static constexpr double shareSaved = 0.5;
 // A bucket filled in steps since the start is not taken for a fuller one.
 static constexpr double startTolerance = 1.01;
+// Part of the nodes that a starting one has to hear to know what is left.
+static constexpr double mostNodes = 0.9;
 // Steps of the golden ratio spread phases evenly however many are taken.
 static constexpr double phaseStep = 0.6180339887;
 
@@ -42,10 +44,20 @@
     return static_cast<double>(std::max(nodes, nodesKnown_));
 }
 
+bool QuotaBook::hasHeardMost(SteadyTime now) const
+{
+    std::uint64_t heard = 1;
+    for (const auto& [id, peer] : peers_)
+        heard += now - peer.heardAt_ < settings_.silence_ ? peer.nodes_ : 0;
+    return static_cast<double>(heard) >= mostNodes * static_cast<double>(nodesKnown_);
+}
+
 bool QuotaBook::isStarting(const Bucket& bucket, SteadyTime now) const
 {
     if (nodesKnown_ < 2 || now - startedAt_ >= settings_.startup_)
         return false;
+    if (now - startedAt_ >= settings_.leastStartup_ && hasHeardMost(now))
+        return false;
     // A bucket that holds more than has come since this node's start was told by one
     // that has run for longer.
     return bucket.level_ <= startTolerance * secondsOf(now - startedAt_) * bucket.limit_.ratePerSecond_;
@@ -133,6 +145,23 @@
     return milliseconds(static_cast<std::int64_t>(wait * 1000) + 1);
 }
 
+/// A bucket begins as others told it, or empty at this node's start.
+void QuotaBook::begin(Bucket& bucket, const OrganisationId& organisation) const
+{
+    auto heard = heardLevels_.find(organisation);
+    bucket.begunAt_ = heard != heardLevels_.end() ? heard->second.at_ : startedAt_;
+    bucket.filledAt_ = bucket.begunAt_;
+    if (heard != heardLevels_.end()) {
+        bucket.level_ = heard->second.level_;
+        return;
+    }
+    for (const auto& [id, peer] : peers_) {
+        auto count = peer.counts_.find(organisation);
+        if (peer.isWhole_ && count != peer.counts_.end())
+            bucket.level_ -= count->second;
+    }
+}
+
 std::optional<milliseconds> QuotaBook::take(const OrganisationId& organisation, const QuotaLimit& limit, double cost, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
@@ -142,12 +171,8 @@
     }
     auto [found, isNew] = buckets_.try_emplace(organisation);
     Bucket& bucket = found->second;
-    if (isNew) {
-        auto heard = heardLevels_.find(organisation);
-        bucket.level_ = heard != heardLevels_.end() ? heard->second.level_ : 0;
-        bucket.begunAt_ = heard != heardLevels_.end() ? heard->second.at_ : startedAt_;
-        bucket.filledAt_ = bucket.begunAt_;
-    }
+    if (isNew)
+        begin(bucket, organisation);
     bucket.limit_ = limit;
     // Charged before the rate is added: a full bucket does not overflow first.
     chargeSilent(now);
@@ -204,21 +229,23 @@
     }
 }
 
-void QuotaBook::setPeer(const VmId& id, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes)
+void QuotaBook::setPeer(const VmId& id, std::uint64_t incarnation, const AdmittedCounts& counts, const std::map<OrganisationId, double>& levels, SteadyTime now, std::uint64_t nodes, bool isFresh)
 {
     std::lock_guard lock(mutex_);
     Peer& peer = peers_[id];
     peer.nodes_ = nodes;
     bool isFirst = peer.heardAt_ == SteadyTime {};
     bool hasRestarted = peer.incarnation_ != incarnation;
-    if (hasRestarted)
+    if (hasRestarted) {
         peer.counts_.clear();
+        peer.isWhole_ = isFresh;
+    }
     for (const auto& [organisation, count] : counts) {
         double before = peer.counts_[organisation];
         peer.counts_[organisation] = count;
         auto bucket = buckets_.find(organisation);
         // What it admitted before it was first heard is in the levels it told.
-        if (bucket == buckets_.end() || (isFirst && hasRestarted))
+        if (bucket == buckets_.end() || (isFirst && !isFresh))
             continue;
         bucket->second.level_ -= count - before;
         bucket->second.othersRecent_ += std::max(0.0, count - before);
@@ -227,7 +254,7 @@
     // What it was charged while it was silent is replaced by what it did.
     returnCharged(id, 1);
     for (const auto& [organisation, level] : levels) {
-        if (!buckets_.contains(organisation))
+        if (!buckets_.contains(organisation) && !peer.isWhole_)
             heardLevels_[organisation] = { level, now };
     }
     peer.incarnation_ = incarnation;
--- a/unittests/Gateway/RelayBookTest.cpp
+++ b/unittests/Gateway/RelayBookTest.cpp
@@ -235,3 +235,27 @@
     CHECK(near.summaryFor({ "b" }, told).duty_token() == 0);
     CHECK(near.summaryFor({ "b" }, told).released_token() == 5);
 }
+
+TEST_CASE("counts of nodes that have just started are told whole", "[relay]")
+{
+    struct Row {
+        const char* name_;
+        std::uint64_t countedMs_;
+        double admitted_;
+    };
+    auto row = GENERATE(values<Row>({ { "just started", 400, 100 }, { "running for long", 60000, 0 }, { "of a version that does not tell", 0, 0 } }));
+    CAPTURE(row.name_);
+    RelayBook near(window);
+    RelayBook far(window);
+    wire::NodeReport first = report("a1", { 100, 0, 0, 0 });
+    first.set_counted_ms(row.countedMs_);
+    near.takeReport(first, start);
+    far.takeReport(report("b1", {}), start);
+    wire::NodeSums summary = near.summaryFor({ "b" }, start);
+    summary.set_counted_ms(row.countedMs_);
+    far.takeSummary(summaryOf("a-relay", "a", summary), start);
+    CHECK(admittedIn(far.digestFor({ "b1" }, far.totals(start), start)) == row.admitted_);
+    // A second relay of the same nodes adds nothing when it is first heard.
+    far.takeSummary(summaryOf("a-other", "a", summary), start + milliseconds(100));
+    CHECK(admittedIn(far.digestFor({ "b1" }, far.totals(start), start)) == row.admitted_);
+}
--- a/unittests/Quota/QuotaTest.cpp
+++ b/unittests/Quota/QuotaTest.cpp
@@ -86,6 +86,7 @@
     void restart(SteadyTime now)
     {
         told_.clear();
+        startedAt_ = now;
         for (std::size_t i = 0; i < books_.size(); ++i) {
             books_[i] = std::make_unique<QuotaBook>(now, settingsOf(i, books_.size()));
             books_[i]->setNodes(books_.size());
@@ -137,11 +138,12 @@
         for (double count : told_.front().second)
             all += count;
         for (std::size_t i = 0; i < books_.size(); ++i)
-            books_[i]->setPeer({ "others" }, 1, { { north, all - told_.front().second[i] } }, {}, now, books_.size() - 1);
+            books_[i]->setPeer({ "others" }, 1, { { north, all - told_.front().second[i] } }, {}, now, books_.size() - 1, now - startedAt_ < milliseconds(3000));
     }
 
     milliseconds lag_;
     std::mt19937_64 random_;
+    SteadyTime startedAt_ = start;
     std::vector<std::unique_ptr<QuotaBook>> books_;
     std::deque<std::pair<SteadyTime, std::vector<double>>> told_;
     std::deque<std::pair<SteadyTime, double>> admitted_;
@@ -350,6 +352,22 @@
     CHECK(admitted <= 2.1 * 1000 + 1000 + 200.0 * 9);
 }
 
+TEST_CASE("what peers admitted that started with this node counts whole", "[quota]")
+{
+    bool isFresh = GENERATE(true, false);
+    bool isKnown = GENERATE(true, false);
+    CAPTURE(isFresh, isKnown);
+    QuotaBook book(start);
+    book.setNodes(10);
+    if (isKnown)
+        REQUIRE_FALSE(book.take(north, limit, 1, start + milliseconds(100)));
+    // A peer that has run for long tells what is left; one that has not knows no more.
+    book.setPeer({ "others" }, 1, { { north, 400 } }, { { north, 100 } }, start + milliseconds(600), 9, isFresh);
+    (void)book.take(north, limit, 1, start + milliseconds(600));
+    double known = isKnown ? 600 - 1 : 100;
+    CHECK(book.levels()[north] == Approx((isFresh ? 200 - (isKnown ? 1 : 0) : known) - 1).margin(1));
+}
+
 TEST_CASE("nodes that all start at once do not each hand out the whole rate", "[quota]")
 {
     auto count = GENERATE(9U, 63U);
@@ -363,6 +381,9 @@
     nodes.run(start + milliseconds(20100), milliseconds(800), excess * tokens.ratePerSecond_ / cost, tokens, cost);
     // Each may begin one request more than its share holds.
     CHECK(nodes.most(milliseconds(8000)) <= (0.9 + 0.3) * tokens.ratePerSecond_);
+    // Over the next seconds they hear each other: a tenth of 8 s and a second is tolerated.
+    nodes.run(start + milliseconds(20900), milliseconds(3100), excess * tokens.ratePerSecond_ / cost, tokens, cost);
+    CHECK(nodes.most(milliseconds(8000)) <= (4 + 0.9) * tokens.ratePerSecond_ + 140000);
     // Where each of 63 nodes is asked once, a third finds its share saved up.
     CHECK(nodes.most(milliseconds(8000)) >= 0.25 * tokens.ratePerSecond_);
 }
