--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -149,7 +149,9 @@
             (isGood ? cutOff : doubtful).push_back(&backend);
     }
     // Better to try a doubtful one than to refuse: its trouble may be over.
-    std::vector<Backend*>& candidates = !usable.empty() ? usable : !cutOff.empty() ? cutOff : doubtful;
+    if (usable.empty())
+        usable = cutOff.empty() ? std::move(doubtful) : std::move(cutOff);
+    std::vector<Backend*>& candidates = usable;
     if (candidates.empty())
         return std::nullopt;
 
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -4,8 +4,8 @@
 /// Wires the parts together; starts, reloads and drains them.
 //===----------------------------------------------------------------------===//
 #include "DutyRunner.h"
-#include "ReachProbe.h"
 #include "Feed.h"
+#include "ReachProbe.h"
 #include "generated/Peer.pb.h"
 
 #include <thread>
