--- a/lib/Gateway/ReachProbe.cpp
+++ b/lib/Gateway/ReachProbe.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "ReachProbe.h"
 
+#include <boost/asio.hpp>
+
 namespace pistachioloom {
 
 namespace {
