--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -140,7 +140,7 @@
     book.observe(view, start);
     std::vector<FleetOrder> orders = book.dueOrders(view, start);
     CHECK(sumOf(orders, false) == 0);
-    CHECK(sumOf(orders, true) == 3 * 6);
+    CHECK(sumOf(orders, true) == 18);
     SteadyTime later = settle(book, view);
     CHECK(sumOf(book.dueOrders(view, later), false) == 8);
 }
