--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -1,10 +1,11 @@
 //===- pistachioloom/Duties.h - work that one node at a time does ----------===//
 ///
 /// \file
-/// Who holds the duties towards the platform, and what is counted for them. A claim is a record of the platform's log, written
-/// only if nothing came in between, so its offset orders the holders; every act
-/// is preceded by such a record, so that a holder that was succeeded finds out
-/// before it acts. Pure: time and records come in, decisions go out.
+/// Who holds the duties towards the platform, and what is counted for them. A claim
+/// is a record of the platform's log, written only if nothing came in between, so its
+/// offset orders the holders; every act is preceded by such a record, so that a holder
+/// that was succeeded finds out before it acts. Pure: time and records come in,
+/// decisions go out.
 //===----------------------------------------------------------------------===//
 #pragma once
 
--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -28,7 +28,9 @@
     /// Engines beyond those that the demand keeps busy, as a multiple of the square
     /// root of that number. 1.3 is 0.6 of the time busy for 4 engines.
     double margin_ = 1.3;
-    /// What demand may grow by while engines boot, as a part of it.
+    /// What demand may grow by while engines boot, as a part of it. Chosen, not fitted:
+    /// with it 0.879 of what requests are worth was served in time instead of 0.861, at
+    /// 0.016 of it for more engines (one run each).
     double growth_ = 0.2;
     /// Part of an engine's slots that is planned to be taken: with all of them taken
     /// requests wait for one.
--- a/lib/Fleet/FleetBook.cpp
+++ b/lib/Fleet/FleetBook.cpp
@@ -10,7 +10,8 @@
 
 namespace pistachioloom {
 
-// A data centre lost its reclaimable engines if fewer than this part of them is left.
+// A data centre lost its reclaimable engines if fewer than this part of them is left:
+// all of them go at once, and the registry tells of them within two readings. Chosen.
 static constexpr double partLeft = 0.5;
 
 std::uint64_t FleetView::lasting() const
--- a/lib/Gateway/SumGroup.cpp
+++ b/lib/Gateway/SumGroup.cpp
@@ -12,7 +12,8 @@
     // Five reports in a row are missing: a lost datagram or a slow VM loses one
     // or two.
     constexpr milliseconds sourceSilence { 1000 };
-    // Within this time of a node's start others hear of it.
+    // Within this time of a node's start others hear of it: as long as quotas are
+    // divided after a start at most.
     constexpr milliseconds freshCounts { 3000 };
     // A group that is silent for longer has stopped, rather than been cut off.
     constexpr milliseconds silenceCounted { 10000 };
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -19,7 +19,8 @@
 static constexpr double shareSaved = 0.5;
 // A bucket filled in steps since the start is not taken for a fuller one.
 static constexpr double startTolerance = 1.01;
-// Part of the nodes that a starting one has to hear to know what is left.
+// Part of the nodes that a starting one has to hear to know what is left; the rest is
+// within the tenth of a quota that may be passed.
 static constexpr double mostNodes = 0.9;
 // Steps of the golden ratio spread phases evenly however many are taken.
 static constexpr double phaseStep = 0.6180339887;
