Tell starts of a backend server apart, and leave out entries of other writers

Cause: the platform lets a backend server start again under its id, and others write to the registry. Loads, cached parts, failures and 'leaving' were kept by id, so a server that had left was never used again (process test: 503 for good), and an entry of any shape with service and address was taken for a server.

Change: a backend server's id in the books is its name and its start; the newest start replaces the one before with all that was believed of it, and word of an earlier one changes nothing. Registrations are checked field by field; one that cannot be used is told of and counted once per change.

--- a/benchmarks/RelayBenchmark.cpp
+++ b/benchmarks/RelayBenchmark.cpp
@@ -82,7 +82,7 @@
 {
     BackendBook book({ "a" }, ChoiceSettings {});
     for (int i = 0; i < engines; ++i)
-        book.put({ engineId(i), { "drafts" }, { "10.0.0.1", 80 }, { "a" }, 24, false, true });
+        book.put({ engineId(i), { "drafts" }, { "10.0.0.1", 80 }, { "a" }, 24, false, true, { engineId(i).value_ }, {} });
     RequestShape shape;
     shape.service_ = { "drafts" };
     shape.promptTokens_ = { 12000 };
--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -11,6 +11,7 @@
 #include "pistachioloom/Http.h"
 #include "pistachioloom/Support.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -20,9 +21,17 @@
 
 namespace pistachioloom {
 
-/// One start of a backend server.
+/// What a backend server registers by. It may keep its name when it starts again.
+using BackendName = Id<struct BackendNameTag>;
+/// When a backend server started, in ms since the start of 1970; 0 where that is
+/// not told.
+using BackendStart = Quantity<struct BackendStartTag>;
+/// One start of a backend server: what is believed of it ends with that start.
 using BackendId = Id<struct BackendIdTag>;
 
+/// The id of the start of \p name at \p start.
+BackendId backendId(const BackendName& name, BackendStart start);
+
 /// A backend server as it registered itself.
 struct BackendRecord {
     BackendId id_;
@@ -34,6 +43,8 @@
     bool isLeaving_ = false;
     /// It may be taken away at a few seconds' notice.
     bool isReclaimable_ = false;
+    BackendName name_;
+    BackendStart start_ {};
 };
 
 /// One shared piece of a prompt.
@@ -163,8 +174,21 @@
 public:
     BackendBook(DataCentreId own, ChoiceSettings settings);
 
-    /// Adds or replaces the record of one backend server.
-    void put(const BackendRecord& record);
+    /// What put() made of a record.
+    enum class Registered {
+        /// The backend server was not known.
+        New,
+        /// Its record was replaced.
+        Again,
+        /// It started anew: what was believed of the start before is forgotten.
+        Restarted,
+        /// The record is of an earlier start and changes nothing.
+        Outdated,
+    };
+
+    /// Adds or replaces the record of one backend server. Word of an earlier start may
+    /// come late, through peers or a list that lags.
+    Registered put(const BackendRecord& record);
     void remove(const BackendId& id);
     /// Marks one as leaving without its own record; learnt from peers.
     bool setLeaving(const BackendId& id);
@@ -172,6 +196,8 @@
     /// Equal for books that know the same backend servers, leaving or not.
     std::uint64_t fingerprint() const;
     std::optional<BackendRecord> find(const BackendId& id) const;
+    /// The newest start of \p name, if it is there.
+    std::optional<BackendRecord> findNewest(const BackendName& name) const;
     /// Whether \p id will be gone within seconds: it is reclaimable and leaving.
     bool isDeparting(const BackendId& id) const;
 
@@ -279,11 +305,16 @@
     static void takeBack(Backend& backend, TokenCount uncached, bool hasBegun);
     void fail(Backend& backend, SteadyTime now);
     void sumPeerLoads(SteadyTime now);
+    void forget(const BackendId& id);
 
     const DataCentreId ownDataCentre_;
     const ChoiceSettings settings_;
     mutable std::mutex mutex_;
     std::map<BackendId, Backend> backends_;
+    /// The newest start heard of by each name, also of those that are gone.
+    std::map<BackendName, BackendStart> newestStarts_;
+    /// Names that are gone, oldest first.
+    std::deque<BackendName> goneNames_;
     std::map<VmId, PeerLoads> peers_;
     std::map<ServiceName, ServiceRate> rates_;
     /// Backend servers that failed since any of their data centre was reached.
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -19,9 +19,11 @@
 
 /// A change of the list of backend servers.
 struct RegistryChange {
-    BackendId id_;
-    /// nullopt: its registration is gone.
+    BackendName name_;
+    /// nullopt: its registration is gone, or names no backend server to use.
     std::optional<BackendRecord> record_;
+    /// Why the registration cannot be used; empty if it can, or is gone.
+    std::string complaint_;
 };
 
 struct RegistryRead {
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -97,6 +97,7 @@
     EngineOrders,
     LoanMessages,
     TrialsYielded,
+    RegistrationsRefused,
     Last,
 };
 
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -22,6 +22,9 @@
 // A first event takes no longer than this beside the prompt, in ms: 15 ms and some
 // steps of a batch.
 static constexpr double longestFirstEventMs = 150;
+// Names whose newest start is remembered after they are gone: some minutes' worth at
+// 2,100 backend servers, 100 bytes each. Chosen.
+static constexpr std::size_t mostGoneNames = 1024;
 static constexpr double leastSlowness = 0.5;
 static constexpr double mostSlowness = 8;
 
@@ -46,6 +49,11 @@
     return "unknown";
 }
 
+BackendId backendId(const BackendName& name, BackendStart start)
+{
+    return { start.value_ ? name.value_ + "@" + std::to_string(start.value_) : name.value_ };
+}
+
 BackendKey keyOf(const BackendId& id)
 {
     return static_cast<BackendKey>(stableHash(id.value_));
@@ -57,9 +65,18 @@
 {
 }
 
-void BackendBook::put(const BackendRecord& record)
+BackendBook::Registered BackendBook::put(const BackendRecord& record)
 {
+    assert(!record.name_.isEmpty() && "a backend server registers by a name");
     std::lock_guard lock(mutex_);
+    BackendStart& newest = newestStarts_.try_emplace(record.name_, record.start_).first->second;
+    if (record.start_ < newest)
+        return Registered::Outdated;
+    bool isRestart = newest < record.start_ && backends_.contains(backendId(record.name_, newest));
+    if (isRestart)
+        forget(backendId(record.name_, newest));
+    newest = record.start_;
+    bool isNew = !backends_.contains(record.id_);
     Backend& backend = backends_[record.id_];
     // A leaving backend server never takes new work again under the same id.
     bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_;
@@ -67,12 +84,34 @@
     backend.hash_ = stableHash(record.id_.value_);
     backend.key_ = keyOf(record.id_);
     backend.record_.isLeaving_ = isLeaving;
+    if (isRestart)
+        return Registered::Restarted;
+    return isNew ? Registered::New : Registered::Again;
+}
+
+/// What is believed of \p id ends with it.
+void BackendBook::forget(const BackendId& id)
+{
+    for (auto& [dataCentre, failed] : failedIn_)
+        failed.erase(id);
+    backends_.erase(id);
 }
 
 void BackendBook::remove(const BackendId& id)
 {
     std::lock_guard lock(mutex_);
-    backends_.erase(id);
+    auto found = backends_.find(id);
+    if (found == backends_.end())
+        return;
+    goneNames_.push_back(found->second.record_.name_);
+    backends_.erase(found);
+    if (goneNames_.size() <= mostGoneNames)
+        return;
+    BackendName oldest = goneNames_.front();
+    goneNames_.pop_front();
+    auto newest = newestStarts_.find(oldest);
+    if (newest != newestStarts_.end() && !backends_.contains(backendId(oldest, newest->second)))
+        newestStarts_.erase(newest);
 }
 
 bool BackendBook::setLeaving(const BackendId& id)
@@ -110,6 +149,16 @@
     return found == backends_.end() ? std::nullopt : std::optional(found->second.record_);
 }
 
+std::optional<BackendRecord> BackendBook::findNewest(const BackendName& name) const
+{
+    std::lock_guard lock(mutex_);
+    auto newest = newestStarts_.find(name);
+    if (newest == newestStarts_.end())
+        return std::nullopt;
+    auto found = backends_.find(backendId(name, newest->second));
+    return found == backends_.end() ? std::nullopt : std::optional(found->second.record_);
+}
+
 bool BackendBook::isDeparting(const BackendId& id) const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -50,7 +50,7 @@
         appendField(head, field.name_, field.value_);
     }
     appendField(head, names.deadline_, std::to_string(timeLeft().count()));
-    appendField(head, names.expectedBackend_, backend.id_.value_);
+    appendField(head, names.expectedBackend_, backend.name_.value_);
     if (organisation_)
         appendField(head, names.organisation_, organisation_->name_.value_);
     if (shape_.isForEngine_)
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -99,50 +99,79 @@
     logger_.info(line);
 }
 
-void Feed::applyChange(const RegistryChange& change, const std::string& source)
+void Feed::removeGone(const BackendName& name, const std::string& source)
 {
-    if (!change.record_) {
-        if (!context_.backends_.find(change.id_))
-            return;
-        if (steadyNow() < graceUntil_) {
-            missing_.insert(change.id_);
-            return;
-        }
-        logger_.info(LogLine("Backend server is gone.").add("backend", change.id_.value_).add("from", source));
-        // What a peer's list lacks is no news for others: they have theirs.
-        if (source == platformSource)
-            reports_.noteLeaving(change.id_);
-        context_.backends_.remove(change.id_);
+    auto known = context_.backends_.findNewest(name);
+    if (!known)
+        return;
+    if (steadyNow() < graceUntil_) {
+        missing_.insert(name);
         return;
     }
-    missing_.erase(change.id_);
-    auto before = context_.backends_.find(change.id_);
-    context_.backends_.put(*change.record_);
+    logger_.info(LogLine("Backend server is gone.").add("backend", known->id_.value_).add("from", source));
+    // What a peer's list lacks is no news for others: they have theirs.
+    if (source == platformSource)
+        reports_.noteLeaving(known->id_);
+    context_.backends_.remove(known->id_);
+}
+
+/// Heartbeats repeat a registration that cannot be used; it is told of once. The
+/// backend server that had the name is not said to leave: its next heartbeat may
+/// bring it back.
+void Feed::refuse(const RegistryChange& change, const std::string& source)
+{
+    std::string& before = complaints_[change.name_];
+    if (before != change.complaint_) {
+        context_.metrics_.add(Counter::RegistrationsRefused);
+        logger_.warn(LogLine("Registration cannot be used.").add("backend", change.name_.value_).add("why", change.complaint_).add("from", source));
+    }
+    before = change.complaint_;
+    missing_.erase(change.name_);
+    if (auto known = context_.backends_.findNewest(change.name_))
+        context_.backends_.remove(known->id_);
+}
+
+void Feed::applyChange(const RegistryChange& change, const std::string& source)
+{
+    if (!change.complaint_.empty())
+        return refuse(change, source);
+    if (source == platformSource)
+        complaints_.erase(change.name_);
+    if (!change.record_)
+        return removeGone(change.name_, source);
+    missing_.erase(change.name_);
+    const BackendRecord& record = *change.record_;
+    auto before = context_.backends_.find(record.id_);
+    BackendBook::Registered registered = context_.backends_.put(record);
+    if (registered == BackendBook::Registered::Outdated)
+        return;
     if (!before)
-        logger_.info(LogLine("Backend server is there.").add("backend", change.id_.value_).add("service", change.record_->service_.value_).add("address", change.record_->endpoint_.toString()).add("data_centre", change.record_->dataCentre_.value_).add("reclaimable", change.record_->isReclaimable_).add("leaving", change.record_->isLeaving_));
-    if (change.record_->isLeaving_ && (!before || !before->isLeaving_)) {
-        logger_.info(LogLine("Backend server is leaving.").add("backend", change.id_.value_).add("from", source));
-        reports_.noteLeaving(change.id_);
+        logger_.info(LogLine(registered == BackendBook::Registered::Restarted ? "Backend server started anew." : "Backend server is there.").add("backend", record.id_.value_).add("service", record.service_.value_).add("address", record.endpoint_.toString()).add("data_centre", record.dataCentre_.value_).add("reclaimable", record.isReclaimable_).add("leaving", record.isLeaving_));
+    if (record.isLeaving_ && (!before || !before->isLeaving_)) {
+        logger_.info(LogLine("Backend server is leaving.").add("backend", record.id_.value_).add("from", source));
+        reports_.noteLeaving(record.id_);
     }
 }
 
 void Feed::removeMissing(const RegistryRead& whole, const std::string& source)
 {
-    std::set<BackendId> present;
+    std::set<BackendName> present;
     for (const RegistryChange& change : whole.changes_)
-        present.insert(change.id_);
+        present.insert(change.name_);
     for (const BackendRecord& record : context_.backends_.records()) {
-        if (!present.contains(record.id_))
-            applyChange({ record.id_, std::nullopt }, source);
+        if (!present.contains(record.name_))
+            removeGone(record.name_, source);
     }
+    if (source == platformSource)
+        std::erase_if(complaints_, [&](const auto& entry) { return !present.contains(entry.first); });
 }
 
 void Feed::applyDueRemovals()
 {
     if (missing_.empty() || steadyNow() < graceUntil_)
         return;
-    for (const BackendId& id : std::exchange(missing_, {}))
-        applyChange({ id, std::nullopt }, platformSource);
+    for (const BackendName& name : std::exchange(missing_, {}))
+        removeGone(name, platformSource);
 }
 
 void Feed::apply(const RegistryRead& read, const std::string& source)
@@ -273,8 +302,8 @@
     read.isWhole_ = true;
     for (const wire::BackendEntry& entry : update.backends()) {
         auto endpoint = parseEndpoint(entry.address());
-        if (endpoint)
-            read.changes_.push_back({ { entry.id() }, BackendRecord { { entry.id() }, { entry.service() }, *endpoint, { entry.data_centre() }, entry.slots(), entry.is_leaving(), entry.is_reclaimable() } });
+        if (endpoint && !entry.name().empty())
+            read.changes_.push_back({ { entry.name() }, BackendRecord { backendId({ entry.name() }, { entry.started_ms() }), { entry.service() }, *endpoint, { entry.data_centre() }, entry.slots(), entry.is_leaving(), entry.is_reclaimable(), { entry.name() }, { entry.started_ms() } }, {} });
     }
     apply(read, vm.value_);
 }
@@ -293,7 +322,8 @@
     update.set_backends_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count())));
     for (const BackendRecord& record : context_.backends_.records()) {
         wire::BackendEntry& entry = *update.add_backends();
-        entry.set_id(record.id_.value_);
+        entry.set_name(record.name_.value_);
+        entry.set_started_ms(record.start_.value_);
         entry.set_service(record.service_.value_);
         entry.set_address(record.endpoint_.toString());
         entry.set_data_centre(record.dataCentre_.value_);
--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -32,6 +32,9 @@
     /// \p source is the platform or the peer that told.
     void apply(const RegistryRead& read, const std::string& source);
     void applyChange(const RegistryChange& change, const std::string& source);
+    /// The registration of \p change cannot be used.
+    void refuse(const RegistryChange& change, const std::string& source);
+    void removeGone(const BackendName& name, const std::string& source);
     void removeMissing(const RegistryRead& whole, const std::string& source);
     void applyDueRemovals();
     bool isConfigurationBehind() const;
@@ -53,7 +56,9 @@
     std::atomic<bool> isConfigurationLost_ { false };
     /// Until when registrations that vanish are kept, after an outage.
     SteadyTime graceUntil_ {};
-    std::set<BackendId> missing_;
+    std::set<BackendName> missing_;
+    /// What was last wrong with registrations that cannot be used.
+    std::map<BackendName, std::string> complaints_;
     Logger logger_ { "feed" };
 };
 
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -47,6 +47,7 @@
         "engine_orders",
         "loan_messages",
         "trials_yielded",
+        "registrations_refused",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
--- a/test/Platform/Soak/Soak.cpp
+++ b/test/Platform/Soak/Soak.cpp
@@ -134,7 +134,7 @@
 
 void Soak::announce(const Server& server, const char* phase, bool isReclaimed) const
 {
-    json::object value { { "service", server.service_ }, { "address", server.proxy_->endpoint().toString() }, { "zone", "a" }, { "slot_count", 8 }, { "phase", phase }, { "spot", isReclaimed } };
+    json::object value { { "service", server.service_ }, { "address", server.proxy_->endpoint().toString() }, { "zone", "a" }, { "version", "v1" }, { "slot_count", 8 }, { "phase", phase }, { "cold_left_ms", 0 }, { "call_seq", 0 }, { "spot", isReclaimed } };
     json::object entry { { "topic", "keyed.servers" }, { "key", server.id_ }, { "value", json::serialize(value) } };
     deployment_->control({ { "put", json::array { entry } } });
 }
--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -280,6 +280,54 @@
     CHECK(deployment.backend("p-1").at("runs").as_array().size() == before);
 }
 
+TEST_CASE("a backend server that starts anew under its id is used again, and late word of before is not", "[gateway]")
+{
+    GatewayDeployment deployment(2);
+    deployment.standard();
+    json::object before = deployment.control({ { "born", "p-1" } });
+    deployment.setLeaving("p-1", "plain", "127.0.0.1:1");
+    deployment.setLeaving("p-2", "plain", "127.0.0.1:1");
+    CHECK(waitUntil([&] { return deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "none")).status_ == 503; }, patience));
+    deployment.control({ { "restart", "p-1" } });
+    auto serves = [&](GatewayDeployment::Gateway& gateway) { return deployment.call(gateway, gatewayRequest("GET", "/safe/x", "again")).status_ == 200; };
+    for (auto& gateway : deployment.gateways())
+        CHECK(waitUntil([&] { return serves(gateway); }, patience));
+    // The start before says once more that it leaves.
+    json::object late { { "service", "plain" }, { "address", "127.0.0.1:1" }, { "zone", "a" }, { "version", "v1" }, { "slot_count", 8 }, { "phase", "draining" }, { "cold_left_ms", 0 }, { "call_seq", 1 }, { "born", before.at("born") } };
+    json::object entry { { "topic", "keyed.servers" }, { "key", "p-1" }, { "value", json::serialize(late) } };
+    deployment.control({ { "put", json::array { entry } } });
+    // Longer than two reads of the registry and the reports of both.
+    std::this_thread::sleep_for(milliseconds(1500));
+    for (auto& gateway : deployment.gateways())
+        CHECK(serves(gateway));
+}
+
+TEST_CASE("entries of other writers name no backend server, and the others hold", "[gateway]")
+{
+    GatewayDeployment deployment(2);
+    deployment.standard();
+    json::array entries;
+    int number = 0;
+    for (const char* value : { "no entry", "[1]", R"({"service":"plain","address":7})", R"({"service":"plain","address":"127.0.0.1:1","zone":"a","version":"v1","slot_count":8,"phase":"asleep","cold_left_ms":0,"call_seq":1})" })
+        entries.push_back(json::object { { "topic", "keyed.servers" }, { "key", "odd " + std::to_string(number++) + "&" }, { "value", value } });
+    deployment.control({ { "put", entries } });
+    deployment.startBackend("p-3", "plain");
+    CHECK(deployment.waitForBackends(5));
+    // Told of once, though heartbeats repeat them.
+    deployment.control({ { "put", entries } });
+    std::this_thread::sleep_for(milliseconds(1200));
+    for (auto& gateway : deployment.gateways()) {
+        CHECK(deployment.metric(gateway, "registrations_refused_total") <= 4);
+        CHECK(deployment.metric(gateway, "backend_servers") == 5);
+        for (int i = 0; i < 8; ++i)
+            CHECK(deployment.call(gateway, gatewayRequest("GET", "/safe/x", "after")).status_ == 200);
+    }
+    double told = 0;
+    for (auto& gateway : deployment.gateways())
+        told += deployment.metric(gateway, "registrations_refused_total");
+    CHECK(told >= 4);
+}
+
 TEST_CASE("a new version is in force everywhere, also at a node that the platform does not serve", "[gateway]")
 {
     GatewayDeployment deployment(3);
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -86,6 +86,12 @@
 
     std::uint16_t listen() { return server_.listen({ "127.0.0.1", 0 }).value(); }
     const std::string& id() const { return id_; }
+    /// Takes no more connections, and breaks off what arrives and what runs.
+    void crash()
+    {
+        isCrashed_ = true;
+        server_.stopAccepting();
+    }
 
     json::object control(const json::object& body)
     {
@@ -97,6 +103,10 @@
     asio::awaitable<void> handle(HttpExchange& exchange)
     {
         const HttpRequest& request = exchange.request();
+        if (isCrashed_) {
+            exchange.abort();
+            co_return;
+        }
         if (request.path() == "/kv-move")
             co_return co_await move(exchange);
         if (request.path().starts_with("/kv-handle/")) {
@@ -204,7 +214,7 @@
                 co_return;
             }
             stream.made_ = id;
-            if (stream.isStopped_) {
+            if (stream.isStopped_ || isCrashed_) {
                 exchange.abort();
                 co_return;
             }
@@ -214,6 +224,7 @@
     }
 
     std::string id_;
+    bool isCrashed_ = false;
     HttpServer server_;
     Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "lose_answers", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     json::array runs_;
@@ -257,7 +268,8 @@
 private:
     /// `backends`: more of a service, which do not register themselves if they are
     /// `unregistered`; `put`: entries of keyed topics; `reclaim`: one
-    /// says that it is about to be taken away; `backend`: faults of one of them. \returns what arrived.
+    /// says that it is about to be taken away; `restart`: one crashes and starts anew
+    /// under its id; `backend`: faults of one of them. \returns what arrived.
     asio::awaitable<void> control(HttpExchange& exchange)
     {
         json::object body = parseJsonObject(exchange.request().body_).value_or(json::object {});
@@ -274,22 +286,42 @@
             reclaimed->second["spot"] = true;
             log_.put("keyed.servers", reclaimed->first, json::serialize(reclaimed->second));
         }
+        if (entries_.contains(textField(body, "restart")))
+            restart(textField(body, "restart"));
         auto chosen = backends_.find(textField(body, "backend"));
         if (chosen != backends_.end())
             answer = chosen->second->control(body);
+        auto asked = entries_.find(textField(body, "born"));
+        if (asked != entries_.end())
+            answer["born"] = asked->second.at("born");
         answer["duties"] = duties_;
         answer["ports"] = ports;
         co_await reply(exchange, 200, answer);
     }
 
+    /// The server of this id crashes and starts anew under it, at another port.
+    void restart(const std::string& id)
+    {
+        json::object wanted = entries_[id];
+        wanted["id"] = id;
+        wanted["phase"] = "up";
+        // Its handlers may still be suspended, and nobody reaches them any more.
+        crashed_.push_back(std::move(backends_[id]));
+        crashed_.back()->crash();
+        start(wanted);
+    }
+
     std::uint16_t start(const json::object& wanted)
     {
         std::string id = textField(wanted, "id");
         auto backend = std::make_unique<Backend>(io_, id);
-        json::object entry = wanted;
+        json::object entry { { "version", "v1" }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
+        for (const auto& field : wanted)
+            entry[field.key()] = field.value();
         entry.erase("id");
         std::uint16_t port = backend->listen();
         entry["address"] = "127.0.0.1:" + std::to_string(port);
+        entry["born"] = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
         if (!entry.contains("unregistered"))
             log_.put("keyed.servers", id, json::serialize(entry));
         entries_[id] = std::move(entry);
@@ -359,6 +391,8 @@
     Log log_;
     Controls controls_ { { { "down", 0 }, { "lose_appends", 0 } } };
     std::map<std::string, std::unique_ptr<Backend>> backends_;
+    /// Servers before their restart.
+    std::vector<std::unique_ptr<Backend>> crashed_;
     /// What each registered.
     std::map<std::string, json::object> entries_;
     json::array duties_;
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -16,7 +16,16 @@
 
 BackendRecord record(const std::string& id, const std::string& dataCentre = "a")
 {
-    return { { id }, service, { "10.0.0.1", 80 }, { dataCentre }, 4, false, false };
+    return { { id }, service, { "10.0.0.1", 80 }, { dataCentre }, 4, false, false, { id }, {} };
+}
+
+/// The start of \p name at \p startMs.
+BackendRecord startOf(const std::string& name, std::uint64_t startMs)
+{
+    BackendRecord started = record(name);
+    started.start_ = { startMs };
+    started.id_ = backendId(started.name_, started.start_);
+    return started;
 }
 
 RequestShape engineRequest(std::uint64_t tokens, std::vector<PromptPart> parts = {})
@@ -320,3 +329,78 @@
     book.put(leaving);
     CHECK_FALSE(book.isDeparting(leaving.id_));
 }
+
+TEST_CASE("a backend server that starts anew under its name is believed nothing of before", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    BackendRecord before = startOf("x", 1000);
+    BackendRecord after = startOf("x", 2000);
+    CHECK(book.put(before) == BackendBook::Registered::New);
+    RequestShape shape = engineRequest(12000, { { "common", { 500 } }, { "subject", { 10000 } }, { "own", { 1500 } } });
+    auto running = book.choose(shape, {}, start);
+    REQUIRE(running);
+    book.setPeerLoads({ "peer" }, { { keyOf(before.id_), { 9, 90000 } } }, start);
+    // Two failures in a row eject it.
+    for (int i = 0; i < 2; ++i) {
+        auto failed = book.choose(plainRequest(), {}, start);
+        REQUIRE(failed);
+        book.end(failed->backend_.id_, { BackendOutcome::Broken, failed->uncached_, false, {} }, start);
+    }
+    CHECK(book.put(after) == BackendBook::Registered::Restarted);
+    CHECK(book.records().size() == 1);
+    // What peers tell is of the start before, too.
+    book.setPeerLoads({ "peer" }, { { keyOf(before.id_), { 9, 90000 } } }, start);
+    auto choice = book.choose(shape, {}, start);
+    REQUIRE(choice);
+    CHECK(choice->backend_.start_ == after.start_);
+    CHECK(choice->running_ == 0);
+    CHECK(choice->queuedAhead_.value_ == 0);
+    // The request that ran at the start before ends there.
+    book.end(running->backend_.id_, { BackendOutcome::Served, running->uncached_, true, {} }, start);
+    CHECK(book.ownLoads().at(keyOf(after.id_)).running_ == 1);
+}
+
+TEST_CASE("late word of an earlier start changes nothing", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    BackendRecord before = startOf("x", 1000);
+    BackendRecord after = startOf("x", 2000);
+    auto isThere = [&] {
+        auto newest = book.findNewest({ "x" });
+        return newest && newest->id_ == after.id_ && !newest->isLeaving_;
+    };
+    book.put(before);
+    book.put(after);
+    BackendRecord leaving = before;
+    leaving.isLeaving_ = true;
+    CHECK(book.put(leaving) == BackendBook::Registered::Outdated);
+    CHECK(isThere());
+    CHECK_FALSE(book.setLeaving(before.id_));
+    CHECK(isThere());
+    book.remove(before.id_);
+    CHECK(isThere());
+    // Also once the newer one is gone.
+    book.remove(after.id_);
+    CHECK(book.put(before) == BackendBook::Registered::Outdated);
+    CHECK(book.records().empty());
+    // One that left is back with its next start only.
+    book.put(startOf("x", 2000));
+    CHECK(book.setLeaving(after.id_));
+    CHECK(book.put(after) == BackendBook::Registered::Again);
+    CHECK_FALSE(isThere());
+    CHECK(book.put(startOf("x", 3000)) == BackendBook::Registered::Restarted);
+    CHECK_FALSE(book.findNewest({ "x" })->isLeaving_);
+}
+
+TEST_CASE("names that are gone are remembered within a bound", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    constexpr int manyNames = 5000;
+    for (int i = 0; i < manyNames; ++i) {
+        BackendRecord gone = startOf("n" + std::to_string(i), 2000);
+        book.put(gone);
+        book.remove(gone.id_);
+    }
+    CHECK(book.put(startOf("n0", 1000)) == BackendBook::Registered::New);
+    CHECK(book.put(startOf("n4999", 1000)) == BackendBook::Registered::Outdated);
+}
--- a/unittests/Fuzz/FuzzTest.cpp
+++ b/unittests/Fuzz/FuzzTest.cpp
@@ -145,7 +145,7 @@
                                 log,
                                 std::string("\x03key", 4) + "value",
                                 R"({"entries":[{"key":"k","value":"dmFsdWU=","offset":3}],"has_more":false,"end":7})",
-                                R"({"service":"e","address":"10.0.0.1:80","zone":"a","slot_count":8,"phase":"up","spot":true})",
+                                R"({"service":"e","address":"10.0.0.1:80","zone":"a","version":"v1","slot_count":8,"phase":"up","cold_left_ms":0,"call_seq":3,"born":1764720000000,"spot":true})",
                                 R"({"version":7,"routes":[{"name":"q","hostname":"H","path_prefix":"/q/","type":"stream","timeout_ms":3000,"goal_ms":500,"priority":0,"service":"e","attempts":1}],"services":[{"name":"e","max_conns":3,"scale":{"min_count":1,"max_count":2,"boot_s":4.0,"zone_prices":{"a":0.85}}}],"limits":{"max_body_bytes":9},"tenants":[{"name":"n","api_keys":["k"],"rate_per_s":1.5}]})",
                             });
     for (std::uint64_t run = 0; run < runs(); ++run) {
@@ -164,6 +164,13 @@
             REQUIRE_FALSE(configuration.error().message_.empty());
         if (!registration)
             REQUIRE_FALSE(registration.error().message_.empty());
+        // Whatever is used can be sent to.
+        if (registration) {
+            REQUIRE_FALSE(registration.value().service_.isEmpty());
+            REQUIRE_FALSE(registration.value().dataCentre_.isEmpty());
+            REQUIRE(registration.value().endpoint_.port_);
+            REQUIRE(registration.value().slots_);
+        }
         if (configuration)
             (void)RouteTable::build(std::move(configuration.value()));
     }
--- a/unittests/UsersPlatform/DecodingTest.cpp
+++ b/unittests/UsersPlatform/DecodingTest.cpp
@@ -65,13 +65,51 @@
     CHECK(decoded.error().step_.find(row.complaint_) != std::string::npos);
 }
 
-TEST_CASE("a registration is decoded or refused", "[platform]")
+static const std::string registration = R"({"service":"e","address":"10.128.0.9:8080","zone":"a","version":"v1","slot_count":64,"phase":"draining","cold_left_ms":0,"call_seq":4,"born":1764720000123,"spot":true,"new_field":[1]})";
+
+TEST_CASE("a registration is decoded", "[platform]")
 {
-    auto good = decodeRegistration({ "i-1" }, R"({"service":"e","address":"10.128.0.9:8080","zone":"a","slot_count":64,"phase":"draining","spot":true})");
+    auto good = decodeRegistration({ "i-1" }, registration);
     REQUIRE(good);
     CHECK(good.value().endpoint_.toString() == "10.128.0.9:8080");
     CHECK(good.value().isLeaving_);
     CHECK(good.value().isReclaimable_);
-    auto bad = GENERATE("", "[]", R"({"service":"e","address":"somewhere"})", R"({"address":"10.0.0.1:1"})");
-    CHECK_FALSE(decodeRegistration({ "i-1" }, bad));
+    CHECK(good.value().name_.value_ == "i-1");
+    CHECK(good.value().start_.value_ == 1764720000123);
+    CHECK(good.value().id_ == backendId({ "i-1" }, { 1764720000123 }));
+}
+
+TEST_CASE("an entry of another writer is refused with the field that is wrong", "[platform]")
+{
+    struct Row {
+        const char* from_;
+        const char* to_;
+        const char* complaint_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "{\"service\"", "[\"service\"", "JSON" },
+        { "\"service\":\"e\",", "", "service" },
+        { "\"service\":\"e\"", "\"service\":null", "service" },
+        { "\"address\":\"10.128.0.9:8080\"", "\"address\":8080", "address" },
+        { "10.128.0.9:8080", "somewhere", "address" },
+        { "\"zone\":\"a\"", "\"zone\":{}", "zone" },
+        { "\"version\":\"v1\"", "\"version\":1", "version" },
+        { "\"slot_count\":64,", "", "slot_count" },
+        { "\"slot_count\":64", "\"slot_count\":\"64\"", "slot_count" },
+        { "\"slot_count\":64", "\"slot_count\":-3", "slot_count" },
+        { "\"phase\":\"draining\"", "\"phase\":\"asleep\"", "phase" },
+        { "\"phase\":\"draining\"", "\"phase\":true", "phase" },
+        { "\"cold_left_ms\":0", "\"cold_left_ms\":\"0\"", "cold_left_ms" },
+        { "\"call_seq\":4", "\"call_seq\":[4]", "call_seq" },
+        { "\"born\":1764720000123", "\"born\":1764720000123.5", "born" },
+        { "\"born\":1764720000123", "\"born\":\"1764720000123\"", "born" },
+        { "\"born\":1764720000123", "\"born\":-1", "born" },
+        { "\"spot\":true", "\"spot\":\"yes\"", "spot" },
+    }));
+    std::string text = registration;
+    text.replace(text.find(row.from_), std::string(row.from_).size(), row.to_);
+    auto decoded = decodeRegistration({ "i-1" }, text);
+    CAPTURE(text);
+    REQUIRE_FALSE(decoded);
+    CHECK(describe(decoded.error()).find(row.complaint_) != std::string::npos);
 }
