Pass configurations on compressed, apart from the list of backend servers

A node that was behind asked a reader for configuration and all backend servers at once, 300 KB over links of 10 Mbit/s, gave up after 0.5 s and asked again.

Change: the configuration is compressed (once per version), asked for at any node that has it, near ones first; the list of backend servers is asked for apart.

--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -22,6 +22,9 @@
     const std::string platformSource = "platform";
     // A peer's list of backend servers is used only while it is this fresh.
     constexpr std::uint64_t freshEnoughMs = 1500;
+    // A configuration is no longer than this: four times what one record of the
+    // platform may hold.
+    constexpr ByteCount longestConfiguration { 16UL * 1024 * 1024 };
 
 } // namespace
 
@@ -210,15 +213,20 @@
     }
 }
 
-bool Feed::isConfigurationBehind() const
+std::optional<KnownPeer> Feed::peerAhead() const
 {
     auto table = context_.table();
     std::uint64_t own = table ? table->version() : 0;
-    for (const auto& [vm, peer] : reports_.live()) {
-        if (peer.configurationVersion_ > own)
-            return true;
+    std::vector<KnownPeer> near;
+    std::vector<KnownPeer> far;
+    for (const KnownPeer& known : reports_.live()) {
+        if (known.second.configurationVersion_ > own)
+            (known.second.dataCentre_ == context_.settings_.dataCentre_ ? near : far).push_back(known);
     }
-    return false;
+    const std::vector<KnownPeer>& ahead = near.empty() ? far : near;
+    if (ahead.empty())
+        return std::nullopt;
+    return ahead[randomBits() % ahead.size()];
 }
 
 bool Feed::isRegistryOld() const
@@ -242,52 +250,59 @@
     return chosen;
 }
 
-std::optional<KnownPeer> Feed::peerToAsk() const
-{
-    bool needsRegistry = isRegistryOld() || !isReader();
-    if (needsRegistry) {
-        if (auto reader = differingReader())
-            return reader;
-    }
-    if (!isConfigurationBehind())
-        return std::nullopt;
-    auto table = context_.table();
-    auto live = reports_.live();
-    std::erase_if(live, [&](const auto& entry) { return entry.second.configurationVersion_ <= (table ? table->version() : 0); });
-    if (live.empty())
-        return std::nullopt;
-    return live[randomBits() % live.size()];
-}
-
 asio::awaitable<void> Feed::askPeers()
 {
     for (;;) {
         co_await sleepFor(askPeriod);
-        auto chosen = peerToAsk();
-        if (chosen)
-            co_await askPeer(chosen->first, chosen->second);
+        auto ahead = peerAhead();
+        if (ahead)
+            co_await askConfiguration(ahead->first, ahead->second);
+        bool needsBackends = isRegistryOld() || !isReader();
+        auto reader = needsBackends ? differingReader() : std::nullopt;
+        if (reader)
+            co_await askBackends(reader->first, reader->second);
     }
 }
 
-asio::awaitable<void> Feed::askPeer(VmId vm, Peer peer)
+asio::awaitable<std::optional<wire::ConfigurationUpdate>> Feed::ask(VmId vm, Peer peer, wire::Frame request)
+{
+    auto reply = co_await peers_.call(peer.peers_, request, peerPatience);
+    if (reply && reply.value().has_configuration_update())
+        co_return reply.value().configuration_update();
+    logger_.warn("Peer " + vm.value_ + " gave nothing: " + (reply ? "other frame" : describe(reply.error())));
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> Feed::askConfiguration(VmId vm, Peer peer)
 {
     auto table = context_.table();
     wire::Frame request;
     request.mutable_configuration_fetch()->set_known_version(table ? table->version() : 0);
-    SteadyTime askedAt = steadyNow();
-    auto reply = co_await peers_.call(peer.peers_, request, peerPatience);
-    if (!reply || !reply.value().has_configuration_update()) {
-        logger_.warn("Peer " + vm.value_ + " gave no configuration: " + (reply ? "other frame" : describe(reply.error())));
+    request.mutable_configuration_fetch()->set_wants_configuration(true);
+    auto update = co_await ask(vm, peer, request);
+    if (!update || update->compressed_source().empty())
+        co_return;
+    auto source = decompress(update->compressed_source(), longestConfiguration);
+    if (!source) {
+        logger_.warn("Configuration of peer " + vm.value_ + " cannot be read: " + describe(source.error()));
         co_return;
     }
-    const wire::ConfigurationUpdate& update = reply.value().configuration_update();
-    if (!update.source().empty()) {
-        auto decoded = context_.platform_.decodeConfiguration_(update.source());
-        if (!decoded)
-            logger_.warn("Configuration of peer " + vm.value_ + " is refused: " + describe(decoded.error()));
-        else
-            (void)context_.publish(std::move(decoded.value()), vm.value_);
-    }
+    auto decoded = context_.platform_.decodeConfiguration_(source.value());
+    if (decoded)
+        (void)context_.publish(std::move(decoded.value()), vm.value_);
+    else
+        logger_.warn("Configuration of peer " + vm.value_ + " is refused: " + describe(decoded.error()));
+}
+
+asio::awaitable<void> Feed::askBackends(VmId vm, Peer peer)
+{
+    wire::Frame request;
+    request.mutable_configuration_fetch()->set_wants_backends(true);
+    SteadyTime askedAt = steadyNow();
+    auto answered = co_await ask(vm, peer, request);
+    if (!answered)
+        co_return;
+    const wire::ConfigurationUpdate& update = *answered;
     // A reader's list is used by others; readers that cannot read use it too.
     bool mayUse = !isReader() || isRegistryOld();
     if (!mayUse || update.backends_age_ms() > freshEnoughMs)
@@ -308,18 +323,26 @@
     apply(read, vm.value_);
 }
 
-wire::Frame Feed::answer(const wire::Frame& request) const
+/// Every node that is behind asks for the same text, so it is compressed once.
+wire::Frame Feed::answer(const wire::Frame& request)
 {
+    const wire::ConfigurationFetch& fetch = request.configuration_fetch();
     wire::Frame frame;
     wire::ConfigurationUpdate& update = *frame.mutable_configuration_update();
     auto table = context_.table();
     if (table) {
         update.set_version(table->version());
-        if (table->version() > request.configuration_fetch().known_version())
-            update.set_source(table->configuration().source_);
+        if (compressedVersion_ != table->version() && fetch.wants_configuration()) {
+            compressed_ = compress(table->configuration().source_);
+            compressedVersion_ = table->version();
+        }
+        if (fetch.wants_configuration() && table->version() > fetch.known_version())
+            update.set_compressed_source(compressed_);
     }
     auto age = std::chrono::duration_cast<milliseconds>(steadyNow() - registryReadAt_.load());
     update.set_backends_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count())));
+    if (!fetch.wants_backends())
+        return frame;
     for (const BackendRecord& record : context_.backends_.records()) {
         wire::BackendEntry& entry = *update.add_backends();
         entry.set_name(record.name_.value_);
--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -21,13 +21,15 @@
     bool isReader() const;
     bool isPlatformLost() const { return isRegistryLost_ || isConfigurationLost_; }
     /// Answers a peer that asks for what the platform told this node.
-    wire::Frame answer(const wire::Frame& request) const;
+    wire::Frame answer(const wire::Frame& request);
 
 private:
     asio::awaitable<void> followConfiguration();
     asio::awaitable<void> followRegistry();
     asio::awaitable<void> askPeers();
-    asio::awaitable<void> askPeer(VmId vm, Peer peer);
+    asio::awaitable<void> askConfiguration(VmId vm, Peer peer);
+    asio::awaitable<void> askBackends(VmId vm, Peer peer);
+    asio::awaitable<std::optional<wire::ConfigurationUpdate>> ask(VmId vm, Peer peer, wire::Frame request);
     void logReachable(const std::string& what, const Error* error) const;
     /// \p source is the platform or the peer that told.
     void apply(const RegistryRead& read, const std::string& source);
@@ -37,12 +39,12 @@
     void removeGone(const BackendName& name, const std::string& source);
     void removeMissing(const RegistryRead& whole, const std::string& source);
     void applyDueRemovals();
-    bool isConfigurationBehind() const;
+    /// A peer that has a newer configuration, of this data centre if there is one.
+    std::optional<KnownPeer> peerAhead() const;
     bool isRegistryOld() const;
     std::vector<ReaderView> readerViews() const;
     /// A reader whose list of backend servers differs from this node's.
     std::optional<KnownPeer> differingReader() const;
-    std::optional<KnownPeer> peerToAsk() const;
     asio::awaitable<void> waitForTurn(std::string reading, std::optional<LogOffset>& from);
 
     asio::io_context& io_;
@@ -56,6 +58,9 @@
     std::atomic<bool> isConfigurationLost_ { false };
     /// Until when registrations that vanish are kept, after an outage.
     SteadyTime graceUntil_ {};
+    /// The configuration that peers ask for, compressed, and its version.
+    std::string compressed_;
+    std::uint64_t compressedVersion_ = 0;
     std::set<BackendName> missing_;
     /// What was last wrong with registrations that cannot be used.
     std::map<BackendName, std::string> complaints_;
--- /dev/null
+++ b/lib/Support/Compression.cpp
@@ -0,0 +1,48 @@
+//===- lib/Support/Compression.cpp - smaller messages ----------------------===//
+///
+/// \file
+/// zlib's streams of one whole text.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Support.h"
+
+#include <cassert>
+#include <zlib.h>
+
+namespace pistachioloom {
+
+std::string compress(std::string_view text)
+{
+    uLongf size = compressBound(text.size());
+    std::string bytes(size, '\0');
+    int code = compress2(reinterpret_cast<Bytef*>(bytes.data()), &size, reinterpret_cast<const Bytef*>(text.data()), text.size(), Z_BEST_SPEED);
+    assert(code == Z_OK && "the bound holds whatever the text");
+    bytes.resize(code == Z_OK ? size : 0);
+    return bytes;
+}
+
+Result<std::string> decompress(std::string_view bytes, ByteCount most)
+{
+    constexpr std::size_t step = 64UL * 1024;
+    z_stream stream {};
+    if (inflateInit(&stream) != Z_OK)
+        return Error { Errc::Unavailable, "decompress", {}, "zlib cannot start", Ran::No, {} };
+    stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+    stream.avail_in = static_cast<uInt>(bytes.size());
+    std::string text;
+    int code = Z_OK;
+    while (code == Z_OK && text.size() <= most.value_) {
+        std::size_t before = text.size();
+        text.resize(before + step);
+        stream.next_out = reinterpret_cast<Bytef*>(text.data() + before);
+        stream.avail_out = step;
+        code = inflate(&stream, Z_NO_FLUSH);
+        text.resize(before + step - stream.avail_out);
+    }
+    inflateEnd(&stream);
+    if (code == Z_STREAM_END && text.size() <= most.value_)
+        return text;
+    bool isTooLarge = text.size() > most.value_;
+    return Error { Errc::Protocol, "decompress", {}, isTooLarge ? "more than " + std::to_string(most.value_) + " bytes" : "not a whole zlib stream", Ran::No, {} };
+}
+
+} // namespace pistachioloom
