Decide on waiting and refusing in a library of its own

lib/Admission holds the decision whether a stream waits or is refused, and when its caller may return, apart from input and output; Forwarding asks it. No change of what is decided.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "pistachioloom/Admission.h"
 #include "pistachioloom/Backends.h"
 #include "pistachioloom/Quota.h"
 #include "pistachioloom/Routes.h"
@@ -54,9 +55,7 @@
     /// Part of the remaining time after which an idempotent request without
     /// an answer is given to another backend server.
     double patienceShare_ = 0.4;
-    /// A stream is refused when the estimated wait for those ahead of it is longer
-    /// than this part of what its route admits. 0.7 to 1.4 are alike within 0.03 of worth.
-    double admittedShare_ = 1;
+    AdmissionSettings admission_;
     /// A kept connection is not used in the last part of its idle time.
     milliseconds idleMargin_ { 300 };
     /// Idle time of a kept connection whose server states none.
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -16,9 +16,6 @@
     constexpr milliseconds retryStopping { 10 };
     // Backend servers that are full have room again after a few answers.
     constexpr milliseconds retryFull { 150 };
-    // The longest time after which a refused caller is asked to return: the
-    // strictest objectives are 400 ms, and callers wait a third of their time.
-    constexpr milliseconds longestRetry { 800 };
     // Connections that may fail for one request before it is given up.
     constexpr unsigned mostUnreachable = 4;
     // Weight versions and the like begin at this urgency if nothing is said.
@@ -161,20 +158,13 @@
     return context_.retries_.take(shape_.service_, steadyNow());
 }
 
-/// A request that would be late takes the time of an engine from those behind it,
-/// which are late then too. One that has events already is not given up.
-bool Forwarding::isHopeless(const BackendChoice& choice) const
+std::optional<Forwarding::HeldAnswer> Forwarding::refuseWait(const BackendChoice& choice) const
 {
-    if (sends_ || !shape_.isForEngine_ || !route_->isStream_ || events_.last())
-        return false;
-    return choice.ahead_ > route_->admittedWait_ * context_.settings_.admittedShare_;
-}
-
-Forwarding::HeldAnswer Forwarding::refuseForWait(const BackendChoice& choice) const
-{
-    // Half of what is admitted: by then there is room for more than the first.
-    milliseconds wait = std::clamp(choice.ahead_ - route_->admittedWait_ / 2, retryFull, longestRetry);
-    return refusal(503, "engines are busy for " + std::to_string(choice.ahead_.count()) + " ms", wait);
+    AdmissionView view { shape_.isForEngine_ && route_->isStream_, sends_ || events_.last(), choice.ahead_, route_->admittedWait_ };
+    auto returnIn = refuseForWait(view, context_.settings_.admission_);
+    if (!returnIn)
+        return std::nullopt;
+    return refusal(503, "engines are busy for " + std::to_string(choice.ahead_.count()) + " ms", *returnIn);
 }
 
 asio::awaitable<void> Forwarding::serve()
@@ -187,10 +177,10 @@
             context_.backends_.refuseWithout(shape_);
             break;
         }
-        if (isHopeless(*choice)) {
+        if (auto refused = refuseWait(*choice)) {
             context_.backends_.refuse(*choice);
             context_.metrics_.add(Counter::RequestsRefused);
-            held_ = refuseForWait(*choice);
+            held_ = std::move(refused);
             logRefusal(*held_);
             break;
         }
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -87,9 +87,8 @@
     asio::awaitable<SendEnd> relayEvents(Attempt& attempt, Parser& parser);
     asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, Parser& parser);
     bool mayTryAgain(SendEnd end);
-    /// Whether the wait is so long that the request had better come back.
-    bool isHopeless(const BackendChoice& choice) const;
-    HeldAnswer refuseForWait(const BackendChoice& choice) const;
+    /// The answer to a request that would wait for too long; see Admission.h.
+    std::optional<HeldAnswer> refuseWait(const BackendChoice& choice) const;
     bool mayGoElsewhere(const Attempt& attempt) const;
     asio::awaitable<SendEnd> afterBreak(Attempt& attempt, const boost::system::error_code& code);
 
