Report a window's usage once all nodes told their counts

Change: dueWindow() (pure, DutiesTests) tells the newest window to report: 1.5 s after its end if every node known was heard since, else after 5 s as before.

--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -12,6 +12,7 @@
 #include "pistachioloom/Support.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -114,6 +115,21 @@
     std::map<Source, std::map<WindowNumber, UsageCounts>> sources_;
 };
 
+/// When a window's usage is reported after its end.
+struct UsageTiming {
+    /// If all nodes told their counts since: reports of 200 ms, three in a row through
+    /// relays, and clocks that differ by some hundred ms. Reported after 5 s as else,
+    /// the usage of a window went with all nodes that were killed 2 s after its end, or
+    /// met a platform that had gone away by then: two of five missed windows (played days).
+    milliseconds settled_ { 1500 };
+    /// Else: nodes that are cut off may come back by then.
+    milliseconds longest_ { 5000 };
+};
+
+/// The newest window to report at \p nowMs, in ms since the start of 1970.
+/// \p allToldWithin says whether all nodes told their counts in the time given.
+std::optional<WindowNumber> dueWindow(std::int64_t nowMs, milliseconds window, const UsageTiming& timing, const std::function<bool(milliseconds)>& allToldWithin);
+
 /// What the clocks of the nodes agree on. Thread-safe.
 class ClockAgreement {
 public:
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -130,8 +130,7 @@
     /// Added to this VM's time of day, where its clock is known to be wrong.
     milliseconds clockOffset_ {};
     milliseconds usageWindow_ { 5000 };
-    /// A window's usage is reported so long after its end.
-    milliseconds usageDelay_ { 5000 };
+    UsageTiming usageTiming_;
     milliseconds dutyLease_ { 3000 };
     double retryRatio_ = 0.2;
     /// Repeats of all nodes in a window, beside the ratio.
--- a/lib/Duties/Usage.cpp
+++ b/lib/Duties/Usage.cpp
@@ -130,4 +130,18 @@
     return *middle;
 }
 
+std::optional<WindowNumber> dueWindow(std::int64_t nowMs, milliseconds window, const UsageTiming& timing, const std::function<bool(milliseconds)>& allToldWithin)
+{
+    // What a node tells was counted up to a moment before.
+    constexpr milliseconds toldLate { 300 };
+    auto newestEnded = [&](milliseconds before) { return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (nowMs - before.count()) / window.count())); };
+    std::uint64_t settled = newestEnded(std::min(timing.settled_, timing.longest_));
+    std::uint64_t overdue = newestEnded(timing.longest_);
+    milliseconds sinceEnd { nowMs - static_cast<std::int64_t>(settled) * window.count() };
+    bool isComplete = sinceEnd > toldLate && allToldWithin(sinceEnd - toldLate);
+    std::uint64_t ended = isComplete ? settled : overdue;
+    // The window that ended is the one before.
+    return ended ? std::optional(WindowNumber { ended - 1 }) : std::nullopt;
+}
+
 } // namespace pistachioloom
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -239,14 +239,10 @@
 
 asio::awaitable<void> DutyRunner::reportUsage()
 {
-    // The newest window whose counts have had time to arrive from all nodes.
-    std::int64_t settled = context_.agreedWallMs() - context_.settings_.usageDelay_.count();
-    WindowNumber due = context_.usage_.windowAt(settled);
-    if (!due.value_)
-        co_return;
-    --due.value_;
-    if (reported_.contains(due))
+    auto newest = dueWindow(context_.agreedWallMs(), context_.settings_.usageWindow_, context_.settings_.usageTiming_, [&](milliseconds time) { return reports_->haveAllToldWithin(time); });
+    if (!newest || reported_.contains(*newest))
         co_return;
+    WindowNumber due = *newest;
     UsageCounts counts = context_.usage_.sum(due);
     auto earlier = recorded_.find(due);
     if (earlier != recorded_.end())
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -97,7 +97,8 @@
         settings.duties_ = endpoint(map, "address");
         settings.dutyLease_ = map.duration("lease", milliseconds(300), oneDay, settings.dutyLease_);
         settings.usageWindow_ = map.duration("usage_window", milliseconds(100), oneDay, settings.usageWindow_);
-        settings.usageDelay_ = map.duration("usage_delay", milliseconds(0), oneDay, settings.usageDelay_);
+        settings.usageTiming_.longest_ = map.duration("usage_delay", milliseconds(0), oneDay, settings.usageTiming_.longest_);
+        settings.usageTiming_.settled_ = map.duration("usage_settled", milliseconds(0), oneDay, settings.usageTiming_.settled_);
         map.finish();
     }
 
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -72,6 +72,12 @@
     return wasLarge_ ? nodesSummed_.load() : live().size();
 }
 
+bool PeerReports::haveAllToldWithin(milliseconds time) const
+{
+    std::size_t told = wasLarge_ ? nodesSummed_.load() : heardWithin(time).size();
+    return told >= table_.size();
+}
+
 void PeerReports::addKnown(const VmId& vm, const Endpoint& gossip)
 {
     if (gossip != context_.settings_.gossip_)
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -43,6 +43,9 @@
     std::vector<KnownPeer> live() const;
     /// Peers heard within \p silence.
     std::vector<KnownPeer> heardWithin(milliseconds silence) const { return table_.heardWithin(silence, steadyNow()); }
+    /// Whether all other nodes known told their counts within \p time, through relays in
+    /// a large fleet.
+    bool haveAllToldWithin(milliseconds time) const;
     /// Nodes that this one knows the work of, itself left out.
     std::uint64_t nodesKnownOf() const;
     /// Whether \p vm said that it is stopping.
--- a/unittests/Duties/DutiesTest.cpp
+++ b/unittests/Duties/DutiesTest.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 #include <random>
+#include <set>
 
 using namespace pistachioloom;
 
@@ -289,3 +290,38 @@
     CHECK(demand.prefillPerMs(service, 10) == Approx((50 * 100 + 80 * 50) / 150.0));
     CHECK(demand.prefillPerMs({ "other" }, 10) == 10);
 }
+
+TEST_CASE("a window's usage is reported soon after its end if all nodes told their counts", "[duties]")
+{
+    struct Row {
+        const char* name_;
+        std::int64_t nowMs_;
+        milliseconds toldAgo_;
+        std::optional<std::uint64_t> due_;
+    };
+    // Windows of 5 s; window 199 ends at 1,000,000 ms.
+    auto row = GENERATE(values<Row>({
+        { "right after its end", 1000500, milliseconds(100), 198 },
+        { "all told since", 1001500, milliseconds(200), 199 },
+        { "one was last heard before its end", 1001500, milliseconds(1600), 198 },
+        { "one is silent, and the time is over", 1005000, milliseconds(9000), 199 },
+        { "all told, and the next has ended", 1006500, milliseconds(200), 200 },
+        { "the first window is not over", 3000, milliseconds(0), std::nullopt },
+    }));
+    CAPTURE(row.name_);
+    auto due = dueWindow(row.nowMs_, milliseconds(5000), {}, [&](milliseconds time) { return row.toldAgo_ <= time; });
+    REQUIRE(due.has_value() == row.due_.has_value());
+    if (due)
+        CHECK(due->value_ == *row.due_);
+}
+
+TEST_CASE("a window that ended 2 s before all nodes are killed is reported before", "[duties]")
+{
+    // The holder looks each 250 ms, and all nodes report each 200 ms.
+    std::set<std::uint64_t> reported;
+    for (std::int64_t now = 1000000; now < 1002000; now += 250) {
+        if (auto due = dueWindow(now, milliseconds(5000), {}, [](milliseconds time) { return time >= milliseconds(200); }))
+            reported.insert(due->value_);
+    }
+    CHECK(reported.contains(199));
+}
