--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -239,7 +239,9 @@
 
 asio::awaitable<void> DutyRunner::reportUsage()
 {
-    auto newest = dueWindow(context_.agreedWallMs(), context_.settings_.usageWindow_, context_.settings_.usageTiming_, [&](milliseconds time) { return reports_->haveAllToldWithin(time); });
+    const UsageTiming& timing = context_.settings_.usageTiming_;
+    auto haveAllTold = [&](milliseconds time) { return reports_->haveAllToldWithin(time, timing.longest_); };
+    auto newest = dueWindow(context_.agreedWallMs(), context_.settings_.usageWindow_, timing, haveAllTold);
     if (!newest || reported_.contains(*newest))
         co_return;
     WindowNumber due = *newest;
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -72,10 +72,12 @@
     return wasLarge_ ? nodesSummed_.load() : live().size();
 }
 
-bool PeerReports::haveAllToldWithin(milliseconds time) const
+bool PeerReports::haveAllToldWithin(milliseconds time, milliseconds longest) const
 {
-    std::size_t told = wasLarge_ ? nodesSummed_.load() : heardWithin(time).size();
-    return told >= table_.size();
+    if (wasLarge_)
+        return nodesSummed_ && !nodesMissed_;
+    // One that is gone for longer is not waited for: its counts came or never come.
+    return heardWithin(time).size() >= heardWithin(longest).size();
 }
 
 void PeerReports::addKnown(const VmId& vm, const Endpoint& gossip)
@@ -382,6 +384,7 @@
         logger_.info(LogLine("Relay sums other nodes.").add("relay", relay.value_).add("before", countingRelay_.value_).add("nodes", static_cast<std::int64_t>(sums.nodes())).add("nodes_before", static_cast<std::int64_t>(nodesSummed_.load())));
     countingRelay_ = relay;
     nodesSummed_ = sums.nodes();
+    nodesMissed_ = sums.silent_nodes();
     context_.backends_.setPeerLoads(allOthers(), loadsOf(sums.loads()), now);
     AdmittedCounts admitted;
     for (const auto& [organisation, count] : others_.admitted())
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -43,9 +43,9 @@
     std::vector<KnownPeer> live() const;
     /// Peers heard within \p silence.
     std::vector<KnownPeer> heardWithin(milliseconds silence) const { return table_.heardWithin(silence, steadyNow()); }
-    /// Whether all other nodes known told their counts within \p time, through relays in
-    /// a large fleet.
-    bool haveAllToldWithin(milliseconds time) const;
+    /// Whether all other nodes that were heard in \p longest told their counts within
+    /// \p time; in a large fleet, whether relays miss none.
+    bool haveAllToldWithin(milliseconds time, milliseconds longest) const;
     /// Nodes that this one knows the work of, itself left out.
     std::uint64_t nodesKnownOf() const;
     /// Whether \p vm said that it is stopping.
@@ -98,6 +98,8 @@
     SumGroup others_;
     VmId countingRelay_;
     std::atomic<std::uint64_t> nodesSummed_ { 0 };
+    /// Nodes that fell silent lately, as relays tell.
+    std::atomic<std::uint64_t> nodesMissed_ { 0 };
     std::mutex leavingMutex_;
     std::deque<std::pair<SteadyTime, BackendId>> leaving_;
     std::uint64_t sequence_ = 0;
