--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -212,9 +212,8 @@
     /// engines were ordered where 73 were needed.
     void refuse(const BackendChoice& choice);
     /// There is no backend server for the request: half of its tokens count as demand,
-    /// like those of a refused one. Without it a service that had lost all of its
-    /// engines was asked for nothing, and got no new ones for the rest of the day: 0.66
-    /// of what requests are worth was served in time instead of 0.86 (two days played).
+    /// like those of a refused one. Without it a service that has lost all of its engines
+    /// is asked for nothing, and gets no new ones (not measured apart).
     void refuseWithout(const RequestShape& shape);
     /// The first byte of an answer came after \p wait.
     void began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait);
