Let a node that starts while the platform is away learn the backend servers from any peer

Lists were asked for at readers that reach the platform, and used up to an age of 1.5 s; the test passed where the restart came sooner. A node restarted 4 s into an outage failed always (new test, seen failing). Change: a node that has no list yet takes that of any live peer, whatever its age.

--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -257,13 +257,29 @@
         auto ahead = peerAhead();
         if (ahead)
             co_await askConfiguration(ahead->first, ahead->second);
-        bool needsBackends = isRegistryOld() || !isReader();
-        auto reader = needsBackends ? differingReader() : std::nullopt;
-        if (reader)
-            co_await askBackends(reader->first, reader->second);
+        auto source = backendsSource();
+        if (source)
+            co_await askBackends(source->first, source->second);
     }
 }
 
+std::optional<KnownPeer> Feed::backendsSource() const
+{
+    if (!isRegistryOld() && isReader())
+        return std::nullopt;
+    auto reader = differingReader();
+    bool hasList = listReadAt_ != SteadyTime {};
+    if (reader || hasList)
+        return reader;
+    // A node that started while the platform is away has nothing to serve with: any
+    // list is better, since what vanishes meanwhile stands until the platform is back.
+    // Without it such a node refused all requests until then (process test).
+    std::vector<KnownPeer> live = reports_.live();
+    if (live.empty())
+        return std::nullopt;
+    return live[randomBits() % live.size()];
+}
+
 asio::awaitable<std::optional<wire::ConfigurationUpdate>> Feed::ask(VmId vm, Peer peer, wire::Frame request)
 {
     auto reply = co_await peers_.call(peer.peers_, request, peerPatience);
@@ -305,14 +321,15 @@
     const wire::ConfigurationUpdate& update = *answered;
     // A reader's list is used by others; readers that cannot read use it too.
     bool mayUse = !isReader() || isRegistryOld();
-    if (!mayUse || update.backends_age_ms() > freshEnoughMs)
+    bool isFirst = listReadAt_ == SteadyTime {} && update.backends_size();
+    if (!mayUse || (update.backends_age_ms() > freshEnoughMs && !isFirst))
         co_return;
     // Its age was taken after the question was sent. A list that was read before
     // this node's may lack what has registered since.
     SteadyTime readAt = askedAt - milliseconds(update.backends_age_ms());
-    if (readAt <= listReadAt_)
+    if (readAt <= listReadAt_ && !isFirst)
         co_return;
-    listReadAt_ = readAt;
+    listReadAt_ = std::max(readAt, SteadyTime { milliseconds(1) });
     RegistryRead read;
     read.isWhole_ = true;
     for (const wire::BackendEntry& entry : update.backends()) {
--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -29,6 +29,8 @@
     asio::awaitable<void> askPeers();
     asio::awaitable<void> askConfiguration(VmId vm, Peer peer);
     asio::awaitable<void> askBackends(VmId vm, Peer peer);
+    /// Whom to ask for the backend servers, if they are needed.
+    std::optional<KnownPeer> backendsSource() const;
     asio::awaitable<std::optional<wire::ConfigurationUpdate>> ask(VmId vm, Peer peer, wire::Frame request);
     void logReachable(const std::string& what, const Error* error) const;
     /// \p source is the platform or the peer that told.
--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -346,6 +346,20 @@
     CHECK(deployment.metric(restarted, "configuration_version") == 2);
 }
 
+TEST_CASE("a node that starts long after the platform has gone learns all from its peers", "[gateway]")
+{
+    GatewayDeployment deployment(3);
+    deployment.standard();
+    deployment.control({ { "down", 1 } });
+    // Every reader knows by now, and every list is older than what is used beside a
+    // platform that answers.
+    std::this_thread::sleep_for(milliseconds(4000));
+    auto& restarted = deployment.gateways()[2];
+    restarted.process_->kill();
+    deployment.restart(restarted);
+    CHECK(waitUntil([&] { return deployment.call(restarted, gatewayRequest("GET", "/safe/x", "n")).status_ == 200; }, patience));
+}
+
 TEST_CASE("a stopping node serves what it has and ends by itself", "[gateway]")
 {
     GatewayDeployment deployment(1);
