Log callers' bytes that end unanswered with their connection

A request that is lost between two others leaves no line on the node, since its course never begins: the reports of lost requests could not be told from callers that left. Connections that end with bytes that were read and belong to no served request now say how many, how long the connection was idle, and whether the caller had left.

--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -71,11 +71,13 @@
 asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::next(CallerBounds bounds)
 {
     isIdle_ = true;
-    SteadyTime idleUntil = steadyNow() + bounds.idle_;
-    while (input_.empty()) {
-        if (isGone_ || !co_await arrived_.waitUntil(idleUntil))
-            co_return std::nullopt;
-    }
+    SteadyTime idleSince = steadyNow();
+    bool isWorthwhile = true;
+    while (isWorthwhile && input_.empty())
+        isWorthwhile = !isGone_ && co_await arrived_.waitUntil(idleSince + bounds.idle_);
+    idleTime_ = std::chrono::duration_cast<milliseconds>(steadyNow() - idleSince);
+    if (!isWorthwhile)
+        co_return std::nullopt;
     isIdle_ = false;
     co_return co_await readRequest(bounds);
 }
--- a/lib/Forward/CallerConnection.h
+++ b/lib/Forward/CallerConnection.h
@@ -27,6 +27,10 @@
     bool isGone() const { return isGone_; }
     /// No request is being read or answered.
     bool isIdle() const { return isIdle_ && input_.empty(); }
+    /// Bytes that were read and belong to no request that was served.
+    ByteCount unanswered() const { return { input_.size() }; }
+    /// How long the last wait for a request took.
+    milliseconds idleTime() const { return idleTime_; }
     /// Ends the connection at once.
     void abort();
     /// Ends it after what was written.
@@ -47,6 +51,7 @@
     std::function<void()> goneHook_;
     bool isGone_ = false;
     bool isIdle_ = true;
+    milliseconds idleTime_ {};
     int badStatus_ = 0;
     std::string peer_;
 };
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -35,6 +35,7 @@
     asio::awaitable<void> acceptAll();
     asio::awaitable<void> serveConnection(std::shared_ptr<CallerConnection> caller);
     asio::awaitable<void> answerBad(CallerConnection& caller, const Error& error);
+    void logUnanswered(const CallerConnection& caller) const;
     asio::awaitable<void> sweep();
     CallerBounds bounds() const;
 
@@ -61,6 +62,18 @@
     (void)co_await caller.write(renderAnswer(caller.badStatus(), fields, error.message_ + "\n", false));
 }
 
+/// What a caller sent is lost with its connection: without this line such a request
+/// leaves no trace on the node, since its course never began.
+void ForwardWorker::State::logUnanswered(const CallerConnection& caller) const
+{
+    if (!caller.unanswered().value_)
+        return;
+    LogLine line("Connection ends with unanswered bytes.");
+    line.add("bytes", static_cast<std::int64_t>(caller.unanswered().value_)).add("idle_ms", caller.idleTime().count());
+    line.add("caller_left", caller.isGone()).add("peer", caller.peer());
+    logger_.warn(line);
+}
+
 asio::awaitable<void> ForwardWorker::State::serveConnection(std::shared_ptr<CallerConnection> caller)
 {
     CountGuard counted(context_.connections_);
@@ -84,6 +97,7 @@
         asio::steady_timer linger(io_, lingerTime);
         (void)co_await linger.async_wait(asTuple);
     }
+    logUnanswered(*caller);
     caller->abort();
     callers_.erase(caller);
 }
