--- a/test/IdleConnectionsTest.cpp
+++ b/test/IdleConnectionsTest.cpp
@@ -127,3 +127,38 @@
     CHECK(caller.call(gatewayRequest("GET", "/safe/x", "second")).starts_with("HTTP/1.1 200"));
     CHECK(caller.connections() == row.connections_);
 }
+
+TEST_CASE("a lower idle limit holds for connections whose callers were told of it", "[idle]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    KeepingCaller caller(deployment.gateways()[0].callers_);
+    REQUIRE(caller.call(gatewayRequest("GET", "/safe/x", "first")).starts_with("HTTP/1.1 200"));
+    deployment.putConfiguration(2, {}, 2000, milliseconds(1500));
+    REQUIRE(deployment.waitForVersion(2, milliseconds(5000)));
+    std::this_thread::sleep_for(milliseconds(3000));
+    // The connection was said to be good for 4 s.
+    CHECK(caller.call(gatewayRequest("GET", "/safe/x", "second")).starts_with("HTTP/1.1 200"));
+    CHECK(caller.connections() == 1);
+    std::this_thread::sleep_for(milliseconds(2000));
+    CHECK(caller.call(gatewayRequest("GET", "/safe/x", "third")).starts_with("HTTP/1.1 200"));
+    CHECK(caller.connections() == 2);
+}
+
+TEST_CASE("a request that came in time is answered by a node that was frozen at the idle limit", "[idle]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    KeepingCaller caller(gateway.callers_);
+    REQUIRE(caller.call(gatewayRequest("GET", "/safe/x", "first")).starts_with("HTTP/1.1 200"));
+    std::this_thread::sleep_for(milliseconds(3500));
+    gateway.process_->freeze();
+    std::thread waker([&] {
+        std::this_thread::sleep_for(milliseconds(2500));
+        gateway.process_->resume();
+    });
+    CHECK(caller.call(gatewayRequest("GET", "/safe/x", "second")).starts_with("HTTP/1.1 200"));
+    CHECK(caller.connections() == 1);
+    waker.join();
+}
--- a/test/Platform/GatewayDeployment.cpp
+++ b/test/Platform/GatewayDeployment.cpp
@@ -130,11 +130,12 @@
     control({ { "put", json::array { entry } } });
 }
 
-void GatewayDeployment::putConfiguration(std::uint64_t version, const std::string& extraRoutes, std::uint64_t connections) const
+void GatewayDeployment::putConfiguration(std::uint64_t version, const std::string& extraRoutes, std::uint64_t connections, milliseconds idle) const
 {
     std::string text = "{\"version\":" + std::to_string(version) + ",\"routes\":" + routesText(extraRoutes)
         + R"(,"services":[{"name":"plain","max_conns":)" + std::to_string(connections) + R"(},{"name":"engines","max_conns":)" + std::to_string(connections) + R"(,"engine":{"slot_count":8,"kv_tokens":100000,"stride":1,"moves":true},"scale":{"min_count":1,"max_count":4,"boot_s":1,"spot_price":0.2,"zone_prices":{"a":1.0}}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":2000,"idle_timeout_ms":5000},
+"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":2000,"idle_timeout_ms":)"
+        + std::to_string(idle.count()) + R"(},
 "tenants":[{"name":"north","api_keys":["key-north"],"rate_per_s":100000,"burst_max":100000},{"name":"small","api_keys":["key-small"],"rate_per_s":0.5,"burst_max":1}]})";
     json::object entry { { "topic", "keyed.op" }, { "key", "config" }, { "value", text } };
     control({ { "put", json::array { entry } } });
--- a/test/Platform/GatewayDeployment.h
+++ b/test/Platform/GatewayDeployment.h
@@ -52,8 +52,9 @@
     void disturbAll(const boost::json::object& faults) const;
     void startBackend(const std::string& id, const std::string& service);
     void setLeaving(const std::string& id, const std::string& service, const std::string& address) const;
-    /// \p connections is what each backend server accepts from all nodes.
-    void putConfiguration(std::uint64_t version, const std::string& extraRoutes = {}, std::uint64_t connections = 2000) const;
+    /// \p connections is what each backend server accepts from all nodes, \p idle how long
+    /// a caller's connection may be idle.
+    void putConfiguration(std::uint64_t version, const std::string& extraRoutes = {}, std::uint64_t connections = 2000, milliseconds idle = milliseconds(5000)) const;
     /// Puts version 1 and two backend servers of each service, and waits until
     /// every gateway knows them.
     void standard();
