--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -428,18 +428,19 @@
     SteadyTime begunAt = steadyNow();
     auto underWay = static_cast<std::int64_t>(transfers_.underWay());
     wire::Frame frame = answer(request);
-    LogLine line("Configuration was handed on.");
-    line.add("peer", stream->peer()).add("configuration", static_cast<std::int64_t>(frame.configuration_update().version())).add("bytes", static_cast<std::int64_t>(frame.configuration_update().compressed_source().size()));
     (void)co_await stream->send(frame);
     auto acknowledged = co_await stream->receiveWithin(transferTimeout);
     bool isOfOlderVersion = !acknowledged && acknowledged.error().code_ == Errc::NotFound;
     if (isOfOlderVersion)
         co_await sleepFor(unacknowledgedTransfer);
     SteadyTime now = steadyNow();
+    const wire::ConfigurationUpdate& update = frame.configuration_update();
+    LogLine line(acknowledged || isOfOlderVersion ? "Configuration was handed on." : "Configuration was not handed on.");
+    line.add("peer", stream->peer()).add("configuration", static_cast<std::int64_t>(update.version())).add("bytes", static_cast<std::int64_t>(update.compressed_source().size()));
     line.add("took_ms", std::chrono::duration_cast<milliseconds>(now - begunAt).count()).add("under_way", underWay);
     line.add("busy_answers", static_cast<std::int64_t>(transfers_.takeBusyAnswers(now)));
     if (!acknowledged && !isOfOlderVersion)
-        line.add("given_up", describe(acknowledged.error()));
+        line.add("why", describe(acknowledged.error()));
     logger_.info(line);
 }
 
--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -242,13 +242,13 @@
     std::uint64_t mostUnderWay = 0;
     for (const auto& gateway : deployment.gateways()) {
         for (const auto& line : linesOf(deployment, gateway, "Configuration is in force"))
-            fromPlatform += numberField(line, "configuration") == 2 && textField(line, "from") == "platform";
-        for (const auto& line : linesOf(deployment, gateway, "handed on")) {
-            if (numberField(line, "configuration") != 2)
+            fromPlatform += textField(line, "configuration") == "2" && textField(line, "from") == "platform";
+        for (const auto& line : linesOf(deployment, gateway, "was handed on")) {
+            if (textField(line, "configuration") != "2")
                 continue;
             ++handedOn;
-            mostUnderWay = std::max(mostUnderWay, numberField(line, "under_way"));
-            CHECK(numberField(line, "bytes") > 64 * 1024);
+            mostUnderWay = std::max<std::uint64_t>(mostUnderWay, std::stoull(textField(line, "under_way")));
+            CHECK(std::stoull(textField(line, "bytes")) > 64UL * 1024);
         }
     }
     CHECK(fromPlatform + handedOn >= count);
