Decoding: read a configuration without copying its values

Decoding took most of the processor time of a new configuration: the parsed object was copied once as a whole, its lists once more, and each value had memory of its own.

parseJsonObject() moves the object out, and objectsInField() gives the objects of a list where they are; objectsField() still copies, for those who keep them.

--- a/lib/Json/Json.cpp
+++ b/lib/Json/Json.cpp
@@ -9,13 +9,13 @@
 
 namespace json = boost::json;
 
-std::optional<json::object> parseJsonObject(const std::string& text)
+std::optional<json::object> parseJsonObject(const std::string& text, json::storage_ptr memory)
 {
     json::error_code code;
-    json::value value = json::parse(text, code);
+    json::value value = json::parse(text, code, std::move(memory));
     if (code || !value.is_object())
         return std::nullopt;
-    return value.as_object();
+    return std::move(value.as_object());
 }
 
 std::string textField(const json::object& object, const char* key)
@@ -49,12 +49,20 @@
 std::vector<json::object> objectsField(const json::object& object, const char* key)
 {
     std::vector<json::object> objects;
+    for (const json::object* item : objectsInField(object, key))
+        objects.push_back(*item);
+    return objects;
+}
+
+std::vector<const json::object*> objectsInField(const json::object& object, const char* key)
+{
+    std::vector<const json::object*> objects;
     const json::array* array = arrayField(object, key);
     if (!array)
         return objects;
     for (const json::value& item : *array) {
-        if (item.is_object())
-            objects.push_back(item.as_object());
+        if (const json::object* found = item.if_object())
+            objects.push_back(found);
     }
     return objects;
 }
