--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -29,17 +29,15 @@
     constexpr milliseconds acknowledgementPause { 2 };
     // A peer's list of backend servers is used only while it is this fresh.
     constexpr std::uint64_t freshEnoughMs = 1500;
-    // A configuration is no longer than this: four times what one record of the
-    // platform may hold.
-    constexpr ByteCount longestConfiguration { 16UL * 1024 * 1024 };
 
 } // namespace
 
-Feed::Feed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers)
+Feed::Feed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers, Background& background)
     : io_(io)
     , context_(context)
     , reports_(reports)
     , peers_(peers)
+    , background_(background)
 {
 }
 
@@ -96,9 +94,11 @@
             continue;
         }
         from = read.value().next_;
-        if (read.value().newest_)
-            (void)context_.publish(std::move(*read.value().newest_), "platform");
-        else if (!context_.table())
+        if (!read.value().sources_.empty()) {
+            std::function<void()> takeIn = [&context = context_, sources = std::move(read.value().sources_)] { context.takeIn(sources, platformSource); };
+            co_await background_.run(std::move(takeIn));
+        }
+        if (!context_.table())
             co_await sleepFor(context_.settings_.feed_.retryPause_);
     }
 }
@@ -333,7 +333,8 @@
     request.mutable_configuration_fetch()->set_wants_configuration(true);
     auto reply = co_await fetch(peer, request);
     if (reply && reply.value().has_configuration_update()) {
-        use(reply.value().configuration_update(), vm);
+        std::string bytes = reply.value().configuration_update().compressed_source();
+        co_await takeIn(std::move(bytes), vm);
         co_return;
     }
     bool isBusy = !reply && reply.error().code_ == Errc::Overloaded;
@@ -343,20 +344,12 @@
         logger_.warn("Peer " + vm.value_ + " gave no configuration: " + (reply ? "other frame" : describe(reply.error())));
 }
 
-void Feed::use(const wire::ConfigurationUpdate& update, const VmId& vm)
+asio::awaitable<void> Feed::takeIn(std::string bytes, VmId vm)
 {
-    if (update.compressed_source().empty())
-        return;
-    auto source = decompress(update.compressed_source(), longestConfiguration);
-    if (!source) {
-        logger_.warn("Configuration of peer " + vm.value_ + " cannot be read: " + describe(source.error()));
-        return;
-    }
-    auto decoded = context_.platform_.decodeConfiguration_(source.value());
-    if (decoded)
-        (void)context_.publish(std::move(decoded.value()), vm.value_);
-    else
-        logger_.warn("Configuration of peer " + vm.value_ + " is refused: " + describe(decoded.error()));
+    if (bytes.empty())
+        co_return;
+    std::function<void()> work = [&context = context_, bytes = std::move(bytes), vm] { context.takeInCompressed(bytes, vm.value_); };
+    co_await background_.run(std::move(work));
 }
 
 asio::awaitable<void> Feed::askBackends(VmId vm, Peer peer)
@@ -454,7 +447,7 @@
     if (table) {
         update.set_version(table->version());
         if (compressedVersion_ != table->version() && fetch.wants_configuration()) {
-            compressed_ = compress(table->configuration().source_);
+            compressed_ = table->configuration().compressedSource_;
             compressedVersion_ = table->version();
         }
         if (fetch.wants_configuration() && table->version() > fetch.known_version())
--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "Background.h"
 #include "PeerReports.h"
 #include "Readers.h"
 #include "TransferLimit.h"
@@ -14,7 +15,7 @@
 
 class Feed {
 public:
-    Feed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers);
+    Feed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers, Background& background);
 
     void start();
     /// Whether this node reads from the platform now: the first of its data
@@ -34,8 +35,8 @@
     /// The answer of \p peer, which has the configuration or a part of it on its way
     /// for longer than other answers take.
     asio::awaitable<Result<wire::Frame>> fetch(Peer peer, wire::Frame request);
-    /// Puts the configuration of \p update, of peer \p vm, in force.
-    void use(const wire::ConfigurationUpdate& update, const VmId& vm);
+    /// Puts the configuration that peer \p vm gave, compressed, in force.
+    asio::awaitable<void> takeIn(std::string bytes, VmId vm);
     wire::Frame answer(const wire::Frame& request);
     bool hasNewerThan(const wire::ConfigurationFetch& fetch) const;
     /// Gives the configuration to a peer. Ends once the peer has the whole of it.
@@ -67,6 +68,7 @@
     GatewayContext& context_;
     PeerReports& reports_;
     PeerPool& peers_;
+    Background& background_;
     std::atomic<SteadyTime> registryReadAt_ { SteadyTime {} };
     /// When the list in use was read, by this node or a peer.
     SteadyTime listReadAt_ {};
