Tests: split the tests of quotas by job, into three files

Cause: one file of 522 lines held the nodes that the tests play and 21 test cases of three jobs. Change: QuotaNodes.h holds the nodes; QuotaTest.cpp keeps what an organisation gets in calm times, QuotaSilenceTest.cpp takes freezes, cuts and silent peers, QuotaRestartTest.cpp takes starts.

--- /dev/null
+++ b/unittests/Quota/QuotaNodes.h
@@ -0,0 +1,151 @@
+//===- unittests/Quota/QuotaNodes.h - several nodes in one process ---------===//
+///
+/// \file
+/// Several books stand for several nodes; time is passed in.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "pistachioloom/Quota.h"
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace pistachioloom::test {
+
+inline const OrganisationId north { "north" };
+inline const QuotaLimit limit { 1000, 1000 };
+inline const SteadyTime start { milliseconds(1000000) };
+
+/// Nodes that tell each other their counts every \p gossip.
+struct Nodes {
+    Nodes(std::size_t count, milliseconds gossip)
+        : gossip_(gossip)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            books_.push_back(std::make_unique<QuotaBook>(start));
+    }
+
+    void exchange(SteadyTime now)
+    {
+        for (std::size_t from = 0; from < books_.size(); ++from) {
+            for (std::size_t to = 0; to < books_.size(); ++to) {
+                if (from != to && !silent_.contains(from) && !silent_.contains(to))
+                    books_[to]->setPeer({ std::to_string(from) }, incarnations_[from], books_[from]->admitted(), books_[from]->levels(), now);
+            }
+        }
+    }
+
+    /// Every node is asked for \p cost each ms. \returns what was admitted.
+    double flood(SteadyTime from, milliseconds duration, double cost)
+    {
+        double admitted = 0;
+        for (milliseconds t {}; t < duration; t += milliseconds(1)) {
+            if (t.count() % gossip_.count() == 0)
+                exchange(from + t);
+            for (const auto& book : books_)
+                admitted += book->take(north, limit, cost, from + t) ? 0 : cost;
+        }
+        return admitted;
+    }
+
+    milliseconds gossip_;
+    std::vector<std::unique_ptr<QuotaBook>> books_;
+    std::map<std::size_t, std::uint64_t> incarnations_;
+    std::set<std::size_t> silent_;
+};
+
+/// Nodes that hear the sum of all others late, as through relays.
+class LateNodes {
+public:
+    LateNodes(std::size_t count, milliseconds lag)
+        : lag_(lag)
+        , random_(count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            books_.push_back(std::make_unique<QuotaBook>(start, settingsOf(i, count)));
+    }
+
+    /// Requests of \p cost come at \p perSecond, each to a node drawn.
+    void run(SteadyTime from, milliseconds duration, double perSecond, const QuotaLimit& bucket, double cost)
+    {
+        for (milliseconds t {}; t < duration; t += milliseconds(1)) {
+            SteadyTime now = from + t;
+            if (t.count() % period == 0)
+                exchange(now);
+            if (std::uniform_real_distribution<>(0, 1)(random_) >= perSecond / 1000)
+                continue;
+            if (!books_[random_() % books_.size()]->take(north, bucket, cost, now))
+                admitted_.emplace_back(now, cost);
+        }
+    }
+
+    /// Starts all nodes anew; none has heard another.
+    void restart(SteadyTime now)
+    {
+        told_.clear();
+        startedAt_ = now;
+        for (std::size_t i = 0; i < books_.size(); ++i) {
+            books_[i] = std::make_unique<QuotaBook>(now, settingsOf(i, books_.size()));
+            books_[i]->setNodes(books_.size());
+        }
+    }
+
+    /// The most that was admitted in any window of \p length.
+    double most(milliseconds length) const
+    {
+        double sum = 0;
+        double most = 0;
+        auto oldest = admitted_.begin();
+        for (const auto& [at, cost] : admitted_) {
+            sum += cost;
+            for (; at - oldest->first > length; ++oldest)
+                sum -= oldest->second;
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+
+    double sumSince(SteadyTime from) const
+    {
+        double sum = 0;
+        for (const auto& [at, cost] : admitted_)
+            sum += at >= from ? cost : 0;
+        return sum;
+    }
+
+private:
+    static constexpr int period = 200;
+
+    static QuotaSettings settingsOf(std::size_t i, std::size_t count)
+    {
+        QuotaSettings settings;
+        settings.phase_ = static_cast<double>(i) / static_cast<double>(count);
+        return settings;
+    }
+
+    void exchange(SteadyTime now)
+    {
+        std::vector<double> counts;
+        for (const auto& book : books_)
+            counts.push_back(book->admitted()[north]);
+        told_.emplace_back(now, counts);
+        while (told_.size() > 1 && told_[1].first + lag_ <= now)
+            told_.pop_front();
+        double all = 0;
+        for (double count : told_.front().second)
+            all += count;
+        for (std::size_t i = 0; i < books_.size(); ++i)
+            books_[i]->setPeer({ "others" }, 1, { { north, all - told_.front().second[i] } }, {}, now, books_.size() - 1, now - startedAt_ < milliseconds(3000));
+    }
+
+    milliseconds lag_;
+    std::mt19937_64 random_;
+    SteadyTime startedAt_ = start;
+    std::vector<std::unique_ptr<QuotaBook>> books_;
+    std::deque<std::pair<SteadyTime, std::vector<double>>> told_;
+    std::deque<std::pair<SteadyTime, double>> admitted_;
+};
+
+} // namespace pistachioloom::test
