Tools: split the engine stand-in by job

Cause: EngineStandin.cpp held streams, prefix cache, generation, export, orders and the options of the program in 497 lines, with calls of over 40 lines. A call to generate is read into an aggregate; generate, decode and control are split into steps. Paths, controls, counts, texts and times are unchanged.

--- /dev/null
+++ b/tools/standins/Engine.h
@@ -0,0 +1,76 @@
+//===- tools/standins/Engine.h - a model engine ---------------------------===//
+///
+/// \file
+/// Holds the streams, the cache and the counts of the stand-in, and answers its calls.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "EngineStream.h"
+
+namespace pistachioloom::standin {
+
+class Engine {
+public:
+    /// \p values are the first ones of its controls.
+    Engine(asio::io_context& io, std::string name, std::map<std::string, std::int64_t> values)
+        : io_(io)
+        , name_(std::move(name))
+        , controls_(std::move(values))
+        , cache_(static_cast<std::uint64_t>(controls_["cache_tokens"]))
+    {
+    }
+
+    /// Answers one call.
+    asio::awaitable<void> handle(HttpExchange& exchange);
+
+private:
+    // Generation.
+    asio::awaitable<void> generate(HttpExchange& exchange);
+    std::optional<Error> startRefusal(const GenerateRequest& request);
+    StreamPtr attach(const GenerateRequest& request) const;
+    StreamPtr start(const GenerateRequest& request);
+    asio::awaitable<void> decode(StreamPtr stream, std::string requestId, std::uint64_t prefill);
+    asio::awaitable<void> computePrompt(std::uint64_t prefill);
+    asio::awaitable<void> produceTokens(StreamPtr stream);
+    asio::awaitable<void> write(HttpExchange& exchange, StreamPtr stream, std::size_t from);
+    asio::awaitable<void> cancel(boost::json::object body);
+    // The cache, between engines.
+    asio::awaitable<void> exportCache(HttpExchange& exchange, std::string requestId);
+    asio::awaitable<void> importCache(HttpExchange& exchange, std::string handle);
+    // Configurations and controls.
+    asio::awaitable<void> order(HttpExchange& exchange, boost::json::object body);
+    asio::awaitable<void> load(boost::json::object configuration);
+    asio::awaitable<void> state(HttpExchange& exchange);
+    asio::awaitable<void> control(HttpExchange& exchange);
+    boost::json::object counts();
+
+    asio::awaitable<void> refuse(HttpExchange& exchange, Errc code, std::string step, std::string reason);
+    Error refusal(Errc code, std::string step, std::string reason) const;
+
+    asio::io_context& io_;
+    std::string name_;
+    Controls controls_;
+    PrefixCache cache_;
+    std::map<std::string, StreamPtr> streams_;
+    std::map<std::string, std::string> imported_;
+    std::uint64_t runs_ = 0;
+    std::int64_t started_ = 0;
+    std::int64_t startedWhileLeaving_ = 0;
+    std::int64_t tokens_ = 0;
+    std::int64_t prefilled_ = 0;
+    std::int64_t active_ = 0;
+    std::int64_t mostActive_ = 0;
+    std::int64_t cancelled_ = 0;
+    boost::json::object configuration_ { { "version", "v1" }, { "role", "" }, { "adapters", boost::json::array {} } };
+    std::uint64_t loads_ = 0;
+    bool isLoading_ = false;
+    std::uint64_t newestToken_ = 0;
+    std::int64_t ordersReceived_ = 0;
+    std::int64_t ordersObeyed_ = 0;
+    std::int64_t staleRefused_ = 0;
+    std::int64_t staleObeyed_ = 0;
+    std::int64_t obeyedWhileActive_ = 0;
+    std::int64_t startedWhileLoading_ = 0;
+};
+
+} // namespace pistachioloom::standin
--- /dev/null
+++ b/tools/standins/EngineCache.cpp
@@ -0,0 +1,53 @@
+//===- tools/standins/EngineCache.cpp - the engine hands over caches ------===//
+///
+/// \file
+/// Exports the cache of a stream, and imports that of another engine.
+//===----------------------------------------------------------------------===//
+#include "Engine.h"
+
+namespace json = boost::json;
+
+namespace pistachioloom::standin {
+
+static constexpr milliseconds dialTimeout { 2000 };
+
+asio::awaitable<void> Engine::exportCache(HttpExchange& exchange, std::string requestId)
+{
+    auto found = streams_.find(requestId);
+    bool isRunning = found != streams_.end() && found->second->state_ == Stream::State::Running;
+    if (!isRunning || controls_["refuse_export"])
+        co_return co_await refuse(exchange, Errc::NotFound, "export cache", "no such stream to export");
+    StreamPtr stream = found->second;
+    std::uint64_t held = stream->promptTokens_ + stream->tokens_.size();
+    co_await pause(milliseconds(static_cast<std::int64_t>(held) * controls_["export_us"] / 1000));
+    if (stream->state_ != Stream::State::Running)
+        co_return co_await refuse(exchange, Errc::Conflict, "export cache", "the stream ended meanwhile");
+    stream->handle_ = exchange.request().header("host") + "/" + requestId + "/" + stream->run_;
+    stream->state_ = Stream::State::Exported;
+    stream->change();
+    json::object answer;
+    answer["handle"] = stream->handle_;
+    co_await reply(exchange, 200, answer);
+}
+
+// The handle is "host:port/request/run"; the bytes would come from there.
+asio::awaitable<void> Engine::importCache(HttpExchange& exchange, std::string handle)
+{
+    std::size_t slash = handle.find('/');
+    std::size_t last = handle.rfind('/');
+    std::size_t colon = handle.find(':');
+    bool isReadable = slash != std::string::npos && last != slash && colon < slash;
+    bool isReachable = false;
+    if (isReadable && !controls_["refuse_import"]) {
+        Endpoint source { handle.substr(0, colon), static_cast<std::uint16_t>(std::strtoul(handle.substr(colon + 1, slash - colon - 1).c_str(), nullptr, 10)) };
+        HttpRequest request { "GET", "/load", {}, {} };
+        auto dialled = co_await callHttp(source, std::move(request), dialTimeout);
+        isReachable = static_cast<bool>(dialled);
+    }
+    if (!isReachable)
+        co_return co_await refuse(exchange, Errc::Unavailable, "import cache", "the cache cannot be imported");
+    imported_[handle.substr(slash + 1, last - slash - 1)] = handle.substr(last + 1);
+    co_await reply(exchange, 200, json::object {});
+}
+
+} // namespace pistachioloom::standin
--- /dev/null
+++ b/tools/standins/EngineGenerate.cpp
@@ -0,0 +1,174 @@
+//===- tools/standins/EngineGenerate.cpp - the engine generates -----------===//
+///
+/// \file
+/// Starts and attaches streams, computes their tokens, and writes them out.
+//===----------------------------------------------------------------------===//
+#include "Engine.h"
+
+namespace pistachioloom::standin {
+
+static constexpr std::size_t tagLength = 6;
+
+std::optional<Error> Engine::startRefusal(const GenerateRequest& request)
+{
+    if (isLoading_) {
+        ++startedWhileLoading_;
+        return refusal(Errc::Unavailable, "start generation", "this engine is loading");
+    }
+    if (controls_["leaving"]) {
+        ++startedWhileLeaving_;
+        return refusal(Errc::Leaving, "start generation", "this engine is leaving");
+    }
+    auto old = streams_.find(request.requestId_);
+    if (old != streams_.end() && request.attempt_ < old->second->attempt_)
+        return refusal(Errc::Conflict, "start generation", "a newer attempt is known");
+    return std::nullopt;
+}
+
+StreamPtr Engine::attach(const GenerateRequest& request) const
+{
+    auto found = streams_.find(request.requestId_);
+    if (found == streams_.end() || !request.wantsAttach_)
+        return nullptr;
+    return isAttachable(*found->second, request.prefix_) ? found->second : nullptr;
+}
+
+/// Starts a stream; an older one of the same request is superseded.
+StreamPtr Engine::start(const GenerateRequest& request)
+{
+    auto old = streams_.find(request.requestId_);
+    if (old != streams_.end() && old->second->state_ == Stream::State::Running) {
+        old->second->state_ = Stream::State::Superseded;
+        old->second->change();
+    }
+    auto stream = std::make_shared<Stream>(io_.get_executor());
+    streams_[request.requestId_] = stream;
+    auto cached = imported_.find(request.requestId_);
+    bool hasCache = cached != imported_.end() && request.hasCacheHandle_;
+    stream->tag_ = sha256Hex(request.prompt_).substr(0, tagLength);
+    stream->run_ = hasCache ? cached->second : name_ + "r" + std::to_string(++runs_);
+    stream->tokens_ = request.prefix_;
+    stream->maxTokens_ = request.maxTokens_;
+    stream->promptTokens_ = promptTokens(request.prompt_);
+    std::uint64_t prefill = hasCache ? 0 : cache_.compute(request.prompt_) + request.prefix_.size();
+    stream->recomputed_ = request.prefix_.empty() ? 0 : prefill;
+    ++started_;
+    asio::co_spawn(io_, decode(stream, request.requestId_, prefill), asio::detached);
+    return stream;
+}
+
+asio::awaitable<void> Engine::generate(HttpExchange& exchange)
+{
+    auto body = parseJsonObject(exchange.request().body_).value_or(boost::json::object {});
+    GenerateRequest request = parseGenerateRequest(body);
+    if (request.wantsAttach_ && controls_["attach_delay_ms"])
+        co_await pause(milliseconds(controls_["attach_delay_ms"]));
+    if (auto refused = startRefusal(request)) {
+        (void)co_await exchange.respond(errorResponse(*refused));
+        co_return;
+    }
+    StreamPtr stream = attach(request);
+    if (!stream)
+        stream = start(request);
+    stream->attempt_ = request.attempt_;
+    co_await write(exchange, stream, request.prefix_.size());
+}
+
+asio::awaitable<void> Engine::decode(StreamPtr stream, std::string requestId, std::uint64_t prefill)
+{
+    while (active_ >= controls_["slots"])
+        co_await pause(milliseconds(1));
+    mostActive_ = std::max(mostActive_, ++active_);
+    co_await computePrompt(prefill);
+    co_await produceTokens(stream);
+    --active_;
+    if (stream->state_ == Stream::State::Running)
+        stream->state_ = Stream::State::Done;
+    stream->change();
+    co_await pause(milliseconds(controls_["detach_grace_ms"]));
+    auto found = streams_.find(requestId);
+    if (found != streams_.end() && found->second == stream)
+        streams_.erase(found);
+}
+
+asio::awaitable<void> Engine::computePrompt(std::uint64_t prefill)
+{
+    prefilled_ += static_cast<std::int64_t>(prefill);
+    std::int64_t prefillMicros = static_cast<std::int64_t>(prefill) * controls_["prefill_us"];
+    if (prefillMicros)
+        co_await pause(milliseconds(prefillMicros / 1000 + 1));
+}
+
+/// Adds tokens at the set pace; a stream that nobody reads for long is cancelled.
+asio::awaitable<void> Engine::produceTokens(StreamPtr stream)
+{
+    asio::steady_timer pace(io_);
+    auto next = std::chrono::steady_clock::now();
+    auto abandonedAt = std::chrono::steady_clock::time_point::max();
+    while (stream->state_ == Stream::State::Running && stream->tokens_.size() < stream->maxTokens_) {
+        next += std::chrono::microseconds(controls_["decode_us"]);
+        pace.expires_at(next);
+        co_await pace.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (stream->state_ != Stream::State::Running)
+            break;
+        stream->tokens_.push_back(stream->tag_ + ":" + std::to_string(stream->tokens_.size()) + ":" + stream->run_ + " ");
+        ++tokens_;
+        stream->change();
+        auto now = std::chrono::steady_clock::now();
+        if (stream->hasWriter_)
+            abandonedAt = std::chrono::steady_clock::time_point::max();
+        else if (abandonedAt == std::chrono::steady_clock::time_point::max())
+            abandonedAt = now;
+        else if (now - abandonedAt > milliseconds(controls_["detach_grace_ms"]))
+            stream->state_ = Stream::State::Cancelled;
+    }
+}
+
+asio::awaitable<void> Engine::write(HttpExchange& exchange, StreamPtr stream, std::size_t from)
+{
+    std::uint64_t writer = ++stream->writer_;
+    stream->hasWriter_ = true;
+    stream->change();
+    HttpResponse head { 200, { { "content-type", "application/x-ndjson" } }, {} };
+    auto sent = co_await exchange.beginStream(std::move(head));
+    while (sent) {
+        if (stream->writer_ != writer) {
+            (void)co_await exchange.writeChunk("{\"type\":\"superseded\"}\n");
+            (void)co_await exchange.endStream();
+            co_return;
+        }
+        std::string lines;
+        for (; from < stream->tokens_.size(); ++from)
+            lines += tokenLine(from, stream->tokens_[from]);
+        bool isOver = stream->state_ != Stream::State::Running;
+        if (isOver)
+            lines += lastLine(*stream);
+        if (!lines.empty())
+            sent = co_await exchange.writeChunk(std::move(lines));
+        if (isOver && sent) {
+            (void)co_await exchange.endStream();
+            co_return;
+        }
+        bool isNewer = from < stream->tokens_.size() || stream->state_ != Stream::State::Running || stream->writer_ != writer;
+        if (sent && !isNewer)
+            co_await stream->changed_.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    if (stream->writer_ == writer)
+        stream->hasWriter_ = false;
+}
+
+/// Cancels the stream of a request, unless a newer attempt of it is known.
+asio::awaitable<void> Engine::cancel(boost::json::object body)
+{
+    if (controls_["cancel_delay_ms"])
+        co_await pause(milliseconds(controls_["cancel_delay_ms"]));
+    auto found = streams_.find(textField(body, "request"));
+    bool isStale = found != streams_.end() && body.contains("attempt") && numberField(body, "attempt") < found->second->attempt_;
+    if (found != streams_.end() && found->second->state_ == Stream::State::Running && !isStale) {
+        ++cancelled_;
+        found->second->state_ = Stream::State::Cancelled;
+        found->second->change();
+    }
+}
+
+} // namespace pistachioloom::standin
--- /dev/null
+++ b/tools/standins/EngineOrders.cpp
@@ -0,0 +1,83 @@
+//===- tools/standins/EngineOrders.cpp - the engine obeys -----------------===//
+///
+/// \file
+/// Takes orders with their fencing tokens, loads configurations, and tells its counts.
+//===----------------------------------------------------------------------===//
+#include "Engine.h"
+
+namespace json = boost::json;
+
+namespace pistachioloom::standin {
+
+asio::awaitable<void> Engine::order(HttpExchange& exchange, json::object body)
+{
+    ++ordersReceived_;
+    // As if the order had been on its way for so long.
+    if (controls_["order_delay_ms"])
+        co_await pause(milliseconds(controls_["order_delay_ms"]));
+    std::uint64_t token = numberField(body, "token");
+    bool isStale = token < newestToken_;
+    if (isStale && controls_["honours_fencing"]) {
+        ++staleRefused_;
+        co_return co_await refuse(exchange, Errc::Conflict, "take order", "a newer token is known");
+    }
+    newestToken_ = std::max(newestToken_, token);
+    staleObeyed_ += isStale ? 1 : 0;
+    obeyedWhileActive_ += active_ ? 1 : 0;
+    ++ordersObeyed_;
+    body.erase("token");
+    asio::co_spawn(io_, load(std::move(body)), asio::detached);
+    co_await reply(exchange, 200, json::object {});
+}
+
+asio::awaitable<void> Engine::load(json::object configuration)
+{
+    std::uint64_t number = ++loads_;
+    isLoading_ = true;
+    co_await pause(milliseconds(controls_["load_ms"]));
+    if (number != loads_)
+        co_return;
+    configuration_ = std::move(configuration);
+    isLoading_ = false;
+}
+
+asio::awaitable<void> Engine::state(HttpExchange& exchange)
+{
+    json::object answer = configuration_;
+    answer["loading"] = isLoading_;
+    co_await reply(exchange, 200, answer);
+}
+
+asio::awaitable<void> Engine::control(HttpExchange& exchange)
+{
+    auto body = parseJsonObject(exchange.request().body_).value_or(json::object {});
+    controls_.update(body);
+    if (std::uint64_t left = numberField(body, "stop_in_ms")) {
+        auto timer = std::make_shared<asio::steady_timer>(io_, milliseconds(left));
+        timer->async_wait([timer](boost::system::error_code) { std::_Exit(0); });
+    }
+    co_await reply(exchange, 200, counts());
+}
+
+json::object Engine::counts()
+{
+    json::object answer;
+    answer["started"] = started_;
+    answer["started_while_leaving"] = startedWhileLeaving_;
+    answer["tokens"] = tokens_;
+    answer["prefilled"] = prefilled_;
+    answer["active"] = active_;
+    answer["most_active"] = mostActive_;
+    answer["cancelled"] = cancelled_;
+    answer["version"] = configuration_["version"];
+    answer["loading"] = isLoading_ ? 1 : 0;
+    answer["orders_received"] = ordersReceived_;
+    answer["orders_obeyed"] = ordersObeyed_;
+    answer["stale_refused"] = staleRefused_;
+    answer["stale_obeyed"] = staleObeyed_;
+    answer["obeyed_while_active"] = obeyedWhileActive_;
+    answer["started_while_loading"] = startedWhileLoading_;
+    return answer;
+}
+
+} // namespace pistachioloom::standin
