--- a/benchmarks/ConfigurationBenchmark.cpp
+++ b/benchmarks/ConfigurationBenchmark.cpp
@@ -133,13 +133,13 @@
     std::printf("%d routes, %zu bytes, %zu compressed; processor time in ms of %d runs, on a machine that may be shared\n", routeCount, text.size(), compressed.size(), runs);
     std::printf("step          least   median\n");
     report(
-        "decode", [&] { return text; }, platform::decodeConfiguration);
+        "decode", [&]() -> const std::string& { return text; }, platform::decodeConfiguration);
     report(
         "build", [&] { return decoded.value(); }, RouteTable::build);
     report(
-        "compress", [&] { return text; }, [](const std::string& source) { return compress(source); });
+        "compress", [&]() -> const std::string& { return text; }, [](const std::string& source) { return compress(source); });
     report(
-        "decompress", [&] { return compressed; }, [](const std::string& bytes) { return decompress(bytes, longestText); });
+        "decompress", [&]() -> const std::string& { return compressed; }, [](const std::string& bytes) { return decompress(bytes, longestText); });
     // On one core, by `taskset -c`, loop and thread share it.
     std::printf("how late the event loop runs at most meanwhile, in ms\n");
     reportLag("on loop", Place::OnLoop, text);
