Gateway: tell how late event loops run

A stall of the loop showed only as gaps in the log. A sleeper on each loop that serves callers wakes each 100 ms and observes into loop_lag_seconds how much later it woke; over 200 ms a line says so, at most one a second. 100 ms suffices: a stall of 200 ms shows as 100 at least.

--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -107,6 +107,7 @@
     WholeAnswer,
     CopyAcknowledged,
     LogAppend,
+    LoopLag,
     Last,
 };
 
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "DutyRunner.h"
 #include "Feed.h"
+#include "LoopLag.h"
 #include "ReachProbe.h"
 #include "generated/Peer.pb.h"
 
@@ -234,6 +235,8 @@
         return reports.error();
     state_->feed_.start();
     state_->duties_.start(state_->reports_);
+    for (const auto& io : state_->ios_)
+        asio::co_spawn(*io, watchLoopLag(state_->context_.metrics_), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->findPeers(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->probe_.run(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->watchSignals(), asio::detached);
--- /dev/null
+++ b/lib/Gateway/LoopLag.cpp
@@ -0,0 +1,34 @@
+//===- lib/Gateway/LoopLag.cpp - how late an event loop runs ---------------===//
+///
+/// \file
+/// See LoopLag.h.
+//===----------------------------------------------------------------------===//
+#include "LoopLag.h"
+
+namespace pistachioloom {
+
+bool LoopLagLines::isDue(milliseconds late, SteadyTime now)
+{
+    if (late <= loopLagOfNote || (last_ && now - *last_ < loopLagLinePeriod))
+        return false;
+    last_ = now;
+    return true;
+}
+
+asio::awaitable<void> watchLoopLag(Metrics& metrics)
+{
+    const Logger logger("loop");
+    LoopLagLines lines;
+    for (;;) {
+        SteadyTime dueAt = steadyNow() + loopLagPeriod;
+        co_await sleepFor(loopLagPeriod);
+        SteadyTime now = steadyNow();
+        auto late = std::max(now - dueAt, SteadyTime::duration::zero());
+        metrics.observe(Histogram::LoopLag, late);
+        auto lateMs = std::chrono::duration_cast<milliseconds>(late);
+        if (lines.isDue(lateMs, now))
+            logger.warn(LogLine("Event loop is late.").add("late_ms", lateMs.count()));
+    }
+}
+
+} // namespace pistachioloom
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -56,6 +56,7 @@
         "whole_answer_seconds",
         "copy_acknowledged_seconds",
         "log_append_seconds",
+        "loop_lag_seconds",
     };
 
     // From 50 microseconds to 100 seconds at ten cells a decade.
--- /dev/null
+++ b/unittests/Gateway/LoopLagTest.cpp
@@ -0,0 +1,60 @@
+//===- unittests/Gateway/LoopLagTest.cpp - how late an event loop runs -----===//
+///
+/// \file
+/// A held loop shows in the histogram, and lines about it are bounded.
+//===----------------------------------------------------------------------===//
+#include "LoopLag.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace pistachioloom;
+
+/// The value of \p name in Prometheus' text.
+static double valueOf(const Metrics& metrics, const std::string& name)
+{
+    const std::string page = metrics.render({});
+    const std::string key = "\npistachioloom_" + name + " ";
+    std::size_t at = page.find(key);
+    REQUIRE(at != std::string::npos);
+    return std::stod(page.substr(at + key.size()));
+}
+
+TEST_CASE("a held loop shows as late by the time it was held, less a period", "[looplag]")
+{
+    asio::io_context io(1);
+    Metrics metrics;
+    constexpr milliseconds held { 400 };
+    asio::co_spawn(io, watchLoopLag(metrics), asio::detached);
+    asio::post(io, [&] { std::this_thread::sleep_for(held); });
+    io.run_for(held + 3 * loopLagPeriod);
+    CHECK(valueOf(metrics, "loop_lag_seconds_count") >= 1);
+    CHECK(valueOf(metrics, "loop_lag_seconds_sum") >= std::chrono::duration<double>(held - loopLagPeriod).count());
+}
+
+TEST_CASE("lines about a late loop are for what is of note, and one a period at most", "[looplag]")
+{
+    struct Row {
+        int atMs_;
+        int lateMs_;
+        bool isDue_;
+    };
+    const Row rows[] = {
+        { 0, 0, false },
+        { 100, 200, false },
+        { 200, 201, true },
+        { 700, 900, false },
+        { 1199, 201, false },
+        { 1200, 201, true },
+        { 1300, 5000, false },
+        { 9000, 200, false },
+        { 9001, 201, true },
+    };
+    LoopLagLines lines;
+    for (const Row& row : rows) {
+        CAPTURE(row.atMs_, row.lateMs_);
+        CHECK(lines.isDue(milliseconds(row.lateMs_), SteadyTime(milliseconds(row.atMs_))) == row.isDue_);
+    }
+}
