--- /dev/null
+++ b/test/Platform/Soak/SoakMonitor.cpp
@@ -0,0 +1,49 @@
+//===- test/Platform/Soak/SoakMonitor.cpp - gateways, watched during a run ===//
+///
+/// \file
+/// Reads the metrics of each gateway again and again.
+//===----------------------------------------------------------------------===//
+#include "SoakRun.h"
+
+namespace pistachioloom::test {
+
+/// The version of the configuration in force, of a page of metrics; 0 if there is none.
+static double versionIn(const std::string& page)
+{
+    constexpr std::string_view key = "\npistachioloom_configuration_version ";
+    std::size_t at = page.find(key);
+    return at == std::string::npos ? 0 : std::stod(page.substr(at + key.size()));
+}
+
+/// Watches one gateway: it runs on, and its configuration never goes back.
+asio::awaitable<void> SoakRun::monitor(std::size_t index)
+{
+    Node& node = nodes_[index];
+    while (!isOver_) {
+        co_await sleepFor(monitorPeriod);
+        if (!node.isDown_ && !gateway(index).process_->isRunning()) {
+            promises_.broken("processes do not end by themselves", gateway(index).vm_);
+            isOver_ = true;
+            co_return;
+        }
+        std::uint64_t start = node.starts_;
+        HttpRequest request { "GET", "/metrics", {}, {} };
+        auto answer = co_await callHttp(gateway(index).metrics_, request, metricPatience);
+        if (!answer || node.isDown_ || node.starts_ != start)
+            continue;
+        checkVersion(index, versionIn(answer.value().body_));
+    }
+}
+
+void SoakRun::checkVersion(std::size_t index, double version)
+{
+    Node& node = nodes_[index];
+    if (version < node.version_)
+        promises_.broken("configurations only go forward", gateway(index).vm_ + " went from " + std::to_string(node.version_) + " to " + std::to_string(version));
+    node.version_ = std::max(node.version_, version);
+    bool shouldHaveNewest = calmFrom_ != SteadyTime {} && steadyNow() > calmFrom_;
+    if (shouldHaveNewest && version != static_cast<double>(version_))
+        promises_.broken("the newest configuration is in force after the faults", gateway(index).vm_ + " has " + std::to_string(version) + " of " + std::to_string(version_));
+}
+
+} // namespace pistachioloom::test
