Http: announce idle time and close with each answer

Cause: the server closed kept connections after HttpBounds::idle_ without having told anybody. A caller's request that was on its way at that moment was lost in the close; how long the two can cross is as long as links and queues hold the request up. A server that stops accepting closed after its current answer without `Connection: close` in it.

Change: answers on kept connections carry `Connection: keep-alive` and `Keep-Alive: timeout=N`, N four fifths of the idle time in whole seconds, none below 1 s; a Keep-Alive of the handler's own stays. Answers while the server stops carry `Connection: close`.

A caller that ignores the header is no better off than before. A request begun in the last fifth whose body takes longer than what is left is still cut before it runs.

--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -61,6 +61,7 @@
 struct HttpBounds {
     ByteCount header_ { 16UL * 1024 };
     ByteCount body_ { 1024UL * 1024 };
+    /// Answers announce it, see keepAliveValue().
     milliseconds idle_ { 60000 };
 };
 
@@ -145,6 +146,11 @@
 /// Runs callHttp() to its end on a thread of its own, for tools and tests.
 Result<HttpResponse> callHttpBlocking(const Endpoint& endpoint, const HttpRequest& request, milliseconds timeout);
 
+/// The `Keep-Alive` header of a connection that closes after \p idle without a request:
+/// four fifths of it in whole seconds. A request sent until then arrives before the close
+/// though links and queues hold it up for a fifth. Empty if that is below 1 s.
+std::string keepAliveValue(milliseconds idle);
+
 /// A JSON response of the given status.
 HttpResponse jsonResponse(int status, std::string body);
 
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -36,10 +36,10 @@
 
     class BeastExchange : public HttpExchange {
     public:
-        BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keepAlive, milliseconds idle)
+        BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keepAlive, const HttpServer::State& state)
             : stream_(stream)
             , keepAlive_(keepAlive)
-            , idle_(idle)
+            , state_(state)
         {
             request_ = std::move(request);
         }
@@ -53,10 +53,10 @@
             http::response<http::string_body> message(static_cast<http::status>(response.status_), 11);
             for (const auto& [name, value] : response.headers_)
                 message.set(name, value);
-            message.keep_alive(keepAlive_);
+            announceConnection(message);
             message.body() = std::move(response.body_);
             message.prepare_payload();
-            stream_.expires_after(idle_);
+            stream_.expires_after(state_.bounds_.idle_);
             auto [code, count] = co_await http::async_write(stream_, message, tokenOf);
             if (code)
                 co_return failed(code);
@@ -69,10 +69,10 @@
             http::response<http::empty_body> message(static_cast<http::status>(head.status_), 11);
             for (const auto& [name, value] : head.headers_)
                 message.set(name, value);
-            message.keep_alive(keepAlive_);
+            announceConnection(message);
             message.chunked(true);
             http::response_serializer<http::empty_body> serializer(message);
-            stream_.expires_after(idle_);
+            stream_.expires_after(state_.bounds_.idle_);
             auto [code, count] = co_await http::async_write_header(stream_, serializer, tokenOf);
             if (code)
                 co_return failed(code);
@@ -81,7 +81,7 @@
 
         asio::awaitable<Result<void>> writeChunk(std::string chunk) override
         {
-            stream_.expires_after(idle_);
+            stream_.expires_after(state_.bounds_.idle_);
             auto [code, count] = co_await asio::async_write(stream_, http::make_chunk(asio::buffer(chunk)), tokenOf);
             if (code)
                 co_return failed(code);
@@ -103,6 +103,25 @@
         }
 
     private:
+        /// A close that the caller is not told of can cross its next request, which is
+        /// then lost: answers say whether the connection closes, or after what idle time.
+        template <typename Message>
+        void announceConnection(Message& message)
+        {
+            keepAlive_ = keepAlive_ && state_.isAccepting_;
+            message.keep_alive(keepAlive_);
+            if (!keepAlive_) {
+                message.erase(http::field::keep_alive);
+                return;
+            }
+            std::string value = keepAliveValue(state_.bounds_.idle_);
+            if (!value.empty() && message.find(http::field::keep_alive) == message.end())
+                message.set(http::field::keep_alive, value);
+            // The field concerns this connection only (RFC 9110, 7.6.1).
+            if (message.find(http::field::keep_alive) != message.end())
+                message.set(http::field::connection, "keep-alive");
+        }
+
         Error failed(const beast::error_code& code)
         {
             keepAlive_ = false;
@@ -111,7 +130,7 @@
 
         beast::tcp_stream& stream_;
         bool keepAlive_;
-        milliseconds idle_;
+        const HttpServer::State& state_;
     };
 
     HttpRequest toRequest(http::request<http::string_body> message)
@@ -134,6 +153,13 @@
 
 } // namespace
 
+std::string keepAliveValue(milliseconds idle)
+{
+    // Whole seconds are what the header can say.
+    auto seconds = std::chrono::floor<std::chrono::seconds>(idle * 4 / 5);
+    return seconds.count() >= 1 ? "timeout=" + std::to_string(seconds.count()) : std::string();
+}
+
 static asio::awaitable<void> serveConnection(std::shared_ptr<HttpServer::State> state, tcp::socket socket)
 {
     CountGuard counted(state->connections_);
@@ -152,13 +178,13 @@
         if (code && code.category() != make_error_code(http::error::bad_method).category())
             break;
         if (code) {
-            BeastExchange exchange(stream, {}, false, state->bounds_.idle_);
+            BeastExchange exchange(stream, {}, false, *state);
             (void)co_await exchange.respond(state->onBadRequest_(readError(code)));
             break;
         }
         stream.expires_never();
         bool keepAlive = parser.get().keep_alive();
-        BeastExchange exchange(stream, toRequest(parser.release()), keepAlive, state->bounds_.idle_);
+        BeastExchange exchange(stream, toRequest(parser.release()), keepAlive, *state);
         co_await state->handler_(exchange);
         if (!exchange.keepAlive() || !state->isAccepting_)
             break;
