Forward: leave a fifth of a backend server's idle time unused

Cause: a kept connection was used up to 300 ms before the idle end that its server stated, counted from when the answer had been read. A request held up for longer than that on its way crossed the server's close and was answered 502 (`head:end of stream`) if it may not be repeated.

Change: the part left unused is a fifth of the idle time and no less than the 300 ms; it counts from the arrival of the last bytes, also when they were read late because the caller was slow. usableIdle() holds the arithmetic, which also no longer takes `hard-timeout=` for `timeout=` and bounds what it multiplies. A connection that is past its time when it is released is closed.

KeptConnections (new): a backend server that states and keeps 4 s, a link to it late by 0.5 s, a request that may run only once. The stand-in's backend servers take `idle_s`; relays of the harness take a delay.

A link that is late by more than a fifth of the stated time still loses such a request.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -56,7 +56,8 @@
     /// an answer is given to another backend server.
     double patienceShare_ = 0.4;
     AdmissionSettings admission_;
-    /// A kept connection is not used in the last part of its idle time.
+    /// A kept connection is not used in the last fifth of its idle time, and not in
+    /// the last so much of a short one.
     milliseconds idleMargin_ { 300 };
     /// Idle time of a kept connection whose server states none.
     milliseconds defaultIdle_ { 2000 };
--- a/lib/Forward/BackendPool.cpp
+++ b/lib/Forward/BackendPool.cpp
@@ -5,10 +5,44 @@
 //===----------------------------------------------------------------------===//
 #include "BackendPool.h"
 
+#include "Headers.h"
+
+#include <boost/algorithm/string.hpp>
 #include <sys/socket.h>
 
 namespace pistachioloom {
 
+// The last part of an idle time, which is not used: a connection that is made anew costs
+// a round trip, and a request lost in the server's close may be one that cannot be repeated.
+static constexpr int idlePartsUnused = 5;
+// A longer idle time is no reason to keep a connection for longer; it also bounds
+// what the arithmetic gets from outside.
+static constexpr std::chrono::hours longestIdle { 1 };
+
+/// The idle time that \p keepAlive states (RFC 2068, 19.7.1), which may be in quotes;
+/// nullopt if it states none.
+static std::optional<milliseconds> statedIdle(std::string_view keepAlive)
+{
+    std::vector<std::string> parameters;
+    boost::split(parameters, keepAlive, [](char c) { return c == ',' || c == ';'; });
+    for (const std::string& parameter : parameters) {
+        std::size_t equals = parameter.find('=');
+        if (equals == std::string::npos || !equalWithoutCase(boost::trim_copy(parameter.substr(0, equals)), "timeout"))
+            continue;
+        std::string value = boost::trim_copy_if(parameter.substr(equals + 1), boost::is_any_of(" \t\""));
+        std::string_view digits = std::string_view(value).substr(0, value.find_first_not_of("0123456789"));
+        if (auto seconds = parseNumber(digits))
+            return std::chrono::seconds(std::min<std::uint64_t>(*seconds, std::chrono::seconds(longestIdle).count()));
+    }
+    return std::nullopt;
+}
+
+milliseconds usableIdle(std::string_view keepAlive, const ForwardSettings& settings)
+{
+    milliseconds idle = statedIdle(keepAlive).value_or(settings.defaultIdle_);
+    return std::max(milliseconds(0), idle - std::max(idle / idlePartsUnused, settings.idleMargin_));
+}
+
 BackendConnection::BackendConnection(const asio::any_io_executor& executor, std::shared_ptr<std::size_t> open)
     : socket_(executor)
     , open_(std::move(open))
@@ -34,6 +68,12 @@
     socket_.close(ignored);
 }
 
+bool BackendConnection::isDrained() const
+{
+    boost::system::error_code ignored;
+    return !socket_.available(ignored);
+}
+
 /// Whether the socket is open and nothing has arrived on it: bytes that nobody
 /// asked for belong to no request.
 static bool isQuiet(asio::ip::tcp::socket& socket)
--- a/lib/Forward/BackendPool.h
+++ b/lib/Forward/BackendPool.h
@@ -7,12 +7,18 @@
 #pragma once
 
 #include "Signal.h"
-#include "pistachioloom/Backends.h"
+#include "pistachioloom/Forward.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 
 namespace pistachioloom {
 
+/// How long a kept connection may be used, from the arrival of its last answer.
+/// \p keepAlive is the server's header, or empty. The rest of the idle time, a fifth and
+/// no less than ForwardSettings::idleMargin_, is for links and queues that hold up a
+/// request: what arrives after the server's close is lost.
+milliseconds usableIdle(std::string_view keepAlive, const ForwardSettings& settings);
+
 struct BackendConnection {
     BackendConnection(const asio::any_io_executor& executor, std::shared_ptr<std::size_t> open);
     ~BackendConnection();
@@ -26,9 +32,15 @@
     /// 3.3 s after their callers had left.
     void abort();
 
+    /// Whether a read begun now has to wait: what it returns then arrives at its end.
+    bool isDrained() const;
+
     asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
     BackendId backend_;
+    /// The end of the last read that had to wait. The last bytes of an answer arrived
+    /// then or later, also if they were read much later because the caller was slow.
+    SteadyTime arrivedAt_ {};
     /// Not used after this moment: the server may be closing it.
     SteadyTime usableUntil_ {};
     bool isReused_ = false;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -177,7 +177,10 @@
             co_return code;
         if (parser.is_done() || !parser.get().body().empty())
             co_return beast::error_code {};
+        bool isDrained = attempt.connection_->isDrained();
         auto [readCode, count] = co_await attempt.connection_->socket_.async_read_some(buffer.prepare(readSize), asTuple);
+        if (isDrained)
+            attempt.connection_->arrivedAt_ = steadyNow();
         if (readCode == asio::error::eof) {
             // An answer without a length ends here; any other is cut off.
             parser.put_eof(code);
@@ -231,6 +234,7 @@
             attempt.detail_ = "head:" + code.message();
             co_return SendEnd::Lost;
         }
+        attempt.connection_->arrivedAt_ = steadyNow();
         context_.backends_.noteReached(attempt.choice_.backend_.id_);
         if (parser.get().result_int() / 100 == 1)
             continue;
@@ -345,16 +349,11 @@
         connection->close();
         return;
     }
-    milliseconds idle = context_.settings_.defaultIdle_;
-    std::string_view keepAlive = view(parser.get()[http::field::keep_alive]);
-    constexpr std::string_view timeout = "timeout=";
-    std::size_t at = keepAlive.find(timeout);
-    if (at != std::string_view::npos) {
-        keepAlive.remove_prefix(at + timeout.size());
-        if (auto seconds = parseNumber(keepAlive.substr(0, keepAlive.find_first_not_of("0123456789"))))
-            idle = milliseconds(static_cast<std::int64_t>(*seconds) * 1000);
+    connection->usableUntil_ = connection->arrivedAt_ + usableIdle(view(parser.get()[http::field::keep_alive]), context_.settings_);
+    if (connection->usableUntil_ <= steadyNow()) {
+        connection->close();
+        return;
     }
-    connection->usableUntil_ = steadyNow() + idle - context_.settings_.idleMargin_;
     pool_.put(std::move(connection));
 }
 
--- a/test/Harness/Relay.cpp
+++ b/test/Harness/Relay.cpp
@@ -67,6 +67,11 @@
     done.get_future().get();
 }
 
+void RelaySet::setDelay(milliseconds delay)
+{
+    delay_ = delay;
+}
+
 asio::awaitable<void> RelaySet::accept(std::shared_ptr<tcp::acceptor> acceptor, Endpoint target)
 {
     for (;;) {
@@ -97,6 +102,8 @@
         auto [code, count] = co_await from.async_read_some(asio::buffer(buffer), tokenOf);
         if (code)
             break;
+        if (isUpward && delay_.load() > milliseconds(0))
+            co_await sleepFor(delay_.load());
         auto [writeCode, written] = co_await asio::async_write(to, asio::buffer(buffer, count), tokenOf);
         if (writeCode)
             break;
--- a/test/Harness/Relay.h
+++ b/test/Harness/Relay.h
@@ -8,6 +8,7 @@
 
 #include "pistachioloom/Http.h"
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <set>
 #include <thread>
@@ -26,6 +27,8 @@
     std::uint16_t add(const Endpoint& target);
     /// Breaks every connection and takes no new one until healed.
     void setCut(bool isCut);
+    /// From now on what goes to a target arrives so much later.
+    void setDelay(milliseconds delay);
 
 private:
     struct Link;
@@ -36,6 +39,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     std::set<std::shared_ptr<Link>> links_;
     bool isCut_ = false;
+    std::atomic<milliseconds> delay_ {};
     std::thread thread_;
 };
 
--- /dev/null
+++ b/test/KeptConnectionsTest.cpp
@@ -0,0 +1,100 @@
+//===- test/KeptConnectionsTest.cpp - connections closed while in use -------===//
+///
+/// \file
+/// A server closes a kept connection after an idle time. A request that is on its
+/// way at that moment is lost, and one that may run only once cannot be repeated.
+//===----------------------------------------------------------------------===//
+#include "Harness/Relay.h"
+#include "Platform/GatewayDeployment.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr const char* backendId = "p-1";
+
+/// A caller that keeps its connection, so that one worker of the node, with its own
+/// connections to backend servers, gets all its requests.
+class KeptCaller {
+public:
+    explicit KeptCaller(const Endpoint& endpoint)
+        : socket_(io_)
+    {
+        socket_.connect({ boost::asio::ip::make_address(endpoint.host_), endpoint.port_ });
+    }
+
+    /// Sends a request that may run only once. \returns its status; 0 if the
+    /// connection broke.
+    unsigned callOnce(const std::string& id)
+    {
+        http::request<http::string_body> request(http::verb::post, "/once/x", 11);
+        request.set(http::field::host, "h.example");
+        request.set(http::field::authorization, "Bearer key-north");
+        request.set("X-Pistachioloom-Attempt-Id", id);
+        request.prepare_payload();
+        boost::system::error_code code;
+        http::write(socket_, request, code);
+        http::response<http::string_body> answer;
+        if (!code)
+            http::read(socket_, buffer_, answer, code);
+        return code ? 0 : answer.result_int();
+    }
+
+private:
+    boost::asio::io_context io_;
+    tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+};
+
+/// Starts the only backend server, which states \p idle, behind \p link.
+void startBehind(GatewayDeployment& deployment, RelaySet& link, std::chrono::seconds idle)
+{
+    deployment.putConfiguration(1);
+    json::object wanted { { "id", backendId }, { "service", "plain" }, { "unregistered", 1 }, { "idle_s", idle.count() } };
+    json::object started = deployment.control({ { "backends", json::array { wanted } } });
+    auto port = static_cast<std::uint16_t>(numberField(started.at("ports").as_object(), backendId));
+    std::string address = "127.0.0.1:" + std::to_string(link.add({ "127.0.0.1", port }));
+    json::object value { { "service", "plain" }, { "address", address }, { "zone", "a" }, { "version", "v1" }, { "slot_count", 8 }, { "phase", "up" }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
+    value["born"] = deployment.control({ { "born", backendId } }).at("born");
+    json::object entry { { "topic", "keyed.servers" }, { "key", backendId }, { "value", json::serialize(value) } };
+    deployment.control({ { "put", json::array { entry } } });
+    REQUIRE(deployment.waitForVersion(1, milliseconds(20000)));
+    REQUIRE(deployment.waitForBackends(1));
+}
+
+} // namespace
+
+TEST_CASE("a request late in the idle time of a backend server does not cross its close", "[gateway]")
+{
+    constexpr std::chrono::seconds idle { 4 };
+    constexpr milliseconds lateness { 500 };
+    struct Row {
+        const char* name_;
+        milliseconds pause_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "in time on the kept connection", milliseconds(2500) },
+        { "sent before the close, there after it", milliseconds(3600) },
+        { "after the close", milliseconds(4200) },
+    }));
+    CAPTURE(row.name_);
+    GatewayDeployment deployment(1);
+    RelaySet link;
+    startBehind(deployment, link, idle);
+    KeptCaller caller(deployment.gateways()[0].callers_);
+    REQUIRE(caller.callOnce("first") == 200);
+    std::this_thread::sleep_for(row.pause_);
+    link.setDelay(lateness);
+    CHECK(caller.callOnce("second") == 200);
+    json::array runs { "first", "second" };
+    CHECK(deployment.backend(backendId).at("runs").as_array() == runs);
+}
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr milliseconds waitStep { 10 };
+constexpr milliseconds unstatedIdle { 60000 };
 constexpr const char* seal = "X-Pistachioloom-Engine-Seal";
 constexpr const char* attemptId = "X-Pistachioloom-Attempt-Id";
 
@@ -77,10 +78,12 @@
 /// One backend server: plain answers, or event streams for paths with /stream.
 class Backend {
 public:
-    Backend(asio::io_context& io, std::string id)
+    /// States that it closes a connection after \p idle, in whole seconds, unless that is 0.
+    Backend(asio::io_context& io, std::string id, std::chrono::seconds idle)
         : id_(std::move(id))
+        , statedIdle_(idle)
         , server_(
-              io.get_executor(), HttpBounds { { 64UL * 1024 }, { 64UL * 1024 * 1024 }, milliseconds(60000) }, [this](HttpExchange& exchange) { return handle(exchange); }, errorResponse)
+              io.get_executor(), HttpBounds { { 64UL * 1024 }, { 64UL * 1024 * 1024 }, idle.count() ? milliseconds(idle) : unstatedIdle }, [this](HttpExchange& exchange) { return handle(exchange); }, errorResponse)
     {
     }
 
@@ -114,6 +117,8 @@
             co_return co_await reply(exchange, 200, json::object {});
         }
         HttpResponse answer { 200, { { seal, "seal-" + id_ }, { attemptId, request.header("x-pistachioloom-attempt-id") } }, {} };
+        if (statedIdle_.count())
+            answer.headers_["Keep-Alive"] = "timeout=" + std::to_string(statedIdle_.count());
         if (request.header("x-pistachioloom-expect-instance") != id_) {
             answer.status_ = 421;
             (void)co_await exchange.respond(std::move(answer));
@@ -224,6 +229,7 @@
     }
 
     std::string id_;
+    std::chrono::seconds statedIdle_;
     bool isCrashed_ = false;
     HttpServer server_;
     Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "lose_answers", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
@@ -267,7 +273,8 @@
 
 private:
     /// `backends`: more of a service, which do not register themselves if they are
-    /// `unregistered`; `put`: entries of keyed topics; `reclaim`: one
+    /// `unregistered`, and close a connection after `idle_s` seconds, which they state;
+    /// `put`: entries of keyed topics; `reclaim`: one
     /// says that it is about to be taken away; `restart`: one crashes and starts anew
     /// under its id; `backend`: faults of one of them. \returns what arrived.
     asio::awaitable<void> control(HttpExchange& exchange)
@@ -314,7 +321,8 @@
     std::uint16_t start(const json::object& wanted)
     {
         std::string id = textField(wanted, "id");
-        auto backend = std::make_unique<Backend>(io_, id);
+        std::chrono::seconds idle(wanted.contains("idle_s") ? numberField(wanted, "idle_s") : 0);
+        auto backend = std::make_unique<Backend>(io_, id, idle);
         json::object entry { { "version", "v1" }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
         for (const auto& field : wanted)
             entry[field.key()] = field.value();
--- a/unittests/Forward/BackendPoolTest.cpp
+++ b/unittests/Forward/BackendPoolTest.cpp
@@ -31,6 +31,68 @@
     CHECK(pool.openTo(backend) == 1);
 }
 
+TEST_CASE("a kept connection is used until a part of its idle time is left", "[forward]")
+{
+    struct Row {
+        const char* keepAlive_;
+        std::int64_t usable_;
+    };
+    // With 2,000 ms for a server that states nothing, and no less than 300 ms left.
+    auto row = GENERATE(values<Row>({
+        { "", 1600 },
+        { "timeout=5", 4000 },
+        { "timeout=15, max=100", 12000 },
+        { "max=100, timeout=15", 12000 },
+        { "Timeout = 5", 4000 },
+        { "timeout=\"5\"", 4000 },
+        { "timeout=2", 1600 },
+        { "timeout=1", 700 },
+        { "timeout=0", 0 },
+        { "max=3", 1600 },
+        { "timeout=", 1600 },
+        { "timeout=soon", 1600 },
+        { "timeout=-1", 1600 },
+        { "hard-timeout=9", 1600 },
+        { "timeout", 1600 },
+        { "timeout=3600", 2880000 },
+        { "timeout=18446744073709551615", 2880000 },
+        { "timeout=18446744073709551616", 1600 },
+    }));
+    CAPTURE(row.keepAlive_);
+    CHECK(usableIdle(row.keepAlive_, {}) == milliseconds(row.usable_));
+}
+
+TEST_CASE("the least part that is left holds for short idle times", "[forward]")
+{
+    struct Row {
+        std::int64_t margin_;
+        std::int64_t usable_;
+    };
+    auto row = GENERATE(values<Row>({ { 0, 4000 }, { 1000, 4000 }, { 1001, 3999 }, { 5000, 0 }, { 9000, 0 } }));
+    ForwardSettings settings;
+    settings.idleMargin_ = milliseconds(row.margin_);
+    CAPTURE(row.margin_);
+    CHECK(usableIdle("timeout=5", settings) == milliseconds(row.usable_));
+}
+
+TEST_CASE("a read has to wait unless something is there", "[forward]")
+{
+    using tcp = asio::ip::tcp;
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    BackendPool pool(io.get_executor());
+    BackendConnectionPtr connection = pool.make({ "b" });
+    connection->socket_.connect(acceptor.local_endpoint());
+    tcp::socket server = acceptor.accept();
+    CHECK(connection->isDrained());
+    asio::write(server, asio::buffer("ab", 2));
+    connection->socket_.wait(tcp::socket::wait_read);
+    CHECK_FALSE(connection->isDrained());
+    char bytes[2];
+    REQUIRE(connection->socket_.read_some(asio::buffer(bytes)) == 2);
+    CHECK(connection->isDrained());
+}
+
 TEST_CASE("a request that is given up is reset, so that nothing of it comes later", "[forward]")
 {
     using tcp = asio::ip::tcp;
