Wire: wait for a long frame while it comes, and leave a silent peer soon

Cause: one time bounded an answer, whatever its length. A configuration of 100 KB or more that was on its way over a full link was given up after 500 ms and asked for again whole.

Change: PeerStream::receiveWithin(silence, longest) resets the stream when no byte comes for the one time, or the frame is not whole after the other. receiveWithin(timeout) is as before. It works with peers of all versions, since it goes by the bytes that come.

Tests: WireTests, a link that passes on 16 KB each 20 ms, stops, or says nothing.

--- a/include/pistachioloom/Wire.h
+++ b/include/pistachioloom/Wire.h
@@ -35,6 +35,9 @@
     virtual asio::awaitable<Result<wire::Frame>> receive() = 0;
     /// receive() that resets the stream when \p timeout passes first.
     virtual asio::awaitable<Result<wire::Frame>> receiveWithin(milliseconds timeout) = 0;
+    /// receive() of a long frame: resets the stream when no byte comes for \p silence,
+    /// or the frame is not whole after \p longest.
+    virtual asio::awaitable<Result<wire::Frame>> receiveWithin(milliseconds silence, milliseconds longest) = 0;
     /// Ends our side after what was sent.
     virtual void finish() = 0;
     /// Resets the stream: the work is not wanted any more. The peer's send()
--- a/lib/Wire/LinkStream.cpp
+++ b/lib/Wire/LinkStream.cpp
@@ -81,18 +81,40 @@
 
 asio::awaitable<Result<wire::Frame>> LinkStream::receiveWithin(milliseconds timeout)
 {
-    auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor, timeout);
-    auto hasExpired = std::make_shared<std::atomic<bool>>(false);
-    timer->async_wait([weak = weak_from_this(), hasExpired, timer](boost::system::error_code code) {
+    return receiveWithin(timeout, timeout);
+}
+
+std::shared_ptr<LinkStream::Watch> LinkStream::beginWatch(const asio::any_io_executor& executor, milliseconds silence, milliseconds longest)
+{
+    auto watch = std::make_shared<Watch>(Watch { asio::steady_timer(executor), silence, steadyNow(), longest });
+    guard(watch);
+    return watch;
+}
+
+void LinkStream::guard(const std::shared_ptr<Watch>& watch)
+{
+    SteadyTime heardAt = std::max(watch->begunAt_, heardAt_.load());
+    SteadyTime until = std::min(heardAt + watch->silence_, watch->begunAt_ + watch->longest_);
+    if (until <= steadyNow()) {
+        watch->hasExpired_ = true;
+        cancel();
+        return;
+    }
+    watch->timer_.expires_at(until);
+    watch->timer_.async_wait([weak = weak_from_this(), watch](boost::system::error_code code) {
         auto self = weak.lock();
-        if (code || !self)
-            return;
-        *hasExpired = true;
-        self->cancel();
+        if (!code && self && !watch->isOver_)
+            self->guard(watch);
     });
+}
+
+asio::awaitable<Result<wire::Frame>> LinkStream::receiveWithin(milliseconds silence, milliseconds longest)
+{
+    auto watch = beginWatch(co_await asio::this_coro::executor, silence, longest);
     auto received = co_await receive();
-    timer->cancel();
-    if (!received && *hasExpired)
+    watch->isOver_ = true;
+    watch->timer_.cancel();
+    if (!received && watch->hasExpired_)
         co_return Error { Errc::Timeout, "receive from peer", peer(), "no answer in time", Ran::Unknown, {} };
     co_return received;
 }
--- a/lib/Wire/PeerLink.cpp
+++ b/lib/Wire/PeerLink.cpp
@@ -402,8 +402,10 @@
 {
     auto* self = static_cast<PeerLink*>(user);
     nghttp2_session_consume_connection(session, length);
-    if (LinkStream* stream = self->find(streamId))
+    if (LinkStream* stream = self->find(streamId)) {
+        stream->heardAt_ = steadyNow();
         self->takeData(*stream, { reinterpret_cast<const char*>(data), length });
+    }
     return 0;
 }
 
--- a/lib/Wire/PeerLink.h
+++ b/lib/Wire/PeerLink.h
@@ -33,6 +33,7 @@
     asio::awaitable<Result<void>> send(const wire::Frame& frame) override;
     asio::awaitable<Result<wire::Frame>> receive() override;
     asio::awaitable<Result<wire::Frame>> receiveWithin(milliseconds timeout) override;
+    asio::awaitable<Result<wire::Frame>> receiveWithin(milliseconds silence, milliseconds longest) override;
     void finish() override;
     void cancel() override;
     void release() override;
@@ -44,8 +45,21 @@
 private:
     friend class PeerLink;
 
+    /// Bounds one receive(); used on the strand of the one that waits.
+    struct Watch {
+        asio::steady_timer timer_;
+        milliseconds silence_;
+        SteadyTime begunAt_;
+        milliseconds longest_;
+        bool hasExpired_ = false;
+        bool isOver_ = false;
+    };
+
     void reset(std::uint32_t errorCode);
     void endFrames();
+    std::shared_ptr<Watch> beginWatch(const asio::any_io_executor& executor, milliseconds silence, milliseconds longest);
+    /// Cancels the stream when \p watch expires.
+    void guard(const std::shared_ptr<Watch>& watch);
 
     std::shared_ptr<PeerLink> link_;
     std::int32_t id_ = -1;
@@ -67,6 +81,8 @@
     bool isReadToEnd_ = false;
     // Written on the link's strand, read on any.
     std::atomic<bool> isClosed_ { false };
+    // When the last bytes of the peer came.
+    std::atomic<SteadyTime> heardAt_ { SteadyTime {} };
     // Written before the frames end, read after.
     std::atomic<bool> isRefused_ { false };
     std::atomic<bool> isEnded_ { false };
--- a/unittests/Wire/PeerStreamTest.cpp
+++ b/unittests/Wire/PeerStreamTest.cpp
@@ -193,3 +193,92 @@
     io.run();
     CHECK(ended == Errc::Reset);
 }
+
+namespace {
+
+/// A link between a pool and a server that is slow downwards.
+struct SlowLink {
+    /// Between parts of 16 KB.
+    milliseconds pause_;
+    /// Nothing comes after so many bytes.
+    std::size_t most_;
+};
+
+asio::awaitable<void> forward(std::shared_ptr<asio::ip::tcp::socket> from, std::shared_ptr<asio::ip::tcp::socket> to, SlowLink speed)
+{
+    std::vector<char> buffer(16UL * 1024);
+    asio::steady_timer timer(from->get_executor());
+    for (std::size_t sent = 0; sent < speed.most_;) {
+        auto [code, count] = co_await from->async_read_some(asio::buffer(buffer), asio::as_tuple(asio::use_awaitable));
+        if (code)
+            co_return;
+        timer.expires_after(speed.pause_);
+        co_await timer.async_wait(asio::use_awaitable);
+        auto [writeCode, written] = co_await asio::async_write(*to, asio::buffer(buffer, count), asio::as_tuple(asio::use_awaitable));
+        if (writeCode)
+            co_return;
+        sent += written;
+    }
+}
+
+/// Takes one connection and forwards it to \p server.
+asio::awaitable<void> relayOne(std::shared_ptr<asio::ip::tcp::acceptor> acceptor, Endpoint server, SlowLink speed)
+{
+    auto near = std::make_shared<asio::ip::tcp::socket>(co_await acceptor->async_accept(asio::use_awaitable));
+    auto far = std::make_shared<asio::ip::tcp::socket>(acceptor->get_executor());
+    asio::ip::tcp::endpoint address(asio::ip::make_address(server.host_), server.port_);
+    co_await far->async_connect(address, asio::use_awaitable);
+    SlowLink fast { milliseconds(0), SIZE_MAX };
+    asio::co_spawn(acceptor->get_executor(), forward(near, far, fast), asio::detached);
+    asio::co_spawn(acceptor->get_executor(), forward(far, near, speed), asio::detached);
+}
+
+struct PatienceCase {
+    std::string what_;
+    SlowLink link_;
+    milliseconds silence_;
+    milliseconds longest_;
+    bool isReceived_;
+    milliseconds atLeast_;
+    milliseconds atMost_;
+};
+
+const std::vector<PatienceCase> patienceCases {
+    { "a slow frame that goes on coming", { milliseconds(20), SIZE_MAX }, milliseconds(200), callTimeout, true, milliseconds(300), callTimeout },
+    { "a frame that takes too long altogether", { milliseconds(20), SIZE_MAX }, milliseconds(200), milliseconds(250), false, milliseconds(250), milliseconds(2000) },
+    { "a peer that says nothing", { milliseconds(0), 1 }, milliseconds(200), callTimeout, false, milliseconds(200), milliseconds(2000) },
+    { "a frame that stops coming", { milliseconds(20), 100UL * 1024 }, milliseconds(200), callTimeout, false, milliseconds(300), milliseconds(2000) },
+};
+
+} // namespace
+
+TEST_CASE("a long frame is waited for while it comes, and a silent peer is left")
+{
+    auto index = GENERATE(range(std::size_t { 0 }, patienceCases.size()));
+    const PatienceCase& tried = patienceCases[index];
+    INFO(tried.what_);
+    EchoServer echo;
+    asio::io_context io;
+    auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    asio::co_spawn(io, relayOne(acceptor, echo.endpoint(), tried.link_), asio::detached);
+    Endpoint relay { "127.0.0.1", acceptor->local_endpoint().port() };
+    PeerPool pool(io.get_executor(), credential, {});
+    std::optional<Errc> failed;
+    SteadyTime begunAt = steadyNow();
+    SteadyTime endedAt;
+    auto task = [&]() -> asio::awaitable<void> {
+        auto opened = co_await pool.open(relay, updateOf(300000), callTimeout);
+        auto reply = co_await opened.value()->receiveWithin(tried.silence_, tried.longest_);
+        endedAt = steadyNow();
+        if (!reply)
+            failed = reply.error().code_;
+        io.stop();
+    };
+    asio::co_spawn(asio::make_strand(io), task, asio::detached);
+    io.run();
+    CHECK(failed.has_value() != tried.isReceived_);
+    if (failed)
+        CHECK(failed == Errc::Timeout);
+    CHECK(endedAt - begunAt >= tried.atLeast_);
+    CHECK(endedAt - begunAt <= tried.atMost_);
+}
