Let nodes with the most processor cores read from the platform

Cause: readers were drawn whatever their size. All other nodes ask them for what they read, and the small VMs among them (0.12 core, 10 Mbit/s) had their outgoing link full for up to seconds.

Change: as for relays, most cores first, then as drawn; the rule (first of each data centre, first N of all) stays. A node of an older version goes by the draw alone, so the best node may not know that it is the best. While it does not say that it reads, the first drawn of its data centre reads.

Tests: GatewayTests (new: larger nodes first; equal cores as drawn; fleets of both versions, 9 nodes, 120 mixtures).

--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -47,14 +47,15 @@
 {
     std::vector<ReaderView> views;
     for (const auto& [vm, peer] : reports_.heardWithin(context_.settings_.feed_.readerSilence_))
-        views.push_back({ vm, peer.dataCentre_, peer.isStopping_, peer.isPlatformLost_, peer.isReader_ });
+        views.push_back({ vm, peer.dataCentre_, peer.isStopping_, peer.isPlatformLost_, peer.isReader_, peer.cores_ });
     return views;
 }
 
 bool Feed::isReader() const
 {
     const GatewaySettings& settings = context_.settings_;
-    return isPlatformLost() || shouldRead(settings.vm_, settings.dataCentre_, readerViews(), settings.feed_.readers_);
+    ReaderView self { settings.vm_, settings.dataCentre_, false, false, false, settings.cores_ };
+    return isPlatformLost() || shouldRead(self, readerViews(), settings.feed_.readers_);
 }
 
 /// Suspends while other nodes read. What was read before is then too old to read
--- a/lib/Gateway/Readers.cpp
+++ b/lib/Gateway/Readers.cpp
@@ -6,28 +6,54 @@
 #include "Readers.h"
 
 #include <algorithm>
+#include <map>
 
 namespace pistachioloom {
 
 // What the order of readers is drawn for.
 static constexpr std::string_view readersKey = "readers";
 
-bool shouldRead(const VmId& self, const DataCentreId& dataCentre, const std::vector<ReaderView>& peers, std::uint64_t readers)
+static std::vector<VmId> drawReaders(const std::map<VmId, ReaderView>& candidates)
 {
-    std::vector<VmId> all { self };
-    std::vector<VmId> near { self };
+    std::vector<VmId> vms;
+    for (const auto& entry : candidates)
+        vms.push_back(entry.first);
+    return rankByRendezvous(readersKey, vms);
+}
+
+/// The nodes of \p candidates, best first.
+static std::vector<VmId> rankReaders(const std::map<VmId, ReaderView>& candidates)
+{
+    std::vector<VmId> ranked = drawReaders(candidates);
+    std::stable_sort(ranked.begin(), ranked.end(), [&](const VmId& left, const VmId& right) { return candidates.at(left).cores_ > candidates.at(right).cores_; });
+    return ranked;
+}
+
+/// Whether \p self reads for its data centre. A node of an older version goes by the
+/// draw alone, so that the best may not know that it is: then the first drawn reads.
+/// Without this a fleet of both versions could be without a reader.
+static bool isFirst(const VmId& self, const std::map<VmId, ReaderView>& near)
+{
+    VmId best = rankReaders(near).front();
+    return best == self || (!near.at(best).isReader_ && drawReaders(near).front() == self);
+}
+
+bool shouldRead(const ReaderView& self, const std::vector<ReaderView>& peers, std::uint64_t readers)
+{
+    std::map<VmId, ReaderView> all { { self.vm_, self } };
+    std::map<VmId, ReaderView> near = all;
     for (const ReaderView& peer : peers) {
         if (peer.isStopping_ || peer.isPlatformLost_)
             continue;
-        all.push_back(peer.vm_);
-        if (peer.dataCentre_ == dataCentre)
-            near.push_back(peer.vm_);
+        all[peer.vm_] = peer;
+        if (peer.dataCentre_ == self.dataCentre_)
+            near[peer.vm_] = peer;
     }
-    if (pickByRendezvous(readersKey, near) == self)
+    if (isFirst(self.vm_, near))
         return true;
-    std::vector<VmId> ranked = rankByRendezvous(readersKey, all);
+    std::vector<VmId> ranked = rankReaders(all);
     auto last = ranked.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(ranked.size(), readers));
-    return std::find(ranked.begin(), last, self) != last;
+    return std::find(ranked.begin(), last, self.vm_) != last;
 }
 
 bool haveAllReadersLost(const std::vector<ReaderView>& peers)
--- a/lib/Gateway/Readers.h
+++ b/lib/Gateway/Readers.h
@@ -18,11 +18,15 @@
     /// Its last read failed.
     bool isPlatformLost_ = false;
     bool isReader_ = false;
+    /// Processor cores of its VM.
+    double cores_ = 0;
 };
 
 /// Whether \p self reads: as the first of its data centre, or one of the first
-/// \p readers of all, among nodes that the platform serves.
-bool shouldRead(const VmId& self, const DataCentreId& dataCentre, const std::vector<ReaderView>& peers, std::uint64_t readers);
+/// \p readers of all, among nodes that the platform serves. Those with most
+/// processor cores come first, since all others ask readers for what they read and
+/// the links of larger VMs are wider; then as drawn.
+bool shouldRead(const ReaderView& self, const std::vector<ReaderView>& peers, std::uint64_t readers);
 
 /// Whether the platform serves none of the readers that are heard. One that is
 /// turned away alone says nothing of registrations.
--- a/unittests/Gateway/ReadersTest.cpp
+++ b/unittests/Gateway/ReadersTest.cpp
@@ -26,7 +26,7 @@
 {
     std::vector<ReaderView> peers = all;
     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
-    return shouldRead(all[index].vm_, all[index].dataCentre_, peers, readers);
+    return shouldRead(all[index], peers, readers);
 }
 
 } // namespace
@@ -79,3 +79,76 @@
     CHECK(haveAllReadersLost(all));
     CHECK_FALSE(haveAllReadersLost({}));
 }
+
+TEST_CASE("nodes with more processor cores read first", "[readers]")
+{
+    auto count = GENERATE(9U, 63U);
+    auto all = nodes(count);
+    for (ReaderView& node : all)
+        node.cores_ = 0.12;
+    // The last ones of data centre `a`, and one of `b`.
+    for (std::size_t large : { count - 3, count - 6, count - 2 })
+        all[large].cores_ = 4;
+    // As they tell, once those that are to read do.
+    std::vector<bool> told;
+    for (std::size_t i = 0; i < count; ++i)
+        told.push_back(reads(all, i));
+    for (std::size_t i = 0; i < count; ++i)
+        all[i].isReader_ = told[i];
+    std::set<std::size_t> reading;
+    for (std::size_t i = 0; i < count; ++i) {
+        if (reads(all, i))
+            reading.insert(i);
+    }
+    for (std::size_t large : { count - 3, count - 6, count - 2 })
+        CHECK(reading.contains(large));
+    // Beside them, the first of data centre `c`.
+    CHECK(reading.size() == readers + 1);
+}
+
+TEST_CASE("among nodes of equal cores the order is as drawn", "[readers]")
+{
+    auto cores = GENERATE(0.0, 0.12, 8.0);
+    auto all = nodes(26);
+    std::vector<VmId> drawn;
+    for (ReaderView& node : all) {
+        node.cores_ = cores;
+        drawn.push_back(node.vm_);
+    }
+    drawn = rankByRendezvous("readers", drawn);
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        if (std::find(drawn.begin(), drawn.begin() + readers, all[i].vm_) != drawn.begin() + readers)
+            CHECK(reads(all, i));
+    }
+}
+
+TEST_CASE("every data centre has a reader while some nodes are of a version that ignores cores", "[readers]")
+{
+    auto newer = GENERATE(0U, 1U, 2U, 3U, 5U, 8U);
+    auto seed = GENERATE(range(0U, 20U));
+    constexpr std::size_t count = 9;
+    constexpr int rounds = 6;
+    auto all = nodes(count);
+    for (std::size_t i = 0; i < count; ++i)
+        all[i].cores_ = static_cast<double>(stableHash(all[i].vm_.value_, seed) % 3);
+    auto isNewer = [&](std::size_t i) { return stableHash(all[i].vm_.value_ + "version", seed) % count < newer; };
+    // Each hears what all told in the round before.
+    for (int round = 0; round < rounds; ++round) {
+        std::vector<bool> told;
+        for (std::size_t i = 0; i < count; ++i) {
+            auto seen = all;
+            if (!isNewer(i)) {
+                for (ReaderView& node : seen)
+                    node.cores_ = 0;
+            }
+            told.push_back(reads(seen, i));
+        }
+        std::set<DataCentreId> places;
+        for (std::size_t i = 0; i < count; ++i) {
+            all[i].isReader_ = told[i];
+            if (told[i])
+                places.insert(all[i].dataCentre_);
+        }
+        CHECK(places.size() == 3);
+    }
+}
