Give a configuration to two peers at a time, and tell others to ask elsewhere

Cause: the nodes that had a new configuration (780 KB, 100 KB or more compressed) first gave it to all that asked, at once: the outgoing link was full for 0.5 s to several seconds, answers to callers and connects to backend servers waited behind it, and the askers gave up and asked again.

Change: - TransferLimit (pure): two transfers at a time, each given up after 2 s. A transfer ends when the asker acknowledges the whole, resets the stream or loses its link; that a frame was sent says only that the system took it (send() completes when the frame is queued, and nghttp2 closes the stream when the last bytes go to the socket, whose buffer takes 100 KB at once). Nodes of older versions acknowledge nothing; they hold their place for 200 ms. - A busy node answers with a Failure frame, `overloaded`, with retry_after_ms 250. It waits 500 ms for a silent peer, and 2 s for one that is sending. - Configuration and backend servers are asked for by loops of their own, so that a long transfer does not hold up the news of backend servers. - One log line per transfer (peer, configuration, bytes, took_ms, under_way, busy_answers); busy answers are logged once a second at most, and those left out are counted in the next line.

--- a/lib/Gateway/Feed.h
+++ b/lib/Gateway/Feed.h
@@ -8,6 +8,7 @@
 
 #include "PeerReports.h"
 #include "Readers.h"
+#include "TransferLimit.h"
 
 namespace pistachioloom {
 
@@ -20,14 +21,26 @@
     /// centre, or one of the first of all, among nodes that reach the platform.
     bool isReader() const;
     bool isPlatformLost() const { return isRegistryLost_ || isConfigurationLost_; }
-    /// Answers a peer that asks for what the platform told this node.
-    wire::Frame answer(const wire::Frame& request);
+    /// Answers a peer that asks for what the platform told this node. A peer that asks
+    /// for the configuration while others are being given it is told to come later.
+    asio::awaitable<void> serve(std::shared_ptr<PeerStream> stream, wire::Frame request);
 
 private:
     asio::awaitable<void> followConfiguration();
     asio::awaitable<void> followRegistry();
-    asio::awaitable<void> askPeers();
+    asio::awaitable<void> askForConfiguration();
+    asio::awaitable<void> askForBackends();
     asio::awaitable<void> askConfiguration(VmId vm, Peer peer);
+    /// The answer of \p peer, which has the configuration or a part of it on its way
+    /// for longer than other answers take.
+    asio::awaitable<Result<wire::Frame>> fetch(Peer peer, wire::Frame request);
+    /// Puts the configuration of \p update, of peer \p vm, in force.
+    void use(const wire::ConfigurationUpdate& update, const VmId& vm);
+    wire::Frame answer(const wire::Frame& request);
+    bool hasNewerThan(const wire::ConfigurationFetch& fetch) const;
+    /// Gives the configuration to a peer. Ends once the peer has the whole of it.
+    asio::awaitable<void> handOver(std::shared_ptr<PeerStream> stream, wire::Frame request);
+    wire::Frame busyAnswer();
     asio::awaitable<void> askBackends(VmId vm, Peer peer);
     /// Whom to ask for the backend servers, if they are needed.
     std::optional<KnownPeer> backendsSource() const;
@@ -41,7 +54,8 @@
     void removeGone(const BackendName& name, const std::string& source);
     void removeMissing(const RegistryRead& whole, const std::string& source);
     void applyDueRemovals();
-    /// A peer that has a newer configuration, of this data centre if there is one.
+    /// A peer that has a newer configuration and is not busy, of this data centre if
+    /// there is one.
     std::optional<KnownPeer> peerAhead() const;
     bool isRegistryOld() const;
     std::vector<ReaderView> readerViews() const;
@@ -63,6 +77,8 @@
     /// The configuration that peers ask for, compressed, and its version.
     std::string compressed_;
     std::uint64_t compressedVersion_ = 0;
+    TransferLimit transfers_;
+    BusyPeers busyPeers_;
     std::set<BackendName> missing_;
     /// What was last wrong with registrations that cannot be used.
     std::map<BackendName, std::string> complaints_;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -114,7 +114,7 @@
 {
     auto frame = co_await stream->receive();
     if (frame && frame.value().has_configuration_fetch())
-        (void)co_await stream->send(feed_.answer(frame.value()));
+        co_await feed_.serve(stream, frame.value());
     else if (frame)
         logger_.warn("Peer " + stream->peer() + " opened a stream with a frame that asks nothing.");
     stream->finish();
--- /dev/null
+++ b/lib/Gateway/TransferLimit.cpp
@@ -0,0 +1,49 @@
+//===- lib/Gateway/TransferLimit.cpp - who is given a configuration now ----===//
+///
+/// \file
+/// See TransferLimit.h.
+//===----------------------------------------------------------------------===//
+#include "TransferLimit.h"
+
+namespace pistachioloom {
+
+std::optional<TransferId> TransferLimit::begin(SteadyTime now)
+{
+    std::erase_if(begun_, [&](const auto& entry) { return now - entry.second >= transferTimeout; });
+    if (begun_.size() >= mostTransfers) {
+        ++busyAnswers_;
+        return std::nullopt;
+    }
+    ++last_.value_;
+    begun_.emplace(last_, now);
+    return last_;
+}
+
+void TransferLimit::end(TransferId transfer)
+{
+    begun_.erase(transfer);
+}
+
+bool TransferLimit::isBusyLogDue(SteadyTime now) const
+{
+    return busyAnswers_ && (!loggedAt_ || now - *loggedAt_ >= busyLogPeriod);
+}
+
+std::uint64_t TransferLimit::takeBusyAnswers(SteadyTime now)
+{
+    loggedAt_ = now;
+    return std::exchange(busyAnswers_, 0);
+}
+
+void BusyPeers::note(const VmId& peer, SteadyTime until)
+{
+    until_[peer] = until;
+}
+
+bool BusyPeers::isBusy(const VmId& peer, SteadyTime now) const
+{
+    auto found = until_.find(peer);
+    return found != until_.end() && now < found->second;
+}
+
+} // namespace pistachioloom
