--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -235,7 +235,7 @@
     auto begunAt = steadyNow();
     deployment.putConfiguration(2, text);
     CHECK(deployment.waitForVersion(2, spreadWithin));
-    WARN("in force on all after " << std::chrono::duration_cast<milliseconds>(steadyNow() - begunAt).count() << " ms");
+    INFO("in force on all after " << std::chrono::duration_cast<milliseconds>(steadyNow() - begunAt).count() << " ms");
 
     std::size_t fromPlatform = 0;
     std::size_t handedOn = 0;
--- a/unittests/Gateway/ReadersTest.cpp
+++ b/unittests/Gateway/ReadersTest.cpp
@@ -89,6 +89,12 @@
     // The last ones of data centre `a`, and one of `b`.
     for (std::size_t large : { count - 3, count - 6, count - 2 })
         all[large].cores_ = 4;
+    // As they tell, once those that are to read do.
+    std::vector<bool> told;
+    for (std::size_t i = 0; i < count; ++i)
+        told.push_back(reads(all, i));
+    for (std::size_t i = 0; i < count; ++i)
+        all[i].isReader_ = told[i];
     std::set<std::size_t> reading;
     for (std::size_t i = 0; i < count; ++i) {
         if (reads(all, i))
@@ -115,3 +121,34 @@
             CHECK(reads(all, i));
     }
 }
+
+TEST_CASE("every data centre has a reader while some nodes are of a version that ignores cores", "[readers]")
+{
+    auto newer = GENERATE(0U, 1U, 2U, 3U, 5U, 8U);
+    auto seed = GENERATE(range(0U, 20U));
+    constexpr std::size_t count = 9;
+    constexpr int rounds = 6;
+    auto all = nodes(count);
+    for (std::size_t i = 0; i < count; ++i)
+        all[i].cores_ = static_cast<double>(stableHash(all[i].vm_.value_, seed) % 3);
+    auto isNewer = [&](std::size_t i) { return stableHash(all[i].vm_.value_ + "version", seed) % count < newer; };
+    // Each hears what all told in the round before.
+    for (int round = 0; round < rounds; ++round) {
+        std::vector<bool> told;
+        for (std::size_t i = 0; i < count; ++i) {
+            auto seen = all;
+            if (!isNewer(i)) {
+                for (ReaderView& node : seen)
+                    node.cores_ = 0;
+            }
+            told.push_back(reads(seen, i));
+        }
+        std::set<DataCentreId> places;
+        for (std::size_t i = 0; i < count; ++i) {
+            all[i].isReader_ = told[i];
+            if (told[i])
+                places.insert(all[i].dataCentre_);
+        }
+        CHECK(places.size() == 3);
+    }
+}
