Use one rule for what is announced of an idle limit

Callers of the gateway and of the HTTP server are told the same part of the limit; the arithmetic stood twice.

--- a/lib/Forward/Headers.cpp
+++ b/lib/Forward/Headers.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "Headers.h"
 
+#include "pistachioloom/Http.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string.hpp>
@@ -12,13 +14,6 @@
 
 namespace pistachioloom {
 
-// What callers are told of the idle limit, so that none begins a request while the close
-// is on its way. A fifth of the limit is left for queues in links and loops that run late:
-// closes came 0.5 to 0.8 s late where configurations of 4,240 routes filled links of
-// 10 Mbit/s, and the requests that crossed them were lost (4 or 5 of some 34,000 in each
-// of three runs of 30 s, 81 nodes).
-using shareOfIdleAnnounced = std::ratio<4, 5>;
-
 bool equalWithoutCase(std::string_view left, std::string_view right)
 {
     auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; };
@@ -95,6 +90,10 @@
     head.append(name).append(": ").append(value).append("\r\n");
 }
 
+/// What callers are told leaves a fifth of the limit for queues in links and loops that run
+/// late, so that none begins a request while the close is on its way: closes came 0.5 to
+/// 0.8 s late where configurations of 4,240 routes filled links of 10 Mbit/s, and requests
+/// that crossed them were lost (4 or 5 of some 34,000 in each of three runs, 81 nodes).
 std::string connectionFields(std::optional<milliseconds> idle)
 {
     std::string fields;
@@ -102,11 +101,11 @@
         appendField(fields, "Connection", "close");
         return fields;
     }
-    auto seconds = std::chrono::floor<std::chrono::seconds>(*idle * shareOfIdleAnnounced::num / shareOfIdleAnnounced::den);
-    if (seconds.count() < 1)
+    std::string keepAlive = keepAliveValue(*idle);
+    if (keepAlive.empty())
         return fields;
     appendField(fields, "Connection", "keep-alive");
-    appendField(fields, "Keep-Alive", "timeout=" + std::to_string(seconds.count()));
+    appendField(fields, "Keep-Alive", keepAlive);
     return fields;
 }
 
