Let nodes that start at once know each other within a second or so

Each node introduced itself first to the same 12 peers in the order of their names, until these were heard; they answered in turn, 3 a period. Until a node hears the relays of its data centre it takes itself and whom it knows for them.

Change: Discovery (pure): each node begins at a place of its own in lists that are alike on all; who is heard for the first time is answered, and told the relays of all data centres; so is a relay that took a node for one. Digests name the relays of their data centre. Likely relays are asked each time, not in turn with all others. Sums of a relay that is not asked any more no longer count. A node that hears less than half of the others stands behind them for the duties.

--- /dev/null
+++ b/lib/Gateway/Discovery.h
@@ -0,0 +1,60 @@
+//===- lib/Gateway/Discovery.h - how nodes come to know each other --------===//
+///
+/// \file
+/// In a large fleet no node tells all others of itself at once. This decides whom a
+/// node introduces itself to in each period, and which nodes it names to others, so
+/// that all know the relays of their data centre soon after a start. Pure: time comes
+/// in, receivers and names go out.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "PeerTable.h"
+
+#include <deque>
+
+namespace pistachioloom {
+
+class Discovery {
+public:
+    /// \p table outlives it. A node counts as heard for \p silence.
+    Discovery(const PeerTable& table, const VmId& self, DataCentreId own, milliseconds silence);
+
+    /// \p vm is to be answered: it was heard for the first time since its start or
+    /// this node's, or took this node for a relay. It then knows this node and the
+    /// relays here.
+    void noteNew(const VmId& vm) { unanswered_.push_back(vm); }
+    struct Receivers {
+        /// They are told of this node.
+        std::vector<Endpoint> introduced_;
+        /// They are told of it and of relaysToName().
+        std::vector<Endpoint> answered_;
+    };
+    /// Whom to tell of this node in this period. \p unheardSeeds were given by the
+    /// settings and not heard yet.
+    Receivers receivers(const std::vector<Endpoint>& unheardSeeds);
+    /// The relays of all data centres, as far as this node knows: a node that is new
+    /// finds its own among them, whomever it asks.
+    std::vector<KnownPeer> relaysToName(SteadyTime now) const;
+    /// Nodes to name in a digest: all that read from the platform, the relays of this
+    /// data centre, and others of it in turn. Who asks a node that is no relay learns
+    /// from its answer which ones are.
+    std::vector<KnownPeer> membersToName(SteadyTime now);
+
+private:
+    void addRelays(const DataCentreId& dataCentre, std::vector<KnownPeer>& relays, SteadyTime now) const;
+    std::vector<Endpoint> takeUnanswered();
+    std::vector<Endpoint> nextUnheard(const std::vector<KnownPeer>& peers);
+
+    const PeerTable& table_;
+    const DataCentreId own_;
+    const milliseconds silence_;
+    std::deque<VmId> unanswered_;
+    /// Where this node begins in lists that are alike on all nodes: if all began with
+    /// the same nodes, the last ones were heard by nobody for long.
+    std::size_t receiverTurn_;
+    std::size_t unheardTurn_;
+    std::size_t memberTurn_ = 0;
+    std::size_t digestTurn_ = 0;
+};
+
+} // namespace pistachioloom
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -15,12 +15,9 @@
 
     // The largest datagram that UDP carries.
     constexpr std::size_t longestDatagram = 64UL * 1024;
-    // Other nodes that a node of a large fleet introduces itself to in a period.
-    // It is heard by each of 370 within 25 s, and what presses comes by digests.
-    constexpr std::size_t introductions = 3;
-    // Nodes never heard before that are told of this one in a period: 60 nodes
-    // that start at once know each other after a second.
-    constexpr std::size_t firstIntroductions = 12;
+    // A node that hears few others waits for so many places more before it claims
+    // duties, longer than a lease: they may be held by one that it does not hear.
+    constexpr std::size_t ranksBehind = 8;
 
     /// The peer that stands for all others in the books of a large fleet.
     const VmId& allOthers()
@@ -42,6 +39,7 @@
     , hooks_(std::move(hooks))
     , socket_(io)
     , table_(context.settings_.vm_, context.settings_.dataCentre_, context.settings_.cores_, context.settings_.gossiping_)
+    , discovery_(table_, context.settings_.vm_, context.settings_.dataCentre_, context.settings_.gossiping_.silence_)
     , relayBook_(context.settings_.usageWindow_)
 {
 }
@@ -72,10 +70,27 @@
     return wasLarge_ ? nodesSummed_.load() : live().size();
 }
 
+Coverage PeerReports::coverage(SteadyTime now) const
+{
+    PeerTable::Census census = table_.census();
+    // What was named and never heard may be long gone, but for a while after a start.
+    bool hasJustStarted = now - startedAt_ < context_.settings_.gossiping_.forget_;
+    std::uint64_t known = census.heard_ + (hasJustStarted ? census.named_ : 0);
+    const wire::NodeSums* sums = others_.current(now);
+    std::uint64_t heard = wasLarge_ ? (sums ? sums->nodes() : 0) : live().size();
+    return { heard + 1, std::max(known, heard) + 1 };
+}
+
+std::size_t PeerReports::rankFor(const std::string& key) const
+{
+    SteadyTime now = steadyNow();
+    return table_.rankFor(key, now) + (coverage(now).hasMost() ? 0 : ranksBehind);
+}
+
 bool PeerReports::haveAllToldWithin(milliseconds time, milliseconds longest) const
 {
     if (wasLarge_)
-        return nodesSummed_ && !nodesMissed_;
+        return !nodesMissed_ && coverage(steadyNow()).isWhole();
     // One that is gone for longer is not waited for: its counts came or never come.
     return heardWithin(time).size() >= heardWithin(longest).size();
 }
@@ -153,47 +168,50 @@
 void PeerReports::tellAll()
 {
     wire::Datagram datagram;
-    composeIntroduction(*datagram.mutable_report());
+    composeIntroduction(*datagram.mutable_report(), NamesTold::Many);
     composeState(*datagram.mutable_report());
     send(datagram, addressesKnown());
 }
 
 void PeerReports::tellRelays(SteadyTime now)
 {
-    introduce();
+    introduce(now);
     wire::Datagram datagram;
     wire::NodeReport& report = *datagram.mutable_report();
-    composeIntroduction(report);
+    composeIntroduction(report, NamesTold::Few);
     composeState(report);
     report.set_wants_digest(true);
     std::vector<Endpoint> relays;
-    bool isRelay = false;
-    for (const VmId& vm : table_.chooseRelays(now)) {
+    isRelay_ = false;
+    std::vector<VmId> chosen = table_.chooseRelays(now);
+    others_.keepOnly(chosen, now);
+    for (const VmId& vm : chosen) {
         auto address = table_.gossipOf(vm);
         if (vm == context_.settings_.vm_) {
-            isRelay = true;
+            isRelay_ = true;
             relayBook_.takeReport(report, now);
         } else if (address)
             relays.push_back(*address);
     }
     send(datagram, relays);
-    tellSums(isRelay, now);
+    tellSums(now);
 }
 
-void PeerReports::introduce()
+void PeerReports::introduce(SteadyTime now)
 {
+    Discovery::Receivers receivers = discovery_.receivers(unheardSeeds());
     wire::Datagram datagram;
-    composeIntroduction(*datagram.mutable_report());
-    datagram.mutable_report()->set_is_brief(true);
-    std::vector<Endpoint> receivers;
-    for (const auto& [vm, peer] : table_.all()) {
-        if (peer.heardAt_ == SteadyTime {} && receivers.size() < firstIntroductions)
-            receivers.push_back(peer.gossip_);
-    }
-    std::vector<Endpoint> all = addressesKnown();
-    for (std::size_t i = 0; i < std::min(introductions, all.size()); ++i)
-        receivers.push_back(all[introduceTurn_++ % all.size()]);
-    send(datagram, receivers);
+    wire::NodeReport& report = *datagram.mutable_report();
+    composeIntroduction(report, NamesTold::Few);
+    report.set_is_brief(true);
+    send(datagram, receivers.introduced_);
+    if (receivers.answered_.empty())
+        return;
+    report.Clear();
+    composeIntroduction(report, NamesTold::Many);
+    report.set_is_brief(true);
+    composeMembers(*report.mutable_relays(), discovery_.relaysToName(now), now);
+    send(datagram, receivers.answered_);
 }
 
 std::uint64_t PeerReports::countedMs(SteadyTime now) const
@@ -203,7 +221,7 @@
 
 /// Tells each node that reports here what all others told, and the relays of
 /// other data centres what this one's nodes told.
-void PeerReports::tellSums(bool isRelay, SteadyTime now)
+void PeerReports::tellSums(SteadyTime now)
 {
     std::vector<VmId> receivers = relayBook_.receivers(now);
     if (receivers.empty())
@@ -214,7 +232,7 @@
     report.set_data_centre(context_.settings_.dataCentre_.value_);
     report.set_incarnation(context_.incarnation_);
     report.set_is_digest(true);
-    composeMembers(report, membersToName(now), now);
+    composeMembers(*report.mutable_members(), discovery_.membersToName(now), now);
     ReportTotals totals = relayBook_.totals(now);
     for (const VmId& vm : receivers) {
         *report.mutable_sums() = relayBook_.digestFor(vm, totals, now);
@@ -226,15 +244,16 @@
             send(datagram, receiver);
         }
     }
-    if (!isRelay)
+    if (!isRelay_)
         return;
     report.set_is_digest(false);
     ++relayTurn_;
     for (const DataCentreId& dataCentre : table_.otherDataCentres()) {
-        // Those that tell their sums are relays; without one, nodes are tried in turn.
-        std::vector<VmId> relays = relayBook_.relaysOf(dataCentre, now);
-        if (relays.empty())
-            relays = table_.likelyRelays(dataCentre, relayTurn_, now);
+        // Those that tell their sums are relays, or were a moment ago.
+        std::vector<VmId> telling = relayBook_.relaysOf(dataCentre, now);
+        std::set<VmId> relays(telling.begin(), telling.end());
+        for (const VmId& vm : table_.likelyRelays(dataCentre, relayTurn_, now))
+            relays.insert(vm);
         *report.mutable_sums() = relayBook_.summaryFor(dataCentre, now);
         report.mutable_sums()->set_counted_ms(countedMs(now));
         for (const VmId& vm : relays) {
@@ -259,7 +278,7 @@
         if (isGood && datagram.has_report() && !datagram.report().vm().empty())
             take(datagram.report(), steadyNow());
         else if (isGood && datagram.has_relayed() && !datagram.relayed().vm().empty())
-            takeRelayed(datagram.relayed(), steadyNow());
+            takeRelayed(datagram.relayed(), { sender.address().to_string(), sender.port() }, steadyNow());
         else {
             context_.metrics_.add(Counter::PeerErrors);
             logger_.warn("Datagram from " + sender.address().to_string() + " is no report.");
@@ -309,11 +328,14 @@
     PeerTable::Heard heard = table_.take(vm, std::move(peer));
     if (heard == PeerTable::Heard::Old)
         return;
+    if (heard == PeerTable::Heard::Restarted)
+        discovery_.noteNew(vm);
     // In a large fleet a node introduces itself to each other one in turn, once in
     // some seconds: 39,000 lines a minute of 63 nodes told of that alone.
     bool isNews = heard != PeerTable::Heard::Again && !(wasLarge_ && heard == PeerTable::Heard::AfterSilence);
     if (isNews)
         logger_.info(LogLine(heard == PeerTable::Heard::AfterSilence ? "Peer is heard again." : "Peer is heard.").add("peer", vm.value_).add("address", report.address()).add("configuration", static_cast<std::int64_t>(report.configuration_version())));
+    takeMembers(report.relays(), now);
     for (const wire::KnownNode& known : report.nodes()) {
         if (auto address = parseEndpoint(known.address()))
             addKnown({ known.vm() }, *address);
@@ -349,25 +371,34 @@
     context_.usage_.setPeer(vm, report.incarnation(), usageOf(report.usage()));
 }
 
-void PeerReports::takeRelayed(const wire::RelayReport& report, SteadyTime now)
+void PeerReports::takeMembers(const google::protobuf::RepeatedPtrField<wire::MemberEntry>& members, SteadyTime now)
 {
-    VmId relay { report.vm() };
-    if (relay == context_.settings_.vm_)
-        return;
-    for (const wire::MemberEntry& member : report.members()) {
+    for (const wire::MemberEntry& member : members) {
         auto gossip = parseEndpoint(member.address());
         if (!gossip)
             continue;
         Peer peer { *gossip, endpointOr(member.peers_address(), {}), { member.data_centre() }, member.incarnation(), 0, member.configuration_version(), member.is_stopping(), member.is_platform_lost(), member.is_reader(), member.registry_fingerprint(), member.cores(), now - milliseconds(member.age_ms()) };
         table_.takeHearsay({ member.vm() }, peer);
     }
+}
+
+void PeerReports::takeRelayed(const wire::RelayReport& report, const Endpoint& sender, SteadyTime now)
+{
+    VmId relay { report.vm() };
+    if (relay == context_.settings_.vm_)
+        return;
+    takeMembers(report.members(), now);
+    addKnown(relay, sender);
     if (report.is_digest()) {
         table_.noteDigest(relay, now);
         takeDigest(relay, report.incarnation(), report.sums(), now);
-    } else {
-        takeLeaving(report.sums().leaving(), relay);
-        relayBook_.takeSummary(report, now);
+        return;
     }
+    // Its sender does not know the relays of this data centre yet.
+    if (!isRelay_)
+        discovery_.noteNew(relay);
+    takeLeaving(report.sums().leaving(), relay);
+    relayBook_.takeSummary(report, now);
 }
 
 void PeerReports::takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now)
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -8,8 +8,8 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "Discovery.h"
 #include "GatewayContext.h"
-#include "PeerTable.h"
 #include "RelayBook.h"
 
 #include <boost/asio.hpp>
@@ -48,6 +48,8 @@
     bool haveAllToldWithin(milliseconds time, milliseconds longest) const;
     /// Nodes that this one knows the work of, itself left out.
     std::uint64_t nodesKnownOf() const;
+    /// How much of the fleet's work is told here. Called on the event loop.
+    Coverage coverage(SteadyTime now) const;
     /// Whether \p vm said that it is stopping.
     bool isStopping(const VmId& vm) const { return table_.isStopping(vm); }
     /// A node announced elsewhere; it is told of this node from now on.
@@ -56,8 +58,10 @@
     void noteFleetKnown();
     /// Tells peers that a backend server is leaving, for some seconds.
     void noteLeaving(const BackendId& id);
-    /// This node's place among live nodes in the order for \p key.
-    std::size_t rankFor(const std::string& key) const { return table_.rankFor(key, steadyNow()); }
+    /// This node's place among live nodes in the order for \p key. One that hears less
+    /// than half of the others stands behind those that hear more. Called on the event
+    /// loop.
+    std::size_t rankFor(const std::string& key) const;
 
 private:
     asio::awaitable<void> tell();
@@ -66,22 +70,27 @@
     std::uint64_t countedMs(SteadyTime now) const;
     void tellAll();
     void tellRelays(SteadyTime now);
-    void tellSums(bool isRelay, SteadyTime now);
-    void introduce();
+    void tellSums(SteadyTime now);
+    void introduce(SteadyTime now);
     void send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
 
-    void composeIntroduction(wire::NodeReport& report);
+    /// How many other nodes a report names.
+    enum class NamesTold {
+        Few,
+        Many,
+    };
+
+    void composeIntroduction(wire::NodeReport& report, NamesTold names);
     void composeState(wire::NodeReport& report);
-    void composeMembers(wire::RelayReport& report, const std::vector<KnownPeer>& members, SteadyTime now);
-    /// Nodes to name in a digest: all that read, and others of this data centre
-    /// in turn.
-    std::vector<KnownPeer> membersToName(SteadyTime now);
+    static void composeMembers(google::protobuf::RepeatedPtrField<wire::MemberEntry>& entries, const std::vector<KnownPeer>& members, SteadyTime now);
     /// Of peers, and of seeds that were not heard yet.
     std::vector<Endpoint> addressesKnown();
+    std::vector<Endpoint> unheardSeeds();
 
     void take(const wire::NodeReport& report, SteadyTime now);
     void takeState(const wire::NodeReport& report, SteadyTime now);
-    void takeRelayed(const wire::RelayReport& report, SteadyTime now);
+    void takeMembers(const google::protobuf::RepeatedPtrField<wire::MemberEntry>& members, SteadyTime now);
+    void takeRelayed(const wire::RelayReport& report, const Endpoint& sender, SteadyTime now);
     void takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
     void takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from);
     void forgetCounts(const VmId& vm);
@@ -93,6 +102,9 @@
     Hooks hooks_;
     asio::ip::udp::socket socket_;
     PeerTable table_;
+    Discovery discovery_;
+    /// Whether this node sums the reports of its data centre.
+    bool isRelay_ = false;
     RelayBook relayBook_;
     /// All other nodes, as relays sum them.
     SumGroup others_;
@@ -103,9 +115,6 @@
     std::mutex leavingMutex_;
     std::deque<std::pair<SteadyTime, BackendId>> leaving_;
     std::uint64_t sequence_ = 0;
-    std::size_t introduceTurn_ = 0;
-    std::size_t memberTurn_ = 0;
-    std::size_t digestTurn_ = 0;
     std::size_t relayTurn_ = 0;
     std::atomic<bool> wasLarge_ { false };
     const SteadyTime startedAt_ = steadyNow();
--- a/lib/Gateway/PeerTable.cpp
+++ b/lib/Gateway/PeerTable.cpp
@@ -20,6 +20,8 @@
     constexpr milliseconds relaySilence { 600 };
     // A relay that fell silent is asked again after this time.
     constexpr milliseconds relayAvoided { 2000 };
+    // Part of the nodes that are heard when knowledge counts as whole.
+    constexpr double wholePart = 0.9;
 
     std::string relayKey(const DataCentreId& dataCentre)
     {
@@ -28,6 +30,16 @@
 
 } // namespace
 
+bool Coverage::isWhole() const
+{
+    return static_cast<double>(heard_) >= wholePart * static_cast<double>(known_);
+}
+
+bool Coverage::hasMost() const
+{
+    return 2 * heard_ > known_;
+}
+
 PeerTable::PeerTable(VmId self, DataCentreId own, double cores, GossipSettings settings)
     : self_(std::move(self))
     , own_(std::move(own))
@@ -109,6 +121,15 @@
     return peers_.size();
 }
 
+PeerTable::Census PeerTable::census() const
+{
+    std::lock_guard lock(mutex_);
+    Census census;
+    for (const auto& [vm, peer] : peers_)
+        ++(peer.heardAt_ == SteadyTime {} ? census.named_ : census.heard_);
+    return census;
+}
+
 std::vector<KnownPeer> PeerTable::heardWithin(milliseconds silence, SteadyTime now) const
 {
     std::lock_guard lock(mutex_);
@@ -184,10 +205,14 @@
         if (peer.dataCentre_ == dataCentre && now - peer.heardAt_ <= relayMemory)
             candidates.push_back(vm);
     }
-    std::vector<VmId> ranked = rankRelays(dataCentre, candidates);
-    std::vector<VmId> likely;
-    for (std::size_t i = 0; i < std::min<std::size_t>(ranked.size(), settings_.relays_); ++i)
-        likely.push_back(ranked[(turn * settings_.relays_ + i) % ranked.size()]);
+    std::vector<VmId> likely = rankRelays(dataCentre, candidates);
+    if (likely.size() <= settings_.relays_)
+        return likely;
+    // The first ones are asked each time, since they are relays as soon as all there
+    // know them; another one in turn, in case these have gone.
+    VmId inTurn = likely[settings_.relays_ + turn % (likely.size() - settings_.relays_)];
+    likely.resize(settings_.relays_);
+    likely.push_back(inTurn);
     return likely;
 }
 
@@ -216,4 +241,11 @@
     return found == peers_.end() ? std::nullopt : std::optional(found->second.gossip_);
 }
 
+std::optional<Peer> PeerTable::find(const VmId& vm) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = peers_.find(vm);
+    return found == peers_.end() ? std::nullopt : std::optional(found->second);
+}
+
 } // namespace pistachioloom
--- a/lib/Gateway/PeerTable.h
+++ b/lib/Gateway/PeerTable.h
@@ -31,6 +31,20 @@
 
 using KnownPeer = std::pair<VmId, Peer>;
 
+/// How much of the fleet a node's knowledge covers, itself included.
+struct Coverage {
+    /// Nodes whose work is told here now.
+    std::uint64_t heard_ = 1;
+    /// Nodes that are there as far as this one knows.
+    std::uint64_t known_ = 1;
+
+    /// Nearly all are heard; the rest may be starting or gone.
+    bool isWhole() const;
+    /// More than half of them are heard: at most one part of a fleet that is cut in
+    /// several has them.
+    bool hasMost() const;
+};
+
 class PeerTable {
 public:
     enum class Heard {
@@ -59,6 +73,12 @@
     /// Whether the fleet is too large for everyone to hear everyone.
     bool isLarge() const;
     std::size_t size() const;
+    /// Nodes that were heard and not forgotten, and those that were only named.
+    struct Census {
+        std::size_t heard_ = 0;
+        std::size_t named_ = 0;
+    };
+    Census census() const;
     /// Nodes heard within \p silence.
     std::vector<KnownPeer> heardWithin(milliseconds silence, SteadyTime now) const;
     std::vector<KnownPeer> all() const;
@@ -67,14 +87,15 @@
     /// The nodes of this one's data centre that sum its reports, itself perhaps.
     /// One that has told nothing for a while after it was asked is passed over.
     std::vector<VmId> chooseRelays(SteadyTime now);
-    /// Nodes of another data centre that may be relays there, in the order in
-    /// which its own nodes choose; \p turn moves on along it.
+    /// Nodes of a data centre that may be relays there: the first in the order in
+    /// which its own nodes choose, and one of the others, which \p turn moves along.
     std::vector<VmId> likelyRelays(const DataCentreId& dataCentre, std::size_t turn, SteadyTime now) const;
     /// Data centres of known nodes but the own one.
     std::vector<DataCentreId> otherDataCentres() const;
     /// Whether a node is known to be stopping.
     bool isStopping(const VmId& vm) const;
     std::optional<Endpoint> gossipOf(const VmId& vm) const;
+    std::optional<Peer> find(const VmId& vm) const;
 
 private:
     /// Candidates for relays of \p dataCentre, best first: those with most
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -15,19 +15,15 @@
     // Peers hear of a leaving backend server for this long.
     constexpr milliseconds leavingTold { 10000 };
     // Other nodes named in one datagram, so that nodes which know different ones
-    // find each other.
-    constexpr std::size_t nodesNamed = 24;
-    // In a large fleet digests name nodes; an introduction of 24 names would be
-    // five times as long.
-    constexpr std::size_t nodesNamedInLarge = 3;
-    // Members of the own data centre that a digest tells of, in turn: 26 of them
-    // are told of within seven periods, 1.4 s.
-    constexpr std::size_t membersNamed = 4;
+    // find each other: many in a small fleet and to a node that is new, few in what a
+    // large fleet sends each period.
+    constexpr std::size_t manyNames = 24;
+    constexpr std::size_t fewNames = 3;
 
 } // namespace
 
 /// What any node may hear: who this is, and what presses.
-void PeerReports::composeIntroduction(wire::NodeReport& report)
+void PeerReports::composeIntroduction(wire::NodeReport& report, NamesTold names)
 {
     const GatewaySettings& settings = context_.settings_;
     SteadyTime now = steadyNow();
@@ -56,7 +52,7 @@
             report.add_leaving(id.value_);
     }
     std::vector<KnownPeer> known = live();
-    for (std::size_t i = 0; i < std::min(wasLarge_ ? nodesNamedInLarge : nodesNamed, known.size()); ++i) {
+    for (std::size_t i = 0; i < std::min(names == NamesTold::Few ? fewNames : manyNames, known.size()); ++i) {
         const auto& [vm, peer] = known[(sequence_ + i) % known.size()];
         wire::KnownNode& named = *report.add_nodes();
         named.set_vm(vm.value_);
@@ -85,27 +81,10 @@
     }
 }
 
-std::vector<KnownPeer> PeerReports::membersToName(SteadyTime now)
-{
-    // Readers are named in every other digest: their silence bound is four.
-    bool namesReaders = ++digestTurn_ % 2;
-    std::vector<KnownPeer> named;
-    std::vector<KnownPeer> others;
-    for (const KnownPeer& known : table_.heardWithin(context_.settings_.gossiping_.silence_, now)) {
-        if (known.second.isReader_ && namesReaders)
-            named.push_back(known);
-        else if (!known.second.isReader_ && known.second.dataCentre_ == context_.settings_.dataCentre_)
-            others.push_back(known);
-    }
-    for (std::size_t i = 0; i < std::min(membersNamed, others.size()); ++i)
-        named.push_back(others[memberTurn_++ % others.size()]);
-    return named;
-}
-
-void PeerReports::composeMembers(wire::RelayReport& report, const std::vector<KnownPeer>& members, SteadyTime now)
+void PeerReports::composeMembers(google::protobuf::RepeatedPtrField<wire::MemberEntry>& entries, const std::vector<KnownPeer>& members, SteadyTime now)
 {
     for (const auto& [vm, peer] : members) {
-        wire::MemberEntry& entry = *report.add_members();
+        wire::MemberEntry& entry = *entries.Add();
         entry.set_vm(vm.value_);
         entry.set_data_centre(peer.dataCentre_.value_);
         entry.set_address(peer.gossip_.toString());
@@ -124,18 +103,23 @@
 /// In a small fleet these are all; seeds are told until they are heard.
 std::vector<Endpoint> PeerReports::addressesKnown()
 {
-    std::vector<Endpoint> all;
-    std::set<std::string> hosts;
-    for (const auto& [vm, peer] : table_.all()) {
+    std::vector<Endpoint> all = unheardSeeds();
+    for (const auto& [vm, peer] : table_.all())
         all.push_back(peer.gossip_);
+    return all;
+}
+
+std::vector<Endpoint> PeerReports::unheardSeeds()
+{
+    std::set<std::string> hosts { context_.settings_.gossip_.host_ };
+    for (const auto& [vm, peer] : table_.all())
         hosts.insert(peer.gossip_.host_);
-    }
+    std::vector<Endpoint> unheard;
     for (const Endpoint& seed : context_.settings_.seeds_) {
-        Endpoint gossip { seed.host_, context_.settings_.gossip_.port_ };
-        if (seed.host_ != context_.settings_.gossip_.host_ && !hosts.contains(seed.host_))
-            all.insert(all.begin(), gossip);
+        if (!hosts.contains(seed.host_))
+            unheard.push_back({ seed.host_, context_.settings_.gossip_.port_ });
     }
-    return all;
+    return unheard;
 }
 
 } // namespace pistachioloom
--- a/lib/Gateway/SumGroup.cpp
+++ b/lib/Gateway/SumGroup.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "SumGroup.h"
 
+#include <algorithm>
+
 namespace pistachioloom {
 
 namespace {
@@ -87,6 +89,12 @@
     return true;
 }
 
+void SumGroup::keepOnly(const std::vector<VmId>& asked, SteadyTime now)
+{
+    std::erase_if(sources_, [&](const auto& entry) { return std::find(asked.begin(), asked.end(), entry.first) == asked.end(); });
+    chooseCounting(now);
+}
+
 const wire::NodeSums* SumGroup::current(SteadyTime now) const
 {
     auto counting = sources_.find(counting_);
--- a/lib/Gateway/SumGroup.h
+++ b/lib/Gateway/SumGroup.h
@@ -11,6 +11,7 @@
 #include "pistachioloom/Support.h"
 
 #include <map>
+#include <vector>
 
 namespace pistachioloom {
 
@@ -26,6 +27,8 @@
     /// Takes what \p source told; \p incarnation changes with its restart.
     /// \returns whether it is the source that counts now.
     bool take(const VmId& source, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
+    /// Forgets sources that are not among \p asked: what they tell no longer grows.
+    void keepOnly(const std::vector<VmId>& asked, SteadyTime now);
     /// The newest sums of the source that counts; nullptr if it is silent.
     const wire::NodeSums* current(SteadyTime now) const;
     /// When those sums were heard.
--- /dev/null
+++ b/unittests/Gateway/DiscoveryTest.cpp
@@ -0,0 +1,284 @@
+//===- unittests/Gateway/DiscoveryTest.cpp - a fleet that starts at once ---===//
+///
+/// \file
+/// All nodes start at one moment, as after a power failure, and find the relays of
+/// their data centre. Until each hears the sum of all others it takes a few nodes'
+/// work for that of all: it orders engines for them, and claims duties that are held.
+//===----------------------------------------------------------------------===//
+#include "Discovery.h"
+#include "RelayBook.h"
+
+#include "pistachioloom/Duties.h"
+#include "pistachioloom/Quota.h"
+#include "pistachioloom/Settings.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace pistachioloom;
+
+namespace {
+
+constexpr SteadyTime start { std::chrono::hours(1) };
+constexpr milliseconds period { 200 };
+/// Nodes of each data centre with more processor cores than the others.
+constexpr std::size_t largeVms = 3;
+/// Part of the others whose sum a node hears at least when it counts as informed.
+constexpr double informedShare = 0.9;
+
+struct Shape {
+    const char* name_;
+    std::size_t nodes_;
+    std::size_t dataCentres_;
+    /// Nodes that the settings name.
+    std::size_t seeds_;
+    /// All nodes read who announced itself; else they know the seeds alone.
+    bool areAnnounced_;
+    milliseconds bound_;
+};
+
+struct Node {
+    Node(VmId vm, DataCentreId dataCentre, double cores, Endpoint address)
+        : vm_(std::move(vm))
+        , dataCentre_(std::move(dataCentre))
+        , cores_(cores)
+        , address_(std::move(address))
+        , table_(vm_, dataCentre_, cores_, GossipSettings {})
+        , discovery_(table_, vm_, dataCentre_, GossipSettings {}.silence_)
+        , relays_(milliseconds(5000))
+    {
+    }
+
+    VmId vm_;
+    DataCentreId dataCentre_;
+    double cores_ = 0;
+    Endpoint address_;
+    PeerTable table_;
+    Discovery discovery_;
+    RelayBook relays_;
+    SumGroup others_;
+    std::uint64_t sequence_ = 0;
+    bool isRelay_ = false;
+};
+
+struct Message {
+    Endpoint from_;
+    Endpoint to_;
+    wire::Datagram datagram_;
+    std::vector<KnownPeer> members_;
+};
+
+/// Nodes that exchange datagrams each period, as PeerReports does.
+class StartingFleet {
+public:
+    explicit StartingFleet(const Shape& shape)
+        : shape_(shape)
+    {
+        for (std::size_t i = 0; i < shape.nodes_; ++i) {
+            std::size_t place = i % shape.dataCentres_;
+            std::size_t number = i / shape.dataCentres_;
+            DataCentreId dataCentre { "dc-" + std::to_string(place) };
+            Endpoint address { "10.0." + std::to_string(i / 200) + "." + std::to_string(1 + i % 200), 7500 };
+            nodes_.push_back(std::make_unique<Node>(VmId { dataCentre.value_ + "-" + std::to_string(number) }, dataCentre, number < largeVms ? 0.5 : 0.12, address));
+            byAddress_[address.host_] = nodes_.back().get();
+        }
+        for (auto& node : nodes_) {
+            for (std::size_t i = 0; shape.areAnnounced_ && i < nodes_.size(); ++i)
+                node->table_.addKnown(nodes_[i]->vm_, nodes_[i]->address_);
+        }
+    }
+
+    /// Plays until all nodes are informed. \returns the time it took.
+    milliseconds play(milliseconds longest)
+    {
+        for (milliseconds passed {}; passed < longest; passed += period) {
+            step(start + passed);
+            if (informed(start + passed) == nodes_.size())
+                return passed + period;
+        }
+        return longest;
+    }
+
+    /// Nodes that hear the sum of nearly all others, and nothing twice.
+    std::size_t informed(SteadyTime now) const
+    {
+        auto others = static_cast<double>(nodes_.size() - 1);
+        return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+            const wire::NodeSums* sums = node->others_.current(now);
+            double heard = sums ? static_cast<double>(sums->nodes()) : 0;
+            return heard >= informedShare * others && heard <= others;
+        }));
+    }
+
+    /// Datagrams that the node which gets most of them got in one period.
+    std::size_t mostReceived() const { return mostReceived_; }
+
+private:
+    void step(SteadyTime now)
+    {
+        std::vector<Message> messages;
+        for (auto& node : nodes_)
+            tell(*node, messages, now);
+        std::map<std::string, std::size_t> received;
+        for (const Message& message : messages) {
+            mostReceived_ = std::max(mostReceived_, ++received[message.to_.host_]);
+            hear(*byAddress_.at(message.to_.host_), message, now);
+        }
+    }
+
+    std::vector<Endpoint> unheardSeeds(const Node& node) const
+    {
+        std::vector<Endpoint> unheard;
+        for (std::size_t i = 0; i < shape_.seeds_; ++i) {
+            if (nodes_[i].get() != &node && !node.table_.gossipOf(nodes_[i]->vm_))
+                unheard.push_back(nodes_[i]->address_);
+        }
+        return unheard;
+    }
+
+    static void introduceIn(wire::NodeReport& report, Node& node, std::size_t named, SteadyTime now)
+    {
+        report.set_vm(node.vm_.value_);
+        report.set_data_centre(node.dataCentre_.value_);
+        report.set_incarnation(1);
+        report.set_sequence(++node.sequence_);
+        report.set_address(node.address_.toString());
+        report.set_cores(node.cores_);
+        std::vector<KnownPeer> known = node.table_.heardWithin(GossipSettings {}.silence_, now);
+        for (std::size_t i = 0; i < std::min(named, known.size()); ++i) {
+            const auto& [vm, peer] = known[(node.sequence_ + i) % known.size()];
+            wire::KnownNode& entry = *report.add_nodes();
+            entry.set_vm(vm.value_);
+            entry.set_address(peer.gossip_.toString());
+        }
+    }
+
+    void tell(Node& node, std::vector<Message>& messages, SteadyTime now)
+    {
+        wire::Datagram introduction;
+        introduceIn(*introduction.mutable_report(), node, 3, now);
+        wire::Datagram answer;
+        introduceIn(*answer.mutable_report(), node, 24, now);
+        Discovery::Receivers receivers = node.discovery_.receivers(unheardSeeds(node));
+        for (const Endpoint& receiver : receivers.introduced_)
+            messages.push_back({ node.address_, receiver, introduction, {} });
+        for (const Endpoint& receiver : receivers.answered_)
+            messages.push_back({ node.address_, receiver, answer, node.discovery_.relaysToName(now) });
+        wire::Datagram report;
+        introduceIn(*report.mutable_report(), node, 3, now);
+        report.mutable_report()->set_wants_digest(true);
+        node.isRelay_ = false;
+        std::vector<VmId> chosen = node.table_.chooseRelays(now);
+        node.others_.keepOnly(chosen, now);
+        for (const VmId& relay : chosen) {
+            if (relay == node.vm_) {
+                node.isRelay_ = true;
+                node.relays_.takeReport(report.report(), now);
+            } else
+                messages.push_back({ node.address_, *node.table_.gossipOf(relay), report, {} });
+        }
+        tellSums(node, messages, now);
+    }
+
+    void tellSums(Node& node, std::vector<Message>& messages, SteadyTime now)
+    {
+        std::vector<VmId> receivers = node.relays_.receivers(now);
+        if (receivers.empty())
+            return;
+        wire::Datagram datagram;
+        wire::RelayReport& relayed = *datagram.mutable_relayed();
+        relayed.set_vm(node.vm_.value_);
+        relayed.set_data_centre(node.dataCentre_.value_);
+        relayed.set_incarnation(1);
+        relayed.set_is_digest(true);
+        std::vector<KnownPeer> members = node.discovery_.membersToName(now);
+        ReportTotals totals = node.relays_.totals(now);
+        for (const VmId& vm : receivers) {
+            *relayed.mutable_sums() = node.relays_.digestFor(vm, totals, now);
+            if (vm == node.vm_)
+                (void)node.others_.take(vm, 1, relayed.sums(), now);
+            else if (auto address = node.table_.gossipOf(vm))
+                messages.push_back({ node.address_, *address, datagram, members });
+        }
+        if (!node.isRelay_)
+            return;
+        relayed.set_is_digest(false);
+        ++node.sequence_;
+        for (const DataCentreId& dataCentre : node.table_.otherDataCentres()) {
+            std::vector<VmId> telling = node.relays_.relaysOf(dataCentre, now);
+            std::set<VmId> relays(telling.begin(), telling.end());
+            for (const VmId& vm : node.table_.likelyRelays(dataCentre, node.sequence_, now))
+                relays.insert(vm);
+            *relayed.mutable_sums() = node.relays_.summaryFor(dataCentre, now);
+            for (const VmId& vm : relays) {
+                if (auto address = node.table_.gossipOf(vm))
+                    messages.push_back({ node.address_, *address, datagram, members });
+            }
+        }
+    }
+
+    void hear(Node& node, const Message& message, SteadyTime now)
+    {
+        for (const auto& [vm, peer] : message.members_)
+            node.table_.takeHearsay(vm, peer);
+        if (message.datagram_.has_report())
+            return hearReport(node, message.datagram_.report(), now);
+        const wire::RelayReport& relayed = message.datagram_.relayed();
+        node.table_.addKnown({ relayed.vm() }, message.from_);
+        if (!relayed.is_digest()) {
+            if (!node.isRelay_)
+                node.discovery_.noteNew({ relayed.vm() });
+            return node.relays_.takeSummary(relayed, now);
+        }
+        node.table_.noteDigest({ relayed.vm() }, now);
+        (void)node.others_.take({ relayed.vm() }, 1, relayed.sums(), now);
+    }
+
+    static void hearReport(Node& node, const wire::NodeReport& report, SteadyTime now)
+    {
+        Peer peer;
+        peer.gossip_ = *parseEndpoint(report.address());
+        peer.dataCentre_ = { report.data_centre() };
+        peer.incarnation_ = report.incarnation();
+        peer.sequence_ = report.sequence();
+        peer.cores_ = report.cores();
+        peer.heardAt_ = now;
+        PeerTable::Heard heard = node.table_.take({ report.vm() }, peer);
+        if (heard == PeerTable::Heard::Old)
+            return;
+        if (heard == PeerTable::Heard::Restarted)
+            node.discovery_.noteNew({ report.vm() });
+        for (const wire::KnownNode& known : report.nodes())
+            node.table_.addKnown({ known.vm() }, *parseEndpoint(known.address()));
+        if (report.wants_digest())
+            node.relays_.takeReport(report, now);
+    }
+
+    Shape shape_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::map<std::string, Node*> byAddress_;
+    std::size_t mostReceived_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("nodes that start at once are informed of all others in time", "[peers]")
+{
+    // Duties are claimed then. Without the platform nobody claims them, but quotas are
+    // divided equally for no longer than this.
+    milliseconds firstClaim = DutyTiming {}.firstClaimAfter_;
+    milliseconds divided = QuotaSettings {}.startup_;
+    auto shape = GENERATE_COPY(values<Shape>({
+        { "a data centre's worth", 30, 2, 3, true, firstClaim },
+        { "hundreds, announced", 195, 5, 3, true, firstClaim },
+        { "hundreds, the platform is silent", 195, 5, 3, false, divided },
+        { "the largest fleet, announced", 370, 14, 3, true, firstClaim },
+        { "the largest fleet, the platform is silent", 370, 14, 3, false, divided },
+    }));
+    CAPTURE(shape.name_);
+    StartingFleet fleet(shape);
+    CHECK(fleet.play(milliseconds(6000)).count() <= shape.bound_.count());
+    // Each other node turns to a seed once in a period at most; the rest is spread.
+    CHECK(fleet.mostReceived() <= shape.nodes_ + 64);
+}
--- a/unittests/Gateway/PeerTableTest.cpp
+++ b/unittests/Gateway/PeerTableTest.cpp
@@ -137,3 +137,25 @@
     // One that was named but never heard is told on.
     CHECK(table.size() == 1);
 }
+
+TEST_CASE("knowledge of a few nodes is told from that of all", "[peers]")
+{
+    struct Row {
+        std::uint64_t heard_;
+        std::uint64_t known_;
+        bool isWhole_;
+        bool hasMost_;
+    };
+    auto row = GENERATE(values<Row>({
+        { 1, 1, true, true },
+        { 2, 195, false, false },
+        { 98, 195, false, true },
+        { 156, 195, false, true },
+        { 180, 195, true, true },
+        { 195, 195, true, true },
+        { 1, 2, false, false },
+    }));
+    CAPTURE(row.heard_, row.known_);
+    CHECK(Coverage { row.heard_, row.known_ }.isWhole() == row.isWhole_);
+    CHECK(Coverage { row.heard_, row.known_ }.hasMost() == row.hasMost_);
+}
