Dismiss engines only on a whole count of demand, and go on from the last need

A new holder's need had no memory: what its predecessor knew went with it.

Change: a view of the fleet says whether nearly all nodes told (nine tenths of those known); if not, a need only rises. The record of orders holds the need it is for, and a successor begins from it. Usage counts are complete only if nearly all told.

Tests: FleetTests; without the rule engines are dismissed on two nodes' word, without the inherited need at once (both seen failing).

--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -114,6 +114,9 @@
     /// Slots of all engines, and those that are taken.
     std::uint64_t slots_ = 0;
     std::uint64_t slotsTaken_ = 0;
+    /// Demand and slots taken were told by nearly all nodes. What a part of them told
+    /// shows that so many engines are needed, but not that no more are.
+    bool isWhole_ = true;
 
     std::uint64_t lasting() const;
     std::uint64_t reclaimable() const;
@@ -131,6 +134,8 @@
     /// Orders of one service that are not in force yet as far as the registry shows,
     /// those that dismiss engines first: the platform bounds both kinds together.
     std::vector<FleetOrder> dueOrders(const FleetView& view, SteadyTime now);
+    /// What another holder of the duty found to be needed; counts as this one's last need.
+    void inheritNeed(const ServiceName& service, std::uint64_t engines, SteadyTime now);
     /// The platform took the order, or has no such engines now.
     void noteOrdered(const FleetOrder& order, bool isTaken, SteadyTime now);
     /// Engines that the service needed when dueOrders() was last called for it.
--- a/lib/Fleet/FleetBook.cpp
+++ b/lib/Fleet/FleetBook.cpp
@@ -85,6 +85,9 @@
     std::uint64_t needed = std::max(before, ordered_.empty() ? view.engines() : view.lasting());
     if (view.tokensPerSecond_)
         needed = std::max(enginesFor(*view.tokensPerSecond_ * (1 + settings_.growth_), view.prefillPerMs_, settings_.margin_), enginesForSlots(view, settings_.slotsUsed_));
+    // A node that hears few others would dismiss the engines of all the rest.
+    if (!view.isWhole_)
+        needed = std::max(needed, before);
     // The highest need of a while counts, so that engines are not given up in one
     // moment and missed in the next.
     std::deque<Need>& recent = needs_[view.service_];
@@ -158,6 +161,12 @@
     return dismissals;
 }
 
+void FleetBook::inheritNeed(const ServiceName& service, std::uint64_t engines, SteadyTime now)
+{
+    needed_[service] = engines;
+    needs_[service].push_back({ now, engines });
+}
+
 void FleetBook::noteOrdered(const FleetOrder& order, bool isTaken, SteadyTime now)
 {
     ordered_[{ order.service_, order.dataCentre_, order.isReclaimable_ }] = { order.wanted_, isTaken, now };
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -37,6 +37,14 @@
         return { { { record.usage().number() }, counts } };
     }
 
+    std::set<ServiceName> servicesIn(const std::vector<FleetOrder>& orders)
+    {
+        std::set<ServiceName> services;
+        for (const FleetOrder& order : orders)
+            services.insert(order.service_);
+        return services;
+    }
+
 } // namespace
 
 DutyRunner::DutyRunner(asio::io_context& io, GatewayContext& context)
@@ -158,6 +166,8 @@
                 logger_.warn("Record " + std::to_string(offset.value_) + " of duties cannot be read.");
                 continue;
             }
+            for (const wire::FleetNeed& need : record.needs())
+                needsRead_[{ need.service() }] = need.engines();
             if (record.has_usage())
                 recorded_.merge(usageOf(record));
             else if (!record.orders_size())
@@ -222,6 +232,8 @@
     Recorded recorded = co_await record(claim);
     if (recorded != Recorded::Yes)
         co_return resign(recorded == Recorded::Superseded ? "another claimed first" : "the claim has no answer");
+    for (const auto& [service, engines] : needsRead_)
+        fleet_.inheritNeed(service, engines, steadyNow());
     std::lock_guard lock(mutex_);
     // The token is the claim's offset plus one, which is the end after it.
     seat_.claimed({ end_.value_ }, steadyNow());
@@ -293,7 +305,7 @@
             continue;
         ++(record.isReclaimable_ ? found->second.reclaimable_ : found->second.lasting_);
     }
-    FleetView view { service.name_, *service.fleet_, {}, {}, 0, 0, 0 };
+    FleetView view { service.name_, *service.fleet_, {}, {}, 0, 0, 0, true };
     for (auto& [dataCentre, place] : places)
         view.places_.push_back(std::move(place));
     view.tokensPerSecond_ = context_.demand_.peakRate(service.name_, now);
@@ -301,6 +313,7 @@
     BackendBook::Occupancy occupancy = context_.backends_.occupancy(service.name_);
     view.slots_ = occupancy.slots_;
     view.slotsTaken_ = occupancy.taken_;
+    view.isWhole_ = reports_->coverage(now).isWhole();
     return view;
 }
 
@@ -330,6 +343,7 @@
         LogLine line("Engines needed.");
         line.add("service", view.service_.value_).add("needed", static_cast<std::int64_t>(needed)).add("lasting", static_cast<std::int64_t>(view.lasting())).add("reclaimable", static_cast<std::int64_t>(view.reclaimable()));
         line.add("tokens_per_s", view.tokensPerSecond_ ? std::to_string(static_cast<std::int64_t>(*view.tokensPerSecond_)) : "").add("prefill_per_ms", std::to_string(view.prefillPerMs_));
+        line.add("is_whole", view.isWhole_ ? "yes" : "no");
         line.add("slots", static_cast<std::int64_t>(view.slots_)).add("slots_taken", static_cast<std::int64_t>(view.slotsTaken_));
         logger_.info(line);
     }
@@ -347,6 +361,11 @@
     intent.set_incarnation(context_.incarnation_);
     for (const FleetOrder& order : due)
         intent.add_orders(order.service_.value_ + "/" + order.dataCentre_.value_ + "/" + std::to_string(order.wanted_));
+    for (const ServiceName& service : servicesIn(due)) {
+        wire::FleetNeed& need = *intent.add_needs();
+        need.set_service(service.value_);
+        need.set_engines(fleet_.needed(service));
+    }
     if (co_await record(intent) != Recorded::Yes)
         co_return resign("orders could not be recorded");
     for (const FleetOrder& order : due) {
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -18,7 +18,7 @@
 /// Engines in three data centres, as lasting and reclaimable ones in each.
 FleetView viewOf(std::vector<std::pair<std::uint64_t, std::uint64_t>> engines, std::optional<double> tokensPerSecond)
 {
-    FleetView view { service, { 1, 20, milliseconds(4000), 0.2, {} }, {}, tokensPerSecond, 50, 0, 0 };
+    FleetView view { service, { 1, 20, milliseconds(4000), 0.2, {} }, {}, tokensPerSecond, 50, 0, 0, true };
     const char* names[] = { "a", "b", "c" };
     for (std::size_t i = 0; i < engines.size(); ++i)
         view.places_.push_back({ { names[i] }, 1, engines[i].first, engines[i].second });
@@ -262,3 +262,59 @@
     book.observe(lost, now);
     CHECK(sumOf(book.dueOrders(lost, now), false) >= busyEngines);
 }
+
+TEST_CASE("engines are dismissed on a whole count of demand only", "[fleet]")
+{
+    // A node that has just become the holder hears of two nodes' demand, while all of
+    // them need 150 engines.
+    struct Row {
+        const char* name_;
+        bool isWhole_;
+        double tokensPerSecond_;
+        bool isDismissed_;
+        bool isAdded_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "few told of it", false, 15000, false, false },
+        { "few told of more than before", false, 5000000, false, true },
+        { "all told, and less is needed", true, 15000, true, false },
+    }));
+    CAPTURE(row.name_);
+    FleetSettings settings;
+    FleetBook book(settings);
+    FleetView view = viewOf({ { 0, 18 }, { 0, 18 }, { 0, 18 } }, row.tokensPerSecond_);
+    view.bounds_.most_ = 60;
+    view.isWhole_ = row.isWhole_;
+    SteadyTime now = settle(book, view);
+    // What this would come to in each data centre is what is there.
+    constexpr std::uint64_t inherited = 25;
+    book.inheritNeed(service, inherited, now);
+    bool isDismissed = false;
+    bool isAdded = false;
+    for (milliseconds passed {}; passed <= 2 * settings.reclaimableHold_; passed += settings.period_) {
+        book.observe(view, now + passed);
+        for (const FleetOrder& order : book.dueOrders(view, now + passed)) {
+            isDismissed |= order.isReclaimable_ && order.wanted_ < 18;
+            isAdded |= order.isReclaimable_ && order.wanted_ > 18;
+        }
+    }
+    CHECK(isDismissed == row.isDismissed_);
+    CHECK(isAdded == row.isAdded_);
+}
+
+TEST_CASE("a successor holds on to the need of the holder before it", "[fleet]")
+{
+    FleetSettings settings;
+    FleetBook book(settings);
+    FleetView view = viewOf({ { 0, 18 }, { 0, 18 }, { 0, 18 } }, 100000);
+    SteadyTime now = settle(book, view);
+    constexpr std::uint64_t inherited = 25;
+    book.inheritNeed(service, inherited, now);
+    auto dismisses = [&](SteadyTime at) {
+        std::vector<FleetOrder> orders = book.dueOrders(view, at);
+        return std::any_of(orders.begin(), orders.end(), [](const FleetOrder& order) { return order.isReclaimable_ && order.wanted_ < 18; });
+    };
+    CHECK_FALSE(dismisses(now + settings.period_));
+    CHECK_FALSE(dismisses(now + settings.reclaimableHold_));
+    CHECK(dismisses(now + settings.reclaimableHold_ + settings.period_));
+}
