A new holder takes the inherited need, not all engines that are there, until demand is known

Change: where the log of duties tells the last need, that one stands until demand is known. Test: FleetTests, seen failing (63 where 25 are needed).

--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -10,6 +10,7 @@
 #include "pistachioloom/Routes.h"
 
 #include <deque>
+#include <set>
 #include <tuple>
 
 namespace pistachioloom {
@@ -173,6 +174,8 @@
     std::map<std::tuple<ServiceName, DataCentreId, bool>, LastOrder> ordered_;
     std::map<ServiceName, std::deque<Need>> needs_;
     std::map<ServiceName, std::uint64_t> needed_;
+    /// Services whose need was inherited.
+    std::set<ServiceName> inherited_;
 };
 
 } // namespace pistachioloom
--- a/lib/Fleet/FleetBook.cpp
+++ b/lib/Fleet/FleetBook.cpp
@@ -76,13 +76,15 @@
     return static_cast<std::uint64_t>(std::ceil(static_cast<double>(view.slotsTaken_) / (perEngine * slotsUsed)));
 }
 
-/// What the service needs now. Before demand is known, the most that was there is
-/// taken for what is needed, so that a new holder changes nothing.
+/// What the service needs now. Before demand is known, the need of the holder before
+/// counts, or the most that was there, so that a new holder changes nothing.
 FleetDemand FleetBook::demandOf(const FleetView& view, SteadyTime now)
 {
     std::uint64_t& before = needed_[view.service_];
+    std::uint64_t needed = before;
     // Engines that were ordered here may be more than what is needed.
-    std::uint64_t needed = std::max(before, ordered_.empty() ? view.engines() : view.lasting());
+    if (!inherited_.contains(view.service_))
+        needed = std::max(before, ordered_.empty() ? view.engines() : view.lasting());
     if (view.tokensPerSecond_)
         needed = std::max(enginesFor(*view.tokensPerSecond_ * (1 + settings_.growth_), view.prefillPerMs_, settings_.margin_), enginesForSlots(view, settings_.slotsUsed_));
     // A node that hears few others would dismiss the engines of all the rest.
@@ -163,6 +165,7 @@
 
 void FleetBook::inheritNeed(const ServiceName& service, std::uint64_t engines, SteadyTime now)
 {
+    inherited_.insert(service);
     needed_[service] = engines;
     needs_[service].push_back({ now, engines });
 }
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -318,3 +318,19 @@
     CHECK_FALSE(dismisses(now + settings.reclaimableHold_));
     CHECK(dismisses(now + settings.reclaimableHold_ + settings.period_));
 }
+
+TEST_CASE("engines that are there are not ordered again as reclaimable ones by a successor", "[fleet]")
+{
+    // After a restart of all the first holder counted the 228 engines that were there as
+    // its need, of which 115 had been needed, and ordered 160 reclaimable ones in each
+    // data centre.
+    FleetBook book(FleetSettings {});
+    FleetView view = viewOf({ { 3, 18 }, { 3, 18 }, { 3, 18 } }, {});
+    view.bounds_.most_ = 60;
+    SteadyTime now = settle(book, view);
+    constexpr std::uint64_t inherited = 25;
+    book.inheritNeed(service, inherited, now);
+    std::vector<FleetOrder> orders = book.dueOrders(view, now);
+    CHECK(std::none_of(orders.begin(), orders.end(), [](const FleetOrder& order) { return order.isReclaimable_ && order.wanted_ > 18; }));
+    CHECK(book.needed(service) == inherited);
+}
