--- a/include/pistachioloom/Admission.h
+++ b/include/pistachioloom/Admission.h
@@ -30,8 +30,7 @@
 };
 
 struct AdmissionSettings {
-    /// Part of the admitted wait up to which a request is sent. 0.7 to 1.4 are alike
-    /// within 0.03 of what requests are worth (two days played).
+    /// Part of the admitted wait up to which a request is sent.
     double admittedShare_ = 1;
     /// The shortest time to return in: engines that are full have room again after a
     /// few answers.
--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -133,9 +133,8 @@
     /// better from its answers.
     double prefillPerMs_ = 50;
     /// What an engine takes for a first event beside reading the prompt, until it is
-    /// known better. Without it an engine whose request of 1,000 tokens took 65 ms
-    /// counted as three times slower than others, and prompts' shared parts went to
-    /// the engine that had read them in 25 to 45 of 100 requests (logs of 63 nodes).
+    /// known better. Were it counted as reading, engines that get short prompts would seem
+    /// slow, and prompts would not go where their shared part was read.
     double firstEventMs_ = 30;
     /// What one more running request adds to a request's wait, in ms: a step of
     /// a batch takes about a tenth of a millisecond longer for each.
@@ -161,9 +160,8 @@
     std::size_t weighAllUpTo_ = 24;
     std::size_t sample_ = 4;
     /// Backend servers of a data centre that fail one after the other, while none of it
-    /// answers, before it counts as cut off. Without this a node that was cut off with
-    /// its data centre sent 9 of 10 streams to the others' engines for as long as the
-    /// cut lasted, and 0.44 to 0.63 of streams began in time (logs of 63 nodes).
+    /// answers, before it counts as cut off. A node that is cut off with its data centre
+    /// would try the others' engines, one by one, for as long as the cut lasts.
     std::size_t failuresToLose_ = 3;
     /// How long a backend server that told it was full is passed over.
     milliseconds fullPause_ { 100 };
@@ -207,13 +205,11 @@
     /// The request is sent as chosen: its tokens are demand of its service.
     void accept(const BackendChoice& choice);
     /// The request is refused instead. Half of its tokens count as demand, since its
-    /// caller returns once: counted whole, 18 s of overload looked like 3.2 million
-    /// tokens a second where 2.3 million were asked for (logs of 63 nodes), and 114
-    /// engines were ordered where 73 were needed.
+    /// caller returns once: counted whole, demand would be overstated in an overload.
     void refuse(const BackendChoice& choice);
     /// There is no backend server for the request: half of its tokens count as demand,
     /// like those of a refused one. Without it a service that has lost all of its engines
-    /// is asked for nothing, and gets no new ones (not measured apart).
+    /// is asked for nothing, and gets no new ones.
     void refuseWithout(const RequestShape& shape);
     /// The first byte of an answer came after \p wait.
     void began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait);
--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -46,8 +46,7 @@
     DutySeat(VmId self, DutyTiming timing, SteadyTime startedAt);
 
     /// A peer said at \p heardAt that it holds the duties by \p token. Relays pass this
-    /// on late: taken for new, it kept 63 nodes without a holder for 4.6 s where 2.6
-    /// were meant (logs).
+    /// on late; taken for new, it would delay the successor of a holder that is gone.
     void heardHolder(const VmId& holder, DutyToken token, SteadyTime heardAt);
     /// The holder by \p token gave up the duties, and is succeeded without waiting for
     /// its silence.
@@ -118,9 +117,8 @@
 /// When a window's usage is reported after its end.
 struct UsageTiming {
     /// If all nodes told their counts since: reports of 200 ms, three in a row through
-    /// relays, and clocks that differ by some hundred ms. Reported after 5 s as else,
-    /// the usage of a window went with all nodes that were killed 2 s after its end, or
-    /// met a platform that had gone away by then: two of five missed windows (played days).
+    /// relays, and clocks that differ by some hundred ms. Counts that wait longer are
+    /// lost with the nodes if all are killed.
     milliseconds settled_ { 1500 };
     /// Else: nodes that are cut off may come back by then.
     milliseconds longest_ { 5000 };
@@ -169,9 +167,8 @@
 /// Prompt tokens that all nodes are asked for of each service in a second.
 /// Thread-safe.
 ///
-/// Nodes tell rates and not counts: when 22 of 63 nodes came back that had been cut
-/// off for 12 s, their counts arrived at once and looked like 9.1 million tokens a
-/// second where about 4 million were asked for (logs of the holder).
+/// Nodes tell rates and not counts: counts of nodes that come back after a cut would
+/// arrive at once and look like a burst.
 class DemandBook {
 public:
     explicit DemandBook(DemandTiming timing = {})
--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -29,9 +29,7 @@
     /// Engines beyond those that the demand keeps busy, as a multiple of the square
     /// root of that number. 1.3 is 0.6 of the time busy for 4 engines.
     double margin_ = 1.3;
-    /// What demand may grow by while engines boot, as a part of it. Chosen, not fitted:
-    /// with it 0.879 of what requests are worth was served in time instead of 0.861, at
-    /// 0.016 of it for more engines (one run each).
+    /// What demand may grow by while engines boot, as a part of it.
     double growth_ = 0.2;
     /// Part of an engine's slots that is planned to be taken: with all of them taken
     /// requests wait for one.
@@ -46,18 +44,15 @@
     /// The highest need of this time is ordered for, beside the memory of demand.
     milliseconds hold_ { 2000 };
     /// Reclaimable engines are ordered for the highest need of this time: they cost a
-    /// fifth of lasting ones, and where all of two data centres went at once the third
-    /// one's 24 were left of 72, ordered for the need of the last second: 0.78 of what
-    /// callers' requests are worth was served in time, instead of 0.87.
+    /// fraction of lasting ones, and are what is left when those of other data centres
+    /// are taken away.
     milliseconds reclaimableHold_ { 15000 };
-    /// No order until no engine has registered for so long: a heartbeat of 1.2 s and
-    /// its way. With 112 engines whose registrations came over 3 s, and an order
-    /// before their end, 22 were left when requests came.
+    /// No order until no engine has registered for so long, a heartbeat of 1.2 s and
+    /// its way: an order dismisses those that have not registered yet.
     milliseconds settling_ { 1500 };
     /// Lasting engines are not dismissed for so long after reclaimable ones were taken
     /// away: others may be on their way out, and what is dismissed takes the boot
-    /// time to come back. Without it 30 of 35 lasting engines were dismissed between
-    /// two such losses 0.4 s apart (logs of 63 nodes).
+    /// time to come back.
     milliseconds caution_ { 3000 };
     /// An order is repeated after this time if the engines are not there.
     milliseconds repeat_ { 8000 };
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -85,8 +85,7 @@
     /// \returns the value of ForwardHeaderNames::resumeFrom_ for going on from it.
     std::function<asio::awaitable<Result<std::string>>(StreamCopy copy)> copyStream_;
     /// Frees a copy that nobody goes on from, by what copyStream_ returned. Else it
-    /// takes a slot and memory of its engine until the platform forgets it, 5 s: 330 of
-    /// 966 first copies were not used (counted at 112 engines over 54 s).
+    /// takes a slot and memory of its engine until the platform forgets it.
     std::function<asio::awaitable<Result<void>>(StreamCopy copy, std::string resumeFrom)> dropCopy_;
 };
 
--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -34,19 +34,16 @@
     milliseconds relayedLag_ { 600 };
     /// A node admits only its share of the rate for so long after its start, unless
     /// others told that more is left: those that started with it hear of what it
-    /// admitted within 1 to 2 s. Without it 81 nodes killed at once admitted
-    /// 8.17 million tokens of an organisation in 8 s where 7.82 million are tolerated
-    /// (counted at the engines).
+    /// admitted within 1 to 2 s, and all of them would hand out the same rest.
     milliseconds startup_ { 3000 };
     /// It ends after this time, two ways through relays, if all but a few are heard.
     milliseconds leastStartup_ { 1200 };
     /// Buckets begin with what comes in in this time: a node is down for longer before
-    /// it starts again. With it and smallCost_ requests worth 0.45 of what is owed on a
-    /// day with many kills were served instead of 0.41, after prices (four days played).
+    /// it starts again.
     milliseconds startCredit_ { 400 };
     /// Requests that cost less than this part of their organisation's mean one are
     /// admitted out of a debt, which those that cost more wait for: refusing one of
-    /// 12,000 tokens makes room for 60 of 200. It was worth 0.025 on that day.
+    /// 12,000 tokens makes room for 60 of 200.
     double smallCost_ = 0.125;
     /// The debt up to which they are admitted, in time of the rate.
     milliseconds smallDebt_ { 100 };
@@ -62,10 +59,8 @@
 ///
 /// While more is left than all nodes may admit unseen, any node admits. Below that
 /// each admits its share of the rate, so that nodes which hear each other
-/// late do not all use the same rest: without it 9 nodes that are asked for 7.5
-/// times the quota and hear each other 0.4 s late admit 10.2 million tokens in
-/// the worst 8 s where 8.2 million are granted (unit test). What goes below zero
-/// is paid back before more is admitted.
+/// late do not all use the same rest. What goes below zero is paid back before more
+/// is admitted.
 class QuotaBook {
 public:
     /// \p startedAt is when this node started: buckets begin empty then, so that
@@ -100,9 +95,8 @@
         QuotaLimit limit_;
         double level_ = 0;
         /// When the level that it began with was known. Silent peers are charged from
-        /// then on only, as the rate is added from then on: else a node frozen for 2 s
-        /// before its first request of an organisation refused it at a thousandth of
-        /// its quota (one of three runs of a soak).
+        /// then on only, as the rate is added from then on: else a node that was frozen
+        /// before its first request of an organisation would refuse it.
         SteadyTime begunAt_ {};
         SteadyTime filledAt_ {};
         /// What was admitted lately, fading: by this node, and by the others.
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -23,7 +23,7 @@
 // steps of a batch.
 static constexpr double longestFirstEventMs = 150;
 // Names whose newest start is remembered after they are gone: some minutes' worth at
-// 2,100 backend servers, 100 bytes each. Chosen.
+// 2,100 backend servers, 100 bytes each.
 static constexpr std::size_t mostGoneNames = 1024;
 static constexpr double leastSlowness = 0.5;
 static constexpr double mostSlowness = 8;
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -24,9 +24,8 @@
 
 // A plain service's share of wait for each request before the new one, in ms.
 static constexpr double plainTurnMs = 20;
-// Engines of one service wait so differently by chance. Without it those that had a
-// prompt's shared part read got 43 of 100 of its requests in calm seconds instead of 52,
-// since others seemed faster (logs of 63 nodes, 4 s of one run each). Chosen.
+// Engines of one service wait so differently by chance: an engine that seems slower by
+// less would lose the prompts whose shared part it has read.
 static constexpr double slownessTolerated = 1.7;
 // Prompt parts remembered for one engine; a part takes about 100 bytes.
 static constexpr std::size_t mostPartsRemembered = 400;
--- a/lib/Fleet/FleetBook.cpp
+++ b/lib/Fleet/FleetBook.cpp
@@ -11,7 +11,7 @@
 namespace pistachioloom {
 
 // A data centre lost its reclaimable engines if fewer than this part of them is left:
-// all of them go at once, and the registry tells of them within two readings. Chosen.
+// all of them go at once, and the registry tells of them within two readings.
 static constexpr double partLeft = 0.5;
 
 std::uint64_t FleetView::lasting() const
@@ -53,8 +53,7 @@
     known.hasAny_ |= view.engines() > 0;
     // Where requests have come for long enough to know their rate and no engine has
     // registered, all are gone. Also reclaimable ones alone are a settled list: a holder
-    // that waited for lasting ones ordered none when all reclaimable ones went, and 0.66
-    // of what requests are worth was served in time instead of 0.88 (a day, two seeds).
+    // that waited for lasting ones would order none when all reclaimable ones go.
     bool areAllGone = !known.hasAny_ && view.tokensPerSecond_;
     known.isSettled_ |= areAllGone || (known.hasAny_ && now - known.grewAt_ >= settings_.settling_);
     for (const FleetPlace& place : view.places_) {
--- a/lib/Fleet/Plan.cpp
+++ b/lib/Fleet/Plan.cpp
@@ -41,8 +41,7 @@
     std::uint64_t placed = 0;
     std::uint64_t present = 0;
     // Reclaimable engines that are there count towards the least number, too. Lasting
-    // ones for it were up to a third of what all engines cost: 0.129 of what requests
-    // are worth was spent on engines instead of 0.185 (a day, two seeds).
+    // ones for it cost several times as much.
     auto floorOf = [&](const FleetPlace& place) { return demand.least_ - std::min(demand.least_, place.reclaimable_); };
     auto expected = [&](const FleetPlace& place) { return std::max({ place.lasting_, place.lastingOrdered_, floorOf(place) }); };
     for (const FleetPlace& place : places)
--- a/lib/Forward/Moving.cpp
+++ b/lib/Forward/Moving.cpp
@@ -22,8 +22,7 @@
 
 } // namespace
 
-/// Without moves 4 to 10 in 100 long streams broke off when two data centres lost
-/// their reclaimable engines, and read 12,000 tokens again (logs of 63 nodes).
+/// A stream whose engine is taken away would break off, and its prompt be read again.
 bool Forwarding::shouldMove(const Attempt& attempt) const
 {
     if (move_ || !route_->mayRepeat() || !events_.last() || !context_.hooks_.copyStream_)
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -165,7 +165,7 @@
 
 /// Reads until the body has grown or the message is whole. The library's own
 /// read_some goes on until a message is whole, which holds back events by up to
-/// the length of their stream (measured: 2.2 s at the median).
+/// the length of their stream.
 asio::awaitable<beast::error_code> Forwarding::readSome(Attempt& attempt, Parser& parser)
 {
     beast::flat_buffer& buffer = attempt.connection_->buffer_;
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -184,8 +184,7 @@
 {
     std::string bytes = record.SerializeAsString();
     // An act that is recorded later than this is not covered any more, and a holder
-    // that the platform does not answer makes room for another: one that was cut off
-    // tried for 8 s, and no engine was ordered for 11 s (logs of 63 nodes).
+    // that the platform does not answer makes room for another.
     SteadyTime until = steadyNow() + timingFor(context_.settings_.dutyLease_).recordValidity_;
     for (int i = 0; i < appendTries && steadyNow() < until; ++i) {
         auto appended = co_await context_.platform_.appendDuty_(end_, bytes);
@@ -214,8 +213,8 @@
     Claim before = newestClaim_;
     if (!co_await readLog())
         co_return;
-    // Somebody claimed whom this node has not heard yet. Without this four holders
-    // followed each other within 1.5 s of the start of 63 nodes.
+    // Somebody claimed whom this node has not heard yet: after a start many would claim
+    // in a row.
     bool isNews = newestClaim_.token_ > before.token_ && newestClaim_.vm_ != context_.settings_.vm_;
     // One that is stopping already will not be heard.
     isNews &= !reports_->isStopping(newestClaim_.vm_);
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -253,7 +253,7 @@
         return reader;
     // A node that started while the platform is away has nothing to serve with: any
     // list is better, since what vanishes meanwhile stands until the platform is back.
-    // Without it such a node refused all requests until then (process test).
+    // Without it such a node would refuse all requests until then.
     std::vector<KnownPeer> live = reports_.live();
     if (live.empty())
         return std::nullopt;
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -331,7 +331,7 @@
     if (heard == PeerTable::Heard::Restarted)
         discovery_.noteNew(vm);
     // In a large fleet a node introduces itself to each other one in turn, once in
-    // some seconds: 39,000 lines a minute of 63 nodes told of that alone.
+    // some seconds, which is no news.
     bool isNews = heard != PeerTable::Heard::Again && !(wasLarge_ && heard == PeerTable::Heard::AfterSilence);
     if (isNews)
         logger_.info(LogLine(heard == PeerTable::Heard::AfterSilence ? "Peer is heard again." : "Peer is heard.").add("peer", vm.value_).add("address", report.address()).add("configuration", static_cast<std::int64_t>(report.configuration_version())));
