Answer HEAD without a body, and keep what a backend server's connection names to it

Fields that a backend server names in Connection were passed on: the list was made and not used. An event stream's answer to HEAD ended with a chunk.

Tests: ForwardTests, AnswerTest, seen failing in four of five rows.

--- a/lib/Forward/Answering.cpp
+++ b/lib/Forward/Answering.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "Forwarding.h"
 
+#include <algorithm>
+#include <boost/algorithm/string.hpp>
 #include <boost/beast/http/status.hpp>
 
 namespace pistachioloom {
@@ -21,17 +23,28 @@
 {
     std::vector<std::string> options = connectionOptions(fields);
     for (const HeaderField& field : fields) {
-        if (!isHopByHop(field.name_))
+        bool isNamed = std::find(options.begin(), options.end(), boost::to_lower_copy(field.name_)) != options.end();
+        if (!isNamed && !isHopByHop(field.name_))
             appendField(head, field.name_, field.value_);
     }
 }
 
-std::string renderAnswer(int status, const HeaderFields& fields, std::string_view body, std::optional<milliseconds> idle)
+static void appendLength(std::string& head, const HeaderFields& fields, std::string_view body, BodySent sent)
+{
+    const std::string* stated = sent == BodySent::No ? findField(fields, "Content-Length") : nullptr;
+    if (stated)
+        appendField(head, "Content-Length", *stated);
+    else if (sent == BodySent::Yes || !body.empty())
+        appendField(head, "Content-Length", std::to_string(body.size()));
+}
+
+std::string renderAnswer(int status, const HeaderFields& fields, std::string_view body, std::optional<milliseconds> idle, BodySent sent)
 {
     std::string bytes = statusLine(status);
     appendFields(bytes, fields);
-    appendField(bytes, "Content-Length", std::to_string(body.size()));
-    return bytes.append(connectionFields(idle)).append("\r\n").append(body);
+    appendLength(bytes, fields, body, sent);
+    bytes.append(connectionFields(idle)).append("\r\n");
+    return sent == BodySent::Yes ? bytes.append(body) : bytes;
 }
 
 std::optional<milliseconds> Forwarding::announcedIdle()
@@ -62,7 +75,8 @@
     keepsConnection_ = keepsConnection_ && !context_.isStopping_;
     finalStatus_ = answer.status_;
     hasBegunAnswer_ = true;
-    std::string bytes = renderAnswer(answer.status_, answer.fields_, answer.body_, announcedIdle());
+    BodySent sent = isHead() ? BodySent::No : BodySent::Yes;
+    std::string bytes = renderAnswer(answer.status_, answer.fields_, answer.body_, announcedIdle(), sent);
     bool isTaken = co_await caller_->write(std::move(bytes));
     context_.metrics_.add(isTaken && answer.status_ < 400 ? Counter::RequestsFinished : Counter::RequestsFailed);
     co_return isTaken;
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -122,6 +122,7 @@
     void onTimer();
     void stop(StopReason reason);
     milliseconds timeLeft() const;
+    bool isHead() const { return equalWithoutCase(request_.method_, "HEAD"); }
 
     ForwardContext& context_;
     BackendPool& pool_;
@@ -177,7 +178,14 @@
     int finalStatus_ = 0;
 };
 
-/// A whole answer; see connectionFields() for \p idle.
-std::string renderAnswer(int status, const HeaderFields& fields, std::string_view body, std::optional<milliseconds> idle);
+/// Whether an answer's body follows its head; that of an answer to HEAD does not.
+enum class BodySent {
+    Yes,
+    No,
+};
+
+/// A whole answer; see connectionFields() for \p idle. Without its body it tells the
+/// length that \p fields state, or that of \p body if there is one.
+std::string renderAnswer(int status, const HeaderFields& fields, std::string_view body, std::optional<milliseconds> idle, BodySent sent = BodySent::Yes);
 
 } // namespace pistachioloom
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -225,7 +225,7 @@
     for (;;) {
         Parser parser;
         parser.body_limit(boost::none);
-        if (equalWithoutCase(request_.method_, "HEAD"))
+        if (isHead())
             parser.skip(true);
         // An event stream is read as it comes; everything else is read whole.
         parser.eager(false);
@@ -242,7 +242,7 @@
             co_return *decided;
         parser.eager(true);
         bool isSuccess = parser.get().result_int() / 100 == 2;
-        if (route_->isStream_ && isSuccess)
+        if (route_->isStream_ && isSuccess && !isHead())
             co_return co_await relayEvents(attempt, parser);
         co_return co_await receiveWhole(attempt, parser);
     }
--- /dev/null
+++ b/unittests/Forward/AnswerTest.cpp
@@ -0,0 +1,38 @@
+//===- unittests/Forward/AnswerTest.cpp - answers as callers read them -----===//
+///
+/// \file
+/// Framing of answers: what is one connection's alone stays there, and an answer to
+/// HEAD has no body, which its caller would take for the next answer.
+//===----------------------------------------------------------------------===//
+#include "Forwarding.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+TEST_CASE("answers hold what is meant for the caller", "[forward]")
+{
+    struct Row {
+        const char* name_;
+        HeaderFields fields_;
+        std::string body_;
+        BodySent sent_;
+        std::vector<std::string> present_;
+        std::vector<std::string> absent_;
+        std::string end_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "an answer", { { "X-Seal", "s" } }, "text", BodySent::Yes, { "X-Seal: s\r\n", "Content-Length: 4\r\n" }, {}, "\r\n\r\ntext" },
+        { "fields of one connection", { { "Connection", "close, X-Hop" }, { "x-hop", "1" }, { "X-Seal", "s" } }, "text", BodySent::Yes, { "X-Seal: s\r\n" }, { "x-hop" }, "\r\n\r\ntext" },
+        { "a refusal of HEAD", {}, "no route\n", BodySent::No, { "Content-Length: 9\r\n" }, { "no route" }, "\r\n\r\n" },
+        { "a backend server's answer to HEAD", { { "content-length", "812" } }, "", BodySent::No, { "Content-Length: 812\r\n" }, { "Content-Length: 0" }, "\r\n\r\n" },
+        { "one without a length", { { "Transfer-Encoding", "chunked" } }, "", BodySent::No, {}, { "Content-Length", "chunked" }, "\r\n\r\n" },
+    }));
+    CAPTURE(row.name_);
+    std::string answer = renderAnswer(200, row.fields_, row.body_, std::nullopt, row.sent_);
+    for (const std::string& text : row.present_)
+        CHECK(answer.find(text) != std::string::npos);
+    for (const std::string& text : row.absent_)
+        CHECK(answer.find(text) == std::string::npos);
+    CHECK(answer.substr(answer.size() - row.end_.size()) == row.end_);
+}
