Do not let all nodes try a platform that is away

The more nodes a fleet has, the harder it presses an overloaded platform; digests name all readers, and grew with them.

Change: where six nodes of a data centre were turned away no other one takes over. Nodes turned away alone are still succeeded.

--- a/lib/Gateway/Readers.cpp
+++ b/lib/Gateway/Readers.cpp
@@ -12,6 +12,9 @@
 
 // What the order of readers is drawn for.
 static constexpr std::string_view readersKey = "readers";
+// Where so many nodes were turned away the platform is away, rather than they: no other
+// one tries, or all nodes of a large fleet would call a platform that is overloaded.
+static constexpr std::size_t mostTurnedAway = 6;
 
 static std::vector<VmId> drawReaders(const std::map<VmId, ReaderView>& candidates)
 {
@@ -42,15 +45,22 @@
 {
     std::map<VmId, ReaderView> all { { self.vm_, self } };
     std::map<VmId, ReaderView> near = all;
+    std::size_t turnedAway = 0;
+    std::size_t turnedAwayNear = 0;
     for (const ReaderView& peer : peers) {
+        bool isNear = peer.dataCentre_ == self.dataCentre_;
+        turnedAway += peer.isPlatformLost_;
+        turnedAwayNear += isNear && peer.isPlatformLost_;
         if (peer.isStopping_ || peer.isPlatformLost_)
             continue;
         all[peer.vm_] = peer;
-        if (peer.dataCentre_ == self.dataCentre_)
+        if (isNear)
             near[peer.vm_] = peer;
     }
-    if (isFirst(self.vm_, near))
+    if (turnedAwayNear < mostTurnedAway && isFirst(self.vm_, near))
         return true;
+    if (turnedAway >= mostTurnedAway)
+        return false;
     std::vector<VmId> ranked = rankReaders(all);
     auto last = ranked.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(ranked.size(), readers));
     return std::find(ranked.begin(), last, self.vm_) != last;
--- a/lib/Gateway/Readers.h
+++ b/lib/Gateway/Readers.h
@@ -25,7 +25,8 @@
 /// Whether \p self reads: as the first of its data centre, or one of the first
 /// \p readers of all, among nodes that the platform serves. Those with most
 /// processor cores come first, since all others ask readers for what they read and
-/// the links of larger VMs are wider; then as drawn.
+/// the links of larger VMs are wider; then as drawn. Nodes that the platform turned
+/// away go on trying, and are succeeded until there are many of them.
 bool shouldRead(const ReaderView& self, const std::vector<ReaderView>& peers, std::uint64_t readers);
 
 /// Whether the platform serves none of the readers that are heard. One that is
--- a/unittests/Gateway/ReadersTest.cpp
+++ b/unittests/Gateway/ReadersTest.cpp
@@ -5,7 +5,9 @@
 //===----------------------------------------------------------------------===//
 #include "Readers.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <set>
 
 using namespace pistachioloom;
@@ -152,3 +154,50 @@
         CHECK(places.size() == 3);
     }
 }
+
+namespace {
+
+/// Nodes that read find out whether the platform serves them, round by round, as they
+/// hear it of each other. \returns the most that tried at once.
+std::size_t playTurns(std::vector<ReaderView>& all, const std::function<bool(std::size_t)>& isServed)
+{
+    constexpr int rounds = 60;
+    std::size_t most = 0;
+    for (int round = 0; round < rounds; ++round) {
+        std::vector<bool> told;
+        for (std::size_t i = 0; i < all.size(); ++i)
+            told.push_back(all[i].isPlatformLost_ || reads(all, i));
+        for (std::size_t i = 0; i < all.size(); ++i) {
+            all[i].isReader_ = told[i];
+            all[i].isPlatformLost_ = told[i] && !isServed(i);
+        }
+        most = std::max(most, static_cast<std::size_t>(std::count(told.begin(), told.end(), true)));
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("a platform that is away is not tried by all nodes in turn", "[readers]")
+{
+    auto count = GENERATE(9U, 63U, 195U, 370U);
+    auto all = nodes(count);
+    std::size_t most = playTurns(all, [](std::size_t) { return false; });
+    // Some of each of three data centres, whatever the size of the fleet.
+    CHECK(most <= 3 * 8);
+    CHECK(most >= readers);
+}
+
+TEST_CASE("where many nodes are turned away others are found that are served", "[readers]")
+{
+    auto count = GENERATE(9U, 63U, 195U);
+    auto seed = GENERATE(range(0U, 50U));
+    auto all = nodes(count);
+    // A third of them, as drawn.
+    auto isServed = [&](std::size_t i) { return stableHash(all[i].vm_.value_, seed) % 3 != 0; };
+    (void)playTurns(all, isServed);
+    std::size_t served = 0;
+    for (std::size_t i = 0; i < count; ++i)
+        served += all[i].isReader_ && isServed(i);
+    CHECK(served >= 1);
+}
