Keep own recorded needs beside those read, and each unanswered node once

By reading: a holder that loses the duties and claims them again went on from the need of the holder before its own time, since its own records are not read back. In a fleet that hears everybody nobody takes the list of nodes to answer, which grew with each restart of a peer.

--- a/lib/Gateway/Discovery.cpp
+++ b/lib/Gateway/Discovery.cpp
@@ -35,6 +35,12 @@
 {
 }
 
+void Discovery::noteNew(const VmId& vm)
+{
+    if (std::find(unanswered_.begin(), unanswered_.end(), vm) == unanswered_.end())
+        unanswered_.push_back(vm);
+}
+
 std::vector<Endpoint> Discovery::takeUnanswered()
 {
     std::vector<Endpoint> receivers;
--- a/lib/Gateway/Discovery.h
+++ b/lib/Gateway/Discovery.h
@@ -22,7 +22,7 @@
     /// \p vm is to be answered: it was heard for the first time since its start or
     /// this node's, or took this node for a relay. It then knows this node and the
     /// relays here.
-    void noteNew(const VmId& vm) { unanswered_.push_back(vm); }
+    void noteNew(const VmId& vm);
     struct Receivers {
         /// They are told of this node.
         std::vector<Endpoint> introduced_;
@@ -48,6 +48,7 @@
     const PeerTable& table_;
     const DataCentreId own_;
     const milliseconds silence_;
+    /// Each node once; in a small fleet nobody is answered.
     std::deque<VmId> unanswered_;
     /// Where this node begins in lists that are alike on all nodes: if all began with
     /// the same nodes, the last ones were heard by nobody for long.
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -167,7 +167,7 @@
                 continue;
             }
             for (const wire::FleetNeed& need : record.needs())
-                needsRead_[{ need.service() }] = need.engines();
+                recordedNeeds_[{ need.service() }] = need.engines();
             if (record.has_usage())
                 recorded_.merge(usageOf(record));
             else if (!record.orders_size())
@@ -231,7 +231,7 @@
     Recorded recorded = co_await record(claim);
     if (recorded != Recorded::Yes)
         co_return resign(recorded == Recorded::Superseded ? "another claimed first" : "the claim has no answer");
-    for (const auto& [service, engines] : needsRead_)
+    for (const auto& [service, engines] : recordedNeeds_)
         fleet_.inheritNeed(service, engines, steadyNow());
     std::lock_guard lock(mutex_);
     // The token is the claim's offset plus one, which is the end after it.
@@ -367,6 +367,8 @@
     }
     if (co_await record(intent) != Recorded::Yes)
         co_return resign("orders could not be recorded");
+    for (const wire::FleetNeed& need : intent.needs())
+        recordedNeeds_[{ need.service() }] = need.engines();
     for (const FleetOrder& order : due) {
         if (!seat_.mayAct(now, steadyNow()))
             co_return;
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -69,8 +69,8 @@
     /// What was or may have been reported, by any holder.
     std::map<WindowNumber, UsageCounts> recorded_;
     std::set<WindowNumber> reported_;
-    /// The newest need of each service that was read, of any holder.
-    std::map<ServiceName, std::uint64_t> needsRead_;
+    /// The newest need of each service in the log, of any holder.
+    std::map<ServiceName, std::uint64_t> recordedNeeds_;
     FleetBook fleet_;
     SteadyTime fleetAt_ {};
     Logger logger_ { "duties" };
