--- a/unittests/Gateway/ReadersTest.cpp
+++ b/unittests/Gateway/ReadersTest.cpp
@@ -161,7 +161,8 @@
 /// hear it of each other. \returns the most that tried at once.
 std::size_t playTurns(std::vector<ReaderView>& all, const std::function<bool(std::size_t)>& isServed)
 {
-    constexpr int rounds = 60;
+    // One node of a data centre finds out in each: more than may be turned away.
+    constexpr int rounds = 16;
     std::size_t most = 0;
     for (int round = 0; round < rounds; ++round) {
         std::vector<bool> told;
@@ -191,7 +192,7 @@
 TEST_CASE("where many nodes are turned away others are found that are served", "[readers]")
 {
     auto count = GENERATE(9U, 63U, 195U);
-    auto seed = GENERATE(range(0U, 50U));
+    auto seed = GENERATE(range(0U, 20U));
     auto all = nodes(count);
     // A third of them, as drawn.
     auto isServed = [&](std::size_t i) { return stableHash(all[i].vm_.value_, seed) % 3 != 0; };
