--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -251,9 +251,12 @@
     for (const DataCentreId& dataCentre : table_.otherDataCentres()) {
         // Those that tell their sums are relays, or were a moment ago.
         std::vector<VmId> telling = relayBook_.relaysOf(dataCentre, now);
+        std::vector<VmId> likely = table_.likelyRelays(dataCentre, relayTurn_, now);
+        // Others are tried in turn only while no relay is known.
+        if (!telling.empty())
+            likely.resize(std::min<std::size_t>(likely.size(), context_.settings_.gossiping_.relays_));
         std::set<VmId> relays(telling.begin(), telling.end());
-        for (const VmId& vm : table_.likelyRelays(dataCentre, relayTurn_, now))
-            relays.insert(vm);
+        relays.insert(likely.begin(), likely.end());
         *report.mutable_sums() = relayBook_.summaryFor(dataCentre, now);
         report.mutable_sums()->set_counted_ms(countedMs(now));
         for (const VmId& vm : relays) {
--- a/unittests/Gateway/DiscoveryTest.cpp
+++ b/unittests/Gateway/DiscoveryTest.cpp
@@ -207,9 +207,11 @@
         ++node.sequence_;
         for (const DataCentreId& dataCentre : node.table_.otherDataCentres()) {
             std::vector<VmId> telling = node.relays_.relaysOf(dataCentre, now);
+            std::vector<VmId> likely = node.table_.likelyRelays(dataCentre, node.sequence_, now);
+            if (!telling.empty())
+                likely.resize(std::min<std::size_t>(likely.size(), GossipSettings {}.relays_));
             std::set<VmId> relays(telling.begin(), telling.end());
-            for (const VmId& vm : node.table_.likelyRelays(dataCentre, node.sequence_, now))
-                relays.insert(vm);
+            relays.insert(likely.begin(), likely.end());
             *relayed.mutable_sums() = node.relays_.summaryFor(dataCentre, now);
             for (const VmId& vm : relays) {
                 if (auto address = node.table_.gossipOf(vm))
