--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -127,7 +127,7 @@
     milliseconds streamed_ {};
 };
 
-/// Figures of the estimates; all may be set, the defaults are measured ones.
+/// Figures of the estimates; all may be set.
 struct ChoiceSettings {
     /// Prompt tokens that an engine reads in a millisecond until it is known
     /// better from its answers.
--- a/lib/Forward/Headers.cpp
+++ b/lib/Forward/Headers.cpp
@@ -91,9 +91,8 @@
 }
 
 /// What callers are told leaves a fifth of the limit for queues in links and loops that run
-/// late, so that none begins a request while the close is on its way: closes came 0.5 to
-/// 0.8 s late where configurations of 4,240 routes filled links of 10 Mbit/s, and requests
-/// that crossed them were lost (4 or 5 of some 34,000 in each of three runs, 81 nodes).
+/// late, so that none begins a request while the close is on its way: a request that
+/// crosses it is lost.
 std::string connectionFields(std::optional<milliseconds> idle)
 {
     std::string fields;
--- a/lib/Node/GenerationOwner.cpp
+++ b/lib/Node/GenerationOwner.cpp
@@ -219,8 +219,8 @@
     if (refusal.ran_ == Ran::No)
         co_return AttemptOutcome::TryNext;
     // A generation may be computed again, so what is unknown is tried again too;
-    // the engine drops the older attempt when it sees the newer one. Chosen anew,
-    // since the engine may be as good as before behind another home.
+    // the engine drops the older attempt when it sees the newer one. The engine stays
+    // a candidate: it may be as good as before behind another home.
     preference.excluded_.insert(home);
     co_return AttemptOutcome::Pause;
 }
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -265,8 +265,7 @@
 
 TEST_CASE("engines are dismissed on a whole count of demand only", "[fleet]")
 {
-    // A node that has just become the holder hears of two nodes' demand, while all of
-    // them need 150 engines.
+    // A node that has just become the holder goes on from the need of the one before.
     struct Row {
         const char* name_;
         bool isWhole_;
