Discovery decides who gets sums and which nodes are named, in the daemon as in its test

Cause, from the review: DiscoveryTest repeated what PeerReports did (receivers of sums in another data centre, names in a report), so that it could pass while the daemon did otherwise. Both call Discovery now; no other behaviour is meant to change.

--- a/lib/Gateway/Discovery.cpp
+++ b/lib/Gateway/Discovery.cpp
@@ -23,13 +23,17 @@
     // Members of the own data centre that a digest tells of, in turn: 26 of them
     // are told of within seven periods, 1.4 s.
     constexpr std::size_t membersNamed = 4;
+    // Nodes named in a report: many in a small fleet and to a node that is new, few in
+    // what a large fleet sends each period.
+    constexpr std::size_t manyNames = 24;
+    constexpr std::size_t fewNames = 3;
 
 } // namespace
 
-Discovery::Discovery(const PeerTable& table, const VmId& self, DataCentreId own, milliseconds silence)
+Discovery::Discovery(const PeerTable& table, const VmId& self, DataCentreId own, GossipSettings settings)
     : table_(table)
     , own_(std::move(own))
-    , silence_(silence)
+    , settings_(settings)
     , receiverTurn_(stableHash(self.value_))
     , unheardTurn_(receiverTurn_)
 {
@@ -102,7 +106,7 @@
     addRelays(own_, named, now);
     auto isNamed = [&](const VmId& vm) { return std::any_of(named.begin(), named.end(), [&](const KnownPeer& known) { return known.first == vm; }); };
     std::vector<KnownPeer> others;
-    for (const KnownPeer& known : table_.heardWithin(silence_, now)) {
+    for (const KnownPeer& known : table_.heardWithin(settings_.silence_, now)) {
         if (isNamed(known.first))
             continue;
         if (known.second.isReader_ && namesReaders)
@@ -115,4 +119,25 @@
     return named;
 }
 
+std::vector<KnownPeer> Discovery::peersToName(NamesTold names, std::size_t turn, SteadyTime now) const
+{
+    std::vector<KnownPeer> known = table_.heardWithin(settings_.silence_, now);
+    std::size_t count = std::min(names == NamesTold::Few ? fewNames : manyNames, known.size());
+    std::vector<KnownPeer> named;
+    for (std::size_t i = 0; i < count; ++i)
+        named.push_back(known[(turn + i) % known.size()]);
+    return named;
+}
+
+std::set<VmId> Discovery::summaryReceivers(const DataCentreId& dataCentre, const std::vector<VmId>& telling, SteadyTime now) const
+{
+    std::vector<VmId> likely = table_.likelyRelays(dataCentre, digestTurn_, now);
+    // Others are tried in turn only while no relay is known.
+    if (!telling.empty())
+        likely.resize(std::min<std::size_t>(likely.size(), settings_.relays_));
+    std::set<VmId> receivers(telling.begin(), telling.end());
+    receivers.insert(likely.begin(), likely.end());
+    return receivers;
+}
+
 } // namespace pistachioloom
--- a/lib/Gateway/Discovery.h
+++ b/lib/Gateway/Discovery.h
@@ -11,13 +11,20 @@
 #include "PeerTable.h"
 
 #include <deque>
+#include <set>
 
 namespace pistachioloom {
 
+/// How many other nodes a report names.
+enum class NamesTold {
+    Few,
+    Many,
+};
+
 class Discovery {
 public:
-    /// \p table outlives it. A node counts as heard for \p silence.
-    Discovery(const PeerTable& table, const VmId& self, DataCentreId own, milliseconds silence);
+    /// \p table outlives it.
+    Discovery(const PeerTable& table, const VmId& self, DataCentreId own, GossipSettings settings);
 
     /// \p vm is to be answered: it was heard for the first time since its start or
     /// this node's, or took this node for a relay. It then knows this node and the
@@ -39,6 +46,12 @@
     /// data centre, and others of it in turn. Who asks a node that is no relay learns
     /// from its answer which ones are.
     std::vector<KnownPeer> membersToName(SteadyTime now);
+    /// Nodes to name in a report, in turn as \p turn grows, so that nodes which know
+    /// different ones find each other.
+    std::vector<KnownPeer> peersToName(NamesTold names, std::size_t turn, SteadyTime now) const;
+    /// Whom a relay tells its sums in \p dataCentre. \p telling told theirs lately:
+    /// they are relays there, or were a moment ago.
+    std::set<VmId> summaryReceivers(const DataCentreId& dataCentre, const std::vector<VmId>& telling, SteadyTime now) const;
 
 private:
     void addRelays(const DataCentreId& dataCentre, std::vector<KnownPeer>& relays, SteadyTime now) const;
@@ -47,7 +60,7 @@
 
     const PeerTable& table_;
     const DataCentreId own_;
-    const milliseconds silence_;
+    const GossipSettings settings_;
     /// Each node once; in a small fleet nobody is answered.
     std::deque<VmId> unanswered_;
     /// Where this node begins in lists that are alike on all nodes: if all began with
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -39,7 +39,7 @@
     , hooks_(std::move(hooks))
     , socket_(io)
     , table_(context.settings_.vm_, context.settings_.dataCentre_, context.settings_.cores_, context.settings_.gossiping_)
-    , discovery_(table_, context.settings_.vm_, context.settings_.dataCentre_, context.settings_.gossiping_.silence_)
+    , discovery_(table_, context.settings_.vm_, context.settings_.dataCentre_, context.settings_.gossiping_)
     , relayBook_(context.settings_.usageWindow_)
 {
 }
@@ -247,19 +247,10 @@
     if (!isRelay_)
         return;
     report.set_is_digest(false);
-    ++relayTurn_;
     for (const DataCentreId& dataCentre : table_.otherDataCentres()) {
-        // Those that tell their sums are relays, or were a moment ago.
-        std::vector<VmId> telling = relayBook_.relaysOf(dataCentre, now);
-        std::vector<VmId> likely = table_.likelyRelays(dataCentre, relayTurn_, now);
-        // Others are tried in turn only while no relay is known.
-        if (!telling.empty())
-            likely.resize(std::min<std::size_t>(likely.size(), context_.settings_.gossiping_.relays_));
-        std::set<VmId> relays(telling.begin(), telling.end());
-        relays.insert(likely.begin(), likely.end());
         *report.mutable_sums() = relayBook_.summaryFor(dataCentre, now);
         report.mutable_sums()->set_counted_ms(countedMs(now));
-        for (const VmId& vm : relays) {
+        for (const VmId& vm : discovery_.summaryReceivers(dataCentre, relayBook_.relaysOf(dataCentre, now), now)) {
             if (auto address = table_.gossipOf(vm))
                 send(datagram, { *address });
         }
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -74,12 +74,6 @@
     void introduce(SteadyTime now);
     void send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
 
-    /// How many other nodes a report names.
-    enum class NamesTold {
-        Few,
-        Many,
-    };
-
     void composeIntroduction(wire::NodeReport& report, NamesTold names);
     void composeState(wire::NodeReport& report);
     static void composeMembers(google::protobuf::RepeatedPtrField<wire::MemberEntry>& entries, const std::vector<KnownPeer>& members, SteadyTime now);
@@ -115,7 +109,6 @@
     std::mutex leavingMutex_;
     std::deque<std::pair<SteadyTime, BackendId>> leaving_;
     std::uint64_t sequence_ = 0;
-    std::size_t relayTurn_ = 0;
     std::atomic<bool> wasLarge_ { false };
     const SteadyTime startedAt_ = steadyNow();
     std::atomic<bool> isFleetKnown_ { false };
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -5,7 +5,6 @@
 //===----------------------------------------------------------------------===//
 #include "PeerReports.h"
 
-#include <algorithm>
 #include <set>
 
 namespace pistachioloom {
@@ -14,11 +13,6 @@
 
     // Peers hear of a leaving backend server for this long.
     constexpr milliseconds leavingTold { 10000 };
-    // Other nodes named in one datagram, so that nodes which know different ones
-    // find each other: many in a small fleet and to a node that is new, few in what a
-    // large fleet sends each period.
-    constexpr std::size_t manyNames = 24;
-    constexpr std::size_t fewNames = 3;
 
 } // namespace
 
@@ -51,9 +45,7 @@
         for (const auto& [at, id] : leaving_)
             report.add_leaving(id.value_);
     }
-    std::vector<KnownPeer> known = live();
-    for (std::size_t i = 0; i < std::min(names == NamesTold::Few ? fewNames : manyNames, known.size()); ++i) {
-        const auto& [vm, peer] = known[(sequence_ + i) % known.size()];
+    for (const auto& [vm, peer] : discovery_.peersToName(names, sequence_, now)) {
         wire::KnownNode& named = *report.add_nodes();
         named.set_vm(vm.value_);
         named.set_address(peer.gossip_.toString());
--- a/unittests/Gateway/DiscoveryTest.cpp
+++ b/unittests/Gateway/DiscoveryTest.cpp
@@ -45,7 +45,7 @@
         , cores_(cores)
         , address_(std::move(address))
         , table_(vm_, dataCentre_, cores_, GossipSettings {})
-        , discovery_(table_, vm_, dataCentre_, GossipSettings {}.silence_)
+        , discovery_(table_, vm_, dataCentre_, GossipSettings {})
         , relays_(milliseconds(5000))
     {
     }
@@ -137,7 +137,7 @@
         return unheard;
     }
 
-    static void introduceIn(wire::NodeReport& report, Node& node, std::size_t named, SteadyTime now)
+    static void introduceIn(wire::NodeReport& report, Node& node, NamesTold names, SteadyTime now)
     {
         report.set_vm(node.vm_.value_);
         report.set_data_centre(node.dataCentre_.value_);
@@ -145,9 +145,7 @@
         report.set_sequence(++node.sequence_);
         report.set_address(node.address_.toString());
         report.set_cores(node.cores_);
-        std::vector<KnownPeer> known = node.table_.heardWithin(GossipSettings {}.silence_, now);
-        for (std::size_t i = 0; i < std::min(named, known.size()); ++i) {
-            const auto& [vm, peer] = known[(node.sequence_ + i) % known.size()];
+        for (const auto& [vm, peer] : node.discovery_.peersToName(names, node.sequence_, now)) {
             wire::KnownNode& entry = *report.add_nodes();
             entry.set_vm(vm.value_);
             entry.set_address(peer.gossip_.toString());
@@ -157,16 +155,16 @@
     void tell(Node& node, std::vector<Message>& messages, SteadyTime now)
     {
         wire::Datagram introduction;
-        introduceIn(*introduction.mutable_report(), node, 3, now);
+        introduceIn(*introduction.mutable_report(), node, NamesTold::Few, now);
         wire::Datagram answer;
-        introduceIn(*answer.mutable_report(), node, 24, now);
+        introduceIn(*answer.mutable_report(), node, NamesTold::Many, now);
         Discovery::Receivers receivers = node.discovery_.receivers(unheardSeeds(node));
         for (const Endpoint& receiver : receivers.introduced_)
             messages.push_back({ node.address_, receiver, introduction, {} });
         for (const Endpoint& receiver : receivers.answered_)
             messages.push_back({ node.address_, receiver, answer, node.discovery_.relaysToName(now) });
         wire::Datagram report;
-        introduceIn(*report.mutable_report(), node, 3, now);
+        introduceIn(*report.mutable_report(), node, NamesTold::Few, now);
         report.mutable_report()->set_wants_digest(true);
         node.isRelay_ = false;
         std::vector<VmId> chosen = node.table_.chooseRelays(now);
@@ -204,16 +202,9 @@
         if (!node.isRelay_)
             return;
         relayed.set_is_digest(false);
-        ++node.sequence_;
         for (const DataCentreId& dataCentre : node.table_.otherDataCentres()) {
-            std::vector<VmId> telling = node.relays_.relaysOf(dataCentre, now);
-            std::vector<VmId> likely = node.table_.likelyRelays(dataCentre, node.sequence_, now);
-            if (!telling.empty())
-                likely.resize(std::min<std::size_t>(likely.size(), GossipSettings {}.relays_));
-            std::set<VmId> relays(telling.begin(), telling.end());
-            relays.insert(likely.begin(), likely.end());
             *relayed.mutable_sums() = node.relays_.summaryFor(dataCentre, now);
-            for (const VmId& vm : relays) {
+            for (const VmId& vm : node.discovery_.summaryReceivers(dataCentre, node.relays_.relaysOf(dataCentre, now), now)) {
                 if (auto address = node.table_.gossipOf(vm))
                     messages.push_back({ node.address_, *address, datagram, members });
             }
