Observability: tell attempts at one request apart, and crashes from lost connections

The nodes' credential is the key, so that nobody can aim at another's or guess a body from a log.
It is worked out only for such attempts: calm requests pay nothing.
- A backend server that cuts an answer off is connected to once: refused means that it has ended (`Backend server has ended.`), accepted that it has not.

No decision changes.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -9,6 +9,7 @@
 
 #include "pistachioloom/Admission.h"
 #include "pistachioloom/Backends.h"
+#include "pistachioloom/Quarantine.h"
 #include "pistachioloom/Quota.h"
 #include "pistachioloom/Routes.h"
 #include "pistachioloom/Telemetry.h"
@@ -94,6 +95,8 @@
     ForwardHeaderNames names_;
     ForwardSettings settings_;
     ForwardHooks hooks_;
+    /// See fingerprintOf().
+    std::string fingerprintSecret_;
     BackendBook& backends_;
     QuotaBook& quotas_;
     RetryBudget& retries_;
--- a/include/pistachioloom/Support.h
+++ b/include/pistachioloom/Support.h
@@ -13,6 +13,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -145,6 +146,10 @@
 /// 64-bit hash of \p bytes, the same on every node.
 std::uint64_t stableHash(std::string_view bytes, std::uint64_t seed = 0);
 
+/// The first 64 bits of SHA-256 over \p parts, each preceded by its length, so that no
+/// two lists of parts are the same bytes.
+std::uint64_t digest64(std::initializer_list<std::string_view> parts);
+
 /// SHA-256 of \p bytes in lower-case hexadecimal.
 std::string sha256Hex(std::string_view bytes);
 
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -4,6 +4,7 @@
 /// Admission, the loop over attempts, and time. Sending is in Sending.cpp,
 /// answers to the caller in Answering.cpp.
 //===----------------------------------------------------------------------===//
+#include "EndProbe.h"
 #include "Forwarding.h"
 
 namespace pistachioloom {
@@ -275,10 +276,26 @@
     auto took = std::chrono::duration_cast<milliseconds>(now - request_.receivedAt_);
     context_.metrics_.observe(Histogram::WholeAnswer, now - request_.receivedAt_);
     logAttempt(attempt, outcome, took);
+    if (outcome == BackendOutcome::Broken && attempt.isCutOff_)
+        noteCutOff(attempt);
     lastDetail_ = attempt.detail_;
 }
 
-void Forwarding::logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took) const
+RequestFingerprint Forwarding::fingerprint()
+{
+    if (!fingerprint_) {
+        std::string_view organisation = organisation_ ? std::string_view(organisation_->name_.value_) : std::string_view();
+        fingerprint_ = fingerprintOf({ organisation, request_.method_, request_.field("Host"), request_.target_, request_.body_ }, context_.fingerprintSecret_);
+    }
+    return *fingerprint_;
+}
+
+void Forwarding::noteCutOff(const Attempt& attempt)
+{
+    asio::co_spawn(pool_.executor(), probeEnd(attempt.choice_.backend_, context_.settings_.connectTimeout_, toString(fingerprint())), asio::detached);
+}
+
+void Forwarding::logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took)
 {
     const BackendChoice& choice = attempt.choice_;
     LogLine line("Attempt ended.");
@@ -289,6 +306,8 @@
     line.add("charged", static_cast<std::int64_t>(cost_)).add("shared_part", shape_.parts_.size() < 2 ? "" : shape_.parts_[shape_.parts_.size() - 2].id_);
     if (route_->isStream_)
         line.add("last_event", events_.last() ? static_cast<std::int64_t>(*events_.last()) : 0);
+    if (outcome == BackendOutcome::Broken)
+        line.add("request", toString(fingerprint()));
     line.add("first_byte_ms", firstByte_.count()).add("took_ms", took.count()).add("left_ms", timeLeft().count());
     logger().info(line);
 }
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -62,6 +62,8 @@
         SteadyTime startedAt_ {};
         bool hasBegun_ = false;
         SteadyTime begunAt_ {};
+        /// The backend server closed the connection before its answer was whole.
+        bool isCutOff_ = false;
         std::string detail_;
     };
     /// A whole answer of a backend server, not yet passed on.
@@ -100,7 +102,10 @@
     void giveUpTarget(const BackendChoice& to);
     void dropMove();
     void finishAttempt(Attempt& attempt, SendEnd end);
-    void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took) const;
+    /// Finds out, beside the request, whether the backend server that cut it off ended.
+    void noteCutOff(const Attempt& attempt);
+    RequestFingerprint fingerprint();
+    void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took);
     void logRefusal(const HeldAnswer& answer) const;
     std::optional<SendEnd> checkHead(Attempt& attempt, const Parser& parser);
     void startWriting(Attempt& attempt);
@@ -172,6 +177,8 @@
     /// Sent with the next attempt, once.
     std::string resumeFrom_;
     std::optional<HeldAnswer> held_;
+    /// Worked out when it is first needed: most requests never need theirs.
+    std::optional<RequestFingerprint> fingerprint_;
     std::string lastDetail_;
     /// From the request's arrival to the first byte of an answer.
     milliseconds firstByte_ {};
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -26,6 +26,12 @@
     return { text.data(), text.size() };
 }
 
+/// Whether a read failed because the other end closed or reset the connection.
+static bool isDisconnect(const beast::error_code& code)
+{
+    return code == asio::error::eof || code == asio::error::connection_reset || code == asio::error::broken_pipe || code == http::error::end_of_stream || code == http::error::partial_message;
+}
+
 static HeaderFields fieldsOf(const http::response_parser<http::string_body>& parser)
 {
     HeaderFields fields;
@@ -232,6 +238,7 @@
         auto [code, count] = co_await http::async_read_header(attempt.connection_->socket_, attempt.connection_->buffer_, parser, asTuple);
         if (code) {
             attempt.detail_ = "head:" + code.message();
+            attempt.isCutOff_ = isDisconnect(code);
             co_return SendEnd::Lost;
         }
         attempt.connection_->arrivedAt_ = steadyNow();
@@ -271,6 +278,7 @@
     while (!parser.is_done()) {
         if (auto code = co_await readSome(attempt, parser)) {
             attempt.detail_ = "body:" + code.message();
+            attempt.isCutOff_ = isDisconnect(code);
             co_return SendEnd::Lost;
         }
         body.append(std::exchange(parser.get().body(), {}));
@@ -301,8 +309,10 @@
     events_.dropPartial();
     finalStatus_ = static_cast<int>(parser.get().result_int());
     while (!parser.is_done()) {
-        if (auto code = co_await readSome(attempt, parser))
+        if (auto code = co_await readSome(attempt, parser)) {
+            attempt.isCutOff_ = isDisconnect(code);
             co_return co_await afterBreak(attempt, code);
+        }
         std::string events = events_.take(parser.get().body());
         parser.get().body().clear();
         if (events_.isBroken()) {
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -42,7 +42,7 @@
     , quotas_(steadyNow(), quotaSettings(settings_))
     , retries_(retrySettings(settings_))
     , usage_(settings_.usageWindow_)
-    , forward_ { platform_.headers_, settings_.forward_, {}, backends_, quotas_, retries_, metrics_, {}, {}, {}, {} }
+    , forward_ { platform_.headers_, settings_.forward_, {}, settings_.peerCredential_, backends_, quotas_, retries_, metrics_, {}, {}, {}, {} }
     , table_(nullptr)
 {
     forward_.nodes_ = leastNodesAssumed;
--- /dev/null
+++ b/lib/Quarantine/Fingerprint.cpp
@@ -0,0 +1,37 @@
+//===- lib/Quarantine/Fingerprint.cpp - the identity of a request ----------===//
+///
+/// \file
+/// A keyed digest: callers can neither aim at another's fingerprint nor can a body be
+/// guessed from one in a log.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Quarantine.h"
+
+#include <charconv>
+
+namespace pistachioloom {
+
+static constexpr int hexBase = 16;
+static constexpr std::size_t fingerprintDigits = 16;
+
+RequestFingerprint fingerprintOf(const RequestIdentity& identity, std::string_view secret)
+{
+    return { digest64({ secret, identity.organisation_, identity.method_, identity.host_, identity.target_, identity.body_ }) };
+}
+
+std::string toString(RequestFingerprint fingerprint)
+{
+    char digits[fingerprintDigits];
+    auto written = std::to_chars(digits, digits + fingerprintDigits, fingerprint.value_, hexBase);
+    std::string text(digits, written.ptr);
+    return std::string(fingerprintDigits - text.size(), '0') + text;
+}
+
+std::optional<RequestFingerprint> parseFingerprint(std::string_view text)
+{
+    std::uint64_t value = 0;
+    auto read = std::from_chars(text.data(), text.data() + text.size(), value, hexBase);
+    bool isWhole = text.size() == fingerprintDigits && read.ec == std::errc {} && read.ptr == text.data() + text.size();
+    return isWhole ? std::optional(RequestFingerprint { value }) : std::nullopt;
+}
+
+} // namespace pistachioloom
--- a/lib/Support/Hash.cpp
+++ b/lib/Support/Hash.cpp
@@ -7,9 +7,13 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/endian/conversion.hpp>
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
+#include <memory>
+#include <new>
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/sha.h>
 #include <random>
 #include <xxhash.h>
@@ -41,6 +45,22 @@
     return !CRYPTO_memcmp(left.data(), right.data(), left.size());
 }
 
+std::uint64_t digest64(std::initializer_list<std::string_view> parts)
+{
+    std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), EVP_MD_CTX_free);
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    // SHA-256 of bytes in memory fails only where memory does.
+    bool isGood = context && EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (std::string_view part : parts) {
+        std::uint64_t length = boost::endian::native_to_big(static_cast<std::uint64_t>(part.size()));
+        isGood = isGood && EVP_DigestUpdate(context.get(), &length, sizeof length) && EVP_DigestUpdate(context.get(), part.data(), part.size());
+    }
+    isGood = isGood && EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    if (!isGood)
+        throw std::bad_alloc();
+    return boost::endian::load_big_u64(digest.data());
+}
+
 std::string makeUuid()
 {
     thread_local boost::uuids::random_generator generator;
