Tests: a request that crashed three backend servers is sent to others again and again

The stand-in's servers crash when a request with a given text begins to run: all that runs there breaks off, connections are refused, and another server starts in its place a second later.

--- /dev/null
+++ b/test/CrashingRequestsTest.cpp
@@ -0,0 +1,102 @@
+//===- test/CrashingRequestsTest.cpp - requests that crash their servers ---===//
+///
+/// \file
+/// One request crashes each backend server that begins to run it and comes again at
+/// every gateway; other requests are served beside it.
+//===----------------------------------------------------------------------===//
+#include "Platform/GatewayDeployment.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+namespace json = boost::json;
+
+namespace {
+
+// The platform's contact time: what one gateway has seen is known to all after it.
+constexpr milliseconds contactTime { 3000 };
+constexpr std::size_t repeatsAllowed = 3;
+constexpr std::size_t crashesTolerated = 3;
+constexpr milliseconds repeatPause { 250 };
+constexpr milliseconds longestSeries { 20000 };
+constexpr milliseconds longestRefusal { 200 };
+
+GatewayDeploymentOptions fleetOf(std::size_t count, const char* fanout)
+{
+    GatewayDeploymentOptions options;
+    options.count_ = count;
+    options.dataCentres_ = 2;
+    options.moreSettings_ = [fanout](const std::string&) { return std::string("  gossip:\n    fanout: ") + fanout + "\n"; };
+    return options;
+}
+
+/// Four engines; each that a request of crashing() reaches ends, and another starts.
+void startCrashable(GatewayDeployment& deployment)
+{
+    deployment.standard();
+    for (const char* id : { "e-3", "e-4" })
+        deployment.startBackend(id, "engines");
+    deployment.control({ { "crash_text", "crashing body" }, { "restart_ms", 1000 } });
+    if (!deployment.waitForBackends(6))
+        throw std::runtime_error("gateways do not know all backend servers");
+}
+
+/// The same request each time, but for the id of the attempt.
+HttpRequest crashing(const std::string& id)
+{
+    HttpRequest request = gatewayRequest("POST", "/ask/stream/crash", id);
+    request.body_ = "crashing body";
+    return request;
+}
+
+std::vector<std::int64_t> crashTimes(const GatewayDeployment& deployment)
+{
+    std::vector<std::int64_t> times;
+    json::object told = deployment.control();
+    for (const json::value& crash : told.at("crashes").as_array())
+        times.push_back(static_cast<std::int64_t>(numberField(crash.as_object(), "at_ms")));
+    return times;
+}
+
+std::int64_t nowMs()
+{
+    return std::chrono::duration_cast<milliseconds>(steadyNow().time_since_epoch()).count();
+}
+
+} // namespace
+
+TEST_CASE("a request that crashed three backend servers is sent to others again and again", "[gateway]")
+{
+    const char* fanout = GENERATE("24", "1");
+    CAPTURE(fanout);
+    GatewayDeployment deployment(fleetOf(4, fanout));
+    startCrashable(deployment);
+    std::int64_t begin = nowMs();
+    std::size_t served = 0;
+    std::size_t others = 0;
+    HttpResponse last;
+    milliseconds lastTook {};
+    for (std::size_t i = 0; nowMs() - begin < longestSeries.count(); ++i) {
+        auto times = crashTimes(deployment);
+        if (times.size() >= crashesTolerated && nowMs() > times[crashesTolerated - 1] + 2 * contactTime.count())
+            break;
+        auto& gateway = deployment.gateways()[i % 4];
+        SteadyTime sentAt = steadyNow();
+        last = deployment.call(gateway, crashing("crash-" + std::to_string(i)));
+        lastTook = std::chrono::duration_cast<milliseconds>(steadyNow() - sentAt);
+        HttpRequest other = gatewayRequest("POST", "/draft/stream/other", "other-" + std::to_string(i));
+        served += deployment.call(gateway, other).status_ == 200;
+        ++others;
+        std::this_thread::sleep_for(repeatPause);
+    }
+    auto times = crashTimes(deployment);
+    REQUIRE(times.size() >= crashesTolerated);
+    auto isLate = [&](std::int64_t at) { return at > times[crashesTolerated - 1] + contactTime.count(); };
+    CHECK(static_cast<std::size_t>(std::count_if(times.begin(), times.end(), isLate)) <= repeatsAllowed);
+    // Final, at once, and no promise that the request has not run.
+    CHECK(last.status_ == 502);
+    CHECK(lastTook < longestRefusal);
+    CHECK(served == others);
+}
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/endian/conversion.hpp>
 #include <iostream>
+#include <set>
 
 using namespace pistachioloom;
 using namespace pistachioloom::standin;
@@ -94,7 +95,11 @@
     {
         isCrashed_ = true;
         server_.stopAccepting();
+        for (HttpExchange* exchange : running_)
+            exchange->abort();
     }
+    /// Called with a request that begins to run; it may crash this server.
+    void setRunHook(std::function<void(const HttpRequest&)> hook) { onRun_ = std::move(hook); }
 
     json::object control(const json::object& body)
     {
@@ -140,6 +145,18 @@
         if (!from.empty())
             resumed_.emplace_back(from);
         noteRun(request);
+        running_.insert(&exchange);
+        co_await answerRun(exchange, std::move(answer));
+        running_.erase(&exchange);
+    }
+
+    asio::awaitable<void> answerRun(HttpExchange& exchange, HttpResponse answer)
+    {
+        const HttpRequest& request = exchange.request();
+        if (onRun_)
+            onRun_(request);
+        if (isCrashed_)
+            co_return;
         if (request.path().find("/stream") != std::string::npos)
             co_return co_await stream(exchange, std::move(answer));
         co_await pause(milliseconds(controls_["delay_ms"]));
@@ -231,6 +248,8 @@
     std::string id_;
     std::chrono::seconds statedIdle_;
     bool isCrashed_ = false;
+    std::function<void(const HttpRequest&)> onRun_;
+    std::set<HttpExchange*> running_;
     HttpServer server_;
     Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "lose_answers", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     json::array runs_;
@@ -276,7 +295,9 @@
     /// `unregistered`, and close a connection after `idle_s` seconds, which they state;
     /// `put`: entries of keyed topics; `reclaim`: one
     /// says that it is about to be taken away; `restart`: one crashes and starts anew
-    /// under its id; `backend`: faults of one of them. \returns what arrived.
+    /// under its id; `crash_text`: requests whose body has it crash each server that
+    /// begins to run them, and another one starts in its place `restart_ms` later;
+    /// `backend`: faults of one of them. \returns what arrived.
     asio::awaitable<void> control(HttpExchange& exchange)
     {
         json::object body = parseJsonObject(exchange.request().body_).value_or(json::object {});
@@ -295,6 +316,8 @@
         }
         if (entries_.contains(textField(body, "restart")))
             restart(textField(body, "restart"));
+        if (body.contains("crash_text"))
+            crashText_ = textField(body, "crash_text");
         auto chosen = backends_.find(textField(body, "backend"));
         if (chosen != backends_.end())
             answer = chosen->second->control(body);
@@ -302,6 +325,7 @@
         if (asked != entries_.end())
             answer["born"] = asked->second.at("born");
         answer["duties"] = duties_;
+        answer["crashes"] = crashes_;
         answer["ports"] = ports;
         co_await reply(exchange, 200, answer);
     }
@@ -333,10 +357,33 @@
         if (!entry.contains("unregistered"))
             log_.put("keyed.servers", id, json::serialize(entry));
         entries_[id] = std::move(entry);
+        backend->setRunHook([this, id](const HttpRequest& request) { noteRun(id, request); });
         backends_[id] = std::move(backend);
         return port;
     }
 
+    void noteRun(const std::string& id, const HttpRequest& request)
+    {
+        if (crashText_.empty() || request.body_.find(crashText_) == std::string::npos)
+            return;
+        crashes_.push_back(json::object { { "backend", id }, { "at_ms", std::chrono::duration_cast<milliseconds>(steadyNow().time_since_epoch()).count() }, { "request", request.header("x-pistachioloom-attempt-id") } });
+        crashed_.push_back(std::move(backends_[id]));
+        backends_.erase(id);
+        crashed_.back()->crash();
+        asio::co_spawn(io_, replaceCrashed(id), asio::detached);
+    }
+
+    /// Another server, of a new id, takes the place of \p id, whose entry expires then.
+    asio::awaitable<void> replaceCrashed(std::string id)
+    {
+        co_await pause(milliseconds(controls_["restart_ms"]));
+        json::object wanted = entries_[id];
+        wanted["id"] = id + "'";
+        entries_.erase(id);
+        log_.put("keyed.servers", id, "");
+        start(wanted);
+    }
+
     asio::awaitable<void> append(HttpExchange& exchange)
     {
         const HttpRequest& request = exchange.request();
@@ -397,13 +444,15 @@
 
     asio::io_context& io_;
     Log log_;
-    Controls controls_ { { { "down", 0 }, { "lose_appends", 0 } } };
+    Controls controls_ { { { "down", 0 }, { "lose_appends", 0 }, { "restart_ms", 1000 } } };
     std::map<std::string, std::unique_ptr<Backend>> backends_;
     /// Servers before their restart.
     std::vector<std::unique_ptr<Backend>> crashed_;
     /// What each registered.
     std::map<std::string, json::object> entries_;
     json::array duties_;
+    std::string crashText_;
+    json::array crashes_;
 };
 
 } // namespace
