Hold a request under which three backend servers crashed

Cause: harm was counted by backend server and within one attempt. The next attempt of the same caller, on the same node too, started from nothing.

- lib/Quarantine: crashes by request fingerprint.
Cut-off attempts count once their server is known to have ended unannounced: a new connection is refused, or the registry drops it or tells a new start.
Three: held for 10 min, doubling.
A whole answer clears it.
Adding and clearing commute, so reports in any order agree.
- Told in every datagram, in a large fleet through relays; a part of what is held in each, so that a node that starts hears it within the contact time.
Bounded: 24 a report, 1,024 in memory, 256 of one organisation.
- One check before each send.
A request with two crashes goes where the fewest others run and is not repeated within its attempt.
Answer: 502 at once.
- GET and DELETE /quarantine beside the metrics, pistachioloomctl quarantine list|lift.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -62,6 +62,8 @@
     /// Lower is more urgent.
     unsigned urgency_ = 0;
     bool isForEngine_ = false;
+    /// Backend servers crashed under it: it goes where few others would be harmed.
+    bool isSuspect_ = false;
     /// Set for a stream that moves: the reclaimable engines of its data centre are
     /// taken away together, so none of them is chosen.
     std::optional<DataCentreId> reclaimed_;
@@ -219,6 +221,8 @@
     /// not reach as far as it knows: their connections and requests failed in a row.
     /// They are chosen only where there are no others, until noteReached().
     std::vector<BackendRecord> unreached() const;
+    /// Whether \p dataCentre is not cut off as far as this node knows.
+    bool isReached(const DataCentreId& dataCentre) const;
     /// The request is over.
     void end(const BackendId& id, const SendResult& result, SteadyTime now);
 
@@ -270,7 +274,7 @@
     };
 
     bool isUsable(const Backend& backend, SteadyTime now) const;
-    bool isReached(const DataCentreId& dataCentre) const;
+    bool isReachedLocked(const DataCentreId& dataCentre) const;
     void noteReached(const Backend& backend) { failedIn_.erase(backend.record_.dataCentre_); }
     /// A straight line through waits over prompt tokens, by least squares with
     /// fading weights: its slope is the time that a token takes to read.
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -100,6 +100,8 @@
     BackendBook& backends_;
     QuotaBook& quotas_;
     RetryBudget& retries_;
+    QuarantineBook& quarantine_;
+    CrashWatch& crashes_;
     Metrics& metrics_;
     /// Connections close after their answer.
     std::atomic<bool> isStopping_ { false };
@@ -113,6 +115,10 @@
     std::uint64_t workers_ = 1;
 };
 
+/// Counts the end of a backend server, known by its record, against the requests that it
+/// cut off.
+void noteBackendEnded(ForwardContext& context, const BackendId& backend);
+
 /// Serves callers on one io_context of one thread. Workers share an address;
 /// the kernel spreads new connections over them.
 class ForwardWorker {
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -140,6 +140,7 @@
     FeedSettings feed_;
     FleetSettings fleet_;
     ForwardSettings forward_;
+    QuarantineSettings quarantine_;
     ChoiceSettings choice_;
     LogSettings logs_;
 };
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -98,6 +98,8 @@
     LoanMessages,
     TrialsYielded,
     RegistrationsRefused,
+    RequestsQuarantined,
+    BackendCrashes,
     Last,
 };
 
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -281,6 +281,12 @@
 }
 
 bool BackendBook::isReached(const DataCentreId& dataCentre) const
+{
+    std::lock_guard lock(mutex_);
+    return isReachedLocked(dataCentre);
+}
+
+bool BackendBook::isReachedLocked(const DataCentreId& dataCentre) const
 {
     auto failed = failedIn_.find(dataCentre);
     return failed == failedIn_.end() || failed->second.size() < settings_.failuresToLose_;
@@ -291,7 +297,7 @@
     std::lock_guard lock(mutex_);
     std::map<DataCentreId, std::vector<const BackendRecord*>> candidates;
     for (const auto& [id, backend] : backends_) {
-        if (!isReached(backend.record_.dataCentre_) && !backend.record_.isLeaving_)
+        if (!isReachedLocked(backend.record_.dataCentre_) && !backend.record_.isLeaving_)
             candidates[backend.record_.dataCentre_].push_back(&backend.record_);
     }
     std::vector<BackendRecord> drawn;
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -22,6 +22,9 @@
     return value ^ (value >> 31);
 }
 
+// What each other request at a backend server that a suspect may crash weighs, in ms:
+// more than any wait.
+static constexpr double suspectWeight = 100000;
 // A plain service's share of wait for each request before the new one, in ms.
 static constexpr double plainTurnMs = 20;
 // Engines of one service wait so differently by chance: an engine that seems slower by
@@ -142,7 +145,7 @@
         if (backend.record_.isReclaimable_ && shape.reclaimed_ == backend.record_.dataCentre_)
             continue;
         bool isGood = isUsable(backend, now) && backend.failedShare_ < failedShareTolerated;
-        if (isGood && isReached(backend.record_.dataCentre_))
+        if (isGood && isReachedLocked(backend.record_.dataCentre_))
             usable.push_back(&backend);
         else
             (isGood ? cutOff : doubtful).push_back(&backend);
@@ -157,7 +160,7 @@
     BackendChoice choice;
     choice.candidates_ = candidates.size();
     BackendId home = homeOf(shape, candidates);
-    if (candidates.size() > settings_.weighAllUpTo_)
+    if (candidates.size() > settings_.weighAllUpTo_ && !shape.isSuspect_)
         takeSample(candidates, shape, home, now);
     Backend* chosen = nullptr;
     double least = 0;
@@ -165,7 +168,8 @@
     for (Backend* backend : candidates) {
         TokenCount uncached = uncachedAt(*backend, shape, home, now);
         double estimate = estimateMs(*backend, shape, uncached);
-        double weighed = estimate + (backend->record_.dataCentre_ == ownDataCentre_ ? 0 : settings_.crossingMs_);
+        double harmed = shape.isSuspect_ ? suspectWeight * (backend->own_.running_ + backend->peers_.running_) : 0;
+        double weighed = harmed + estimate + (backend->record_.dataCentre_ == ownDataCentre_ ? 0 : settings_.crossingMs_);
         // Equals are drawn among, or all nodes would pick the same one.
         bool isTie = chosen && weighed == least;
         ties = isTie ? ties + 1 : 1;
--- a/lib/Forward/EndProbe.cpp
+++ b/lib/Forward/EndProbe.cpp
@@ -11,6 +11,10 @@
 
 using tcp = asio::ip::tcp;
 
+// A process that ends closes its connections one after the other, the one on which it
+// listens perhaps last, so that a connection may still be accepted after the first break.
+static constexpr milliseconds secondProbe { 150 };
+
 static const Logger& logger()
 {
     static const Logger logger("probe");
@@ -33,16 +37,39 @@
     co_return code;
 }
 
-asio::awaitable<void> probeEnd(BackendRecord backend, milliseconds patience, std::string request)
+void logCrash(ForwardContext& context, const BackendId& backend, const CrashWatch::Counted& counted)
+{
+    context.metrics_.add(Counter::BackendCrashes);
+    LogLine line("Backend server crashed under a request.");
+    line.add("backend", backend.value_).add("request", toString(counted.request_)).add("crashes", static_cast<std::int64_t>(counted.crashes_));
+    logger().info(line);
+}
+
+void noteBackendEnded(ForwardContext& context, const BackendId& backend)
+{
+    for (const CrashWatch::Counted& counted : context.crashes_.noteEnded({ keyOf(backend) }, steadyNow()))
+        logCrash(context, backend, counted);
+}
+
+asio::awaitable<void> probeEnd(ForwardContext& context, BackendRecord backend)
 {
     boost::system::error_code code;
     tcp::endpoint address(asio::ip::make_address(backend.endpoint_.host_, code), backend.endpoint_.port_);
+    const milliseconds patience = context.settings_.connectTimeout_;
     if (!code)
         code = co_await tryConnection(address, patience);
-    bool hasEnded = code == asio::error::connection_refused;
+    if (!code) {
+        co_await sleepFor(secondProbe);
+        code = co_await tryConnection(address, patience);
+    }
+    // What cuts a data centre off may refuse connections too.
+    bool hasEnded = code == asio::error::connection_refused && context.backends_.isReached(backend.dataCentre_);
     LogLine line(hasEnded ? "Backend server has ended." : "Backend server cut a request off.");
-    line.add("backend", backend.id_.value_).add("request", request).add("connection", code ? code.message() : "accepted");
+    line.add("backend", backend.id_.value_).add("connection", code ? code.message() : "accepted");
     logger().info(line);
+    context.crashes_.noteProbed({ keyOf(backend.id_) });
+    if (hasEnded)
+        noteBackendEnded(context, backend.id_);
 }
 
 } // namespace pistachioloom
--- a/lib/Forward/EndProbe.h
+++ b/lib/Forward/EndProbe.h
@@ -7,12 +7,14 @@
 #pragma once
 
 #include "Signal.h"
-#include "pistachioloom/Backends.h"
+#include "pistachioloom/Forward.h"
 
 namespace pistachioloom {
 
-/// Connects to \p backend, which cut off an attempt at \p request, and logs what came
-/// of it.
-asio::awaitable<void> probeEnd(BackendRecord backend, milliseconds patience, std::string request);
+/// Connects to \p backend. If that is refused, the backend server has ended.
+asio::awaitable<void> probeEnd(ForwardContext& context, BackendRecord backend);
+
+/// A crash of \p backend was counted against a request.
+void logCrash(ForwardContext& context, const BackendId& backend, const CrashWatch::Counted& counted);
 
 } // namespace pistachioloom
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -4,8 +4,8 @@
 /// Admission, the loop over attempts, and time. Sending is in Sending.cpp,
 /// answers to the caller in Answering.cpp.
 //===----------------------------------------------------------------------===//
-#include "EndProbe.h"
 #include "Forwarding.h"
+#include "EndProbe.h"
 
 namespace pistachioloom {
 
@@ -19,6 +19,9 @@
     constexpr milliseconds retryFull { 150 };
     // Connections that may fail for one request before it is given up.
     constexpr unsigned mostUnreachable = 4;
+    // A request with so many crashes is kept apart from others: one more of them is
+    // hardly chance.
+    constexpr std::size_t crashesToIsolate = 2;
     // Weight versions and the like begin at this urgency if nothing is said.
     constexpr unsigned mostUrgency = 9;
 
@@ -156,6 +159,9 @@
         return false;
     if (end != SendEnd::NotRun && !route_->mayRepeat())
         return false;
+    // It may just have crashed one more, which is not known yet.
+    if (end == SendEnd::Lost && shape_.isSuspect_)
+        return false;
     return context_.retries_.take(shape_.service_, steadyNow());
 }
 
@@ -168,9 +174,49 @@
     return refusal(503, "engines are busy for " + std::to_string(choice.ahead_.count()) + " ms", *returnIn);
 }
 
+/// Every send passes here: first ones, repeats, and streams that move.
+std::optional<Forwarding::HeldAnswer> Forwarding::refuseQuarantined()
+{
+    if (context_.quarantine_.isEmpty())
+        return std::nullopt;
+    auto quarantine = context_.quarantine_.check(fingerprint(), steadyNow());
+    if (!quarantine) {
+        shape_.isSuspect_ = context_.quarantine_.crashesOf(fingerprint()) >= crashesToIsolate;
+        return std::nullopt;
+    }
+    context_.metrics_.add(Counter::RequestsQuarantined);
+    logQuarantined(*quarantine);
+    // Neither 503, whose promise that a request never runs invites its caller back, nor
+    // 4xx: that the request itself is at fault is likely, not certain.
+    return refusal(502, "quarantined: " + std::to_string(quarantine->crashes_) + " backend servers crashed under this request", {});
+}
+
+void Forwarding::logQuarantined(const Quarantine& quarantine)
+{
+    LogLine line("Request is in quarantine.");
+    line.add("id", id_).add("request", toString(fingerprint())).add("crashes", static_cast<std::int64_t>(quarantine.crashes_));
+    line.add("last_crash_ms", quarantine.sinceLastCrash_.count()).add("left_ms", quarantine.left_.count());
+    line.add("target", request_.target_).add("organisation", organisation_ ? organisation_->name_.value_ : "");
+    logger().info(line);
+}
+
+/// A whole answer, a failure too, shows that the request does not crash its server.
+void Forwarding::noteServed()
+{
+    if (context_.crashes_.isIdle())
+        return;
+    if (context_.crashes_.clear(fingerprint(), steadyNow()))
+        logger().info(LogLine("Request is no longer suspected.").add("id", id_).add("request", toString(fingerprint())));
+}
+
 asio::awaitable<void> Forwarding::serve()
 {
     for (;;) {
+        if (auto refused = refuseQuarantined()) {
+            if (!held_)
+                held_ = std::move(refused);
+            break;
+        }
         auto choice = takeMoveTarget();
         if (!choice)
             choice = context_.backends_.choose(shape_, excluded_, steadyNow());
@@ -278,6 +324,8 @@
     logAttempt(attempt, outcome, took);
     if (outcome == BackendOutcome::Broken && attempt.isCutOff_)
         noteCutOff(attempt);
+    if (end == SendEnd::Delivered || end == SendEnd::Held)
+        noteServed();
     lastDetail_ = attempt.detail_;
 }
 
@@ -292,7 +340,17 @@
 
 void Forwarding::noteCutOff(const Attempt& attempt)
 {
-    asio::co_spawn(pool_.executor(), probeEnd(attempt.choice_.backend_, context_.settings_.connectTimeout_, toString(fingerprint())), asio::detached);
+    const BackendRecord& backend = attempt.choice_.backend_;
+    auto known = context_.backends_.find(backend.id_);
+    // Its end was announced, and is no crash.
+    if (known && known->isLeaving_)
+        return;
+    CutOff cutOff { fingerprint(), organisation_ ? organisation_->name_ : OrganisationId {}, { keyOf(backend.id_) } };
+    CrashWatch::Verdict verdict = context_.crashes_.noteCutOff(cutOff, steadyNow());
+    if (verdict.counted_)
+        logCrash(context_, backend.id_, *verdict.counted_);
+    if (verdict.needsProbe_)
+        asio::co_spawn(pool_.executor(), probeEnd(context_, backend), asio::detached);
 }
 
 void Forwarding::logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took)
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -105,7 +105,11 @@
     /// Finds out, beside the request, whether the backend server that cut it off ended.
     void noteCutOff(const Attempt& attempt);
     RequestFingerprint fingerprint();
+    /// The answer to a request that is in quarantine.
+    std::optional<HeldAnswer> refuseQuarantined();
+    void noteServed();
     void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took);
+    void logQuarantined(const Quarantine& quarantine);
     void logRefusal(const HeldAnswer& answer) const;
     std::optional<SendEnd> checkHead(Attempt& attempt, const Parser& parser);
     void startWriting(Attempt& attempt);
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -110,6 +110,9 @@
         missing_.insert(name);
         return;
     }
+    // A backend server that crashes never says that it leaves.
+    if (!known->isLeaving_)
+        noteBackendEnded(context_.forward_, known->id_);
     logger_.info(LogLine("Backend server is gone.").add("backend", known->id_.value_).add("from", source));
     // What a peer's list lacks is no news for others: they have theirs.
     if (source == platformSource)
@@ -144,9 +147,12 @@
     missing_.erase(change.name_);
     const BackendRecord& record = *change.record_;
     auto before = context_.backends_.find(record.id_);
+    auto newest = context_.backends_.findNewest(record.name_);
     BackendBook::Registered registered = context_.backends_.put(record);
     if (registered == BackendBook::Registered::Outdated)
         return;
+    if (registered == BackendBook::Registered::Restarted && newest && !newest->isLeaving_)
+        noteBackendEnded(context_.forward_, newest->id_);
     if (!before)
         logger_.info(LogLine(registered == BackendBook::Registered::Restarted ? "Backend server started anew." : "Backend server is there.").add("backend", record.id_.value_).add("service", record.service_.value_).add("address", record.endpoint_.toString()).add("data_centre", record.dataCentre_.value_).add("reclaimable", record.isReclaimable_).add("leaving", record.isLeaving_));
     if (record.isLeaving_ && (!before || !before->isLeaving_)) {
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "DutyRunner.h"
 #include "Feed.h"
 #include "LoopLag.h"
+#include "QuarantinePage.h"
 #include "ReachProbe.h"
 #include "generated/Peer.pb.h"
 
@@ -34,6 +35,7 @@
     asio::awaitable<void> watchSignals();
     HttpResponse readiness() const;
     HttpResponse metricsPage() const;
+    HttpResponse operatorPage(const HttpRequest& request);
     void reload();
     bool isReady() const;
 
@@ -78,7 +80,7 @@
     , readinessServer_(
           ios_[0]->get_executor(), HttpBounds {}, [this](HttpExchange& exchange) -> asio::awaitable<void> { (void)co_await exchange.respond(readiness()); }, errorResponse)
     , metricsServer_(
-          ios_[0]->get_executor(), HttpBounds {}, [this](HttpExchange& exchange) -> asio::awaitable<void> { (void)co_await exchange.respond(metricsPage()); }, errorResponse)
+          ios_[0]->get_executor(), HttpBounds {}, [this](HttpExchange& exchange) -> asio::awaitable<void> { (void)co_await exchange.respond(operatorPage(exchange.request())); }, errorResponse)
     , signals_(*ios_[0], SIGTERM, SIGINT, SIGHUP)
 {
     for (const auto& io : ios_)
@@ -108,11 +110,18 @@
         { "peers_live", static_cast<double>(reports_.live().size()) },
         { "nodes_known_of", static_cast<double>(reports_.nodesKnownOf()) },
         { "log_lines_dropped", static_cast<double>(droppedLogLines()) },
+        { "requests_suspected", static_cast<double>(context_.quarantine_.suspects(steadyNow()).size()) },
+        { "requests_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(steadyNow())) },
         { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
     };
     return { 200, { { "content-type", "text/plain; version=0.0.4" } }, context_.metrics_.render(gauges) };
 }
 
+HttpResponse Gateway::State::operatorPage(const HttpRequest& request)
+{
+    return isForQuarantinePage(request) ? quarantinePage(context_, request) : metricsPage();
+}
+
 asio::awaitable<void> Gateway::State::servePeer(std::shared_ptr<PeerStream> stream)
 {
     auto frame = co_await stream->receive();
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -41,8 +41,10 @@
     , backends_(settings_.dataCentre_, settings_.choice_)
     , quotas_(steadyNow(), quotaSettings(settings_))
     , retries_(retrySettings(settings_))
+    , quarantine_(settings_.quarantine_)
+    , crashes_(quarantine_)
     , usage_(settings_.usageWindow_)
-    , forward_ { platform_.headers_, settings_.forward_, {}, settings_.peerCredential_, backends_, quotas_, retries_, metrics_, {}, {}, {}, {} }
+    , forward_ { platform_.headers_, settings_.forward_, {}, settings_.peerCredential_, backends_, quotas_, retries_, quarantine_, crashes_, metrics_, {}, {}, {}, {} }
     , table_(nullptr)
 {
     forward_.nodes_ = leastNodesAssumed;
--- a/lib/Gateway/GatewayContext.h
+++ b/lib/Gateway/GatewayContext.h
@@ -40,6 +40,8 @@
     BackendBook backends_;
     QuotaBook quotas_;
     RetryBudget retries_;
+    QuarantineBook quarantine_;
+    CrashWatch crashes_;
     UsageBook usage_;
     ClockAgreement clocks_;
     DemandBook demand_;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -92,6 +92,17 @@
         map.finish();
     }
 
+    void parseQuarantine(YamlMap map, QuarantineSettings& settings)
+    {
+        settings.crashes_ = map.integer("crashes", 1, 12, settings.crashes_);
+        settings.first_ = map.duration("first", milliseconds(1000), oneDay, settings.first_);
+        settings.longest_ = map.duration("longest", milliseconds(1000), 30 * oneDay, settings.longest_);
+        settings.memory_ = map.duration("memory", milliseconds(1000), oneDay, settings.memory_);
+        settings.capacity_ = map.integer("capacity", 1, 1'000'000, settings.capacity_);
+        settings.organisationCapacity_ = map.integer("organisation_capacity", 1, 1'000'000, settings.organisationCapacity_);
+        map.finish();
+    }
+
     void parseDuties(YamlMap map, GatewaySettings& settings)
     {
         settings.duties_ = endpoint(map, "address");
@@ -138,6 +149,8 @@
             parseStopping(std::move(*section), settings);
         if (auto section = map.map("retries"))
             parseRetries(std::move(*section), settings);
+        if (auto section = map.map("quarantine"))
+            parseQuarantine(std::move(*section), settings.quarantine_);
         if (auto section = map.map("gossip"))
             parseGossip(std::move(*section), settings.gossiping_);
         if (auto section = map.map("feed"))
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "PeerReports.h"
 
+#include "SuspectMessages.h"
+
 #include "pistachioloom/Settings.h"
 
 namespace pistachioloom {
@@ -234,8 +236,10 @@
     report.set_is_digest(true);
     composeMembers(*report.mutable_members(), discovery_.membersToName(now), now);
     ReportTotals totals = relayBook_.totals(now);
+    std::vector<Suspect> suspects = context_.quarantine_.told(now, randomBits());
     for (const VmId& vm : receivers) {
         *report.mutable_sums() = relayBook_.digestFor(vm, totals, now);
+        putSuspects(suspects, *report.mutable_sums()->mutable_suspects(), now);
         report.mutable_sums()->set_counted_ms(countedMs(now));
         if (vm == context_.settings_.vm_)
             takeDigest(vm, context_.incarnation_, report.sums(), now);
@@ -249,6 +253,7 @@
     report.set_is_digest(false);
     for (const DataCentreId& dataCentre : table_.otherDataCentres()) {
         *report.mutable_sums() = relayBook_.summaryFor(dataCentre, now);
+        putSuspects(suspects, *report.mutable_sums()->mutable_suspects(), now);
         report.mutable_sums()->set_counted_ms(countedMs(now));
         for (const VmId& vm : discovery_.summaryReceivers(dataCentre, relayBook_.relaysOf(dataCentre, now), now)) {
             if (auto address = table_.gossipOf(vm))
@@ -296,6 +301,12 @@
     }
 }
 
+void PeerReports::takeSuspects(const google::protobuf::RepeatedPtrField<wire::SuspectReport>& suspects, SteadyTime now)
+{
+    if (!suspects.empty())
+        context_.quarantine_.take(suspectsOf(suspects, now), now);
+}
+
 void PeerReports::takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from)
 {
     for (const std::string& id : leaving) {
@@ -336,6 +347,7 @@
     }
     context_.clocks_.setPeer(vm, report.wall_ms() - context_.ownWallMs(), now);
     takeLeaving(report.leaving(), vm);
+    takeSuspects(report.suspects(), now);
     if (report.duty_token())
         hooks_.onHolder_(vm, { report.duty_token() }, now);
     if (report.released_token())
@@ -392,12 +404,14 @@
     if (!isRelay_)
         discovery_.noteNew(relay);
     takeLeaving(report.sums().leaving(), relay);
+    takeSuspects(report.sums().suspects(), now);
     relayBook_.takeSummary(report, now);
 }
 
 void PeerReports::takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now)
 {
     takeLeaving(sums.leaving(), relay);
+    takeSuspects(sums.suspects(), now);
     if (sums.duty_token() && VmId { sums.holder() } != context_.settings_.vm_)
         hooks_.onHolder_({ sums.holder() }, { sums.duty_token() }, now - milliseconds(sums.holder_age_ms()));
     if (sums.released_token())
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -86,6 +86,7 @@
     void takeMembers(const google::protobuf::RepeatedPtrField<wire::MemberEntry>& members, SteadyTime now);
     void takeRelayed(const wire::RelayReport& report, const Endpoint& sender, SteadyTime now);
     void takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
+    void takeSuspects(const google::protobuf::RepeatedPtrField<wire::SuspectReport>& suspects, SteadyTime now);
     void takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from);
     void forgetCounts(const VmId& vm);
     void forgetSilent(SteadyTime now);
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "PeerReports.h"
 
+#include "SuspectMessages.h"
+
 #include <set>
 
 namespace pistachioloom {
@@ -45,6 +47,7 @@
         for (const auto& [at, id] : leaving_)
             report.add_leaving(id.value_);
     }
+    putSuspects(context_.quarantine_.told(now, randomBits()), *report.mutable_suspects(), now);
     for (const auto& [vm, peer] : discovery_.peersToName(names, sequence_, now)) {
         wire::KnownNode& named = *report.add_nodes();
         named.set_vm(vm.value_);
--- /dev/null
+++ b/lib/Quarantine/Quarantine.cpp
@@ -0,0 +1,238 @@
+//===- lib/Quarantine/Quarantine.cpp - crashes by request ------------------===//
+///
+/// \file
+/// See pistachioloom/Quarantine.h.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Quarantine.h"
+
+#include <algorithm>
+
+namespace pistachioloom {
+
+// Crashes kept of one request: those that double its quarantine up to a day and more.
+static constexpr std::size_t mostCrashesKept = 12;
+// Each report tells a change for so long: some reports may be lost.
+static constexpr milliseconds changeTold { 2000 };
+// Requests in one report: at 40 bytes each it stays within one packet.
+static constexpr std::size_t mostChangesTold = 16;
+static constexpr std::size_t mostHeldTold = 8;
+// A single crash is told only when it is new: most are cleared soon, and it keeps
+// nothing from being sent.
+static constexpr std::size_t leastHeldTold = 2;
+
+static std::size_t heldOf(const std::vector<Crash>& crashes)
+{
+    return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [](const Crash& crash) { return !crash.isCleared_; }));
+}
+
+std::size_t Suspect::crashesHeld() const
+{
+    return heldOf(crashes_);
+}
+
+static SteadyTime lastHeld(const std::vector<Crash>& crashes)
+{
+    SteadyTime last {};
+    for (const Crash& crash : crashes) {
+        if (!crash.isCleared_)
+            last = std::max(last, crash.at_);
+    }
+    return last;
+}
+
+QuarantineBook::QuarantineBook(QuarantineSettings settings)
+    : settings_(settings)
+{
+}
+
+std::optional<SteadyTime> QuarantineBook::quarantinedUntil(const std::vector<Crash>& crashes) const
+{
+    std::size_t held = heldOf(crashes);
+    if (held < settings_.crashes_)
+        return std::nullopt;
+    milliseconds length = settings_.first_;
+    for (std::size_t i = settings_.crashes_; i < held && length < settings_.longest_; ++i)
+        length *= 2;
+    return lastHeld(crashes) + std::min(length, settings_.longest_);
+}
+
+/// It follows from the crashes alone: nodes that tell each other an entry must not keep
+/// it alive by that.
+SteadyTime QuarantineBook::keptUntil(const std::vector<Crash>& crashes) const
+{
+    SteadyTime last {};
+    for (const Crash& crash : crashes)
+        last = std::max(last, crash.at_);
+    return std::max(last, quarantinedUntil(crashes).value_or(last)) + settings_.memory_;
+}
+
+void QuarantineBook::forgetOld(SteadyTime now)
+{
+    std::erase_if(entries_, [&](const auto& item) { return now > keptUntil(item.second.crashes_); });
+    count_ = entries_.size();
+}
+
+/// Gives up the weakest suspicion, of \p organisation if that one has its share.
+void QuarantineBook::makeRoom(std::uint32_t organisation)
+{
+    auto isOwn = [&](const auto& item) { return item.second.organisation_ == organisation; };
+    bool hasShare = static_cast<std::uint64_t>(std::count_if(entries_.begin(), entries_.end(), isOwn)) >= settings_.organisationCapacity_;
+    if (!hasShare && entries_.size() < settings_.capacity_)
+        return;
+    auto weakest = entries_.end();
+    auto isWeaker = [](const Entry& left, const Entry& right) {
+        return std::pair(heldOf(left.crashes_), left.changedAt_) < std::pair(heldOf(right.crashes_), right.changedAt_);
+    };
+    for (auto item = entries_.begin(); item != entries_.end(); ++item) {
+        bool mayGo = !hasShare || isOwn(*item);
+        if (mayGo && (weakest == entries_.end() || isWeaker(item->second, weakest->second)))
+            weakest = item;
+    }
+    if (weakest != entries_.end())
+        entries_.erase(weakest);
+}
+
+QuarantineBook::Entry& QuarantineBook::findOrAdd(RequestFingerprint request, std::uint32_t organisation, SteadyTime now)
+{
+    auto found = entries_.find(request);
+    if (found != entries_.end())
+        return found->second;
+    forgetOld(now);
+    makeRoom(organisation);
+    Entry& entry = entries_[request];
+    entry.organisation_ = organisation;
+    entry.changedAt_ = now;
+    count_ = entries_.size();
+    return entry;
+}
+
+/// \returns whether \p crash was news.
+bool QuarantineBook::merge(Entry& entry, const Crash& crash)
+{
+    auto known = std::find_if(entry.crashes_.begin(), entry.crashes_.end(), [&](const Crash& held) { return held.backend_ == crash.backend_; });
+    if (known != entry.crashes_.end()) {
+        bool isNews = crash.isCleared_ && !known->isCleared_;
+        known->isCleared_ |= crash.isCleared_;
+        known->at_ = std::min(known->at_, crash.at_);
+        return isNews;
+    }
+    if (entry.crashes_.size() < mostCrashesKept) {
+        entry.crashes_.push_back(crash);
+        return true;
+    }
+    // The newest are kept, so that a request that still crashes servers stays held.
+    Crash& oldest = *std::min_element(entry.crashes_.begin(), entry.crashes_.end(), [](const Crash& left, const Crash& right) { return left.at_ < right.at_; });
+    if (crash.at_ <= oldest.at_)
+        return false;
+    oldest = crash;
+    return true;
+}
+
+std::size_t QuarantineBook::noteCrash(RequestFingerprint request, const OrganisationId& organisation, CrashSite backend, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    Entry& entry = findOrAdd(request, static_cast<std::uint32_t>(stableHash(organisation.value_)), now);
+    if (merge(entry, { backend, now, false }))
+        entry.changedAt_ = now;
+    return heldOf(entry.crashes_);
+}
+
+bool QuarantineBook::clear(RequestFingerprint request, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(request);
+    if (found == entries_.end() || !heldOf(found->second.crashes_))
+        return false;
+    for (Crash& crash : found->second.crashes_)
+        crash.isCleared_ = true;
+    found->second.changedAt_ = now;
+    return true;
+}
+
+std::optional<Quarantine> QuarantineBook::check(RequestFingerprint request, SteadyTime now) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(request);
+    if (found == entries_.end())
+        return std::nullopt;
+    auto until = quarantinedUntil(found->second.crashes_);
+    if (!until || now >= *until)
+        return std::nullopt;
+    auto since = std::chrono::duration_cast<milliseconds>(now - lastHeld(found->second.crashes_));
+    return Quarantine { heldOf(found->second.crashes_), since, std::chrono::duration_cast<milliseconds>(*until - now) };
+}
+
+std::size_t QuarantineBook::crashesOf(RequestFingerprint request) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(request);
+    return found == entries_.end() ? 0 : heldOf(found->second.crashes_);
+}
+
+std::vector<Suspect> QuarantineBook::told(SteadyTime now, std::uint64_t draw) const
+{
+    if (isEmpty())
+        return {};
+    std::lock_guard lock(mutex_);
+    std::vector<const Entries::value_type*> changed;
+    std::vector<const Entries::value_type*> held;
+    for (const auto& item : entries_) {
+        if (now - item.second.changedAt_ <= changeTold)
+            changed.push_back(&item);
+        else if (heldOf(item.second.crashes_) >= leastHeldTold)
+            held.push_back(&item);
+    }
+    auto isGraver = [](const auto* left, const auto* right) {
+        return std::pair(heldOf(left->second.crashes_), left->second.changedAt_) > std::pair(heldOf(right->second.crashes_), right->second.changedAt_);
+    };
+    std::sort(changed.begin(), changed.end(), isGraver);
+    changed.resize(std::min(changed.size(), mostChangesTold));
+    if (!held.empty())
+        std::rotate(held.begin(), held.begin() + static_cast<std::ptrdiff_t>(draw % held.size()), held.end());
+    held.resize(std::min(held.size(), mostHeldTold));
+    changed.insert(changed.end(), held.begin(), held.end());
+    std::vector<Suspect> suspects;
+    for (const auto* item : changed)
+        suspects.push_back({ item->first, item->second.organisation_, item->second.crashes_ });
+    return suspects;
+}
+
+void QuarantineBook::take(const std::vector<Suspect>& told, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    for (const Suspect& suspect : told) {
+        // What has been forgotten here stays so.
+        if (now > keptUntil(suspect.crashes_))
+            continue;
+        Entry& entry = findOrAdd(suspect.request_, suspect.organisation_, now);
+        for (const Crash& crash : suspect.crashes_) {
+            if (merge(entry, crash))
+                entry.changedAt_ = now;
+        }
+    }
+}
+
+std::vector<Suspect> QuarantineBook::suspects(SteadyTime now) const
+{
+    std::vector<Suspect> all;
+    {
+        std::lock_guard lock(mutex_);
+        for (const auto& [request, entry] : entries_) {
+            if (now <= keptUntil(entry.crashes_))
+                all.push_back({ request, entry.organisation_, entry.crashes_ });
+        }
+    }
+    std::stable_sort(all.begin(), all.end(), [](const Suspect& left, const Suspect& right) { return left.crashesHeld() > right.crashesHeld(); });
+    return all;
+}
+
+std::size_t QuarantineBook::quarantined(SteadyTime now) const
+{
+    std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
+        auto until = quarantinedUntil(item.second.crashes_);
+        return until && now < *until;
+    }));
+}
+
+} // namespace pistachioloom
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -48,6 +48,8 @@
         "loan_messages",
         "trials_yielded",
         "registrations_refused",
+        "requests_quarantined",
+        "backend_crashes",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
--- a/test/CrashingRequestsTest.cpp
+++ b/test/CrashingRequestsTest.cpp
@@ -32,14 +32,15 @@
     return options;
 }
 
-/// Four engines; each that a request of crashing() reaches ends, and another starts.
+/// Eight engines, more than may crash in the time in which one starts; each that a request
+/// of crashing() reaches ends, and another starts.
 void startCrashable(GatewayDeployment& deployment)
 {
     deployment.standard();
-    for (const char* id : { "e-3", "e-4" })
+    for (const char* id : { "e-3", "e-4", "e-5", "e-6", "e-7", "e-8" })
         deployment.startBackend(id, "engines");
     deployment.control({ { "crash_text", "crashing body" }, { "restart_ms", 1000 } });
-    if (!deployment.waitForBackends(6))
+    if (!deployment.waitForBackends(10))
         throw std::runtime_error("gateways do not know all backend servers");
 }
 
@@ -100,3 +101,55 @@
     CHECK(lastTook < longestRefusal);
     CHECK(served == others);
 }
+
+TEST_CASE("an operator sees a request in quarantine at any gateway, and lifts it at all", "[gateway]")
+{
+    GatewayDeployment deployment(fleetOf(3, "24"));
+    startCrashable(deployment);
+    auto isHeldAt = [&](const GatewayDeployment::Gateway& gateway, double held) {
+        return waitUntil([&] { return deployment.metric(gateway, "requests_in_quarantine") == held; }, contactTime);
+    };
+    // Each crash follows the one before: what was sent at one time may crash more.
+    for (int i = 0; i < 3; ++i)
+        (void)deployment.call(deployment.gateways()[0], crashing("crash-" + std::to_string(i)));
+    for (auto& gateway : deployment.gateways())
+        CHECK(isHeldAt(gateway, 1));
+    auto page = [&](const std::string& method, const std::string& target, const std::string& credential) {
+        auto answer = callHttpBlocking(deployment.gateways()[1].metrics_, { method, target, { { "authorization", "Bearer " + credential } }, {} }, contactTime);
+        return answer ? answer.value() : HttpResponse { 0, {}, {} };
+    };
+    HttpResponse shown = page("GET", "/quarantine", "");
+    CAPTURE(shown.status_, shown.body_);
+    json::object listed = parseJsonObject(shown.body_).value_or(json::object {});
+    auto rows = objectsField(listed, "requests");
+    REQUIRE(rows.size() == 1);
+    CHECK(numberField(rows[0], "crashes") == 3);
+    std::string target = "/quarantine/" + textField(rows[0], "request");
+    CHECK(page("DELETE", target, "wrong").status_ == 401);
+    CHECK(page("DELETE", "/quarantine/none", "credential-of-tests").status_ == 400);
+    CHECK(page("DELETE", target, "credential-of-tests").status_ == 200);
+    CHECK(page("DELETE", target, "credential-of-tests").status_ == 404);
+    for (auto& gateway : deployment.gateways())
+        CHECK(isHeldAt(gateway, 0));
+    deployment.control({ { "crash_text", "" } });
+    CHECK(waitUntil([&] { return deployment.call(deployment.gateways()[2], crashing("mended")).status_ == 200; }, contactTime));
+}
+
+TEST_CASE("a gateway that starts after the crashes does not send the request again", "[gateway]")
+{
+    GatewayDeployment deployment(fleetOf(3, "24"));
+    startCrashable(deployment);
+    for (int i = 0; i < 3; ++i)
+        (void)deployment.call(deployment.gateways()[0], crashing("crash-" + std::to_string(i)));
+    REQUIRE(crashTimes(deployment).size() == crashesTolerated);
+    auto& restarted = deployment.gateways()[2];
+    restarted.process_->kill();
+    (void)restarted.process_->wait(contactTime);
+    // What was told when it was new is told no more by then.
+    std::this_thread::sleep_for(contactTime);
+    deployment.restart(restarted);
+    REQUIRE(waitUntil([&] { return deployment.isReady(restarted); }, milliseconds(10000)));
+    std::this_thread::sleep_for(contactTime);
+    CHECK(deployment.call(restarted, crashing("crash-again")).status_ == 502);
+    CHECK(crashTimes(deployment).size() == crashesTolerated);
+}
--- a/tools/pistachioloomctl/main.cpp
+++ b/tools/pistachioloomctl/main.cpp
@@ -248,6 +248,18 @@
     return exitRefused;
 }
 
+int lift(const OperatorClient& client, const Options& options)
+{
+    const std::string target = "/quarantine/" + options.request_;
+    auto response = client.call("DELETE", target);
+    if (!response)
+        return fail(response.error());
+    if (response.value().status_ != 200)
+        return fail(errorFromResponse(response.value(), "DELETE " + target, client.node().toString()));
+    std::cout << options.request_ << ": lifted\n";
+    return 0;
+}
+
 int drain(const OperatorClient& client, const Options& options)
 {
     auto response = client.call("POST", "/drain?notice=" + options.notice_);
@@ -322,6 +334,15 @@
         options.isEverywhere_ = true;
         code = list(client(), options, "/requests", "requests", "owner", { "request", "entry", "model", "owner", "replica", "engine", "tokens", "over" });
     });
+    auto* quarantine = app.add_subcommand("quarantine", "Requests that crashed backend servers; --node is a gateway's metrics address");
+    quarantine->require_subcommand(1);
+    auto* listSuspects = addJson(quarantine->add_subcommand("list", "List them, most crashes first"));
+    listSuspects->footer("Example: pistachioloomctl --node 10.0.0.4:7501 quarantine list");
+    listSuspects->callback([&] { code = list(client(), options, "/quarantine", "requests", "", { "request", "crashes", "last_crash_ms", "left_ms" }); });
+    auto* liftOne = quarantine->add_subcommand("lift", "Let one be sent again, on all nodes");
+    liftOne->add_option("request", options.request_, "Sixteen digits, from the list or a log line")->required();
+    liftOne->footer("Example: pistachioloomctl --node 10.0.0.4:7501 --credential WORD quarantine lift ab2906c5a5dab86a");
+    liftOne->callback([&] { code = lift(client(), options); });
     auto* limits = addJson(app.add_subcommand("limits", "List what each node holds of the entries' limits"));
     limits->footer("Example: pistachioloomctl limits");
     limits->callback([&] {
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -405,6 +405,19 @@
     CHECK(book.put(startOf("n4999", 1000)) == BackendBook::Registered::Outdated);
 }
 
+TEST_CASE("a request that may crash its server goes where the fewest others run", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    for (const char* id : { "x", "y", "z" })
+        book.put(record(id));
+    // The least wait is at x, the fewest requests run at y.
+    book.setPeerLoads({ "peer" }, { { keyOf({ "x" }), { 3, 0 } }, { keyOf({ "y" }), { 1, 20000 } }, { keyOf({ "z" }), { 2, 0 } } }, start);
+    RequestShape suspect = engineRequest(1000);
+    CHECK(chosen(book, suspect) != "y");
+    suspect.isSuspect_ = true;
+    CHECK(chosen(book, suspect) == "y");
+}
+
 TEST_CASE("what is asked of a service without backend servers is demand", "[backends]")
 {
     BackendBook book({ "a" }, ChoiceSettings {});
--- a/unittests/Fuzz/FuzzTest.cpp
+++ b/unittests/Fuzz/FuzzTest.cpp
@@ -9,6 +9,7 @@
 #include "Mutator.h"
 #include "RelayBook.h"
 #include "RequestReader.h"
+#include "SuspectMessages.h"
 #include "platform/Platform.h"
 #include "platform/Records.h"
 
@@ -183,12 +184,14 @@
     report.mutable_report()->set_vm("a");
     putLoads({ { 7, { 1, 1000 } } }, *report.mutable_report()->mutable_loads());
     putUsage({ { { 3 }, { { { "north" }, 4 } } } }, *report.mutable_report()->mutable_usage());
+    putSuspects({ { { 7 }, 9, { { { 1 }, SteadyTime {}, false }, { { 2 }, SteadyTime {}, true } } } }, *report.mutable_report()->mutable_suspects(), SteadyTime {});
     wire::Datagram relayed;
     relayed.mutable_relayed()->set_vm("r");
     relayed.mutable_relayed()->set_data_centre("far");
     *relayed.mutable_relayed()->mutable_sums() = sumsOf(report.report());
     Mutator mutator(seed(), { report.SerializeAsString(), relayed.SerializeAsString() });
     RelayBook book(milliseconds(5000));
+    QuarantineBook quarantine({});
     SteadyTime now { std::chrono::hours(1) };
     for (std::uint64_t run = 0; run < runs(); ++run) {
         std::string bytes = mutator.next();
@@ -196,8 +199,11 @@
         wire::Datagram datagram;
         if (!datagram.ParseFromString(bytes))
             continue;
-        if (datagram.has_report())
+        if (datagram.has_report()) {
             book.takeReport(datagram.report(), now);
+            quarantine.take(suspectsOf(datagram.report().suspects(), now), now);
+            REQUIRE(quarantine.told(now, run).size() <= 24);
+        }
         if (datagram.has_relayed())
             book.takeSummary(datagram.relayed(), now);
         // All that is told may be told on.
--- a/unittests/Gateway/GatewaySettingsTest.cpp
+++ b/unittests/Gateway/GatewaySettingsTest.cpp
@@ -26,6 +26,10 @@
     usage_window: 2.5s
   stopping:
     grace: 8s
+  quarantine:
+    crashes: 4
+    first: 20s
+    organisation_capacity: 64
 )";
 
 TEST_CASE("settings of a gateway are read", "[gateway]")
@@ -38,6 +42,9 @@
     CHECK(settings->vm_.value_ == "node-1");
     CHECK(settings->seeds_.size() == 2);
     CHECK(settings->usageWindow_ == milliseconds(2500));
+    CHECK(settings->quarantine_.crashes_ == 4);
+    CHECK(settings->quarantine_.first_ == milliseconds(20000));
+    CHECK(settings->quarantine_.organisationCapacity_ == 64);
     CHECK(settings->logs_.output_ == LogOutput::StandardOutput);
 }
 
@@ -56,6 +63,8 @@
         { "usage_window: 2.5s", "usage_window: 0.0001s", "f:15: gateway.duties.usage_window" },
         { "  vm: \"node-1\"\n", "", "gateway.vm" },
         { "  stopping:", "  stoping:", "stoping" },
+        { "crashes: 4", "crashes: 0", "f:19: gateway.quarantine.crashes" },
+        { "first: 20s", "first: 20", "f:20: gateway.quarantine.first" },
         { "\"10.0.0.2:70\"", "\"here\"", "gateway.seeds" },
     }));
     std::string text = good;
