--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -33,6 +33,8 @@
     std::string seal_;
     /// An answer with it says that the request did not run.
     std::string notRun_;
+    /// An answer with it says that its backend server is leaving.
+    std::string leaving_;
     /// Prompt tokens and most output tokens.
     std::string tokenCount_;
     /// Shared parts of the prompt.
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -364,6 +364,8 @@
     line.add("charged", static_cast<std::int64_t>(cost_)).add("shared_part", shape_.parts_.size() < 2 ? "" : shape_.parts_[shape_.parts_.size() - 2].id_);
     if (route_->isStream_)
         line.add("last_event", events_.last() ? static_cast<std::int64_t>(*events_.last()) : 0);
+    if (attempt.saysLeaving_)
+        line.add("leaving", true);
     if (outcome == BackendOutcome::Broken)
         line.add("request", toString(fingerprint()));
     line.add("first_byte_ms", firstByte_.count()).add("took_ms", took.count()).add("left_ms", timeLeft().count());
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -64,6 +64,8 @@
         SteadyTime begunAt_ {};
         /// The backend server closed the connection before its answer was whole.
         bool isCutOff_ = false;
+        /// Its answer said that the backend server is leaving.
+        bool saysLeaving_ = false;
         std::string detail_;
     };
     /// A whole answer of a backend server, not yet passed on.
@@ -112,6 +114,8 @@
     void logQuarantined(const Quarantine& quarantine);
     void logRefusal(const HeldAnswer& answer) const;
     std::optional<SendEnd> checkHead(Attempt& attempt, const Parser& parser);
+    /// What the backend server says of itself, in whatever answer.
+    void noteSignals(Attempt& attempt, const Parser& parser);
     void startWriting(Attempt& attempt);
     std::string headFor(const BackendRecord& backend) const;
     void noteBegun(Attempt& attempt);
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -198,6 +198,15 @@
     }
 }
 
+void Forwarding::noteSignals(Attempt& attempt, const Parser& parser)
+{
+    const auto& message = parser.get();
+    // Another server has the address of the one that was meant.
+    if (message.result_int() == 421)
+        return;
+    attempt.saysLeaving_ = message.find(context_.names_.leaving_) != message.end();
+}
+
 /// What the head alone decides; nullopt to read on.
 std::optional<SendEnd> Forwarding::checkHead(Attempt& attempt, const Parser& parser)
 {
@@ -245,6 +254,7 @@
         context_.backends_.noteReached(attempt.choice_.backend_.id_);
         if (parser.get().result_int() / 100 == 1)
             continue;
+        noteSignals(attempt, parser);
         if (auto decided = checkHead(attempt, parser))
             co_return *decided;
         parser.eager(true);
