--- /dev/null
+++ b/test/ServerSignalsTest.cpp
@@ -0,0 +1,78 @@
+//===- test/ServerSignalsTest.cpp - what backend servers say of themselves -===//
+///
+/// \file
+/// Word that comes with an answer holds from that answer on, whatever the platform and
+/// peers say, and goes no further than to other gateways.
+//===----------------------------------------------------------------------===//
+#include "Platform/GatewayDeployment.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+namespace json = boost::json;
+
+namespace {
+
+// No new work reaches a leaving backend server later than this.
+constexpr milliseconds drainBound { 2000 };
+
+std::size_t runsAt(const GatewayDeployment& deployment, const std::string& backend)
+{
+    return deployment.backend(backend).at("runs").as_array().size();
+}
+
+/// Requests of the kind of \p path at \p gateway until one ran at \p backend.
+HttpResponse callUntilAt(const GatewayDeployment& deployment, const GatewayDeployment::Gateway& gateway, const std::string& path, const std::string& backend)
+{
+    for (int i = 0; i < 200; ++i) {
+        HttpResponse answer = deployment.call(gateway, gatewayRequest("GET", path, "first-" + std::to_string(i)));
+        if (answer.headers_["x-pistachioloom-engine-seal"] == "seal-" + backend)
+            return answer;
+    }
+    throw std::runtime_error("no request reached " + backend);
+}
+
+} // namespace
+
+TEST_CASE("an engine that says in an answer that it leaves gets new requests while the platform is away", "[gateway]")
+{
+    const char* path = GENERATE("/safe/x", "/once/x", "/draft/stream/x", "/ask/stream/x");
+    CAPTURE(path);
+    const std::string leaving = std::string(path).find("stream") == std::string::npos ? "p-1" : "e-1";
+    GatewayDeployment deployment(2);
+    deployment.standard();
+    deployment.backend(leaving, { { "says_leaving", 1 } });
+    deployment.control({ { "down", 1 } });
+    HttpResponse told = callUntilAt(deployment, deployment.gateways()[0], path, leaving);
+    // It is meant for the gateway, not for its caller.
+    CHECK(told.headers_.count("server-leaving") == 0);
+    std::this_thread::sleep_for(drainBound);
+    std::size_t before = runsAt(deployment, leaving);
+    for (int i = 0; i < 40; ++i)
+        CHECK(deployment.call(deployment.gateways()[i % 2], gatewayRequest("GET", path, "later-" + std::to_string(i))).status_ == 200);
+    CHECK(runsAt(deployment, leaving) == before);
+    // The platform is back, with a list of before.
+    deployment.control({ { "down", 0 } });
+    std::this_thread::sleep_for(drainBound);
+    for (int i = 0; i < 20; ++i)
+        CHECK(deployment.call(deployment.gateways()[i % 2], gatewayRequest("GET", path, "back-" + std::to_string(i))).status_ == 200);
+    CHECK(runsAt(deployment, leaving) == before);
+}
+
+TEST_CASE("an engine that turns a request away and says that it leaves gets new requests", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    deployment.backend("p-1", { { "says_leaving", 1 }, { "full", 1 } });
+    auto turnedAway = [&] { return numberField(deployment.backend("p-1"), "turned_away"); };
+    for (int i = 0; i < 200 && !turnedAway(); ++i)
+        (void)deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "first-" + std::to_string(i)));
+    REQUIRE(turnedAway());
+    std::this_thread::sleep_for(drainBound);
+    std::uint64_t before = turnedAway();
+    for (int i = 0; i < 40; ++i)
+        CHECK(deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "later-" + std::to_string(i))).status_ == 200);
+    CHECK(turnedAway() == before);
+}
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -104,7 +104,7 @@
     json::object control(const json::object& body)
     {
         controls_.update(body);
-        return { { "runs", runs_ }, { "gone", gone_ }, { "headers", headers_ }, { "moved", moved_ }, { "resumed", resumed_ }, { "dropped", dropped_ } };
+        return { { "runs", runs_ }, { "gone", gone_ }, { "turned_away", turnedAway_ }, { "headers", headers_ }, { "moved", moved_ }, { "resumed", resumed_ }, { "dropped", dropped_ } };
     }
 
 private:
@@ -129,9 +129,14 @@
             (void)co_await exchange.respond(std::move(answer));
             co_return;
         }
+        if (controls_["says_leaving"])
+            answer.headers_["Server-Leaving"] = "1";
         if (controls_["full"]) {
+            ++turnedAway_;
             answer.status_ = 503;
             answer.headers_["X-Pistachioloom-Not-Executed"] = "1";
+            if (controls_["retry_after_ms"])
+                answer.headers_["Retry-After"] = std::to_string(static_cast<double>(controls_["retry_after_ms"]) / 1000);
             (void)co_await exchange.respond(std::move(answer));
             co_return;
         }
@@ -251,8 +256,10 @@
     std::function<void(const HttpRequest&)> onRun_;
     std::set<HttpExchange*> running_;
     HttpServer server_;
-    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "lose_answers", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
+    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "lose_answers", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     json::array runs_;
+    /// Requests answered 503 without having run.
+    std::int64_t turnedAway_ = 0;
     json::array gone_;
     json::object headers_;
     std::map<std::string, Stream> streams_;
