Believe a backend server that says in an answer that it leaves

Cause: leaving was learnt from the registry and from peers only.

Every final head is read for the word before anything of it is passed on: success, 503, a stream's head. It is believed of the start that was meant, not of a 421; told to peers with the next report; and stands against later records of the same start, also where it was gone meanwhile or is registered after its peers said so (BackendsTests). A request that had chosen the server and is not sent yet goes elsewhere. Callers do not get the word.

The other server is full now until one has.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -189,9 +189,13 @@
     /// Adds or replaces the record of one backend server. Word of an earlier start may
     /// come late, through peers or a list that lags.
     Registered put(const BackendRecord& record);
-    void remove(const BackendId& id);
-    /// Marks one as leaving without its own record; learnt from peers.
-    bool setLeaving(const BackendId& id);
+    void remove(const BackendId& id, SteadyTime now);
+    /// Marks one as leaving without its own record: learnt from peers, or from an answer
+    /// of its own. That stands against any later record of this start, also after it
+    /// was removed. \returns whether it was news.
+    bool setLeaving(const BackendId& id, SteadyTime now);
+    /// Whether a request that was chosen for \p id may still be sent there.
+    bool mayReceive(const BackendId& id) const;
     std::vector<BackendRecord> records() const;
     /// Equal for books that know the same backend servers, leaving or not.
     std::uint64_t fingerprint() const;
@@ -310,6 +314,7 @@
     void fail(Backend& backend, SteadyTime now);
     void sumPeerLoads(SteadyTime now);
     void forget(const BackendId& id);
+    void rememberLeaving(const BackendId& id, SteadyTime now);
 
     const DataCentreId ownDataCentre_;
     const ChoiceSettings settings_;
@@ -317,6 +322,8 @@
     std::map<BackendId, Backend> backends_;
     /// The newest start heard of by each name, also of those that are gone.
     std::map<BackendName, BackendStart> newestStarts_;
+    /// Leaving ones whose record is gone or was never there, and since when.
+    std::map<BackendId, SteadyTime> goneLeaving_;
     /// Names that are gone, oldest first.
     std::deque<BackendName> goneNames_;
     std::map<VmId, PeerLoads> peers_;
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -82,6 +82,8 @@
 struct ForwardHooks {
     /// A request of \p organisation began to run.
     std::function<void(const OrganisationId& organisation)> onBegan_;
+    /// A backend server said in an answer that it is leaving, and that was news.
+    std::function<void(const BackendId& backend)> onLeaving_;
     /// The current configuration, or nullptr before the first.
     std::function<std::shared_ptr<const RouteTable>()> table_;
     /// Copies a stream's KV cache; a second copy of the same holds only what is new.
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -25,6 +25,8 @@
 // Names whose newest start is remembered after they are gone: some minutes' worth at
 // 2,100 backend servers, 100 bytes each.
 static constexpr std::size_t mostGoneNames = 1024;
+// A backend server that leaves is gone within a minute.
+static constexpr milliseconds leavingMemory { 60000 };
 static constexpr double leastSlowness = 0.5;
 static constexpr double mostSlowness = 8;
 
@@ -79,7 +81,7 @@
     bool isNew = !backends_.contains(record.id_);
     Backend& backend = backends_[record.id_];
     // A leaving backend server never takes new work again under the same id.
-    bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_;
+    bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_ || goneLeaving_.contains(record.id_);
     backend.record_ = record;
     backend.hash_ = stableHash(record.id_.value_);
     backend.key_ = keyOf(record.id_);
@@ -97,12 +99,21 @@
     backends_.erase(id);
 }
 
-void BackendBook::remove(const BackendId& id)
+void BackendBook::rememberLeaving(const BackendId& id, SteadyTime now)
+{
+    std::erase_if(goneLeaving_, [&](const auto& gone) { return now - gone.second > leavingMemory; });
+    if (goneLeaving_.size() < mostGoneNames)
+        goneLeaving_.try_emplace(id, now);
+}
+
+void BackendBook::remove(const BackendId& id, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
     if (found == backends_.end())
         return;
+    if (found->second.record_.isLeaving_)
+        rememberLeaving(id, now);
     goneNames_.push_back(found->second.record_.name_);
     backends_.erase(found);
     if (goneNames_.size() <= mostGoneNames)
@@ -114,16 +125,25 @@
         newestStarts_.erase(newest);
 }
 
-bool BackendBook::setLeaving(const BackendId& id)
+bool BackendBook::setLeaving(const BackendId& id, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
+    if (found == backends_.end())
+        rememberLeaving(id, now);
     if (found == backends_.end() || found->second.record_.isLeaving_)
         return false;
     found->second.record_.isLeaving_ = true;
     return true;
 }
 
+bool BackendBook::mayReceive(const BackendId& id) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    return found != backends_.end() && !found->second.record_.isLeaving_;
+}
+
 std::vector<BackendRecord> BackendBook::records() const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -153,7 +153,7 @@
 {
     if (stopped_ == StopReason::CallerGone || stopped_ == StopReason::TimeOver || timeLeft() <= milliseconds(0))
         return false;
-    if (end == SendEnd::Unreachable || end == SendEnd::NoConnection)
+    if (end == SendEnd::Unreachable || end == SendEnd::NoConnection || end == SendEnd::Withdrawn)
         return ++unreachable_ < mostUnreachable;
     if (sends_ >= route_->mostAttempts_)
         return false;
@@ -308,6 +308,7 @@
         outcome = BackendOutcome::Broken;
         break;
     case SendEnd::Stopped:
+    case SendEnd::Withdrawn:
     case SendEnd::Moved:
         outcome = BackendOutcome::Abandoned;
         break;
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -31,6 +31,8 @@
     Stopped,
     /// All connections that this node may open there are in use.
     NoConnection,
+    /// Nothing was sent: the backend server takes no new work any more.
+    Withdrawn,
     /// It was stopped to go on at another engine, which has its KV cache.
     Moved,
 };
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -32,11 +32,14 @@
     return code == asio::error::eof || code == asio::error::connection_reset || code == asio::error::broken_pipe || code == http::error::end_of_stream || code == http::error::partial_message;
 }
 
-static HeaderFields fieldsOf(const http::response_parser<http::string_body>& parser)
+/// The fields that are meant for the caller.
+static HeaderFields fieldsOf(const http::response_parser<http::string_body>& parser, const ForwardHeaderNames& names)
 {
     HeaderFields fields;
-    for (const auto& field : parser.get())
-        fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    for (const auto& field : parser.get()) {
+        if (!equalWithoutCase(view(field.name_string()), names.leaving_))
+            fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
     return fields;
 }
 
@@ -145,6 +148,13 @@
             attempt.connection_->abort();
         co_return connected;
     }
+    // It may have said that it leaves while the connection was made.
+    if (!context_.backends_.mayReceive(attempt.choice_.backend_.id_)) {
+        attempt.connection_->abort();
+        attempt.detail_ = "no_longer_accepts";
+        resumeFrom_.clear();
+        co_return SendEnd::Withdrawn;
+    }
     ++sends_;
     context_.metrics_.add(Counter::Attempts);
     if (mayGoElsewhere(attempt)) {
@@ -204,7 +214,11 @@
     // Another server has the address of the one that was meant.
     if (message.result_int() == 421)
         return;
-    attempt.saysLeaving_ = message.find(context_.names_.leaving_) != message.end();
+    std::string_view leaving = view(message[context_.names_.leaving_]);
+    attempt.saysLeaving_ = !leaving.empty() && leaving != "0";
+    const BackendId& backend = attempt.choice_.backend_.id_;
+    if (attempt.saysLeaving_ && context_.backends_.setLeaving(backend, steadyNow()))
+        context_.hooks_.onLeaving_(backend);
 }
 
 /// What the head alone decides; nullopt to read on.
@@ -298,7 +312,7 @@
         }
     }
     noteBegun(attempt);
-    HeldAnswer answer { static_cast<int>(parser.get().result_int()), fieldsOf(parser), std::move(body) };
+    HeldAnswer answer { static_cast<int>(parser.get().result_int()), fieldsOf(parser, context_.names_), std::move(body) };
     finalStatus_ = answer.status_;
     releaseConnection(attempt, parser);
     bool isServerFailure = answer.status_ >= 500;
@@ -314,7 +328,7 @@
 
 asio::awaitable<SendEnd> Forwarding::relayEvents(Attempt& attempt, Parser& parser)
 {
-    HeaderFields fields = fieldsOf(parser);
+    HeaderFields fields = fieldsOf(parser, context_.names_);
     // An engine may have stopped in the middle of an event before this one.
     events_.dropPartial();
     finalStatus_ = static_cast<int>(parser.get().result_int());
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -117,7 +117,7 @@
     // What a peer's list lacks is no news for others: they have theirs.
     if (source == platformSource)
         reports_.noteLeaving(known->id_);
-    context_.backends_.remove(known->id_);
+    context_.backends_.remove(known->id_, steadyNow());
 }
 
 /// Heartbeats repeat a registration that cannot be used; it is told of once. The
@@ -133,7 +133,7 @@
     before = change.complaint_;
     missing_.erase(change.name_);
     if (auto known = context_.backends_.findNewest(change.name_))
-        context_.backends_.remove(known->id_);
+        context_.backends_.remove(known->id_, steadyNow());
 }
 
 void Feed::applyChange(const RegistryChange& change, const std::string& source)
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -83,6 +83,10 @@
           ios_[0]->get_executor(), HttpBounds {}, [this](HttpExchange& exchange) -> asio::awaitable<void> { (void)co_await exchange.respond(operatorPage(exchange.request())); }, errorResponse)
     , signals_(*ios_[0], SIGTERM, SIGINT, SIGHUP)
 {
+    context_.forward_.hooks_.onLeaving_ = [this](const BackendId& backend) {
+        logger_.info(LogLine("Backend server is leaving.").add("backend", backend.value_).add("from", "its answer"));
+        reports_.noteLeaving(backend);
+    };
     for (const auto& io : ios_)
         workers_.push_back(std::make_unique<ForwardWorker>(*io, context_.forward_));
 }
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -310,7 +310,7 @@
 void PeerReports::takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from)
 {
     for (const std::string& id : leaving) {
-        if (!context_.backends_.setLeaving({ id }))
+        if (!context_.backends_.setLeaving({ id }, steadyNow()))
             continue;
         logger_.info(LogLine("Backend server is leaving.").add("backend", id).add("from", from.value_));
         noteLeaving({ id });
--- a/test/ServerSignalsTest.cpp
+++ b/test/ServerSignalsTest.cpp
@@ -23,9 +23,17 @@
     return deployment.backend(backend).at("runs").as_array().size();
 }
 
-/// Requests of the kind of \p path at \p gateway until one ran at \p backend.
+/// The other server of the same service.
+std::string otherThan(const std::string& backend)
+{
+    return backend.substr(0, 2) + (backend.back() == '1' ? "2" : "1");
+}
+
+/// Requests of the kind of \p path at \p gateway until one ran at \p backend, while the
+/// other server of its service is full.
 HttpResponse callUntilAt(const GatewayDeployment& deployment, const GatewayDeployment::Gateway& gateway, const std::string& path, const std::string& backend)
 {
+    deployment.backend(otherThan(backend), { { "full", 1 } });
     for (int i = 0; i < 200; ++i) {
         HttpResponse answer = deployment.call(gateway, gatewayRequest("GET", path, "first-" + std::to_string(i)));
         if (answer.headers_["x-pistachioloom-engine-seal"] == "seal-" + backend)
@@ -46,6 +54,7 @@
     deployment.backend(leaving, { { "says_leaving", 1 } });
     deployment.control({ { "down", 1 } });
     HttpResponse told = callUntilAt(deployment, deployment.gateways()[0], path, leaving);
+    deployment.backend(otherThan(leaving), { { "full", 0 } });
     // It is meant for the gateway, not for its caller.
     CHECK(told.headers_.count("server-leaving") == 0);
     std::this_thread::sleep_for(drainBound);
@@ -66,10 +75,12 @@
     GatewayDeployment deployment(1);
     deployment.standard();
     deployment.backend("p-1", { { "says_leaving", 1 }, { "full", 1 } });
+    deployment.backend("p-2", { { "full", 1 } });
     auto turnedAway = [&] { return numberField(deployment.backend("p-1"), "turned_away"); };
     for (int i = 0; i < 200 && !turnedAway(); ++i)
         (void)deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "first-" + std::to_string(i)));
     REQUIRE(turnedAway());
+    deployment.backend("p-2", { { "full", 0 } });
     std::this_thread::sleep_for(drainBound);
     std::uint64_t before = turnedAway();
     for (int i = 0; i < 40; ++i)
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -117,7 +117,7 @@
     REQUIRE(choice);
     CHECK(choice->backend_.id_.value_ == "x");
     CHECK(choice->running_ == 3);
-    book.remove({ "x" });
+    book.remove({ "x" }, start);
     // Nine are before it, and four slots are held for 500 ms each until it is known better.
     choice = book.choose(engineRequest(1000), {}, start);
     REQUIRE(choice);
@@ -135,9 +135,9 @@
     BackendBook book({ "a" }, ChoiceSettings {});
     for (const char* id : { "w", "x", "y" })
         book.put(record(id));
-    CHECK(book.setLeaving({ "w" }));
-    CHECK_FALSE(book.setLeaving({ "w" }));
-    book.remove({ "x" });
+    CHECK(book.setLeaving({ "w" }, start));
+    CHECK_FALSE(book.setLeaving({ "w" }, start));
+    book.remove({ "x" }, start);
     CHECK(chosen(book, plainRequest()) == "y");
     CHECK(chosen(book, plainRequest(), { { "y" } }).empty());
     // An old record does not call it back.
@@ -375,17 +375,17 @@
     leaving.isLeaving_ = true;
     CHECK(book.put(leaving) == BackendBook::Registered::Outdated);
     CHECK(isThere());
-    CHECK_FALSE(book.setLeaving(before.id_));
+    CHECK_FALSE(book.setLeaving(before.id_, start));
     CHECK(isThere());
-    book.remove(before.id_);
+    book.remove(before.id_, start);
     CHECK(isThere());
     // Also once the newer one is gone.
-    book.remove(after.id_);
+    book.remove(after.id_, start);
     CHECK(book.put(before) == BackendBook::Registered::Outdated);
     CHECK(book.records().empty());
     // One that left is back with its next start only.
     book.put(startOf("x", 2000));
-    CHECK(book.setLeaving(after.id_));
+    CHECK(book.setLeaving(after.id_, start));
     CHECK(book.put(after) == BackendBook::Registered::Again);
     CHECK_FALSE(isThere());
     CHECK(book.put(startOf("x", 3000)) == BackendBook::Registered::Restarted);
@@ -399,7 +399,7 @@
     for (int i = 0; i < manyNames; ++i) {
         BackendRecord gone = startOf("n" + std::to_string(i), 2000);
         book.put(gone);
-        book.remove(gone.id_);
+        book.remove(gone.id_, start);
     }
     CHECK(book.put(startOf("n0", 1000)) == BackendBook::Registered::New);
     CHECK(book.put(startOf("n4999", 1000)) == BackendBook::Registered::Outdated);
@@ -418,6 +418,30 @@
     CHECK(chosen(book, suspect) == "y");
 }
 
+TEST_CASE("a server that said it leaves stays so when its record comes again", "[backends]")
+{
+    struct Row {
+        const char* name_;
+        bool isKnownFirst_;
+        bool isRemoved_;
+    };
+    auto row = GENERATE(values<Row>({ { "told again", true, false }, { "gone and back in a list of before", true, true }, { "heard of before its registration", false, false } }));
+    CAPTURE(row.name_);
+    BackendBook book({ "a" }, ChoiceSettings {});
+    if (row.isKnownFirst_)
+        book.put(record("x"));
+    CHECK(book.setLeaving({ "x" }, start) == row.isKnownFirst_);
+    if (row.isRemoved_)
+        book.remove({ "x" }, start);
+    book.put(record("x"));
+    CHECK(chosen(book, plainRequest()).empty());
+    CHECK_FALSE(book.mayReceive({ "x" }));
+    // Another start of the same name has said nothing.
+    book.put(startOf("x", 77));
+    CHECK(chosen(book, plainRequest()) == "x@77");
+    CHECK(book.mayReceive({ "x@77" }));
+}
+
 TEST_CASE("what is asked of a service without backend servers is demand", "[backends]")
 {
     BackendBook book({ "a" }, ChoiceSettings {});
