Leave a backend server alone for as long as its 503 asks

Cause: Retry-After of a backend server's 503 was not read. Same class as leaving: word that comes with an answer and is not read.

The pause holds for the node that was asked, from the answer on, for the start that asked; requests that had chosen the server go elsewhere. If all servers of a service are paused the caller is refused at once, and told the time after which the first one is not. Fractions are read; an hour at most; a second for what is no number of seconds (a date: clocks may differ by more than the pause is long).

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -167,6 +167,8 @@
     std::size_t failuresToLose_ = 3;
     /// How long a backend server that told it was full is passed over.
     milliseconds fullPause_ { 100 };
+    /// The longest pause that a backend server may ask for.
+    milliseconds longestPause_ { 3'600'000 };
 };
 
 /// Thread-safe.
@@ -194,8 +196,14 @@
     /// of its own. That stands against any later record of this start, also after it
     /// was removed. \returns whether it was news.
     bool setLeaving(const BackendId& id, SteadyTime now);
+    /// \p id asked to be left alone for \p pause: it is not chosen until then, also
+    /// where there is no other.
+    void setPause(const BackendId& id, milliseconds pause, SteadyTime now);
+    /// Time until a backend server of \p service may be chosen again; nullopt unless
+    /// pauses alone keep all of them from it.
+    std::optional<milliseconds> pauseOf(const ServiceName& service, SteadyTime now) const;
     /// Whether a request that was chosen for \p id may still be sent there.
-    bool mayReceive(const BackendId& id) const;
+    bool mayReceive(const BackendId& id, SteadyTime now) const;
     std::vector<BackendRecord> records() const;
     /// Equal for books that know the same backend servers, leaving or not.
     std::uint64_t fingerprint() const;
@@ -265,6 +273,8 @@
         BackendLoad peers_;
         unsigned failures_ = 0;
         SteadyTime ejectedUntil_ {};
+        /// As it asked.
+        SteadyTime pausedUntil_ {};
         milliseconds ejection_ {};
         /// Observed wait against the estimate; 1 is as estimated.
         double slowness_ = 1;
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -137,11 +137,35 @@
     return true;
 }
 
-bool BackendBook::mayReceive(const BackendId& id) const
+void BackendBook::setPause(const BackendId& id, milliseconds pause, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
-    return found != backends_.end() && !found->second.record_.isLeaving_;
+    if (found != backends_.end())
+        found->second.pausedUntil_ = std::max(found->second.pausedUntil_, now + std::min(pause, settings_.longestPause_));
+}
+
+std::optional<milliseconds> BackendBook::pauseOf(const ServiceName& service, SteadyTime now) const
+{
+    std::lock_guard lock(mutex_);
+    std::optional<SteadyTime> first;
+    for (const auto& [id, backend] : backends_) {
+        if (backend.record_.service_ != service || backend.record_.isLeaving_)
+            continue;
+        if (backend.pausedUntil_ <= now)
+            return std::nullopt;
+        first = std::min(first.value_or(backend.pausedUntil_), backend.pausedUntil_);
+    }
+    if (!first)
+        return std::nullopt;
+    return std::chrono::ceil<milliseconds>(*first - now);
+}
+
+bool BackendBook::mayReceive(const BackendId& id, SteadyTime now) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    return found != backends_.end() && !found->second.record_.isLeaving_ && found->second.pausedUntil_ <= now;
 }
 
 std::vector<BackendRecord> BackendBook::records() const
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -140,7 +140,7 @@
     std::vector<Backend*> cutOff;
     std::vector<Backend*> doubtful;
     for (auto& [id, backend] : backends_) {
-        if (backend.record_.service_ != shape.service_ || backend.record_.isLeaving_ || excluded.contains(id))
+        if (backend.record_.service_ != shape.service_ || backend.record_.isLeaving_ || backend.pausedUntil_ > now || excluded.contains(id))
             continue;
         if (backend.record_.isReclaimable_ && shape.reclaimed_ == backend.record_.dataCentre_)
             continue;
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -367,6 +367,8 @@
         line.add("last_event", events_.last() ? static_cast<std::int64_t>(*events_.last()) : 0);
     if (attempt.saysLeaving_)
         line.add("leaving", true);
+    if (attempt.pause_.count())
+        line.add("pause_ms", attempt.pause_.count());
     if (outcome == BackendOutcome::Broken)
         line.add("request", toString(fingerprint()));
     line.add("first_byte_ms", firstByte_.count()).add("took_ms", took.count()).add("left_ms", timeLeft().count());
@@ -385,8 +387,11 @@
 Forwarding::HeldAnswer Forwarding::finalFailure() const
 {
     // 503 promises that the request has not run and never will.
-    if (!mayHaveRun_ && stopped_ != StopReason::TimeOver)
-        return refusal(503, lastDetail_.empty() ? "no backend server" : lastDetail_, retryFull);
+    if (!mayHaveRun_ && stopped_ != StopReason::TimeOver) {
+        auto pause = context_.backends_.pauseOf(shape_.service_, steadyNow());
+        std::string reason = pause ? "all backend servers asked for a pause" : "no backend server";
+        return refusal(503, lastDetail_.empty() ? reason : lastDetail_, std::max(retryFull, pause.value_or(retryFull)));
+    }
     int status = stopped_ == StopReason::TimeOver ? 504 : 502;
     return refusal(status, lastDetail_.empty() ? "the backend server broke off" : lastDetail_, {});
 }
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -68,6 +68,8 @@
         bool isCutOff_ = false;
         /// Its answer said that the backend server is leaving.
         bool saysLeaving_ = false;
+        /// Its answer asked for a pause.
+        milliseconds pause_ {};
         std::string detail_;
     };
     /// A whole answer of a backend server, not yet passed on.
--- a/lib/Forward/Headers.h
+++ b/lib/Forward/Headers.h
@@ -32,6 +32,10 @@
 /// An unsigned decimal number and nothing else.
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
+/// Seconds, with a fraction or without, rounded up to milliseconds; nullopt for anything
+/// else. Too many to count are a year.
+std::optional<milliseconds> parseRetryAfter(std::string_view text);
+
 /// "PROMPT,OUTPUT" of a token-count header.
 std::optional<std::pair<TokenCount, TokenCount>> parseTokenCounts(std::string_view text);
 
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -18,6 +18,9 @@
 // Silence before a first event that means more than a long queue, as a multiple of
 // the latency objective: queues on high-load days stay below two objectives.
 static constexpr int objectivesOfPatience = 3;
+// A pause that a backend server asks for in a form that is not understood, such as a
+// date: clocks may differ by more than it is long.
+static constexpr milliseconds unreadablePause { 1000 };
 // Bytes asked of a backend server's connection at once.
 static constexpr std::size_t readSize = 4UL * 1024;
 
@@ -148,8 +151,8 @@
             attempt.connection_->abort();
         co_return connected;
     }
-    // It may have said that it leaves while the connection was made.
-    if (!context_.backends_.mayReceive(attempt.choice_.backend_.id_)) {
+    // It may have said that it leaves, or asked for a pause, while the connection was made.
+    if (!context_.backends_.mayReceive(attempt.choice_.backend_.id_, steadyNow())) {
         attempt.connection_->abort();
         attempt.detail_ = "no_longer_accepts";
         resumeFrom_.clear();
@@ -219,6 +222,10 @@
     const BackendId& backend = attempt.choice_.backend_.id_;
     if (attempt.saysLeaving_ && context_.backends_.setLeaving(backend, steadyNow()))
         context_.hooks_.onLeaving_(backend);
+    if (message.result_int() != 503 || message.find(http::field::retry_after) == message.end())
+        return;
+    attempt.pause_ = parseRetryAfter(view(message[http::field::retry_after])).value_or(unreadablePause);
+    context_.backends_.setPause(backend, attempt.pause_, steadyNow());
 }
 
 /// What the head alone decides; nullopt to read on.
--- a/test/ServerSignalsTest.cpp
+++ b/test/ServerSignalsTest.cpp
@@ -87,3 +87,36 @@
         CHECK(deployment.call(deployment.gateways()[0], gatewayRequest("GET", "/safe/x", "later-" + std::to_string(i))).status_ == 200);
     CHECK(turnedAway() == before);
 }
+
+TEST_CASE("an engine that asked for a pause gets requests in it", "[gateway]")
+{
+    GatewayDeployment deployment(1);
+    deployment.standard();
+    auto& gateway = deployment.gateways()[0];
+    constexpr milliseconds pause { 3000 };
+    for (const char* id : { "p-1", "p-2" })
+        deployment.backend(id, { { "full", 1 }, { "retry_after_ms", pause.count() } });
+    auto turnedAway = [&](const char* id) { return numberField(deployment.backend(id), "turned_away"); };
+    auto both = [&] { return turnedAway("p-1") + turnedAway("p-2"); };
+    for (int i = 0; i < 50 && !(turnedAway("p-1") && turnedAway("p-2")); ++i)
+        (void)deployment.call(gateway, gatewayRequest("GET", "/safe/x", "first-" + std::to_string(i)));
+    REQUIRE(turnedAway("p-1"));
+    REQUIRE(turnedAway("p-2"));
+    SteadyTime asked = steadyNow();
+    std::uint64_t before = both();
+    HttpResponse refused;
+    milliseconds told {};
+    while (steadyNow() - asked < pause - milliseconds(1000)) {
+        refused = deployment.call(gateway, gatewayRequest("GET", "/safe/x", "in-pause"));
+        CHECK(refused.status_ == 503);
+        told = milliseconds(static_cast<std::int64_t>(std::stod("0" + refused.headers_["retry-after"]) * 1000));
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    CHECK(both() == before);
+    // Some 0.9 s are left: true word of when it is worth to return.
+    CHECK(told > milliseconds(300));
+    CHECK(told < milliseconds(1500));
+    for (const char* id : { "p-1", "p-2" })
+        deployment.backend(id, { { "full", 0 } });
+    CHECK(waitUntil([&] { return deployment.call(gateway, gatewayRequest("GET", "/safe/x", "after")).status_ == 200; }, 2 * drainBound));
+}
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -435,11 +435,38 @@
         book.remove({ "x" }, start);
     book.put(record("x"));
     CHECK(chosen(book, plainRequest()).empty());
-    CHECK_FALSE(book.mayReceive({ "x" }));
+    CHECK_FALSE(book.mayReceive({ "x" }, start));
     // Another start of the same name has said nothing.
     book.put(startOf("x", 77));
     CHECK(chosen(book, plainRequest()) == "x@77");
-    CHECK(book.mayReceive({ "x@77" }));
+    CHECK(book.mayReceive({ "x@77" }, start));
+}
+
+TEST_CASE("a server that asked for a pause is left alone until its end, also where there is no other", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    book.put(record("x"));
+    book.put(record("y"));
+    auto at = [](std::int64_t ms) { return start + milliseconds(ms); };
+    book.setPause({ "x" }, milliseconds(2000), start);
+    // A shorter one later does not cut it.
+    book.setPause({ "x" }, milliseconds(100), at(10));
+    for (int i = 0; i < 10; ++i)
+        CHECK(chosen(book, plainRequest(), {}, at(20)) == "y");
+    CHECK_FALSE(book.pauseOf(service, at(20)));
+    CHECK_FALSE(book.mayReceive({ "x" }, at(20)));
+    book.setPause({ "y" }, milliseconds(500), at(20));
+    CHECK(chosen(book, plainRequest(), {}, at(20)).empty());
+    CHECK(book.pauseOf(service, at(20)) == milliseconds(500));
+    CHECK(chosen(book, plainRequest(), {}, at(520)) == "y");
+    CHECK(chosen(book, plainRequest(), { { "y" } }, at(2000)) == "x");
+    // Nonsense is bounded.
+    book.setPause({ "x" }, std::chrono::hours(10000), at(2000));
+    CHECK(chosen(book, plainRequest(), { { "y" } }, at(2000) + std::chrono::hours(1)) == "x");
+    // Another start has asked for nothing.
+    book.setPause({ "x" }, milliseconds(5000), at(4'000'000));
+    book.put(startOf("x", 77));
+    CHECK(chosen(book, plainRequest(), { { "y" }, { "x" } }, at(4'000'000)) == "x@77");
 }
 
 TEST_CASE("what is asked of a service without backend servers is demand", "[backends]")
--- a/unittests/Forward/ForwardTest.cpp
+++ b/unittests/Forward/ForwardTest.cpp
@@ -128,6 +128,30 @@
     CHECK(parsePromptParts("5c1e:800,91bd").empty());
 }
 
+TEST_CASE("pauses are read in seconds with fractions, anything else is not understood", "[forward]")
+{
+    struct Row {
+        const char* text_;
+        std::optional<milliseconds> pause_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "2", milliseconds(2000) },
+        { "0.25", milliseconds(250) },
+        { "1.0004", milliseconds(1001) },
+        { "0", milliseconds(0) },
+        { "99999999999999", std::chrono::hours(365 * 24) },
+        { "", std::nullopt },
+        { "-1", std::nullopt },
+        { "1e3", std::nullopt },
+        { "nan", std::nullopt },
+        { "soon", std::nullopt },
+        { "2 s", std::nullopt },
+        { "Thu, 03 Dec 2026 10:00:00 GMT", std::nullopt },
+    }));
+    CAPTURE(row.text_);
+    CHECK(parseRetryAfter(row.text_) == row.pause_);
+}
+
 TEST_CASE("callers are told to leave a connection before its idle limit", "[forward]")
 {
     struct Row {
