Tests: a process that is to be frozen is frozen when freeze() returns

IdleConnections (a node that was frozen at the idle limit) failed once: 504 for a request that the node had read in the moment between the signal and its effect, and then held for the 2.5 s of the freeze, beyond its route's 2 s. Traced in the node's log: took_ms=2500, why=time_over. The case is about a request that is unread when the node freezes; the harness now waits until all threads are stopped. The check is unchanged.

--- a/test/Harness/CallerClient.cpp
+++ b/test/Harness/CallerClient.cpp
@@ -160,7 +160,7 @@
     Answer answer = co_await streamCompletion(entries.front(), completion);
     std::size_t next = 1;
     while (!answer.isDone_ && !answer.requestId_.empty() && steadyNow() < until) {
-        asio::steady_timer timer(co_await asio::this_coro::executor, reconnectPause);
+        SteadyTimer timer(co_await asio::this_coro::executor, reconnectPause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         Endpoint entry = entries[next++ % entries.size()];
         answer = co_await resumeAnswer(entry, completion.apiKey_, std::move(answer));
--- a/test/Harness/LateLink.cpp
+++ b/test/Harness/LateLink.cpp
@@ -83,7 +83,7 @@
 asio::awaitable<void> LateLink::pumpDown(std::shared_ptr<Link> link)
 {
     std::array<char, bufferSize> buffer {};
-    asio::steady_timer timer(io_);
+    SteadyTimer timer(io_);
     for (;;) {
         auto [code, count] = co_await link->server_.async_read_some(asio::buffer(buffer), asTuple);
         timer.expires_after(late_.load());
--- a/test/Harness/Process.cpp
+++ b/test/Harness/Process.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <spawn.h>
 #include <stdexcept>
@@ -22,6 +23,7 @@
 namespace {
 
     constexpr milliseconds pollPeriod { 5 };
+    constexpr milliseconds freezePatience { 1000 };
     constexpr int outputEnd = 1;
     constexpr int inputEnd = 0;
 
@@ -114,9 +116,26 @@
     wait(milliseconds(10000));
 }
 
+/// Whether all threads of \p process are stopped.
+static bool isStopped(pid_t process)
+{
+    std::error_code code;
+    for (const auto& task : std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/task", code)) {
+        std::ifstream file(task.path() / "stat");
+        std::string stat((std::istreambuf_iterator<char>(file)), {});
+        // The state follows the name, which is in brackets and may hold any character.
+        std::size_t name = stat.rfind(')');
+        if (name == std::string::npos || name + 2 >= stat.size() || stat[name + 2] != 'T')
+            return false;
+    }
+    return !code;
+}
+
 void Process::freeze() const
 {
     signal(SIGSTOP);
+    // The signal takes effect a moment later, in which the process may still read.
+    (void)waitUntil([this] { return isStopped(id_); }, freezePatience);
 }
 
 void Process::resume() const
