Count a VM's suspension in all ages, leases, deadlines and timers

Cause: steadyNow() and Asio's timers stood on the standard library's steady clock (CLOCK_MONOTONIC). After a suspension a node holds its lease, its peers' reports, its list of backend servers and its callers' deadlines for as much younger than they are: a holder of the duties may act on a lease that a successor has taken over.

One clock for the product: BootClock (CLOCK_BOOTTIME) behind steadyNow(), and SteadyTimer on it. What runs first after waking compares with it; a request whose time ran out meanwhile is not sent to a backend server any more; timers that were due fire with the nearest one of their loop, 0.1 s at most. The log tells: VM was suspended.

Beast's time-outs of single calls stay on the monotonic clock: a call under way then waits for the rest of its time.

--- a/benchmarks/FloodBenchmark.cpp
+++ b/benchmarks/FloodBenchmark.cpp
@@ -77,7 +77,7 @@
     auto executor = co_await asio::this_coro::executor;
     std::mt19937_64 random(7);
     std::exponential_distribution<double> gap(perSecond);
-    asio::steady_timer timer(executor, steadyNow());
+    SteadyTimer timer(executor, steadyNow());
     for (std::size_t i = 0; timer.expiry() < until; ++i) {
         timer.expires_at(timer.expiry() + std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(gap(random))));
         co_await timer.async_wait(asio::use_awaitable);
--- a/benchmarks/PathBenchmark.cpp
+++ b/benchmarks/PathBenchmark.cpp
@@ -29,13 +29,13 @@
 
 double sinceMs(SteadyTime began)
 {
-    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+    return std::chrono::duration<double, std::milli>(steadyNow() - began).count();
 }
 
 /// One answer from the stand-in itself; fills in the two times.
 asio::awaitable<bool> askEngine(Endpoint engine, std::string id, double& first, double& whole)
 {
-    SteadyTime began = std::chrono::steady_clock::now();
+    SteadyTime began = steadyNow();
     boost::json::object body;
     body["request"] = id;
     body["attempt"] = 1;
@@ -63,7 +63,7 @@
 
 asio::awaitable<bool> askSystem(Endpoint entry, std::string id, double& first, double& whole)
 {
-    SteadyTime began = std::chrono::steady_clock::now();
+    SteadyTime began = steadyNow();
     Completion completion { Deployment::apiKey("rede"), "planogram", id, tokensPerAnswer };
     Answer answer = co_await streamCompletion(entry, completion);
     first = static_cast<double>(answer.firstToken_.count());
@@ -90,7 +90,7 @@
         };
         asio::co_spawn(asio::make_strand(io), task, asio::detached);
     }
-    SteadyTime began = std::chrono::steady_clock::now();
+    SteadyTime began = steadyNow();
     std::vector<std::thread> threads;
     for (int i = 0; i < clientThreads; ++i)
         threads.emplace_back([&] { io.run(); });
--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -9,6 +9,7 @@
 #include "pistachioloom/Support.h"
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <memory>
@@ -31,6 +32,10 @@
 /// Errors name \p step.
 Result<std::unique_ptr<asio::ip::tcp::acceptor>> bindAcceptor(const asio::any_io_executor& executor, const Endpoint& endpoint, const std::string& step);
 
+/// A timer on the clock of steadyNow(). After a suspension of the VM it fires with the
+/// next event of its io_context, or when the nearest timer there would have fired.
+using SteadyTimer = asio::basic_waitable_timer<BootClock>;
+
 /// Suspends the calling coroutine.
 asio::awaitable<void> sleepFor(milliseconds duration);
 
--- a/include/pistachioloom/Support.h
+++ b/include/pistachioloom/Support.h
@@ -56,15 +56,31 @@
 using TokenCount = Quantity<struct TokenCountTag>;
 using ByteCount = Quantity<struct ByteCountTag>;
 
-using SteadyTime = std::chrono::steady_clock::time_point;
+/// Time since the VM started, its suspensions included. The standard library's steady
+/// clock leaves them out: by it a lease, an age or a deadline that ran out while the VM
+/// was suspended would still hold after it.
+struct BootClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
+using SteadyTime = BootClock::time_point;
 using std::chrono::milliseconds;
 
 /// The time that drivers pass to the pure decisions.
 inline SteadyTime steadyNow()
 {
-    return std::chrono::steady_clock::now();
+    return BootClock::now();
 }
 
+/// How long the VM has been suspended since it started.
+milliseconds suspendedTime();
+
 /// Counts what is going on: one more while it lives.
 class CountGuard {
 public:
--- a/lib/Forward/EndProbe.cpp
+++ b/lib/Forward/EndProbe.cpp
@@ -26,7 +26,7 @@
 {
     auto executor = co_await asio::this_coro::executor;
     tcp::socket socket(executor);
-    asio::steady_timer timer(executor, patience);
+    SteadyTimer timer(executor, patience);
     timer.async_wait([&socket](const boost::system::error_code& code) {
         boost::system::error_code ignored;
         if (!code)
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -157,7 +157,7 @@
 
     SteadyTime deadline_ {};
     SteadyTime patienceUntil_ {};
-    asio::steady_timer timer_;
+    SteadyTimer timer_;
     StopReason stopped_ = StopReason::None;
     BackendConnectionPtr current_;
 
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -158,6 +158,13 @@
         resumeFrom_.clear();
         co_return SendEnd::Withdrawn;
     }
+    // Its time may have run out while the VM was suspended, before any timer fires.
+    if (timeLeft() <= milliseconds(0)) {
+        attempt.connection_->abort();
+        attempt.detail_ = "time_over";
+        stopped_ = StopReason::TimeOver;
+        co_return SendEnd::Stopped;
+    }
     ++sends_;
     context_.metrics_.add(Counter::Attempts);
     if (mayGoElsewhere(attempt)) {
--- a/lib/Forward/Signal.h
+++ b/lib/Forward/Signal.h
@@ -5,7 +5,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "pistachioloom/Support.h"
+#include "pistachioloom/Http.h"
 
 #include <boost/asio.hpp>
 
@@ -41,7 +41,7 @@
     }
 
 private:
-    asio::steady_timer timer_;
+    SteadyTimer timer_;
     bool isSet_ = false;
 };
 
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -106,7 +106,7 @@
     if (mayBeOnItsWay)
         caller->finish();
     if (mayBeOnItsWay && !caller->isGone()) {
-        asio::steady_timer linger(io_, lingerTime);
+        SteadyTimer linger(io_, lingerTime);
         (void)co_await linger.async_wait(asTuple);
     }
     logUnanswered(*caller);
@@ -122,7 +122,7 @@
             co_return;
         if (code) {
             logger_.warn("Accept failed: " + code.message() + ".");
-            asio::steady_timer pause(io_, acceptPause);
+            SteadyTimer pause(io_, acceptPause);
             (void)co_await pause.async_wait(asTuple);
             continue;
         }
@@ -133,7 +133,7 @@
 asio::awaitable<void> ForwardWorker::State::sweep()
 {
     for (;;) {
-        asio::steady_timer timer(io_, sweepPeriod);
+        SteadyTimer timer(io_, sweepPeriod);
         (void)co_await timer.async_wait(asTuple);
         pool_.expire(steadyNow());
     }
--- a/lib/Gateway/LoopLag.cpp
+++ b/lib/Gateway/LoopLag.cpp
@@ -21,11 +21,15 @@
     LoopLagLines lines;
     for (;;) {
         SteadyTime dueAt = steadyNow() + loopLagPeriod;
+        milliseconds suspendedBefore = suspendedTime();
         co_await sleepFor(loopLagPeriod);
         SteadyTime now = steadyNow();
         auto late = std::max(now - dueAt, SteadyTime::duration::zero());
         metrics.observe(Histogram::LoopLag, late);
         auto lateMs = std::chrono::duration_cast<milliseconds>(late);
+        milliseconds suspended = suspendedTime() - suspendedBefore;
+        if (suspended > loopLagOfNote)
+            logger.warn(LogLine("VM was suspended.").add("suspended_ms", suspended.count()));
         if (lines.isDue(lateMs, now))
             logger.warn(LogLine("Event loop is late.").add("late_ms", lateMs.count()));
     }
--- a/lib/Gateway/ReachProbe.cpp
+++ b/lib/Gateway/ReachProbe.cpp
@@ -44,7 +44,7 @@
     }
     auto executor = co_await asio::this_coro::executor;
     asio::ip::tcp::socket socket(executor);
-    asio::steady_timer timer(executor, probePatience);
+    SteadyTimer timer(executor, probePatience);
     timer.async_wait([&socket](const boost::system::error_code& code) {
         boost::system::error_code ignored;
         if (!code)
--- a/lib/Http/Sleep.cpp
+++ b/lib/Http/Sleep.cpp
@@ -11,7 +11,7 @@
 
 asio::awaitable<void> sleepFor(milliseconds duration)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    SteadyTimer timer(co_await asio::this_coro::executor, duration);
     (void)co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
--- a/lib/Node/RunKeeper.cpp
+++ b/lib/Node/RunKeeper.cpp
@@ -260,7 +260,7 @@
         item.outcome_.body_ = "{\"note\":\"the answer was too large to be kept\"}";
     // The record goes on being written after the caller has its answer.
     auto append = enqueue(shard, item, false);
-    asio::steady_timer timer(co_await asio::this_coro::executor, closingPatience);
+    SteadyTimer timer(co_await asio::this_coro::executor, closingPatience);
     timer.async_wait([append](boost::system::error_code code) {
         if (!code)
             append->done_.try_send(boost::system::error_code {});
--- a/lib/Node/SlotTable.cpp
+++ b/lib/Node/SlotTable.cpp
@@ -131,7 +131,7 @@
         preempt_(request.server_);
     if (!waiting)
         co_return Slot(this, request.server_, request.class_);
-    asio::steady_timer timer(executor, request.patience_);
+    SteadyTimer timer(executor, request.patience_);
     timer.async_wait([waiting](boost::system::error_code code) {
         if (!code)
             waiting->granted_.close();
--- a/lib/Wire/LinkStream.cpp
+++ b/lib/Wire/LinkStream.cpp
@@ -86,7 +86,7 @@
 
 std::shared_ptr<LinkStream::Watch> LinkStream::beginWatch(const asio::any_io_executor& executor, milliseconds silence, milliseconds longest)
 {
-    auto watch = std::make_shared<Watch>(Watch { asio::steady_timer(executor), silence, steadyNow(), longest });
+    auto watch = std::make_shared<Watch>(Watch { SteadyTimer(executor), silence, steadyNow(), longest });
     guard(watch);
     return watch;
 }
--- a/lib/Wire/PeerLink.h
+++ b/lib/Wire/PeerLink.h
@@ -47,7 +47,7 @@
 
     /// Bounds one receive(); used on the strand of the one that waits.
     struct Watch {
-        asio::steady_timer timer_;
+        SteadyTimer timer_;
         milliseconds silence_;
         SteadyTime begunAt_;
         milliseconds longest_;
@@ -149,7 +149,7 @@
     PeerStreamHandler handler_;
     WireErrorHook onError_;
     const KeepAlive keepAlive_;
-    asio::steady_timer keepAliveTimer_;
+    SteadyTimer keepAliveTimer_;
     // Intervals in a row that brought no byte while streams were open.
     int silentIntervals_ = 0;
     nghttp2_session* session_ = nullptr;
--- a/lib/Wire/Peers.cpp
+++ b/lib/Wire/Peers.cpp
@@ -94,7 +94,7 @@
         co_return Error { Errc::InvalidInput, "connect to peer", peer.toString(), "not an IP number", Ran::No, {} };
     auto strand = asio::make_strand(state->executor_);
     auto socket = std::make_shared<tcp::socket>(strand);
-    asio::steady_timer timer(strand, connectTimeout);
+    SteadyTimer timer(strand, connectTimeout);
     timer.async_wait([socket](boost::system::error_code expired) {
         boost::system::error_code ignored;
         if (!expired)
--- a/test/LimitsTest.cpp
+++ b/test/LimitsTest.cpp
@@ -65,7 +65,7 @@
 private:
     asio::awaitable<void> caller(Endpoint entry, std::size_t number, SteadyTime until, Outcome& outcome) const
     {
-        asio::steady_timer timer(co_await asio::this_coro::executor);
+        SteadyTimer timer(co_await asio::this_coro::executor);
         while (steadyNow() < until) {
             Completion completion { Deployment::apiKey("rede"), "planogram", "crowd " + std::to_string(number), tokens_ };
             Answer answer = co_await streamCompletion(entry, completion);
--- a/test/Platform/Soak/FaultProxy.cpp
+++ b/test/Platform/Soak/FaultProxy.cpp
@@ -118,7 +118,7 @@
 {
     tcp::socket& from = isUpward ? link->near_ : link->far_;
     tcp::socket& to = isUpward ? link->far_ : link->near_;
-    asio::steady_timer timer(acceptor_.get_executor());
+    SteadyTimer timer(acceptor_.get_executor());
     std::vector<char> buffer(bufferSize);
     bool isCleanEnd = false;
     for (;;) {
--- a/test/Platform/Soak/SoakCaller.cpp
+++ b/test/Platform/Soak/SoakCaller.cpp
@@ -34,7 +34,7 @@
         }
 
         tcp::socket socket_;
-        asio::steady_timer timer_;
+        SteadyTimer timer_;
         beast::flat_buffer buffer_;
         std::string gateway_;
         bool isOpen_ = false;
@@ -121,7 +121,7 @@
 
     asio::awaitable<void> pause(milliseconds length)
     {
-        asio::steady_timer timer(co_await asio::this_coro::executor, length);
+        SteadyTimer timer(co_await asio::this_coro::executor, length);
         (void)co_await timer.async_wait(asTuple);
     }
 
--- a/test/Platform/Soak/SoakRun.cpp
+++ b/test/Platform/Soak/SoakRun.cpp
@@ -18,7 +18,7 @@
 
 asio::awaitable<void> sleepFor(milliseconds length)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, length);
+    SteadyTimer timer(co_await asio::this_coro::executor, length);
     (void)co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
--- a/tools/standins/EngineGenerate.cpp
+++ b/tools/standins/EngineGenerate.cpp
@@ -102,9 +102,9 @@
 /// Adds tokens at the set pace; a stream that nobody reads for long is cancelled.
 asio::awaitable<void> Engine::produceTokens(StreamPtr stream)
 {
-    asio::steady_timer pace(io_);
-    auto next = std::chrono::steady_clock::now();
-    auto abandonedAt = std::chrono::steady_clock::time_point::max();
+    SteadyTimer pace(io_);
+    auto next = steadyNow();
+    auto abandonedAt = SteadyTime::max();
     while (stream->state_ == Stream::State::Running && stream->tokens_.size() < stream->maxTokens_) {
         next += std::chrono::microseconds(controls_["decode_us"]);
         pace.expires_at(next);
@@ -114,10 +114,10 @@
         stream->tokens_.push_back(stream->tag_ + ":" + std::to_string(stream->tokens_.size()) + ":" + stream->run_ + " ");
         ++tokens_;
         stream->change();
-        auto now = std::chrono::steady_clock::now();
+        auto now = steadyNow();
         if (stream->hasWriter_)
-            abandonedAt = std::chrono::steady_clock::time_point::max();
-        else if (abandonedAt == std::chrono::steady_clock::time_point::max())
+            abandonedAt = SteadyTime::max();
+        else if (abandonedAt == SteadyTime::max())
             abandonedAt = now;
         else if (now - abandonedAt > milliseconds(controls_["detach_grace_ms"]))
             stream->state_ = Stream::State::Cancelled;
--- a/tools/standins/EngineOrders.cpp
+++ b/tools/standins/EngineOrders.cpp
@@ -53,7 +53,7 @@
     auto body = parseJsonObject(exchange.request().body_).value_or(json::object {});
     controls_.update(body);
     if (std::uint64_t left = numberField(body, "stop_in_ms")) {
-        auto timer = std::make_shared<asio::steady_timer>(io_, milliseconds(left));
+        auto timer = std::make_shared<SteadyTimer>(io_, milliseconds(left));
         timer->async_wait([timer](boost::system::error_code) { std::_Exit(0); });
     }
     co_await reply(exchange, 200, counts());
--- a/tools/standins/EngineStream.h
+++ b/tools/standins/EngineStream.h
@@ -15,7 +15,7 @@
 /// One stream of tokens, and what it was started with.
 struct Stream {
     explicit Stream(const asio::any_io_executor& executor)
-        : changed_(executor, asio::steady_timer::time_point::max())
+        : changed_(executor, SteadyTimer::time_point::max())
     {
     }
 
@@ -41,7 +41,7 @@
     bool hasWriter_ = false;
     State state_ = State::Running;
     std::string handle_;
-    asio::steady_timer changed_;
+    SteadyTimer changed_;
 };
 using StreamPtr = std::shared_ptr<Stream>;
 
--- a/tools/standins/PlatformStandin.cpp
+++ b/tools/standins/PlatformStandin.cpp
@@ -98,8 +98,8 @@
     ++reads_;
     std::uint64_t from = std::strtoull(exchange.request().query("from").c_str(), nullptr, 10);
     milliseconds wait(std::strtoll(exchange.request().query("wait_ms").c_str(), nullptr, 10));
-    auto until = std::chrono::steady_clock::now() + wait;
-    while (streams_[name].next() <= from && std::chrono::steady_clock::now() < until && !controls_["log_down"])
+    auto until = steadyNow() + wait;
+    while (streams_[name].next() <= from && steadyNow() < until && !controls_["log_down"])
         co_await pause(pollPeriod);
     const Stream& stream = streams_[name];
     json::array records;
@@ -138,8 +138,8 @@
 {
     std::size_t since = std::strtoull(exchange.request().query("since").c_str(), nullptr, 10);
     milliseconds wait(std::strtoll(exchange.request().query("wait_ms").c_str(), nullptr, 10));
-    auto until = std::chrono::steady_clock::now() + wait;
-    while (notices_.size() <= since && std::chrono::steady_clock::now() < until)
+    auto until = steadyNow() + wait;
+    while (notices_.size() <= since && steadyNow() < until)
         co_await pause(pollPeriod);
     json::array fresh;
     for (std::size_t i = since; i < notices_.size(); ++i)
--- a/tools/standins/Standin.cpp
+++ b/tools/standins/Standin.cpp
@@ -36,7 +36,7 @@
 
 asio::awaitable<void> pause(milliseconds duration)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    SteadyTimer timer(co_await asio::this_coro::executor, duration);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
--- a/unittests/Wire/PeerStreamTest.cpp
+++ b/unittests/Wire/PeerStreamTest.cpp
@@ -179,7 +179,7 @@
         auto opened = co_await pool.open(echo.endpoint(), updateOf(1), callTimeout);
         auto first = co_await opened.value()->receive();
         // A silent stream of a peer that is alive stays.
-        asio::steady_timer timer(io, milliseconds(300));
+        SteadyTimer timer(io, milliseconds(300));
         co_await timer.async_wait(asio::use_awaitable);
         auto sent = co_await opened.value()->send(updateOf(2));
         auto second = co_await opened.value()->receive();
@@ -207,7 +207,7 @@
 asio::awaitable<void> forward(std::shared_ptr<asio::ip::tcp::socket> from, std::shared_ptr<asio::ip::tcp::socket> to, SlowLink speed)
 {
     std::vector<char> buffer(16UL * 1024);
-    asio::steady_timer timer(from->get_executor());
+    SteadyTimer timer(from->get_executor());
     for (std::size_t sent = 0; sent < speed.most_;) {
         auto [code, count] = co_await from->async_read_some(asio::buffer(buffer), asio::as_tuple(asio::use_awaitable));
         if (code)
