--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -151,6 +151,10 @@
 /// Runs callHttp() to its end on a thread of its own, for tools and tests.
 Result<HttpResponse> callHttpBlocking(const Endpoint& endpoint, const HttpRequest& request, milliseconds timeout);
 
+/// Connects to \p endpoint and closes again. \returns why that failed, or no error;
+/// operation_aborted after \p patience.
+asio::awaitable<boost::system::error_code> tryConnection(Endpoint endpoint, milliseconds patience);
+
 /// The `Keep-Alive` header of a connection that closes after \p idle without a request:
 /// four fifths of it in whole seconds. A request sent until then arrives before the close
 /// though links and queues hold it up for a fifth. Empty if that is below 1 s.
--- a/include/pistachioloom/Support.h
+++ b/include/pistachioloom/Support.h
@@ -64,7 +64,8 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    // The standard's requirements on clocks name it.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static time_point now() noexcept;
 };
--- a/lib/Forward/EndProbe.cpp
+++ b/lib/Forward/EndProbe.cpp
@@ -9,8 +9,6 @@
 
 namespace pistachioloom {
 
-using tcp = asio::ip::tcp;
-
 // A process that ends closes its connections one after the other, the one on which it
 // listens perhaps last, so that a connection may still be accepted after the first break.
 static constexpr milliseconds secondProbe { 150 };
@@ -21,22 +19,6 @@
     return logger;
 }
 
-/// \returns the error of a connection to \p address, or none.
-static asio::awaitable<boost::system::error_code> tryConnection(tcp::endpoint address, milliseconds patience)
-{
-    auto executor = co_await asio::this_coro::executor;
-    tcp::socket socket(executor);
-    SteadyTimer timer(executor, patience);
-    timer.async_wait([&socket](const boost::system::error_code& code) {
-        boost::system::error_code ignored;
-        if (!code)
-            socket.close(ignored);
-    });
-    auto [code] = co_await socket.async_connect(address, asTuple);
-    timer.cancel();
-    co_return code;
-}
-
 void logCrash(ForwardContext& context, const BackendId& backend, const CrashWatch::Counted& counted)
 {
     context.metrics_.add(Counter::BackendCrashes);
@@ -53,14 +35,11 @@
 
 asio::awaitable<void> probeEnd(ForwardContext& context, BackendRecord backend)
 {
-    boost::system::error_code code;
-    tcp::endpoint address(asio::ip::make_address(backend.endpoint_.host_, code), backend.endpoint_.port_);
     const milliseconds patience = context.settings_.connectTimeout_;
-    if (!code)
-        code = co_await tryConnection(address, patience);
+    auto code = co_await tryConnection(backend.endpoint_, patience);
     if (!code) {
         co_await sleepFor(secondProbe);
-        code = co_await tryConnection(address, patience);
+        code = co_await tryConnection(backend.endpoint_, patience);
     }
     // What cuts a data centre off may refuse connections too.
     bool hasEnded = code == asio::error::connection_refused && context.backends_.isReached(backend.dataCentre_);
--- a/lib/Gateway/ReachProbe.cpp
+++ b/lib/Gateway/ReachProbe.cpp
@@ -5,8 +5,6 @@
 //===----------------------------------------------------------------------===//
 #include "ReachProbe.h"
 
-#include <boost/asio.hpp>
-
 namespace pistachioloom {
 
 namespace {
@@ -36,24 +34,11 @@
 
 asio::awaitable<void> ReachProbe::probe(BackendRecord backend)
 {
-    boost::system::error_code invalid;
-    asio::ip::tcp::endpoint address(asio::ip::make_address(backend.endpoint_.host_, invalid), backend.endpoint_.port_);
-    if (invalid) {
-        logger_.warn("Address of backend server " + backend.id_.value_ + " cannot be read: " + backend.endpoint_.host_);
-        co_return;
-    }
-    auto executor = co_await asio::this_coro::executor;
-    asio::ip::tcp::socket socket(executor);
-    SteadyTimer timer(executor, probePatience);
-    timer.async_wait([&socket](const boost::system::error_code& code) {
-        boost::system::error_code ignored;
-        if (!code)
-            socket.close(ignored);
-    });
-    auto [failed] = co_await socket.async_connect(address, asio::as_tuple(asio::use_awaitable));
-    timer.cancel();
+    auto failed = co_await tryConnection(backend.endpoint_, probePatience);
     if (!failed)
         context_.backends_.noteReached(backend.id_);
+    if (failed == asio::error::invalid_argument)
+        logger_.warn("Address of backend server " + backend.id_.value_ + " cannot be read: " + backend.endpoint_.host_);
 }
 
 asio::awaitable<void> ReachProbe::run()
--- /dev/null
+++ b/lib/Http/Probe.cpp
@@ -0,0 +1,33 @@
+//===- lib/Http/Probe.cpp - whether a connection can be made ---------------===//
+///
+/// \file
+/// See tryConnection().
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Http.h"
+
+#include <boost/asio.hpp>
+
+namespace pistachioloom {
+
+using tcp = asio::ip::tcp;
+
+asio::awaitable<boost::system::error_code> tryConnection(Endpoint endpoint, milliseconds patience)
+{
+    boost::system::error_code invalid;
+    tcp::endpoint address(asio::ip::make_address(endpoint.host_, invalid), endpoint.port_);
+    if (invalid)
+        co_return invalid;
+    auto executor = co_await asio::this_coro::executor;
+    tcp::socket socket(executor);
+    SteadyTimer timer(executor, patience);
+    timer.async_wait([&socket](const boost::system::error_code& code) {
+        boost::system::error_code ignored;
+        if (!code)
+            socket.close(ignored);
+    });
+    auto [code] = co_await socket.async_connect(address, asio::as_tuple(asio::use_awaitable));
+    timer.cancel();
+    co_return code;
+}
+
+} // namespace pistachioloom
