--- a/test/ServerSignalsTest.cpp
+++ b/test/ServerSignalsTest.cpp
@@ -11,7 +11,6 @@
 
 using namespace pistachioloom;
 using namespace pistachioloom::test;
-namespace json = boost::json;
 
 namespace {
 
