Quarantines outlive a stop of all nodes; peers are told which servers have ended

Now the first of the live nodes writes each held request to the platform as a note (QuarantineKeeper; QuarantineRecord decides, pure), and the nodes that read from the platform read the notes once after their start and tell the others. Reports and digests name servers that were found to have ended for 3 s; those that hear it pass them over like ones that failed in a row, and count their own cut-off attempts.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -196,6 +196,8 @@
     /// of its own. That stands against any later record of this start, also after it
     /// was removed. \returns whether it was news.
     bool setLeaving(const BackendId& id, SteadyTime now);
+    /// \p id was found to have ended: it is passed over like one that failed in a row.
+    void setEnded(const BackendId& id, SteadyTime now);
     /// \p id asked to be left alone for \p pause: it is not chosen until then, also
     /// where there is no other.
     void setPause(const BackendId& id, milliseconds pause, SteadyTime now);
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -84,6 +84,8 @@
     std::function<void(const OrganisationId& organisation)> onBegan_;
     /// A backend server said in an answer that it is leaving, and that was news.
     std::function<void(const BackendId& backend)> onLeaving_;
+    /// A backend server was found to have ended without a word.
+    std::function<void(const BackendId& backend)> onEnded_;
     /// The current configuration, or nullptr before the first.
     std::function<std::shared_ptr<const RouteTable>()> table_;
     /// Copies a stream's KV cache; a second copy of the same holds only what is new.
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -46,6 +46,13 @@
     Endpoint gossip_;
 };
 
+/// What outlives all processes of the system: the platform keeps it under its key.
+struct KeptNote {
+    std::string key_;
+    /// Empty: the note is dropped.
+    std::string value_;
+};
+
 /// The platform, as a gateway uses it. Every call fails with step and peer.
 struct GatewayPlatform {
     /// Reads on from \p from, or the newest state without it; waits up to \p wait
@@ -56,6 +63,9 @@
     std::function<Result<RouteConfiguration>(const std::string& source)> decodeConfiguration_;
     std::function<asio::awaitable<Result<void>>(AnnouncedNode self)> announce_;
     std::function<asio::awaitable<Result<std::vector<AnnouncedNode>>>()> announced_;
+    std::function<asio::awaitable<Result<std::vector<KeptNote>>>()> readNotes_;
+    /// Replaces the note of the same key.
+    std::function<asio::awaitable<Result<void>>(KeptNote note)> writeNote_;
     /// The log of duties: reads from \p from to its end.
     std::function<asio::awaitable<Result<LogRead>>(LogOffset from)> readDuties_;
     /// Appends \p record if the log ends at \p end; Errc::Conflict if it does
--- a/include/pistachioloom/Quarantine.h
+++ b/include/pistachioloom/Quarantine.h
@@ -136,6 +136,32 @@
     std::atomic<std::size_t> count_ { 0 };
 };
 
+/// Decides which suspects are to be written where they outlive all nodes: those that are
+/// held. Not thread-safe.
+class QuarantineRecord {
+public:
+    explicit QuarantineRecord(std::uint64_t crashesToHold)
+        : crashesToHold_(crashesToHold)
+    {
+    }
+
+    struct Change {
+        Suspect suspect_;
+        /// Nothing is held against the request any more: its record goes.
+        bool isDropped_ = false;
+    };
+
+    /// What differs between the records and \p suspects, which are all that is known.
+    std::vector<Change> due(const std::vector<Suspect>& suspects) const;
+    /// \p change is in the records.
+    void noteRecorded(const Change& change);
+
+private:
+    const std::uint64_t crashesToHold_;
+    /// Crashes that the record of each request holds.
+    std::map<RequestFingerprint, std::size_t> recorded_;
+};
+
 /// An attempt that its backend server cut off.
 struct CutOff {
     RequestFingerprint request_;
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -87,6 +87,14 @@
     return true;
 }
 
+void BackendBook::setEnded(const BackendId& id, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    if (found != backends_.end())
+        found->second.ejectedUntil_ = std::max(found->second.ejectedUntil_, now + settings_.longestEjection_);
+}
+
 void BackendBook::setPause(const BackendId& id, milliseconds pause, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
--- a/lib/Forward/EndProbe.cpp
+++ b/lib/Forward/EndProbe.cpp
@@ -47,8 +47,12 @@
     line.add("backend", backend.id_.value_).add("connection", code ? code.message() : "accepted");
     logger().info(line);
     context.crashes_.noteProbed({ keyOf(backend.id_) });
-    if (hasEnded)
-        noteBackendEnded(context, backend.id_);
+    if (!hasEnded)
+        co_return;
+    context.backends_.setEnded(backend.id_, steadyNow());
+    noteBackendEnded(context, backend.id_);
+    if (context.hooks_.onEnded_)
+        context.hooks_.onEnded_(backend.id_);
 }
 
 } // namespace pistachioloom
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "DutyRunner.h"
 #include "Feed.h"
 #include "LoopLag.h"
+#include "QuarantineKeeper.h"
 #include "QuarantinePage.h"
 #include "ReachProbe.h"
 #include "generated/Peer.pb.h"
@@ -49,6 +50,7 @@
     DutyRunner duties_;
     ReachProbe probe_;
     Feed feed_;
+    QuarantineKeeper quarantines_;
     PeerServer peerServer_;
     HttpServer readinessServer_;
     HttpServer metricsServer_;
@@ -74,6 +76,7 @@
     , duties_(*ios_[0], context_)
     , probe_(context_)
     , feed_(*ios_[0], context_, reports_, peerPool_, background_)
+    , quarantines_(context_, { [this] { return feed_.isReader(); }, [this] { return reports_.rankFor("quarantines") == 0; } })
     , peerServer_(
           ios_[0]->get_executor(), context_.settings_.peerCredential_, [this](std::shared_ptr<PeerStream> stream) { return servePeer(std::move(stream)); },
           [this](const Error& error) { logger_.warn("Peer was refused: " + describe(error)); })
@@ -87,6 +90,7 @@
         logger_.info(LogLine("Backend server is leaving.").add("backend", backend.value_).add("from", "its answer"));
         reports_.noteLeaving(backend);
     };
+    context_.forward_.hooks_.onEnded_ = [this](const BackendId& backend) { reports_.noteEnded(backend); };
     for (const auto& io : ios_)
         workers_.push_back(std::make_unique<ForwardWorker>(*io, context_.forward_));
 }
@@ -252,6 +256,7 @@
         asio::co_spawn(*io, watchLoopLag(state_->context_.metrics_), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->findPeers(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->probe_.run(), asio::detached);
+    asio::co_spawn(*state_->ios_[0], state_->quarantines_.run(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->watchSignals(), asio::detached);
     state_->logger_.info(LogLine("Started.").add("data_centre", settings.dataCentre_.value_).add("callers", settings.callers_.toString()).add("incarnation", std::to_string(state_->context_.incarnation_)));
     return port;
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -126,6 +126,14 @@
     leaving_.emplace_back(steadyNow(), id);
 }
 
+void PeerReports::noteEnded(const BackendId& id)
+{
+    std::lock_guard lock(leavingMutex_);
+    bool isKnown = std::any_of(ended_.begin(), ended_.end(), [&](const auto& entry) { return entry.second == id; });
+    if (!isKnown)
+        ended_.emplace_back(steadyNow(), id);
+}
+
 void PeerReports::send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers)
 {
     std::string bytes = datagram.SerializeAsString();
@@ -307,6 +315,21 @@
         context_.quarantine_.take(suspectsOf(suspects, now), now);
 }
 
+void PeerReports::takeEnded(const google::protobuf::RepeatedPtrField<std::string>& ended, const VmId& from, SteadyTime now)
+{
+    for (const std::string& id : ended) {
+        {
+            std::lock_guard lock(leavingMutex_);
+            if (std::any_of(ended_.begin(), ended_.end(), [&](const auto& entry) { return entry.second.value_ == id; }))
+                continue;
+        }
+        noteEnded({ id });
+        logger_.info(LogLine("Backend server has ended.").add("backend", id).add("from", from.value_));
+        context_.backends_.setEnded({ id }, now);
+        noteBackendEnded(context_.forward_, { id });
+    }
+}
+
 void PeerReports::takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from)
 {
     for (const std::string& id : leaving) {
@@ -347,6 +370,7 @@
     }
     context_.clocks_.setPeer(vm, report.wall_ms() - context_.ownWallMs(), now);
     takeLeaving(report.leaving(), vm);
+    takeEnded(report.ended(), vm, now);
     takeSuspects(report.suspects(), now);
     if (report.duty_token())
         hooks_.onHolder_(vm, { report.duty_token() }, now);
@@ -404,6 +428,7 @@
     if (!isRelay_)
         discovery_.noteNew(relay);
     takeLeaving(report.sums().leaving(), relay);
+    takeEnded(report.sums().ended(), relay, now);
     takeSuspects(report.sums().suspects(), now);
     relayBook_.takeSummary(report, now);
 }
@@ -411,6 +436,7 @@
 void PeerReports::takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now)
 {
     takeLeaving(sums.leaving(), relay);
+    takeEnded(sums.ended(), relay, now);
     takeSuspects(sums.suspects(), now);
     if (sums.duty_token() && VmId { sums.holder() } != context_.settings_.vm_)
         hooks_.onHolder_({ sums.holder() }, { sums.duty_token() }, now - milliseconds(sums.holder_age_ms()));
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -58,6 +58,8 @@
     void noteFleetKnown();
     /// Tells peers that a backend server is leaving, for some seconds.
     void noteLeaving(const BackendId& id);
+    /// Tells peers that a backend server has ended, for some seconds.
+    void noteEnded(const BackendId& id);
     /// This node's place among live nodes in the order for \p key. One that hears less
     /// than half of the others stands behind those that hear more. Called on the event
     /// loop.
@@ -87,6 +89,7 @@
     void takeRelayed(const wire::RelayReport& report, const Endpoint& sender, SteadyTime now);
     void takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
     void takeSuspects(const google::protobuf::RepeatedPtrField<wire::SuspectReport>& suspects, SteadyTime now);
+    void takeEnded(const google::protobuf::RepeatedPtrField<std::string>& ended, const VmId& from, SteadyTime now);
     void takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from);
     void forgetCounts(const VmId& vm);
     void forgetSilent(SteadyTime now);
@@ -109,6 +112,8 @@
     std::atomic<std::uint64_t> nodesMissed_ { 0 };
     std::mutex leavingMutex_;
     std::deque<std::pair<SteadyTime, BackendId>> leaving_;
+    /// Guarded by the same mutex; each once.
+    std::deque<std::pair<SteadyTime, BackendId>> ended_;
     std::uint64_t sequence_ = 0;
     std::atomic<bool> wasLarge_ { false };
     const SteadyTime startedAt_ = steadyNow();
--- a/lib/Gateway/RelayBook.cpp
+++ b/lib/Gateway/RelayBook.cpp
@@ -88,6 +88,7 @@
     *sums.mutable_usage() = report.usage();
     *sums.mutable_demand() = report.demand();
     *sums.mutable_leaving() = report.leaving();
+    *sums.mutable_ended() = report.ended();
     if (report.duty_token()) {
         sums.set_holder(report.vm());
         sums.set_duty_token(report.duty_token());
@@ -117,6 +118,7 @@
         total.observations_ += demand.observations();
     }
     leaving_.insert(sums.leaving().begin(), sums.leaving().end());
+    ended_.insert(sums.ended().begin(), sums.ended().end());
     if (sums.duty_token() > dutyToken_.value_) {
         holder_ = sums.holder();
         dutyToken_ = { sums.duty_token() };
@@ -170,6 +172,8 @@
     }
     for (const std::string& id : leaving_)
         sums.add_leaving(id);
+    for (const std::string& id : ended_)
+        sums.add_ended(id);
     sums.set_holder(holder_);
     sums.set_duty_token(dutyToken_.value_);
     sums.set_holder_age_ms(static_cast<std::uint64_t>(holderAge_.count()));
--- a/lib/Gateway/RelayBook.h
+++ b/lib/Gateway/RelayBook.h
@@ -45,6 +45,7 @@
     NamedCounts levels_;
     std::map<std::string, Demand> demand_;
     std::set<std::string> leaving_;
+    std::set<std::string> ended_;
     std::string holder_;
     DutyToken dutyToken_ {};
     milliseconds holderAge_ {};
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -15,6 +15,8 @@
 
     // Peers hear of a leaving backend server for this long.
     constexpr milliseconds leavingTold { 10000 };
+    // And of one that has ended for this long: its registration expires soon after.
+    constexpr milliseconds endedTold { 3000 };
 
 } // namespace
 
@@ -46,6 +48,10 @@
             leaving_.pop_front();
         for (const auto& [at, id] : leaving_)
             report.add_leaving(id.value_);
+        while (!ended_.empty() && now - ended_.front().first > endedTold)
+            ended_.pop_front();
+        for (const auto& [at, id] : ended_)
+            report.add_ended(id.value_);
     }
     putSuspects(context_.quarantine_.told(now, randomBits()), *report.mutable_suspects(), now);
     for (const auto& [vm, peer] : discovery_.peersToName(names, sequence_, now)) {
--- /dev/null
+++ b/lib/Quarantine/QuarantineRecord.cpp
@@ -0,0 +1,37 @@
+//===- lib/Quarantine/QuarantineRecord.cpp - suspects that outlive all nodes ===//
+///
+/// \file
+/// See QuarantineRecord.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Quarantine.h"
+
+namespace pistachioloom {
+
+std::vector<QuarantineRecord::Change> QuarantineRecord::due(const std::vector<Suspect>& suspects) const
+{
+    std::vector<Change> changes;
+    std::set<RequestFingerprint> held;
+    for (const Suspect& suspect : suspects) {
+        if (suspect.crashesHeld() < crashesToHold_)
+            continue;
+        held.insert(suspect.request_);
+        auto recorded = recorded_.find(suspect.request_);
+        if (recorded == recorded_.end() || recorded->second != suspect.crashesHeld())
+            changes.push_back({ suspect, false });
+    }
+    for (const auto& [request, crashes] : recorded_) {
+        if (!held.contains(request))
+            changes.push_back({ { request, 0, {} }, true });
+    }
+    return changes;
+}
+
+void QuarantineRecord::noteRecorded(const Change& change)
+{
+    if (change.isDropped_)
+        recorded_.erase(change.suspect_.request_);
+    else
+        recorded_[change.suspect_.request_] = change.suspect_.crashesHeld();
+}
+
+} // namespace pistachioloom
--- a/test/CrashingRequestsTest.cpp
+++ b/test/CrashingRequestsTest.cpp
@@ -135,6 +135,48 @@
     CHECK(waitUntil([&] { return deployment.call(deployment.gateways()[2], crashing("mended")).status_ == 200; }, contactTime));
 }
 
+TEST_CASE("a stop of all gateways at one moment forgets which request crashed three backend servers", "[gateway]")
+{
+    const char* fanout = GENERATE("24", "1");
+    CAPTURE(fanout);
+    GatewayDeployment deployment(fleetOf(3, fanout));
+    startCrashable(deployment);
+    for (int i = 0; i < 3; ++i)
+        (void)deployment.call(deployment.gateways()[0], crashing("crash-" + std::to_string(i)));
+    REQUIRE(crashTimes(deployment).size() == crashesTolerated);
+    std::this_thread::sleep_for(contactTime);
+    for (auto& gateway : deployment.gateways()) {
+        gateway.process_->kill();
+        (void)gateway.process_->wait(contactTime);
+    }
+    for (auto& gateway : deployment.gateways())
+        deployment.restart(gateway);
+    for (auto& gateway : deployment.gateways())
+        REQUIRE(waitUntil([&] { return deployment.isReady(gateway); }, milliseconds(10000)));
+    std::this_thread::sleep_for(contactTime);
+    for (auto& gateway : deployment.gateways())
+        CHECK(deployment.call(gateway, crashing("crash-again")).status_ == 502);
+    CHECK(crashTimes(deployment).size() == crashesTolerated);
+}
+
+TEST_CASE("a gateway sends requests to a backend server that crashed under another one's", "[gateway]")
+{
+    const char* fanout = GENERATE("24", "1");
+    CAPTURE(fanout);
+    GatewayDeployment deployment(fleetOf(3, fanout));
+    startCrashable(deployment);
+    // Its registration stays for long: only the gateways' own word keeps requests away.
+    deployment.control({ { "restart_ms", 8000 } });
+    (void)deployment.call(deployment.gateways()[0], crashing("crash-0"));
+    REQUIRE(crashTimes(deployment).size() == 1);
+    std::this_thread::sleep_for(milliseconds(1200));
+    double before = deployment.metric(deployment.gateways()[1], "retries_total") + deployment.metric(deployment.gateways()[2], "retries_total");
+    for (std::size_t i = 0; i < 60; ++i)
+        CHECK(deployment.call(deployment.gateways()[1 + i % 2], gatewayRequest("POST", "/draft/stream/other", "other-" + std::to_string(i))).status_ == 200);
+    double after = deployment.metric(deployment.gateways()[1], "retries_total") + deployment.metric(deployment.gateways()[2], "retries_total");
+    CHECK(after == before);
+}
+
 TEST_CASE("a gateway that starts after the crashes does not send the request again", "[gateway]")
 {
     GatewayDeployment deployment(fleetOf(3, "24"));
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -325,9 +325,8 @@
             restart(textField(body, "restart"));
         if (body.contains("crash_text"))
             crashText_ = textField(body, "crash_text");
-        auto chosen = backends_.find(textField(body, "backend"));
-        if (chosen != backends_.end())
-            answer = chosen->second->control(body);
+        if (Backend* chosen = find(textField(body, "backend")))
+            answer = chosen->control(body);
         auto asked = entries_.find(textField(body, "born"));
         if (asked != entries_.end())
             answer["born"] = asked->second.at("born");
@@ -337,6 +336,16 @@
         co_await reply(exchange, 200, answer);
     }
 
+    /// The newest server of \p id, also one that has crashed; nullptr if there was none.
+    Backend* find(const std::string& id)
+    {
+        auto running = backends_.find(id);
+        if (running != backends_.end())
+            return running->second.get();
+        auto crashed = std::find_if(crashed_.rbegin(), crashed_.rend(), [&](const auto& backend) { return backend->id() == id; });
+        return crashed == crashed_.rend() ? nullptr : crashed->get();
+    }
+
     /// The server of this id crashes and starts anew under it, at another port.
     void restart(const std::string& id)
     {
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -476,3 +476,16 @@
     book.refuseWithout(engineRequest(1000));
     CHECK(book.services().at(service).tokensAsked_ == 500);
 }
+
+TEST_CASE("a backend server that has ended is passed over while others are there", "[backends]")
+{
+    BackendBook book({ "a" }, ChoiceSettings {});
+    for (const char* id : { "x", "y" })
+        book.put(record(id));
+    book.setEnded({ "x" }, start);
+    for (int i = 0; i < 20; ++i)
+        CHECK(chosen(book, plainRequest()) == "y");
+    // It is the last resort, should the word have been wrong.
+    CHECK(chosen(book, plainRequest(), { { "y" } }) == "x");
+    book.setEnded({ "unknown" }, start);
+}
--- a/unittests/Quarantine/QuarantineTest.cpp
+++ b/unittests/Quarantine/QuarantineTest.cpp
@@ -215,3 +215,28 @@
     CHECK(watch.noteEnded({ 1 }, after(10'001)).empty());
     CHECK(book.isEmpty());
 }
+
+TEST_CASE("a held request is recorded once for each crash, and dropped when nothing is held against it", "[quarantine]")
+{
+    QuarantineBook book({});
+    QuarantineRecord record(3);
+    auto take = [&](std::size_t expected, bool isDropped) {
+        auto changes = record.due(book.suspects(start));
+        REQUIRE(changes.size() == expected);
+        for (const QuarantineRecord::Change& change : changes) {
+            CHECK(change.suspect_.request_ == request);
+            CHECK(change.isDropped_ == isDropped);
+            record.noteRecorded(change);
+        }
+    };
+    crash(book, request, 2, start);
+    take(0, false);
+    crash(book, request, 3, start);
+    take(1, false);
+    take(0, false);
+    crash(book, request, 4, start);
+    take(1, false);
+    book.clear(request, start);
+    take(1, true);
+    take(0, true);
+}
