Soak: a request that crashes engines, servers that say they leave or ask for a pause

Checked: the request is held three crashes and the contact time later; a server that says that it leaves in its answers gets no new requests after the contact time; a pause is kept.

--- a/test/Platform/Soak/FaultProxy.cpp
+++ b/test/Platform/Soak/FaultProxy.cpp
@@ -65,6 +65,7 @@
 
 FaultProxy::FaultProxy(asio::io_context& io, Endpoint target)
     : acceptor_(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    , port_(acceptor_.local_endpoint().port())
     , target_(std::move(target))
 {
     asio::co_spawn(io, accept(), asio::detached);
@@ -72,7 +73,7 @@
 
 Endpoint FaultProxy::endpoint() const
 {
-    return { "127.0.0.1", acceptor_.local_endpoint().port() };
+    return { "127.0.0.1", port_ };
 }
 
 void FaultProxy::set(LinkFault fault, milliseconds delay)
@@ -106,7 +107,12 @@
         auto [connectCode] = co_await link->far_.async_connect(address, asTuple);
         if (connectCode || fault_ == LinkFault::Refused) {
             link->close(true);
-            continue;
+            if (connectCode != asio::error::connection_refused)
+                continue;
+            // Nobody listens where a process has ended, unlike behind a link that is cut.
+            boost::system::error_code ignored;
+            acceptor_.close(ignored);
+            co_return;
         }
         links_.insert(link);
         asio::co_spawn(acceptor_.get_executor(), pump(link, true), asio::detached);
--- a/test/Platform/Soak/FaultProxy.h
+++ b/test/Platform/Soak/FaultProxy.h
@@ -49,6 +49,7 @@
     bool passes(bool isUpward) const;
 
     asio::ip::tcp::acceptor acceptor_;
+    const std::uint16_t port_;
     Endpoint target_;
     std::set<std::shared_ptr<Link>> links_;
     LinkFault fault_ = LinkFault::None;
--- a/test/Platform/Soak/Promises.cpp
+++ b/test/Platform/Soak/Promises.cpp
@@ -57,7 +57,9 @@
 
 void Promises::take(Call call)
 {
-    checkAnswer(call);
+    // Each answer to it is a failure.
+    if (call.kind_ != RequestKind::Crashing)
+        checkAnswer(call);
     calls_.push_back(std::move(call));
 }
 
@@ -137,6 +139,51 @@
     }
 }
 
+/// A gateway that was down or frozen, or a platform that was away when all had to begin
+/// anew, excuses what was sent within the contact time after it.
+void Promises::checkCrashes(const json::array& crashes)
+{
+    std::map<std::string, std::string> gatewayOf;
+    for (const Call& call : calls_)
+        gatewayOf[call.id_] = call.gateway_;
+    std::size_t late = 0;
+    SteadyTime heldAt {};
+    for (std::size_t i = 0; i < crashes.size(); ++i) {
+        const json::object& crash = crashes[i].as_object();
+        SteadyTime at { milliseconds(numberField(crash, "at_ms")) };
+        if (i + 1 == bounds_.crashesTolerated_)
+            heldAt = at;
+        if (i < bounds_.crashesTolerated_ || at - heldAt <= bounds_.contact_)
+            continue;
+        const std::string& gateway = gatewayOf[textField(crash, "request")];
+        SteadyTime from = at - bounds_.contact_;
+        if (!disturbances_.overlap(gateway, from, at) && !disturbances_.overlap(platform, from, at))
+            ++late;
+    }
+    if (late > bounds_.crashesAfter_)
+        broken("a request that crashes engines is held", std::to_string(late) + " engines crashed later than the contact time, " + std::to_string(crashes.size()) + " in all");
+}
+
+void Promises::takeLateRuns(const std::string& id, const std::vector<std::string>& ids, SteadyTime saidAt)
+{
+    for (const std::string& run : ids)
+        lateRuns_.push_back({ id, run, saidAt });
+}
+
+void Promises::checkLateRuns()
+{
+    std::map<std::string, const Call*> callOf;
+    for (const Call& call : calls_)
+        callOf[call.id_] = &call;
+    for (const LateRun& run : lateRuns_) {
+        auto call = callOf.find(run.id_);
+        // A request may wait for long before it is sent on; a restart forgets the word.
+        bool isExcused = call == callOf.end() || call->second->sentAt_ < run.saidAt_ + bounds_.contact_ || disturbances_.overlap(call->second->gateway_, run.saidAt_, call->second->endedAt_);
+        if (!isExcused)
+            broken("a backend server that says that it leaves gets no new requests", run.server_ + " ran " + describe(*call->second));
+    }
+}
+
 void Promises::checkWhole(SteadyTime startedAt, SteadyTime calmFrom)
 {
     std::set<std::string> sent;
@@ -145,11 +192,13 @@
     std::size_t lateServed = 0;
     for (const Call& call : calls_) {
         sent.insert(call.id_);
-        checkRuns(call);
+        if (call.kind_ != RequestKind::Crashing)
+            checkRuns(call);
         auto runs = runs_.find(call.id_);
         if (call.kind_ == RequestKind::Limited && runs != runs_.end())
             limited += 1;
-        if (call.sentAt_ < calmFrom || call.hasLeft_ || call.kind_ == RequestKind::Limited)
+        bool isServedAlways = call.kind_ != RequestKind::Limited && call.kind_ != RequestKind::Crashing;
+        if (call.sentAt_ < calmFrom || call.hasLeft_ || !isServedAlways)
             continue;
         ++late;
         lateServed += call.status_ == 200 && call.isWhole_;
@@ -158,6 +207,7 @@
         if (!sent.contains(id))
             broken("only what callers sent runs", id);
     }
+    checkLateRuns();
     double seconds = std::chrono::duration<double>(steadyNow() - startedAt).count();
     double allowed = bounds_.limitedRate_ * seconds + bounds_.limitedBurst_ + bounds_.limitedSlack_;
     if (limited > allowed)
--- a/test/Platform/Soak/Promises.h
+++ b/test/Platform/Soak/Promises.h
@@ -37,6 +37,12 @@
     double limitedBurst_ = 1;
     /// Requests that all nodes may admit between two reports, over the quota.
     double limitedSlack_ = 8;
+    /// What one gateway has seen is known to all after it.
+    milliseconds contact_ { 3000 };
+    /// Engines that a request crashes before it is held.
+    std::size_t crashesTolerated_ = 3;
+    /// Attempts at a held request that still reach engines later than the contact time.
+    std::size_t crashesAfter_ = 3;
     /// Share of requests served once all faults are over.
     double servedAfter_ = 0.95;
 };
@@ -56,6 +62,11 @@
     void takeRuns(const boost::json::array& ids, bool isGone);
     /// Calls of duties as they reached the platform.
     void checkDuties(const boost::json::array& duties);
+    /// Engines that the crashing request ended, as the stand-in tells.
+    void checkCrashes(const boost::json::array& crashes);
+    /// Runs at backend server \p id later than the contact time after \p saidAt, when it
+    /// had said in an answer that it leaves.
+    void takeLateRuns(const std::string& id, const std::vector<std::string>& ids, SteadyTime saidAt);
     /// Everything that needs the whole run; \p calmFrom is when faults were over
     /// and the system had had time to recover.
     void checkWhole(SteadyTime startedAt, SteadyTime calmFrom);
@@ -68,6 +79,7 @@
 private:
     void checkAnswer(const Call& call);
     void checkRuns(const Call& call);
+    void checkLateRuns();
     void checkToken(const boost::json::object& duty, std::uint64_t& newest);
 
     PromiseBounds bounds_;
@@ -76,6 +88,12 @@
     std::map<std::string, int> runs_;
     /// Those of them at backend servers that were taken away.
     std::map<std::string, int> runsAtGone_;
+    struct LateRun {
+        std::string server_;
+        std::string id_;
+        SteadyTime saidAt_ {};
+    };
+    std::vector<LateRun> lateRuns_;
     std::vector<std::string> findings_;
 };
 
--- a/test/Platform/Soak/Schedule.cpp
+++ b/test/Platform/Soak/Schedule.cpp
@@ -27,6 +27,10 @@
     constexpr std::int64_t mostNotice = 2500;
     // They are drawn apart, so that seeds that are kept draw the same other faults.
     constexpr std::uint64_t reclaimSeed = 0x5ec1a1;
+    constexpr std::uint64_t signalSeed = 0x51610;
+    constexpr std::int64_t leastSignalPause = 700;
+    constexpr std::int64_t mostSignalPause = 3500;
+    constexpr std::int64_t longestAskedPause = 2000;
 
     struct Weighted {
         FaultKind kind_;
@@ -89,6 +93,12 @@
         return "reclaim";
     case FaultKind::Configure:
         return "configure";
+    case FaultKind::SayLeaving:
+        return "say_leaving";
+    case FaultKind::AskPause:
+        return "ask_pause";
+    case FaultKind::CrashEngines:
+        return "crash_engines";
     }
     return "unknown";
 }
@@ -109,6 +119,28 @@
     return faults;
 }
 
+/// What backend servers say of themselves, and one request that crashes engines.
+static std::vector<Fault> drawSignals(std::uint64_t seed, milliseconds length)
+{
+    std::mt19937_64 random(seed ^ signalSeed);
+    auto draw = [&](std::int64_t least, std::int64_t most) { return std::uniform_int_distribution<std::int64_t>(least, most)(random); };
+    std::vector<Fault> faults;
+    Fault crashes;
+    crashes.kind_ = FaultKind::CrashEngines;
+    crashes.at_ = milliseconds(draw(0, length.count() / 2));
+    faults.push_back(crashes);
+    for (milliseconds at(draw(0, mostSignalPause)); at < length; at += milliseconds(draw(leastSignalPause, mostSignalPause))) {
+        Fault fault;
+        fault.at_ = at;
+        fault.kind_ = draw(0, 1) ? FaultKind::SayLeaving : FaultKind::AskPause;
+        fault.target_ = static_cast<std::size_t>(draw(0, 1000));
+        fault.for_ = milliseconds(draw(leastLength, mostLength));
+        fault.strength_ = draw(longestAskedPause / 4, longestAskedPause);
+        faults.push_back(std::move(fault));
+    }
+    return faults;
+}
+
 std::vector<Fault> drawFaults(std::uint64_t seed, milliseconds length)
 {
     std::mt19937_64 random(seed);
@@ -140,6 +172,8 @@
     }
     for (Fault& fault : drawReclaims(seed, length))
         faults.push_back(std::move(fault));
+    for (Fault& fault : drawSignals(seed, length))
+        faults.push_back(std::move(fault));
     std::stable_sort(faults.begin(), faults.end(), [](const Fault& left, const Fault& right) { return left.at_ < right.at_; });
     return faults;
 }
--- a/test/Platform/Soak/Schedule.h
+++ b/test/Platform/Soak/Schedule.h
@@ -38,6 +38,13 @@
     Reclaim,
     /// New versions of the configuration, one after the other.
     Configure,
+    /// A backend server says in its answers that it leaves; another one comes.
+    SayLeaving,
+    /// A backend server turns requests away and asks for a pause.
+    AskPause,
+    /// From now on a caller sends a request that crashes each engine that begins to
+    /// run it; another engine comes for each.
+    CrashEngines,
 };
 
 std::string_view toString(FaultKind kind);
--- a/test/Platform/Soak/SoakCaller.cpp
+++ b/test/Platform/Soak/SoakCaller.cpp
@@ -21,6 +21,7 @@
     constexpr milliseconds longestWait { 12000 };
     constexpr milliseconds longestPause { 60 };
     constexpr milliseconds pauseAfterBreak { 30 };
+    constexpr milliseconds crashingPause { 200 };
     // One request in this many is given up by its caller midway.
     constexpr int leavesOneIn = 25;
     constexpr int mostRequestsOnConnection = 60;
@@ -52,18 +53,21 @@
             return "/draft/stream/";
         case RequestKind::Ask:
             return "/ask/stream/";
+        case RequestKind::Crashing:
+            return "/draft/stream/crash";
         }
         return "/";
     }
 
     http::request<http::string_body> requestFor(const Call& call)
     {
-        http::request<http::string_body> request(http::verb::post, pathOf(call.kind_) + call.id_, 11);
+        bool isCrashing = call.kind_ == RequestKind::Crashing;
+        http::request<http::string_body> request(http::verb::post, pathOf(call.kind_) + (isCrashing ? "" : call.id_), 11);
         request.set(http::field::host, "h.example");
         request.set(http::field::authorization, call.kind_ == RequestKind::Limited ? "Bearer key-small" : "Bearer key-north");
         request.set("X-Pistachioloom-Attempt-Id", call.id_);
         request.set("X-Pistachioloom-Deadline-Ms", deadlineMs);
-        request.body() = "body of " + call.id_;
+        request.body() = isCrashing ? crashText : "body of " + call.id_;
         request.prepare_payload();
         return request;
     }
@@ -138,6 +142,26 @@
     return body;
 }
 
+asio::awaitable<void> runCrashingCaller(std::uint64_t seed, CallerHooks hooks)
+{
+    std::mt19937_64 random(seed);
+    auto executor = co_await asio::this_coro::executor;
+    for (int sent = 0; !hooks.isOver_(); ++sent) {
+        co_await pause(crashingPause);
+        auto connection = std::make_shared<Connection>(executor);
+        auto [name, address] = hooks.pickGateway_(random);
+        if (!co_await connect(connection, address))
+            continue;
+        Call call;
+        call.id_ = "crash-" + std::to_string(sent);
+        call.kind_ = RequestKind::Crashing;
+        call.gateway_ = name;
+        call.sentAt_ = steadyNow();
+        co_await exchange(connection, call, milliseconds(0));
+        hooks.onCall_(std::move(call));
+    }
+}
+
 asio::awaitable<void> runCaller(std::size_t number, std::uint64_t seed, CallerHooks hooks)
 {
     std::mt19937_64 random(seed);
--- a/test/Platform/Soak/SoakCaller.h
+++ b/test/Platform/Soak/SoakCaller.h
@@ -25,8 +25,14 @@
     Ask,
     /// Safe, of an organisation with a small quota.
     Limited,
+    /// Crashes each engine that begins to run it. All calls of this kind are attempts at
+    /// the same request.
+    Crashing,
 };
 
+/// Bodies with this text crash the engine that begins to run them.
+inline constexpr const char* crashText = "crashes its engine";
+
 /// What came of one request.
 struct Call {
     std::string id_;
@@ -54,6 +60,10 @@
     std::function<bool()> isOver_;
 };
 
+/// Sends the request that crashes engines, at a gateway drawn each time, until the run is
+/// over.
+boost::asio::awaitable<void> runCrashingCaller(std::uint64_t seed, CallerHooks hooks);
+
 /// Sends requests until it is told that the run is over.
 boost::asio::awaitable<void> runCaller(std::size_t number, std::uint64_t seed, CallerHooks hooks);
 
--- a/test/Platform/Soak/SoakFaults.cpp
+++ b/test/Platform/Soak/SoakFaults.cpp
@@ -18,6 +18,8 @@
 static constexpr milliseconds calm { 3000 };
 // Grace of the gateways' settings, and what the machine may take beside.
 static constexpr milliseconds longestStop { 3000 + 2500 };
+// When requests are counted that reach a backend server which says that it leaves.
+static constexpr milliseconds leavingKnown { 2500 };
 
 asio::awaitable<void> SoakRun::bringDown(std::size_t index, int signal, milliseconds pause)
 {
@@ -118,6 +120,89 @@
     }
 }
 
+/// It is registered as before: only its answers tell that it leaves.
+asio::awaitable<void> SoakRun::sayLeaving(std::size_t index)
+{
+    Server& server = *servers_[index % servers_.size()];
+    if (server.isLeaving_)
+        co_return;
+    server.isLeaving_ = true;
+    startServer(server.service_);
+    json::object runs = deployment_->backend(server.id_, { { "says_leaving", 1 } });
+    // Nobody knows before an answer tells.
+    std::size_t before = runs.at("runs").as_array().size();
+    std::size_t served = before;
+    while (!isOver_ && served == before) {
+        co_await sleepFor(monitorPeriod);
+        served = deployment_->backend(server.id_).at("runs").as_array().size();
+    }
+    SteadyTime saidAt = steadyNow();
+    co_await sleepFor(leavingKnown);
+    std::size_t counted = deployment_->backend(server.id_).at("runs").as_array().size();
+    while (!isOver_)
+        co_await sleepFor(monitorPeriod);
+    std::vector<std::string> late;
+    json::object told = deployment_->backend(server.id_);
+    const json::array& all = told.at("runs").as_array();
+    for (std::size_t i = counted; i < all.size(); ++i)
+        late.emplace_back(all[i].as_string());
+    promises_.takeLateRuns(server.id_, late, saidAt);
+}
+
+asio::awaitable<void> SoakRun::askPause(std::size_t index, milliseconds length, milliseconds pause)
+{
+    Server& server = *servers_[index % servers_.size()];
+    if (server.isLeaving_)
+        co_return;
+    SteadyTime at = steadyNow();
+    std::string id = server.id_;
+    deployment_->backend(id, { { "full", 1 }, { "retry_after_ms", pause.count() } });
+    co_await sleepFor(length);
+    json::object told = deployment_->backend(id, { { "full", 0 }, { "retry_after_ms", 0 } });
+    promises_.disturbances().note(id, at, steadyNow());
+    // In each pause a gateway may send two requests, and so may each start of one.
+    auto pauses = static_cast<std::uint64_t>(length / pause + 1);
+    std::uint64_t starts = 0;
+    for (const Node& node : nodes_)
+        starts += node.starts_;
+    std::uint64_t turnedAway = numberField(told, "turned_away");
+    // Requests of the half second in which the first answers come are not counted.
+    if (turnedAway > 2 * pauses * starts + options_.callers_)
+        promises_.broken("a pause that a backend server asks for is kept", id + " turned away " + std::to_string(turnedAway) + " in " + std::to_string(length.count()) + " ms");
+}
+
+void SoakRun::crashEngines()
+{
+    deployment_->control({ { "crash_text", crashText }, { "restart_ms", 600000 } });
+    CallerHooks hooks;
+    hooks.pickGateway_ = [this](std::mt19937_64& random) { return pickGateway(random); };
+    hooks.onCall_ = [this](Call call) { promises_.take(std::move(call)); };
+    hooks.isOver_ = [this] { return isOver_; };
+    asio::co_spawn(io_, runCrashingCaller(options_.seed_, hooks), asio::detached);
+    asio::co_spawn(io_, replaceCrashed(), asio::detached);
+}
+
+asio::awaitable<void> SoakRun::replaceCrashed()
+{
+    while (!isOver_) {
+        co_await sleepFor(monitorPeriod);
+        json::object told = deployment_->control();
+        for (const json::value& crash : told.at("crashes").as_array()) {
+            std::string id = textField(crash.as_object(), "backend");
+            auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& server) { return server->id_ == id; });
+            if (found == servers_.end() || (*found)->hasCrashed_)
+                continue;
+            Server& server = **found;
+            server.hasCrashed_ = true;
+            server.isLeaving_ = true;
+            server.isGone_ = true;
+            SteadyTime at { milliseconds(numberField(crash.as_object(), "at_ms")) };
+            promises_.disturbances().note(id, at, steadyNow());
+            startServer(server.service_);
+        }
+    }
+}
+
 asio::awaitable<void> SoakRun::configure(std::int64_t versions)
 {
     for (std::int64_t i = 0; i < versions; ++i) {
@@ -162,6 +247,12 @@
         co_return co_await reclaim(fault.target_, fault.for_);
     case FaultKind::Configure:
         co_return co_await configure(fault.strength_);
+    case FaultKind::SayLeaving:
+        co_return co_await sayLeaving(fault.target_);
+    case FaultKind::AskPause:
+        co_return co_await askPause(fault.target_, fault.for_, milliseconds(fault.strength_));
+    case FaultKind::CrashEngines:
+        co_return crashEngines();
     }
 }
 
--- a/test/Platform/Soak/SoakRun.cpp
+++ b/test/Platform/Soak/SoakRun.cpp
@@ -130,7 +130,9 @@
 {
     for (const auto& server : servers_)
         promises_.takeRuns(deployment_->backend(server->id_).at("runs").as_array(), server->isGone_);
-    promises_.checkDuties(deployment_->control().at("duties").as_array());
+    json::object told = deployment_->control();
+    promises_.checkDuties(told.at("duties").as_array());
+    promises_.checkCrashes(told.at("crashes").as_array());
     promises_.checkWhole(startedAt_, calmFrom_);
 }
 
--- a/test/Platform/Soak/SoakRun.h
+++ b/test/Platform/Soak/SoakRun.h
@@ -42,6 +42,7 @@
         bool isLeaving_ = false;
         /// It was taken away.
         bool isGone_ = false;
+        bool hasCrashed_ = false;
     };
     struct Node {
         std::unique_ptr<FaultProxy> platformLink_;
@@ -71,6 +72,12 @@
     asio::awaitable<void> control(std::string key, Fault fault);
     asio::awaitable<void> replace(std::size_t index);
     asio::awaitable<void> reclaim(std::size_t index, milliseconds notice);
+    asio::awaitable<void> sayLeaving(std::size_t index);
+    asio::awaitable<void> askPause(std::size_t index, milliseconds length, milliseconds pause);
+    /// Starts the caller whose request crashes engines.
+    void crashEngines();
+    /// Replaces engines that crashed.
+    asio::awaitable<void> replaceCrashed();
     asio::awaitable<void> configure(std::int64_t versions);
     // What is watched, and what comes of it.
     asio::awaitable<void> monitor(std::size_t index);
