--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -29,6 +29,9 @@
 /// One start of a backend server: what is believed of it ends with that start.
 using BackendId = Id<struct BackendIdTag>;
 
+/// The version of the software that a backend server runs.
+using BackendVersion = Id<struct BackendVersionTag>;
+
 /// The id of the start of \p name at \p start.
 BackendId backendId(const BackendName& name, BackendStart start);
 
@@ -45,6 +48,21 @@
     bool isReclaimable_ = false;
     BackendName name_;
     BackendStart start_ {};
+    /// Empty where that is not told.
+    BackendVersion version_ {};
+};
+
+/// Which versions of a service a request may be sent to while a new one is on trial.
+struct VersionRule {
+    BackendVersion target_;
+    /// To backend servers of the target, or to the others.
+    bool usesTarget_ = false;
+    /// The target's part of the service's requests.
+    double share_ = 0;
+    /// Where there is no other backend server at all, the target's may be used.
+    bool mayFallBack_ = true;
+
+    bool isTarget(const BackendRecord& record) const { return record.version_ == target_; }
 };
 
 /// One shared piece of a prompt.
@@ -67,6 +85,7 @@
     /// Set for a stream that moves: the reclaimable engines of its data centre are
     /// taken away together, so none of them is chosen.
     std::optional<DataCentreId> reclaimed_;
+    std::optional<VersionRule> version_;
 };
 
 /// A backend server's id, hashed to 32 bits for messages. Of 2,100 servers two
@@ -228,7 +247,8 @@
     /// is asked for nothing, and gets no new ones.
     void refuseWithout(const RequestShape& shape);
     /// The first byte of an answer came after \p wait.
-    void began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait);
+    /// \returns the wait as a multiple of the estimate for a backend server of usual speed.
+    double began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait);
     /// \p id could be connected to.
     void noteReached(const BackendId& id);
     /// One backend server, drawn at random, of each data centre that this node does
@@ -265,6 +285,15 @@
     };
     Occupancy occupancy(const ServiceName& service) const;
 
+    /// Backend servers of a service that take new work, by whether they are of a version.
+    struct Versions {
+        std::size_t target_ = 0;
+        std::size_t others_ = 0;
+        /// Requests of all nodes at the others, also at leaving ones.
+        std::uint64_t othersRunning_ = 0;
+    };
+    Versions versions(const ServiceName& service, const BackendVersion& target) const;
+
 private:
     struct Backend {
         BackendRecord record_;
@@ -320,6 +349,8 @@
     TokenCount uncachedAt(const Backend& backend, const RequestShape& shape, const BackendId& home, SteadyTime now) const;
     /// The backend server that reads the shared part of \p shape unless it is busy.
     BackendId homeOf(const RequestShape& shape, const std::vector<Backend*>& candidates) const;
+    /// Keeps those of \p candidates that \p rule allows.
+    void applyRule(std::vector<Backend*>& candidates, const VersionRule& rule, const ServiceName& service) const;
     /// Leaves a sample of \p candidates, and those that may have the part cached.
     void takeSample(std::vector<Backend*>& candidates, const RequestShape& shape, const BackendId& home, SteadyTime now) const;
     static void takeBack(Backend& backend, TokenCount uncached, bool hasBegun);
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -11,6 +11,7 @@
 #include "pistachioloom/Backends.h"
 #include "pistachioloom/Quarantine.h"
 #include "pistachioloom/Quota.h"
+#include "pistachioloom/Rollout.h"
 #include "pistachioloom/Routes.h"
 #include "pistachioloom/Telemetry.h"
 
@@ -108,6 +109,7 @@
     RetryBudget& retries_;
     QuarantineBook& quarantine_;
     CrashWatch& crashes_;
+    RolloutBook& rollouts_;
     Metrics& metrics_;
     /// Connections close after their answer.
     std::atomic<bool> isStopping_ { false };
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -38,6 +38,8 @@
     LogOffset next_;
     /// The versions read, oldest first, for decodeConfiguration_.
     std::vector<std::string> sources_;
+    /// Orders to bring versions in.
+    std::vector<RolloutOrder> rollouts_;
 };
 
 /// Another node of the system, as it announced itself.
@@ -73,6 +75,10 @@
     std::function<asio::awaitable<Result<void>>(LogOffset end, std::string record)> appendDuty_;
     std::function<asio::awaitable<Result<void>>(VmId holder, DutyToken token, WindowNumber window, UsageCounts counts)> reportUsage_;
     std::function<asio::awaitable<Result<void>>(VmId holder, DutyToken token, FleetOrder order)> orderFleet_;
+    /// Tells the operator where an order stands. Errc::Conflict: a holder with a higher
+    /// token has told since. \p call numbers the calls by one token, from 1; one without
+    /// an answer is repeated with the same number.
+    std::function<asio::awaitable<Result<void>>(DutyToken token, std::uint64_t call, RolloutState state)> reportRollout_;
     /// See ForwardHooks::copyStream_.
     std::function<asio::awaitable<Result<std::string>>(StreamCopy copy)> copyStream_;
     /// See ForwardHooks::dropCopy_.
@@ -151,6 +157,7 @@
     FleetSettings fleet_;
     ForwardSettings forward_;
     QuarantineSettings quarantine_;
+    RolloutSettings rollout_;
     ChoiceSettings choice_;
     LogSettings logs_;
 };
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -112,12 +112,12 @@
         backend.own_.queuedTokens_ -= std::min(backend.own_.queuedTokens_, uncached.value_);
 }
 
-void BackendBook::began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait)
+double BackendBook::began(const BackendChoice& choice, const RequestShape& shape, milliseconds wait)
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(choice.backend_.id_);
     if (found == backends_.end())
-        return;
+        return 1;
     Backend& backend = found->second;
     noteReached(backend);
     backend.own_.queuedTokens_ -= std::min(backend.own_.queuedTokens_, choice.uncached_.value_);
@@ -129,9 +129,9 @@
     // Behind a queue the rate would be that of others' requests, which are known
     // late: what has long been read would count as read by this one. The same holds
     // for the wait for a slot.
-    if (!shape.isForEngine_ || choice.queuedAhead_.value_ || choice.running_ >= choice.backend_.slots_)
-        return;
-    rates_[shape.service_].observe(static_cast<double>(tokens), waited);
+    if (shape.isForEngine_ && !choice.queuedAhead_.value_ && choice.running_ < choice.backend_.slots_)
+        rates_[shape.service_].observe(static_cast<double>(tokens), waited);
+    return waited / estimated;
 }
 
 void BackendBook::ServiceRate::observe(double tokens, double waitedMs)
@@ -290,6 +290,22 @@
     }
 }
 
+BackendBook::Versions BackendBook::versions(const ServiceName& service, const BackendVersion& target) const
+{
+    std::lock_guard lock(mutex_);
+    Versions versions;
+    for (const auto& [id, backend] : backends_) {
+        if (backend.record_.service_ != service)
+            continue;
+        bool isTarget = backend.record_.version_ == target;
+        if (!isTarget)
+            versions.othersRunning_ += backend.own_.running_ + backend.peers_.running_;
+        if (!backend.record_.isLeaving_)
+            ++(isTarget ? versions.target_ : versions.others_);
+    }
+    return versions;
+}
+
 BackendBook::Occupancy BackendBook::occupancy(const ServiceName& service) const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -8,6 +8,7 @@
 #include "pistachioloom/Backends.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pistachioloom {
 
@@ -30,6 +31,9 @@
 // Engines of one service wait so differently by chance: an engine that seems slower by
 // less would lose the prompts whose shared part it has read.
 static constexpr double slownessTolerated = 1.7;
+// Backend servers that a version on trial has at least: one or two may have troubles of
+// their own.
+static constexpr std::size_t leastOnTrial = 3;
 // Prompt parts remembered for one engine; a part takes about 100 bytes.
 static constexpr std::size_t mostPartsRemembered = 400;
 
@@ -133,6 +137,29 @@
     return ahead + own * slowFactor(backend);
 }
 
+/// Of the target's backend servers a trial uses so few that each bears what one of the
+/// others does: a version may be bad only under load. All nodes use the same few.
+void BackendBook::applyRule(std::vector<Backend*>& candidates, const VersionRule& rule, const ServiceName& service) const
+{
+    auto isAllowed = [&](const Backend* backend) { return rule.isTarget(backend->record_) == rule.usesTarget_; };
+    bool hasAllowed = std::any_of(candidates.begin(), candidates.end(), isAllowed);
+    // Leaving ones count: they may be the last of the version that is known.
+    bool hasOthers = std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) { return entry.second.record_.service_ == service && !rule.isTarget(entry.second.record_); });
+    if (!hasAllowed && (rule.usesTarget_ || (!hasOthers && rule.mayFallBack_)))
+        return;
+    std::erase_if(candidates, [&](const Backend* backend) { return !isAllowed(backend); });
+    if (!rule.usesTarget_ || rule.share_ >= 1)
+        return;
+    std::size_t others = 0;
+    for (const auto& [id, backend] : backends_)
+        others += backend.record_.service_ == service && !backend.record_.isLeaving_ && !rule.isTarget(backend.record_);
+    std::size_t most = std::max(leastOnTrial, static_cast<std::size_t>(std::ceil(rule.share_ * static_cast<double>(others))));
+    if (candidates.size() <= most)
+        return;
+    std::sort(candidates.begin(), candidates.end(), [](const Backend* left, const Backend* right) { return mixBits(left->hash_) < mixBits(right->hash_); });
+    candidates.resize(most);
+}
+
 std::optional<BackendChoice> BackendBook::choose(const RequestShape& shape, const std::set<BackendId>& excluded, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
@@ -150,6 +177,10 @@
         else
             (isGood ? cutOff : doubtful).push_back(&backend);
     }
+    if (shape.version_) {
+        for (std::vector<Backend*>* group : { &usable, &cutOff, &doubtful })
+            applyRule(*group, *shape.version_, shape.service_);
+    }
     // Better to try a doubtful one than to refuse: its trouble may be over.
     if (usable.empty())
         usable = cutOff.empty() ? std::move(doubtful) : std::move(cutOff);
--- a/lib/Forward/Forwarding.cpp
+++ b/lib/Forward/Forwarding.cpp
@@ -218,6 +218,7 @@
             break;
         }
         auto choice = takeMoveTarget();
+        shape_.version_ = context_.rollouts_.assign(shape_.service_, sends_ ? RolloutBook::Send::Again : RolloutBook::Send::First, steadyNow());
         if (!choice)
             choice = context_.backends_.choose(shape_, excluded_, steadyNow());
         if (!choice) {
@@ -322,6 +323,7 @@
     context_.backends_.end(attempt.choice_.backend_.id_, { outcome, attempt.choice_.uncached_, attempt.hasBegun_, streamed }, now);
     auto took = std::chrono::duration_cast<milliseconds>(now - request_.receivedAt_);
     context_.metrics_.observe(Histogram::WholeAnswer, now - request_.receivedAt_);
+    noteVersion(attempt, outcome);
     logAttempt(attempt, outcome, took);
     if (outcome == BackendOutcome::Broken && attempt.isCutOff_)
         noteCutOff(attempt);
@@ -330,6 +332,26 @@
     lastDetail_ = attempt.detail_;
 }
 
+void Forwarding::noteVersion(const Attempt& attempt, BackendOutcome outcome)
+{
+    if (context_.rollouts_.isEmpty() || !attempt.startedAt_.time_since_epoch().count())
+        return;
+    SteadyTime now = steadyNow();
+    AttemptOutcome shown;
+    shown.outcome_ = outcome;
+    shown.isFailure_ = finalStatus_ >= 500;
+    shown.isCutOff_ = attempt.isCutOff_;
+    shown.hasBegun_ = attempt.hasBegun_;
+    shown.waitRatio_ = attempt.waitRatio_;
+    shown.waited_ = std::chrono::duration_cast<milliseconds>((attempt.hasBegun_ ? attempt.begunAt_ : now) - attempt.startedAt_);
+    shown.estimate_ = attempt.choice_.estimate_;
+    std::uint64_t events = events_.last().value_or(0) - std::min(events_.last().value_or(0), attempt.eventBefore_);
+    if (attempt.hasBegun_ && events > 1)
+        shown.eventGapMs_ = std::chrono::duration<double, std::milli>(now - attempt.begunAt_).count() / static_cast<double>(events - 1);
+    const BackendRecord& backend = attempt.choice_.backend_;
+    context_.rollouts_.noteAnswer(shape_.service_, { backend.version_, keyOf(backend.id_), routeKeyOf(route_->name_), shown });
+}
+
 RequestFingerprint Forwarding::fingerprint()
 {
     if (!fingerprint_) {
--- a/lib/Forward/Forwarding.h
+++ b/lib/Forward/Forwarding.h
@@ -70,6 +70,10 @@
         bool saysLeaving_ = false;
         /// Its answer asked for a pause.
         milliseconds pause_ {};
+        /// The wait for the first byte, as a multiple of the estimate.
+        double waitRatio_ = 1;
+        /// The last event that the caller had before it.
+        std::uint64_t eventBefore_ = 0;
         std::string detail_;
     };
     /// A whole answer of a backend server, not yet passed on.
@@ -110,6 +114,8 @@
     void finishAttempt(Attempt& attempt, SendEnd end);
     /// Finds out, beside the request, whether the backend server that cut it off ended.
     void noteCutOff(const Attempt& attempt);
+    /// Counts for or against the version of the attempt's backend server.
+    void noteVersion(const Attempt& attempt, BackendOutcome outcome);
     RequestFingerprint fingerprint();
     /// The answer to a request that is in quarantine.
     std::optional<HeldAnswer> refuseQuarantined();
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -167,6 +167,8 @@
     }
     ++sends_;
     context_.metrics_.add(Counter::Attempts);
+    context_.rollouts_.noteSent(shape_.service_, attempt.choice_.backend_.version_);
+    attempt.eventBefore_ = events_.last().value_or(0);
     if (mayGoElsewhere(attempt)) {
         auto patience = std::chrono::duration_cast<milliseconds>(timeLeft() * context_.settings_.patienceShare_);
         if (route_->isStream_)
@@ -300,7 +302,7 @@
     attempt.hasBegun_ = true;
     attempt.begunAt_ = steadyNow();
     auto wait = std::chrono::duration_cast<milliseconds>(attempt.begunAt_ - attempt.startedAt_);
-    context_.backends_.began(attempt.choice_, shape_, wait);
+    attempt.waitRatio_ = context_.backends_.began(attempt.choice_, shape_, wait);
     if (hasCountedBegin_)
         return;
     hasCountedBegin_ = true;
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -52,6 +52,7 @@
     , context_(context)
     , seat_(context.settings_.vm_, timingFor(context.settings_.dutyLease_), steadyNow())
     , fleet_(context.settings_.fleet_)
+    , rollouts_(context, { [this] { return actingToken(); }, [this](wire::DutyRecord record) { return recordOrResign(std::move(record)); } })
 {
 }
 
@@ -63,6 +64,7 @@
         return;
     }
     asio::co_spawn(io_, run(), asio::detached);
+    asio::co_spawn(io_, rollouts_.steer(), asio::detached);
 }
 
 DutyToken DutyRunner::heldToken() const
@@ -76,6 +78,21 @@
     return context_.isStopping_ ? DutyToken {} : heldToken();
 }
 
+DutyToken DutyRunner::actingToken() const
+{
+    std::lock_guard lock(mutex_);
+    bool mayAct = !context_.isStopping_ && seat_.mayBegin(steadyNow());
+    return mayAct ? seat_.token() : DutyToken {};
+}
+
+asio::awaitable<bool> DutyRunner::recordOrResign(wire::DutyRecord record)
+{
+    bool isRecorded = co_await this->record(record) == Recorded::Yes;
+    if (!isRecorded)
+        resign("a verdict could not be recorded");
+    co_return isRecorded;
+}
+
 void DutyRunner::heardStopping(const VmId& peer)
 {
     std::lock_guard lock(mutex_);
@@ -168,9 +185,11 @@
             }
             for (const wire::FleetNeed& need : record.needs())
                 recordedNeeds_[{ need.service() }] = need.engines();
+            if (record.has_rollout())
+                rollouts_.takeRecord(record.rollout());
             if (record.has_usage())
                 recorded_.merge(usageOf(record));
-            else if (!record.orders_size())
+            else if (!record.orders_size() && !record.has_rollout())
                 newestClaim_ = { { record.vm() }, { offset.value_ + 1 } };
         }
         bool isAtEnd = read.value().records_.empty();
@@ -241,6 +260,8 @@
 
 asio::awaitable<void> DutyRunner::act()
 {
+    if (!co_await rollouts_.act())
+        co_return;
     co_await reportUsage();
     if (steadyNow() - fleetAt_ < context_.settings_.fleet_.period_)
         co_return;
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "PeerReports.h"
+#include "RolloutRunner.h"
 
 namespace pistachioloom::wire {
 class DutyRecord;
@@ -28,6 +29,7 @@
     DutyToken releasedToken() const;
     void heardHolder(const VmId& holder, DutyToken token, SteadyTime heardAt);
     void heardReleased(DutyToken token);
+    const RolloutRunner& rollouts() const { return rollouts_; }
 
 private:
     enum class Recorded {
@@ -44,6 +46,9 @@
     asio::awaitable<void> reportUsage();
     asio::awaitable<void> orderFleet();
     asio::awaitable<bool> readLog();
+    /// The token by which this node may act now, or 0.
+    DutyToken actingToken() const;
+    asio::awaitable<bool> recordOrResign(wire::DutyRecord record);
     asio::awaitable<Recorded> record(const wire::DutyRecord& record);
     FleetView viewOf(const ServicePolicy& service, SteadyTime now) const;
     std::vector<FleetView> fleetViews(SteadyTime now) const;
@@ -72,6 +77,7 @@
     /// The newest need of each service in the log, of any holder.
     std::map<ServiceName, std::uint64_t> recordedNeeds_;
     FleetBook fleet_;
+    RolloutRunner rollouts_;
     SteadyTime fleetAt_ {};
     Logger logger_ { "duties" };
 };
--- a/lib/Gateway/Feed.cpp
+++ b/lib/Gateway/Feed.cpp
@@ -83,6 +83,10 @@
             continue;
         }
         from = read.value().next_;
+        for (const RolloutOrder& order : read.value().rollouts_) {
+            if (context_.rollouts_.takeOrder(order, steadyNow()))
+                logger_.info(LogLine("Roll-out is ordered.").add("service", order.service_.value_).add("target", order.target_.value_).add("number", static_cast<std::int64_t>(order.number_.value_)).add("period_ms", order.period_.count()));
+        }
         if (!read.value().sources_.empty()) {
             std::function<void()> takeIn = [&context = context_, sources = std::move(read.value().sources_)] { context.takeIn(sources, platformSource); };
             co_await background_.run(std::move(takeIn));
@@ -154,7 +158,7 @@
     if (registered == BackendBook::Registered::Restarted && newest && !newest->isLeaving_)
         noteBackendEnded(context_.forward_, newest->id_);
     if (!before)
-        logger_.info(LogLine(registered == BackendBook::Registered::Restarted ? "Backend server started anew." : "Backend server is there.").add("backend", record.id_.value_).add("service", record.service_.value_).add("address", record.endpoint_.toString()).add("data_centre", record.dataCentre_.value_).add("reclaimable", record.isReclaimable_).add("leaving", record.isLeaving_));
+        logger_.info(LogLine(registered == BackendBook::Registered::Restarted ? "Backend server started anew." : "Backend server is there.").add("backend", record.id_.value_).add("service", record.service_.value_).add("address", record.endpoint_.toString()).add("data_centre", record.dataCentre_.value_).add("version", record.version_.value_).add("reclaimable", record.isReclaimable_).add("leaving", record.isLeaving_));
     if (record.isLeaving_ && (!before || !before->isLeaving_)) {
         logger_.info(LogLine("Backend server is leaving.").add("backend", record.id_.value_).add("from", source));
         reports_.noteLeaving(record.id_);
@@ -300,7 +304,7 @@
     for (const wire::BackendEntry& entry : update.backends()) {
         auto endpoint = parseEndpoint(entry.address());
         if (endpoint && !entry.name().empty())
-            read.changes_.push_back({ { entry.name() }, BackendRecord { backendId({ entry.name() }, { entry.started_ms() }), { entry.service() }, *endpoint, { entry.data_centre() }, entry.slots(), entry.is_leaving(), entry.is_reclaimable(), { entry.name() }, { entry.started_ms() } }, {} });
+            read.changes_.push_back({ { entry.name() }, BackendRecord { backendId({ entry.name() }, { entry.started_ms() }), { entry.service() }, *endpoint, { entry.data_centre() }, entry.slots(), entry.is_leaving(), entry.is_reclaimable(), { entry.name() }, { entry.started_ms() }, { entry.version() } }, {} });
     }
     apply(read, vm.value_);
 }
@@ -331,6 +335,7 @@
         entry.set_slots(record.slots_);
         entry.set_is_leaving(record.isLeaving_);
         entry.set_is_reclaimable(record.isReclaimable_);
+        entry.set_version(record.version_.value_);
     }
     return frame;
 }
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -9,6 +9,7 @@
 #include "QuarantineKeeper.h"
 #include "QuarantinePage.h"
 #include "ReachProbe.h"
+#include "RolloutPage.h"
 #include "generated/Peer.pb.h"
 
 #include <thread>
@@ -127,6 +128,8 @@
 
 HttpResponse Gateway::State::operatorPage(const HttpRequest& request)
 {
+    if (isForRolloutPage(request))
+        return rolloutPage(context_, duties_.rollouts(), request);
     return isForQuarantinePage(request) ? quarantinePage(context_, request) : metricsPage();
 }
 
--- a/lib/Gateway/GatewayContext.h
+++ b/lib/Gateway/GatewayContext.h
@@ -42,6 +42,7 @@
     RetryBudget retries_;
     QuarantineBook quarantine_;
     CrashWatch crashes_;
+    RolloutBook rollouts_;
     UsageBook usage_;
     ClockAgreement clocks_;
     DemandBook demand_;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -103,6 +103,23 @@
         map.finish();
     }
 
+    void parseRollout(YamlMap map, RolloutSettings& settings)
+    {
+        settings.trialShare_ = map.number("trial_share", 0, 1, settings.trialShare_);
+        settings.exposedShare_ = map.number("exposed_share", 0, 1, settings.exposedShare_);
+        settings.exposedExtra_ = map.number("exposed_extra", 0, 1'000'000, settings.exposedExtra_);
+        settings.trialPart_ = map.number("trial_part", 0, 1, settings.trialPart_);
+        settings.verdictPart_ = map.number("verdict_part", 0, 1, settings.verdictPart_);
+        settings.shiftStep_ = map.number("shift_step", 0, 1, settings.shiftStep_);
+        settings.validity_ = map.duration("validity", milliseconds(200), oneMinute, settings.validity_);
+        settings.leastAnswers_ = map.integer("least_answers", 1, 1'000'000, settings.leastAnswers_);
+        // A version on trial must stay within what a bad one may get.
+        settings.trialShare_ = std::min(settings.trialShare_, settings.exposedShare_);
+        if (settings.trialPart_ >= settings.verdictPart_)
+            map.fail("trial_part", "expected less than verdict_part");
+        map.finish();
+    }
+
     void parseDuties(YamlMap map, GatewaySettings& settings)
     {
         settings.duties_ = endpoint(map, "address");
@@ -149,6 +166,8 @@
             parseStopping(std::move(*section), settings);
         if (auto section = map.map("retries"))
             parseRetries(std::move(*section), settings);
+        if (auto section = map.map("rollout"))
+            parseRollout(std::move(*section), settings.rollout_);
         if (auto section = map.map("quarantine"))
             parseQuarantine(std::move(*section), settings.quarantine_);
         if (auto section = map.map("gossip"))
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "PeerReports.h"
 
+#include "RolloutMessages.h"
 #include "SuspectMessages.h"
 
 #include "pistachioloom/Settings.h"
@@ -299,6 +300,7 @@
     context_.quotas_.forgetPeer(vm);
     context_.demand_.forgetSource(vm);
     context_.usage_.forgetPeer(vm);
+    context_.rollouts_.forgetPeer(vm);
 }
 
 void PeerReports::forgetSilent(SteadyTime now)
@@ -315,6 +317,19 @@
         context_.quarantine_.take(suspectsOf(suspects, now), now);
 }
 
+void PeerReports::takeRollouts(const google::protobuf::RepeatedPtrField<wire::RolloutReport>& reports, const VmId& from, SteadyTime now)
+{
+    for (const wire::RolloutReport& report : reports) {
+        auto state = fromWire(report);
+        if (!state) {
+            logger_.warn("Report of a roll-out by " + from.value_ + " cannot be read.");
+            continue;
+        }
+        if (context_.rollouts_.take(*state, now - milliseconds(static_cast<std::int64_t>(report.age_ms())), now))
+            logger_.info(LogLine("Roll-out is heard.").add("service", report.service()).add("target", report.target()).add("phase", report.phase()).add("share", std::to_string(report.share())).add("from", from.value_));
+    }
+}
+
 void PeerReports::takeEnded(const google::protobuf::RepeatedPtrField<std::string>& ended, const VmId& from, SteadyTime now)
 {
     for (const std::string& id : ended) {
@@ -371,6 +386,7 @@
     context_.clocks_.setPeer(vm, report.wall_ms() - context_.ownWallMs(), now);
     takeLeaving(report.leaving(), vm);
     takeEnded(report.ended(), vm, now);
+    takeRollouts(report.rollouts(), vm, now);
     takeSuspects(report.suspects(), now);
     if (report.duty_token())
         hooks_.onHolder_(vm, { report.duty_token() }, now);
@@ -399,6 +415,7 @@
     for (const wire::DemandReport& told : report.demand())
         context_.demand_.setSource(vm, { told.service() }, { told.tokens_per_second(), told.prefill_per_ms(), told.observations() }, now);
     context_.usage_.setPeer(vm, report.incarnation(), usageOf(report.usage()));
+    context_.rollouts_.setPeer(vm, talliesOf(report.rollout_counts()));
 }
 
 void PeerReports::takeMembers(const google::protobuf::RepeatedPtrField<wire::MemberEntry>& members, SteadyTime now)
@@ -429,6 +446,7 @@
         discovery_.noteNew(relay);
     takeLeaving(report.sums().leaving(), relay);
     takeEnded(report.sums().ended(), relay, now);
+    takeRollouts(report.sums().rollouts(), relay, now);
     takeSuspects(report.sums().suspects(), now);
     relayBook_.takeSummary(report, now);
 }
@@ -437,6 +455,7 @@
 {
     takeLeaving(sums.leaving(), relay);
     takeEnded(sums.ended(), relay, now);
+    takeRollouts(sums.rollouts(), relay, now);
     takeSuspects(sums.suspects(), now);
     if (sums.duty_token() && VmId { sums.holder() } != context_.settings_.vm_)
         hooks_.onHolder_({ sums.holder() }, { sums.duty_token() }, now - milliseconds(sums.holder_age_ms()));
@@ -451,6 +470,7 @@
     nodesSummed_ = sums.nodes();
     nodesMissed_ = sums.silent_nodes();
     context_.backends_.setPeerLoads(allOthers(), loadsOf(sums.loads()), now);
+    context_.rollouts_.setPeer(allOthers(), talliesOf(sums.rollout_counts()));
     AdmittedCounts admitted;
     for (const auto& [organisation, count] : others_.admitted())
         admitted[{ organisation }] = count;
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -89,6 +89,7 @@
     void takeRelayed(const wire::RelayReport& report, const Endpoint& sender, SteadyTime now);
     void takeDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
     void takeSuspects(const google::protobuf::RepeatedPtrField<wire::SuspectReport>& suspects, SteadyTime now);
+    void takeRollouts(const google::protobuf::RepeatedPtrField<wire::RolloutReport>& reports, const VmId& from, SteadyTime now);
     void takeEnded(const google::protobuf::RepeatedPtrField<std::string>& ended, const VmId& from, SteadyTime now);
     void takeLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from);
     void forgetCounts(const VmId& vm);
--- a/lib/Gateway/RelayBook.cpp
+++ b/lib/Gateway/RelayBook.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "RelayBook.h"
 
+#include "RolloutMessages.h"
+
 #include <algorithm>
 
 namespace pistachioloom {
@@ -89,6 +91,8 @@
     *sums.mutable_demand() = report.demand();
     *sums.mutable_leaving() = report.leaving();
     *sums.mutable_ended() = report.ended();
+    *sums.mutable_rollouts() = report.rollouts();
+    *sums.mutable_rollout_counts() = report.rollout_counts();
     if (report.duty_token()) {
         sums.set_holder(report.vm());
         sums.set_duty_token(report.duty_token());
@@ -119,6 +123,7 @@
     }
     leaving_.insert(sums.leaving().begin(), sums.leaving().end());
     ended_.insert(sums.ended().begin(), sums.ended().end());
+    addRollouts(sums, age);
     if (sums.duty_token() > dutyToken_.value_) {
         holder_ = sums.holder();
         dutyToken_ = { sums.duty_token() };
@@ -127,6 +132,23 @@
     releasedToken_ = std::max(releasedToken_, DutyToken { sums.released_token() });
 }
 
+void ReportTotals::addRollouts(const wire::NodeSums& sums, milliseconds age)
+{
+    for (const wire::RolloutReport& report : sums.rollouts()) {
+        auto state = fromWire(report);
+        if (!state)
+            continue;
+        milliseconds said = age + milliseconds(static_cast<std::int64_t>(report.age_ms()));
+        auto [found, isNew] = rollouts_.try_emplace(report.service(), Rollout { *state, said });
+        if (found->second.state_ == *state)
+            found->second.age_ = std::min(found->second.age_, said);
+        else if (!isNew && supersedes(*state, found->second.state_))
+            found->second = { *state, said };
+    }
+    for (const auto& [service, tally] : talliesOf(sums.rollout_counts()))
+        tallies_[service].add(tally);
+}
+
 void ReportTotals::add(const SumGroup& group, SteadyTime now)
 {
     addCounts(admitted_, group.admitted());
@@ -143,6 +165,8 @@
         total.running_ -= std::min(total.running_, load.running_);
         total.queuedTokens_ -= std::min(total.queuedTokens_, load.queuedTokens_);
     }
+    for (const auto& [service, tally] : talliesOf(sums.rollout_counts()))
+        tallies_[service].remove(tally);
     addCounts(admitted_, counted.admitted(), -1);
     for (const wire::DemandReport& demand : sums.demand())
         demand_[demand.service()].tokensPerSecond_ -= demand.tokens_per_second();
@@ -174,6 +198,12 @@
         sums.add_leaving(id);
     for (const std::string& id : ended_)
         sums.add_ended(id);
+    for (const auto& [service, rollout] : rollouts_) {
+        wire::RolloutReport& report = *sums.add_rollouts();
+        report = toWire(rollout.state_);
+        report.set_age_ms(static_cast<std::uint64_t>(rollout.age_.count()));
+    }
+    putTallies(tallies_, *sums.mutable_rollout_counts());
     sums.set_holder(holder_);
     sums.set_duty_token(dutyToken_.value_);
     sums.set_holder_age_ms(static_cast<std::uint64_t>(holderAge_.count()));
@@ -250,6 +280,8 @@
     const wire::NodeSums* theirs = found == others_.end() ? nullptr : found->second.current(now);
     if (theirs && theirs->duty_token())
         putUsage(newest(ownUsage_.sumsWithout({}, anyIncarnation)), *sums.mutable_usage());
+    else
+        sums.clear_rollout_counts();
     return sums;
 }
 
@@ -270,8 +302,10 @@
     ReportTotals rest = totals;
     rest.remove(*own, found->second.group_);
     wire::NodeSums sums = rest.toMessage();
-    if (!own->duty_token())
+    if (!own->duty_token()) {
+        sums.clear_rollout_counts();
         return sums;
+    }
     std::map<WindowNumber, UsageCounts> usage = ownUsage_.sumsWithout(receiver, found->second.incarnation_);
     for (const auto& [window, counts] : othersUsage_.sumsWithout({}, anyIncarnation)) {
         for (const auto& [organisation, count] : counts)
--- a/lib/Gateway/RelayBook.h
+++ b/lib/Gateway/RelayBook.h
@@ -12,6 +12,7 @@
 #include "SumGroup.h"
 #include "pistachioloom/Backends.h"
 #include "pistachioloom/Duties.h"
+#include "pistachioloom/Rollout.h"
 
 #include <set>
 
@@ -38,6 +39,8 @@
     /// heard \p age ago.
     void addCurrent(const wire::NodeSums& sums, milliseconds age);
 
+    void addRollouts(const wire::NodeSums& sums, milliseconds age);
+
     std::uint64_t nodes_ = 0;
     std::uint64_t silentNodes_ = 0;
     LoadTable loads_;
@@ -46,6 +49,13 @@
     std::map<std::string, Demand> demand_;
     std::set<std::string> leaving_;
     std::set<std::string> ended_;
+    struct Rollout {
+        RolloutState state_;
+        /// Since its holder said so.
+        milliseconds age_ {};
+    };
+    std::map<std::string, Rollout> rollouts_;
+    RolloutTallies tallies_;
     std::string holder_;
     DutyToken dutyToken_ {};
     milliseconds holderAge_ {};
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "PeerReports.h"
 
+#include "RolloutMessages.h"
 #include "SuspectMessages.h"
 
 #include <set>
@@ -54,6 +55,7 @@
             report.add_ended(id.value_);
     }
     putSuspects(context_.quarantine_.told(now, randomBits()), *report.mutable_suspects(), now);
+    putRollouts(context_.rollouts_.states(), *report.mutable_rollouts(), now);
     for (const auto& [vm, peer] : discovery_.peersToName(names, sequence_, now)) {
         wire::KnownNode& named = *report.add_nodes();
         named.set_vm(vm.value_);
@@ -73,6 +75,7 @@
         told.set_level(levels[organisation]);
     }
     putUsage(context_.usage_.recent(), *report.mutable_usage());
+    putTallies(context_.rollouts_.tallies(), *report.mutable_rollout_counts());
     for (const auto& [service, view] : context_.backends_.services()) {
         wire::DemandReport& told = *report.add_demand();
         told.set_service(service.value_);
--- /dev/null
+++ b/lib/Rollout/Answers.cpp
@@ -0,0 +1,43 @@
+//===- lib/Rollout/Answers.cpp - what an attempt says of a version ---------===//
+///
+/// \file
+/// See isBadAnswer().
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Rollout.h"
+
+namespace pistachioloom {
+
+// Estimates are off by half as often as not; several times slower is not chance.
+static constexpr double slowRatio = 2.5;
+// Shorter waits than this beyond the estimate are noise of the network and of VMs.
+static constexpr milliseconds leastDelay { 60 };
+static constexpr double leastGapDelayMs = 5;
+
+static bool isSlow(const AttemptOutcome& outcome)
+{
+    double ratio = outcome.hasBegun_ ? outcome.waitRatio_ : static_cast<double>(outcome.waited_.count()) / static_cast<double>(std::max<std::int64_t>(1, outcome.estimate_.count()));
+    return ratio > slowRatio && outcome.waited_ > outcome.estimate_ + leastDelay;
+}
+
+std::optional<bool> isBadAnswer(const AttemptOutcome& outcome, double usualGapMs)
+{
+    bool hasSlowEvents = usualGapMs > 0 && outcome.eventGapMs_ > slowRatio * usualGapMs + leastGapDelayMs;
+    switch (outcome.outcome_) {
+    case BackendOutcome::Served:
+        return outcome.isFailure_ || isSlow(outcome) || hasSlowEvents;
+    case BackendOutcome::Failed:
+        return true;
+    case BackendOutcome::Broken:
+        return outcome.isCutOff_ ? std::nullopt : std::optional(true);
+    case BackendOutcome::Abandoned:
+        // That nobody waited any longer says something only if it was for long.
+        return isSlow(outcome) || hasSlowEvents ? std::optional(true) : std::nullopt;
+    case BackendOutcome::Full:
+    case BackendOutcome::WrongInstance:
+    case BackendOutcome::Unreachable:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/lib/Rollout/RolloutBook.cpp
@@ -0,0 +1,265 @@
+//===- lib/Rollout/RolloutBook.cpp - a node's part in roll-outs ------------===//
+///
+/// \file
+/// States, shares and counts; see pistachioloom/Rollout.h.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Rollout.h"
+
+#include <algorithm>
+
+namespace pistachioloom {
+
+// Shares do not add up to whole requests exactly.
+static constexpr double wholeRequest = 1 - 1e-9;
+// How much one stream moves the usual time between events.
+static constexpr double gapLearning = 0.05;
+
+RouteKey routeKeyOf(std::string_view routeName)
+{
+    return static_cast<RouteKey>(stableHash(routeName));
+}
+
+std::string_view toString(RolloutPhase phase)
+{
+    switch (phase) {
+    case RolloutPhase::Trial:
+        return "trial";
+    case RolloutPhase::Shifting:
+        return "shifting";
+    case RolloutPhase::Reverted:
+        return "reverted";
+    case RolloutPhase::Complete:
+        return "complete";
+    }
+    return "unknown";
+}
+
+std::optional<RolloutPhase> parseRolloutPhase(std::string_view text)
+{
+    for (RolloutPhase phase : { RolloutPhase::Trial, RolloutPhase::Shifting, RolloutPhase::Reverted, RolloutPhase::Complete }) {
+        if (text == toString(phase))
+            return phase;
+    }
+    return std::nullopt;
+}
+
+static int finality(RolloutPhase phase)
+{
+    switch (phase) {
+    case RolloutPhase::Trial:
+    case RolloutPhase::Shifting:
+        return 0;
+    case RolloutPhase::Reverted:
+        return 1;
+    case RolloutPhase::Complete:
+        return 2;
+    }
+    return 0;
+}
+
+bool supersedes(const RolloutState& left, const RolloutState& right)
+{
+    auto rank = [](const RolloutState& state) { return std::tuple(state.order_.number_, finality(state.phase_), state.term_, state.step_); };
+    return rank(left) > rank(right);
+}
+
+void RolloutTally::add(const RolloutTally& other)
+{
+    // Counts of an older order say nothing of this one.
+    if (other.number_ < number_)
+        return;
+    if (number_ < other.number_)
+        *this = { other.number_, 0, 0, {} };
+    requests_ += other.requests_;
+    exposed_ += other.exposed_;
+    for (const auto& [cell, tally] : other.cells_) {
+        cells_[cell].answers_ += tally.answers_;
+        cells_[cell].bad_ += tally.bad_;
+    }
+}
+
+static std::uint64_t difference(std::uint64_t left, std::uint64_t right)
+{
+    return left - std::min(left, right);
+}
+
+void RolloutTally::remove(const RolloutTally& other)
+{
+    if (other.number_ != number_)
+        return;
+    requests_ = difference(requests_, other.requests_);
+    exposed_ = difference(exposed_, other.exposed_);
+    for (const auto& [cell, tally] : other.cells_) {
+        auto found = cells_.find(cell);
+        if (found == cells_.end())
+            continue;
+        found->second.answers_ = difference(found->second.answers_, tally.answers_);
+        found->second.bad_ = difference(found->second.bad_, tally.bad_);
+    }
+}
+
+RolloutTally RolloutTally::since(const RolloutTally& before) const
+{
+    RolloutTally rest = *this;
+    rest.remove(before);
+    for (auto& [cell, tally] : rest.cells_)
+        tally.bad_ = std::min(tally.bad_, tally.answers_);
+    return rest;
+}
+
+RolloutBook::RolloutBook(RolloutSettings settings)
+    : settings_(settings)
+{
+}
+
+bool RolloutBook::takeOrder(const RolloutOrder& order, SteadyTime now)
+{
+    return take({ order, RolloutPhase::Trial, 0, 0, 0 }, now, now);
+}
+
+bool RolloutBook::take(const RolloutState& state, SteadyTime saidAt, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    auto [found, isNew] = entries_.try_emplace(state.order_.service_);
+    Entry& entry = found->second;
+    if (!isNew && entry.heard_.state_ == state) {
+        entry.heard_.saidAt_ = std::max(entry.heard_.saidAt_, saidAt);
+        return false;
+    }
+    if (!isNew && !supersedes(state, entry.heard_.state_))
+        return false;
+    bool isSameOrder = !isNew && entry.tally_.number_ == state.order_.number_;
+    if (!isSameOrder)
+        entry.tally_ = { state.order_.number_, 0, 0, {} };
+    entry.heard_ = { state, saidAt, isSameOrder ? entry.heard_.orderedAt_ : now };
+    count_ = entries_.size();
+    return true;
+}
+
+std::vector<RolloutBook::Heard> RolloutBook::states() const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<Heard> states;
+    for (const auto& [service, entry] : entries_)
+        states.push_back(entry.heard_);
+    return states;
+}
+
+std::optional<RolloutState> RolloutBook::find(const ServiceName& service) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(service);
+    return found == entries_.end() ? std::nullopt : std::optional(found->second.heard_.state_);
+}
+
+std::optional<VersionRule> RolloutBook::assign(const ServiceName& service, Send send, SteadyTime now)
+{
+    if (isEmpty())
+        return std::nullopt;
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(service);
+    if (found == entries_.end())
+        return std::nullopt;
+    Entry& entry = found->second;
+    const RolloutState& state = entry.heard_.state_;
+    VersionRule rule { state.order_.target_, false, 0, state.phase_ != RolloutPhase::Reverted };
+    switch (state.phase_) {
+    case RolloutPhase::Complete:
+        return std::nullopt;
+    case RolloutPhase::Reverted:
+        return rule;
+    case RolloutPhase::Trial:
+        // Its holder may be gone, or may have found since that the target is bad.
+        rule.share_ = now - entry.heard_.saidAt_ > settings_.validity_ ? 0 : state.share_;
+        break;
+    case RolloutPhase::Shifting:
+        rule.share_ = state.share_;
+        break;
+    }
+    if (send == Send::Again) {
+        rule.usesTarget_ = rule.share_ >= 1;
+        return rule;
+    }
+    entry.due_ += rule.share_;
+    if (entry.due_ < wholeRequest)
+        return rule;
+    entry.due_ -= 1;
+    rule.usesTarget_ = true;
+    return rule;
+}
+
+void RolloutBook::noteSent(const ServiceName& service, const BackendVersion& version)
+{
+    if (isEmpty())
+        return;
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(service);
+    if (found == entries_.end())
+        return;
+    ++found->second.tally_.requests_;
+    found->second.tally_.exposed_ += version == found->second.heard_.state_.order_.target_;
+}
+
+void RolloutBook::noteAnswer(const ServiceName& service, const RolloutAnswer& answer)
+{
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(service);
+    if (found == entries_.end() || isFinal(found->second.heard_.state_.phase_))
+        return;
+    Entry& entry = found->second;
+    bool isOfTarget = answer.version_ == entry.heard_.state_.order_.target_;
+    double& usualGap = entry.usualGapMs_[answer.route_];
+    auto isBad = isBadAnswer(answer.outcome_, usualGap);
+    if (!isBad)
+        return;
+    double gap = answer.outcome_.eventGapMs_;
+    if (!isOfTarget && gap > 0)
+        usualGap += (gap - usualGap) * (usualGap > 0 ? gapLearning : 1);
+    AnswerTally& tally = entry.tally_.cells_[{ isOfTarget ? answer.backend_ : stableServers, answer.route_ }];
+    ++tally.answers_;
+    tally.bad_ += *isBad;
+}
+
+RolloutTallies RolloutBook::tallies() const
+{
+    RolloutTallies tallies;
+    if (isEmpty())
+        return tallies;
+    std::lock_guard lock(mutex_);
+    for (const auto& [service, entry] : entries_) {
+        if (!isFinal(entry.heard_.state_.phase_))
+            tallies[service] = entry.tally_;
+    }
+    return tallies;
+}
+
+void RolloutBook::setPeer(const VmId& source, RolloutTallies tallies)
+{
+    if (isEmpty())
+        return;
+    std::lock_guard lock(mutex_);
+    peers_[source] = std::move(tallies);
+}
+
+void RolloutBook::forgetPeer(const VmId& source)
+{
+    std::lock_guard lock(mutex_);
+    peers_.erase(source);
+}
+
+RolloutTally RolloutBook::total(const ServiceName& service) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(service);
+    if (found == entries_.end())
+        return {};
+    RolloutTally total = found->second.tally_;
+    for (const auto& [source, tallies] : peers_) {
+        auto told = tallies.find(service);
+        if (told != tallies.end() && told->second.number_ == total.number_)
+            total.add(told->second);
+    }
+    return total;
+}
+
+} // namespace pistachioloom
--- /dev/null
+++ b/unittests/Rollout/RolloutTest.cpp
@@ -0,0 +1,248 @@
+//===- unittests/Rollout/RolloutTest.cpp - shares, states and verdicts -----===//
+///
+/// \file
+/// What a node does about an order, and how an order comes to its verdict.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Rollout.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+namespace {
+
+const ServiceName service { "s" };
+const SteadyTime start { milliseconds(1000000) };
+constexpr RouteKey route = 7;
+
+RolloutOrder orderOf(std::uint64_t number)
+{
+    return { { number }, service, { "v2" }, milliseconds(10000) };
+}
+
+SteadyTime after(std::int64_t ms)
+{
+    return start + milliseconds(ms);
+}
+
+AttemptOutcome served(std::int64_t waitedMs, std::int64_t estimateMs)
+{
+    AttemptOutcome outcome;
+    outcome.hasBegun_ = true;
+    outcome.waited_ = milliseconds(waitedMs);
+    outcome.estimate_ = milliseconds(estimateMs);
+    outcome.waitRatio_ = static_cast<double>(waitedMs) / static_cast<double>(estimateMs);
+    return outcome;
+}
+
+/// Requests of a hundred that go to the target.
+int toTarget(RolloutBook& book, SteadyTime now, RolloutBook::Send send = RolloutBook::Send::First)
+{
+    int count = 0;
+    for (int i = 0; i < 100; ++i) {
+        auto rule = book.assign(service, send, now);
+        count += rule && rule->usesTarget_;
+    }
+    return count;
+}
+
+RolloutTally tallyOf(std::uint64_t requests, std::uint64_t exposed, std::uint64_t bad = 0)
+{
+    RolloutTally tally { { 1 }, requests, exposed, {} };
+    tally.cells_[{ stableServers, route }] = { requests - exposed, 0 };
+    for (BackendKey backend = 1; backend <= 4; ++backend)
+        tally.cells_[{ backend, route }] = { exposed / 4, bad / 4 };
+    return tally;
+}
+
+} // namespace
+
+TEST_CASE("requests reach a version that was ordered before its share is known", "[rollout]")
+{
+    RolloutBook book({});
+    CHECK_FALSE(book.assign(service, RolloutBook::Send::First, start));
+    CHECK(book.takeOrder(orderOf(1), start));
+    CHECK_FALSE(book.takeOrder(orderOf(1), start));
+    CHECK(book.assign(service, RolloutBook::Send::First, start));
+    CHECK(toTarget(book, start) == 0);
+    CHECK_FALSE(book.assign({ "other" }, RolloutBook::Send::First, start));
+}
+
+TEST_CASE("each phase sends its share to the target, and repeats only once all go there", "[rollout]")
+{
+    struct Row {
+        RolloutPhase phase_;
+        double share_;
+        std::int64_t ageMs_;
+        int first_;
+        int again_;
+    };
+    const Row rows[] = {
+        { RolloutPhase::Trial, 0.08, 0, 8, 0 },
+        // Its holder is silent.
+        { RolloutPhase::Trial, 0.08, 3000, 0, 0 },
+        { RolloutPhase::Shifting, 0.5, 0, 50, 0 },
+        { RolloutPhase::Shifting, 1, 9000, 100, 100 },
+        { RolloutPhase::Reverted, 0, 0, 0, 0 },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(toString(row.phase_), row.share_, row.ageMs_);
+        RolloutBook book({});
+        CHECK(book.take({ orderOf(1), row.phase_, row.share_, 1, 1 }, start, start));
+        CHECK(toTarget(book, after(row.ageMs_)) == row.first_);
+        CHECK(toTarget(book, after(row.ageMs_), RolloutBook::Send::Again) == row.again_);
+    }
+    RolloutBook book({});
+    book.take({ orderOf(1), RolloutPhase::Complete, 1, 1, 1 }, start, start);
+    CHECK_FALSE(book.assign(service, RolloutBook::Send::First, start));
+}
+
+TEST_CASE("a late word brings a reverted version back", "[rollout]")
+{
+    const RolloutState trial { orderOf(1), RolloutPhase::Trial, 0.08, 5, 1 };
+    const RolloutState reverted { orderOf(1), RolloutPhase::Reverted, 0, 4, 9 };
+    const RolloutState complete { orderOf(1), RolloutPhase::Complete, 1, 5, 3 };
+    const RolloutState next { orderOf(2), RolloutPhase::Trial, 0, 0, 0 };
+    CHECK(supersedes(reverted, trial));
+    CHECK_FALSE(supersedes(trial, reverted));
+    CHECK(supersedes(complete, reverted));
+    CHECK(supersedes(next, complete));
+    // In whatever order they come, the same is held.
+    std::vector<RolloutState> told { trial, reverted, next };
+    std::sort(told.begin(), told.end());
+    do {
+        RolloutBook book({});
+        for (const RolloutState& state : told)
+            book.take(state, start, start);
+        CHECK(book.find(service) == next);
+    } while (std::next_permutation(told.begin(), told.end()));
+}
+
+TEST_CASE("what speaks against a version, and what does not", "[rollout]")
+{
+    struct Row {
+        const char* what_;
+        AttemptOutcome outcome_;
+        std::optional<bool> isBad_;
+    };
+    auto with = [](BackendOutcome how, auto change) {
+        AttemptOutcome outcome = served(100, 100);
+        outcome.outcome_ = how;
+        change(outcome);
+        return outcome;
+    };
+    auto nothing = [](AttemptOutcome&) {};
+    const Row rows[] = {
+        { "as expected", served(100, 100), false },
+        { "twice as late", served(200, 100), false },
+        { "four times as late", served(400, 100), true },
+        { "noise of a short wait", served(30, 5), false },
+        { "a failure", with(BackendOutcome::Served, [](AttemptOutcome& o) { o.isFailure_ = true; }), true },
+        { "a failure that is held", with(BackendOutcome::Failed, nothing), true },
+        { "wrong bytes", with(BackendOutcome::Broken, nothing), true },
+        { "a crash or a cut link", with(BackendOutcome::Broken, [](AttemptOutcome& o) { o.isCutOff_ = true; }), std::nullopt },
+        { "no room", with(BackendOutcome::Full, nothing), std::nullopt },
+        { "another has its address", with(BackendOutcome::WrongInstance, nothing), std::nullopt },
+        { "no connection", with(BackendOutcome::Unreachable, nothing), std::nullopt },
+        { "a caller that left", with(BackendOutcome::Abandoned, nothing), std::nullopt },
+        { "a caller that left after long", with(BackendOutcome::Abandoned, [](AttemptOutcome& o) { o.hasBegun_ = false; o.waited_ = milliseconds(2000); }), true },
+        { "slow events", with(BackendOutcome::Served, [](AttemptOutcome& o) { o.eventGapMs_ = 200; }), true },
+        { "usual events", with(BackendOutcome::Served, [](AttemptOutcome& o) { o.eventGapMs_ = 55; }), false },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.what_);
+        CHECK(isBadAnswer(row.outcome_, 50) == row.isBad_);
+    }
+}
+
+TEST_CASE("counts of nodes add up, and fall without harm where a node leaves", "[rollout]")
+{
+    RolloutTally total = tallyOf(1000, 80, 8);
+    total.add(tallyOf(500, 40));
+    CHECK(total.requests_ == 1500);
+    CHECK(total.exposed_ == 120);
+    CHECK(total.cells_[{ 1, route }] == AnswerTally { 30, 2 });
+    RolloutTally older = tallyOf(9, 9);
+    older.number_ = { 0 };
+    total.add(older);
+    CHECK(total.requests_ == 1500);
+    RolloutTally grown = total;
+    grown.add(tallyOf(100, 8));
+    CHECK(grown.since(total).requests_ == 100);
+    CHECK(total.since(grown).requests_ == 0);
+    total.remove(tallyOf(500, 40));
+    CHECK(total.cells_[{ 1, route }] == AnswerTally { 20, 2 });
+}
+
+TEST_CASE("a good version goes from its trial to completion within the period", "[rollout]")
+{
+    RolloutPilot pilot({}, { orderOf(1), RolloutPhase::Trial, 0, 0, 0 }, start, 3, makeSequentialJudge());
+    std::uint64_t requests = 0;
+    double exposed = 0;
+    std::optional<std::int64_t> readyAt;
+    for (std::int64_t ms = 0; ms <= 10000 && !readyAt; ms += 200) {
+        requests += 120;
+        exposed += 120 * pilot.state().share_;
+        RolloutView view { tallyOf(requests, static_cast<std::uint64_t>(exposed)), 4, 40, ms < 8500 ? 10U : 0U };
+        RolloutState state = pilot.steer(view, after(ms));
+        if (ms < 6900)
+            CHECK(state.share_ <= 0.08);
+        if (pilot.isReadyToComplete())
+            readyAt = ms;
+    }
+    REQUIRE(readyAt);
+    CHECK(*readyAt <= 9500);
+    CHECK(pilot.state().share_ == 1);
+    CHECK_FALSE(isFinal(pilot.state().phase_));
+    pilot.complete();
+    CHECK(pilot.state().phase_ == RolloutPhase::Complete);
+}
+
+TEST_CASE("an order without a verdict at the end of its period is reverted", "[rollout]")
+{
+    struct Row {
+        const char* what_;
+        std::size_t targetServers_;
+        RolloutTally tally_;
+    };
+    const Row rows[] = {
+        { "no backend server of the target came", 0, tallyOf(1000, 0) },
+        { "it had hardly a request", 4, tallyOf(1000, 4) },
+        { "no requests at all", 4, tallyOf(0, 0) },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.what_);
+        RolloutPilot pilot({}, { orderOf(1), RolloutPhase::Trial, 0, 0, 0 }, start, 3, makeSequentialJudge());
+        for (std::int64_t ms = 0; ms < 9500; ms += 500)
+            CHECK(pilot.steer({ row.tally_, row.targetServers_, 40, 9 }, after(ms)).phase_ == RolloutPhase::Trial);
+        CHECK(pilot.steer({ row.tally_, row.targetServers_, 40, 9 }, after(9500)).phase_ == RolloutPhase::Reverted);
+    }
+}
+
+TEST_CASE("a version gets more than the bound while others have few requests", "[rollout]")
+{
+    RolloutPilot pilot({}, { orderOf(1), RolloutPhase::Trial, 0, 0, 0 }, start, 3, makeSequentialJudge());
+    CHECK(pilot.steer({ tallyOf(100, 8), 4, 40, 9 }, after(200)).share_ == 0.08);
+    CHECK(pilot.steer({ tallyOf(100, 36), 4, 40, 9 }, after(400)).share_ == 0);
+    CHECK(pilot.steer({ tallyOf(400, 36), 4, 40, 9 }, after(600)).share_ == 0.08);
+}
+
+TEST_CASE("an order for the version that runs already is complete", "[rollout]")
+{
+    RolloutPilot pilot({}, { orderOf(1), RolloutPhase::Trial, 0, 0, 0 }, start, 3, makeSequentialJudge());
+    pilot.steer({ tallyOf(100, 0), 40, 0, 0 }, after(0));
+    CHECK_FALSE(pilot.isReadyToComplete());
+    pilot.steer({ tallyOf(100, 0), 40, 0, 0 }, after(3000));
+    CHECK(pilot.isReadyToComplete());
+}
+
+TEST_CASE("a new holder begins an order anew that another has reverted", "[rollout]")
+{
+    RolloutPilot pilot({}, { orderOf(1), RolloutPhase::Reverted, 0, 3, 5 }, start, 4, makeSequentialJudge());
+    CHECK(pilot.steer({ tallyOf(1000, 0), 4, 40, 9 }, after(200)).phase_ == RolloutPhase::Reverted);
+    pilot.revert("again");
+    CHECK(pilot.state().step_ == 5);
+    RolloutPilot shifting({}, { orderOf(1), RolloutPhase::Shifting, 0.64, 3, 8 }, start, 4, makeSequentialJudge());
+    CHECK(shifting.steer({ tallyOf(1000, 640), 40, 40, 9 }, after(8000)).share_ == 1);
+    CHECK(shifting.state().term_ == 4);
+}
