--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -71,6 +71,9 @@
     std::uint64_t reclaimable_ = 0;
     /// Lasting engines that are there or on their way, if more were ordered.
     std::uint64_t lastingOrdered_ = 0;
+    /// Lasting engines of a version that may not take the service's requests: the platform
+    /// counts them with the others, and the plan does not.
+    std::uint64_t lastingApart_ = 0;
 };
 
 struct FleetDemand {
@@ -113,6 +116,9 @@
     /// Demand and slots taken were told by nearly all nodes. What a part of them told
     /// shows that so many engines are needed, but not that no more are.
     bool isWhole_ = true;
+    /// A new version is brought in: nothing is dismissed, since an order does not say of
+    /// which version.
+    bool holdsAll_ = false;
 
     std::uint64_t lasting() const;
     std::uint64_t reclaimable() const;
--- a/lib/Fleet/FleetBook.cpp
+++ b/lib/Fleet/FleetBook.cpp
@@ -141,8 +141,9 @@
     for (FleetPlace& place : places) {
         const LastOrder* last = lastOrder({ view.service_, place.dataCentre_, false, 0 });
         bool isOrdered = last && last->isTaken_;
-        place.lastingOrdered_ = isOrdered ? last->wanted_ : 0;
-        lasting[place.dataCentre_] = isOrdered ? last->wanted_ : place.lasting_;
+        std::uint64_t ordered = isOrdered ? last->wanted_ - std::min(last->wanted_, place.lastingApart_) : 0;
+        place.lastingOrdered_ = ordered;
+        lasting[place.dataCentre_] = isOrdered ? ordered : place.lasting_;
         placeOf[place.dataCentre_] = &place;
     }
     std::vector<FleetOrder> orders = planFleet(view.service_, demand, places);
@@ -152,6 +153,12 @@
         std::uint64_t present = order.isReclaimable_ ? place.reclaimable_ : place.lasting_;
         if (order.isReclaimable_)
             order.wanted_ = std::min(order.wanted_, demand.most_ - std::min(demand.most_, lasting[order.dataCentre_]));
+        if (view.holdsAll_ && order.wanted_ < present)
+            continue;
+        if (!order.isReclaimable_) {
+            order.wanted_ += place.lastingApart_;
+            present += place.lastingApart_;
+        }
         if (!isDue(order, present, registrations_[view.service_], now))
             continue;
         if (!order.isReclaimable_)
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -260,7 +260,8 @@
 
 asio::awaitable<void> DutyRunner::act()
 {
-    if (!co_await rollouts_.act())
+    bool holdsOn = co_await rollouts_.act();
+    if (!holdsOn)
         co_return;
     co_await reportUsage();
     if (steadyNow() - fleetAt_ < context_.settings_.fleet_.period_)
@@ -316,6 +317,7 @@
 /// One service's engines, as this node knows them.
 FleetView DutyRunner::viewOf(const ServicePolicy& service, SteadyTime now) const
 {
+    auto rollout = context_.rollouts_.find(service.name_);
     std::map<DataCentreId, FleetPlace> places;
     for (const auto& [dataCentre, price] : service.fleet_->prices_)
         places[dataCentre] = { dataCentre, price, 0, 0 };
@@ -323,9 +325,13 @@
         auto found = places.find(record.dataCentre_);
         if (record.service_ != service.name_ || record.isLeaving_ || found == places.end())
             continue;
-        ++(record.isReclaimable_ ? found->second.reclaimable_ : found->second.lasting_);
+        bool mayServe = !rollout || (record.version_ == rollout->order_.target_) == (rollout->phase_ == RolloutPhase::Complete);
+        if (mayServe)
+            ++(record.isReclaimable_ ? found->second.reclaimable_ : found->second.lasting_);
+        else if (!record.isReclaimable_)
+            ++found->second.lastingApart_;
     }
-    FleetView view { service.name_, *service.fleet_, {}, {}, 0, 0, 0, true };
+    FleetView view { service.name_, *service.fleet_, {}, {}, 0, 0, 0, true, false };
     for (auto& [dataCentre, place] : places)
         view.places_.push_back(std::move(place));
     view.tokensPerSecond_ = context_.demand_.peakRate(service.name_, now);
@@ -334,6 +340,7 @@
     view.slots_ = occupancy.slots_;
     view.slotsTaken_ = occupancy.taken_;
     view.isWhole_ = reports_->coverage(now).isWhole();
+    view.holdsAll_ = rollout && !isFinal(rollout->phase_);
     return view;
 }
 
--- a/lib/Gateway/RolloutRunner.cpp
+++ b/lib/Gateway/RolloutRunner.cpp
@@ -145,7 +145,8 @@
             state.phase_ = RolloutPhase::Complete;
             state.share_ = 1;
         }
-        if (!co_await settle(service, state))
+        bool holdsOn = co_await settle(service, state);
+        if (!holdsOn)
             co_return false;
     }
     co_return true;
@@ -154,7 +155,8 @@
 /// \returns whether this node still holds the duties.
 asio::awaitable<bool> RolloutRunner::settle(ServiceName service, RolloutState verdict)
 {
-    if (!co_await recordVerdict(verdict, false))
+    bool isRecorded = co_await recordVerdict(verdict, false);
+    if (!isRecorded)
         co_return false;
     auto found = orders_.find(service);
     bool isSame = found != orders_.end() && found->second.pilot_.state().order_.number_ == verdict.order_.number_;
@@ -163,12 +165,14 @@
         SteadyTime now = steadyNow();
         (void)context_.rollouts_.take(found->second.pilot_.state(), now, now);
     }
-    if (!co_await tell(verdict))
+    bool isTold = co_await tell(verdict);
+    if (!isTold)
         co_return true;
     told_[service] = verdict.order_.number_;
     wire::RolloutReport kept = toWire(verdict);
     kept.set_is_told(true);
-    auto written = co_await context_.platform_.writeNote_({ keyPrefix + service.value_, kept.SerializeAsString() });
+    KeptNote note { keyPrefix + service.value_, kept.SerializeAsString() };
+    auto written = co_await context_.platform_.writeNote_(std::move(note));
     if (!written)
         logger_.warn("Note of a verdict is not written: " + describe(written.error()));
     co_return co_await recordVerdict(verdict, true);
--- a/lib/Rollout/RolloutBook.cpp
+++ b/lib/Rollout/RolloutBook.cpp
@@ -165,7 +165,10 @@
     VersionRule rule { state.order_.target_, false, 0, state.phase_ != RolloutPhase::Reverted };
     switch (state.phase_) {
     case RolloutPhase::Complete:
-        return std::nullopt;
+        // The others stop, which is known late.
+        rule.usesTarget_ = true;
+        rule.share_ = 1;
+        return rule;
     case RolloutPhase::Reverted:
         return rule;
     case RolloutPhase::Trial:
--- a/tools/pistachioloomctl/main.cpp
+++ b/tools/pistachioloomctl/main.cpp
@@ -30,6 +30,7 @@
     std::string file_;
     std::string name_;
     std::string request_;
+    std::string service_;
     std::string notice_;
     std::optional<std::uint64_t> base_;
     bool isEverywhere_ = false;
@@ -260,6 +261,18 @@
     return 0;
 }
 
+int revertRollout(const OperatorClient& client, const Options& options)
+{
+    const std::string target = "/rollouts/" + options.service_;
+    auto response = client.call("DELETE", target);
+    if (!response)
+        return fail(response.error());
+    if (response.value().status_ != 200)
+        return fail(errorFromResponse(response.value(), "DELETE " + target, client.node().toString()));
+    std::cout << options.service_ << ": reverted\n";
+    return 0;
+}
+
 int drain(const OperatorClient& client, const Options& options)
 {
     auto response = client.call("POST", "/drain?notice=" + options.notice_);
@@ -343,6 +356,15 @@
     liftOne->add_option("request", options.request_, "Sixteen digits, from the list or a log line")->required();
     liftOne->footer("Example: pistachioloomctl --node 10.0.0.4:7501 --credential WORD quarantine lift ab2906c5a5dab86a");
     liftOne->callback([&] { code = lift(client(), options); });
+    auto* rollout = app.add_subcommand("rollout", "New versions of services; --node is a gateway's metrics address");
+    rollout->require_subcommand(1);
+    auto* listRollouts = addJson(rollout->add_subcommand("list", "List the newest order of each service, with the counts it is judged by"));
+    listRollouts->footer("Example: pistachioloomctl --node 10.0.0.4:7501 rollout list");
+    listRollouts->callback([&] { code = list(client(), options, "/rollouts", "rollouts", "", { "service", "target", "phase", "share", "requests", "exposed", "target_side", "other_side", "why" }); });
+    auto* revertOne = rollout->add_subcommand("revert", "End an order: its version gets nothing more, on all nodes");
+    revertOne->add_option("service", options.service_, "Service, from the list")->required();
+    revertOne->footer("Example: pistachioloomctl --node 10.0.0.4:7501 --credential WORD rollout revert huvo11a");
+    revertOne->callback([&] { code = revertRollout(client(), options); });
     auto* limits = addJson(app.add_subcommand("limits", "List what each node holds of the entries' limits"));
     limits->footer("Example: pistachioloomctl limits");
     limits->callback([&] {
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -18,10 +18,10 @@
 /// Engines in three data centres, as lasting and reclaimable ones in each.
 FleetView viewOf(std::vector<std::pair<std::uint64_t, std::uint64_t>> engines, std::optional<double> tokensPerSecond)
 {
-    FleetView view { service, { 1, 20, milliseconds(4000), 0.2, {} }, {}, tokensPerSecond, 50, 0, 0, true };
+    FleetView view { service, { 1, 20, milliseconds(4000), 0.2, {} }, {}, tokensPerSecond, 50, 0, 0, true, false };
     const char* names[] = { "a", "b", "c" };
     for (std::size_t i = 0; i < engines.size(); ++i)
-        view.places_.push_back({ { names[i] }, 1, engines[i].first, engines[i].second });
+        view.places_.push_back({ { names[i] }, 1, engines[i].first, engines[i].second, 0, 0 });
     return view;
 }
 
@@ -333,3 +333,40 @@
     CHECK(std::none_of(orders.begin(), orders.end(), [](const FleetOrder& order) { return order.isReclaimable_ && order.wanted_ > 18; }));
     CHECK(book.needed(service) == inherited);
 }
+
+TEST_CASE("engines of a version on trial are dismissed, or counted as those that serve", "[fleet]")
+{
+    struct Row {
+        const char* what_;
+        bool holdsAll_;
+        std::vector<std::pair<std::uint64_t, std::uint64_t>> engines_;
+        double tokensPerSecond_;
+        /// Lasting engines that are ordered beside those of the new version, 5 in each.
+        std::uint64_t lasting_;
+    };
+    const Row rows[] = {
+        { "on trial, reclaimable ones suffice", true, { { 3, 6 }, { 3, 6 }, { 3, 6 } }, 200000, 0 },
+        { "on trial, reclaimable ones were lost", true, { { 0, 0 }, { 0, 0 }, { 0, 0 } }, 300000, 10 },
+        { "reverted, reclaimable ones suffice", false, { { 3, 6 }, { 3, 6 }, { 3, 6 } }, 200000, 0 },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.what_);
+        FleetBook book({});
+        FleetView view = viewOf(row.engines_, row.tokensPerSecond_);
+        view.holdsAll_ = row.holdsAll_;
+        for (FleetPlace& place : view.places_)
+            place.lastingApart_ = 5;
+        SteadyTime now = settle(book, view);
+        std::vector<FleetOrder> orders = book.dueOrders(view, now);
+        std::uint64_t lasting = 0;
+        for (const FleetOrder& order : orders) {
+            if (order.isReclaimable_)
+                continue;
+            CHECK(order.wanted_ >= 5);
+            lasting += order.wanted_ - 5;
+        }
+        CHECK(lasting >= row.lasting_);
+        if (row.holdsAll_ && !row.lasting_)
+            CHECK(sumOf(orders, false) == 0);
+    }
+}
--- a/unittests/Rollout/RolloutTest.cpp
+++ b/unittests/Rollout/RolloutTest.cpp
@@ -84,6 +84,7 @@
         { RolloutPhase::Shifting, 0.5, 0, 50, 0 },
         { RolloutPhase::Shifting, 1, 9000, 100, 100 },
         { RolloutPhase::Reverted, 0, 0, 0, 0 },
+        { RolloutPhase::Complete, 1, 9000, 100, 100 },
     };
     for (const Row& row : rows) {
         CAPTURE(toString(row.phase_), row.share_, row.ageMs_);
@@ -92,9 +93,6 @@
         CHECK(toTarget(book, after(row.ageMs_)) == row.first_);
         CHECK(toTarget(book, after(row.ageMs_), RolloutBook::Send::Again) == row.again_);
     }
-    RolloutBook book({});
-    book.take({ orderOf(1), RolloutPhase::Complete, 1, 1, 1 }, start, start);
-    CHECK_FALSE(book.assign(service, RolloutBook::Send::First, start));
 }
 
 TEST_CASE("a late word brings a reverted version back", "[rollout]")
--- a/unittests/UsersPlatform/DecodingTest.cpp
+++ b/unittests/UsersPlatform/DecodingTest.cpp
@@ -113,3 +113,31 @@
     REQUIRE_FALSE(decoded);
     CHECK(describe(decoded.error()).find(row.complaint_) != std::string::npos);
 }
+
+TEST_CASE("an order of a roll-out is decoded, or refused with the field that is wrong", "[platform]")
+{
+    struct Row {
+        const char* text_;
+        const char* complaint_;
+    };
+    const Row rows[] = {
+        { R"({"service":"s","target":"v2","period_s":12.5})", "" },
+        { R"({"service":"s","target":"v2","period_s":0})", "period_s" },
+        { R"({"service":"s","target":"v2"})", "period_s" },
+        { R"({"service":"s","target":"","period_s":12})", "target" },
+        { R"({"service":"t","target":"v2","period_s":12})", "found 't'" },
+        { "[]", "JSON object" },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.text_);
+        auto order = decodeRollout("s", row.text_, { 41 });
+        REQUIRE(order.has_value() == std::string(row.complaint_).empty());
+        if (!order) {
+            CHECK(describe(order.error()).find(row.complaint_) != std::string::npos);
+            continue;
+        }
+        CHECK(order.value().number_.value_ == 42);
+        CHECK(order.value().target_.value_ == "v2");
+        CHECK(order.value().period_ == milliseconds(12500));
+    }
+}
