--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -489,3 +489,55 @@
     CHECK(chosen(book, plainRequest(), { { "y" } }) == "x");
     book.setEnded({ "unknown" }, start);
 }
+
+TEST_CASE("a request reaches a version that it may not be sent to", "[backends]")
+{
+    struct Row {
+        const char* what_;
+        std::size_t stable_;
+        std::size_t target_;
+        VersionRule rule_;
+        /// Backend servers that get any of many requests, and whether of the target.
+        std::size_t used_;
+        bool isTarget_;
+    };
+    const BackendVersion v2 { "v2" };
+    const Row rows[] = {
+        { "the others", 6, 6, { v2, false, 0.1, true }, 6, false },
+        { "the target on trial, three at least", 6, 6, { v2, true, 0.1, true }, 3, true },
+        { "the target on trial, as many as bear the load of others", 20, 20, { v2, true, 0.3, true }, 6, true },
+        { "all to the target", 6, 6, { v2, true, 1, true }, 6, true },
+        { "no target there", 6, 0, { v2, true, 0.1, true }, 6, false },
+        { "no other there", 0, 6, { v2, false, 0, true }, 6, true },
+        { "no other there, reverted", 0, 6, { v2, false, 0, false }, 0, false },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.what_);
+        BackendBook book({ "a" }, ChoiceSettings {});
+        for (std::size_t i = 0; i < row.stable_ + row.target_; ++i) {
+            BackendRecord added = record("x-" + std::to_string(i));
+            added.version_ = { i < row.stable_ ? "v1" : "v2" };
+            book.put(added);
+        }
+        RequestShape shape = plainRequest();
+        shape.version_ = row.rule_;
+        std::set<BackendId> used;
+        for (int i = 0; i < 200; ++i) {
+            auto choice = book.choose(shape, {}, start);
+            if (!choice)
+                continue;
+            CHECK((choice->backend_.version_ == v2) == row.isTarget_);
+            used.insert(choice->backend_.id_);
+        }
+        CHECK(used.size() == row.used_);
+    }
+    BackendBook book({ "a" }, ChoiceSettings {});
+    BackendRecord other = record("x");
+    other.version_ = { "v1" };
+    book.put(other);
+    (void)book.choose(plainRequest(), {}, start);
+    BackendBook::Versions versions = book.versions(service, v2);
+    CHECK(versions.others_ == 1);
+    CHECK(versions.othersRunning_ == 1);
+    CHECK(versions.target_ == 0);
+}
--- a/unittests/Gateway/GatewaySettingsTest.cpp
+++ b/unittests/Gateway/GatewaySettingsTest.cpp
@@ -30,6 +30,10 @@
     crashes: 4
     first: 20s
     organisation_capacity: 64
+  rollout:
+    exposed_share: 0.1
+    exposed_extra: 50
+    trial_part: 0.6
 )";
 
 TEST_CASE("settings of a gateway are read", "[gateway]")
@@ -45,6 +49,8 @@
     CHECK(settings->quarantine_.crashes_ == 4);
     CHECK(settings->quarantine_.first_ == milliseconds(20000));
     CHECK(settings->quarantine_.organisationCapacity_ == 64);
+    CHECK(settings->rollout_.exposedExtra_ == 50);
+    CHECK(settings->rollout_.trialPart_ == 0.6);
     CHECK(settings->logs_.output_ == LogOutput::StandardOutput);
 }
 
@@ -65,6 +71,8 @@
         { "  stopping:", "  stoping:", "stoping" },
         { "crashes: 4", "crashes: 0", "f:19: gateway.quarantine.crashes" },
         { "first: 20s", "first: 20", "f:20: gateway.quarantine.first" },
+        { "exposed_share: 0.1", "exposed_share: 1.1", "f:23: gateway.rollout.exposed_share" },
+        { "trial_part: 0.6", "trial_part: 0.97", "f:25: gateway.rollout.trial_part" },
         { "\"10.0.0.2:70\"", "\"here\"", "gateway.seeds" },
     }));
     std::string text = good;
--- /dev/null
+++ b/unittests/Gateway/RolloutMessagesTest.cpp
@@ -0,0 +1,91 @@
+//===- unittests/Gateway/RolloutMessagesTest.cpp - roll-outs in messages ---===//
+///
+/// \file
+/// What one node tells of an order is what another one reads, also through relays.
+//===----------------------------------------------------------------------===//
+#include "RelayBook.h"
+#include "RolloutMessages.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+
+namespace {
+
+const SteadyTime now { std::chrono::hours(1) };
+const ServiceName service { "s" };
+const RolloutState state { { { 7 }, service, { "v2" }, milliseconds(12000) }, RolloutPhase::Trial, 0.08, 3, 4 };
+
+wire::NodeReport reportOf(const std::string& vm, std::uint64_t answers, std::uint64_t dutyToken)
+{
+    wire::NodeReport report;
+    report.set_vm(vm);
+    report.set_incarnation(1);
+    report.set_duty_token(dutyToken);
+    putRollouts({ { state, now - milliseconds(300), now } }, *report.mutable_rollouts(), now);
+    putTallies({ { service, { { 7 }, 2 * answers, answers, { { { 5, 6 }, { answers, 1 } } } } } }, *report.mutable_rollout_counts());
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("states and counts of orders are read as they were told", "[gateway]")
+{
+    CHECK(fromWire(toWire(state)) == state);
+    google::protobuf::RepeatedPtrField<wire::RolloutCounts> message;
+    RolloutTally tally { { 7 }, 100, 8, { { { stableServers, 6 }, { 92, 2 } }, { { 5, 6 }, { 8, 3 } } } };
+    putTallies({ { service, tally } }, message);
+    RolloutTallies read = talliesOf(message);
+    REQUIRE(read.contains(service));
+    CHECK(read[service].cells_ == tally.cells_);
+    CHECK(read[service].exposed_ == 8);
+}
+
+TEST_CASE("reports of orders with missing or odd fields are read within bounds", "[gateway]")
+{
+    struct Row {
+        const char* what_;
+        std::function<void(wire::RolloutReport&)> change_;
+    };
+    const Row rows[] = {
+        { "no order", [](wire::RolloutReport& report) { report.set_number(0); } },
+        { "no service", [](wire::RolloutReport& report) { report.clear_service(); } },
+        { "no target", [](wire::RolloutReport& report) { report.clear_target(); } },
+        { "another phase", [](wire::RolloutReport& report) { report.set_phase("paused"); } },
+        { "no number as a share", [](wire::RolloutReport& report) { report.set_share(std::numeric_limits<double>::quiet_NaN()); } },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.what_);
+        wire::RolloutReport report = toWire(state);
+        row.change_(report);
+        CHECK_FALSE(fromWire(report));
+    }
+    wire::RolloutReport report = toWire(state);
+    report.set_share(7);
+    CHECK(fromWire(report)->share_ == 1);
+    google::protobuf::RepeatedPtrField<wire::RolloutCounts> message;
+    wire::RolloutCounts& counts = *message.Add();
+    counts.set_service("s");
+    counts.add_backends(1);
+    counts.add_routes(2);
+    counts.add_answers(3);
+    CHECK(talliesOf(message)[service].cells_.empty());
+}
+
+TEST_CASE("relays tell counts of orders to the holder alone, and states to all", "[gateway]")
+{
+    RelayBook book(milliseconds(5000));
+    book.takeReport(reportOf("holder", 10, 9), now);
+    book.takeReport(reportOf("other", 20, 0), now);
+    book.takeReport(reportOf("third", 30, 0), now);
+    wire::NodeSums toHolder = book.digestFor({ "holder" }, book.totals(now), now);
+    CHECK(talliesOf(toHolder.rollout_counts())[service].exposed_ == 50);
+    CHECK(talliesOf(toHolder.rollout_counts())[service].cells_[{ 5, 6 }].answers_ == 50);
+    wire::NodeSums toOther = book.digestFor({ "other" }, book.totals(now), now);
+    CHECK(toOther.rollout_counts().empty());
+    REQUIRE(toOther.rollouts_size() == 1);
+    CHECK(fromWire(toOther.rollouts(0)) == state);
+    // As old as when its holder said so.
+    CHECK(toOther.rollouts(0).age_ms() >= 300);
+    CHECK(book.summaryFor({ "elsewhere" }, now).rollout_counts().empty());
+}
