--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -116,8 +116,8 @@
     /// Demand and slots taken were told by nearly all nodes. What a part of them told
     /// shows that so many engines are needed, but not that no more are.
     bool isWhole_ = true;
-    /// A new version is brought in: nothing is dismissed, since an order does not say of
-    /// which version.
+    /// A new version is brought in, or goes: nothing is dismissed, and nothing ordered
+    /// that is not missing, since an order does not say of which version.
     bool holdsAll_ = false;
 
     std::uint64_t lasting() const;
--- a/include/pistachioloom/Rollout.h
+++ b/include/pistachioloom/Rollout.h
@@ -207,6 +207,14 @@
     AttemptOutcome outcome_;
 };
 
+/// Requests of a service by route.
+using RouteRequests = std::map<RouteKey, std::uint64_t>;
+
+/// The target's part of the requests on \p route, so that it gets \p share of all: more
+/// where requests are few, since a version that is bad there alone would be found late.
+/// Parts are as the roots of the routes' requests.
+double shareOnRoute(double share, RouteKey route, const RouteRequests& requests);
+
 /// A node's part in all orders: whom requests go to, and what comes of them.
 /// Thread-safe.
 class RolloutBook {
@@ -233,8 +241,8 @@
         /// Repeats and moves stay with the version that is known.
         Again,
     };
-    /// Which versions a request of \p service may be sent to; nullopt for any.
-    std::optional<VersionRule> assign(const ServiceName& service, Send send, SteadyTime now);
+    /// Which versions a request of \p service on \p route may be sent to; nullopt for any.
+    std::optional<VersionRule> assign(const ServiceName& service, RouteKey route, Send send, SteadyTime now);
     /// A request was sent to a backend server of \p service.
     void noteSent(const ServiceName& service, const BackendVersion& version);
     void noteAnswer(const ServiceName& service, const RolloutAnswer& answer);
@@ -252,8 +260,10 @@
         RolloutTally tally_;
         /// Mean time between events of other versions, by route.
         std::map<RouteKey, double> usualGapMs_;
-        /// Requests due to the target: those of a share add up to whole ones.
-        double due_ = 0;
+        /// Since the order.
+        RouteRequests requests_;
+        /// Requests due to the target on each route: those of a share add up to whole ones.
+        std::map<RouteKey, double> due_;
     };
 
     const RolloutSettings settings_;
--- a/lib/Fleet/FleetBook.cpp
+++ b/lib/Fleet/FleetBook.cpp
@@ -132,6 +132,10 @@
 std::vector<FleetOrder> FleetBook::dueOrders(const FleetView& view, SteadyTime now)
 {
     FleetDemand demand = demandOf(view, now);
+    // The platform bounds what is ordered by all engines that are there, those of a new
+    // version among them, and would dismiss some of them.
+    if (view.holdsAll_ && view.engines() >= demand.needed_)
+        return {};
     std::vector<FleetOrder> dismissals;
     std::vector<FleetOrder> additions;
     std::vector<FleetPlace> places = view.places_;
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -340,7 +340,8 @@
     view.slots_ = occupancy.slots_;
     view.slotsTaken_ = occupancy.taken_;
     view.isWhole_ = reports_->coverage(now).isWhole();
-    view.holdsAll_ = rollout && !isFinal(rollout->phase_);
+    bool hasApart = std::any_of(view.places_.begin(), view.places_.end(), [](const FleetPlace& place) { return place.lastingApart_ > 0; });
+    view.holdsAll_ = rollout && (!isFinal(rollout->phase_) || (rollout->phase_ == RolloutPhase::Reverted && hasApart));
     return view;
 }
 
--- a/lib/Rollout/Judges.cpp
+++ b/lib/Rollout/Judges.cpp
@@ -82,9 +82,9 @@
             for (const auto& [cell, answers] : counted.cells_)
                 ofTarget[cell.second] += cell.first == stableServers ? 0 : answers.answers_;
             for (const auto& [cell, answers] : counted.cells_) {
-                // Without as many of the others at the same time an answer says nothing of
-                // the version.
-                bool isCompared = stable_[cell.second].lately_.answers() >= static_cast<double>(ofTarget[cell.second]) && counted.cells_[{ stableServers, cell.second }].answers_ >= ofTarget[cell.second];
+                // Without many of the others at the same time an answer says nothing of the
+                // version.
+                bool isCompared = stable_[cell.second].lately_.answers() >= static_cast<double>(othersForOne) * static_cast<double>(ofTarget[cell.second]) && counted.cells_[{ stableServers, cell.second }].answers_ >= othersForOne * ofTarget[cell.second];
                 if (cell.first != stableServers && isCompared)
                     test(cell, answers);
             }
@@ -107,6 +107,7 @@
         static constexpr double partToRevert = 0.8;
         static constexpr std::uint64_t leastAnswers = 4;
         static constexpr std::size_t leastServers = 3;
+        static constexpr std::uint64_t othersForOne = 3;
 
         struct Recent {
             FadingPart lately_ { memoryMs };
--- a/lib/Rollout/RolloutBook.cpp
+++ b/lib/Rollout/RolloutBook.cpp
@@ -6,6 +6,7 @@
 #include "pistachioloom/Rollout.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pistachioloom {
 
@@ -129,8 +130,11 @@
     if (!isNew && !supersedes(state, entry.heard_.state_))
         return false;
     bool isSameOrder = !isNew && entry.tally_.number_ == state.order_.number_;
-    if (!isSameOrder)
+    if (!isSameOrder) {
         entry.tally_ = { state.order_.number_, 0, 0, {} };
+        entry.requests_.clear();
+        entry.due_.clear();
+    }
     entry.heard_ = { state, saidAt, isSameOrder ? entry.heard_.orderedAt_ : now };
     count_ = entries_.size();
     return true;
@@ -152,7 +156,21 @@
     return found == entries_.end() ? std::nullopt : std::optional(found->second.heard_.state_);
 }
 
-std::optional<VersionRule> RolloutBook::assign(const ServiceName& service, Send send, SteadyTime now)
+double shareOnRoute(double share, RouteKey route, const RouteRequests& requests)
+{
+    auto found = requests.find(route);
+    if (found == requests.end() || !found->second)
+        return share;
+    double all = 0;
+    double roots = 0;
+    for (const auto& [key, count] : requests) {
+        all += static_cast<double>(count);
+        roots += std::sqrt(static_cast<double>(count));
+    }
+    return std::min(1.0, share * all / (std::sqrt(static_cast<double>(found->second)) * roots));
+}
+
+std::optional<VersionRule> RolloutBook::assign(const ServiceName& service, RouteKey route, Send send, SteadyTime now)
 {
     if (isEmpty())
         return std::nullopt;
@@ -183,10 +201,12 @@
         rule.usesTarget_ = rule.share_ >= 1;
         return rule;
     }
-    entry.due_ += rule.share_;
-    if (entry.due_ < wholeRequest)
+    ++entry.requests_[route];
+    double& due = entry.due_[route];
+    due += state.phase_ == RolloutPhase::Trial ? shareOnRoute(rule.share_, route, entry.requests_) : rule.share_;
+    if (due < wholeRequest)
         return rule;
-    entry.due_ -= 1;
+    due -= 1;
     rule.usesTarget_ = true;
     return rule;
 }
--- a/unittests/Fleet/FleetTest.cpp
+++ b/unittests/Fleet/FleetTest.cpp
@@ -347,7 +347,7 @@
     const Row rows[] = {
         { "on trial, reclaimable ones suffice", true, { { 3, 6 }, { 3, 6 }, { 3, 6 } }, 200000, 0 },
         { "on trial, reclaimable ones were lost", true, { { 0, 0 }, { 0, 0 }, { 0, 0 } }, 300000, 10 },
-        { "reverted, reclaimable ones suffice", false, { { 3, 6 }, { 3, 6 }, { 3, 6 } }, 200000, 0 },
+        { "gone", false, { { 3, 6 }, { 3, 6 }, { 3, 6 } }, 200000, 0 },
     };
     for (const Row& row : rows) {
         CAPTURE(row.what_);
@@ -367,6 +367,6 @@
         }
         CHECK(lasting >= row.lasting_);
         if (row.holdsAll_ && !row.lasting_)
-            CHECK(sumOf(orders, false) == 0);
+            CHECK(orders.empty());
     }
 }
--- a/unittests/Rollout/JudgesTest.cpp
+++ b/unittests/Rollout/JudgesTest.cpp
@@ -79,7 +79,9 @@
         for (RouteKey route = 0; route < 2; ++route) {
             double rate = requestsPerSecond * load(now) * tick * (route ? 1 - firstRoute : firstRoute);
             std::uint64_t all = poisson(rate);
-            std::uint64_t toTarget = std::binomial_distribution<std::uint64_t>(all, share)(random_);
+            requests_[route] += all;
+            double onRoute = share < 0.1 ? shareOnRoute(share, route, requests_) : share;
+            std::uint64_t toTarget = std::binomial_distribution<std::uint64_t>(all, onRoute)(random_);
             tally.requests_ += all;
             tally.exposed_ += toTarget;
             // 15 in 100 of the stable ones fail, too.
@@ -136,6 +138,7 @@
     }
 
     std::mt19937_64 random_;
+    RouteRequests requests_;
     Fault fault_;
     double badPart_ = 0;
     double badFrom_ = 0;
--- a/unittests/Rollout/RolloutTest.cpp
+++ b/unittests/Rollout/RolloutTest.cpp
@@ -40,7 +40,7 @@
 {
     int count = 0;
     for (int i = 0; i < 100; ++i) {
-        auto rule = book.assign(service, send, now);
+        auto rule = book.assign(service, route, send, now);
         count += rule && rule->usesTarget_;
     }
     return count;
@@ -60,12 +60,12 @@
 TEST_CASE("requests reach a version that was ordered before its share is known", "[rollout]")
 {
     RolloutBook book({});
-    CHECK_FALSE(book.assign(service, RolloutBook::Send::First, start));
+    CHECK_FALSE(book.assign(service, route, RolloutBook::Send::First, start));
     CHECK(book.takeOrder(orderOf(1), start));
     CHECK_FALSE(book.takeOrder(orderOf(1), start));
-    CHECK(book.assign(service, RolloutBook::Send::First, start));
+    CHECK(book.assign(service, route, RolloutBook::Send::First, start));
     CHECK(toTarget(book, start) == 0);
-    CHECK_FALSE(book.assign({ "other" }, RolloutBook::Send::First, start));
+    CHECK_FALSE(book.assign({ "other" }, route, RolloutBook::Send::First, start));
 }
 
 TEST_CASE("each phase sends its share to the target, and repeats only once all go there", "[rollout]")
@@ -95,6 +95,26 @@
     }
 }
 
+TEST_CASE("a version that is bad on a sparse route alone is found late", "[rollout]")
+{
+    const RouteRequests requests { { 1, 8600 }, { 2, 1400 } };
+    double dense = shareOnRoute(0.08, 1, requests);
+    double sparse = shareOnRoute(0.08, 2, requests);
+    CHECK(sparse > 0.16);
+    CHECK(0.86 * dense + 0.14 * sparse == Approx(0.08));
+    CHECK(shareOnRoute(0.08, 3, requests) == 0.08);
+    CHECK(shareOnRoute(0.08, 1, { { 1, 100 } }) == Approx(0.08));
+    RolloutBook book({});
+    book.take({ orderOf(1), RolloutPhase::Trial, 0.08, 1, 1 }, start, start);
+    int toTargetOf[2] {};
+    for (int i = 0; i < 10000; ++i) {
+        bool isSparse = i % 7 == 0;
+        toTargetOf[isSparse] += book.assign(service, isSparse ? 2 : 1, RolloutBook::Send::First, start)->usesTarget_;
+    }
+    CHECK(toTargetOf[1] > 200);
+    CHECK(toTargetOf[0] + toTargetOf[1] < 850);
+}
+
 TEST_CASE("a late word brings a reverted version back", "[rollout]")
 {
     const RolloutState trial { orderOf(1), RolloutPhase::Trial, 0.08, 5, 1 };
