--- a/lib/Rollout/Judges.cpp
+++ b/lib/Rollout/Judges.cpp
@@ -82,10 +82,7 @@
             for (const auto& [cell, answers] : counted.cells_)
                 ofTarget[cell.second] += cell.first == stableServers ? 0 : answers.answers_;
             for (const auto& [cell, answers] : counted.cells_) {
-                // Without many of the others at the same time an answer says nothing of the
-                // version.
-                bool isCompared = stable_[cell.second].lately_.answers() >= static_cast<double>(othersForOne) * static_cast<double>(ofTarget[cell.second]) && counted.cells_[{ stableServers, cell.second }].answers_ >= othersForOne * ofTarget[cell.second];
-                if (cell.first != stableServers && isCompared)
+                if (cell.first != stableServers && stable_[cell.second].outnumbers(ofTarget[cell.second]))
                     test(cell, answers);
             }
             for (RouteKey route : routesOf(tally)) {
@@ -107,7 +104,7 @@
         static constexpr double partToRevert = 0.8;
         static constexpr std::uint64_t leastAnswers = 4;
         static constexpr std::size_t leastServers = 3;
-        static constexpr std::uint64_t othersForOne = 3;
+        static constexpr double othersForOne = 3;
 
         struct Recent {
             FadingPart lately_ { memoryMs };
@@ -118,6 +115,13 @@
                 lately_.observe(counted, passed);
                 now_.observe(counted, passed);
             }
+            /// Without many of the others at the same time an answer says nothing of the
+            /// version.
+            bool outnumbers(std::uint64_t ofTarget) const
+            {
+                double least = othersForOne * static_cast<double>(ofTarget);
+                return lately_.answers() >= least && now_.answers() >= least;
+            }
             // A trouble that begins now hardly shows in what was seen lately.
             double part() const { return std::max(lately_.upperPart(), now_.part()); }
         };
@@ -152,8 +156,10 @@
                 worse += score.value_ >= scoreShown;
             }
             auto needed = std::max<std::size_t>(std::min<std::size_t>(2, judged), static_cast<std::size_t>(std::ceil(partToRevert * static_cast<double>(judged))));
-            // A single backend server cannot reach the sum.
-            if (!judged || judged < std::min(leastServers, servers()) || worse < needed || sum < std::min(scoreToRevert, 0.9 * mostScore * static_cast<double>(judged)))
+            bool isJudged = judged && judged >= std::min(leastServers, servers());
+            // Few backend servers cannot reach the sum.
+            double neededSum = std::min(scoreToRevert, 0.9 * mostScore * static_cast<double>(judged));
+            if (!isJudged || worse < needed || sum < neededSum)
                 return std::nullopt;
             return std::to_string(worse) + " of " + std::to_string(judged) + " backend servers are worse, by a log likelihood ratio of " + std::to_string(sum);
         }
