--- a/include/pistachioloom/Rollout.h
+++ b/include/pistachioloom/Rollout.h
@@ -107,7 +107,7 @@
     /// version may turn bad late, so it is on trial as long as time allows.
     double trialPart_ = 0.7;
     /// Part of the period at whose end there is a verdict.
-    double verdictPart_ = 0.95;
+    double verdictPart_ = 0.9;
     /// While the rest follows, the share doubles after each such part of the period.
     double shiftStep_ = 0.035;
     /// A share that was not heard of again for so long counts as 0 during a trial.
--- a/unittests/Rollout/RolloutTest.cpp
+++ b/unittests/Rollout/RolloutTest.cpp
@@ -209,7 +209,7 @@
             readyAt = ms;
     }
     REQUIRE(readyAt);
-    CHECK(*readyAt <= 9500);
+    CHECK(*readyAt <= 9200);
     CHECK(pilot.state().share_ == 1);
     CHECK_FALSE(isFinal(pilot.state().phase_));
     pilot.complete();
@@ -231,9 +231,9 @@
     for (const Row& row : rows) {
         CAPTURE(row.what_);
         RolloutPilot pilot({}, { orderOf(1), RolloutPhase::Trial, 0, 0, 0 }, start, 3, makeSequentialJudge());
-        for (std::int64_t ms = 0; ms < 9500; ms += 500)
+        for (std::int64_t ms = 0; ms < 9000; ms += 500)
             CHECK(pilot.steer({ row.tally_, row.targetServers_, 40, 9 }, after(ms)).phase_ == RolloutPhase::Trial);
-        CHECK(pilot.steer({ row.tally_, row.targetServers_, 40, 9 }, after(9500)).phase_ == RolloutPhase::Reverted);
+        CHECK(pilot.steer({ row.tally_, row.targetServers_, 40, 9 }, after(9000)).phase_ == RolloutPhase::Reverted);
     }
 }
 
