--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -37,6 +37,22 @@
         return { { { record.usage().number() }, counts } };
     }
 
+    /// Whether engines of \p version take the service's requests, but for those of a trial.
+    bool mayServe(const RolloutState& rollout, const BackendVersion& version)
+    {
+        bool isTarget = version == rollout.order_.target_;
+        switch (rollout.phase_) {
+        case RolloutPhase::Trial:
+        case RolloutPhase::Reverted:
+            return !isTarget;
+        case RolloutPhase::Shifting:
+            return true;
+        case RolloutPhase::Complete:
+            return isTarget;
+        }
+        return true;
+    }
+
     std::set<ServiceName> servicesIn(const std::vector<FleetOrder>& orders)
     {
         std::set<ServiceName> services;
@@ -325,8 +341,7 @@
         auto found = places.find(record.dataCentre_);
         if (record.service_ != service.name_ || record.isLeaving_ || found == places.end())
             continue;
-        bool mayServe = !rollout || (record.version_ == rollout->order_.target_) == (rollout->phase_ == RolloutPhase::Complete);
-        if (mayServe)
+        if (!rollout || mayServe(*rollout, record.version_))
             ++(record.isReclaimable_ ? found->second.reclaimable_ : found->second.lasting_);
         else if (!record.isReclaimable_)
             ++found->second.lastingApart_;
