Readers are selected by rank only, also at a start and after failures

Cause: a node without a configuration, or whose last read had failed, was a reader. At a start of all 985 nodes every node read the configuration and the registry at once; the calls timed out, which made their nodes readers, which called again after 0.2 s from the first page on.

--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -56,6 +56,8 @@
     /// Returns the number of other nodes whose reports this node receives, directly or in
     /// relays' sums.
     std::uint64_t nodesCovered() const;
+    /// Returns the number of known nodes, including this one.
+    std::size_t nodesKnown() const { return table_.size() + 1; }
     /// Returns how much of the fleet this node receives reports of. Must be called on the
     /// event loop.
     Coverage coverage(SteadyTime now) const;
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -20,6 +20,12 @@
     // Maximum age of a peer's list of backend servers that is still used.
     constexpr std::uint64_t maxListAgeMs = 1500;
 
+    /// Returns a random number in [0, 1).
+    double randomFraction()
+    {
+        return static_cast<double>(randomBits() >> 11) * 0x1p-53;
+    }
+
 } // namespace
 
 PlatformFeed::PlatformFeed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers, BackgroundExecutor& background)
@@ -28,6 +34,7 @@
     , peerReports_(reports)
     , peers_(peers)
     , background_(background)
+    , startPhase_(randomFraction())
 {
 }
 
@@ -52,16 +59,25 @@
 bool PlatformFeed::isReader() const
 {
     const GatewaySettings& settings = context_.settings_;
+    if (!context_.table() && !mayReadAtStart(coldStart()))
+        return false;
     ReaderState self { settings.vm_, settings.dataCentre_, false, false, false, settings.cores_ };
-    return isPlatformUnavailable() || shouldRead(self, readerStates(), settings.feed_.readers_);
+    return shouldRead(self, readerStates(), settings.feed_.readers_);
 }
 
-/// Suspends while other nodes read \p resource from the platform. After that, \p from is
-/// too old to continue from and is reset.
-asio::awaitable<void> PlatformFeed::waitUntilReader(std::string resource, std::optional<LogOffset>& from)
+ColdStart PlatformFeed::coldStart() const
 {
-    if (!context_.table() || isReader())
+    const GatewaySettings& settings = context_.settings_;
+    bool isSeed = std::any_of(settings.seeds_.begin(), settings.seeds_.end(), [&](const Endpoint& seed) { return seed.host_ == settings.gossip_.host_; });
+    auto uptime = std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt_);
+    return { uptime, isSeed || settings.seeds_.empty(), !peerReports_.live().empty(), peerReports_.nodesKnown(), startPhase_ };
+}
+
+asio::awaitable<void> PlatformFeed::waitUntilReader(std::string resource, std::optional<LogOffset>& from, std::atomic<bool>& isUnavailable)
+{
+    if (isReader())
         co_return;
+    isUnavailable = false;
     logger_.info(LogLine("Other nodes read from the platform.").add("reading", resource));
     while (!isReader())
         co_await sleepFor(readerCheckPeriod);
@@ -73,17 +89,19 @@
 {
     std::optional<LogOffset> from;
     const std::string resource = "configuration";
+    ReadBackoff backoff(context_.settings_.feed_.retryPause_);
     for (;;) {
-        co_await waitUntilReader(resource, from);
+        co_await waitUntilReader(resource, from, isConfigurationUnavailable_);
         auto read = co_await context_.platform_.readConfiguration_(from, context_.settings_.feed_.configurationWait_);
         if (isConfigurationUnavailable_.exchange(!read) == read.has_value())
             logAvailability("configuration", read ? nullptr : &read.error());
         if (!read) {
             if (read.error().code_ == Errc::NotFound)
                 from.reset();
-            co_await sleepFor(context_.settings_.feed_.retryPause_);
+            co_await sleepFor(backoff.nextPause(randomFraction()));
             continue;
         }
+        backoff.noteSuccess();
         from = read.value().next_;
         for (const RolloutOrder& order : read.value().rollouts_) {
             if (context_.rollouts_.applyOrder(order, steadyNow()))
@@ -204,8 +222,9 @@
     const FeedSettings& settings = context_.settings_.feed_;
     std::optional<LogOffset> from;
     const std::string resource = "registry";
+    ReadBackoff backoff(settings.retryPause_);
     for (;;) {
-        co_await waitUntilReader(resource, from);
+        co_await waitUntilReader(resource, from, isRegistryUnavailable_);
         auto read = co_await context_.platform_.readRegistry_(from);
         bool wasUnavailable = isRegistryUnavailable_.exchange(!read);
         if (wasUnavailable == read.has_value())
@@ -222,8 +241,9 @@
             registryReadAt_ = steadyNow();
             listReadAt_ = steadyNow();
             apply(read.value(), platformSource);
+            backoff.noteSuccess();
         }
-        co_await sleepFor(read ? settings.registryPeriod_ : settings.retryPause_);
+        co_await sleepFor(read ? settings.registryPeriod_ : backoff.nextPause(randomFraction()));
     }
 }
 
--- a/lib/Gateway/PlatformFeed.h
+++ b/lib/Gateway/PlatformFeed.h
@@ -25,10 +25,11 @@
     PlatformFeed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers, BackgroundExecutor& background);
 
     void start();
-    /// Returns whether this node reads from the platform now: shouldRead() selects it
-    /// (Readers.h), or its latest read failed. A node whose reads fail continues to read
-    /// until the platform serves it again.
+    /// Returns whether this node reads from the platform now, which Readers.h decides. A
+    /// selected node whose reads fail continues to read, with pauses, until the platform
+    /// serves it again.
     bool isReader() const;
+    /// Returns whether the latest read of this node failed, if it is a reader.
     bool isPlatformUnavailable() const { return isRegistryUnavailable_ || isConfigurationUnavailable_; }
     /// Answers a peer that fetches what this node has read from the platform. A peer that
     /// fetches the configuration while maxTransfers other peers receive it is asked to
@@ -71,7 +72,11 @@
     std::vector<ReaderState> readerStates() const;
     /// Returns a reader whose list of backend servers differs from this node's.
     std::optional<KnownPeer> readerWithDifferentList() const;
-    asio::awaitable<void> waitUntilReader(std::string resource, std::optional<LogOffset>& from);
+    /// Suspends while other nodes read \p resource from the platform. After that, \p from
+    /// is too old to continue from and is reset. While this node does not read, its earlier
+    /// failures do not count, so \p isUnavailable is reset.
+    asio::awaitable<void> waitUntilReader(std::string resource, std::optional<LogOffset>& from, std::atomic<bool>& isUnavailable);
+    ColdStart coldStart() const;
 
     asio::io_context& io_;
     GatewayContext& context_;
@@ -88,6 +93,8 @@
     SteadyTime removalGraceEnd_ {};
     TransferLimiter transfers_;
     BusyPeers busyPeers_;
+    const SteadyTime startedAt_ = steadyNow();
+    const double startPhase_;
     /// Backend servers whose registration is missing. They are removed after
     /// removalGraceEnd_, unless they register again.
     std::set<BackendName> pendingRemovals_;
--- a/lib/Gateway/Readers.cpp
+++ b/lib/Gateway/Readers.cpp
@@ -17,6 +17,20 @@
 // nodes of a large fleet would call an overloaded platform.
 static constexpr std::size_t maxFailedReaders = 6;
 
+// A node that starts hears of its first peers within a reporting period of 200 ms.
+static constexpr milliseconds firstReportsTime { 300 };
+// A node that hears of no peer within this time reads even if it is no seed: the seeds may
+// have stopped.
+static constexpr milliseconds maxWaitForPeers { 1000 };
+// Number of nodes that need not spread their first reads.
+static constexpr std::size_t unspreadNodes = 24;
+// Mean interval between first reads in a large fleet. A read of 3,000 registrations and a
+// configuration transfers 1 MB, so that the reads of a start take up to 100 MB/s.
+static constexpr milliseconds firstReadInterval { 10 };
+// Upper bound of the mean pause after failures. It is short against the time within which
+// nodes have to know a change after an outage of the platform.
+static constexpr milliseconds maxReadPause { 1000 };
+
 static std::vector<VmId> rankByHash(const std::map<VmId, ReaderState>& candidates)
 {
     std::vector<VmId> vms;
@@ -70,6 +84,30 @@
     return std::find(ranked.begin(), last, self.vm_) != last;
 }
 
+bool mayReadAtStart(const ColdStart& state)
+{
+    if (state.isFirstContact_)
+        return true;
+    if (state.uptime_ < (state.hasPeers_ ? firstReportsTime : maxWaitForPeers))
+        return false;
+    std::size_t spread = state.knownNodes_ - std::min(state.knownNodes_, unspreadNodes);
+    milliseconds delay(static_cast<std::int64_t>(state.phase_ * static_cast<double>(firstReadInterval.count()) * static_cast<double>(spread)));
+    return state.uptime_ >= firstReportsTime + delay;
+}
+
+ReadBackoff::ReadBackoff(milliseconds initial)
+    : initial_(initial)
+{
+}
+
+milliseconds ReadBackoff::nextPause(double random)
+{
+    milliseconds mean = std::min(maxReadPause, initial_ * (1LL << failures_));
+    if (mean < maxReadPause)
+        ++failures_;
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(mean.count()) * (0.5 + random)));
+}
+
 bool haveAllReadersFailed(const std::vector<ReaderState>& peers)
 {
     bool hasFailed = false;
--- a/lib/Gateway/Readers.h
+++ b/lib/Gateway/Readers.h
@@ -31,6 +31,46 @@
 /// rejected.
 bool shouldRead(const ReaderState& self, const std::vector<ReaderState>& peers, std::uint64_t readers);
 
+/// What a node without a configuration knows when it decides whether to read.
+struct ColdStart {
+    /// Time since the start of the node.
+    milliseconds uptime_ {};
+    /// Whether other nodes contact this one first, since it is a seed, or whether there are
+    /// no other nodes to contact.
+    bool isFirstContact_ = false;
+    /// Whether a peer has reported.
+    bool hasPeers_ = false;
+    /// Number of known nodes, including this one.
+    std::size_t knownNodes_ = 1;
+    /// Number in [0, 1) that differs by node and start.
+    double phase_ = 0;
+};
+
+/// Returns whether a node without a configuration may read from the platform. While all
+/// nodes start, each of them knows few others and would select itself as a reader, and
+/// their simultaneous reads would time out and be repeated. Nodes therefore wait for the
+/// first reports of peers, and in a large fleet additionally for a time within which the
+/// nodes' first reads are spread at a rate that does not depend on the size of the fleet.
+/// Nodes that receive the configuration from a peer meanwhile need not read.
+bool mayReadAtStart(const ColdStart& state);
+
+/// Pauses between the reads of a node after failures. The pause doubles up to a limit and
+/// is randomised, so that nodes whose reads failed at the same time do not repeat them at
+/// the same time.
+class ReadBackoff {
+public:
+    /// \p initial is the mean pause after the first failure.
+    explicit ReadBackoff(milliseconds initial);
+
+    void noteSuccess() { failures_ = 0; }
+    /// Returns the pause after a failure. \p random is in [0, 1).
+    milliseconds nextPause(double random);
+
+private:
+    const milliseconds initial_;
+    unsigned failures_ = 0;
+};
+
 /// Returns whether the platform serves none of the known readers. A single rejected
 /// reader does not show that registrations are affected.
 bool haveAllReadersFailed(const std::vector<ReaderState>& peers);
