Leaving backend servers are told by relays, in messages of bounded size

Cause: each node of a large fleet repeated every leaving id that it had heard, whole, for 10 s, in introductions and reports: servers x nodes x receivers. 2,000 leaving servers are 28 KB a datagram, 3.8 MB/s from each node (worked out).

Change: the node that detected it tells the relays, and they tell all. A message holds at most 512 ids, the newest always among them (BackendNotices). A list in the log names 32 changes, a report 8, and the others are counted.

Test: BackendNoticesTest, 3 to 6,000 leaving servers.

--- /dev/null
+++ b/lib/Gateway/BackendNotices.cpp
@@ -0,0 +1,48 @@
+//===- lib/Gateway/BackendNotices.cpp - backend servers to tell peers about ===//
+///
+/// \file
+/// See BackendNotices.h.
+//===----------------------------------------------------------------------===//
+#include "BackendNotices.h"
+
+#include <algorithm>
+
+namespace pistachioloom {
+
+BackendNotices::BackendNotices(milliseconds duration)
+    : duration_(duration)
+{
+}
+
+bool BackendNotices::add(const BackendId& id, SteadyTime now)
+{
+    if (!ids_.insert(id).second)
+        return false;
+    added_.emplace_back(now, id);
+    return true;
+}
+
+bool BackendNotices::contains(const BackendId& id) const
+{
+    return ids_.contains(id);
+}
+
+std::vector<BackendId> BackendNotices::select(SteadyTime now, std::uint64_t random)
+{
+    while (!added_.empty() && now - added_.front().first > duration_) {
+        ids_.erase(added_.front().second);
+        added_.pop_front();
+    }
+    std::vector<BackendId> selected;
+    std::size_t newest = std::min(added_.size(), maxNotices / 2);
+    for (std::size_t i = added_.size() - newest; i < added_.size(); ++i)
+        selected.push_back(added_[i].second);
+    std::size_t older = added_.size() - newest;
+    std::size_t taken = std::min(older, maxNotices - newest);
+    std::size_t first = windowStart(older, taken, random);
+    for (std::size_t i = 0; i < taken; ++i)
+        selected.push_back(added_[(first + i) % older].second);
+    return selected;
+}
+
+} // namespace pistachioloom
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -22,6 +22,13 @@
     // duties may be held by another node whose reports do not arrive at this one. With
     // the added rank this node waits longer than a lease before it claims the duties.
     constexpr std::size_t rankPenalty = 8;
+    // Time for which a leaving backend server is reported to peers.
+    constexpr milliseconds leavingReportDuration { 10000 };
+    // Time for which a terminated backend server is reported to peers. Its registration
+    // expires soon after.
+    constexpr milliseconds terminatedReportDuration { 3000 };
+    // Backend servers that the log lines on one message name; the others are counted.
+    constexpr std::size_t maxNamedBackends = 8;
 
     /// Identifies the peer that represents all other nodes in the tables of a large
     /// fleet.
@@ -46,6 +53,8 @@
     , table_(context.settings_.vm_, context.settings_.dataCentre_, context.settings_.cores_, context.settings_.gossipSettings_)
     , discovery_(table_, context.settings_.vm_, context.settings_.dataCentre_, context.settings_.gossipSettings_)
     , aggregator_(context.settings_.usageWindow_)
+    , leaving_(leavingReportDuration)
+    , terminated_(terminatedReportDuration)
 {
 }
 
@@ -131,15 +140,13 @@
 void PeerReports::noteLeaving(const BackendId& id)
 {
     std::lock_guard lock(leavingMutex_);
-    leaving_.emplace_back(steadyNow(), id);
+    leaving_.add(id, steadyNow());
 }
 
 void PeerReports::noteTerminated(const BackendId& id)
 {
     std::lock_guard lock(leavingMutex_);
-    bool isKnown = std::any_of(terminated_.begin(), terminated_.end(), [&](const auto& entry) { return entry.second == id; });
-    if (!isKnown)
-        terminated_.emplace_back(steadyNow(), id);
+    terminated_.add(id, steadyNow());
 }
 
 void PeerReports::send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers)
@@ -188,6 +195,7 @@
 {
     wire::Datagram datagram;
     composeIntroduction(*datagram.mutable_report(), AdvertisedPeers::Many);
+    composeNotices(*datagram.mutable_report());
     composeState(*datagram.mutable_report());
     send(datagram, knownAddresses());
 }
@@ -198,6 +206,7 @@
     wire::Datagram datagram;
     wire::NodeReport& report = *datagram.mutable_report();
     composeIntroduction(report, AdvertisedPeers::Few);
+    composeNotices(report);
     composeState(report);
     report.set_wants_digest(true);
     std::vector<Endpoint> relays;
@@ -343,10 +352,9 @@
     for (const std::string& id : terminated) {
         {
             std::lock_guard lock(leavingMutex_);
-            if (std::any_of(terminated_.begin(), terminated_.end(), [&](const auto& entry) { return entry.second.value_ == id; }))
+            if (!terminated_.add({ id }, now))
                 continue;
         }
-        noteTerminated({ id });
         logger_.info(LogLine("Backend server has terminated.").add("backend", id).add("from", from.value_));
         context_.backends_.setTerminated({ id }, now);
         noteBackendTerminated(context_.forward_, { id });
@@ -355,12 +363,20 @@
 
 void PeerReports::applyLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from)
 {
+    std::size_t marked = 0;
     for (const std::string& id : leaving) {
         if (!context_.backends_.setLeaving({ id }, steadyNow()))
             continue;
-        logger_.info(LogLine("Backend server is leaving.").add("backend", id).add("from", from.value_));
-        noteLeaving({ id });
+        if (++marked <= maxNamedBackends)
+            logger_.info(LogLine("Backend server is leaving.").add("backend", id).add("from", from.value_));
+        // In a large fleet the relays report to all nodes what the node that detected it
+        // reports. If every node repeated it, the messages would grow with the number of
+        // nodes and of leaving servers.
+        if (!usesRelays_)
+            noteLeaving({ id });
     }
+    if (marked > maxNamedBackends)
+        logger_.info(LogLine("More backend servers are leaving.").add("count", static_cast<std::int64_t>(marked - maxNamedBackends)).add("from", from.value_));
 }
 
 void PeerReports::applyReport(const wire::NodeReport& report, SteadyTime now)
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -9,12 +9,12 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "BackendNotices.h"
 #include "Discovery.h"
 #include "GatewayContext.h"
 #include "ReportAggregator.h"
 
 #include <boost/asio.hpp>
-#include <deque>
 
 namespace pistachioloom {
 
@@ -91,6 +91,8 @@
     void send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
 
     void composeIntroduction(wire::NodeReport& report, AdvertisedPeers amount);
+    /// Adds the backend servers that are leaving or have terminated, as this node detected.
+    void composeNotices(wire::NodeReport& report);
     void composeState(wire::NodeReport& report);
     static void composeMembers(google::protobuf::RepeatedPtrField<wire::MemberEntry>& entries, const std::vector<KnownPeer>& members, SteadyTime now);
     /// Returns the addresses of peers, and of seeds that have not reported yet.
@@ -128,11 +130,8 @@
     std::atomic<std::uint64_t> unresponsiveNodes_ { 0 };
     /// Guards leaving_ and terminated_.
     std::mutex leavingMutex_;
-    /// Backend servers that are reported as leaving, and when each was added.
-    std::deque<std::pair<SteadyTime, BackendId>> leaving_;
-    /// Backend servers that are reported as terminated, each of them once, and when each
-    /// was added.
-    std::deque<std::pair<SteadyTime, BackendId>> terminated_;
+    BackendNotices leaving_;
+    BackendNotices terminated_;
     std::uint64_t sequence_ = 0;
     std::atomic<bool> usesRelays_ { false };
     const SteadyTime startedAt_ = steadyNow();
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -19,6 +19,9 @@
     const std::string platformSource = "platform";
     // Maximum age of a peer's list of backend servers that is still used.
     constexpr std::uint64_t maxListAgeMs = 1500;
+    // Changes of one list that the log names; the others are counted. A node that starts
+    // receives a list of thousands of backend servers.
+    constexpr std::size_t maxNamedChanges = 32;
 
     /// Returns a random number in [0, 1).
     double randomFraction()
@@ -138,7 +141,7 @@
     // crashed.
     if (!known->isLeaving_)
         noteBackendTerminated(context_.forward_, known->id_);
-    logger_.info(LogLine("Backend server was removed.").add("backend", known->id_.value_).add("from", source));
+    logChange(LogLine("Backend server was removed.").add("backend", known->id_.value_).add("from", source));
     // A removal that was found in a peer's list is not reported: other nodes fetch that
     // list themselves.
     if (source == platformSource)
@@ -180,10 +183,12 @@
     if (result == BackendTable::PutResult::Restarted && newest && !newest->isLeaving_)
         noteBackendTerminated(context_.forward_, newest->id_);
     if (!before)
-        logger_.info(LogLine(result == BackendTable::PutResult::Restarted ? "Backend server restarted." : "Backend server is registered.").add("backend", record.id_.value_).add("service", record.service_.value_).add("address", record.endpoint_.toString()).add("data_centre", record.dataCentre_.value_).add("version", record.version_.value_).add("reclaimable", record.isReclaimable_).add("leaving", record.isLeaving_));
+        logChange(LogLine(result == BackendTable::PutResult::Restarted ? "Backend server restarted." : "Backend server is registered.").add("backend", record.id_.value_).add("service", record.service_.value_).add("address", record.endpoint_.toString()).add("data_centre", record.dataCentre_.value_).add("version", record.version_.value_).add("reclaimable", record.isReclaimable_).add("leaving", record.isLeaving_));
     if (record.isLeaving_ && (!before || !before->isLeaving_)) {
-        logger_.info(LogLine("Backend server is leaving.").add("backend", record.id_.value_).add("from", source));
-        peerReports_.noteLeaving(record.id_);
+        logChange(LogLine("Backend server is leaving.").add("backend", record.id_.value_).add("from", source));
+        // Other nodes fetch a peer's list themselves.
+        if (source == platformSource)
+            peerReports_.noteLeaving(record.id_);
     }
 }
 
@@ -208,13 +213,23 @@
         removeBackend(name, platformSource);
 }
 
+/// Logs one change of a list, unless the log names enough changes of this list already.
+void PlatformFeed::logChange(const LogLine& line)
+{
+    if (++loggedChanges_ <= maxNamedChanges)
+        logger_.info(line);
+}
+
 void PlatformFeed::apply(const RegistryRead& read, const std::string& source)
 {
+    loggedChanges_ = 0;
     for (const RegistryChange& change : read.changes_)
         applyChange(change, source);
     if (read.isComplete_)
         removeUnlisted(read, source);
     applyDueRemovals();
+    if (loggedChanges_ > maxNamedChanges)
+        logger_.info(LogLine("More backend servers have changed.").add("count", static_cast<std::int64_t>(loggedChanges_ - maxNamedChanges)).add("from", source));
 }
 
 asio::awaitable<void> PlatformFeed::followRegistry()
--- a/lib/Gateway/PlatformFeed.h
+++ b/lib/Gateway/PlatformFeed.h
@@ -57,6 +57,7 @@
     std::optional<KnownPeer> backendsSource() const;
     asio::awaitable<std::optional<wire::ConfigurationUpdate>> callPeer(VmId vm, Peer peer, wire::Frame request);
     void logAvailability(const std::string& resource, const Error* error) const;
+    void logChange(const LogLine& line);
     /// \p source is the platform or the peer that sent \p read.
     void apply(const RegistryRead& read, const std::string& source);
     void applyChange(const RegistryChange& change, const std::string& source);
@@ -98,6 +99,8 @@
     /// Backend servers whose registration is missing. They are removed after
     /// removalGraceEnd_, unless they register again.
     std::set<BackendName> pendingRemovals_;
+    /// Number of changes of the list that is being applied that were passed to logChange().
+    std::size_t loggedChanges_ = 0;
     /// The latest error of each invalid registration.
     std::map<BackendName, std::string> registrationErrors_;
     Logger logger_ { "feed" };
--- a/lib/Gateway/ReportAggregator.cpp
+++ b/lib/Gateway/ReportAggregator.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "ReportAggregator.h"
 
+#include "BackendNotices.h"
 #include "RolloutMessages.h"
 
 #include <algorithm>
@@ -32,6 +33,16 @@
         return windows;
     }
 
+    /// Adds \p ids, or a random part of them that keeps the message small.
+    void putNotices(const std::set<std::string>& ids, google::protobuf::RepeatedPtrField<std::string>& message)
+    {
+        std::vector<std::string> all(ids.begin(), ids.end());
+        std::size_t taken = std::min(all.size(), maxNotices);
+        std::size_t first = windowStart(all.size(), taken, randomBits());
+        for (std::size_t i = 0; i < taken; ++i)
+            message.Add(std::string(all[(first + i) % all.size()]));
+    }
+
     void addCounts(NamedCounts& totals, const NamedCounts& counts, double sign = 1)
     {
         for (const auto& [name, count] : counts)
@@ -197,10 +208,8 @@
         reported.set_observations(demand.observations_);
         reported.set_prefill_per_ms(demand.observations_ ? demand.weightedRate_ / static_cast<double>(demand.observations_) : 0);
     }
-    for (const std::string& id : leaving_)
-        sums.add_leaving(id);
-    for (const std::string& id : terminated_)
-        sums.add_ended(id);
+    putNotices(leaving_, *sums.mutable_leaving());
+    putNotices(terminated_, *sums.mutable_ended());
     for (const auto& [service, rollout] : rollouts_) {
         wire::RolloutReport& report = *sums.add_rollouts();
         report = toWire(rollout.state_);
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -12,18 +12,8 @@
 
 namespace pistachioloom {
 
-namespace {
-
-    // Time for which a leaving backend server is reported to peers.
-    constexpr milliseconds leavingReportDuration { 10000 };
-    // Time for which a terminated backend server is reported to peers. Its registration
-    // expires soon after.
-    constexpr milliseconds terminatedReportDuration { 3000 };
-
-} // namespace
-
-/// Composes the part of a report that any node may receive: the identity of this node,
-/// and urgent changes.
+/// Composes the part of a report that any node may receive: the identity of this node, and
+/// changes that concern all nodes and whose size is bounded.
 void PeerReports::composeIntroduction(wire::NodeReport& report, AdvertisedPeers amount)
 {
     const GatewaySettings& settings = context_.settings_;
@@ -45,17 +35,6 @@
     report.set_is_reader(hooks_.isReader_());
     report.set_cores(settings.cores_);
     report.set_registry_fingerprint(context_.backends_.fingerprint());
-    {
-        std::lock_guard lock(leavingMutex_);
-        while (!leaving_.empty() && now - leaving_.front().first > leavingReportDuration)
-            leaving_.pop_front();
-        for (const auto& [at, id] : leaving_)
-            report.add_leaving(id.value_);
-        while (!terminated_.empty() && now - terminated_.front().first > terminatedReportDuration)
-            terminated_.pop_front();
-        for (const auto& [at, id] : terminated_)
-            report.add_ended(id.value_);
-    }
     putSuspects(context_.quarantine_.suspectsToReport(now, randomBits()), *report.mutable_suspects(), now);
     putRollouts(context_.rollouts_.states(), *report.mutable_rollouts(), now);
     for (const auto& [vm, peer] : discovery_.peersToAdvertise(amount, sequence_, now)) {
@@ -65,6 +44,16 @@
     }
 }
 
+void PeerReports::composeNotices(wire::NodeReport& report)
+{
+    SteadyTime now = steadyNow();
+    std::lock_guard lock(leavingMutex_);
+    for (const BackendId& id : leaving_.select(now, randomBits()))
+        report.add_leaving(id.value_);
+    for (const BackendId& id : terminated_.select(now, randomBits()))
+        report.add_ended(id.value_);
+}
+
 /// Composes the loads, counts and demand of this node.
 void PeerReports::composeState(wire::NodeReport& report)
 {
--- /dev/null
+++ b/unittests/Gateway/BackendNoticesTest.cpp
@@ -0,0 +1,74 @@
+//===- unittests/Gateway/BackendNoticesTest.cpp - waves of leaving servers ===//
+///
+/// \file
+/// Load pattern: hundreds or thousands of backend servers leave at once. Every node must
+/// know within seconds, and the messages that say so must not grow with the wave.
+//===----------------------------------------------------------------------===//
+#include "BackendNotices.h"
+#include "ReportAggregator.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace pistachioloom;
+
+namespace {
+
+constexpr SteadyTime start { std::chrono::hours(1) };
+constexpr milliseconds period { 200 };
+constexpr milliseconds duration { 10000 };
+/// Maximum size of a datagram.
+constexpr std::size_t maxDatagramSize = 64UL * 1024;
+
+BackendId idOf(std::size_t index)
+{
+    return { "i-0123456789-" + std::to_string(index) };
+}
+
+} // namespace
+
+TEST_CASE("a wave of leaving backend servers is told in messages of bounded size", "[notices]")
+{
+    auto leaving = GENERATE(std::size_t { 3 }, std::size_t { 512 }, std::size_t { 2000 }, std::size_t { 6000 });
+    CAPTURE(leaving);
+    BackendNotices notices(duration);
+    for (std::size_t i = 0; i < leaving; ++i)
+        CHECK(notices.add(idOf(i), start));
+    CHECK_FALSE(notices.add(idOf(0), start));
+    std::mt19937_64 random(leaving);
+    ReportAggregator relay(milliseconds(5000));
+    std::set<std::string> received;
+    std::size_t maxSize = 0;
+    // The node that detected it reports to a relay, which reports to all other nodes.
+    for (SteadyTime now = start; now - start <= duration; now += period) {
+        wire::NodeReport report;
+        report.set_vm("reader");
+        report.set_incarnation(1);
+        for (const BackendId& id : notices.select(now, random()))
+            report.add_leaving(id.value_);
+        maxSize = std::max(maxSize, report.ByteSizeLong());
+        relay.applyReport(report, now);
+        wire::NodeSums digest = relay.totals(now).toMessage();
+        maxSize = std::max(maxSize, digest.ByteSizeLong());
+        received.insert(digest.leaving().begin(), digest.leaving().end());
+    }
+    CHECK(received.size() == leaving);
+    CHECK(maxSize < maxDatagramSize / 4);
+    CHECK(notices.select(start + duration + period, 0).empty());
+    CHECK_FALSE(notices.contains(idOf(0)));
+}
+
+TEST_CASE("the newest leaving backend servers are in every message", "[notices]")
+{
+    BackendNotices notices(duration);
+    for (std::size_t i = 0; i < 3000; ++i)
+        notices.add(idOf(i), start);
+    notices.add({ "newest" }, start + period);
+    for (std::uint64_t random = 0; random < 100; ++random) {
+        std::vector<BackendId> selected = notices.select(start + 2 * period, random * 7919);
+        CHECK(selected.size() == maxNotices);
+        CHECK(std::find(selected.begin(), selected.end(), BackendId { "newest" }) != selected.end());
+        CHECK(std::set<BackendId>(selected.begin(), selected.end()).size() == selected.size());
+    }
+}
