Nodes fetch the groups of backend servers that differ, not the whole list

Cause: every difference brought the whole list, 330 KB at 3,000 servers, to each of some 196 nodes from the one reader of the data centre (worked out).

Older peers send and get the whole list. The fingerprint of the list is kept until it changes.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -246,6 +246,14 @@
     /// Returns a hash that is equal for tables with the same backend servers in the same
     /// leaving state.
     std::uint64_t fingerprint() const;
+    /// Divides the backend servers into \p buckets groups by name, and returns a hash of each
+    /// group that is equal for equal groups, as fingerprint() is for tables. Two nodes
+    /// find the groups in which their tables differ by comparing these.
+    std::vector<std::uint64_t> bucketFingerprints(std::size_t buckets) const;
+    /// Returns the backend servers of the groups that \p isIncluded selects by index.
+    std::vector<BackendRecord> recordsIn(const std::vector<bool>& isIncluded) const;
+    /// Returns the number of backend servers.
+    std::size_t size() const;
     std::optional<BackendRecord> find(const BackendId& id) const;
     /// Returns the newest incarnation of \p name, if the table holds it.
     std::optional<BackendRecord> findNewest(const BackendName& name) const;
@@ -323,6 +331,7 @@
         BackendRecord record_;
         /// Hash of the id; key_ is its lower half.
         std::uint64_t hash_ = 0;
+        std::uint64_t nameHash_ = 0;
         BackendKey key_ = 0;
         BackendLoad ownLoad_;
         BackendLoad peerLoad_;
@@ -399,6 +408,8 @@
     const ChoiceSettings settings_;
     mutable std::mutex mutex_;
     std::map<BackendId, Backend> backends_;
+    /// The value of fingerprint(); nullopt after a change.
+    mutable std::optional<std::uint64_t> fingerprint_;
     /// Newest known start time by name, including removed servers.
     std::map<BackendName, BackendStartTime> newestStarts_;
     /// Leaving servers without a record, and the time at which each of them was reported
--- a/include/pistachioloom/Support.h
+++ b/include/pistachioloom/Support.h
@@ -181,6 +181,9 @@
 /// Creates a random UUID (version 4) from the system's entropy source.
 std::string makeUuid();
 
+/// Spreads the bits of \p value evenly (the finaliser of SplitMix64).
+std::uint64_t mixBits(std::uint64_t value);
+
 /// Returns 64 uniform random bits from a generator of the calling thread.
 std::uint64_t randomBits();
 
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -237,6 +237,7 @@
     case BackendOutcome::WrongInstance:
         // The record is outdated, since another server has the address.
         backends_.erase(found);
+        fingerprint_.reset();
         return;
     case BackendOutcome::Unreachable:
         failedByDataCentre_[backend.record_.dataCentre_].insert(id);
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -16,14 +16,6 @@
 // other. Services fail up to a seventh of their requests in normal operation.
 static constexpr double maxFailedShare = 0.4;
 
-/// Spreads the bits of \p value evenly (the finaliser of SplitMix64).
-static std::uint64_t mixBits(std::uint64_t value)
-{
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
-    return value ^ (value >> 31);
-}
-
 // Penalty in ms for each other request at a backend server that a suspect request may
 // crash. It exceeds any wait.
 static constexpr double suspectPenaltyMs = 100000;
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -36,6 +36,8 @@
     bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_ || removedLeaving_.contains(record.id_);
     backend.record_ = record;
     backend.hash_ = stableHash(record.id_.value_);
+    backend.nameHash_ = stableHash(record.name_.value_);
+    fingerprint_.reset();
     backend.key_ = keyOf(record.id_);
     backend.record_.isLeaving_ = isLeaving;
     if (isRestart)
@@ -49,6 +51,7 @@
     for (auto& [dataCentre, failed] : failedByDataCentre_)
         failed.erase(id);
     backends_.erase(id);
+    fingerprint_.reset();
 }
 
 void BackendTable::rememberLeaving(const BackendId& id, SteadyTime now)
@@ -68,6 +71,7 @@
         rememberLeaving(id, now);
     removedNames_.push_back(found->second.record_.name_);
     backends_.erase(found);
+    fingerprint_.reset();
     if (removedNames_.size() <= maxRemovedNames)
         return;
     BackendName oldest = removedNames_.front();
@@ -86,6 +90,7 @@
     if (found == backends_.end() || found->second.record_.isLeaving_)
         return false;
     found->second.record_.isLeaving_ = true;
+    fingerprint_.reset();
     return true;
 }
 
@@ -140,12 +145,44 @@
 std::uint64_t BackendTable::fingerprint() const
 {
     std::lock_guard lock(mutex_);
+    if (fingerprint_)
+        return *fingerprint_;
     std::uint64_t hash = 0;
     for (const auto& [id, backend] : backends_)
         hash = stableHash(id.value_ + (backend.record_.isLeaving_ ? "-" : "+"), hash);
+    fingerprint_ = hash;
     return hash;
 }
 
+std::vector<std::uint64_t> BackendTable::bucketFingerprints(std::size_t buckets) const
+{
+    assert(buckets && "the number of groups is positive");
+    std::lock_guard lock(mutex_);
+    std::vector<std::uint64_t> fingerprints(buckets);
+    // A sum does not depend on the order. Mixing keeps the hashes of a leaving and of another
+    // server from cancelling out.
+    for (const auto& [id, backend] : backends_)
+        fingerprints[backend.nameHash_ % buckets] += mixBits(backend.hash_ + backend.record_.isLeaving_);
+    return fingerprints;
+}
+
+std::vector<BackendRecord> BackendTable::recordsIn(const std::vector<bool>& isIncluded) const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<BackendRecord> records;
+    for (const auto& [id, backend] : backends_) {
+        if (isIncluded[backend.nameHash_ % isIncluded.size()])
+            records.push_back(backend.record_);
+    }
+    return records;
+}
+
+std::size_t BackendTable::size() const
+{
+    std::lock_guard lock(mutex_);
+    return backends_.size();
+}
+
 std::optional<BackendRecord> BackendTable::find(const BackendId& id) const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "PlatformFeed.h"
 
+#include "RegistryBuckets.h"
 #include "generated/Peer.pb.h"
 #include "pistachioloom/Settings.h"
 
@@ -23,12 +24,6 @@
     // receives a list of thousands of backend servers.
     constexpr std::size_t maxNamedChanges = 32;
 
-    /// Returns a random number in [0, 1).
-    double randomFraction()
-    {
-        return static_cast<double>(randomBits() >> 11) * 0x1p-53;
-    }
-
 } // namespace
 
 PlatformFeed::PlatformFeed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers, BackgroundExecutor& background)
@@ -37,7 +32,7 @@
     , peerReports_(reports)
     , peers_(peers)
     , background_(background)
-    , startPhase_(randomFraction())
+    , startPhase_(static_cast<double>(randomBits() >> 11) * 0x1p-53)
 {
 }
 
@@ -101,7 +96,7 @@
         if (!read) {
             if (read.error().code_ == Errc::NotFound)
                 from.reset();
-            co_await sleepFor(backoff.nextPause(randomFraction()));
+            co_await sleepFor(backoff.nextPause(randomBits()));
             continue;
         }
         backoff.noteSuccess();
@@ -192,12 +187,12 @@
     }
 }
 
-void PlatformFeed::removeUnlisted(const RegistryRead& fullRead, const std::string& source)
+void PlatformFeed::removeUnlisted(const RegistryRead& read, const std::vector<BackendRecord>& known, const std::string& source)
 {
     std::set<BackendName> present;
-    for (const RegistryChange& change : fullRead.changes_)
+    for (const RegistryChange& change : read.changes_)
         present.insert(change.name_);
-    for (const BackendRecord& record : context_.backends_.records()) {
+    for (const BackendRecord& record : known) {
         if (!present.contains(record.name_))
             removeBackend(record.name_, source);
     }
@@ -220,13 +215,13 @@
         logger_.info(line);
 }
 
-void PlatformFeed::apply(const RegistryRead& read, const std::string& source)
+void PlatformFeed::apply(const RegistryRead& read, const std::vector<BackendRecord>& covered, const std::string& source)
 {
     loggedChanges_ = 0;
     for (const RegistryChange& change : read.changes_)
         applyChange(change, source);
-    if (read.isComplete_)
-        removeUnlisted(read, source);
+    if (!covered.empty())
+        removeUnlisted(read, covered, source);
     applyDueRemovals();
     if (loggedChanges_ > maxNamedChanges)
         logger_.info(LogLine("More backend servers have changed.").add("count", static_cast<std::int64_t>(loggedChanges_ - maxNamedChanges)).add("from", source));
@@ -255,10 +250,10 @@
             from = read.value().next_;
             registryReadAt_ = steadyNow();
             listReadAt_ = steadyNow();
-            apply(read.value(), platformSource);
+            apply(read.value(), read.value().isComplete_ ? context_.backends_.records() : std::vector<BackendRecord> {}, platformSource);
             backoff.noteSuccess();
         }
-        co_await sleepFor(read ? settings.registryPeriod_ : backoff.nextPause(randomFraction()));
+        co_await sleepFor(read ? settings.registryPeriod_ : backoff.nextPause(randomBits()));
     }
 }
 
@@ -323,7 +318,11 @@
 asio::awaitable<void> PlatformFeed::fetchBackends(VmId vm, Peer peer)
 {
     wire::Frame request;
-    request.mutable_configuration_fetch()->set_wants_backends(true);
+    wire::ConfigurationFetch& fetch = *request.mutable_configuration_fetch();
+    fetch.set_wants_backends(true);
+    std::size_t bucketCount = bucketCountFor(context_.backends_.size());
+    for (std::uint64_t fingerprint : context_.backends_.bucketFingerprints(bucketCount))
+        fetch.add_backend_buckets(fingerprint);
     SteadyTime requestedAt = steadyNow();
     auto answered = co_await callPeer(vm, peer, request);
     if (!answered)
@@ -332,24 +331,30 @@
     // Nodes that are not readers use the list of a peer, and so do readers that cannot
     // read from the platform.
     bool mayUse = !isReader() || isRegistryStale();
-    bool isFirst = listReadAt_ == SteadyTime {} && update.backends_size();
-    if (!mayUse || (update.backends_age_ms() > maxListAgeMs && !isFirst))
+    bool isStale = update.backends_age_ms() > maxListAgeMs;
+    bool isFirst = listReadAt_ == SteadyTime {};
+    if (!mayUse || (isStale && !isFirst))
         co_return;
     // The peer computes the age after the request was sent, so that the list was read no
     // earlier than this. A list that is older than this node's list may lack newer
     // registrations.
     SteadyTime readAt = requestedAt - milliseconds(update.backends_age_ms());
-    if (readAt <= listReadAt_ && !isFirst)
+    if (readAt <= listReadAt_)
         co_return;
-    listReadAt_ = std::max(readAt, SteadyTime { milliseconds(1) });
     RegistryRead read;
-    read.isComplete_ = true;
     for (const wire::BackendEntry& entry : update.backends()) {
         auto endpoint = parseEndpoint(entry.address());
         if (endpoint && !entry.name().empty())
             read.changes_.push_back({ { entry.name() }, BackendRecord { backendId({ entry.name() }, { entry.started_ms() }), { entry.service() }, *endpoint, { entry.data_centre() }, entry.slots(), entry.is_leaving(), entry.is_reclaimable(), { entry.name() }, { entry.started_ms() }, { entry.version() } }, {} });
     }
-    apply(read, vm.value_);
+    // A peer of an older version sends the complete list.
+    std::vector<bool> covered = update.bucket_count() ? includedBuckets(update, bucketCount) : std::vector<bool>(1, true);
+    // An old list does not show that the servers which it lacks are gone.
+    apply(read, isStale ? std::vector<BackendRecord> {} : context_.backends_.recordsIn(covered), vm.value_);
+    // The first list is complete only when its last part has arrived. Until then parts of any
+    // age are used.
+    if (!isFirst || (!update.has_more() && context_.backends_.size()))
+        listReadAt_ = std::max(readAt, SteadyTime { milliseconds(1) });
 }
 
 wire::Frame PlatformFeed::answer(const wire::Frame& request)
@@ -369,7 +374,16 @@
     update.set_backends_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count())));
     if (!fetch.wants_backends())
         return frame;
-    for (const BackendRecord& record : context_.backends_.records()) {
+    std::vector<bool> included { true };
+    if (isValidBucketCount(fetch.backend_buckets_size())) {
+        std::vector<std::uint64_t> wanted(fetch.backend_buckets().begin(), fetch.backend_buckets().end());
+        std::vector<std::uint64_t> own = context_.backends_.bucketFingerprints(wanted.size());
+        included = selectBuckets(own, wanted, context_.backends_.size(), randomBits());
+        putBuckets(included, update);
+        update.set_has_more(hasMoreDifferences(own, wanted, included));
+    }
+    update.set_has_more(update.has_more() || listReadAt_ == SteadyTime {});
+    for (const BackendRecord& record : context_.backends_.recordsIn(included)) {
         wire::BackendEntry& entry = *update.add_backends();
         entry.set_name(record.name_.value_);
         entry.set_started_ms(record.startTime_.value_);
--- a/lib/Gateway/PlatformFeed.h
+++ b/lib/Gateway/PlatformFeed.h
@@ -58,13 +58,14 @@
     asio::awaitable<std::optional<wire::ConfigurationUpdate>> callPeer(VmId vm, Peer peer, wire::Frame request);
     void logAvailability(const std::string& resource, const Error* error) const;
     void logChange(const LogLine& line);
-    /// \p source is the platform or the peer that sent \p read.
-    void apply(const RegistryRead& read, const std::string& source);
+    /// Applies \p read, and removes those of the known servers \p covered that it does not
+    /// contain. \p source is the platform or the peer that sent it.
+    void apply(const RegistryRead& read, const std::vector<BackendRecord>& covered, const std::string& source);
     void applyChange(const RegistryChange& change, const std::string& source);
     /// Drops the backend server of a registration that is invalid.
     void rejectRegistration(const RegistryChange& change, const std::string& source);
     void removeBackend(const BackendName& name, const std::string& source);
-    void removeUnlisted(const RegistryRead& fullRead, const std::string& source);
+    void removeUnlisted(const RegistryRead& read, const std::vector<BackendRecord>& known, const std::string& source);
     void applyDueRemovals();
     /// Returns a peer that has a newer configuration and is not busy, preferably of this
     /// data centre.
--- a/lib/Gateway/Readers.cpp
+++ b/lib/Gateway/Readers.cpp
@@ -100,12 +100,12 @@
 {
 }
 
-milliseconds ReadBackoff::nextPause(double random)
+milliseconds ReadBackoff::nextPause(std::uint64_t draw)
 {
     milliseconds mean = std::min(maxReadPause, initial_ * (1LL << failures_));
     if (mean < maxReadPause)
         ++failures_;
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(mean.count()) * (0.5 + random)));
+    return jitter(mean, draw);
 }
 
 bool haveAllReadersFailed(const std::vector<ReaderState>& peers)
--- a/lib/Gateway/Readers.h
+++ b/lib/Gateway/Readers.h
@@ -63,8 +63,8 @@
     explicit ReadBackoff(milliseconds initial);
 
     void noteSuccess() { failures_ = 0; }
-    /// Returns the pause after a failure. \p random is in [0, 1).
-    milliseconds nextPause(double random);
+    /// Returns the pause after a failure. \p draw is uniform over 64 bits.
+    milliseconds nextPause(std::uint64_t draw);
 
 private:
     const milliseconds initial_;
--- a/lib/Support/Hash.cpp
+++ b/lib/Support/Hash.cpp
@@ -67,6 +67,13 @@
     return boost::uuids::to_string(generator());
 }
 
+std::uint64_t mixBits(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+    return value ^ (value >> 31);
+}
+
 std::uint64_t randomBits()
 {
     thread_local std::mt19937_64 generator(std::random_device {}());
