Relays encode their sums once for all receivers

Change: the sums are encoded once; the relay appends what they contain of the receiver, which subtracts it. Nodes of older versions and the holder of the duties get digests of their own.

--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -151,7 +151,11 @@
 
 void PeerReports::send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers)
 {
-    std::string bytes = datagram.SerializeAsString();
+    sendBytes(datagram.SerializeAsString(), receivers);
+}
+
+void PeerReports::sendBytes(const std::string& bytes, const std::vector<Endpoint>& receivers)
+{
     for (const Endpoint& receiver : receivers) {
         boost::system::error_code code;
         udp::endpoint address(asio::ip::make_address(receiver.host_, code), receiver.port_);
@@ -209,6 +213,7 @@
     composeNotices(report);
     composeState(report);
     report.set_wants_digest(true);
+    report.set_takes_common_sums(true);
     std::vector<Endpoint> relays;
     isRelay_ = false;
     std::vector<VmId> chosen = table_.chooseRelays(now);
@@ -261,19 +266,8 @@
     report.set_incarnation(context_.incarnation_);
     report.set_is_digest(true);
     composeMembers(*report.mutable_members(), discovery_.membersToAdvertise(now), now);
-    ReportTotals totals = aggregator_.totals(now);
     std::vector<Suspect> suspects = context_.quarantine_.suspectsToReport(now, randomBits());
-    for (const VmId& vm : receivers) {
-        *report.mutable_sums() = aggregator_.digestFor(vm, totals, now);
-        putSuspects(suspects, *report.mutable_sums()->mutable_suspects(), now);
-        report.mutable_sums()->set_counted_ms(countedMs(now));
-        if (vm == context_.settings_.vm_)
-            applyDigest(vm, context_.incarnation_, report.sums(), now);
-        else if (auto address = table_.gossipEndpointOf(vm)) {
-            std::vector<Endpoint> receiver { *address };
-            send(datagram, receiver);
-        }
-    }
+    sendDigests(datagram, receivers, suspects, now);
     if (!isRelay_)
         return;
     report.set_is_digest(false);
@@ -288,6 +282,43 @@
     }
 }
 
+/// Sends each of \p receivers the sums of all other nodes. \p datagram contains the other
+/// parts.
+void PeerReports::sendDigests(wire::Datagram& datagram, const std::vector<VmId>& receivers, const std::vector<Suspect>& suspects, SteadyTime now)
+{
+    ReportTotals totals = aggregator_.totals(now);
+    wire::RelayReport& report = *datagram.mutable_relayed();
+    auto complete = [&](wire::NodeSums sums) {
+        putSuspects(suspects, *sums.mutable_suspects(), now);
+        sums.set_counted_ms(countedMs(now));
+        *report.mutable_sums() = std::move(sums);
+    };
+    wire::NodeSums common = totals.toMessage();
+    // Roll-out counts are included only for the holder of the duties.
+    common.clear_rollout_counts();
+    complete(std::move(common));
+    // The parts of a message may be encoded separately and joined.
+    std::string commonBytes = datagram.SerializeAsString();
+    for (const VmId& vm : receivers) {
+        bool isSelf = vm == context_.settings_.vm_;
+        auto own = aggregator_.ownPartOf(vm, now);
+        auto address = table_.gossipEndpointOf(vm);
+        if (!isSelf && !address)
+            continue;
+        if (!isSelf && own) {
+            wire::Datagram part;
+            *part.mutable_relayed()->mutable_own() = std::move(*own);
+            sendBytes(commonBytes + part.SerializeAsString(), { *address });
+            continue;
+        }
+        complete(aggregator_.digestFor(vm, totals, now));
+        if (isSelf)
+            applyDigest(vm, context_.incarnation_, report.sums(), now);
+        else
+            send(datagram, { *address });
+    }
+}
+
 asio::awaitable<void> PeerReports::receiveDatagrams()
 {
     std::string buffer(maxDatagramSize, '\0');
@@ -303,7 +334,7 @@
         if (isParsed && datagram.has_report() && !datagram.report().vm().empty())
             applyReport(datagram.report(), steadyNow());
         else if (isParsed && datagram.has_relayed() && !datagram.relayed().vm().empty())
-            applyRelayReport(datagram.relayed(), { sender.address().to_string(), sender.port() }, steadyNow());
+            applyRelayReport(*datagram.mutable_relayed(), { sender.address().to_string(), sender.port() }, steadyNow());
         else {
             context_.metrics_.add(Counter::PeerErrors);
             logger_.warn("Datagram from " + sender.address().to_string() + " is not a valid report.");
@@ -453,7 +484,7 @@
     }
 }
 
-void PeerReports::applyRelayReport(const wire::RelayReport& report, const Endpoint& sender, SteadyTime now)
+void PeerReports::applyRelayReport(wire::RelayReport& report, const Endpoint& sender, SteadyTime now)
 {
     VmId relay { report.vm() };
     if (relay == context_.settings_.vm_)
@@ -462,6 +493,8 @@
     addKnownPeer(relay, sender);
     if (report.is_digest()) {
         table_.noteDigest(relay, now);
+        if (report.has_own())
+            subtract(*report.mutable_sums(), report.own());
         applyDigest(relay, report.incarnation(), report.sums(), now);
         return;
     }
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -87,8 +87,10 @@
     void reportToAll();
     void reportToRelays(SteadyTime now);
     void sendSums(SteadyTime now);
+    void sendDigests(wire::Datagram& datagram, const std::vector<VmId>& receivers, const std::vector<Suspect>& suspects, SteadyTime now);
     void sendIntroductions(SteadyTime now);
     void send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
+    void sendBytes(const std::string& bytes, const std::vector<Endpoint>& receivers);
 
     void composeIntroduction(wire::NodeReport& report, AdvertisedPeers amount);
     /// Adds the backend servers that are leaving or have terminated, as this node detected.
@@ -102,7 +104,7 @@
     void applyReport(const wire::NodeReport& report, SteadyTime now);
     void applyState(const wire::NodeReport& report, SteadyTime now);
     void applyMembers(const google::protobuf::RepeatedPtrField<wire::MemberEntry>& members, SteadyTime now);
-    void applyRelayReport(const wire::RelayReport& report, const Endpoint& sender, SteadyTime now);
+    void applyRelayReport(wire::RelayReport& report, const Endpoint& sender, SteadyTime now);
     void applyDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
     void applySuspects(const google::protobuf::RepeatedPtrField<wire::SuspectReport>& suspects, SteadyTime now);
     void applyRollouts(const google::protobuf::RepeatedPtrField<wire::RolloutReport>& reports, const VmId& from, SteadyTime now);
--- a/lib/Gateway/ReportAggregator.cpp
+++ b/lib/Gateway/ReportAggregator.cpp
@@ -115,6 +115,34 @@
     return sums;
 }
 
+void subtract(wire::NodeSums& sums, const wire::NodeSums& own)
+{
+    sums.set_nodes(sums.nodes() - std::min(sums.nodes(), own.nodes()));
+    LoadTable ownLoads = loadsOf(own.loads());
+    wire::BackendLoads& loads = *sums.mutable_loads();
+    for (int i = 0; i < std::min({ loads.backends_size(), loads.running_size(), loads.queued_tokens_size() }); ++i) {
+        auto found = ownLoads.find(loads.backends(i));
+        if (found == ownLoads.end())
+            continue;
+        loads.set_running(i, loads.running(i) - std::min(loads.running(i), found->second.running_));
+        loads.set_queued_tokens(i, loads.queued_tokens(i) - std::min<std::uint64_t>(loads.queued_tokens(i), found->second.queuedTokens_));
+    }
+    NamedCounts admitted;
+    for (const wire::QuotaReport& quota : own.quotas())
+        admitted[quota.organisation()] = quota.admitted();
+    for (wire::QuotaReport& quota : *sums.mutable_quotas()) {
+        auto found = admitted.find(quota.organisation());
+        if (found != admitted.end())
+            quota.set_admitted(quota.admitted() - found->second);
+    }
+    for (wire::DemandReport& demand : *sums.mutable_demand()) {
+        for (const wire::DemandReport& ownDemand : own.demand()) {
+            if (ownDemand.service() == demand.service())
+                demand.set_tokens_per_second(std::max(0.0, demand.tokens_per_second() - ownDemand.tokens_per_second()));
+        }
+    }
+}
+
 void ReportTotals::addCurrent(const wire::NodeSums& sums, milliseconds age)
 {
     nodes_ += sums.nodes();
@@ -250,6 +278,7 @@
     Node& node = nodes_[vm];
     node.incarnation_ = report.incarnation();
     node.receivedAt_ = now;
+    node.takesCommonSums_ = report.takes_common_sums();
     (void)node.group_.applySums(vm, report.incarnation(), sumsOf(report), now);
     ownUsage_.setPeer(vm, report.incarnation(), usageOf(report.usage()));
 }
@@ -327,4 +356,24 @@
     return sums;
 }
 
+std::optional<wire::NodeSums> ReportAggregator::ownPartOf(const VmId& receiver, SteadyTime now) const
+{
+    auto found = nodes_.find(receiver);
+    if (found == nodes_.end() || !found->second.takesCommonSums_)
+        return std::nullopt;
+    const wire::NodeSums* sums = found->second.group_.current(now);
+    if (!sums || sums->duty_token())
+        return std::nullopt;
+    wire::NodeSums own;
+    own.set_nodes(sums->nodes());
+    *own.mutable_loads() = sums->loads();
+    *own.mutable_demand() = sums->demand();
+    for (const auto& [organisation, count] : found->second.group_.admitted()) {
+        wire::QuotaReport& quota = *own.add_quotas();
+        quota.set_organisation(organisation);
+        quota.set_admitted(count);
+    }
+    return own;
+}
+
 } // namespace pistachioloom
--- a/lib/Gateway/ReportAggregator.h
+++ b/lib/Gateway/ReportAggregator.h
@@ -14,6 +14,7 @@
 #include "pistachioloom/Duties.h"
 #include "pistachioloom/Rollout.h"
 
+#include <optional>
 #include <set>
 
 namespace pistachioloom {
@@ -85,10 +86,16 @@
     /// platform.
     wire::NodeSums digestFor(const VmId& receiver, const ReportTotals& totals, SteadyTime now) const;
 
+    /// Returns what the totals contain of \p receiver, if it subtracts this itself, so that
+    /// the totals are encoded once for all receivers. Returns nullopt if it needs
+    /// digestFor(): it is of an older version, or reports usage to the platform.
+    std::optional<wire::NodeSums> ownPartOf(const VmId& receiver, SteadyTime now) const;
+
 private:
     struct Node {
         std::uint64_t incarnation_ = 0;
         SteadyTime receivedAt_ {};
+        bool takesCommonSums_ = false;
         NodeGroupSums group_;
     };
 
@@ -108,6 +115,9 @@
 /// Returns the sums of the single node that sent \p report.
 wire::NodeSums sumsOf(const wire::NodeReport& report);
 
+/// Removes \p own, as ownPartOf() returned it, from the totals \p sums.
+void subtract(wire::NodeSums& sums, const wire::NodeSums& own);
+
 /// Decodes usage windows.
 std::map<WindowNumber, UsageCounts> usageOf(const google::protobuf::RepeatedPtrField<wire::UsageWindow>& windows);
 
