Peers are kept for as long as their introductions take, and large sums are split

Cause: a node introduces itself to three others a period, so each hears of each once in nodes / 15 s; who was not heard of for 30 s was removed, from 450 nodes on (worked out), and quotas were divided among those left. A datagram over 64 KB was lost without a word.

Change: the time follows from the number of nodes; quotas and retry budgets are divided among at least the nodes that the relays' sums cover; usage windows that make a message larger than 48 KB are sent apart; one that is still too large is counted (datagrams_too_large) and logged.

The split has no test yet.

--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -102,6 +102,8 @@
     RegistrationsRefused,
     RequestsQuarantined,
     BackendCrashes,
+    /// Reports to peers that exceeded the size of a datagram and were not sent.
+    DatagramsTooLarge,
     Last,
 };
 
--- a/lib/Gateway/Discovery.cpp
+++ b/lib/Gateway/Discovery.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-    // Number of nodes to which this node introduces itself again in each period, in
-    // rotation. In a fleet of 370 nodes, each one receives an introduction within 25 s;
-    // urgent changes arrive earlier, in digests.
-    constexpr std::size_t introductionsPerPeriod = 3;
     // Maximum number of nodes that have not reported yet to which this node introduces
     // itself in a period. Each of 200 such nodes receives an introduction within 1.7 s.
     constexpr std::size_t firstIntroductionsPerPeriod = 24;
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -16,8 +16,14 @@
 
 namespace {
 
-    // Maximum size of a UDP datagram.
-    constexpr std::size_t maxDatagramSize = 64UL * 1024;
+    // Size of the buffer for a received datagram.
+    constexpr std::size_t receiveBufferSize = 64UL * 1024;
+    // Maximum payload of a UDP datagram over IPv4.
+    constexpr std::size_t maxDatagramSize = 65507;
+    // A relay's message with more bytes than this is sent in parts.
+    constexpr std::size_t splitSize = 48UL * 1024;
+    // Minimum time between two log lines on datagrams that are too large.
+    constexpr milliseconds tooLargeLogPeriod { 10000 };
     // Added to the rank of a node that receives reports of at most half of the fleet. The
     // duties may be held by another node whose reports do not arrive at this one. With
     // the added rank this node waits longer than a lease before it claims the duties.
@@ -154,8 +160,34 @@
     sendBytes(datagram.SerializeAsString(), receivers);
 }
 
+void PeerReports::sendRelayed(wire::Datagram& datagram, const std::vector<Endpoint>& receivers)
+{
+    wire::RelayReport& report = *datagram.mutable_relayed();
+    if (!report.sums().usage_size() || datagram.ByteSizeLong() <= splitSize)
+        return send(datagram, receivers);
+    google::protobuf::RepeatedPtrField<wire::UsageWindow> windows;
+    windows.Swap(report.mutable_sums()->mutable_usage());
+    send(datagram, receivers);
+    for (wire::UsageWindow& window : windows) {
+        wire::Datagram part;
+        part.mutable_relayed()->set_vm(report.vm());
+        part.mutable_relayed()->set_data_centre(report.data_centre());
+        part.mutable_relayed()->set_is_digest(report.is_digest());
+        part.mutable_relayed()->add_usage()->Swap(&window);
+        send(part, receivers);
+    }
+}
+
 void PeerReports::sendBytes(const std::string& bytes, const std::vector<Endpoint>& receivers)
 {
+    if (bytes.size() > maxDatagramSize) {
+        context_.metrics_.add(Counter::DatagramsTooLarge);
+        SteadyTime now = steadyNow();
+        if (now - tooLargeLoggedAt_ >= tooLargeLogPeriod)
+            logger_.error(LogLine("Report is too large for a datagram and was not sent.").add("bytes", static_cast<std::int64_t>(bytes.size())).add("receivers", static_cast<std::int64_t>(receivers.size())));
+        tooLargeLoggedAt_ = now - tooLargeLoggedAt_ >= tooLargeLogPeriod ? now : tooLargeLoggedAt_;
+        return;
+    }
     for (const Endpoint& receiver : receivers) {
         boost::system::error_code code;
         udp::endpoint address(asio::ip::make_address(receiver.host_, code), receiver.port_);
@@ -172,7 +204,9 @@
     for (;;) {
         SteadyTime now = steadyNow();
         removeUnresponsive(now);
-        std::uint64_t known = table_.size() + 1;
+        // The relays' sums cover all live nodes also while this node knows only a part of
+        // them.
+        std::uint64_t known = std::max<std::uint64_t>(table_.size(), usesRelays_ ? relayedNodes_ + unresponsiveNodes_ : 0) + 1;
         setNodeCount(known, now);
         bool isLarge = table_.isLarge();
         if (isLarge != usesRelays_)
@@ -275,10 +309,12 @@
         *report.mutable_sums() = aggregator_.summaryFor(dataCentre, now);
         putSuspects(suspects, *report.mutable_sums()->mutable_suspects(), now);
         report.mutable_sums()->set_counted_ms(countedMs(now));
+        std::vector<Endpoint> summaryReceivers;
         for (const VmId& vm : discovery_.summaryReceivers(dataCentre, aggregator_.relaysOf(dataCentre, now), now)) {
             if (auto address = table_.gossipEndpointOf(vm))
-                send(datagram, { *address });
+                summaryReceivers.push_back(*address);
         }
+        sendRelayed(datagram, summaryReceivers);
     }
 }
 
@@ -315,13 +351,13 @@
         if (isSelf)
             applyDigest(vm, context_.incarnation_, report.sums(), now);
         else
-            send(datagram, { *address });
+            sendRelayed(datagram, { *address });
     }
 }
 
 asio::awaitable<void> PeerReports::receiveDatagrams()
 {
-    std::string buffer(maxDatagramSize, '\0');
+    std::string buffer(receiveBufferSize, '\0');
     for (;;) {
         udp::endpoint sender;
         auto [code, count] = co_await socket_.async_receive_from(asio::buffer(buffer), sender, asio::as_tuple(asio::use_awaitable));
@@ -355,7 +391,7 @@
 {
     for (const VmId& vm : table_.removeUnresponsive(now)) {
         forgetCounts(vm);
-        logger_.info(LogLine("Peer is unresponsive and was removed.").add("peer", vm.value_).add("silent_ms", context_.settings_.gossipSettings_.forgetAfter_.count()));
+        logger_.info(LogLine("Peer is unresponsive and was removed.").add("peer", vm.value_).add("silent_ms", table_.forgetAfter().count()));
     }
 }
 
@@ -489,6 +525,8 @@
     VmId relay { report.vm() };
     if (relay == context_.settings_.vm_)
         return;
+    if (report.usage_size())
+        return applyUsage(report);
     applyMembers(report.members(), now);
     addKnownPeer(relay, sender);
     if (report.is_digest()) {
@@ -509,6 +547,15 @@
     aggregator_.applySummary(report, now);
 }
 
+/// Applies usage windows that arrived apart from the sums that they belong to.
+void PeerReports::applyUsage(const wire::RelayReport& report)
+{
+    if (report.is_digest())
+        context_.usage_.setPeer(allOthers(), 0, usageOf(report.usage()));
+    else
+        aggregator_.applyUsage({ report.data_centre() }, usageOf(report.usage()));
+}
+
 void PeerReports::applyDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now)
 {
     applyLeaving(sums.leaving(), relay);
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -90,6 +90,8 @@
     void sendDigests(wire::Datagram& datagram, const std::vector<VmId>& receivers, const std::vector<Suspect>& suspects, SteadyTime now);
     void sendIntroductions(SteadyTime now);
     void send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
+    /// Sends a relay's message, and its usage windows separately if it is too large.
+    void sendRelayed(wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
     void sendBytes(const std::string& bytes, const std::vector<Endpoint>& receivers);
 
     void composeIntroduction(wire::NodeReport& report, AdvertisedPeers amount);
@@ -105,6 +107,7 @@
     void applyState(const wire::NodeReport& report, SteadyTime now);
     void applyMembers(const google::protobuf::RepeatedPtrField<wire::MemberEntry>& members, SteadyTime now);
     void applyRelayReport(wire::RelayReport& report, const Endpoint& sender, SteadyTime now);
+    void applyUsage(const wire::RelayReport& report);
     void applyDigest(const VmId& relay, std::uint64_t incarnation, const wire::NodeSums& sums, SteadyTime now);
     void applySuspects(const google::protobuf::RepeatedPtrField<wire::SuspectReport>& suspects, SteadyTime now);
     void applyRollouts(const google::protobuf::RepeatedPtrField<wire::RolloutReport>& reports, const VmId& from, SteadyTime now);
@@ -135,6 +138,7 @@
     BackendNotices leaving_;
     BackendNotices terminated_;
     std::uint64_t sequence_ = 0;
+    SteadyTime tooLargeLoggedAt_ {};
     std::atomic<bool> usesRelays_ { false };
     const SteadyTime startedAt_ = steadyNow();
     std::atomic<bool> isFleetKnown_ { false };
--- a/lib/Gateway/PeerTable.cpp
+++ b/lib/Gateway/PeerTable.cpp
@@ -21,6 +21,9 @@
     constexpr milliseconds relayTimeout { 600 };
     // Time after which an unresponsive relay is tried again.
     constexpr milliseconds relayRetryDelay { 2000 };
+    // A node is removed after this many rotations of its introductions without one, since
+    // datagrams may be lost.
+    constexpr int rotationsToForget = 3;
     // Share of the known nodes that must report for complete coverage.
     constexpr double completeShare = 0.9;
 
@@ -94,13 +97,28 @@
     relayRequests_[relay].digestReceivedAt_ = now;
 }
 
+milliseconds PeerTable::forgetAfter() const
+{
+    std::lock_guard lock(mutex_);
+    return forgetAfterLocked();
+}
+
+milliseconds PeerTable::forgetAfterLocked() const
+{
+    if (peers_.size() <= settings_.fanout_)
+        return settings_.forgetAfter_;
+    milliseconds rotation = settings_.period_ * static_cast<std::int64_t>(peers_.size() / introductionsPerPeriod + 1);
+    return std::max(settings_.forgetAfter_, rotation * rotationsToForget);
+}
+
 std::vector<VmId> PeerTable::removeUnresponsive(SteadyTime now)
 {
     std::lock_guard lock(mutex_);
+    milliseconds forgetAfter = forgetAfterLocked();
     std::vector<VmId> removed;
     std::erase_if(peers_, [&](const auto& entry) {
         const Peer& peer = entry.second;
-        bool hasExpired = peer.receivedAt_ != SteadyTime {} && now - peer.receivedAt_ > settings_.forgetAfter_;
+        bool hasExpired = peer.receivedAt_ != SteadyTime {} && now - peer.receivedAt_ > forgetAfter;
         if (hasExpired)
             removed.push_back(entry.first);
         return hasExpired;
--- a/lib/Gateway/PeerTable.h
+++ b/lib/Gateway/PeerTable.h
@@ -50,6 +50,11 @@
     bool hasMajority() const;
 };
 
+/// Number of nodes to which a node of a large fleet introduces itself again in each period,
+/// in rotation. In a fleet of 370 nodes, each one receives an introduction within 25 s;
+/// urgent changes arrive earlier, in digests.
+inline constexpr std::size_t introductionsPerPeriod = 3;
+
 class PeerTable {
 public:
     enum class ReportKind {
@@ -72,7 +77,10 @@
     void applyRelayedState(const VmId& vm, const Peer& peer);
     /// Notes that \p relay sent sums to this node.
     void noteDigest(const VmId& relay, SteadyTime now);
-    /// Removes nodes that have not reported for too long. \returns the removed nodes.
+    /// Returns the time without a report after which a node is removed. It follows from the
+    /// number of nodes: in a large fleet a node introduces itself to all others in rotation.
+    milliseconds forgetAfter() const;
+    /// Removes nodes that have not reported for forgetAfter(). \returns the removed nodes.
     std::vector<VmId> removeUnresponsive(SteadyTime now);
 
     /// Returns whether the fleet is too large for every node to report to every other.
@@ -105,6 +113,7 @@
     std::optional<Peer> find(const VmId& vm) const;
 
 private:
+    milliseconds forgetAfterLocked() const;
     /// Returns the candidates for relays of \p dataCentre, best first: by CPU cores,
     /// since VMs with more cores have faster links, then by rendezvous hashing.
     std::vector<VmId> rankRelays(const DataCentreId& dataCentre, const std::vector<VmId>& candidates) const;
--- a/lib/Gateway/ReportAggregator.cpp
+++ b/lib/Gateway/ReportAggregator.cpp
@@ -286,7 +286,12 @@
 void ReportAggregator::applySummary(const wire::RelayReport& summary, SteadyTime now)
 {
     (void)others_[{ summary.data_centre() }].applySums({ summary.vm() }, summary.incarnation(), summary.sums(), now);
-    othersUsage_.setPeer({ summary.data_centre() }, anyIncarnation, usageOf(summary.sums().usage()));
+    applyUsage({ summary.data_centre() }, usageOf(summary.sums().usage()));
+}
+
+void ReportAggregator::applyUsage(const DataCentreId& dataCentre, const std::map<WindowNumber, UsageCounts>& windows)
+{
+    othersUsage_.setPeer({ dataCentre.value_ }, anyIncarnation, windows);
 }
 
 std::vector<VmId> ReportAggregator::receivers(SteadyTime now) const
--- a/lib/Gateway/ReportAggregator.h
+++ b/lib/Gateway/ReportAggregator.h
@@ -71,6 +71,8 @@
     void applyReport(const wire::NodeReport& report, SteadyTime now);
     /// Applies the sums that a relay of another data centre sent of its nodes.
     void applySummary(const wire::RelayReport& summary, SteadyTime now);
+    /// Applies usage of another data centre that was sent apart from its sums.
+    void applyUsage(const DataCentreId& dataCentre, const std::map<WindowNumber, UsageCounts>& windows);
     /// Returns the nodes that report to this relay and receive digests.
     std::vector<VmId> receivers(SteadyTime now) const;
     /// Returns the relays of another data centre that sent sums recently.
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -50,6 +50,7 @@
         "registrations_refused",
         "requests_quarantined",
         "backend_crashes",
+        "datagrams_too_large",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
