Announcements are spread, and only candidates read the log of duties at the start

Cause: 985 nodes announced themselves within 0.3 s to one partition that stores one in 2 ms, and most calls timed out and were repeated in step each 3 s; every node read the log of duties.

Change: first calls wait for a turn whose interval does not depend on the number of nodes; repeats are randomised; the first 12 candidates read the log of duties.

--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -13,6 +13,9 @@
 
     // Interval at which the node checks whether to claim the duties or to act.
     constexpr milliseconds runPeriod { 250 };
+    // Number of candidates that read the log of duties before they may claim. In a large fleet
+    // the others would read it for nothing.
+    constexpr std::size_t candidatesReading = 12;
     // Bound on attempts of an append whose outcome is unknown. All attempts require the same
     // end of the log, so that the record is appended at most once.
     constexpr int maxAppendAttempts = 4;
@@ -153,9 +156,7 @@
 
 asio::awaitable<void> DutyRunner::run()
 {
-    // Claims from before this node's start must not count as new ones later. If this read
-    // fails, they count as new, and this node's own claim is delayed by the holder's timeout.
-    (void)co_await readLog();
+    bool hasReadLog = false;
     for (;;) {
         co_await sleepFor(runPeriod);
         sampleDemand();
@@ -164,8 +165,13 @@
             continue;
         bool shouldClaim = false;
         bool mayStartActs = false;
+        std::size_t rank = peerReports_->rankFor("duties");
+        // Claims from before this node's start must not count as new ones later. If this read
+        // fails, or the node is not among the first candidates, they count as new, and this
+        // node's own claim is delayed by the holder's timeout.
+        if (!hasReadLog && rank < candidatesReading)
+            hasReadLog = co_await readLog();
         {
-            std::size_t rank = peerReports_->rankFor("duties");
             std::lock_guard lock(mutex_);
             shouldClaim = context_.table() && lease_.shouldClaim(rank, steadyNow());
             mayStartActs = lease_.mayStartActs(steadyNow());
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -21,6 +21,8 @@
     // Interval at which a node repeats a failed announcement of itself, and at which a node
     // without live peers reads the announcements of others.
     constexpr milliseconds announcePeriod { 3000 };
+    // Interval at which a node that starts checks whether it may announce itself.
+    constexpr milliseconds startCheckPeriod { 50 };
     // Interval at which a draining node checks whether all connections have ended.
     constexpr milliseconds drainPeriod { 50 };
     // Requests that are still running are aborted this long before the forced termination,
@@ -151,6 +153,8 @@
     bool isAnnounced = false;
     bool hasRead = false;
     AnnouncedNode self { context_.settings_.vm_, context_.settings_.gossip_ };
+    while (!isStartTurn(feed_.coldStart(), announcementInterval))
+        co_await sleepFor(startCheckPeriod);
     for (;;) {
         if (!isAnnounced) {
             auto announced = co_await context_.platform_.announce_(self);
@@ -168,7 +172,8 @@
             } else
                 logger_.warn("Announcements cannot be read: " + describe(nodes.error()));
         }
-        co_await sleepFor(announcePeriod);
+        // Nodes whose calls failed at the same time must not repeat them at the same time.
+        co_await sleepFor(jitter(announcePeriod, randomBits()));
     }
 }
 
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -57,7 +57,7 @@
 bool PlatformFeed::isReader() const
 {
     const GatewaySettings& settings = context_.settings_;
-    if (!context_.table() && !mayReadAtStart(coldStart()))
+    if (!context_.table() && !isStartTurn(coldStart(), firstReadInterval))
         return false;
     ReaderState self { settings.vm_, settings.dataCentre_, false, false, false, settings.cores_ };
     return shouldRead(self, readerStates(), settings.feed_.readers_);
--- a/lib/Gateway/PlatformFeed.h
+++ b/lib/Gateway/PlatformFeed.h
@@ -31,6 +31,8 @@
     bool isReader() const;
     /// Returns whether the latest read of this node failed, if it is a reader.
     bool isPlatformUnavailable() const { return isRegistryUnavailable_ || isConfigurationUnavailable_; }
+    /// Returns what isStartTurn() needs to know of this node.
+    ColdStart coldStart() const;
     /// Answers a peer that fetches what this node has read from the platform. A peer that
     /// fetches the configuration while maxTransfers other peers receive it is asked to
     /// retry later.
@@ -78,7 +80,6 @@
     /// is too old to continue from and is reset. While this node does not read, its earlier
     /// failures do not count, so \p isUnavailable is reset.
     asio::awaitable<void> waitUntilReader(std::string resource, std::optional<LogOffset>& from, std::atomic<bool>& isUnavailable);
-    ColdStart coldStart() const;
 
     asio::io_context& io_;
     GatewayContext& context_;
--- a/lib/Gateway/Readers.cpp
+++ b/lib/Gateway/Readers.cpp
@@ -22,11 +22,8 @@
 // A node that hears of no peer within this time reads even if it is no seed: the seeds may
 // have stopped.
 static constexpr milliseconds maxWaitForPeers { 1000 };
-// Number of nodes that need not spread their first reads.
+// Number of nodes that need not spread their first calls.
 static constexpr std::size_t unspreadNodes = 24;
-// Mean interval between first reads in a large fleet. A read of 3,000 registrations and a
-// configuration transfers 1 MB, so that the reads of a start take up to 100 MB/s.
-static constexpr milliseconds firstReadInterval { 10 };
 // Upper bound of the mean pause after failures. It is short against the time within which
 // nodes have to know a change after an outage of the platform.
 static constexpr milliseconds maxReadPause { 1000 };
@@ -84,14 +81,14 @@
     return std::find(ranked.begin(), last, self.vm_) != last;
 }
 
-bool mayReadAtStart(const ColdStart& state)
+bool isStartTurn(const ColdStart& state, milliseconds interval)
 {
     if (state.isFirstContact_)
         return true;
     if (state.uptime_ < (state.hasPeers_ ? firstReportsTime : maxWaitForPeers))
         return false;
     std::size_t spread = state.knownNodes_ - std::min(state.knownNodes_, unspreadNodes);
-    milliseconds delay(static_cast<std::int64_t>(state.phase_ * static_cast<double>(firstReadInterval.count()) * static_cast<double>(spread)));
+    milliseconds delay(static_cast<std::int64_t>(state.phase_ * static_cast<double>(interval.count()) * static_cast<double>(spread)));
     return state.uptime_ >= firstReportsTime + delay;
 }
 
--- a/lib/Gateway/Readers.h
+++ b/lib/Gateway/Readers.h
@@ -31,7 +31,7 @@
 /// rejected.
 bool shouldRead(const ReaderState& self, const std::vector<ReaderState>& peers, std::uint64_t readers);
 
-/// What a node without a configuration knows when it decides whether to read.
+/// What a node knows when it decides whether to make its first call to the platform.
 struct ColdStart {
     /// Time since the start of the node.
     milliseconds uptime_ {};
@@ -46,13 +46,21 @@
     double phase_ = 0;
 };
 
-/// Returns whether a node without a configuration may read from the platform. While all
-/// nodes start, each of them knows few others and would select itself as a reader, and
-/// their simultaneous reads would time out and be repeated. Nodes therefore wait for the
-/// first reports of peers, and in a large fleet additionally for a time within which the
-/// nodes' first reads are spread at a rate that does not depend on the size of the fleet.
-/// Nodes that receive the configuration from a peer meanwhile need not read.
-bool mayReadAtStart(const ColdStart& state);
+/// Mean interval between the first reads of the configuration and the registry in a large
+/// fleet. A list of 3,000 registrations and a configuration are 1 MB, so that these reads
+/// take up to 100 MB/s.
+inline constexpr milliseconds firstReadInterval { 10 };
+/// Mean interval between the announcements of the nodes of a large fleet. The platform
+/// stores one in 2 ms.
+inline constexpr milliseconds announcementInterval { 4 };
+
+/// Returns whether a node that starts may make its first call of a kind to the platform.
+/// While all nodes start, each of them knows few others and would select itself as a
+/// reader; simultaneous calls of all would time out and be repeated. Nodes therefore wait
+/// for the first reports of peers, and in a large fleet additionally for a random time, so
+/// that the calls of all nodes arrive at the mean interval \p interval, whatever the size
+/// of the fleet. Nodes that receive the configuration from a peer meanwhile need not read.
+bool isStartTurn(const ColdStart& state, milliseconds interval);
 
 /// Pauses between the reads of a node after failures. The pause doubles up to a limit and
 /// is randomised, so that nodes whose reads failed at the same time do not repeat them at
