Tests: starts before a slow platform, common sums, retention by fleet size

The start of 100 to 2,000 nodes before a platform at a tenth of its bandwidth needs at most 500 calls; the same model without turns calls once a node or more.

--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -169,8 +169,10 @@
         // Claims from before this node's start must not count as new ones later. If this read
         // fails, or the node is not among the first candidates, they count as new, and this
         // node's own claim is delayed by the holder's timeout.
-        if (!hasReadLog && rank < candidatesReading)
-            hasReadLog = co_await readLog();
+        if (!hasReadLog && context_.table() && rank < candidatesReading) {
+            hasReadLog = true;
+            (void)co_await readLog();
+        }
         {
             std::lock_guard lock(mutex_);
             shouldClaim = context_.table() && lease_.shouldClaim(rank, steadyNow());
--- a/unittests/Gateway/PeerTableTest.cpp
+++ b/unittests/Gateway/PeerTableTest.cpp
@@ -159,3 +159,15 @@
     CHECK(Coverage { row.reportedNodes_, row.knownNodes_ }.isComplete() == row.isComplete_);
     CHECK(Coverage { row.reportedNodes_, row.knownNodes_ }.hasMajority() == row.hasMajority_);
 }
+
+TEST_CASE("a node is not removed between two of its introductions, whatever the size of the fleet", "[peers]")
+{
+    auto count = GENERATE(9, 63, 370, 985, 2000);
+    CAPTURE(count);
+    PeerTable table(vmOf(0), near, 1, {});
+    reportAll(table, 0, count);
+    // A node introduces itself to every other one once per rotation.
+    milliseconds rotation = period * (count / static_cast<int>(introductionsPerPeriod) + 1);
+    CHECK(table.removeUnresponsive(start + 2 * rotation).empty());
+    CHECK(table.removeUnresponsive(start + 4 * rotation + milliseconds(31000)).size() == static_cast<std::size_t>(count - 1));
+}
--- a/unittests/Gateway/ReadersTest.cpp
+++ b/unittests/Gateway/ReadersTest.cpp
@@ -209,3 +209,171 @@
         served += all[i].isReader_ && isServed(i);
     CHECK(served >= 1);
 }
+
+TEST_CASE("the number of nodes that call a platform which rejects all does not grow with the fleet", "[readers]")
+{
+    auto count = GENERATE(60U, 250U, 500U);
+    CAPTURE(count);
+    auto all = nodes(count);
+    // In each round every node sees the states that the others reported after the last one.
+    std::set<std::size_t> calling;
+    for (int round = 0; round < 12; ++round) {
+        std::set<std::size_t> selected;
+        for (std::size_t i = 0; i < count; ++i) {
+            if (reads(all, i))
+                selected.insert(i);
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            all[i].isReader_ = selected.contains(i);
+            all[i].isPlatformUnavailable_ = selected.contains(i);
+        }
+        calling.insert(selected.begin(), selected.end());
+    }
+    constexpr std::size_t dataCentres = 3;
+    constexpr std::size_t failedReaders = 6;
+    CHECK(calling.size() <= dataCentres * (failedReaders + 1) + failedReaders + readers);
+}
+
+TEST_CASE("pauses between failed reads grow up to a limit and differ", "[readers]")
+{
+    ReadBackoff backoff(milliseconds(200));
+    std::set<milliseconds> pauses;
+    milliseconds longest {};
+    for (std::uint64_t draw = 0; draw < 64; ++draw) {
+        milliseconds pause = backoff.nextPause(mixBits(draw));
+        pauses.insert(pause);
+        longest = std::max(longest, pause);
+    }
+    CHECK(pauses.size() > 32);
+    CHECK(longest > milliseconds(1000));
+    CHECK(longest <= milliseconds(1500));
+    backoff.noteSuccess();
+    CHECK(backoff.nextPause(0) <= milliseconds(300));
+}
+
+namespace {
+
+/// Simulates the start of all nodes before a platform that transfers slowly. A node that has
+/// the configuration gives it to others, as ConfigurationTransfer does.
+class StartBeforeSlowPlatform {
+public:
+    struct Outcome {
+        std::size_t calls_ = 0;
+        milliseconds allServeAfter_ {};
+    };
+
+    StartBeforeSlowPlatform(std::size_t nodes, double bytesPerMs, bool waitsForTurn)
+        : bytesPerMs_(bytesPerMs)
+        , waitsForTurn_(waitsForTurn)
+        , nodes_(nodes)
+    {
+        for (std::size_t i = 0; i < nodes; ++i)
+            nodes_[i].phase_ = static_cast<double>(mixBits(i) >> 11) * 0x1p-53;
+    }
+
+    Outcome run()
+    {
+        Outcome outcome;
+        for (milliseconds now {}; now < limit; now += step) {
+            std::size_t serving = 0;
+            for (Node& node : nodes_) {
+                if (node.isServing_) {
+                    ++serving;
+                    continue;
+                }
+                outcome.calls_ += tryRead(node, now);
+            }
+            if (serving == nodes_.size())
+                break;
+            outcome.allServeAfter_ = now + step;
+            if (now.count() % transferTime.count() == 0)
+                spread(serving);
+        }
+        return outcome;
+    }
+
+private:
+    static constexpr milliseconds step { 50 };
+    static constexpr milliseconds limit { 30000 };
+    static constexpr milliseconds callTimeout { 800 };
+    static constexpr milliseconds transferTime { 250 };
+    static constexpr double readBytes = 1e6;
+    /// Nodes that a starting node knows after its first period, and hears of in each later
+    /// one.
+    static constexpr std::size_t knownPerPeriod = 60;
+
+    struct Node {
+        double phase_ = 0;
+        bool isServing_ = false;
+        milliseconds busyUntil_ {};
+        ReadBackoff backoff_ { milliseconds(200) };
+    };
+
+    /// \returns the number of calls to the platform.
+    std::size_t tryRead(Node& node, milliseconds now)
+    {
+        std::size_t known = std::min(nodes_.size(), knownPerPeriod * static_cast<std::size_t>(now / milliseconds(200)));
+        bool isSelected = !waitsForTurn_ || isStartTurn({ now, false, known > 0, known + 1, node.phase_ }, firstReadInterval);
+        if (!isSelected || now < node.busyUntil_)
+            return 0;
+        // The platform transfers the answers one after the other.
+        double start = std::max(static_cast<double>(now.count()), platformBusyUntil_);
+        platformBusyUntil_ = start + readBytes / bytesPerMs_;
+        bool isInTime = platformBusyUntil_ <= static_cast<double>((now + callTimeout).count());
+        node.isServing_ = isInTime;
+        node.busyUntil_ = now + callTimeout + node.backoff_.nextPause(randomBits());
+        return 1;
+    }
+
+    /// Every node that has the configuration gives it to two others.
+    void spread(std::size_t serving)
+    {
+        std::size_t given = 0;
+        for (Node& node : nodes_) {
+            if (given == 2 * serving)
+                return;
+            given += !std::exchange(node.isServing_, true);
+        }
+    }
+
+    const double bytesPerMs_;
+    const bool waitsForTurn_;
+    std::vector<Node> nodes_;
+    double platformBusyUntil_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("a start of all nodes does not overload a platform at a tenth of its bandwidth", "[readers]")
+{
+    auto count = GENERATE(std::size_t { 100 }, std::size_t { 1000 }, std::size_t { 2000 });
+    CAPTURE(count);
+    constexpr double slowBytesPerMs = 50000;
+    constexpr milliseconds recoverTime { 18000 };
+    StartBeforeSlowPlatform::Outcome outcome = StartBeforeSlowPlatform(count, slowBytesPerMs, true).run();
+    CHECK(outcome.allServeAfter_ < recoverTime);
+    CHECK(outcome.calls_ <= 500);
+    // Without turns nearly all nodes call the platform.
+    CHECK(StartBeforeSlowPlatform(count, slowBytesPerMs, false).run().calls_ >= count);
+}
+
+TEST_CASE("first calls of starting nodes", "[readers]")
+{
+    struct Case {
+        const char* name_;
+        ColdStart state_;
+        bool isTurn_;
+    };
+    auto expected = GENERATE(values<Case>({
+        { "a seed", { milliseconds(0), true, false, 1, 0.9 }, true },
+        { "a node without reports", { milliseconds(900), false, false, 1, 0 }, false },
+        { "a node whose peers have stopped", { milliseconds(1000), false, false, 1, 0 }, true },
+        { "the first reports are awaited", { milliseconds(250), false, true, 9, 0 }, false },
+        { "a small fleet", { milliseconds(300), false, true, 24, 0.99 }, true },
+        { "a large fleet, early turn", { milliseconds(400), false, true, 1000, 0.01 }, true },
+        { "a large fleet, late turn", { milliseconds(4000), false, true, 1000, 0.5 }, false },
+        { "a large fleet, late turn has come", { milliseconds(5300), false, true, 1000, 0.5 }, true },
+    }));
+    CAPTURE(expected.name_);
+    CHECK(isStartTurn(expected.state_, firstReadInterval) == expected.isTurn_);
+}
--- a/unittests/Gateway/ReportAggregatorTest.cpp
+++ b/unittests/Gateway/ReportAggregatorTest.cpp
@@ -261,3 +261,60 @@
     far.applySummary(summaryOf("a-other", "a", summary), start + milliseconds(100));
     CHECK(admittedIn(far.digestFor({ "b1" }, far.totals(start), start)) == row.admitted_);
 }
+
+TEST_CASE("a node that subtracts its own part from the common sums gets its digest", "[relay]")
+{
+    ReportAggregator aggregator(window);
+    constexpr int nodes = 12;
+    for (int round = 0; round < 3; ++round) {
+        for (int i = 0; i < nodes; ++i) {
+            double factor = round * (i + 1);
+            wire::NodeReport sent = report("node-" + std::to_string(i), { 10 * factor, 100.0 + i, 4, static_cast<std::uint32_t>(i) });
+            putLoads({ { static_cast<BackendKey>(100 + i), { 2, 500 } } }, *sent.mutable_loads());
+            sent.set_takes_common_sums(true);
+            aggregator.applyReport(sent, start + round * milliseconds(200));
+        }
+    }
+    SteadyTime now = start + milliseconds(400);
+    ReportTotals totals = aggregator.totals(now);
+    for (int i = 0; i < nodes; ++i) {
+        VmId vm { "node-" + std::to_string(i) };
+        wire::NodeSums expected = aggregator.digestFor(vm, totals, now);
+        wire::NodeSums sums = totals.toMessage();
+        auto own = aggregator.ownPartOf(vm, now);
+        REQUIRE(own);
+        // The parts are encoded separately, and the receiver decodes them as one message.
+        wire::Datagram common;
+        *common.mutable_relayed()->mutable_sums() = sums;
+        wire::Datagram part;
+        *part.mutable_relayed()->mutable_own() = *own;
+        wire::Datagram received;
+        REQUIRE(received.ParseFromString(common.SerializeAsString() + part.SerializeAsString()));
+        REQUIRE(received.relayed().has_own());
+        subtract(*received.mutable_relayed()->mutable_sums(), received.relayed().own());
+        const wire::NodeSums& result = received.relayed().sums();
+        CHECK(result.nodes() == expected.nodes());
+        CHECK(admittedIn(result) == Approx(admittedIn(expected)));
+        CHECK(demandIn(result) == Approx(demandIn(expected)));
+        LoadTable loads = loadsOf(result.loads());
+        std::erase_if(loads, [](const auto& entry) { return !entry.second.running_ && !entry.second.queuedTokens_; });
+        LoadTable expectedLoads = loadsOf(expected.loads());
+        CHECK(loads.size() == expectedLoads.size());
+        for (const auto& [backend, load] : expectedLoads) {
+            CHECK(loads[backend].running_ == load.running_);
+            CHECK(loads[backend].queuedTokens_ == load.queuedTokens_);
+        }
+    }
+}
+
+TEST_CASE("the holder of the duties and nodes of older versions get digests of their own", "[relay]")
+{
+    ReportAggregator aggregator(window);
+    wire::NodeReport holder = report("holder", {}, 1, 5);
+    holder.set_takes_common_sums(true);
+    aggregator.applyReport(holder, start);
+    aggregator.applyReport(report("older", {}), start);
+    CHECK_FALSE(aggregator.ownPartOf({ "holder" }, start));
+    CHECK_FALSE(aggregator.ownPartOf({ "older" }, start));
+    CHECK_FALSE(aggregator.ownPartOf({ "unknown" }, start));
+}
