--- a/unittests/Gateway/DiscoveryTest.cpp
+++ b/unittests/Gateway/DiscoveryTest.cpp
@@ -171,6 +171,7 @@
         wire::Datagram report;
         composeIntroduction(*report.mutable_report(), node, AdvertisedPeers::Few, now);
         report.mutable_report()->set_wants_digest(true);
+        report.mutable_report()->set_takes_common_sums(true);
         node.isRelay_ = false;
         std::vector<VmId> chosen = node.table_.chooseRelays(now);
         node.others_.keepOnly(chosen, now);
@@ -197,8 +198,12 @@
         relayed.set_is_digest(true);
         std::vector<KnownPeer> members = node.discovery_.membersToAdvertise(now);
         ReportTotals totals = node.aggregator_.totals(now);
+        wire::NodeSums common = totals.toMessage();
         for (const VmId& vm : receivers) {
-            *relayed.mutable_sums() = node.aggregator_.digestFor(vm, totals, now);
+            auto own = node.aggregator_.ownPartOf(vm, now);
+            *relayed.mutable_sums() = own ? common : node.aggregator_.digestFor(vm, totals, now);
+            if (own)
+                subtract(*relayed.mutable_sums(), *own);
             if (vm == node.vm_)
                 (void)node.others_.applySums(vm, 1, relayed.sums(), now);
             else if (auto address = node.table_.gossipEndpointOf(vm))
@@ -271,8 +276,10 @@
         { "small fleet, announced on the platform", 30, 2, 3, true, firstClaim },
         { "hundreds of nodes, announced on the platform", 195, 5, 3, true, firstClaim },
         { "hundreds of nodes, platform unavailable", 195, 5, 3, false, equalDivision },
-        { "largest fleet, announced on the platform", 370, 14, 3, true, firstClaim },
-        { "largest fleet, platform unavailable", 370, 14, 3, false, equalDivision },
+        { "hundreds of nodes in many data centres, announced on the platform", 370, 14, 3, true, firstClaim },
+        { "hundreds of nodes in many data centres, platform unavailable", 370, 14, 3, false, equalDivision },
+        { "a thousand nodes, announced on the platform", 1000, 5, 3, true, firstClaim },
+        { "a thousand nodes, platform unavailable", 1000, 5, 3, false, equalDivision },
     }));
     CAPTURE(shape.name_);
     StartingFleet fleet(shape);
