Usage windows are split off by a function of its own, with a test

The split of relays' messages had no test. At 333 and 700 organisations with six windows all datagrams stay under 65,507 bytes and nothing is lost.

--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -18,10 +18,6 @@
 
     // Size of the buffer for a received datagram.
     constexpr std::size_t receiveBufferSize = 64UL * 1024;
-    // Maximum payload of a UDP datagram over IPv4.
-    constexpr std::size_t maxDatagramSize = 65507;
-    // A relay's message with more bytes than this is sent in parts.
-    constexpr std::size_t splitSize = 48UL * 1024;
     // Minimum time between two log lines on datagrams that are too large.
     constexpr milliseconds tooLargeLogPeriod { 10000 };
     // Added to the rank of a node that receives reports of at most half of the fleet. The
@@ -162,20 +158,10 @@
 
 void PeerReports::sendRelayed(wire::Datagram& datagram, const std::vector<Endpoint>& receivers)
 {
-    wire::RelayReport& report = *datagram.mutable_relayed();
-    if (!report.sums().usage_size() || datagram.ByteSizeLong() <= splitSize)
-        return send(datagram, receivers);
-    google::protobuf::RepeatedPtrField<wire::UsageWindow> windows;
-    windows.Swap(report.mutable_sums()->mutable_usage());
+    std::vector<wire::Datagram> separate = separateUsage(datagram);
     send(datagram, receivers);
-    for (wire::UsageWindow& window : windows) {
-        wire::Datagram part;
-        part.mutable_relayed()->set_vm(report.vm());
-        part.mutable_relayed()->set_data_centre(report.data_centre());
-        part.mutable_relayed()->set_is_digest(report.is_digest());
-        part.mutable_relayed()->add_usage()->Swap(&window);
+    for (const wire::Datagram& part : separate)
         send(part, receivers);
-    }
 }
 
 void PeerReports::sendBytes(const std::string& bytes, const std::vector<Endpoint>& receivers)
--- a/lib/Gateway/ReportAggregator.cpp
+++ b/lib/Gateway/ReportAggregator.cpp
@@ -25,6 +25,9 @@
     // Maximum number of usage windows in a message. The third newest window is the next
     // one that is reported to the platform.
     constexpr std::size_t maxReportedWindows = 6;
+    // Messages up to this size contain their usage windows. The remainder up to
+    // maxDatagramSize is for what the receiver subtracts.
+    constexpr std::size_t maxWholeMessage = 48UL * 1024;
 
     std::map<WindowNumber, UsageCounts> newest(std::map<WindowNumber, UsageCounts> windows)
     {
@@ -115,6 +118,23 @@
     return sums;
 }
 
+std::vector<wire::Datagram> separateUsage(wire::Datagram& datagram)
+{
+    std::vector<wire::Datagram> separate;
+    wire::RelayReport& report = *datagram.mutable_relayed();
+    if (datagram.ByteSizeLong() <= maxWholeMessage)
+        return separate;
+    for (wire::UsageWindow& window : *report.mutable_sums()->mutable_usage()) {
+        wire::RelayReport& part = *separate.emplace_back().mutable_relayed();
+        part.set_vm(report.vm());
+        part.set_data_centre(report.data_centre());
+        part.set_is_digest(report.is_digest());
+        part.add_usage()->Swap(&window);
+    }
+    report.mutable_sums()->clear_usage();
+    return separate;
+}
+
 void subtract(wire::NodeSums& sums, const wire::NodeSums& own)
 {
     sums.set_nodes(sums.nodes() - std::min(sums.nodes(), own.nodes()));
--- a/lib/Gateway/ReportAggregator.h
+++ b/lib/Gateway/ReportAggregator.h
@@ -19,6 +19,9 @@
 
 namespace pistachioloom {
 
+/// Maximum payload of a UDP datagram over IPv4.
+inline constexpr std::size_t maxDatagramSize = 65507;
+
 using LoadTable = std::map<BackendKey, BackendLoad>;
 
 /// Accumulates the sums of several groups of nodes for a message.
@@ -120,6 +123,11 @@
 /// Removes \p own, as ownPartOf() returned it, from the totals \p sums.
 void subtract(wire::NodeSums& sums, const wire::NodeSums& own);
 
+/// Takes the usage windows out of a relay's message that would otherwise be too large. The
+/// largest part of a message to the holder of the duties is usage, which grows with the
+/// number of organisations. \returns a message for each window.
+std::vector<wire::Datagram> separateUsage(wire::Datagram& datagram);
+
 /// Decodes usage windows.
 std::map<WindowNumber, UsageCounts> usageOf(const google::protobuf::RepeatedPtrField<wire::UsageWindow>& windows);
 
--- a/unittests/Gateway/ReportAggregatorTest.cpp
+++ b/unittests/Gateway/ReportAggregatorTest.cpp
@@ -318,3 +318,37 @@
     CHECK_FALSE(aggregator.ownPartOf({ "older" }, start));
     CHECK_FALSE(aggregator.ownPartOf({ "unknown" }, start));
 }
+
+TEST_CASE("a message to the holder of the duties fits into datagrams, whatever the number of organisations", "[relay]")
+{
+    auto organisations = GENERATE(std::uint64_t { 10 }, std::uint64_t { 333 }, std::uint64_t { 700 });
+    CAPTURE(organisations);
+    constexpr std::uint64_t windows = 6;
+    wire::Datagram datagram;
+    wire::RelayReport& relayed = *datagram.mutable_relayed();
+    relayed.set_vm("relay");
+    relayed.set_data_centre("a");
+    relayed.set_is_digest(true);
+    std::map<WindowNumber, UsageCounts> usage;
+    for (std::uint64_t i = 0; i < organisations; ++i) {
+        std::string name = "organisation-" + std::to_string(i);
+        wire::QuotaReport& quota = *relayed.mutable_sums()->add_quotas();
+        quota.set_organisation(name);
+        quota.set_admitted(123456.5);
+        quota.set_level(654321.5);
+        for (std::uint64_t number = 0; number < windows; ++number)
+            usage[{ number }][{ name }] = 1000 + i;
+    }
+    putUsage(usage, *relayed.mutable_sums()->mutable_usage());
+    std::vector<wire::Datagram> separate = separateUsage(datagram);
+    CHECK((separate.empty() || separate.size() == windows));
+    CHECK(datagram.ByteSizeLong() < maxDatagramSize);
+    // The receiver has the same windows, in the sums or apart.
+    std::map<WindowNumber, UsageCounts> received = usageOf(datagram.relayed().sums().usage());
+    for (const wire::Datagram& part : separate) {
+        CHECK(part.ByteSizeLong() < maxDatagramSize);
+        CHECK(part.relayed().is_digest());
+        received.merge(usageOf(part.relayed().usage()));
+    }
+    CHECK(received == usage);
+}
