Answers to nodes that start name the relays of their data centre only

Cause: a seed answers 48 nodes a period with 4 KB each, so 1,000 nodes that start without the platform wait for 21 periods.

--- a/lib/Gateway/Discovery.cpp
+++ b/lib/Gateway/Discovery.cpp
@@ -14,10 +14,14 @@
     // Maximum number of nodes that have not reported yet to which this node introduces
     // itself in a period. Each of 200 such nodes receives an introduction within 1.7 s.
     constexpr std::size_t firstIntroductionsPerPeriod = 24;
-    // Maximum number of answers, of 2 to 4 KB each, that this node sends in a period. A
-    // seed that hundreds of nodes contact when all start simultaneously uses a third of a
-    // link of 20 Mbit/s for its answers.
-    constexpr std::size_t answersPerPeriod = 48;
+    // Maximum size of the answers that this node sends in a period, in KB. A seed that
+    // hundreds of nodes contact when all start simultaneously uses a third of a link of 20
+    // Mbit/s for its answers.
+    constexpr std::size_t answerKilobytesPerPeriod = 192;
+    // Size of an answer with the relays of all data centres, and of one with those of a
+    // single data centre, in KB.
+    constexpr std::size_t answerKilobytes = 4;
+    constexpr std::size_t briefAnswerKilobytes = 1;
     // Number of nodes of its own data centre that a digest advertises in rotation: 26
     // nodes are advertised within seven periods, 1.4 s.
     constexpr std::size_t membersPerDigest = 4;
@@ -44,15 +48,23 @@
         unanswered_.push_back(vm);
 }
 
-std::vector<Endpoint> Discovery::takeUnanswered()
+void Discovery::takeUnanswered(Receivers& receivers, SteadyTime now)
 {
-    std::vector<Endpoint> receivers;
-    for (std::size_t i = 0; i < answersPerPeriod && !unanswered_.empty(); ++i) {
-        if (auto address = table_.gossipEndpointOf(unanswered_.front()))
-            receivers.push_back(*address);
+    std::map<DataCentreId, std::vector<VmId>> relays;
+    std::size_t kilobytes = 0;
+    while (!unanswered_.empty() && kilobytes < answerKilobytesPerPeriod) {
+        VmId vm = unanswered_.front();
         unanswered_.pop_front();
+        auto peer = table_.find(vm);
+        if (!peer)
+            continue;
+        auto [found, isNew] = relays.try_emplace(peer->dataCentre_);
+        if (isNew)
+            found->second = table_.likelyRelays(peer->dataCentre_, digestCount_, now);
+        bool mayBeRelay = std::find(found->second.begin(), found->second.end(), vm) != found->second.end();
+        kilobytes += mayBeRelay ? answerKilobytes : briefAnswerKilobytes;
+        (mayBeRelay ? receivers.answered_ : receivers.answeredBriefly_[peer->dataCentre_]).push_back(peer->gossipEndpoint_);
     }
-    return receivers;
 }
 
 std::vector<Endpoint> Discovery::nextUnseen(const std::vector<KnownPeer>& peers)
@@ -68,10 +80,11 @@
     return next;
 }
 
-Discovery::Receivers Discovery::receivers(const std::vector<Endpoint>& unseenSeeds)
+Discovery::Receivers Discovery::receivers(const std::vector<Endpoint>& unseenSeeds, SteadyTime now)
 {
     std::vector<KnownPeer> peers = table_.all();
-    Receivers receivers { nextUnseen(peers), takeUnanswered() };
+    Receivers receivers { nextUnseen(peers), {}, {} };
+    takeUnanswered(receivers, now);
     std::vector<Endpoint> all = unseenSeeds;
     for (const auto& [vm, peer] : peers)
         all.push_back(peer.gossipEndpoint_);
@@ -97,6 +110,13 @@
     return relays;
 }
 
+std::vector<KnownPeer> Discovery::relaysToAdvertise(const DataCentreId& dataCentre, SteadyTime now) const
+{
+    std::vector<KnownPeer> relays;
+    addRelays(dataCentre, relays, now);
+    return relays;
+}
+
 std::vector<KnownPeer> Discovery::membersToAdvertise(SteadyTime now)
 {
     // Readers are advertised in every other digest, since a reader is replaced only after
--- a/unittests/Gateway/DiscoveryTest.cpp
+++ b/unittests/Gateway/DiscoveryTest.cpp
@@ -163,7 +163,12 @@
         composeIntroduction(*introduction.mutable_report(), node, AdvertisedPeers::Few, now);
         wire::Datagram answer;
         composeIntroduction(*answer.mutable_report(), node, AdvertisedPeers::Many, now);
-        Discovery::Receivers receivers = node.discovery_.receivers(unseenSeeds(node));
+        Discovery::Receivers receivers = node.discovery_.receivers(unseenSeeds(node), now);
+        for (const auto& [dataCentre, endpoints] : receivers.answeredBriefly_) {
+            std::vector<KnownPeer> relays = node.discovery_.relaysToAdvertise(dataCentre, now);
+            for (const Endpoint& receiver : endpoints)
+                messages.push_back({ node.address_, receiver, introduction, relays });
+        }
         for (const Endpoint& receiver : receivers.introduced_)
             messages.push_back({ node.address_, receiver, introduction, {} });
         std::vector<KnownPeer> relays;
