--- a/unittests/Gateway/BackendNoticesTest.cpp
+++ b/unittests/Gateway/BackendNoticesTest.cpp
@@ -18,8 +18,6 @@
 constexpr SteadyTime start { std::chrono::hours(1) };
 constexpr milliseconds period { 200 };
 constexpr milliseconds duration { 10000 };
-/// Maximum size of a datagram.
-constexpr std::size_t maxDatagramSize = 64UL * 1024;
 
 BackendId idOf(std::size_t index)
 {
