--- a/lib/Gateway/Discovery.cpp
+++ b/lib/Gateway/Discovery.cpp
@@ -14,14 +14,10 @@
     // Maximum number of nodes that have not reported yet to which this node introduces
     // itself in a period. Each of 200 such nodes receives an introduction within 1.7 s.
     constexpr std::size_t firstIntroductionsPerPeriod = 24;
-    // Maximum size of the answers that this node sends in a period, in KB. A seed that
-    // hundreds of nodes contact when all start simultaneously uses a third of a link of 20
-    // Mbit/s for its answers.
-    constexpr std::size_t answerKilobytesPerPeriod = 192;
-    // Size of an answer with the relays of all data centres, and of one with those of a
-    // single data centre, in KB.
-    constexpr std::size_t answerKilobytes = 4;
-    constexpr std::size_t briefAnswerKilobytes = 1;
+    // Maximum number of answers, of 2 to 4 KB each, that this node sends in a period. A
+    // seed that hundreds of nodes contact when all start simultaneously uses a third of a
+    // link of 20 Mbit/s for its answers.
+    constexpr std::size_t answersPerPeriod = 48;
     // Number of nodes of its own data centre that a digest advertises in rotation: 26
     // nodes are advertised within seven periods, 1.4 s.
     constexpr std::size_t membersPerDigest = 4;
@@ -48,23 +44,15 @@
         unanswered_.push_back(vm);
 }
 
-void Discovery::takeUnanswered(Receivers& receivers, SteadyTime now)
+std::vector<Endpoint> Discovery::takeUnanswered()
 {
-    std::map<DataCentreId, std::vector<VmId>> relays;
-    std::size_t kilobytes = 0;
-    while (!unanswered_.empty() && kilobytes < answerKilobytesPerPeriod) {
-        VmId vm = unanswered_.front();
+    std::vector<Endpoint> receivers;
+    for (std::size_t i = 0; i < answersPerPeriod && !unanswered_.empty(); ++i) {
+        if (auto address = table_.gossipEndpointOf(unanswered_.front()))
+            receivers.push_back(*address);
         unanswered_.pop_front();
-        auto peer = table_.find(vm);
-        if (!peer)
-            continue;
-        auto [found, isNew] = relays.try_emplace(peer->dataCentre_);
-        if (isNew)
-            found->second = table_.likelyRelays(peer->dataCentre_, digestCount_, now);
-        bool mayBeRelay = std::find(found->second.begin(), found->second.end(), vm) != found->second.end();
-        kilobytes += mayBeRelay ? answerKilobytes : briefAnswerKilobytes;
-        (mayBeRelay ? receivers.answered_ : receivers.answeredBriefly_[peer->dataCentre_]).push_back(peer->gossipEndpoint_);
     }
+    return receivers;
 }
 
 std::vector<Endpoint> Discovery::nextUnseen(const std::vector<KnownPeer>& peers)
@@ -80,11 +68,10 @@
     return next;
 }
 
-Discovery::Receivers Discovery::receivers(const std::vector<Endpoint>& unseenSeeds, SteadyTime now)
+Discovery::Receivers Discovery::receivers(const std::vector<Endpoint>& unseenSeeds)
 {
     std::vector<KnownPeer> peers = table_.all();
-    Receivers receivers { nextUnseen(peers), {}, {} };
-    takeUnanswered(receivers, now);
+    Receivers receivers { nextUnseen(peers), takeUnanswered() };
     std::vector<Endpoint> all = unseenSeeds;
     for (const auto& [vm, peer] : peers)
         all.push_back(peer.gossipEndpoint_);
@@ -110,13 +97,6 @@
     return relays;
 }
 
-std::vector<KnownPeer> Discovery::relaysToAdvertise(const DataCentreId& dataCentre, SteadyTime now) const
-{
-    std::vector<KnownPeer> relays;
-    addRelays(dataCentre, relays, now);
-    return relays;
-}
-
 std::vector<KnownPeer> Discovery::membersToAdvertise(SteadyTime now)
 {
     // Readers are advertised in every other digest, since a reader is replaced only after
--- a/lib/Gateway/Discovery.h
+++ b/lib/Gateway/Discovery.h
@@ -33,20 +33,15 @@
     struct Receivers {
         /// Receive an introduction of this node.
         std::vector<Endpoint> introduced_;
-        /// Nodes that may be relays: receive an introduction and relaysToAdvertise().
+        /// Receive an introduction and relaysToAdvertise().
         std::vector<Endpoint> answered_;
-        /// The other nodes to which an answer is due, by data centre: receive an
-        /// introduction and the relays of their data centre.
-        std::map<DataCentreId, std::vector<Endpoint>> answeredBriefly_;
     };
     /// Returns the receivers of introductions in this period. \p unseenSeeds are the
     /// configured seeds that have not reported yet.
-    Receivers receivers(const std::vector<Endpoint>& unseenSeeds, SteadyTime now);
+    Receivers receivers(const std::vector<Endpoint>& unseenSeeds);
     /// Returns the relays of all data centres that this node knows. A new node finds the
     /// relays of its data centre among them, whichever node it asks.
     std::vector<KnownPeer> relaysToAdvertise(SteadyTime now) const;
-    /// Returns the relays of \p dataCentre that this node knows.
-    std::vector<KnownPeer> relaysToAdvertise(const DataCentreId& dataCentre, SteadyTime now) const;
     /// Returns the nodes to advertise in a digest: all readers, the relays of this data
     /// centre, and its other nodes in rotation. A node that requests digests from a node
     /// that is no relay learns the relays from its digest.
@@ -61,8 +56,8 @@
 
 private:
     void addRelays(const DataCentreId& dataCentre, std::vector<KnownPeer>& relays, SteadyTime now) const;
-    /// Moves the next nodes from the queue of answers to \p receivers.
-    void takeUnanswered(Receivers& receivers, SteadyTime now);
+    /// Removes the next nodes from the queue of answers, and returns their endpoints.
+    std::vector<Endpoint> takeUnanswered();
     /// Returns endpoints of nodes among \p peers that have not reported yet, in rotation.
     std::vector<Endpoint> nextUnseen(const std::vector<KnownPeer>& peers);
 
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -253,19 +253,11 @@
 
 void PeerReports::sendIntroductions(SteadyTime now)
 {
-    Discovery::Receivers receivers = discovery_.receivers(unseenSeeds(), now);
+    Discovery::Receivers receivers = discovery_.receivers(unseenSeeds());
     wire::Datagram datagram;
     wire::NodeReport& report = *datagram.mutable_report();
     composeIntroduction(report, AdvertisedPeers::Few);
     report.set_is_brief(true);
-    // A receiver ignores the second of two messages with one sequence number, so the answers
-    // are sent first.
-    for (const auto& [dataCentre, endpoints] : receivers.answeredBriefly_) {
-        report.clear_relays();
-        composeMembers(*report.mutable_relays(), discovery_.relaysToAdvertise(dataCentre, now), now);
-        send(datagram, endpoints);
-    }
-    report.clear_relays();
     send(datagram, receivers.introduced_);
     if (receivers.answered_.empty())
         return;
--- a/unittests/Gateway/DiscoveryTest.cpp
+++ b/unittests/Gateway/DiscoveryTest.cpp
@@ -163,12 +163,7 @@
         composeIntroduction(*introduction.mutable_report(), node, AdvertisedPeers::Few, now);
         wire::Datagram answer;
         composeIntroduction(*answer.mutable_report(), node, AdvertisedPeers::Many, now);
-        Discovery::Receivers receivers = node.discovery_.receivers(unseenSeeds(node), now);
-        for (const auto& [dataCentre, endpoints] : receivers.answeredBriefly_) {
-            std::vector<KnownPeer> relays = node.discovery_.relaysToAdvertise(dataCentre, now);
-            for (const Endpoint& receiver : endpoints)
-                messages.push_back({ node.address_, receiver, introduction, relays });
-        }
+        Discovery::Receivers receivers = node.discovery_.receivers(unseenSeeds(node));
         for (const Endpoint& receiver : receivers.introduced_)
             messages.push_back({ node.address_, receiver, introduction, {} });
         std::vector<KnownPeer> relays;
