Log and measure how late a configuration comes into force

The lines of the incident could not tell its hypotheses apart: nothing said when a node first heard of a version, whom it asked, how long each attempt took, or how late the version was then.

"Configuration is in force." names who reported the version first, how long before, and the attempts since; a warning each second while a newer version has been known for over 1 s; gauges configuration_version_known and configuration_behind_ms. No logic has changed.

--- a/lib/Gateway/ConfigurationTransfer.cpp
+++ b/lib/Gateway/ConfigurationTransfer.cpp
@@ -20,6 +20,10 @@
     // tenths of a second on a small VM. This pause lets the acknowledgement leave before
     // the processing starts.
     constexpr milliseconds acknowledgementDelay { 2 };
+    // A node that has known of a newer version for this time logs it, and again after each
+    // behindLogPeriod.
+    constexpr milliseconds behindWarningTime { 1000 };
+    constexpr milliseconds behindLogPeriod { 1000 };
 
 } // namespace
 
@@ -43,6 +47,7 @@
 {
     for (;;) {
         co_await sleepFor(peerCheckPeriod);
+        warnIfBehind();
         auto source = peerWithNewerConfiguration();
         if (source)
             co_await fetchConfiguration(source->first, source->second);
@@ -74,7 +79,9 @@
     wire::Frame request;
     request.mutable_configuration_fetch()->set_known_version(table ? table->version() : 0);
     request.mutable_configuration_fetch()->set_wants_configuration(true);
+    SteadyTime startedAt = steadyNow();
     auto reply = co_await requestConfiguration(peer, request);
+    noteAttempt(vm, reply, startedAt);
     if (reply && reply.value().has_configuration_update()) {
         std::string bytes = reply.value().configuration_update().compressed_source();
         co_await applyConfiguration(std::move(bytes), vm);
@@ -87,6 +94,28 @@
         logger_.warn("Peer " + vm.value_ + " sent no configuration: " + (reply ? "unexpected frame" : describe(reply.error())));
 }
 
+void PlatformFeed::noteAttempt(const VmId& vm, const Result<wire::Frame>& reply, SteadyTime startedAt)
+{
+    std::string outcome = reply ? "sent" : std::string(toString(reply.error().code_)) + " at " + reply.error().step_;
+    if (reply && (!reply.value().has_configuration_update() || reply.value().configuration_update().compressed_source().empty()))
+        outcome = "sent nothing";
+    context_.configurationProgress_.noteAttempt(vm.value_, outcome, std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt));
+}
+
+void PlatformFeed::warnIfBehind()
+{
+    SteadyTime now = steadyNow();
+    ConfigurationProgress::Summary pending = context_.configurationProgress_.pending(now);
+    if (pending.reportedFor_.value_or(milliseconds(0)) < behindWarningTime || now - behindLoggedAt_ < behindLogPeriod)
+        return;
+    behindLoggedAt_ = now;
+    auto table = context_.table();
+    LogLine line("A newer configuration is not in force yet.");
+    line.add("configuration", table ? static_cast<std::int64_t>(table->version()) : 0).add("known", static_cast<std::int64_t>(context_.configurationProgress_.newestKnown()));
+    line.add("reported_by", pending.reportedBy_.value_).add("reported_for_ms", pending.reportedFor_->count()).add("attempts", static_cast<std::int64_t>(pending.attempts_)).add("attempts_made", pending.attemptsText_);
+    logger_.warn(line);
+}
+
 asio::awaitable<void> PlatformFeed::applyConfiguration(std::string bytes, VmId vm)
 {
     if (bytes.empty())
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -119,6 +119,8 @@
         { "caller_connections", static_cast<double>(context_.forward_.connections_) },
         { "requests_running", static_cast<double>(context_.forward_.running_) },
         { "configuration_version", table ? static_cast<double>(table->version()) : 0 },
+        { "configuration_version_known", static_cast<double>(context_.configurationProgress_.newestKnown()) },
+        { "configuration_behind_ms", static_cast<double>(context_.configurationProgress_.behindFor(steadyNow()).count()) },
         { "backend_servers", static_cast<double>(context_.backends_.records().size()) },
         { "peers_live", static_cast<double>(peerReports_.live().size()) },
         { "nodes_known_of", static_cast<double>(peerReports_.nodesCovered()) },
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -131,6 +131,11 @@
     line.add("configuration", static_cast<std::int64_t>(next->version())).add("before", current ? static_cast<std::int64_t>(current->version()) : 0).add("from", decoded.from_);
     line.add("routes", static_cast<std::int64_t>(next->configuration().routes_.size())).add("organisations", static_cast<std::int64_t>(next->configuration().organisations_.size()));
     line.add("bytes", static_cast<std::int64_t>(decoded.size_.value_)).add("decoding_ms", decoded.decodingTime_.count()).add("building_ms", elapsedSince(startedAt).count());
+    ConfigurationProgress::Summary progress = configurationProgress_.noteInForce(next->version(), steadyNow());
+    if (progress.reportedFor_)
+        line.add("reported_by", progress.reportedBy_.value_).add("reported_for_ms", progress.reportedFor_->count());
+    if (progress.attempts_)
+        line.add("attempts", static_cast<std::int64_t>(progress.attempts_)).add("attempts_made", progress.attemptsText_);
     metrics_.add(Counter::CatalogueRecords);
     table_.publish(std::move(next));
     logger_.info(line);
--- a/lib/Gateway/GatewayContext.h
+++ b/lib/Gateway/GatewayContext.h
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "ConfigurationProgress.h"
 #include "pistachioloom/Gateway.h"
 #include "pistachioloom/Wire.h"
 
@@ -50,6 +51,7 @@
     UsageTracker usage_;
     ClockOffsetEstimator clocks_;
     DemandEstimator demand_;
+    ConfigurationProgress configurationProgress_;
     ForwardContext forward_;
     std::atomic<bool> isStopping_ { false };
 
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -449,6 +449,7 @@
     PeerTable::ReportKind kind = table_.applyReport(vm, std::move(peer));
     if (kind == PeerTable::ReportKind::Outdated)
         return;
+    context_.configurationProgress_.noteReported(vm, report.configuration_version(), now);
     if (kind == PeerTable::ReportKind::Restarted)
         discovery_.queueAnswer(vm);
     // In a large fleet a node introduces itself to every other node in rotation, once in
@@ -504,6 +505,7 @@
             continue;
         Peer peer { *gossip, endpointOr(member.peers_address(), {}), { member.data_centre() }, member.incarnation(), 0, member.configuration_version(), member.is_stopping(), member.is_platform_lost(), member.is_reader(), member.registry_fingerprint(), member.cores(), now - milliseconds(member.age_ms()) };
         table_.applyRelayedState({ member.vm() }, peer);
+        context_.configurationProgress_.noteReported({ member.vm() }, member.configuration_version(), now);
     }
 }
 
--- a/lib/Gateway/PlatformFeed.h
+++ b/lib/Gateway/PlatformFeed.h
@@ -47,6 +47,10 @@
     /// Fetches the configuration from \p peer. A configuration may take longer than other
     /// answers, provided that its parts keep arriving.
     asio::awaitable<Result<wire::Frame>> requestConfiguration(Peer peer, wire::Frame request);
+    /// Notes the result of an attempt to fetch the configuration from \p vm.
+    void noteAttempt(const VmId& vm, const Result<wire::Frame>& reply, SteadyTime startedAt);
+    /// Logs a warning if a newer configuration has been known for long.
+    void warnIfBehind();
     /// Puts the compressed configuration \p bytes, received from peer \p vm, in force.
     asio::awaitable<void> applyConfiguration(std::string bytes, VmId vm);
     wire::Frame answer(const wire::Frame& request);
@@ -96,6 +100,7 @@
     SteadyTime removalGraceEnd_ {};
     TransferLimiter transfers_;
     BusyPeers busyPeers_;
+    SteadyTime behindLoggedAt_ {};
     const SteadyTime startedAt_ = steadyNow();
     const double startPhase_;
     /// Backend servers whose registration is missing. They are removed after
