--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -4,14 +4,13 @@
 /// Runs gateways as processes. A configuration of thousands of routes reaches all of them
 /// quickly although each sends it to only a few peers at a time.
 //===----------------------------------------------------------------------===//
-#include "Platform/GatewayDeployment.h"
+#include "Platform/ConfigurationTiming.h"
 #include "generated/Peer.pb.h"
 #include "pistachioloom/Wire.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <future>
 #include <thread>
 
@@ -28,31 +27,6 @@
 constexpr milliseconds slack { 1000 };
 constexpr milliseconds replyTimeout { 1500 };
 
-/// Routes with hashes as names, so that the configuration is large even when compressed.
-std::string manyRoutes(std::size_t count)
-{
-    std::string routes;
-    for (std::size_t i = 0; i < count; ++i) {
-        std::string name = sha256Hex(std::to_string(i)).substr(0, 32);
-        routes += ",\n{\"name\":\"" + name + R"(","hostname":"h.example","path_prefix":"/)" + name
-            + R"(/","type":"safe","timeout_ms":2000,"goal_ms":100,"priority":2,"service":"plain","attempts":2})";
-    }
-    return routes;
-}
-
-/// The lines of the log of \p gateway that contain \p sentence.
-std::vector<boost::json::object> logLinesWith(const GatewayDeployment& deployment, const GatewayDeployment::Gateway& gateway, const std::string& sentence)
-{
-    std::vector<boost::json::object> lines;
-    std::ifstream file(deployment.logFile(gateway));
-    for (std::string line; std::getline(file, line);) {
-        auto object = parseJsonObject(line);
-        if (object && line.find(sentence) != std::string::npos)
-            lines.push_back(std::move(*object));
-    }
-    return lines;
-}
-
 enum class FetchResult {
     Received,
     Busy,
--- a/test/Platform/GatewayDeployment.h
+++ b/test/Platform/GatewayDeployment.h
@@ -41,6 +41,7 @@
     ~GatewayDeployment();
 
     std::vector<Gateway>& gateways() { return gateways_; }
+    const std::vector<Gateway>& gateways() const { return gateways_; }
     /// Starts a stopped gateway again, with the same addresses.
     void restart(Gateway& gateway);
     std::string settingsFile(const Gateway& gateway) const;
