Fetch configurations from several sources at a time

Callers of calm nodes got 401 and 404 for new keys and routes, and answers of a route's former service, more than 2 s after a version had been acknowledged.

Cause: a node that does not read from the platform fetched from one peer at a time. A peer whose reports arrive and whose streams do not was chosen as soon as it reported a version first, held the fetch for 0.5, 1 or 2 s, and was drawn again after 250 ms; a node of the own data centre was preferred even then.

ConfigurationSources decides: another attempt is started beside those that make no progress (300 ms without 64 KB/s, 1 s at any rate), at most three, in another data centre first; peers that failed are avoided for 1 to 8 s (SourceHealth); after 700 ms and two failures a node reads the platform itself, in large fleets at a random time, so that the calls of all nodes arrive 10 ms apart. Attempts that are not needed any more are reset. ConfigurationFetcher does the I/O.

--- a/include/pistachioloom/Wire.h
+++ b/include/pistachioloom/Wire.h
@@ -53,6 +53,9 @@
     virtual void refuse() = 0;
     /// Whether either side has reset the stream, or the connection is closed.
     virtual bool isClosed() const = 0;
+    /// Returns the bytes of frames that have arrived, including those of an incomplete
+    /// frame.
+    virtual ByteCount bytesReceived() const = 0;
     virtual std::string peer() const = 0;
     /// Returns a shared pointer to this stream.
     virtual std::shared_ptr<PeerStream> shared() = 0;
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -16,8 +16,6 @@
     // How often a node that does not read from the platform checks whether it has become
     // a reader.
     constexpr milliseconds readerCheckPeriod { 150 };
-    // Name of the platform as a source of changes, as opposed to the name of a peer.
-    const std::string platformSource = "platform";
     // Maximum age of a peer's list of backend servers that is still used.
     constexpr std::uint64_t maxListAgeMs = 1500;
     // Changes of one list that the log names; the others are counted. A node that starts
@@ -31,8 +29,8 @@
     , context_(context)
     , peerReports_(reports)
     , peers_(peers)
-    , background_(background)
     , startPhase_(static_cast<double>(randomBits() >> 11) * 0x1p-53)
+    , fetcher_(io, context, reports, peers, background, sourceHealth_, startPhase_)
 {
 }
 
@@ -40,10 +38,9 @@
 {
     asio::co_spawn(io_, followConfiguration(), asio::detached);
     asio::co_spawn(io_, followRegistry(), asio::detached);
-    // Fetching from peers runs in separate coroutines, since fetching a configuration
-    // may take seconds.
-    asio::co_spawn(io_, fetchConfigurationFromPeers(), asio::detached);
+    // Fetching from peers runs in separate coroutines, since it may take seconds.
     asio::co_spawn(io_, fetchBackendsFromPeers(), asio::detached);
+    fetcher_.start();
 }
 
 std::vector<ReaderState> PlatformFeed::readerStates() const
@@ -106,8 +103,8 @@
                 logger_.info(LogLine("Roll-out was ordered.").add("service", order.service_.value_).add("target", order.target_.value_).add("number", static_cast<std::int64_t>(order.number_.value_)).add("period_ms", order.period_.count()));
         }
         if (!read.value().sources_.empty()) {
-            std::function<void()> work = [&context = context_, sources = std::move(read.value().sources_)] { context.applyConfiguration(sources, platformSource); };
-            co_await background_.run(std::move(work));
+            std::vector<std::string> sources = std::move(read.value().sources_);
+            co_await fetcher_.applySources(std::move(sources));
         }
         if (!context_.table())
             co_await sleepFor(context_.settings_.feed_.retryPause_);
--- a/lib/Gateway/PlatformFeed.h
+++ b/lib/Gateway/PlatformFeed.h
@@ -7,19 +7,11 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "BackgroundExecutor.h"
-#include "PeerReports.h"
-#include "Readers.h"
+#include "ConfigurationFetcher.h"
 #include "TransferLimiter.h"
 
 namespace pistachioloom {
 
-/// Timeout of an answer from a peer. The peer composes the answer from memory. For a
-/// configuration, the maximum time between two parts of the answer.
-inline constexpr milliseconds peerTimeout { 500 };
-/// How often a node checks whether it has to fetch from peers.
-inline constexpr milliseconds peerCheckPeriod { 150 };
-
 class PlatformFeed {
 public:
     PlatformFeed(asio::io_context& io, GatewayContext& context, PeerReports& reports, PeerPool& peers, BackgroundExecutor& background);
@@ -41,18 +33,7 @@
 private:
     asio::awaitable<void> followConfiguration();
     asio::awaitable<void> followRegistry();
-    asio::awaitable<void> fetchConfigurationFromPeers();
     asio::awaitable<void> fetchBackendsFromPeers();
-    asio::awaitable<void> fetchConfiguration(VmId vm, Peer peer);
-    /// Fetches the configuration from \p peer. A configuration may take longer than other
-    /// answers, provided that its parts keep arriving.
-    asio::awaitable<Result<wire::Frame>> requestConfiguration(Peer peer, wire::Frame request);
-    /// Notes the result of an attempt to fetch the configuration from \p vm.
-    void noteAttempt(const VmId& vm, const Result<wire::Frame>& reply, SteadyTime startedAt);
-    /// Logs a warning if a newer configuration has been known for long.
-    void warnIfBehind();
-    /// Puts the compressed configuration \p bytes, received from peer \p vm, in force.
-    asio::awaitable<void> applyConfiguration(std::string bytes, VmId vm);
     wire::Frame answer(const wire::Frame& request);
     bool hasNewerConfiguration(const wire::ConfigurationFetch& fetch) const;
     /// Sends the configuration to a peer, and returns once the peer has all of it.
@@ -73,9 +54,6 @@
     void removeBackend(const BackendName& name, const std::string& source);
     void removeUnlisted(const RegistryRead& read, const std::vector<BackendRecord>& known, const std::string& source);
     void applyDueRemovals();
-    /// Returns a peer that has a newer configuration and is not busy, preferably of this
-    /// data centre.
-    std::optional<KnownPeer> peerWithNewerConfiguration() const;
     bool isRegistryStale() const;
     std::vector<ReaderState> readerStates() const;
     /// Returns a reader whose list of backend servers differs from this node's.
@@ -89,7 +67,6 @@
     GatewayContext& context_;
     PeerReports& peerReports_;
     PeerPool& peers_;
-    BackgroundExecutor& background_;
     /// When this node last read the registry from the platform.
     std::atomic<SteadyTime> registryReadAt_ { SteadyTime {} };
     /// When the list in use was read from the platform, by this node or by a peer.
@@ -99,10 +76,10 @@
     /// Time until which missing registrations are kept after an outage.
     SteadyTime removalGraceEnd_ {};
     TransferLimiter transfers_;
-    BusyPeers busyPeers_;
-    SteadyTime behindLoggedAt_ {};
     const SteadyTime startedAt_ = steadyNow();
     const double startPhase_;
+    SourceHealth sourceHealth_;
+    ConfigurationFetcher fetcher_;
     /// Backend servers whose registration is missing. They are removed after
     /// removalGraceEnd_, unless they register again.
     std::set<BackendName> pendingRemovals_;
--- a/lib/Gateway/Readers.cpp
+++ b/lib/Gateway/Readers.cpp
@@ -81,15 +81,19 @@
     return std::find(ranked.begin(), last, self.vm_) != last;
 }
 
+milliseconds spreadDelay(std::size_t nodes, double phase, milliseconds interval)
+{
+    std::size_t spread = nodes - std::min(nodes, unspreadNodes);
+    return milliseconds(static_cast<std::int64_t>(phase * static_cast<double>(interval.count()) * static_cast<double>(spread)));
+}
+
 bool isStartTurn(const ColdStart& state, milliseconds interval)
 {
     if (state.isFirstContact_)
         return true;
     if (state.uptime_ < (state.hasPeers_ ? firstReportsTime : maxWaitForPeers))
         return false;
-    std::size_t spread = state.knownNodes_ - std::min(state.knownNodes_, unspreadNodes);
-    milliseconds delay(static_cast<std::int64_t>(state.phase_ * static_cast<double>(interval.count()) * static_cast<double>(spread)));
-    return state.uptime_ >= firstReportsTime + delay;
+    return state.uptime_ >= firstReportsTime + spreadDelay(state.knownNodes_, state.phase_, interval);
 }
 
 ReadBackoff::ReadBackoff(milliseconds initial)
--- a/lib/Gateway/Readers.h
+++ b/lib/Gateway/Readers.h
@@ -54,6 +54,10 @@
 /// stores one in 2 ms.
 inline constexpr milliseconds announcementInterval { 4 };
 
+/// Returns a delay by which the calls of \p nodes nodes with uniformly distributed \p phase
+/// in [0, 1) arrive at the mean interval \p interval; 0 in a small fleet.
+milliseconds spreadDelay(std::size_t nodes, double phase, milliseconds interval);
+
 /// Returns whether a node that starts may make its first call of a kind to the platform.
 /// While all nodes start, each of them knows few others and would select itself as a
 /// reader; simultaneous calls of all would time out and be repeated. Nodes therefore wait
--- a/lib/Gateway/TransferLimiter.cpp
+++ b/lib/Gateway/TransferLimiter.cpp
@@ -35,15 +35,4 @@
     return std::exchange(busyAnswers_, 0);
 }
 
-void BusyPeers::markBusy(const VmId& peer, SteadyTime until)
-{
-    busyUntil_[peer] = until;
-}
-
-bool BusyPeers::isBusy(const VmId& peer, SteadyTime now) const
-{
-    auto found = busyUntil_.find(peer);
-    return found != busyUntil_.end() && now < found->second;
-}
-
 } // namespace pistachioloom
--- a/lib/Gateway/TransferLimiter.h
+++ b/lib/Gateway/TransferLimiter.h
@@ -3,7 +3,7 @@
 /// \file
 /// A configuration of thousands of routes is large, and all nodes fetch it from the few
 /// that have it first. Those send it to a few peers at a time, which then send it to
-/// others. The classes do no I/O and take the time as a parameter.
+/// others. The class does no I/O and takes the time as a parameter.
 //===----------------------------------------------------------------------===//
 #pragma once
 
@@ -52,15 +52,4 @@
     std::optional<SteadyTime> loggedAt_;
 };
 
-/// Tracks the peers that were busy or sent nothing when this node fetched the
-/// configuration. This node fetches it from others meanwhile.
-class BusyPeers {
-public:
-    void markBusy(const VmId& peer, SteadyTime until);
-    bool isBusy(const VmId& peer, SteadyTime now) const;
-
-private:
-    std::map<VmId, SteadyTime> busyUntil_;
-};
-
 } // namespace pistachioloom
--- a/lib/Wire/PeerLink.cpp
+++ b/lib/Wire/PeerLink.cpp
@@ -406,6 +406,7 @@
     nghttp2_session_consume_connection(session, length);
     if (LinkStream* stream = self->findStream(streamId)) {
         stream->receivedAt_ = steadyNow();
+        stream->bytesReceived_ += length;
         self->decodeFrames(*stream, { reinterpret_cast<const char*>(data), length });
     }
     return 0;
--- a/lib/Wire/PeerLink.h
+++ b/lib/Wire/PeerLink.h
@@ -39,6 +39,7 @@
     void release() override;
     void refuse() override;
     bool isClosed() const override { return isClosed_; }
+    ByteCount bytesReceived() const override { return { bytesReceived_ }; }
     std::string peer() const override;
     std::shared_ptr<PeerStream> shared() override { return shared_from_this(); }
 
@@ -83,8 +84,10 @@
     bool hasReachedEnd_ = false;
     // Written on the link's strand, read on any strand.
     std::atomic<bool> isClosed_ { false };
-    // Time at which the last bytes were received. Written on the link's strand, read on any.
+    // Time at which the last bytes were received, and the number of bytes received. Written
+    // on the link's strand, read on any.
     std::atomic<SteadyTime> receivedAt_ { SteadyTime {} };
+    std::atomic<std::uint64_t> bytesReceived_ { 0 };
     // The reasons for the end of the stream: written before the end mark of the frames and
     // read after it. cancel() also sets isCancelled_, on any strand.
     std::atomic<bool> isRefused_ { false };
--- a/unittests/Gateway/TransferLimiterTest.cpp
+++ b/unittests/Gateway/TransferLimiterTest.cpp
@@ -81,15 +81,3 @@
     CHECK(limiter.isBusyLogDue(start + busyLogPeriod));
     CHECK(limiter.takeBusyAnswerCount(start + busyLogPeriod) == 60);
 }
-
-TEST_CASE("a busy peer is skipped until the time that it gave", "[transfers]")
-{
-    const VmId busy { "busy" };
-    BusyPeers peers;
-    CHECK_FALSE(peers.isBusy(busy, start));
-    peers.markBusy(busy, start + busyRetryDelay);
-    CHECK(peers.isBusy(busy, start));
-    CHECK(peers.isBusy(busy, start + busyRetryDelay - milliseconds(1)));
-    CHECK_FALSE(peers.isBusy(busy, start + busyRetryDelay));
-    CHECK_FALSE(peers.isBusy({ "other" }, start));
-}
