Slow transfers of a configuration do not block others

Cause: a node sends to two peers at a time, and a peer that hangs counted for the whole 2 s of the timeout, the bound itself. Two of them, or one of each reader and a harmed data centre, held up all others.

A transfer that takes longer than 250 ms and its size at 4 Mbit/s does not count any more: the link has capacity, or the peer hangs. At most 16 are open.

--- a/lib/Gateway/ConfigurationTransfer.cpp
+++ b/lib/Gateway/ConfigurationTransfer.cpp
@@ -41,7 +41,8 @@
         (void)co_await stream->send(answer(request));
         co_return;
     }
-    auto transfer = transfers_.begin(steadyNow());
+    ByteCount size { context_.table()->configuration().compressedSource_.size() };
+    auto transfer = transfers_.begin(size, steadyNow());
     if (!transfer) {
         (void)co_await stream->send(busyAnswer());
         co_return;
--- a/lib/Gateway/TransferLimiter.cpp
+++ b/lib/Gateway/TransferLimiter.cpp
@@ -5,23 +5,27 @@
 //===----------------------------------------------------------------------===//
 #include "TransferLimiter.h"
 
+#include <algorithm>
+
 namespace pistachioloom {
 
-std::optional<TransferId> TransferLimiter::begin(SteadyTime now)
+std::optional<TransferId> TransferLimiter::begin(ByteCount size, SteadyTime now)
 {
-    std::erase_if(startTimes_, [&](const auto& entry) { return now - entry.second >= transferTimeout; });
-    if (startTimes_.size() >= maxTransfers) {
+    std::erase_if(transfers_, [&](const auto& entry) { return now - entry.second.startedAt_ >= transferTimeout; });
+    auto running = std::count_if(transfers_.begin(), transfers_.end(), [&](const auto& entry) { return now < entry.second.slowAt_; });
+    if (static_cast<std::size_t>(running) >= maxTransfers || transfers_.size() >= maxOpenTransfers) {
         ++busyAnswers_;
         return std::nullopt;
     }
     ++lastTransfer_.value_;
-    startTimes_.emplace(lastTransfer_, now);
+    milliseconds expected = transferSlack + milliseconds(size.value_ / minTransferRate);
+    transfers_.emplace(lastTransfer_, Transfer { now, now + expected });
     return lastTransfer_;
 }
 
 void TransferLimiter::end(TransferId transfer)
 {
-    startTimes_.erase(transfer);
+    transfers_.erase(transfer);
 }
 
 bool TransferLimiter::isBusyLogDue(SteadyTime now) const
--- a/lib/Gateway/TransferLimiter.h
+++ b/lib/Gateway/TransferLimiter.h
@@ -14,10 +14,17 @@
 
 namespace pistachioloom {
 
-/// Maximum number of concurrent transfers of a node. 100 KB take 80 ms on a link of 10
-/// Mbit/s, so that two transfers delay responses to callers by 160 ms. With one, a single
-/// peer that hangs would block all others.
+/// Maximum number of concurrent transfers of a node, apart from slow ones. 100 KB take 80
+/// ms on a link of 10 Mbit/s, so that two transfers delay responses to callers by 160 ms.
 inline constexpr std::size_t maxTransfers = 2;
+/// Maximum number of concurrent transfers including slow ones, which bounds the memory of
+/// those whose peers hang.
+inline constexpr std::size_t maxOpenTransfers = 16;
+/// A transfer is slow if it takes longer than this and its size at minTransferRate. The
+/// link then has capacity for others, or the peer hangs; other peers must not wait for it.
+inline constexpr milliseconds transferSlack { 250 };
+/// In bytes per millisecond: less than half of a link of 10 Mbit/s.
+inline constexpr std::uint64_t minTransferRate = 500;
 /// Time after which both sides abort a transfer: twelve times the 160 ms that two
 /// transfers of 100 KB take on an idle link of 10 Mbit/s.
 inline constexpr milliseconds transferTimeout { 2000 };
@@ -33,20 +40,28 @@
 /// Limits the transfers of a node that has the configuration.
 class TransferLimiter {
 public:
-    /// Starts a transfer to a peer. Returns nullopt if maxTransfers are running, and
-    /// counts the busy answer that the peer receives then.
-    std::optional<TransferId> begin(SteadyTime now);
+    /// Starts a transfer of \p size to a peer. Returns nullopt if maxTransfers are running
+    /// that are not slow, or maxOpenTransfers, and counts the busy answer that the peer
+    /// receives then.
+    std::optional<TransferId> begin(ByteCount size, SteadyTime now);
     /// Ends a transfer that the peer has received or cancelled. Has no effect on a
     /// transfer that was aborted after transferTimeout.
     void end(TransferId transfer);
-    std::size_t activeTransfers() const { return startTimes_.size(); }
+    /// Returns the number of transfers, including slow ones.
+    std::size_t activeTransfers() const { return transfers_.size(); }
     /// Returns whether busy answers are to be logged now.
     bool isBusyLogDue(SteadyTime now) const;
     /// Returns the number of busy answers that were not logged yet, and resets it.
     std::uint64_t takeBusyAnswerCount(SteadyTime now);
 
 private:
-    std::map<TransferId, SteadyTime> startTimes_;
+    struct Transfer {
+        SteadyTime startedAt_;
+        /// When the transfer becomes slow.
+        SteadyTime slowAt_;
+    };
+
+    std::map<TransferId, Transfer> transfers_;
     TransferId lastTransfer_ {};
     std::uint64_t busyAnswers_ = 0;
     std::optional<SteadyTime> loggedAt_;
