--- a/test/ConfigurationSourcesTest.cpp
+++ b/test/ConfigurationSourcesTest.cpp
@@ -46,7 +46,7 @@
     Endpoint reader = peerEndpointOfReader(deployment);
     std::vector<std::unique_ptr<ReportingPeer>> peers;
     for (int i = 0; i < row.peers_; ++i)
-        peers.push_back(std::make_unique<ReportingPeer>(deployment, "failing-" + std::to_string(i), "a", 200 + i, row.fault_, reader));
+        peers.push_back(std::make_unique<ReportingPeer>(deployment, ReportingPeerOptions { "failing-" + std::to_string(i), "a", 200 + i, row.fault_, reader }));
     std::this_thread::sleep_for(firstReportsTime);
     for (std::uint64_t version = firstVersion; version < firstVersion + versionCount; ++version) {
         deployment.putConfiguration(version, manyRoutes(300));
--- a/test/Platform/ReportingPeer.cpp
+++ b/test/Platform/ReportingPeer.cpp
@@ -42,17 +42,14 @@
     return "unknown";
 }
 
-ReportingPeer::ReportingPeer(const GatewayDeployment& deployment, std::string vm, std::string dataCentre, int hostNumber, StreamFault fault, Endpoint target)
-    : vm_(std::move(vm))
-    , dataCentre_(std::move(dataCentre))
-    , fault_(fault)
-    , target_(std::move(target))
+ReportingPeer::ReportingPeer(const GatewayDeployment& deployment, ReportingPeerOptions options)
+    : options_(std::move(options))
     , incarnation_(randomBits())
     , socket_(io_)
     , acceptor_(io_)
 {
     const std::string& first = deployment.gateways().front().callers_.host_;
-    std::string host = first.substr(0, first.rfind('.') + 1) + std::to_string(hostNumber);
+    std::string host = first.substr(0, first.rfind('.') + 1) + std::to_string(options_.hostNumber_);
     gossip_ = { host, gossipPort };
     peers_ = { host, peersPort };
     for (const auto& gateway : deployment.gateways())
@@ -72,14 +69,14 @@
 
 void ReportingPeer::listen()
 {
-    if (fault_ == StreamFault::Refused)
+    if (options_.fault_ == StreamFault::Refused)
         return;
     tcp::endpoint address(asio::ip::make_address(peers_.host_), peers_.port_);
     acceptor_.open(address.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address(true));
     acceptor_.bind(address);
-    acceptor_.listen(fault_ == StreamFault::ConnectDropped ? 0 : asio::socket_base::max_listen_connections);
-    if (fault_ != StreamFault::ConnectDropped) {
+    acceptor_.listen(options_.fault_ == StreamFault::ConnectDropped ? 0 : asio::socket_base::max_listen_connections);
+    if (options_.fault_ != StreamFault::ConnectDropped) {
         asio::co_spawn(io_, acceptStreams(), asio::detached);
         return;
     }
@@ -110,8 +107,8 @@
 {
     wire::Datagram datagram;
     wire::NodeReport& report = *datagram.mutable_report();
-    report.set_vm(vm_);
-    report.set_data_centre(dataCentre_);
+    report.set_vm(options_.vm_);
+    report.set_data_centre(options_.dataCentre_);
     report.set_incarnation(incarnation_);
     report.set_sequence(++sequence_);
     report.set_address(gossip_.toString());
@@ -120,6 +117,8 @@
     auto now = std::chrono::system_clock::now().time_since_epoch();
     report.set_wall_ms(std::chrono::duration_cast<milliseconds>(now).count());
     report.set_counted_ms(1);
+    report.set_is_reader(options_.isReader_);
+    report.set_cores(options_.cores_);
     std::string bytes = datagram.SerializeAsString();
     for (const Endpoint& receiver : receivers_) {
         boost::system::error_code lost;
@@ -134,7 +133,7 @@
         if (code)
             co_return;
         connections_.push_back(std::make_shared<tcp::socket>(std::move(socket)));
-        if (fault_ == StreamFault::Slow)
+        if (options_.fault_ == StreamFault::Slow)
             asio::co_spawn(io_, relaySlowly(connections_.back()), asio::detached);
     }
 }
@@ -157,7 +156,7 @@
 asio::awaitable<void> ReportingPeer::relaySlowly(std::shared_ptr<tcp::socket> client)
 {
     auto server = std::make_shared<tcp::socket>(io_);
-    auto [connectCode] = co_await server->async_connect({ asio::ip::make_address(target_.host_), target_.port_ }, asTuple);
+    auto [connectCode] = co_await server->async_connect({ asio::ip::make_address(options_.target_.host_), options_.target_.port_ }, asTuple);
     if (connectCode)
         co_return;
     asio::co_spawn(io_, relay(client, server), asio::detached);
--- a/test/Platform/ReportingPeer.h
+++ b/test/Platform/ReportingPeer.h
@@ -26,13 +26,25 @@
 
 std::string_view toString(StreamFault fault);
 
+struct ReportingPeerOptions {
+    std::string vm_;
+    std::string dataCentre_;
+    /// The last number of its loopback address.
+    int hostNumber_ = 200;
+    StreamFault fault_ = StreamFault::Silent;
+    /// Where slow streams lead.
+    Endpoint target_;
+    /// Whether the node reports that it reads from the platform, and its CPU cores: nodes
+    /// with most cores are expected to read.
+    bool isReader_ = false;
+    double cores_ = 0;
+};
+
 /// Runs on a thread of its own.
 class ReportingPeer {
 public:
-    /// Reports to all gateways of \p deployment as a node named \p vm of \p dataCentre, on a
-    /// loopback address of its own that ends with \p hostNumber. \p target is where streams
-    /// lead if they are slow.
-    ReportingPeer(const GatewayDeployment& deployment, std::string vm, std::string dataCentre, int hostNumber, StreamFault fault, Endpoint target);
+    /// Reports to all gateways of \p deployment.
+    ReportingPeer(const GatewayDeployment& deployment, ReportingPeerOptions options);
     ~ReportingPeer();
     ReportingPeer(const ReportingPeer&) = delete;
     ReportingPeer& operator=(const ReportingPeer&) = delete;
@@ -47,10 +59,7 @@
     void sendReport();
     void listen();
 
-    const std::string vm_;
-    const std::string dataCentre_;
-    const StreamFault fault_;
-    const Endpoint target_;
+    const ReportingPeerOptions options_;
     Endpoint gossip_;
     Endpoint peers_;
     std::vector<Endpoint> receivers_;
