Fetch the list of backend servers from readers whose streams work

Nodes asked the reader of their data centre for the list of backend servers for as long as it reported, whether or not it answered, and logged a warning each time.

Readers whose streams failed lately are asked last (SourceHealth, shared with the fetch of configurations).

--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -261,14 +261,18 @@
 
 std::optional<KnownPeer> PlatformFeed::readerWithDifferentList() const
 {
+    // Prefers readers whose streams have not failed lately, then that of this data centre.
+    SteadyTime now = steadyNow();
+    auto rankOf = [&](const KnownPeer& known) {
+        SteadyTime avoidedUntil = std::max(now, sourceHealth_.avoidedUntil(known.first));
+        return std::make_pair(avoidedUntil, known.second.dataCentre_ != context_.settings_.dataCentre_);
+    };
     std::optional<KnownPeer> chosen;
-    for (const auto& entry : peerReports_.reportedWithin(context_.settings_.feed_.readerTimeout_)) {
-        const Peer& peer = entry.second;
-        if (!peer.isReader_ || peer.isPlatformUnavailable_)
+    for (const KnownPeer& known : peerReports_.reportedWithin(context_.settings_.feed_.readerTimeout_)) {
+        if (!known.second.isReader_ || known.second.isPlatformUnavailable_)
             continue;
-        // Prefers the reader of this data centre.
-        if (!chosen || peer.dataCentre_ == context_.settings_.dataCentre_)
-            chosen = entry;
+        if (!chosen || rankOf(known) < rankOf(*chosen))
+            chosen = known;
     }
     if (chosen && chosen->second.registryFingerprint_ == context_.backends_.fingerprint())
         return std::nullopt;
@@ -306,8 +310,11 @@
 asio::awaitable<std::optional<wire::ConfigurationUpdate>> PlatformFeed::callPeer(VmId vm, Peer peer, wire::Frame request)
 {
     auto reply = co_await peers_.call(peer.peerEndpoint_, request, peerTimeout);
-    if (reply && reply.value().has_configuration_update())
+    if (reply && reply.value().has_configuration_update()) {
+        sourceHealth_.noteAnswered(vm);
         co_return reply.value().configuration_update();
+    }
+    sourceHealth_.noteFailed(vm, steadyNow());
     logger_.warn("Peer " + vm.value_ + " sent no update: " + (reply ? "unexpected frame" : describe(reply.error())));
     co_return std::nullopt;
 }
