Connections to peers and calls keep their timeouts, and dead links are replaced

PeerPool::open() waited 1 s for a connection whatever its caller asked for, and call() gave its timeout to the answer again. A call that timed out left its link in the pool: the keep-alive closes a link only if it finds streams open in four intervals in a row, so that short calls could use a dead link for as long as they were made.

The timeout covers connecting, and in call() the answer. A link that received nothing during a call that timed out takes no new streams, and closes when its open ones have ended.

--- a/include/pistachioloom/Wire.h
+++ b/include/pistachioloom/Wire.h
@@ -108,10 +108,11 @@
     PeerPool(const PeerPool&) = delete;
     PeerPool& operator=(const PeerPool&) = delete;
 
-    /// Opens a stream and sends \p first on it. Connecting may take up to 1 s, whatever
-    /// \p timeout is. The `ran_` of an error is No.
+    /// Opens a stream and sends \p first on it. Fails after \p timeout, or after 1 s if the
+    /// peer has not accepted a connection by then. The `ran_` of an error is No.
     asio::awaitable<Result<std::shared_ptr<PeerStream>>> open(Endpoint peer, const wire::Frame& first, milliseconds timeout);
-    /// Sends one frame and receives one frame. A Failure frame is returned as Error.
+    /// Sends one frame and receives one frame, within \p timeout in all. A Failure frame is
+    /// returned as Error.
     asio::awaitable<Result<wire::Frame>> call(Endpoint peer, const wire::Frame& request, milliseconds timeout);
     /// Returns the bytes written to all connections since the start.
     ByteCount bytesSent() const;
--- a/lib/Wire/LinkStream.cpp
+++ b/lib/Wire/LinkStream.cpp
@@ -99,6 +99,10 @@
     SteadyTime deadline = std::min(receivedAt + receiveTimer->idleTimeout_, receiveTimer->startedAt_ + receiveTimer->totalTimeout_);
     if (deadline <= steadyNow()) {
         receiveTimer->hasExpired_ = true;
+        // The peer or the path may have gone without a word, so that other calls must not
+        // wait on this link as well.
+        if (link_->receivedAt() < receiveTimer->startedAt_)
+            link_->retire();
         cancel();
         return;
     }
--- a/lib/Wire/PeerLink.cpp
+++ b/lib/Wire/PeerLink.cpp
@@ -104,6 +104,10 @@
     while (socket_.is_open()) {
         keepAliveTimer_.expires_after(keepAlive_.interval_);
         co_await keepAliveTimer_.async_wait(asTuple);
+        if (!isUsable_ && streams_.empty()) {
+            close("all streams have ended");
+            co_return;
+        }
         if (streams_.empty() || !socket_.is_open()) {
             idleIntervals_ = 0;
             continue;
@@ -130,6 +134,7 @@
             co_return;
         }
         counters_->bytesReceived_ += count;
+        receivedAt_ = steadyNow();
         idleIntervals_ = 0;
         ssize_t taken = nghttp2_session_mem_recv(session_, buffer.data(), count);
         if (taken < 0) {
--- a/lib/Wire/PeerLink.h
+++ b/lib/Wire/PeerLink.h
@@ -97,7 +97,8 @@
 };
 
 /// One connection with its nghttp2 session. start() is called once; all other members
-/// except executor(), isUsable(), peer() and reportError() are called on the link's strand.
+/// except executor(), isUsable(), receivedAt(), retire(), peer() and reportError() are
+/// called on the link's strand.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
     enum class Side {
@@ -113,6 +114,10 @@
 
     void start();
     bool isUsable() const { return isUsable_; }
+    /// Returns when bytes were last received; zero before the first.
+    SteadyTime receivedAt() const { return receivedAt_; }
+    /// Accepts no new streams. The link closes when its open streams have ended.
+    void retire() { isUsable_ = false; }
     const std::string& peer() const { return peer_; }
     asio::any_io_executor executor() { return socket_.get_executor(); }
 
@@ -167,6 +172,7 @@
     bool isWriting_ = false;
     bool isDraining_ = false;
     std::atomic<bool> isUsable_ { true };
+    std::atomic<SteadyTime> receivedAt_ { SteadyTime {} };
 };
 
 } // namespace pistachioloom
--- a/lib/Wire/Peers.cpp
+++ b/lib/Wire/Peers.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-    constexpr milliseconds connectTimeout { 1000 };
+    constexpr milliseconds maxConnectTime { 1000 };
 
 } // namespace
 
@@ -86,7 +86,7 @@
 
 // Two coroutines may connect concurrently. The link that is made later then replaces the
 // earlier one in the pool, and both continue to serve their own streams.
-static asio::awaitable<Result<std::shared_ptr<PeerLink>>> connectLink(std::shared_ptr<PeerPool::State> state, Endpoint peer)
+static asio::awaitable<Result<std::shared_ptr<PeerLink>>> connectLink(std::shared_ptr<PeerPool::State> state, Endpoint peer, SteadyTime deadline)
 {
     boost::system::error_code code;
     tcp::endpoint address(asio::ip::make_address(peer.host_, code), peer.port_);
@@ -94,16 +94,20 @@
         co_return Error { Errc::InvalidInput, "connect to peer", peer.toString(), "not an IP number", Ran::No, {} };
     auto strand = asio::make_strand(state->executor_);
     auto socket = std::make_shared<tcp::socket>(strand);
-    SteadyTimer timer(strand, connectTimeout);
-    timer.async_wait([socket](boost::system::error_code expired) {
+    SteadyTimer timer(strand);
+    timer.expires_at(std::min(deadline, steadyNow() + maxConnectTime));
+    auto hasExpired = std::make_shared<bool>(false);
+    timer.async_wait([socket, hasExpired](boost::system::error_code cancelled) {
+        if (cancelled)
+            return;
+        *hasExpired = true;
         boost::system::error_code ignored;
-        if (!expired)
-            socket->cancel(ignored);
+        socket->cancel(ignored);
     });
     auto [connectCode] = co_await socket->async_connect(address, asio::bind_executor(strand, asTuple));
     timer.cancel();
     if (connectCode)
-        co_return Error { Errc::Unavailable, "connect to peer", peer.toString(), connectCode.message(), Ran::No, {} };
+        co_return Error { Errc::Unavailable, "connect to peer", peer.toString(), *hasExpired ? "no answer in time" : connectCode.message(), Ran::No, {} };
     socket->set_option(tcp::no_delay(true), code);
     auto link = std::make_shared<PeerLink>(std::move(*socket), PeerLink::Side::Client, state->credential_, peer.toString(),
         state->counters_, nullptr, state->onError_, state->keepAlive_);
@@ -114,13 +118,14 @@
     co_return link;
 }
 
-asio::awaitable<Result<std::shared_ptr<PeerStream>>> PeerPool::open(Endpoint peer, const wire::Frame& first, milliseconds)
+asio::awaitable<Result<std::shared_ptr<PeerStream>>> PeerPool::open(Endpoint peer, const wire::Frame& first, milliseconds timeout)
 {
     constexpr int maxTries = 2;
+    SteadyTime deadline = steadyNow() + timeout;
     for (int attempt = 0; attempt < maxTries; ++attempt) {
         auto link = findUsableLink(*state_, peer);
         if (!link) {
-            auto connected = co_await connectLink(state_, peer);
+            auto connected = co_await connectLink(state_, peer, deadline);
             if (!connected)
                 co_return connected.error();
             link = connected.value();
@@ -146,12 +151,14 @@
 
 asio::awaitable<Result<wire::Frame>> PeerPool::call(Endpoint peer, const wire::Frame& request, milliseconds timeout)
 {
+    SteadyTime deadline = steadyNow() + timeout;
     auto opened = co_await open(std::move(peer), request, timeout);
     if (!opened)
         co_return opened.error();
     auto stream = opened.value();
     stream->finish();
-    auto reply = co_await stream->receiveWithin(timeout);
+    auto remaining = std::chrono::duration_cast<milliseconds>(deadline - steadyNow());
+    auto reply = co_await stream->receiveWithin(remaining);
     if (!reply)
         co_return reply.error();
     if (reply.value().has_failure())
--- a/unittests/Wire/PeerStreamTest.cpp
+++ b/unittests/Wire/PeerStreamTest.cpp
@@ -284,3 +284,123 @@
     CHECK(finishedAt - startedAt >= row.minElapsed_);
     CHECK(finishedAt - startedAt <= row.maxElapsed_);
 }
+
+namespace {
+
+// Tolerance of the time bounds below.
+constexpr milliseconds slack { 200 };
+
+/// Listens, and does not answer further attempts to connect once two connections wait.
+class DroppingListener {
+public:
+    DroppingListener()
+        : acceptor_(io_)
+    {
+        asio::ip::tcp::endpoint address(asio::ip::make_address("127.0.0.1"), 0);
+        acceptor_.open(address.protocol());
+        acceptor_.bind(address);
+        acceptor_.listen(0);
+        for (auto& socket : waiting_) {
+            socket.open(address.protocol());
+            socket.non_blocking(true);
+            boost::system::error_code inProgress;
+            socket.connect(acceptor_.local_endpoint(), inProgress);
+        }
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+private:
+    asio::io_context io_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<asio::ip::tcp::socket> waiting_ = makeSockets();
+
+    std::vector<asio::ip::tcp::socket> makeSockets()
+    {
+        std::vector<asio::ip::tcp::socket> sockets;
+        for (int i = 0; i < 2; ++i)
+            sockets.emplace_back(io_);
+        return sockets;
+    }
+};
+
+/// Runs \p task on \p io and returns how long it took.
+milliseconds timeOf(asio::io_context& io, std::function<asio::awaitable<void>()> task)
+{
+    SteadyTime startedAt = steadyNow();
+    milliseconds elapsed {};
+    auto timed = [&]() -> asio::awaitable<void> {
+        co_await task();
+        elapsed = std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt);
+    };
+    asio::co_spawn(asio::make_strand(io), timed, asio::detached);
+    io.run();
+    io.restart();
+    return elapsed;
+}
+
+} // namespace
+
+TEST_CASE("opening a stream to a peer that does not answer connection attempts ends at the timeout")
+{
+    auto timeout = GENERATE(milliseconds(100), milliseconds(300), milliseconds(500));
+    DroppingListener peer;
+    asio::io_context io;
+    PeerPool pool(io.get_executor(), credential, {});
+    std::optional<Error> error;
+    milliseconds elapsed = timeOf(io, [&]() -> asio::awaitable<void> {
+        auto opened = co_await pool.open(peer.endpoint(), makeUpdate(1), timeout);
+        if (!opened)
+            error = opened.error();
+    });
+    REQUIRE(error);
+    CHECK(error->code_ == Errc::Unavailable);
+    CHECK(error->ran_ == Ran::No);
+    CHECK(elapsed >= timeout);
+    CHECK(elapsed <= timeout + slack);
+}
+
+TEST_CASE("a call ends at its timeout, whether the peer connects late or not at all")
+{
+    constexpr milliseconds timeout { 400 };
+    DroppingListener peer;
+    asio::io_context io;
+    PeerPool pool(io.get_executor(), credential, {});
+    bool isAnswered = true;
+    milliseconds elapsed = timeOf(io, [&]() -> asio::awaitable<void> {
+        auto reply = co_await pool.call(peer.endpoint(), makeUpdate(1), timeout);
+        isAnswered = reply.has_value();
+    });
+    CHECK_FALSE(isAnswered);
+    CHECK(elapsed <= timeout + slack);
+}
+
+TEST_CASE("a call after one that timed out on a dead link uses a new connection")
+{
+    constexpr milliseconds timeout { 200 };
+    EchoServer echo;
+    asio::io_context io;
+    auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Endpoint proxy { "127.0.0.1", acceptor->local_endpoint().port() };
+    // The first connection forwards nothing to the pool.
+    ThrottledLink dead { milliseconds(0), 0 };
+    ThrottledLink working { milliseconds(0), SIZE_MAX };
+    auto proxies = [&]() -> asio::awaitable<void> {
+        co_await proxyOneConnection(acceptor, echo.endpoint(), dead);
+        co_await proxyOneConnection(acceptor, echo.endpoint(), working);
+    };
+    asio::co_spawn(io, proxies, asio::detached);
+    PeerPool pool(io.get_executor(), credential, {});
+    std::vector<bool> answered;
+    auto task = [&]() -> asio::awaitable<void> {
+        for (int i = 0; i < 2; ++i) {
+            auto reply = co_await pool.call(proxy, makeUpdate(1), timeout);
+            answered.push_back(reply.has_value());
+        }
+        pool.stop();
+        io.stop();
+    };
+    asio::co_spawn(asio::make_strand(io), task, asio::detached);
+    io.run();
+    CHECK(answered == std::vector<bool> { false, true });
+}
