--- a/unittests/Wire/PeerStreamTest.cpp
+++ b/unittests/Wire/PeerStreamTest.cpp
@@ -7,6 +7,7 @@
 #include "pistachioloom/Wire.h"
 
 #include "generated/Peer.pb.h"
+#include <array>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <future>
@@ -301,11 +302,10 @@
         acceptor_.bind(address);
         acceptor_.listen(0);
         for (auto& socket : waiting_) {
-            socket.open(address.protocol());
-            socket.non_blocking(true);
-            boost::system::error_code inProgress;
-            socket.connect(acceptor_.local_endpoint(), inProgress);
+            auto ignore = [](boost::system::error_code) {};
+            socket.async_connect(acceptor_.local_endpoint(), ignore);
         }
+        io_.poll();
     }
 
     Endpoint endpoint() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
@@ -313,15 +313,7 @@
 private:
     asio::io_context io_;
     asio::ip::tcp::acceptor acceptor_;
-    std::vector<asio::ip::tcp::socket> waiting_ = makeSockets();
-
-    std::vector<asio::ip::tcp::socket> makeSockets()
-    {
-        std::vector<asio::ip::tcp::socket> sockets;
-        for (int i = 0; i < 2; ++i)
-            sockets.emplace_back(io_);
-        return sockets;
-    }
+    std::array<asio::ip::tcp::socket, 2> waiting_ { asio::ip::tcp::socket(io_), asio::ip::tcp::socket(io_) };
 };
 
 /// Runs \p task on \p io and returns how long it took.
