A call ends in bounded time if the body of the answer trickles

readAll() allows the timeout and 1 ms for each 64 bytes received, so that a large list or configuration over a slow link still arrives. The comment of configuration_wait said that a change remains unknown for at most that time if the connection has stalled; it says what holds.

--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -119,8 +119,9 @@
 };
 
 struct FeedSettings {
-    /// Upper bound on the wait of one read for a new configuration. A change remains
-    /// unknown for at most this time if the connection has stalled.
+    /// Upper bound on the wait of one read for a new configuration. A reader whose
+    /// connection has stalled reads again after this time, the timeout of a call and
+    /// `retryPause_`, and learns of changes from peers until then.
     milliseconds configurationWait_ { 1000 };
     /// Minimum time between two reads of the registry, whose entries change with each
     /// heartbeat of each backend server.
--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -138,7 +138,8 @@
     /// body. An error means that the body is incomplete. \p timeout limits each read from
     /// the connection.
     virtual asio::awaitable<Result<std::optional<std::string>>> readLine(milliseconds timeout) = 0;
-    /// Reads the rest of the body. \p timeout limits each read from the connection.
+    /// Reads the rest of the body. Fails if nothing arrives for \p timeout, or if the body
+    /// takes longer than \p timeout and the time of the bytes received at minBodyRate.
     virtual asio::awaitable<Result<std::string>> readAll(milliseconds timeout) = 0;
     /// Closes the connection. May be called from any thread.
     virtual void cancel() = 0;
@@ -155,6 +156,10 @@
 /// once writing has started.
 asio::awaitable<Result<std::shared_ptr<HttpBodyReader>>> openHttp(Endpoint endpoint, HttpRequest request, milliseconds timeout);
 
+/// The lowest mean rate of a body that readAll() accepts, in bytes per millisecond. 1 MB may
+/// take 16 s.
+inline constexpr std::uint64_t minBodyRate = 64;
+
 /// Combines openHttp() and readAll(). \p timeout applies to each of them.
 asio::awaitable<Result<HttpResponse>> callHttp(Endpoint endpoint, HttpRequest request, milliseconds timeout);
 
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -78,8 +78,14 @@
 
         asio::awaitable<Result<std::string>> readAll(milliseconds timeout) override
         {
+            SteadyTime startedAt = steadyNow();
+            std::size_t before = pending_.size();
             while (!parser_.is_done()) {
-                if (auto code = co_await readMore(timeout))
+                milliseconds allowed = timeout + milliseconds((pending_.size() - before) / minBodyRate);
+                auto remaining = std::chrono::duration_cast<milliseconds>(startedAt + allowed - steadyNow());
+                if (remaining <= milliseconds(0))
+                    co_return failed(beast::error::timeout);
+                if (auto code = co_await readMore(std::min(timeout, remaining)))
                     co_return failed(code);
             }
             co_return pending_.substr(consumed_);
