Only outgoing links are replaced after a call that timed out

A server whose stream times out closed its incoming link once no stream was open on it; a request of the peer that is on its way then would be reset, and its sender could not know whether it ran. Found by reading; no run has shown it.

--- a/lib/Gateway/ConfigurationSources.cpp
+++ b/lib/Gateway/ConfigurationSources.cpp
@@ -115,7 +115,10 @@
     attempts_.erase(found);
     switch (outcome) {
     case FetchOutcome::Received:
-        wasSlow ? health_.noteFailed(vm, now) : health_.noteAnswered(vm);
+        if (wasSlow)
+            health_.noteFailed(vm, now);
+        else
+            health_.noteAnswered(vm);
         return;
     case FetchOutcome::NothingNewer:
     case FetchOutcome::Busy:
--- a/lib/Wire/PeerLink.cpp
+++ b/lib/Wire/PeerLink.cpp
@@ -264,6 +264,12 @@
     startWriting();
 }
 
+void PeerLink::retire()
+{
+    if (side_ == Side::Client)
+        isUsable_ = false;
+}
+
 void PeerLink::close(std::string_view reason)
 {
     isUsable_ = false;
--- a/lib/Wire/PeerLink.h
+++ b/lib/Wire/PeerLink.h
@@ -116,8 +116,9 @@
     bool isUsable() const { return isUsable_; }
     /// Returns when bytes were last received; zero before the first.
     SteadyTime receivedAt() const { return receivedAt_; }
-    /// Accepts no new streams. The link closes when its open streams have ended.
-    void retire() { isUsable_ = false; }
+    /// Accepts no new streams; the link closes when its open streams have ended. Has no
+    /// effect on an incoming link, on which a request of the peer may be on its way.
+    void retire();
     const std::string& peer() const { return peer_; }
     asio::any_io_executor executor() { return socket_.get_executor(); }
 
