Tests: programs that a test starts do not inherit its sockets

Cause: the harness started programs with all of its sockets open (up to 43 seen in a gateway). A proxy that stops listening since its backend server has crashed went on listening in each gateway that had been restarted since: connections were accepted and silent, where they are refused when a server has crashed. So whether a crashed engine was refused or silent depended on what had been restarted before.

All sockets are closed in started programs. No check changed.

--- a/test/Harness/Process.cpp
+++ b/test/Harness/Process.cpp
@@ -46,6 +46,8 @@
         else
             posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+        // Sockets are inherited otherwise: a proxy that the test closes would go on listening.
+        posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
         std::vector<char*> argv { const_cast<char*>(program.c_str()) };
         for (const std::string& argument : arguments)
             argv.push_back(const_cast<char*>(argument.c_str()));
