Log the limit that a backend server states, and when a request was sent

"Attempt ended." now carries limit and sent_after_ms, which tell apart that no node reads the limit, that only the told node keeps to it, and that load moves with the stop of a node.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -38,6 +38,8 @@
     /// A non-empty value other than "0" in an answer means that the backend server is
     /// leaving.
     std::string leaving_;
+    /// The requests a second that the backend server takes from all nodes together.
+    std::string limit_;
     /// The number of prompt tokens and the maximum number of output tokens.
     std::string tokenCount_;
     /// The parts of the prompt that other requests may share.
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -394,6 +394,10 @@
         line.add("leaving", true);
     if (attempt.pause_.count())
         line.add("pause_ms", attempt.pause_.count());
+    if (!attempt.limit_.empty())
+        line.add("limit", attempt.limit_);
+    if (attempt.sentAt_ != SteadyTime {})
+        line.add("sent_after_ms", std::chrono::duration_cast<milliseconds>(attempt.sentAt_ - request_.receivedAt_).count());
     if (outcome == BackendOutcome::Broken)
         line.add("request", toString(fingerprint()));
     line.add("first_byte_ms", firstByteLatency_.count()).add("took_ms", took.count()).add("left_ms", timeLeft().count());
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -64,6 +64,8 @@
         BackendChoice choice_;
         BackendConnectionPtr connection_;
         SteadyTime startedAt_ {};
+        /// When the request was sent; zero before that.
+        SteadyTime sentAt_ {};
         bool hasFirstByte_ = false;
         SteadyTime firstByteAt_ {};
         /// Whether the backend server closed the connection before the end of its answer.
@@ -72,6 +74,8 @@
         bool reportsLeaving_ = false;
         /// The pause that the answer asked for.
         milliseconds pause_ {};
+        /// The text of the request limit that the answer stated; empty if there was none.
+        std::string limit_;
         /// The wait for the first byte as a multiple of its estimate.
         double waitRatio_ = 1;
         /// The id of the last event that the caller had before the attempt.
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -169,6 +169,7 @@
         co_return SendOutcome::Stopped;
     }
     ++sendCount_;
+    attempt.sentAt_ = steadyNow();
     context_.metrics_.add(Counter::Attempts);
     context_.rollouts_.noteSent(shape_.service_, attempt.choice_.backend_.version_);
     attempt.lastEventBefore_ = eventSplitter_.last().value_or(0);
@@ -230,6 +231,7 @@
     // intended one.
     if (message.result_int() == 421)
         return;
+    attempt.limit_ = view(message[context_.names_.limit_]);
     std::string_view leaving = view(message[context_.names_.leaving_]);
     attempt.reportsLeaving_ = !leaving.empty() && leaving != "0";
     const BackendId& backend = attempt.choice_.backend_.id_;
