Tests: servers that state a request limit; they get more than they take

A failing process test, listed in KNOWN-RED.txt: 6 gateways, one of two servers of a service states a limit of 1, 0.25 and 10 requests a second. It gets 397, 424 and 280 requests in some 4 s; 11, 6.5 and 65 are allowed.

--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -107,7 +107,7 @@
     json::object control(const json::object& body)
     {
         controls_.update(body);
-        return { { "runs", runAttemptIds_ }, { "gone", abandonedRuns_ }, { "turned_away", rejected_ }, { "headers", headers_ }, { "moved", movedRuns_ }, { "resumed", resumeSources_ }, { "dropped", releasedHandles_ } };
+        return { { "runs", runAttemptIds_ }, { "gone", abandonedRuns_ }, { "turned_away", rejected_ }, { "headers", headers_ }, { "moved", movedRuns_ }, { "limited_arrivals", limitedArrivals_ }, { "resumed", resumeSources_ }, { "dropped", releasedHandles_ } };
     }
 
 private:
@@ -132,6 +132,10 @@
             (void)co_await exchange.respond(std::move(answer));
             co_return;
         }
+        if (controls_["limit_per_1000_s"]) {
+            answer.headers_["Server-Limit"] = std::to_string(static_cast<double>(controls_["limit_per_1000_s"]) / 1000);
+            limitedArrivals_.emplace_back(std::chrono::duration_cast<milliseconds>(steadyNow().time_since_epoch()).count());
+        }
         if (controls_["says_leaving"])
             answer.headers_["Server-Leaving"] = "1";
         if (controls_["full"]) {
@@ -270,11 +274,13 @@
     std::function<void(const HttpRequest&)> onRun_;
     std::set<HttpExchange*> runningExchanges_;
     HttpServer server_;
-    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
+    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     /// Attempt ids of the requests that started to run, in order.
     json::array runAttemptIds_;
     /// Number of requests answered 503 without execution.
     std::int64_t rejected_ = 0;
+    /// Arrival times, in ms of steadyNow(), of the requests that came while a limit was stated.
+    json::array limitedArrivals_;
     /// Attempt ids of event streams whose caller disconnected.
     json::array abandonedRuns_;
     /// Headers of the request that started to run last.
