What a backend server states in an answer binds all nodes; request limits are divided

The class: each word of a server in an answer had a way of its own, or none. Leaving was told to peers, a pause bound only the node that was asked, a limit bound nobody.

Now there is one mechanism. An answer's conditions go into the table of backend servers, which returns the statements that peers must know; they are told for 10 s after the server last made them, with their age, directly or through relays, and the latest counts. A limit ends with the answer to a later request that does not state it. A pause binds all nodes.

A limit is divided without messages: floor(limit) + 3 nodes at most, chosen alike by all by rendezvous hashing among live nodes, have equal parts; a part that passes to another node starts without credit; nodes that do not report for 5 s lose theirs; the parts of a cut fleet use no more than their part. A server without a part left for this node is no candidate, not even where there is no other: the request goes elsewhere or is rejected at once.

Urgent requests are not preferred for a limited server's last credit: a share of one request cannot be kept back without a queue.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -73,6 +73,68 @@
     TokenCount tokens_;
 };
 
+/// The kinds of conditions that a backend server states about itself in its answers.
+enum class ConditionKind {
+    /// The server takes no new requests any more.
+    Leaving,
+    /// The server takes no requests for a time.
+    Pause,
+    /// The server takes a number of requests a second from all nodes together.
+    RequestLimit,
+};
+
+std::string_view toString(ConditionKind kind);
+
+/// A condition that a backend server stated in an answer. It binds all nodes.
+struct BackendStatement {
+    BackendId backend_;
+    ConditionKind kind_ = ConditionKind::Leaving;
+    /// The length of a pause in ms, or the requests a second of a limit. A limit of 0 means
+    /// that the server has none any more.
+    double value_ = 0;
+    SteadyTime statedAt_ {};
+};
+
+/// The conditions that one answer states.
+struct StatedConditions {
+    bool isLeaving_ = false;
+    std::optional<milliseconds> pause_;
+    /// Requests a second from all nodes together; positive.
+    std::optional<double> requestLimit_;
+};
+
+/// The part of a backend server's request limit that one node may use.
+struct RequestShare {
+    /// Requests a second.
+    double rate_ = 0;
+    /// Requests that the node may send at once after a time without requests.
+    double burst_ = 0;
+
+    bool operator==(const RequestShare&) const = default;
+};
+
+/// Admits requests up to a rate that changes over time. It starts without credit, so that a
+/// share that passes from one node to another is not used twice.
+class RequestBucket {
+public:
+    void setShare(RequestShare share, SteadyTime now);
+    /// Whether take() would admit a request.
+    bool canTake(SteadyTime now) const;
+    /// Takes one request out of the bucket, which must not be empty.
+    void take(SteadyTime now);
+    /// Puts back a request that was taken and not sent.
+    void giveBack();
+    /// Returns the time until a request is admitted; nullopt without a share.
+    std::optional<milliseconds> timeUntilNext(SteadyTime now) const;
+
+private:
+    double creditAt(SteadyTime now) const;
+
+    RequestShare share_;
+    double credit_ = 0;
+    SteadyTime updatedAt_ {};
+};
+
 /// The properties of a request on which the choice of a backend server depends.
 struct RequestShape {
     ServiceName service_;
@@ -236,10 +298,23 @@
     /// Notes that \p id asked for no requests for \p pause. It is not chosen before then,
     /// even if there is no other server.
     void setPause(const BackendId& id, milliseconds pause, SteadyTime now);
-    /// Returns the time until the first paused backend server of \p service may be chosen
-    /// again. Leaving servers do not count. Returns nullopt if a server is not paused, or
-    /// if there are none.
-    std::optional<milliseconds> remainingPause(const ServiceName& service, SteadyTime now) const;
+    /// Applies what an answer to a request that was sent at \p sentAt states of \p id. A limit
+    /// ends with the answer to a later request that does not state it.
+    /// \returns the statements that peers must know.
+    std::vector<BackendStatement> applyAnswer(const BackendId& id, const StatedConditions& stated, SteadyTime sentAt, SteadyTime now);
+    /// Applies a statement, unless a later one of the same kind is known.
+    /// \returns whether this node did not know the condition.
+    bool applyStatement(const BackendStatement& statement, SteadyTime now);
+    /// Returns the backend servers that stated a limit, and their requests a second.
+    std::vector<std::pair<BackendId, double>> requestLimits() const;
+    /// Sets this node's share of the request limit of \p id. Until then, the node sends it no
+    /// requests.
+    void setRequestShare(const BackendId& id, RequestShare share, SteadyTime now);
+    /// Returns the time until the first backend server of \p service takes a request of this
+    /// node, if all of them are paused or have no part of their limit left for it. Leaving
+    /// servers do not count. Returns nullopt if a server takes requests now, or if there are
+    /// none.
+    std::optional<milliseconds> timeUntilUsable(const ServiceName& service, SteadyTime now) const;
     /// Whether a request for which \p id was chosen may still be sent there.
     bool mayReceive(const BackendId& id, SteadyTime now) const;
     std::vector<BackendRecord> records() const;
@@ -340,6 +415,14 @@
         SteadyTime ejectedUntil_ {};
         /// End of the pause that the server asked for.
         SteadyTime pausedUntil_ {};
+        /// Requests a second that the server takes from all nodes; 0 without a limit.
+        double requestLimit_ = 0;
+        /// When the server last stated the limit, or that it has none.
+        SteadyTime limitStatedAt_ {};
+        /// This node's part of the limit.
+        RequestBucket bucket_;
+
+        bool takesRequests(SteadyTime now) const { return pausedUntil_ <= now && (!requestLimit_ || bucket_.canTake(now)); }
         /// Duration of the last ejection; 0 after a successful request.
         milliseconds ejectionTime_ {};
         /// Moving average of observed waits as multiples of their estimates; 1 if they
@@ -356,6 +439,7 @@
     };
 
     bool isUsable(const Backend& backend, SteadyTime now) const;
+    static bool applyLimit(Backend& backend, double limit, SteadyTime statedAt);
     bool isReachableLocked(const DataCentreId& dataCentre) const;
     void noteReachable(const Backend& backend) { failedByDataCentre_.erase(backend.record_.dataCentre_); }
     /// Learns a service's speed. A least-squares fit with exponentially decaying weights
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -89,8 +89,8 @@
     /// Called once per request of \p organisation, when the first byte of an answer shows
     /// that it has started to run.
     std::function<void(const OrganisationId& organisation)> onStarted_;
-    /// Called when an answer is the first to report that its backend server is leaving.
-    std::function<void(const BackendId& backend)> onLeaving_;
+    /// Called when an answer states a condition of its backend server that peers must know.
+    std::function<void(const BackendStatement& statement)> onStatement_;
     /// Called when a probe shows that a backend server has terminated without notice.
     std::function<void(const BackendId& backend)> onTerminated_;
     /// \returns the current configuration, or nullptr before the first.
--- a/include/pistachioloom/Support.h
+++ b/include/pistachioloom/Support.h
@@ -198,6 +198,9 @@
 /// \returns an empty id if there are no candidates.
 VmId pickByRendezvous(std::string_view key, const std::vector<VmId>& candidates);
 
+/// Returns the position of \p candidate in the order of rankByRendezvous(), in linear time.
+std::size_t rendezvousRankOf(const VmId& candidate, std::string_view key, const std::vector<VmId>& candidates);
+
 /// A pointer that readers dereference without a lock while a writer replaces it.
 ///
 /// Reader threads must hold an RcuThread. A value stays alive until the read section
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -46,6 +46,19 @@
     return "unknown";
 }
 
+std::string_view toString(ConditionKind kind)
+{
+    switch (kind) {
+    case ConditionKind::Leaving:
+        return "leaving";
+    case ConditionKind::Pause:
+        return "pause";
+    case ConditionKind::RequestLimit:
+        return "request_limit";
+    }
+    return "unknown";
+}
+
 BackendId backendId(const BackendName& name, BackendStartTime start)
 {
     return { start.value_ ? name.value_ + "@" + std::to_string(start.value_) : name.value_ };
@@ -94,8 +107,11 @@
     std::lock_guard lock(mutex_);
     estimators_[choice.backend_.service_].tokensRequested_ += choice.uncachedTokens_.value_ / 2;
     auto found = backends_.find(choice.backend_.id_);
-    if (found != backends_.end())
-        releaseLoad(found->second, choice.uncachedTokens_, false);
+    if (found == backends_.end())
+        return;
+    releaseLoad(found->second, choice.uncachedTokens_, false);
+    if (found->second.requestLimit_)
+        found->second.bucket_.giveBack();
 }
 
 void BackendTable::noteNoBackend(const RequestShape& shape)
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -1,8 +1,8 @@
 //===- lib/Backends/Registration.cpp - registration of backend servers -----===//
 ///
 /// \file
-/// Implements the records of backend servers and the states that the servers report: that
-/// they leave, or ask for a pause without requests.
+/// Implements the records of backend servers and the conditions that the servers state: that
+/// they leave, ask for a pause without requests, or limit the requests a second.
 //===----------------------------------------------------------------------===//
 #include "pistachioloom/Backends.h"
 
@@ -110,20 +110,98 @@
         found->second.pausedUntil_ = std::max(found->second.pausedUntil_, now + std::min(pause, settings_.maxPause_));
 }
 
-std::optional<milliseconds> BackendTable::remainingPause(const ServiceName& service, SteadyTime now) const
+bool BackendTable::applyLimit(Backend& backend, double limit, SteadyTime statedAt)
+{
+    if (statedAt <= backend.limitStatedAt_)
+        return false;
+    backend.limitStatedAt_ = statedAt;
+    bool isChanged = backend.requestLimit_ != limit;
+    // A server that states a limit anew has no requests of the time before to its credit.
+    if (!backend.requestLimit_)
+        backend.bucket_ = {};
+    backend.requestLimit_ = limit;
+    return isChanged;
+}
+
+std::vector<BackendStatement> BackendTable::applyAnswer(const BackendId& id, const StatedConditions& stated, SteadyTime sentAt, SteadyTime now)
+{
+    std::vector<BackendStatement> statements;
+    if (stated.isLeaving_ && setLeaving(id, now))
+        statements.push_back({ id, ConditionKind::Leaving, 0, now });
+    if (stated.pause_) {
+        setPause(id, *stated.pause_, now);
+        statements.push_back({ id, ConditionKind::Pause, static_cast<double>(stated.pause_->count()), now });
+    }
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    if (found == backends_.end())
+        return statements;
+    Backend& backend = found->second;
+    // Answers on different connections overtake each other: only a request that was sent after
+    // the limit was stated shows that it has ended.
+    bool hasEnded = !stated.requestLimit_ && backend.requestLimit_ && sentAt > backend.limitStatedAt_;
+    if (!stated.requestLimit_ && !hasEnded)
+        return statements;
+    double limit = stated.requestLimit_.value_or(0);
+    applyLimit(backend, limit, now);
+    statements.push_back({ id, ConditionKind::RequestLimit, limit, now });
+    return statements;
+}
+
+bool BackendTable::applyStatement(const BackendStatement& statement, SteadyTime now)
+{
+    switch (statement.kind_) {
+    case ConditionKind::Leaving:
+        return setLeaving(statement.backend_, now);
+    case ConditionKind::Pause: {
+        auto pause = milliseconds(static_cast<std::int64_t>(std::min(statement.value_, static_cast<double>(settings_.maxPause_.count()))));
+        bool isNew = mayReceive(statement.backend_, now) && statement.statedAt_ + pause > now;
+        setPause(statement.backend_, pause, statement.statedAt_);
+        return isNew;
+    }
+    case ConditionKind::RequestLimit:
+        break;
+    }
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(statement.backend_);
+    return found != backends_.end() && applyLimit(found->second, statement.value_, statement.statedAt_);
+}
+
+std::vector<std::pair<BackendId, double>> BackendTable::requestLimits() const
 {
     std::lock_guard lock(mutex_);
-    std::optional<SteadyTime> first;
+    std::vector<std::pair<BackendId, double>> limits;
+    for (const auto& [id, backend] : backends_) {
+        if (backend.requestLimit_)
+            limits.emplace_back(id, backend.requestLimit_);
+    }
+    return limits;
+}
+
+void BackendTable::setRequestShare(const BackendId& id, RequestShare share, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    if (found != backends_.end())
+        found->second.bucket_.setShare(share, now);
+}
+
+std::optional<milliseconds> BackendTable::timeUntilUsable(const ServiceName& service, SteadyTime now) const
+{
+    std::lock_guard lock(mutex_);
+    std::optional<milliseconds> first;
     for (const auto& [id, backend] : backends_) {
         if (backend.record_.service_ != service || backend.record_.isLeaving_)
             continue;
-        if (backend.pausedUntil_ <= now)
+        if (backend.takesRequests(now))
             return std::nullopt;
-        first = std::min(first.value_or(backend.pausedUntil_), backend.pausedUntil_);
+        milliseconds wait = std::chrono::ceil<milliseconds>(std::max(SteadyTime::duration(0), backend.pausedUntil_ - now));
+        // Without a share of its own, the node tells the caller when any node may send again.
+        if (backend.requestLimit_)
+            wait = std::max(wait, backend.bucket_.timeUntilNext(now).value_or(milliseconds(static_cast<std::int64_t>(1000 / backend.requestLimit_))));
+        first = std::min(first.value_or(wait), wait);
     }
-    if (!first)
-        return std::nullopt;
-    return std::chrono::ceil<milliseconds>(*first - now);
+    return first;
 }
 
 bool BackendTable::mayReceive(const BackendId& id, SteadyTime now) const
--- a/lib/Forward/Headers.cpp
+++ b/lib/Forward/Headers.cpp
@@ -59,15 +59,30 @@
     return number;
 }
 
+/// Parses a decimal number that is not negative, with or without a fraction.
+static std::optional<double> parseDecimal(std::string_view text)
+{
+    double value = 0;
+    auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    bool isNumber = !text.empty() && rest == text.data() + text.size() && !std::isnan(value) && value >= 0;
+    if (error == std::errc::result_out_of_range || !isNumber)
+        return std::nullopt;
+    return value;
+}
+
+std::optional<double> parsePositiveDecimal(std::string_view text)
+{
+    auto value = parseDecimal(text);
+    return value && *value > 0 && std::isfinite(*value) ? value : std::nullopt;
+}
+
 std::optional<milliseconds> parseRetryAfter(std::string_view text)
 {
     constexpr double maxSeconds = 365.0 * 24 * 3600;
-    double seconds = 0;
-    auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
-    bool isNumber = !text.empty() && rest == text.data() + text.size() && !std::isnan(seconds) && seconds >= 0;
-    if (error == std::errc::result_out_of_range || !isNumber)
+    auto seconds = parseDecimal(text);
+    if (!seconds)
         return std::nullopt;
-    return milliseconds(static_cast<std::int64_t>(std::ceil(std::min(seconds, maxSeconds) * 1000)));
+    return milliseconds(static_cast<std::int64_t>(std::ceil(std::min(*seconds, maxSeconds) * 1000)));
 }
 
 std::optional<std::pair<TokenCount, TokenCount>> parseTokenCounts(std::string_view text)
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -417,9 +417,9 @@
 {
     // 503 promises that the request has not run and never will run.
     if (!mayHaveRun_ && stopReason_ != StopReason::DeadlineExceeded) {
-        auto pause = context_.backends_.remainingPause(shape_.service_, steadyNow());
-        std::string reason = pause ? "all backend servers asked for a pause" : "no backend server";
-        return rejection(503, lastDetail_.empty() ? reason : lastDetail_, std::max(fullRetryAfter, pause.value_or(fullRetryAfter)));
+        auto wait = context_.backends_.timeUntilUsable(shape_.service_, steadyNow());
+        std::string reason = wait ? "all backend servers asked for a pause or for fewer requests" : "no backend server";
+        return rejection(503, lastDetail_.empty() ? reason : lastDetail_, std::max(fullRetryAfter, wait.value_or(fullRetryAfter)));
     }
     int status = stopReason_ == StopReason::DeadlineExceeded ? 504 : 502;
     return rejection(status, lastDetail_.empty() ? "the backend server broke off" : lastDetail_, {});
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -135,8 +135,7 @@
     void logQuarantined(const Quarantine& quarantine);
     void logRejection(const HeldAnswer& answer) const;
     std::optional<SendOutcome> checkAnswerHead(Attempt& attempt, const Parser& parser);
-    /// Records what an answer reports about its backend server: that it is leaving, or
-    /// needs a pause.
+    /// Records the conditions that an answer states of its backend server.
     void noteBackendState(Attempt& attempt, const Parser& parser);
     void startWriting(Attempt& attempt);
     std::string renderRequestHead(const BackendRecord& backend) const;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -41,7 +41,8 @@
 {
     HeaderFields fields;
     for (const auto& field : parser.get()) {
-        if (!equalWithoutCase(view(field.name_string()), names.leaving_))
+        std::string_view name = view(field.name_string());
+        if (!equalWithoutCase(name, names.leaving_) && !equalWithoutCase(name, names.limit_))
             fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
     }
     return fields;
@@ -231,16 +232,17 @@
     // intended one.
     if (message.result_int() == 421)
         return;
-    attempt.limit_ = view(message[context_.names_.limit_]);
+    StatedConditions stated;
     std::string_view leaving = view(message[context_.names_.leaving_]);
-    attempt.reportsLeaving_ = !leaving.empty() && leaving != "0";
-    const BackendId& backend = attempt.choice_.backend_.id_;
-    if (attempt.reportsLeaving_ && context_.backends_.setLeaving(backend, steadyNow()))
-        context_.hooks_.onLeaving_(backend);
-    if (message.result_int() != 503 || message.find(http::field::retry_after) == message.end())
-        return;
-    attempt.pause_ = parseRetryAfter(view(message[http::field::retry_after])).value_or(defaultPause);
-    context_.backends_.setPause(backend, attempt.pause_, steadyNow());
+    stated.isLeaving_ = !leaving.empty() && leaving != "0";
+    if (message.result_int() == 503 && message.find(http::field::retry_after) != message.end())
+        stated.pause_ = parseRetryAfter(view(message[http::field::retry_after])).value_or(defaultPause);
+    attempt.limit_ = view(message[context_.names_.limit_]);
+    stated.requestLimit_ = parsePositiveDecimal(attempt.limit_);
+    attempt.reportsLeaving_ = stated.isLeaving_;
+    attempt.pause_ = stated.pause_.value_or(milliseconds(0));
+    for (const BackendStatement& statement : context_.backends_.applyAnswer(attempt.choice_.backend_.id_, stated, attempt.sentAt_, steadyNow()))
+        context_.hooks_.onStatement_(statement);
 }
 
 /// \returns the outcome if the head alone determines it, or nullopt to continue reading.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -91,9 +91,10 @@
           ios_[0]->get_executor(), HttpBounds {}, [this](HttpExchange& exchange) -> asio::awaitable<void> { (void)co_await exchange.respond(operatorEndpoint(exchange.request())); }, errorResponse)
     , signals_(*ios_[0], SIGTERM, SIGINT, SIGHUP)
 {
-    context_.forward_.hooks_.onLeaving_ = [this](const BackendId& backend) {
-        logger_.info(LogLine("Backend server is leaving.").add("backend", backend.value_).add("from", "its answer"));
-        peerReports_.noteLeaving(backend);
+    context_.forward_.hooks_.onStatement_ = [this](const BackendStatement& statement) {
+        if (statement.kind_ == ConditionKind::Leaving)
+            logger_.info(LogLine("Backend server is leaving.").add("backend", statement.backend_.value_).add("from", "its answer"));
+        peerReports_.noteStatement(statement);
     };
     context_.forward_.hooks_.onTerminated_ = [this](const BackendId& backend) { peerReports_.noteTerminated(backend); };
     for (const auto& io : ios_)
@@ -126,6 +127,7 @@
         { "nodes_known_of", static_cast<double>(peerReports_.nodesCovered()) },
         { "log_lines_dropped", static_cast<double>(droppedLogLines()) },
         { "requests_suspected", static_cast<double>(context_.quarantine_.suspects(steadyNow()).size()) },
+        { "backend_servers_limited", static_cast<double>(context_.backends_.requestLimits().size()) },
         { "requests_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(steadyNow())) },
         { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
     };
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -145,6 +145,24 @@
     leaving_.add(id, steadyNow());
 }
 
+void PeerReports::noteStatement(const BackendStatement& statement)
+{
+    if (statement.kind_ == ConditionKind::Leaving)
+        return noteLeaving(statement.backend_);
+    bool isNew = false;
+    {
+        std::lock_guard lock(leavingMutex_);
+        isNew = statements_.add(statement);
+    }
+    if (isNew)
+        logStatement(statement, "its answer");
+}
+
+void PeerReports::logStatement(const BackendStatement& statement, const std::string& from) const
+{
+    logger_.info(LogLine("Backend server stated a condition.").add("backend", statement.backend_.value_).add("condition", toString(statement.kind_)).add("value", std::to_string(statement.value_)).add("from", from));
+}
+
 void PeerReports::noteTerminated(const BackendId& id)
 {
     std::lock_guard lock(leavingMutex_);
@@ -208,6 +226,7 @@
                 forgetCounts(vm);
         }
         usesRelays_ = isLarge;
+        shareRequestLimits(now);
         if (isLarge)
             reportToRelays(now);
         else
@@ -216,6 +235,16 @@
     }
 }
 
+void PeerReports::shareRequestLimits(SteadyTime now)
+{
+    auto limits = context_.backends_.requestLimits();
+    if (limits.empty())
+        return;
+    SharingNodes nodes = table_.sharingNodes(context_.isStopping_, now);
+    for (const auto& [backend, limit] : limits)
+        context_.backends_.setRequestShare(backend, requestShare(limit, backend, context_.settings_.vm_, nodes), now);
+}
+
 void PeerReports::reportToAll()
 {
     wire::Datagram datagram;
@@ -415,6 +444,22 @@
     }
 }
 
+void PeerReports::applyStatements(const google::protobuf::RepeatedPtrField<wire::BackendStatement>& statements, const VmId& from, SteadyTime now)
+{
+    std::size_t changed = 0;
+    for (const BackendStatement& statement : statementsOf(statements, now)) {
+        // In a small fleet every node repeats it, for nodes that the sender does not reach.
+        if (!usesRelays_) {
+            std::lock_guard lock(leavingMutex_);
+            statements_.add(statement);
+        }
+        if (context_.backends_.applyStatement(statement, now) && ++changed <= maxNamedBackends)
+            logStatement(statement, from.value_);
+    }
+    if (changed > maxNamedBackends)
+        logger_.info(LogLine("More backend servers stated conditions.").add("count", static_cast<std::int64_t>(changed - maxNamedBackends)).add("from", from.value_));
+}
+
 void PeerReports::applyLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from)
 {
     std::size_t marked = 0;
@@ -465,6 +510,7 @@
     context_.clocks_.setPeer(vm, report.wall_ms() - context_.localWallMs(), now);
     applyLeaving(report.leaving(), vm);
     applyTerminated(report.ended(), vm, now);
+    applyStatements(report.statements(), vm, now);
     applyRollouts(report.rollouts(), vm, now);
     applySuspects(report.suspects(), now);
     if (report.duty_token())
@@ -531,6 +577,7 @@
         discovery_.queueAnswer(relay);
     applyLeaving(report.sums().leaving(), relay);
     applyTerminated(report.sums().ended(), relay, now);
+    applyStatements(report.sums().statements(), relay, now);
     applyRollouts(report.sums().rollouts(), relay, now);
     applySuspects(report.sums().suspects(), now);
     aggregator_.applySummary(report, now);
@@ -549,6 +596,7 @@
 {
     applyLeaving(sums.leaving(), relay);
     applyTerminated(sums.ended(), relay, now);
+    applyStatements(sums.statements(), relay, now);
     applyRollouts(sums.rollouts(), relay, now);
     applySuspects(sums.suspects(), now);
     if (sums.duty_token() && VmId { sums.holder() } != context_.settings_.vm_)
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "BackendNotices.h"
+#include "BackendStatements.h"
 #include "Discovery.h"
 #include "GatewayContext.h"
 #include "ReportAggregator.h"
@@ -71,6 +72,8 @@
     void noteFleetKnown();
     /// Reports to peers for some seconds that a backend server is leaving.
     void noteLeaving(const BackendId& id);
+    /// Reports to peers what a backend server stated in an answer to this node.
+    void noteStatement(const BackendStatement& statement);
     /// Reports to peers for some seconds that a backend server has terminated.
     void noteTerminated(const BackendId& id);
     /// Returns this node's rank among live nodes, with 0 for the first in the rendezvous
@@ -112,6 +115,10 @@
     void applySuspects(const google::protobuf::RepeatedPtrField<wire::SuspectReport>& suspects, SteadyTime now);
     void applyRollouts(const google::protobuf::RepeatedPtrField<wire::RolloutReport>& reports, const VmId& from, SteadyTime now);
     void applyTerminated(const google::protobuf::RepeatedPtrField<std::string>& terminated, const VmId& from, SteadyTime now);
+    void logStatement(const BackendStatement& statement, const std::string& from) const;
+    void applyStatements(const google::protobuf::RepeatedPtrField<wire::BackendStatement>& statements, const VmId& from, SteadyTime now);
+    /// Sets this node's shares of the request limits of backend servers.
+    void shareRequestLimits(SteadyTime now);
     void applyLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from);
     void forgetCounts(const VmId& vm);
     void removeUnresponsive(SteadyTime now);
@@ -133,10 +140,11 @@
     std::atomic<std::uint64_t> relayedNodes_ { 0 };
     /// Number of nodes that became unresponsive recently, as relays report it.
     std::atomic<std::uint64_t> unresponsiveNodes_ { 0 };
-    /// Guards leaving_ and terminated_.
+    /// Guards leaving_, terminated_ and statements_.
     std::mutex leavingMutex_;
     BackendNotices leaving_;
     BackendNotices terminated_;
+    BackendStatements statements_;
     std::uint64_t sequence_ = 0;
     SteadyTime tooLargeLoggedAt_ {};
     std::atomic<bool> usesRelays_ { false };
--- a/lib/Gateway/PeerTable.cpp
+++ b/lib/Gateway/PeerTable.cpp
@@ -24,6 +24,9 @@
     // A node is removed after this many rotations of its introductions without one, since
     // datagrams may be lost.
     constexpr int rotationsToForget = 3;
+    // A node that has not reported for this time loses its shares of request limits to others.
+    // A limit is judged over 4 s, so that those do not use what it may still have used.
+    constexpr milliseconds shareTimeout { 5000 };
     // Share of the known nodes that must report for complete coverage.
     constexpr double completeShare = 0.9;
 
@@ -177,6 +180,26 @@
     return static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), self_) - ranked.begin());
 }
 
+SharingNodes PeerTable::sharingNodes(bool isSelfStopping, SteadyTime now) const
+{
+    SharingNodes nodes { {}, 0 };
+    if (!isSelfStopping)
+        nodes.live_.push_back(self_);
+    std::lock_guard lock(mutex_);
+    nodes.known_ = nodes.live_.size();
+    // In a large fleet a node reports to each other one in rotation, so that its silence says
+    // nothing until it is removed.
+    bool isLarge = peers_.size() > settings_.fanout_;
+    for (const auto& [vm, peer] : peers_) {
+        if (peer.receivedAt_ == SteadyTime {} || peer.isStopping_)
+            continue;
+        ++nodes.known_;
+        if (isLarge || now - peer.receivedAt_ <= shareTimeout)
+            nodes.live_.push_back(vm);
+    }
+    return nodes;
+}
+
 std::vector<VmId> PeerTable::rankRelays(const DataCentreId& dataCentre, const std::vector<VmId>& candidates) const
 {
     auto coresOf = [&](const VmId& vm) { return vm == self_ ? cores_ : peers_.at(vm).cores_; };
--- a/lib/Gateway/PeerTable.h
+++ b/lib/Gateway/PeerTable.h
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "RequestShares.h"
 #include "pistachioloom/Gateway.h"
 
 namespace pistachioloom {
@@ -98,6 +99,9 @@
     /// Returns this node's rank among live nodes that are not stopping, ordered by
     /// rendezvous hashing of \p key; 0 is the first.
     std::size_t rankFor(const std::string& key, SteadyTime now) const;
+    /// Returns the nodes among which the request limits of backend servers are divided.
+    /// \p isSelfStopping excludes this node.
+    SharingNodes sharingNodes(bool isSelfStopping, SteadyTime now) const;
     /// Returns the relays of this node's data centre; this node may be one of them. A
     /// node that has sent no sums for a while after it was asked to relay is skipped.
     std::vector<VmId> chooseRelays(SteadyTime now);
--- a/lib/Gateway/ReportAggregator.cpp
+++ b/lib/Gateway/ReportAggregator.cpp
@@ -6,6 +6,7 @@
 #include "ReportAggregator.h"
 
 #include "BackendNotices.h"
+#include "BackendStatements.h"
 #include "RolloutMessages.h"
 
 #include <algorithm>
@@ -46,6 +47,15 @@
             message.Add(std::string(all[(first + i) % all.size()]));
     }
 
+    /// Adds \p statements, or a random part of them that keeps the message small.
+    void putStatements(const std::map<std::pair<std::string, int>, wire::BackendStatement>& statements, google::protobuf::RepeatedPtrField<wire::BackendStatement>& message)
+    {
+        std::size_t skipped = statements.size() > maxNotices ? randomBits() % (statements.size() - maxNotices + 1) : 0;
+        auto next = std::next(statements.begin(), static_cast<std::ptrdiff_t>(skipped));
+        for (std::size_t i = 0; i < maxNotices && next != statements.end(); ++i, ++next)
+            *message.Add() = next->second;
+    }
+
     void addCounts(NamedCounts& totals, const NamedCounts& counts, double sign = 1)
     {
         for (const auto& [name, count] : counts)
@@ -107,6 +117,7 @@
     *sums.mutable_demand() = report.demand();
     *sums.mutable_leaving() = report.leaving();
     *sums.mutable_ended() = report.ended();
+    *sums.mutable_statements() = report.statements();
     *sums.mutable_rollouts() = report.rollouts();
     *sums.mutable_rollout_counts() = report.rollout_counts();
     if (report.duty_token()) {
@@ -185,6 +196,7 @@
     }
     leaving_.insert(sums.leaving().begin(), sums.leaving().end());
     terminated_.insert(sums.ended().begin(), sums.ended().end());
+    addStatements(sums, age);
     addRollouts(sums, age);
     if (sums.duty_token() > dutyToken_.value_) {
         holder_ = sums.holder();
@@ -194,6 +206,19 @@
     releasedToken_ = std::max(releasedToken_, DutyToken { sums.released_token() });
 }
 
+void ReportTotals::addStatements(const wire::NodeSums& sums, milliseconds age)
+{
+    for (const wire::BackendStatement& statement : sums.statements()) {
+        wire::BackendStatement aged = statement;
+        aged.set_age_ms(statement.age_ms() + static_cast<std::uint64_t>(age.count()));
+        if (aged.age_ms() > static_cast<std::uint64_t>(statementLifetime.count()))
+            continue;
+        auto [found, isNew] = statements_.try_emplace({ statement.backend(), statement.kind() }, aged);
+        if (!isNew && aged.age_ms() < found->second.age_ms())
+            found->second = aged;
+    }
+}
+
 void ReportTotals::addRollouts(const wire::NodeSums& sums, milliseconds age)
 {
     for (const wire::RolloutReport& report : sums.rollouts()) {
@@ -258,6 +283,7 @@
     }
     putNotices(leaving_, *sums.mutable_leaving());
     putNotices(terminated_, *sums.mutable_ended());
+    putStatements(statements_, *sums.mutable_statements());
     for (const auto& [service, rollout] : rollouts_) {
         wire::RolloutReport& report = *sums.add_rollouts();
         report = toWire(rollout.state_);
--- a/lib/Gateway/ReportAggregator.h
+++ b/lib/Gateway/ReportAggregator.h
@@ -43,6 +43,9 @@
     /// the holder of the duties. \p age is the time since \p sums was received.
     void addCurrent(const wire::NodeSums& sums, milliseconds age);
 
+    /// Adds statements; the latest of each kind counts.
+    void addStatements(const wire::NodeSums& sums, milliseconds age);
+
     void addRollouts(const wire::NodeSums& sums, milliseconds age);
 
     std::uint64_t nodes_ = 0;
@@ -53,6 +56,8 @@
     std::map<std::string, Demand> demand_;
     std::set<std::string> leaving_;
     std::set<std::string> terminated_;
+    /// Statements of backend servers, by server and kind.
+    std::map<std::pair<std::string, int>, wire::BackendStatement> statements_;
     struct Rollout {
         RolloutState state_;
         /// Time since the holder of the duties reported this state.
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -52,6 +52,7 @@
         report.add_leaving(id.value_);
     for (const BackendId& id : terminated_.select(now))
         report.add_ended(id.value_);
+    putStatements(statements_.select(now), *report.mutable_statements(), now);
 }
 
 /// Composes the loads, counts and demand of this node.
--- a/lib/Support/Hash.cpp
+++ b/lib/Support/Hash.cpp
@@ -106,6 +106,13 @@
     return ranked;
 }
 
+std::size_t rendezvousRankOf(const VmId& candidate, std::string_view key, const std::vector<VmId>& candidates)
+{
+    std::uint64_t keyHash = stableHash(key);
+    std::pair own(stableHash(candidate.value_, keyHash), candidate);
+    return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), [&](const VmId& other) { return std::pair(stableHash(other.value_, keyHash), other) > own; }));
+}
+
 VmId pickByRendezvous(std::string_view key, const std::vector<VmId>& candidates)
 {
     const VmId* best = nullptr;
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -455,11 +455,11 @@
     table.setPause({ "x" }, milliseconds(100), at(10));
     for (int i = 0; i < 10; ++i)
         CHECK(chosen(table, plainRequest(), {}, at(20)) == "y");
-    CHECK_FALSE(table.remainingPause(service, at(20)));
+    CHECK_FALSE(table.timeUntilUsable(service, at(20)));
     CHECK_FALSE(table.mayReceive({ "x" }, at(20)));
     table.setPause({ "y" }, milliseconds(500), at(20));
     CHECK(chosen(table, plainRequest(), {}, at(20)).empty());
-    CHECK(table.remainingPause(service, at(20)) == milliseconds(500));
+    CHECK(table.timeUntilUsable(service, at(20)) == milliseconds(500));
     CHECK(chosen(table, plainRequest(), {}, at(520)) == "y");
     CHECK(chosen(table, plainRequest(), { { "y" } }, at(2000)) == "x");
     // Excessive pauses are bounded.
@@ -471,6 +471,67 @@
     CHECK(chosen(table, plainRequest(), { { "y" }, { "x" } }, at(4'000'000)) == "x@77");
 }
 
+TEST_CASE("a server with a request limit is chosen within this node's share only, even if there is no other", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    table.put(record("x"));
+    auto at = [](std::int64_t ms) { return start + milliseconds(ms); };
+    StatedConditions limited { false, {}, 2.0 };
+    REQUIRE(table.applyAnswer({ "x" }, limited, start, at(10)).size() == 1);
+    CHECK(table.requestLimits() == std::vector<std::pair<BackendId, double>> { { { "x" }, 2.0 } });
+    // Nothing is sent before the share is known.
+    CHECK(chosen(table, plainRequest(), {}, at(20)).empty());
+    CHECK(table.timeUntilUsable(service, at(20)) == milliseconds(500));
+    table.setRequestShare({ "x" }, { 1, 1 }, at(20));
+    CHECK(table.timeUntilUsable(service, at(20)) == milliseconds(1000));
+    CHECK(chosen(table, plainRequest(), {}, at(1000)).empty());
+    CHECK(chosen(table, plainRequest(), {}, at(1020)) == "x");
+    CHECK(chosen(table, plainRequest(), {}, at(1030)).empty());
+    // A request that is rejected after the choice leaves its part to another one.
+    auto choice = table.choose(plainRequest(), {}, at(2020));
+    REQUIRE(choice);
+    table.noteRejected(*choice);
+    CHECK(chosen(table, plainRequest(), {}, at(2030)) == "x");
+}
+
+TEST_CASE("a request limit ends with the answer to a later request that does not state it", "[backends]")
+{
+    struct Row {
+        const char* name_;
+        std::int64_t sentAtMs_;
+        bool isToldByPeer_;
+        bool hasEnded_;
+    };
+    auto row = GENERATE(values<Row>({ { "sent before the limit was stated", 90, false, false }, { "sent after it", 110, false, true }, { "sent before a peer was told again", 110, true, false }, { "sent after a peer was told", 160, true, true } }));
+    CAPTURE(row.name_);
+    BackendTable table({ "a" }, ChoiceSettings {});
+    table.put(record("x"));
+    auto at = [](std::int64_t ms) { return start + milliseconds(ms); };
+    (void)table.applyAnswer({ "x" }, { false, {}, 2.0 }, at(50), at(100));
+    if (row.isToldByPeer_)
+        CHECK_FALSE(table.applyStatement({ { "x" }, ConditionKind::RequestLimit, 2.0, at(150) }, at(170)));
+    auto statements = table.applyAnswer({ "x" }, {}, at(row.sentAtMs_), at(200));
+    CHECK(statements.size() == row.hasEnded_);
+    CHECK(table.requestLimits().empty() == row.hasEnded_);
+    // Late word of the limit does not bring it back.
+    CHECK_FALSE(table.applyStatement({ { "x" }, ConditionKind::RequestLimit, 2.0, at(90) }, at(210)));
+    CHECK(table.requestLimits().empty() == row.hasEnded_);
+    CHECK(chosen(table, plainRequest(), {}, at(220)) == (row.hasEnded_ ? "x" : ""));
+}
+
+TEST_CASE("a pause that a server asked of another node binds this one", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    table.put(record("x"));
+    auto at = [](std::int64_t ms) { return start + milliseconds(ms); };
+    BackendStatement pause { { "x" }, ConditionKind::Pause, 1000, start };
+    CHECK(table.applyStatement(pause, at(300)));
+    CHECK_FALSE(table.applyStatement(pause, at(500)));
+    CHECK(table.timeUntilUsable(service, at(300)) == milliseconds(700));
+    CHECK(chosen(table, plainRequest(), {}, at(900)).empty());
+    CHECK(chosen(table, plainRequest(), {}, at(1000)) == "x");
+}
+
 TEST_CASE("requests for a service without backend servers count as demand", "[backends]")
 {
     BackendTable table({ "a" }, ChoiceSettings {});
--- a/unittests/Forward/ForwardTest.cpp
+++ b/unittests/Forward/ForwardTest.cpp
@@ -153,6 +153,17 @@
     CHECK(parseRetryAfter(row.text_) == row.pause_);
 }
 
+TEST_CASE("a request limit is a positive decimal number", "[forward]")
+{
+    struct Row {
+        const char* text_;
+        std::optional<double> limit_;
+    };
+    auto row = GENERATE(values<Row>({ { "1", 1 }, { "0.25", 0.25 }, { "300.0", 300 }, { "0", {} }, { "-1", {} }, { "", {} }, { "1e3", {} }, { "inf", {} }, { "nan", {} }, { "2 ", {} }, { "some", {} } }));
+    CAPTURE(row.text_);
+    CHECK(parsePositiveDecimal(row.text_) == row.limit_);
+}
+
 TEST_CASE("the idle time announced to callers is shorter than the idle timeout", "[forward]")
 {
     struct Row {
--- a/unittests/Gateway/BackendNoticesTest.cpp
+++ b/unittests/Gateway/BackendNoticesTest.cpp
@@ -5,6 +5,7 @@
 /// know within seconds, and the messages that say so must not grow with the wave.
 //===----------------------------------------------------------------------===//
 #include "BackendNotices.h"
+#include "BackendStatements.h"
 #include "ReportAggregator.h"
 
 #include <algorithm>
@@ -56,6 +57,44 @@
     CHECK_FALSE(notices.contains(idOf(0)));
 }
 
+TEST_CASE("the latest statement of a backend server reaches all nodes, in messages of bounded size", "[notices]")
+{
+    auto servers = GENERATE(std::size_t { 2 }, std::size_t { 2000 });
+    CAPTURE(servers);
+    BackendStatements told;
+    for (std::size_t i = 0; i < servers; ++i)
+        CHECK(told.add({ idOf(i), ConditionKind::RequestLimit, 2, start }));
+    // Late word of an earlier state, the end of the limit, and a repetition of it.
+    CHECK_FALSE(told.add({ idOf(0), ConditionKind::RequestLimit, 9, start - period }));
+    CHECK(told.add({ idOf(0), ConditionKind::RequestLimit, 0, start + period }));
+    CHECK_FALSE(told.add({ idOf(0), ConditionKind::RequestLimit, 0, start + 2 * period }));
+    BackendStatements other;
+    CHECK(other.add({ idOf(0), ConditionKind::RequestLimit, 2, start }));
+    ReportAggregator relay(milliseconds(5000));
+    std::map<BackendId, double> received;
+    std::size_t maxSize = 0;
+    for (SteadyTime now = start + 2 * period; now - start <= statementLifetime; now += period) {
+        for (auto* node : { &told, &other }) {
+            wire::NodeReport report;
+            report.set_vm(node == &told ? "told" : "other");
+            report.set_incarnation(1);
+            putStatements(node->select(now), *report.mutable_statements(), now);
+            maxSize = std::max(maxSize, report.ByteSizeLong());
+            relay.applyReport(report, now);
+        }
+        wire::NodeSums digest = relay.totals(now).toMessage();
+        maxSize = std::max(maxSize, digest.ByteSizeLong());
+        for (const BackendStatement& statement : statementsOf(digest.statements(), now))
+            received[statement.backend_] = statement.value_;
+    }
+    CHECK(received.size() == servers);
+    CHECK(maxSize < maxDatagramSize / 2);
+    CHECK(told.select(start + statementLifetime + 3 * period).empty());
+    if (servers == 2)
+        CHECK(received[idOf(0)] == 0);
+    CHECK(received[idOf(1)] == 2);
+}
+
 TEST_CASE("the newest leaving backend servers are in every message", "[notices]")
 {
     BackendNotices notices(duration);
