Probe whether a node reaches a service at all; log it and count such services

ServicePaths (pure, lib/Paths) suspects a lost service after two new connections that failed in a row, or 400 ms without any answer while requests wait; four servers of as many data centres as possible are then probed together, and two rounds without an answer confirm it. A lost service is probed every 250 ms. Nothing is decided by it yet. Metric services_unreachable, lines "No backend server of the service is reachable from this node." and "Backend servers of the service are reachable again."

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -361,6 +361,9 @@
     /// success in between. Servers of such a data centre are chosen only if there are no
     /// others, until noteReachable().
     std::vector<BackendRecord> unreachableSample() const;
+    /// Returns up to \p count random backend servers of \p service that take new requests, of as
+    /// many data centres as possible.
+    std::vector<BackendRecord> sampleOf(const ServiceName& service, std::size_t count) const;
     /// Whether \p dataCentre counts as reachable from this node.
     bool isReachable(const DataCentreId& dataCentre) const;
     /// Ends a request at \p id and applies its outcome.
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -9,6 +9,7 @@
 
 #include "pistachioloom/Admission.h"
 #include "pistachioloom/Backends.h"
+#include "pistachioloom/Paths.h"
 #include "pistachioloom/Quarantine.h"
 #include "pistachioloom/Quota.h"
 #include "pistachioloom/Rollout.h"
@@ -113,6 +114,7 @@
     /// See fingerprintOf().
     std::string fingerprintSecret_;
     BackendTable& backends_;
+    ServicePaths& paths_;
     QuotaLimiter& quotas_;
     ServiceRetryBudget& retries_;
     QuarantineTable& quarantine_;
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -219,6 +219,29 @@
     return drawn;
 }
 
+std::vector<BackendRecord> BackendTable::sampleOf(const ServiceName& service, std::size_t count) const
+{
+    std::map<DataCentreId, std::vector<BackendRecord>> byDataCentre;
+    {
+        std::lock_guard lock(mutex_);
+        for (const auto& [id, backend] : backends_) {
+            if (backend.record_.service_ == service && !backend.record_.isLeaving_)
+                byDataCentre[backend.record_.dataCentre_].push_back(backend.record_);
+        }
+    }
+    std::vector<BackendRecord> sample;
+    while (sample.size() < count && !byDataCentre.empty()) {
+        for (auto next = byDataCentre.begin(); next != byDataCentre.end() && sample.size() < count;) {
+            std::vector<BackendRecord>& records = next->second;
+            std::swap(records[randomBits() % records.size()], records.back());
+            sample.push_back(std::move(records.back()));
+            records.pop_back();
+            next = records.empty() ? byDataCentre.erase(next) : std::next(next);
+        }
+    }
+    return sample;
+}
+
 void BackendTable::recordFailure(Backend& backend, SteadyTime now)
 {
     if (++backend.consecutiveFailures_ < settings_.failuresToEject_)
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -66,6 +66,8 @@
         SteadyTime startedAt_ {};
         /// When the request was sent; zero before that.
         SteadyTime sentAt_ {};
+        /// Whether the request was sent and no part of an answer has arrived.
+        bool isWaiting_ = false;
         bool hasFirstByte_ = false;
         SteadyTime firstByteAt_ {};
         /// Whether the backend server closed the connection before the end of its answer.
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -114,6 +114,7 @@
     auto [code] = co_await attempt.connection_->socket_.async_connect(address, asTuple);
     waitDeadline_ = SteadyTime::max();
     if (!code) {
+        context_.paths_.noteConnected(shape_.service_);
         context_.backends_.noteReachable(backend.id_);
         beast::error_code ignored;
         attempt.connection_->socket_.set_option(tcp::no_delay(true), ignored);
@@ -121,6 +122,8 @@
     }
     attempt.detail_ = stopReason_ == StopReason::WaitLimitExceeded ? "connect_timeout" : "connect:" + code.message();
     bool isStopped = stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded;
+    if (!isStopped)
+        context_.paths_.noteConnectionFailed(shape_.service_);
     co_return isStopped ? SendOutcome::Stopped : SendOutcome::Unreachable;
 }
 
@@ -171,6 +174,8 @@
     }
     ++sendCount_;
     attempt.sentAt_ = steadyNow();
+    attempt.isWaiting_ = true;
+    context_.paths_.noteSent(shape_.service_, attempt.sentAt_);
     context_.metrics_.add(Counter::Attempts);
     context_.rollouts_.noteSent(shape_.service_, attempt.choice_.backend_.version_);
     attempt.lastEventBefore_ = eventSplitter_.last().value_or(0);
@@ -183,6 +188,8 @@
     }
     startWriting(attempt);
     SendOutcome end = co_await receive(attempt);
+    if (std::exchange(attempt.isWaiting_, false))
+        context_.paths_.noteEnded(shape_.service_, attempt.sentAt_);
     waitDeadline_ = SteadyTime::max();
     if (end != SendOutcome::Delivered && attempt.connection_)
         attempt.connection_->abort();
@@ -290,6 +297,8 @@
         }
         attempt.connection_->arrivedAt_ = steadyNow();
         context_.backends_.noteReachable(attempt.choice_.backend_.id_);
+        if (std::exchange(attempt.isWaiting_, false))
+            context_.paths_.noteAnswered(shape_.service_, attempt.sentAt_, steadyNow());
         if (parser.get().result_int() / 100 == 1)
             continue;
         noteBackendState(attempt, parser);
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -127,6 +127,7 @@
         { "nodes_known_of", static_cast<double>(peerReports_.nodesCovered()) },
         { "log_lines_dropped", static_cast<double>(droppedLogLines()) },
         { "requests_suspected", static_cast<double>(context_.quarantine_.suspects(steadyNow()).size()) },
+        { "services_unreachable", static_cast<double>(context_.paths_.lostServices().size()) },
         { "backend_servers_limited", static_cast<double>(context_.backends_.requestLimits().size()) },
         { "requests_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(steadyNow())) },
         { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
@@ -271,6 +272,7 @@
         asio::co_spawn(*io, watchLoopLag(state_->context_.metrics_), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->findPeers(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->probe_.run(), asio::detached);
+    asio::co_spawn(*state_->ios_[0], state_->probe_.watchServices(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->quarantineStore_.run(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->watchSignals(), asio::detached);
     state_->logger_.info(LogLine("Started.").add("data_centre", settings.dataCentre_.value_).add("callers", settings.callers_.toString()).add("incarnation", std::to_string(state_->context_.incarnation_)));
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -45,7 +45,7 @@
     , crashes_(quarantine_)
     , rollouts_(settings_.rollout_)
     , usage_(settings_.usageWindow_)
-    , forward_ { platform_.headers_, settings_.forward_, {}, settings_.peerCredential_, backends_, quotas_, retries_, quarantine_, crashes_, rollouts_, metrics_, {}, {}, {}, {} }
+    , forward_ { platform_.headers_, settings_.forward_, {}, settings_.peerCredential_, backends_, paths_, quotas_, retries_, quarantine_, crashes_, rollouts_, metrics_, {}, {}, {}, {} }
     , table_(nullptr)
 {
     forward_.nodes_ = minNodesAssumed;
--- a/lib/Gateway/GatewayContext.h
+++ b/lib/Gateway/GatewayContext.h
@@ -43,6 +43,7 @@
     const std::uint64_t incarnation_;
     Metrics metrics_;
     BackendTable backends_;
+    ServicePaths paths_;
     QuotaLimiter quotas_;
     ServiceRetryBudget retries_;
     QuarantineTable quarantine_;
--- a/lib/Gateway/ReachabilityProbe.cpp
+++ b/lib/Gateway/ReachabilityProbe.cpp
@@ -14,9 +14,54 @@
     constexpr milliseconds probePeriod { 250 };
     // Twenty times the 10 ms that establishing a connection inside a region takes.
     constexpr milliseconds probeTimeout { 200 };
+    // Interval at which the services are checked for signs of lost paths.
+    constexpr milliseconds watchPeriod { 50 };
+    // Interval at which a round of probes is checked for its end.
+    constexpr milliseconds probeCheckPeriod { 10 };
+
+    /// A round of concurrent connection attempts.
+    struct ProbeRound {
+        std::size_t answered_ = 0;
+        std::size_t ended_ = 0;
+    };
+
+    asio::awaitable<void> probeForRound(BackendRecord backend, std::shared_ptr<ProbeRound> round)
+    {
+        auto failed = co_await tryConnection(backend.endpoint_, probeTimeout);
+        round->answered_ += !failed;
+        ++round->ended_;
+    }
 
 } // namespace
 
+/// The attempts run on the event loop of this coroutine, so that the round needs no lock.
+asio::awaitable<void> ReachabilityProbe::probeService(ServiceName service)
+{
+    std::vector<BackendRecord> sample = context_.backends_.sampleOf(service, context_.paths_.settings().serversPerRound_);
+    auto round = std::make_shared<ProbeRound>();
+    auto executor = co_await asio::this_coro::executor;
+    for (const BackendRecord& backend : sample)
+        asio::co_spawn(executor, probeForRound(backend, round), asio::detached);
+    SteadyTime deadline = steadyNow() + 2 * probeTimeout;
+    while (!round->answered_ && round->ended_ < sample.size() && steadyNow() < deadline)
+        co_await sleepFor(probeCheckPeriod);
+    bool isChanged = context_.paths_.noteProbed(service, sample.size(), round->answered_, steadyNow());
+    if (!isChanged)
+        co_return;
+    bool isLost = context_.paths_.isLost(service);
+    logger_.info(LogLine(isLost ? "No backend server of the service is reachable from this node." : "Backend servers of the service are reachable again.").add("service", service.value_).add("probed", static_cast<std::int64_t>(sample.size())));
+}
+
+asio::awaitable<void> ReachabilityProbe::watchServices()
+{
+    auto executor = co_await asio::this_coro::executor;
+    for (;;) {
+        co_await sleepFor(watchPeriod);
+        for (ServiceName& service : context_.paths_.takeDue(steadyNow()))
+            asio::co_spawn(executor, probeService(std::move(service)), asio::detached);
+    }
+}
+
 void ReachabilityProbe::logChanges(const std::vector<BackendRecord>& unreachableSample)
 {
     std::set<DataCentreId> unreachable;
--- a/lib/Gateway/ReachabilityProbe.h
+++ b/lib/Gateway/ReachabilityProbe.h
@@ -2,7 +2,8 @@
 ///
 /// \file
 /// Connects periodically to a backend server of each unreachable data centre, so that no
-/// request of a caller has to find out when the data centre is reachable again.
+/// request of a caller has to find out when the data centre is reachable again, and to several
+/// servers of a service that this node may have lost its paths to.
 //===----------------------------------------------------------------------===//
 #pragma once
 
@@ -17,11 +18,14 @@
     {
     }
 
-    /// Probes until the process ends.
+    /// Probes data centres until the process ends.
     asio::awaitable<void> run();
+    /// Probes services until the process ends.
+    asio::awaitable<void> watchServices();
 
 private:
     asio::awaitable<void> probe(BackendRecord backend);
+    asio::awaitable<void> probeService(ServiceName service);
     void logChanges(const std::vector<BackendRecord>& unreachableSample);
 
     GatewayContext& context_;
