Tests: gateways without paths to the backend servers; they serve nothing

Three gateways read the list of servers through views of their own, in which each server has a proxy for each gateway; the proxies of one or two gateways hang, reset or refuse new connections.

--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -91,7 +91,7 @@
     {
     }
 
-    std::uint16_t listen() { return server_.listen({ "127.0.0.1", 0 }).value(); }
+    std::uint16_t listen() { return port_ = server_.listen({ "127.0.0.1", 0 }).value(); }
     const std::string& id() const { return id_; }
     /// Simulates a crash: accepts no more connections and aborts running and new requests.
     void crash()
@@ -107,7 +107,7 @@
     json::object control(const json::object& body)
     {
         controls_.update(body);
-        return { { "runs", runAttemptIds_ }, { "gone", abandonedRuns_ }, { "turned_away", rejected_ }, { "headers", headers_ }, { "moved", movedRuns_ }, { "limited_arrivals", limitedArrivals_ }, { "resumed", resumeSources_ }, { "dropped", releasedHandles_ } };
+        return { { "runs", runAttemptIds_ }, { "gone", abandonedRuns_ }, { "turned_away", rejected_ }, { "headers", headers_ }, { "moved", movedRuns_ }, { "port", port_ }, { "limited_arrivals", limitedArrivals_ }, { "resumed", resumeSources_ }, { "dropped", releasedHandles_ } };
     }
 
 private:
@@ -274,6 +274,7 @@
     std::function<void(const HttpRequest&)> onRun_;
     std::set<HttpExchange*> runningExchanges_;
     HttpServer server_;
+    std::uint16_t port_ = 0;
     Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     /// Attempt ids of the requests that started to run, in order.
     json::array runAttemptIds_;
@@ -302,7 +303,11 @@
     {
     }
 
-    asio::awaitable<void> handle(HttpExchange& exchange)
+    asio::awaitable<void> handle(HttpExchange& exchange) { return handle(exchange, {}); }
+
+private:
+    /// Handles a request that arrived through \p view; see control().
+    asio::awaitable<void> handle(HttpExchange& exchange, std::string view)
     {
         const std::string path = exchange.request().path();
         if (path == "/control")
@@ -314,14 +319,13 @@
         if (path == "/log-append")
             co_return co_await append(exchange);
         if (path == "/log-read")
-            co_return co_await read(exchange);
+            co_return co_await read(exchange, view);
         if (path == "/log-newest")
-            co_return co_await readNewest(exchange);
+            co_return co_await readNewest(exchange, view);
         recordDutyCall(exchange.request(), path);
         co_await reply(exchange, 200, json::object {});
     }
 
-private:
     /// Applies the keys of the body. Returns the duty calls, crashes and statuses so far, and
     /// the ports of the backend servers that it started.
     /// `backends`: starts backend servers. They are not registered in the store if they
@@ -334,6 +338,8 @@
     /// starts to run it. A replacement starts `restart_ms` later.
     /// `backend`: sets faults of one backend server and returns what that one recorded.
     /// `born`: returns the start time of a backend server.
+    /// `view`: returns in `view_port` a port at which the registered addresses of backend
+    /// servers are replaced by those in `view_addresses`, by id, as they are set for this view.
     asio::awaitable<void> control(HttpExchange& exchange)
     {
         json::object body = parseJsonObject(exchange.request().body_).value_or(json::object {});
@@ -356,6 +362,8 @@
             crashText_ = textField(body, "crash_text");
         if (Backend* chosen = find(textField(body, "backend")))
             answer = chosen->control(body);
+        if (std::string view = textField(body, "view"); !view.empty())
+            answer["view_port"] = openView(view, body);
         auto queried = registrations_.find(textField(body, "born"));
         if (queried != registrations_.end())
             answer["born"] = queried->second.at("born");
@@ -366,6 +374,46 @@
         co_await reply(exchange, 200, answer);
     }
 
+    /// Sets addresses of \p view, and starts its server if it does not exist.
+    /// \returns its port.
+    std::uint16_t openView(const std::string& view, const json::object& body)
+    {
+        View& opened = views_[view];
+        if (const json::value* addresses = body.if_contains("view_addresses"))
+            opened.addresses_ = addresses->as_object();
+        if (!opened.server_) {
+            HttpBounds bounds;
+            bounds.body_ = { 64UL * 1024 * 1024 };
+            opened.server_ = std::make_unique<HttpServer>(
+                io_.get_executor(), bounds, [this, view](HttpExchange& exchange) { return handle(exchange, view); }, errorResponse);
+            opened.port_ = opened.server_->listen({ "127.0.0.1", 0 }).value();
+        }
+        return opened.port_;
+    }
+
+    /// Returns the registration \p value of \p id as \p view shows it.
+    std::string seenThrough(const std::string& view, const std::string& topic, const std::string& id, const std::string& value)
+    {
+        auto found = views_.find(view);
+        if (found == views_.end() || topic != "keyed.servers" || !found->second.addresses_.contains(id))
+            return value;
+        auto entry = parseJsonObject(value);
+        if (!entry)
+            return value;
+        (*entry)["address"] = found->second.addresses_.at(id);
+        return json::serialize(*entry);
+    }
+
+    /// Returns a record of \p topic as \p view shows it.
+    std::string recordThrough(const std::string& view, const std::string& topic, const std::string& record)
+    {
+        if (view.empty() || topic != "keyed.servers")
+            return record;
+        auto length = static_cast<unsigned char>(record.at(0));
+        std::string key = record.substr(1, length);
+        return record.substr(0, 1 + length) + seenThrough(view, topic, key, record.substr(1 + length));
+    }
+
     /// Returns the running backend server of \p id, else the one of this id that crashed
     /// last, else nullptr.
     Backend* find(const std::string& id)
@@ -474,7 +522,7 @@
         co_await reply(exchange, 200, done);
     }
 
-    asio::awaitable<void> read(HttpExchange& exchange)
+    asio::awaitable<void> read(HttpExchange& exchange, std::string view)
     {
         const HttpRequest& request = exchange.request();
         std::string topic = request.query("topic");
@@ -487,7 +535,7 @@
         appendBigEndian64(body, log_.end(topic));
         appendBigEndian64(body, 0);
         for (std::uint64_t offset = from; offset < log_.end(topic); ++offset) {
-            const std::string& record = log_.records(topic)[offset];
+            const std::string record = recordThrough(view, topic, log_.records(topic)[offset]);
             unsigned char length[4];
             boost::endian::store_big_u32(length, static_cast<std::uint32_t>(record.size()));
             body.append(reinterpret_cast<char*>(length), sizeof length).append(record);
@@ -496,12 +544,12 @@
         (void)co_await exchange.respond(std::move(answer));
     }
 
-    asio::awaitable<void> readNewest(HttpExchange& exchange)
+    asio::awaitable<void> readNewest(HttpExchange& exchange, std::string view)
     {
         std::string topic = exchange.request().query("topic");
         json::array entries;
         for (const auto& [key, entry] : log_.keyed(topic))
-            entries.push_back(json::object { { "key", key }, { "value", encodeBase64(entry.value_) }, { "offset", entry.offset_ } });
+            entries.push_back(json::object { { "key", key }, { "value", encodeBase64(seenThrough(view, topic, key, entry.value_)) }, { "offset", entry.offset_ } });
         json::object answer { { "entries", entries }, { "has_more", false }, { "end", log_.end(topic) } };
         co_await reply(exchange, 200, answer);
     }
@@ -514,8 +562,16 @@
         recordedDutyCalls_.push_back(std::move(duty));
     }
 
+    /// See control().
+    struct View {
+        std::uint16_t port_ = 0;
+        json::object addresses_;
+        std::unique_ptr<HttpServer> server_;
+    };
+
     asio::io_context& io_;
     Log log_;
+    std::map<std::string, View> views_;
     Controls controls_ { { { "down", 0 }, { "lose_appends", 0 }, { "restart_ms", 1000 } } };
     std::map<std::string, std::unique_ptr<Backend>> backends_;
     /// Crashed backend servers, oldest first.
