A node without paths to a service's servers reaches them through peers

A node knew one way to a server, its own connection. The class: a node takes its own view for the world's.

A service whose loss the probes confirm is served through a peer that reaches it: nodes report the services that they do not reach; the peer opens a connection to the server that the requesting node chose, and copies bytes both ways over a stream of the link between them. So the requesting node still decides and counts everything: route, deadline, quota, retry budget, attempts, loads, resumption; nothing is decided by two nodes. An answer that a server ends by closing is told apart from one that a lost peer cuts off. Connections from before a loss are not used after it, and each relayed request has a connection of its own.

The reverse, what such a node tells others: a refused connection counts as the termination of a server only if another server accepts one at the same time; failures on lost paths neither eject servers nor count in a roll-out.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -361,6 +361,9 @@
     /// success in between. Servers of such a data centre are chosen only if there are no
     /// others, until noteReachable().
     std::vector<BackendRecord> unreachableSample() const;
+    /// Discards the failures of the backend servers of \p service. They say nothing of the
+    /// servers if this node has lost its paths to all of them.
+    void forgetFailures(const ServiceName& service, SteadyTime now);
     /// Returns up to \p count random backend servers of \p service that take new requests, of as
     /// many data centres as possible.
     std::vector<BackendRecord> sampleOf(const ServiceName& service, std::size_t count) const;
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -85,6 +85,18 @@
     bool stopsRun_ = false;
 };
 
+/// A connection to a backend server that a peer has opened for this node.
+struct RelayedConnection {
+    /// The peer.
+    VmId via_;
+    /// Receives the next bytes. Errors: Errc::NotFound when the server has closed the
+    /// connection in order. Any other error may have cut an answer off.
+    std::function<asio::awaitable<Result<std::string>>()> receive_;
+    std::function<asio::awaitable<Result<void>>(std::string bytes)> send_;
+    /// Resets the connection, which ends the other operations.
+    std::function<void()> reset_;
+};
+
 /// Callbacks from request forwarding into the rest of the node.
 struct ForwardHooks {
     /// Called once per request of \p organisation, when the first byte of an answer shows
@@ -94,6 +106,10 @@
     std::function<void(const BackendStatement& statement)> onStatement_;
     /// Called when a probe shows that a backend server has terminated without notice.
     std::function<void(const BackendId& backend)> onTerminated_;
+    /// Opens a connection to \p backend through a peer, for a service of which this node reaches
+    /// no server. Errors: Errc::NotFound if no peer reaches the service either. The request
+    /// has not been sent in any case.
+    std::function<asio::awaitable<Result<RelayedConnection>>(BackendRecord backend, milliseconds timeout)> openRelayed_;
     /// \returns the current configuration, or nullptr before the first.
     std::function<std::shared_ptr<const RouteTable>()> table_;
     /// Copies a stream's KV cache. A second copy of the same cache transfers only the
--- a/include/pistachioloom/Paths.h
+++ b/include/pistachioloom/Paths.h
@@ -67,11 +67,14 @@
     /// Whether no backend server of \p service is reachable from this node.
     bool isLost(const ServiceName& service) const;
     std::vector<ServiceName> lostServices() const;
+    /// Returns how often \p service was lost. Connections that were open at a loss may hang.
+    std::uint64_t lossCount(const ServiceName& service) const;
     const PathSettings& settings() const { return settings_; }
 
 private:
     struct Path {
         bool isLost_ = false;
+        std::uint64_t lossCount_ = 0;
         bool isBeingProbed_ = false;
         /// New connections that failed since one was established.
         unsigned failedConnections_ = 0;
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -105,6 +105,10 @@
     BackendCrashes,
     /// Reports to peers that exceeded the size of a datagram and were not sent.
     DatagramsTooLarge,
+    /// Connections to backend servers that a peer opened for this node.
+    ConnectionsRelayed,
+    /// Connections to backend servers that this node opened for peers.
+    ConnectionsCarried,
     Last,
 };
 
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -219,6 +219,20 @@
     return drawn;
 }
 
+void BackendTable::forgetFailures(const ServiceName& service, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    for (auto& [id, backend] : backends_) {
+        if (backend.record_.service_ != service)
+            continue;
+        backend.consecutiveFailures_ = 0;
+        backend.ejectionTime_ = {};
+        backend.ejectedUntil_ = std::min(backend.ejectedUntil_, now);
+        for (auto& [dataCentre, failed] : failedByDataCentre_)
+            failed.erase(id);
+    }
+}
+
 std::vector<BackendRecord> BackendTable::sampleOf(const ServiceName& service, std::size_t count) const
 {
     std::map<DataCentreId, std::vector<BackendRecord>> byDataCentre;
--- a/lib/Forward/ConnectionPool.cpp
+++ b/lib/Forward/ConnectionPool.cpp
@@ -55,14 +55,62 @@
     --*openCount_;
 }
 
+std::size_t BackendConnection::takeReceived(asio::mutable_buffer target)
+{
+    std::size_t count = asio::buffer_copy(target, asio::buffer(received_));
+    received_.erase(0, count);
+    return count;
+}
+
+asio::awaitable<void> BackendConnection::readRelayed(std::shared_ptr<BackendConnection> self, asio::mutable_buffer target, IoHandler handler)
+{
+    while (self->received_.empty()) {
+        auto bytes = co_await self->relayed_->receive_();
+        if (!bytes) {
+            boost::system::error_code code = asio::error::connection_reset;
+            if (bytes.error().code_ == Errc::NotFound)
+                code = asio::error::eof;
+            handler(code, 0);
+            co_return;
+        }
+        self->received_ = std::move(bytes.value());
+    }
+    std::size_t count = self->takeReceived(target);
+    handler({}, count);
+}
+
+asio::awaitable<void> BackendConnection::writeRelayed(std::shared_ptr<BackendConnection> self, std::string bytes, IoHandler handler)
+{
+    std::size_t count = bytes.size();
+    auto sent = co_await self->relayed_->send_(std::move(bytes));
+    boost::system::error_code code;
+    if (!sent)
+        code = asio::error::connection_reset;
+    handler(code, sent ? count : 0);
+}
+
+void BackendConnection::startRelayedRead(asio::mutable_buffer target, IoHandler handler)
+{
+    asio::co_spawn(socket_.get_executor(), readRelayed(shared_from_this(), target, std::move(handler)), asio::detached);
+}
+
+void BackendConnection::startRelayedWrite(std::string bytes, IoHandler handler)
+{
+    asio::co_spawn(socket_.get_executor(), writeRelayed(shared_from_this(), std::move(bytes), std::move(handler)), asio::detached);
+}
+
 void BackendConnection::close()
 {
+    if (relayed_)
+        relayed_->reset_();
     boost::system::error_code ignored;
     socket_.close(ignored);
 }
 
 void BackendConnection::abort()
 {
+    if (relayed_)
+        relayed_->reset_();
     boost::system::error_code ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
@@ -70,6 +118,8 @@
 
 bool BackendConnection::isReceiveBufferEmpty() const
 {
+    if (relayed_)
+        return received_.empty();
     boost::system::error_code ignored;
     return !socket_.available(ignored);
 }
@@ -83,7 +133,7 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-BackendConnectionPtr ConnectionPool::take(const BackendId& backend, SteadyTime now)
+BackendConnectionPtr ConnectionPool::take(const BackendId& backend, std::uint64_t lossCount, SteadyTime now)
 {
     auto found = idle_.find(backend);
     if (found == idle_.end())
@@ -92,7 +142,7 @@
     while (!kept.empty()) {
         BackendConnectionPtr connection = std::move(kept.back());
         kept.pop_back();
-        if (connection->usableUntil_ > now && isOpenWithoutData(connection->socket_)) {
+        if (connection->lossCount_ == lossCount && connection->usableUntil_ > now && isOpenWithoutData(connection->socket_)) {
             connection->isReused_ = true;
             return connection;
         }
--- a/lib/Forward/LivenessProbe.cpp
+++ b/lib/Forward/LivenessProbe.cpp
@@ -13,6 +13,8 @@
 // last. A connection may therefore still be accepted after the first one breaks, so a second
 // probe follows after this delay.
 static constexpr milliseconds reprobeDelay { 150 };
+// Other backend servers that are tried before one is taken for terminated.
+static constexpr std::size_t controlProbes = 2;
 
 static const Logger& logger()
 {
@@ -34,6 +36,20 @@
         logCrash(context, backend, counted);
 }
 
+/// Whether this node can connect to a backend server other than \p backend. Returns true if there
+/// is none, since its termination then concerns no other request.
+static asio::awaitable<bool> reachesOther(ForwardContext& context, BackendRecord backend)
+{
+    std::vector<BackendRecord> others = context.backends_.sampleOf(backend.service_, controlProbes + 1);
+    std::erase_if(others, [&](const BackendRecord& other) { return other.id_ == backend.id_; });
+    for (const BackendRecord& other : others) {
+        auto code = co_await tryConnection(other.endpoint_, context.settings_.connectTimeout_);
+        if (!code)
+            co_return true;
+    }
+    co_return others.empty();
+}
+
 asio::awaitable<void> probeLiveness(ForwardContext& context, BackendRecord backend)
 {
     const milliseconds waitLimit = context.settings_.connectTimeout_;
@@ -42,8 +58,11 @@
         co_await sleepFor(reprobeDelay);
         code = co_await tryConnection(backend.endpoint_, waitLimit);
     }
-    // Connections are also refused if a network fault isolates the data centre.
+    // Connections are also refused if a network fault isolates the data centre or this node. A
+    // server has terminated only if this node reaches another one at the same time.
     bool hasTerminated = code == asio::error::connection_refused && context.backends_.isReachable(backend.dataCentre_);
+    if (hasTerminated)
+        hasTerminated = co_await reachesOther(context, backend);
     LogLine line(hasTerminated ? "Backend server has terminated." : "Backend server closed a connection during a request.");
     line.add("backend", backend.id_.value_).add("connection", code ? code.message() : "accepted");
     logger().info(line);
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -154,7 +154,9 @@
 {
     if (stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded || timeLeft() <= milliseconds(0))
         return false;
-    if (end == SendOutcome::Unreachable || end == SendOutcome::NoConnection || end == SendOutcome::NotAccepting)
+    if (end == SendOutcome::NoPath && isRejectedByPeers_)
+        return false;
+    if (end == SendOutcome::Unreachable || end == SendOutcome::NoConnection || end == SendOutcome::NotAccepting || end == SendOutcome::NoPath)
         return ++unsentAttempts_ < maxUnsentAttempts;
     if (sendCount_ >= route_->maxAttempts_)
         return false;
@@ -309,10 +311,12 @@
         outcome = BackendOutcome::Unreachable;
         break;
     case SendOutcome::Lost:
-        outcome = BackendOutcome::Broken;
+        // The peer or the link to it may have failed instead of the server.
+        outcome = attempt.isRelayed_ ? BackendOutcome::Abandoned : BackendOutcome::Broken;
         break;
     case SendOutcome::Stopped:
     case SendOutcome::NotAccepting:
+    case SendOutcome::NoPath:
     case SendOutcome::Moved:
         outcome = BackendOutcome::Abandoned;
         break;
@@ -337,7 +341,9 @@
 
 void RequestForwarder::noteVersionOutcome(const Attempt& attempt, BackendOutcome outcome)
 {
-    if (context_.rollouts_.isEmpty() || !attempt.startedAt_.time_since_epoch().count())
+    // Failures on lost paths say nothing of a version.
+    bool isPathFailure = outcome == BackendOutcome::Unreachable && context_.paths_.isLost(shape_.service_);
+    if (context_.rollouts_.isEmpty() || isPathFailure || !attempt.startedAt_.time_since_epoch().count())
         return;
     SteadyTime now = steadyNow();
     AttemptOutcome observed;
@@ -394,6 +400,8 @@
         line.add("leaving", true);
     if (attempt.pause_.count())
         line.add("pause_ms", attempt.pause_.count());
+    if (attempt.isRelayed_)
+        line.add("via", attempt.via_.value_);
     if (!attempt.limit_.empty())
         line.add("limit", attempt.limit_);
     if (attempt.sentAt_ != SteadyTime {})
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -34,6 +34,9 @@
     NoConnection,
     /// Nothing was sent, because the backend server no longer accepts requests.
     NotAccepting,
+    /// Nothing was sent: this node reaches no server of the service, and no peer opened a
+    /// connection for it.
+    NoPath,
     /// The stream was stopped to resume on another engine, which has its KV cache.
     Moved,
 };
@@ -68,6 +71,9 @@
         SteadyTime sentAt_ {};
         /// Whether the request was sent and no part of an answer has arrived.
         bool isWaiting_ = false;
+        /// Whether the connection is one through a peer, and the peer.
+        bool isRelayed_ = false;
+        VmId via_;
         bool hasFirstByte_ = false;
         SteadyTime firstByteAt_ {};
         /// Whether the backend server closed the connection before the end of its answer.
@@ -105,6 +111,7 @@
     /// \returns SendOutcome::Held if the attempt has a connection, or the outcome of
     /// the failed attempt.
     asio::awaitable<SendOutcome> connect(Attempt& attempt);
+    asio::awaitable<SendOutcome> connectThroughPeer(Attempt& attempt);
     bool mayConnect(const BackendId& backend) const;
     asio::awaitable<SendOutcome> receive(Attempt& attempt);
     asio::awaitable<SendOutcome> receiveFullAnswer(Attempt& attempt, Parser& parser);
@@ -190,6 +197,8 @@
     unsigned sendCount_ = 0;
     /// Attempts that sent nothing, for example because the connection failed.
     unsigned unsentAttempts_ = 0;
+    /// Whether no peer reaches the service either.
+    bool isRejectedByPeers_ = false;
     /// Whether a backend server may have run the request.
     bool mayHaveRun_ = false;
     /// Whether the first byte of an answer has arrived, so that the request counts as
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -92,7 +92,10 @@
 asio::awaitable<SendOutcome> RequestForwarder::connect(Attempt& attempt)
 {
     const BackendRecord& backend = attempt.choice_.backend_;
-    attempt.connection_ = pool_.take(backend.id_, steadyNow());
+    bool isLost = context_.paths_.isLost(shape_.service_) && context_.hooks_.openRelayed_;
+    std::uint64_t lossCount = context_.paths_.lossCount(shape_.service_);
+    if (!isLost)
+        attempt.connection_ = pool_.take(backend.id_, lossCount, steadyNow());
     if (attempt.connection_) {
         currentConnection_ = attempt.connection_;
         co_return SendOutcome::Held;
@@ -102,7 +105,10 @@
         co_return SendOutcome::NoConnection;
     }
     attempt.connection_ = pool_.make(backend.id_);
+    attempt.connection_->lossCount_ = lossCount;
     currentConnection_ = attempt.connection_;
+    if (isLost)
+        co_return co_await connectThroughPeer(attempt);
     beast::error_code invalid;
     tcp::endpoint address(asio::ip::make_address(backend.endpoint_.host_, invalid), backend.endpoint_.port_);
     if (invalid) {
@@ -127,6 +133,23 @@
     co_return isStopped ? SendOutcome::Stopped : SendOutcome::Unreachable;
 }
 
+asio::awaitable<SendOutcome> RequestForwarder::connectThroughPeer(Attempt& attempt)
+{
+    attempt.isRelayed_ = true;
+    milliseconds timeout = std::min(timeLeft(), 2 * context_.settings_.connectTimeout_);
+    auto opened = co_await context_.hooks_.openRelayed_(attempt.choice_.backend_, timeout);
+    if (opened) {
+        attempt.via_ = opened.value().via_;
+        attempt.connection_->relayed_ = std::move(opened.value());
+    } else {
+        attempt.detail_ = "relay:" + opened.error().message_;
+        isRejectedByPeers_ = opened.error().code_ == Errc::NotFound;
+    }
+    if (stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded)
+        co_return SendOutcome::Stopped;
+    co_return opened ? SendOutcome::Held : SendOutcome::NoPath;
+}
+
 void RequestForwarder::startWriting(Attempt& attempt)
 {
     struct Outgoing {
@@ -137,7 +160,7 @@
     resumeFrom_.clear();
     std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoing->head_), asio::buffer(request_.body_) };
     attempt.connection_->isWriting_ = true;
-    asio::async_write(attempt.connection_->socket_, buffers, [outgoing, connection = attempt.connection_](const beast::error_code& code, std::size_t) {
+    asio::async_write(*attempt.connection_, buffers, [outgoing, connection = attempt.connection_](const beast::error_code& code, std::size_t) {
         connection->isWriting_ = static_cast<bool>(code);
     });
 }
@@ -218,7 +241,7 @@
         if (parser.is_done() || !parser.get().body().empty())
             co_return beast::error_code {};
         bool isReceiveBufferEmpty = attempt.connection_->isReceiveBufferEmpty();
-        auto [readCode, count] = co_await attempt.connection_->socket_.async_read_some(buffer.prepare(readSize), asTuple);
+        auto [readCode, count] = co_await attempt.connection_->async_read_some(buffer.prepare(readSize), asTuple);
         if (isReceiveBufferEmpty)
             attempt.connection_->arrivedAt_ = steadyNow();
         if (readCode == asio::error::eof) {
@@ -289,14 +312,15 @@
             parser.skip(true);
         // An event stream is forwarded as it arrives. All other answers are read completely.
         parser.eager(false);
-        auto [code, count] = co_await http::async_read_header(attempt.connection_->socket_, attempt.connection_->buffer_, parser, asTuple);
+        auto [code, count] = co_await http::async_read_header(*attempt.connection_, attempt.connection_->buffer_, parser, asTuple);
         if (code) {
             attempt.detail_ = "head:" + code.message();
             attempt.isCutOff_ = isDisconnect(code);
             co_return SendOutcome::Lost;
         }
         attempt.connection_->arrivedAt_ = steadyNow();
-        context_.backends_.noteReachable(attempt.choice_.backend_.id_);
+        if (!attempt.isRelayed_)
+            context_.backends_.noteReachable(attempt.choice_.backend_.id_);
         if (std::exchange(attempt.isWaiting_, false))
             context_.paths_.noteAnswered(shape_.service_, attempt.sentAt_, steadyNow());
         if (parser.get().result_int() / 100 == 1)
@@ -412,7 +436,7 @@
 {
     BackendConnectionPtr connection = std::move(attempt.connection_);
     currentConnection_ = nullptr;
-    if (!parser.get().keep_alive() || parser.need_eof() || connection->isWriting_ || connection->buffer_.size()) {
+    if (connection->relayed_ || !parser.get().keep_alive() || parser.need_eof() || connection->isWriting_ || connection->buffer_.size()) {
         connection->close();
         return;
     }
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 /// \file
 /// Connects the parts of a gateway, and starts, reloads and drains them.
 //===----------------------------------------------------------------------===//
+#include "BackendRelay.h"
 #include "DutyRunner.h"
 #include "LoopLag.h"
 #include "PlatformFeed.h"
@@ -54,6 +55,7 @@
     PeerReports peerReports_;
     DutyRunner duties_;
     ReachabilityProbe probe_;
+    BackendRelay relay_;
     PlatformFeed feed_;
     QuarantineStore quarantineStore_;
     PeerServer peerServer_;
@@ -80,6 +82,7 @@
     , peerReports_(*ios_[0], context_, { [this] { return duties_.reportedToken(); }, [this] { return duties_.releasedToken(); }, [this](const VmId& vm, DutyToken token, SteadyTime reportedAt) { duties_.noteHolder(vm, token, reportedAt); }, [this](DutyToken token) { duties_.noteReleased(token); }, [this](const VmId& vm) { duties_.noteStopping(vm); }, [this] { return feed_.isReader(); }, [this] { return feed_.isPlatformUnavailable(); } })
     , duties_(*ios_[0], context_)
     , probe_(context_)
+    , relay_(context_, peerPool_, [this](const ServiceName& service) { return peerReports_.peersReaching(service); })
     , feed_(*ios_[0], context_, peerReports_, peerPool_, background_)
     , quarantineStore_(context_, { [this] { return feed_.isReader(); }, [this] { return peerReports_.rankFor("quarantines") == 0; } })
     , peerServer_(
@@ -96,6 +99,7 @@
             logger_.info(LogLine("Backend server is leaving.").add("backend", statement.backend_.value_).add("from", "its answer"));
         peerReports_.noteStatement(statement);
     };
+    context_.forward_.hooks_.openRelayed_ = [this](BackendRecord backend, milliseconds timeout) { return relay_.open(std::move(backend), timeout); };
     context_.forward_.hooks_.onTerminated_ = [this](const BackendId& backend) { peerReports_.noteTerminated(backend); };
     for (const auto& io : ios_)
         workers_.push_back(std::make_unique<ForwardWorker>(*io, context_.forward_));
@@ -127,6 +131,7 @@
         { "nodes_known_of", static_cast<double>(peerReports_.nodesCovered()) },
         { "log_lines_dropped", static_cast<double>(droppedLogLines()) },
         { "requests_suspected", static_cast<double>(context_.quarantine_.suspects(steadyNow()).size()) },
+        { "connections_carried_now", static_cast<double>(relay_.carriedConnections()) },
         { "services_unreachable", static_cast<double>(context_.paths_.lostServices().size()) },
         { "backend_servers_limited", static_cast<double>(context_.backends_.requestLimits().size()) },
         { "requests_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(steadyNow())) },
@@ -147,6 +152,8 @@
     auto frame = co_await stream->receive();
     if (frame && frame.value().has_configuration_fetch())
         co_await feed_.serve(stream, frame.value());
+    else if (frame && frame.value().has_relay_open())
+        co_await relay_.serve(stream, frame.value());
     else if (frame)
         logger_.warn("Peer " + stream->peer() + " opened a stream with a frame that is not a request.");
     stream->finish();
@@ -220,7 +227,7 @@
     // New requests are rejected from now on: a stream that started later might not end
     // within the grace time.
     context_.forward_.rejectsNew_ = true;
-    while (steadyNow() < stopAt && context_.forward_.connections_) {
+    while (steadyNow() < stopAt && (context_.forward_.connections_ || relay_.carriedConnections())) {
         for (const auto& worker : workers_)
             worker->closeIdle();
         co_await sleepFor(drainPeriod);
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -40,6 +40,14 @@
         return vm;
     }
 
+    std::set<ServiceName> servicesOf(const google::protobuf::RepeatedPtrField<std::string>& names)
+    {
+        std::set<ServiceName> services;
+        for (const std::string& name : names)
+            services.insert({ name });
+        return services;
+    }
+
     Endpoint endpointOr(const std::string& text, const Endpoint& fallback)
     {
         auto parsed = parseEndpoint(text);
@@ -81,6 +89,13 @@
     return reportedWithin(context_.settings_.gossipSettings_.unresponsiveAfter_);
 }
 
+std::vector<KnownPeer> PeerReports::peersReaching(const ServiceName& service) const
+{
+    std::vector<KnownPeer> peers = live();
+    std::erase_if(peers, [&](const KnownPeer& peer) { return peer.second.isStopping_ || peer.second.unreachableServices_.contains(service); });
+    return peers;
+}
+
 std::uint64_t PeerReports::nodesCovered() const
 {
     return usesRelays_ ? relayedNodes_.load() : live().size();
@@ -490,7 +505,7 @@
         return;
     }
     bool hasStartedStopping = report.is_stopping() && !table_.isStopping(vm);
-    Peer peer { *gossip, *peers, { report.data_centre() }, report.incarnation(), report.sequence(), report.configuration_version(), report.is_stopping(), report.is_platform_lost(), report.is_reader(), report.registry_fingerprint(), report.cores(), now };
+    Peer peer { *gossip, *peers, { report.data_centre() }, report.incarnation(), report.sequence(), report.configuration_version(), report.is_stopping(), report.is_platform_lost(), report.is_reader(), report.registry_fingerprint(), report.cores(), now, servicesOf(report.unreachable_services()) };
     PeerTable::ReportKind kind = table_.applyReport(vm, std::move(peer));
     if (kind == PeerTable::ReportKind::Outdated)
         return;
@@ -549,7 +564,7 @@
         auto gossip = parseEndpoint(member.address());
         if (!gossip)
             continue;
-        Peer peer { *gossip, endpointOr(member.peers_address(), {}), { member.data_centre() }, member.incarnation(), 0, member.configuration_version(), member.is_stopping(), member.is_platform_lost(), member.is_reader(), member.registry_fingerprint(), member.cores(), now - milliseconds(member.age_ms()) };
+        Peer peer { *gossip, endpointOr(member.peers_address(), {}), { member.data_centre() }, member.incarnation(), 0, member.configuration_version(), member.is_stopping(), member.is_platform_lost(), member.is_reader(), member.registry_fingerprint(), member.cores(), now - milliseconds(member.age_ms()), servicesOf(member.unreachable_services()) };
         table_.applyRelayedState({ member.vm() }, peer);
         context_.configurationProgress_.noteReported({ member.vm() }, member.configuration_version(), now);
     }
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -50,6 +50,9 @@
     std::vector<KnownPeer> live() const;
     /// Returns the peers that reported within \p maxAge.
     std::vector<KnownPeer> reportedWithin(milliseconds maxAge) const { return table_.reportedWithin(maxAge, steadyNow()); }
+    /// Returns the live peers that are not stopping and have not reported that they reach no
+    /// backend server of \p service.
+    std::vector<KnownPeer> peersReaching(const ServiceName& service) const;
     /// Returns whether all other nodes that reported within \p maxAge reported their
     /// counts within \p time. In a large fleet, returns whether the relays' sums cover
     /// nearly all known nodes and no node became unresponsive recently.
--- a/lib/Gateway/PeerTable.h
+++ b/lib/Gateway/PeerTable.h
@@ -32,6 +32,8 @@
     /// When the latest report of the node arrived here or at the relay that forwarded it;
     /// zero before the first one.
     SteadyTime receivedAt_ {};
+    /// Services of which the node reaches no backend server.
+    std::set<ServiceName> unreachableServices_ {};
 };
 
 using KnownPeer = std::pair<VmId, Peer>;
--- a/lib/Gateway/ReachabilityProbe.cpp
+++ b/lib/Gateway/ReachabilityProbe.cpp
@@ -49,6 +49,8 @@
     if (!isChanged)
         co_return;
     bool isLost = context_.paths_.isLost(service);
+    if (isLost)
+        context_.backends_.forgetFailures(service, steadyNow());
     logger_.info(LogLine(isLost ? "No backend server of the service is reachable from this node." : "Backend servers of the service are reachable again.").add("service", service.value_).add("probed", static_cast<std::int64_t>(sample.size())));
 }
 
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -34,6 +34,8 @@
     report.set_is_platform_lost(hooks_.isPlatformUnavailable_());
     report.set_is_reader(hooks_.isReader_());
     report.set_cores(settings.cores_);
+    for (const ServiceName& service : context_.paths_.lostServices())
+        report.add_unreachable_services(service.value_);
     report.set_registry_fingerprint(context_.backends_.fingerprint());
     putSuspects(context_.quarantine_.suspectsToReport(now, randomBits()), *report.mutable_suspects(), now);
     putRollouts(context_.rollouts_.states(), *report.mutable_rollouts(), now);
@@ -91,6 +93,8 @@
         entry.set_is_platform_lost(peer.isPlatformUnavailable_);
         entry.set_is_reader(peer.isReader_);
         entry.set_cores(peer.cores_);
+        for (const ServiceName& service : peer.unreachableServices_)
+            entry.add_unreachable_services(service.value_);
         entry.set_registry_fingerprint(peer.registryFingerprint_);
         entry.set_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(now - peer.receivedAt_).count())));
     }
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -170,6 +170,8 @@
     case wire::Frame::kLoanReply:
     case wire::Frame::kConfigurationFetch:
     case wire::Frame::kConfigurationUpdate:
+    case wire::Frame::kRelayOpen:
+    case wire::Frame::kRelayData:
     case wire::Frame::kAck:
     case wire::Frame::BODY_NOT_SET:
         break;
--- a/lib/Paths/ServicePaths.cpp
+++ b/lib/Paths/ServicePaths.cpp
@@ -85,6 +85,7 @@
     }
     ++path.failedRounds_;
     path.isLost_ = wasLost || path.failedRounds_ >= settings_.roundsToLose_;
+    path.lossCount_ += path.isLost_ && !wasLost;
     path.nextProbeAt_ = now + (path.isLost_ ? settings_.lostProbePeriod_ : settings_.retryDelay_);
     return path.isLost_ != wasLost;
 }
@@ -96,6 +97,13 @@
     return found != paths_.end() && found->second.isLost_;
 }
 
+std::uint64_t ServicePaths::lossCount(const ServiceName& service) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = paths_.find(service);
+    return found == paths_.end() ? 0 : found->second.lossCount_;
+}
+
 std::vector<ServiceName> ServicePaths::lostServices() const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -51,6 +51,8 @@
         "requests_quarantined",
         "backend_crashes",
         "datagrams_too_large",
+        "connections_relayed",
+        "connections_carried",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
