--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -10,6 +10,7 @@
 #include <CLI/CLI.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/endian/conversion.hpp>
+#include <deque>
 #include <iostream>
 #include <set>
 
@@ -21,6 +22,8 @@
 
 constexpr milliseconds pollPeriod { 10 };
 constexpr milliseconds defaultIdleTimeout { 60000 };
+// Time after which a brittle backend server that fell over serves again.
+constexpr milliseconds fallDuration { 2000 };
 constexpr const char* sealHeader = "X-Pistachioloom-Engine-Seal";
 constexpr const char* attemptIdHeader = "X-Pistachioloom-Attempt-Id";
 
@@ -107,7 +110,7 @@
     json::object control(const json::object& body)
     {
         controls_.update(body);
-        return { { "runs", runAttemptIds_ }, { "gone", abandonedRuns_ }, { "turned_away", rejected_ }, { "headers", headers_ }, { "moved", movedRuns_ }, { "port", port_ }, { "limited_arrivals", limitedArrivals_ }, { "resumed", resumeSources_ }, { "dropped", releasedHandles_ } };
+        return { { "runs", runAttemptIds_ }, { "gone", abandonedRuns_ }, { "turned_away", rejected_ }, { "headers", headers_ }, { "moved", movedRuns_ }, { "port", port_ }, { "falls", falls_ }, { "limited_arrivals", limitedArrivals_ }, { "resumed", resumeSources_ }, { "dropped", releasedHandles_ } };
     }
 
 private:
@@ -136,6 +139,13 @@
             answer.headers_["Server-Limit"] = std::to_string(static_cast<double>(controls_["limit_per_1000_s"]) / 1000);
             limitedArrivals_.emplace_back(std::chrono::duration_cast<milliseconds>(steadyNow().time_since_epoch()).count());
         }
+        if (controls_["brittle"] && !admitWhileBrittle(answer)) {
+            if (isDown())
+                exchange.abort();
+            else
+                (void)co_await exchange.respond(std::move(answer));
+            co_return;
+        }
         if (controls_["says_leaving"])
             answer.headers_["Server-Leaving"] = "1";
         if (controls_["full"]) {
@@ -162,6 +172,33 @@
         runningExchanges_.erase(&exchange);
     }
 
+    bool isDown() const { return steadyNow() < downUntil_; }
+
+    /// Whether a brittle server takes one more request. It rejects those beyond `brittle_slots`
+    /// and falls over when it has rejected more than `brittle` requests in a second.
+    bool admitWhileBrittle(HttpResponse& answer)
+    {
+        if (isDown())
+            return false;
+        answer.headers_["Server-Brittle"] = std::to_string(controls_["brittle"]);
+        if (runningExchanges_.size() < static_cast<std::size_t>(controls_["brittle_slots"]))
+            return true;
+        SteadyTime now = steadyNow();
+        answer.status_ = 503;
+        answer.headers_["X-Pistachioloom-Not-Executed"] = "1";
+        recentRejections_.push_back(now);
+        while (now - recentRejections_.front() > std::chrono::seconds(1))
+            recentRejections_.pop_front();
+        if (recentRejections_.size() <= static_cast<std::size_t>(controls_["brittle"]))
+            return false;
+        ++falls_;
+        recentRejections_.clear();
+        downUntil_ = now + fallDuration;
+        for (HttpExchange* exchange : runningExchanges_)
+            exchange->abort();
+        return false;
+    }
+
     asio::awaitable<void> answerRun(HttpExchange& exchange, HttpResponse answer)
     {
         const HttpRequest& request = exchange.request();
@@ -275,11 +312,15 @@
     std::set<HttpExchange*> runningExchanges_;
     HttpServer server_;
     std::uint16_t port_ = 0;
-    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
+    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "brittle", 0 }, { "brittle_slots", 8 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     /// Attempt ids of the requests that started to run, in order.
     json::array runAttemptIds_;
     /// Number of requests answered 503 without execution.
     std::int64_t rejected_ = 0;
+    std::deque<SteadyTime> recentRejections_;
+    SteadyTime downUntil_ {};
+    /// How often the server fell over.
+    std::int64_t falls_ = 0;
     /// Arrival times, in ms of steadyNow(), of the requests that came while a limit was stated.
     json::array limitedArrivals_;
     /// Attempt ids of event streams whose caller disconnected.
