The slots of a brittle server are divided among the nodes; all hold off after a rejection

The header was not read, and nodes that fill a server by loads that are some tenths of a second old overfill it together.

The word is one more kind of BackendStatement. Nine tenths of the slots are divided among the nodes that share the server, as a request limit is, so that their sum holds however old the nodes' picture of each other is; a request without a place goes to another server or is rejected at once. A rejection for want of capacity is told as a pause of 0.5 s, of which each node takes up to half as much again, at random.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -81,6 +81,9 @@
     Pause,
     /// The server takes a number of requests a second from all nodes together.
     RequestLimit,
+    /// The server fails if it has to reject more than a number of requests a second for want of
+    /// capacity.
+    Brittle,
 };
 
 std::string_view toString(ConditionKind kind);
@@ -89,8 +92,9 @@
 struct BackendStatement {
     BackendId backend_;
     ConditionKind kind_ = ConditionKind::Leaving;
-    /// The length of a pause in ms, or the requests a second of a limit. A limit of 0 means
-    /// that the server has none any more.
+    /// The length of a pause in ms, the requests a second of a limit, or the rejections a second
+    /// that a brittle server bears. 0 means that the server has no limit, or is not brittle, any
+    /// more.
     double value_ = 0;
     SteadyTime statedAt_ {};
 };
@@ -98,9 +102,13 @@
 /// The conditions that one answer states.
 struct StatedConditions {
     bool isLeaving_ = false;
-    std::optional<milliseconds> pause_;
+    std::optional<milliseconds> pause_ {};
     /// Requests a second from all nodes together; positive.
-    std::optional<double> requestLimit_;
+    std::optional<double> requestLimit_ {};
+    /// Rejections a second that the server bears; positive.
+    std::optional<double> maxRejections_ {};
+    /// The server rejected the request for want of capacity.
+    bool isFull_ = false;
 };
 
 /// The part of a backend server's request limit that one node may use.
@@ -262,6 +270,12 @@
     /// Time for which a backend server that reported that it is full is chosen only if
     /// there is no other.
     milliseconds fullBackoff_ { 100 };
+    /// Part of a brittle server's slots that all nodes together may take. A cancelled request may
+    /// hold its slot for longer than its node counts it.
+    double brittleFill_ = 0.9;
+    /// Pause for all nodes after a brittle server rejected a request for want of capacity. Each
+    /// node takes a random time of up to one and a half times as long.
+    milliseconds brittlePause_ { 500 };
     /// Upper bound of the pause that a backend server may ask for.
     milliseconds maxPause_ { 3'600'000 };
 };
@@ -305,6 +319,11 @@
     /// Applies a statement, unless a later one of the same kind is known.
     /// \returns whether this node did not know the condition.
     bool applyStatement(const BackendStatement& statement, SteadyTime now);
+    /// Returns the brittle backend servers, and how many of their slots the nodes may take.
+    std::vector<std::pair<BackendId, std::uint64_t>> brittleSlots() const;
+    /// Sets the number of requests that this node may have at a brittle server. Until then it
+    /// may have one.
+    void setSlotShare(const BackendId& id, std::uint64_t slots);
     /// Returns the backend servers that stated a limit, and their requests a second.
     std::vector<std::pair<BackendId, double>> requestLimits() const;
     /// Sets this node's share of the request limit of \p id. Until then, the node sends it no
@@ -421,14 +440,24 @@
         SteadyTime ejectedUntil_ {};
         /// End of the pause that the server asked for.
         SteadyTime pausedUntil_ {};
-        /// Requests a second that the server takes from all nodes; 0 without a limit.
-        double requestLimit_ = 0;
-        /// When the server last stated the limit, or that it has none.
-        SteadyTime limitStatedAt_ {};
+        /// A number that the server states in its answers for as long as it holds.
+        struct StatedNumber {
+            /// 0 if it does not hold.
+            double value_ = 0;
+            /// When the server last stated the number, or left it out.
+            SteadyTime statedAt_ {};
+        };
+        /// Requests a second that the server takes from all nodes.
+        StatedNumber requestLimit_;
+        /// Rejections a second that the server bears.
+        StatedNumber maxRejections_;
+        /// Requests that this node may have at the server while it is brittle. Nodes know each
+        /// other's loads too late to fill a server together.
+        std::uint64_t slotShare_ = 1;
         /// This node's part of the limit.
         RequestBucket bucket_;
 
-        bool takesRequests(SteadyTime now) const { return pausedUntil_ <= now && (!requestLimit_ || bucket_.canTake(now)); }
+        StatedNumber& numberOf(ConditionKind kind) { return kind == ConditionKind::Brittle ? maxRejections_ : requestLimit_; }
         /// Duration of the last ejection; 0 after a successful request.
         milliseconds ejectionTime_ {};
         /// Moving average of observed waits as multiples of their estimates; 1 if they
@@ -445,7 +474,10 @@
     };
 
     bool isUsable(const Backend& backend, SteadyTime now) const;
-    static bool applyLimit(Backend& backend, double limit, SteadyTime statedAt);
+    /// Whether \p backend takes a request of this node, as far as its conditions say.
+    bool takesRequests(const Backend& backend, SteadyTime now) const;
+    static bool applyNumber(Backend& backend, ConditionKind kind, double value, SteadyTime statedAt);
+    static void applyStatedNumber(Backend& backend, ConditionKind kind, const std::optional<double>& stated, SteadyTime sentAt, SteadyTime now, std::vector<BackendStatement>& statements);
     bool isReachableLocked(const DataCentreId& dataCentre) const;
     void noteReachable(const Backend& backend) { failedByDataCentre_.erase(backend.record_.dataCentre_); }
     /// Learns a service's speed. A least-squares fit with exponentially decaying weights
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -41,6 +41,8 @@
     std::string leaving_;
     /// The requests a second that the backend server takes from all nodes together.
     std::string limit_;
+    /// The rejections a second for want of capacity that the backend server bears.
+    std::string brittle_;
     /// The number of prompt tokens and the maximum number of output tokens.
     std::string tokenCount_;
     /// The parts of the prompt that other requests may share.
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -55,6 +55,8 @@
         return "pause";
     case ConditionKind::RequestLimit:
         return "request_limit";
+    case ConditionKind::Brittle:
+        return "brittle";
     }
     return "unknown";
 }
@@ -110,7 +112,7 @@
     if (found == backends_.end())
         return;
     releaseLoad(found->second, choice.uncachedTokens_, false);
-    if (found->second.requestLimit_)
+    if (found->second.requestLimit_.value_)
         found->second.bucket_.giveBack();
 }
 
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -163,7 +163,7 @@
     std::vector<Backend*> unreachable;
     std::vector<Backend*> degraded;
     for (auto& [id, backend] : backends_) {
-        if (backend.record_.service_ != shape.service_ || backend.record_.isLeaving_ || !backend.takesRequests(now) || excluded.contains(id))
+        if (backend.record_.service_ != shape.service_ || backend.record_.isLeaving_ || !takesRequests(backend, now) || excluded.contains(id))
             continue;
         if (backend.record_.isReclaimable_ && shape.reclaimedDataCentre_ == backend.record_.dataCentre_)
             continue;
@@ -211,7 +211,7 @@
         choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimate));
         choice.queueWait_ = milliseconds(static_cast<std::int64_t>(queueWaitMs(*backend, shape)));
     }
-    if (chosen->requestLimit_)
+    if (chosen->requestLimit_.value_)
         chosen->bucket_.take(now);
     chosen->ownLoad_.running_ += 1;
     chosen->ownLoad_.queuedTokens_ += choice.uncachedTokens_.value_;
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -106,45 +106,61 @@
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
-    if (found != backends_.end())
-        found->second.pausedUntil_ = std::max(found->second.pausedUntil_, now + std::min(pause, settings_.maxPause_));
+    if (found == backends_.end())
+        return;
+    pause = std::min(pause, settings_.maxPause_);
+    // Nodes that return to a brittle server at the same time would fill it again.
+    if (found->second.maxRejections_.value_)
+        pause += milliseconds(static_cast<std::int64_t>(randomBits() % static_cast<std::uint64_t>(pause.count() / 2 + 1)));
+    found->second.pausedUntil_ = std::max(found->second.pausedUntil_, now + pause);
 }
 
-bool BackendTable::applyLimit(Backend& backend, double limit, SteadyTime statedAt)
+bool BackendTable::applyNumber(Backend& backend, ConditionKind kind, double value, SteadyTime statedAt)
 {
-    if (statedAt <= backend.limitStatedAt_)
+    Backend::StatedNumber& number = backend.numberOf(kind);
+    if (statedAt <= number.statedAt_)
         return false;
-    backend.limitStatedAt_ = statedAt;
-    bool isChanged = backend.requestLimit_ != limit;
+    number.statedAt_ = statedAt;
+    bool isChanged = number.value_ != value;
     // A server that states a limit anew has no requests of the time before to its credit.
-    if (!backend.requestLimit_)
+    if (kind == ConditionKind::RequestLimit && !number.value_)
         backend.bucket_ = {};
-    backend.requestLimit_ = limit;
+    if (kind == ConditionKind::Brittle && !number.value_)
+        backend.slotShare_ = 1;
+    number.value_ = value;
     return isChanged;
 }
 
+/// Answers on different connections overtake each other: only a request that was sent after the
+/// number was stated shows that it does not hold any more.
+void BackendTable::applyStatedNumber(Backend& backend, ConditionKind kind, const std::optional<double>& stated, SteadyTime sentAt, SteadyTime now, std::vector<BackendStatement>& statements)
+{
+    const Backend::StatedNumber& number = backend.numberOf(kind);
+    bool hasEnded = !stated && number.value_ && sentAt > number.statedAt_;
+    if (!stated && !hasEnded)
+        return;
+    applyNumber(backend, kind, stated.value_or(0), now);
+    statements.push_back({ backend.record_.id_, kind, stated.value_or(0), now });
+}
+
 std::vector<BackendStatement> BackendTable::applyAnswer(const BackendId& id, const StatedConditions& stated, SteadyTime sentAt, SteadyTime now)
 {
     std::vector<BackendStatement> statements;
     if (stated.isLeaving_ && setLeaving(id, now))
         statements.push_back({ id, ConditionKind::Leaving, 0, now });
-    if (stated.pause_) {
-        setPause(id, *stated.pause_, now);
-        statements.push_back({ id, ConditionKind::Pause, static_cast<double>(stated.pause_->count()), now });
+    std::optional<milliseconds> pause = stated.pause_;
+    if (!pause && stated.maxRejections_ && stated.isFull_)
+        pause = settings_.brittlePause_;
+    if (pause) {
+        setPause(id, *pause, now);
+        statements.push_back({ id, ConditionKind::Pause, static_cast<double>(pause->count()), now });
     }
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
     if (found == backends_.end())
         return statements;
-    Backend& backend = found->second;
-    // Answers on different connections overtake each other: only a request that was sent after
-    // the limit was stated shows that it has ended.
-    bool hasEnded = !stated.requestLimit_ && backend.requestLimit_ && sentAt > backend.limitStatedAt_;
-    if (!stated.requestLimit_ && !hasEnded)
-        return statements;
-    double limit = stated.requestLimit_.value_or(0);
-    applyLimit(backend, limit, now);
-    statements.push_back({ id, ConditionKind::RequestLimit, limit, now });
+    applyStatedNumber(found->second, ConditionKind::RequestLimit, stated.requestLimit_, sentAt, now, statements);
+    applyStatedNumber(found->second, ConditionKind::Brittle, stated.maxRejections_, sentAt, now, statements);
     return statements;
 }
 
@@ -160,11 +176,39 @@
         return isNew;
     }
     case ConditionKind::RequestLimit:
+    case ConditionKind::Brittle:
         break;
     }
     std::lock_guard lock(mutex_);
     auto found = backends_.find(statement.backend_);
-    return found != backends_.end() && applyLimit(found->second, statement.value_, statement.statedAt_);
+    return found != backends_.end() && applyNumber(found->second, statement.kind_, statement.value_, statement.statedAt_);
+}
+
+std::vector<std::pair<BackendId, std::uint64_t>> BackendTable::brittleSlots() const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<std::pair<BackendId, std::uint64_t>> brittle;
+    for (const auto& [id, backend] : backends_) {
+        auto slots = static_cast<std::uint64_t>(settings_.brittleFill_ * static_cast<double>(backend.record_.slots_));
+        if (backend.maxRejections_.value_)
+            brittle.emplace_back(id, std::max<std::uint64_t>(1, slots));
+    }
+    return brittle;
+}
+
+void BackendTable::setSlotShare(const BackendId& id, std::uint64_t slots)
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    if (found != backends_.end())
+        found->second.slotShare_ = slots;
+}
+
+bool BackendTable::takesRequests(const Backend& backend, SteadyTime now) const
+{
+    if (backend.pausedUntil_ > now || (backend.requestLimit_.value_ && !backend.bucket_.canTake(now)))
+        return false;
+    return !backend.maxRejections_.value_ || backend.ownLoad_.running_ < backend.slotShare_;
 }
 
 std::vector<std::pair<BackendId, double>> BackendTable::requestLimits() const
@@ -172,8 +216,8 @@
     std::lock_guard lock(mutex_);
     std::vector<std::pair<BackendId, double>> limits;
     for (const auto& [id, backend] : backends_) {
-        if (backend.requestLimit_)
-            limits.emplace_back(id, backend.requestLimit_);
+        if (backend.requestLimit_.value_)
+            limits.emplace_back(id, backend.requestLimit_.value_);
     }
     return limits;
 }
@@ -193,12 +237,12 @@
     for (const auto& [id, backend] : backends_) {
         if (backend.record_.service_ != service || backend.record_.isLeaving_)
             continue;
-        if (backend.takesRequests(now))
+        if (takesRequests(backend, now))
             return std::nullopt;
         milliseconds wait = std::chrono::ceil<milliseconds>(std::max(SteadyTime::duration(0), backend.pausedUntil_ - now));
         // Without a share of its own, the node tells the caller when any node may send again.
-        if (backend.requestLimit_)
-            wait = std::max(wait, backend.bucket_.timeUntilNext(now).value_or(milliseconds(static_cast<std::int64_t>(1000 / backend.requestLimit_))));
+        if (backend.requestLimit_.value_)
+            wait = std::max(wait, backend.bucket_.timeUntilNext(now).value_or(milliseconds(static_cast<std::int64_t>(1000 / backend.requestLimit_.value_))));
         first = std::min(first.value_or(wait), wait);
     }
     return first;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -42,7 +42,7 @@
     HeaderFields fields;
     for (const auto& field : parser.get()) {
         std::string_view name = view(field.name_string());
-        if (!equalWithoutCase(name, names.leaving_) && !equalWithoutCase(name, names.limit_))
+        if (!equalWithoutCase(name, names.leaving_) && !equalWithoutCase(name, names.limit_) && !equalWithoutCase(name, names.brittle_))
             fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
     }
     return fields;
@@ -269,6 +269,8 @@
         stated.pause_ = parseRetryAfter(view(message[http::field::retry_after])).value_or(defaultPause);
     attempt.limit_ = view(message[context_.names_.limit_]);
     stated.requestLimit_ = parsePositiveDecimal(attempt.limit_);
+    stated.maxRejections_ = parsePositiveDecimal(view(message[context_.names_.brittle_]));
+    stated.isFull_ = message.result_int() == 503 && message.find(context_.names_.notRun_) != message.end();
     attempt.reportsLeaving_ = stated.isLeaving_;
     attempt.pause_ = stated.pause_.value_or(milliseconds(0));
     for (const BackendStatement& statement : context_.backends_.applyAnswer(attempt.choice_.backend_.id_, stated, attempt.sentAt_, steadyNow()))
--- a/lib/Gateway/BackendStatements.cpp
+++ b/lib/Gateway/BackendStatements.cpp
@@ -24,6 +24,8 @@
             return wire::BackendStatement::PAUSE;
         case ConditionKind::RequestLimit:
             return wire::BackendStatement::REQUEST_LIMIT;
+        case ConditionKind::Brittle:
+            return wire::BackendStatement::BRITTLE;
         }
         return wire::BackendStatement::UNKNOWN;
     }
@@ -34,6 +36,8 @@
             return ConditionKind::Pause;
         if (kind == wire::BackendStatement::REQUEST_LIMIT)
             return ConditionKind::RequestLimit;
+        if (kind == wire::BackendStatement::BRITTLE)
+            return ConditionKind::Brittle;
         return std::nullopt;
     }
 
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -253,11 +253,14 @@
 void PeerReports::shareRequestLimits(SteadyTime now)
 {
     auto limits = context_.backends_.requestLimits();
-    if (limits.empty())
+    auto brittle = context_.backends_.brittleSlots();
+    if (limits.empty() && brittle.empty())
         return;
     SharingNodes nodes = table_.sharingNodes(context_.isStopping_, now);
     for (const auto& [backend, limit] : limits)
         context_.backends_.setRequestShare(backend, requestShare(limit, backend, context_.settings_.vm_, nodes), now);
+    for (const auto& [backend, slots] : brittle)
+        context_.backends_.setSlotShare(backend, slotShare(slots, backend, context_.settings_.vm_, nodes));
 }
 
 void PeerReports::reportToAll()
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -120,7 +120,7 @@
     void applyTerminated(const google::protobuf::RepeatedPtrField<std::string>& terminated, const VmId& from, SteadyTime now);
     void logStatement(const BackendStatement& statement, const std::string& from) const;
     void applyStatements(const google::protobuf::RepeatedPtrField<wire::BackendStatement>& statements, const VmId& from, SteadyTime now);
-    /// Sets this node's shares of the request limits of backend servers.
+    /// Sets this node's shares of the request limits, and of the slots of brittle servers.
     void shareRequestLimits(SteadyTime now);
     void applyLeaving(const google::protobuf::RepeatedPtrField<std::string>& leaving, const VmId& from);
     void forgetCounts(const VmId& vm);
--- a/lib/Gateway/RequestShares.cpp
+++ b/lib/Gateway/RequestShares.cpp
@@ -20,6 +20,15 @@
 
 } // namespace
 
+std::uint64_t slotShare(std::uint64_t slots, const BackendId& backend, const VmId& self, const SharingNodes& nodes)
+{
+    if (std::find(nodes.live_.begin(), nodes.live_.end(), self) == nodes.live_.end())
+        return 0;
+    std::size_t sharers = std::max(nodes.known_, nodes.live_.size());
+    std::size_t rank = rendezvousRankOf(self, "slots/" + backend.value_, nodes.live_);
+    return slots / sharers + (rank < slots % sharers);
+}
+
 RequestShare requestShare(double limit, const BackendId& backend, const VmId& self, const SharingNodes& nodes)
 {
     if (limit <= 0 || std::find(nodes.live_.begin(), nodes.live_.end(), self) == nodes.live_.end())
--- a/lib/Gateway/RequestShares.h
+++ b/lib/Gateway/RequestShares.h
@@ -25,4 +25,8 @@
 /// the shares of all nodes admit at most 4 * limit and one burst, which is at most limit + 3.
 RequestShare requestShare(double limit, const BackendId& backend, const VmId& self, const SharingNodes& nodes);
 
+/// Returns how many of \p slots at \p backend \p self may take. The shares of all nodes add up
+/// to \p slots.
+std::uint64_t slotShare(std::uint64_t slots, const BackendId& backend, const VmId& self, const SharingNodes& nodes);
+
 } // namespace pistachioloom
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -532,6 +532,35 @@
     CHECK(chosen(table, plainRequest(), {}, at(1000)) == "x");
 }
 
+TEST_CASE("a brittle server is not filled, and left alone after it rejected a request", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    BackendRecord brittle = record("x");
+    brittle.slots_ = 16;
+    table.put(brittle);
+    auto at = [](std::int64_t ms) { return start + milliseconds(ms); };
+    StatedConditions stated { false, {}, {}, 2.0 };
+    REQUIRE(table.applyAnswer({ "x" }, stated, start, at(1)).size() == 1);
+    CHECK(table.brittleSlots() == std::vector<std::pair<BackendId, std::uint64_t>> { { { "x" }, 14 } });
+    // One request until the share is known.
+    CHECK(chosen(table, plainRequest(), {}, at(2)) == "x");
+    CHECK(chosen(table, plainRequest(), {}, at(2)).empty());
+    table.setSlotShare({ "x" }, 2);
+    CHECK(chosen(table, plainRequest(), {}, at(2)) == "x");
+    CHECK(chosen(table, plainRequest(), {}, at(2)).empty());
+    table.end({ "x" }, { BackendOutcome::Served, {}, false, {} }, at(3));
+    CHECK(chosen(table, plainRequest(), {}, at(8)) == "x");
+    table.end({ "x" }, { BackendOutcome::Served, {}, false, {} }, at(9));
+    stated.isFull_ = true;
+    CHECK(table.applyAnswer({ "x" }, stated, at(9), at(10)).size() == 2);
+    CHECK(chosen(table, plainRequest(), {}, at(509)).empty());
+    CHECK(chosen(table, plainRequest(), {}, at(760)) == "x");
+    // Without the statement the server is filled as any other.
+    CHECK(table.applyAnswer({ "x" }, {}, at(761), at(770)).size() == 1);
+    for (int i = 0; i < 10; ++i)
+        CHECK(chosen(table, plainRequest(), {}, at(771)) == "x");
+}
+
 TEST_CASE("requests for a service without backend servers count as demand", "[backends]")
 {
     BackendTable table({ "a" }, ChoiceSettings {});
--- a/unittests/Gateway/RequestSharesTest.cpp
+++ b/unittests/Gateway/RequestSharesTest.cpp
@@ -217,6 +217,29 @@
     CHECK(requestShare(2.5, backend, { "stopping" }, nodes) == RequestShare {});
 }
 
+TEST_CASE("the shares of a brittle server's slots add up to them", "[shares]")
+{
+    struct Row {
+        std::size_t nodes_;
+        std::uint64_t slots_;
+    };
+    auto row = GENERATE(values<Row>({ { 1, 7 }, { 9, 57 }, { 9, 5 }, { 63, 57 }, { 985, 57 } }));
+    CAPTURE(row.nodes_, row.slots_);
+    SharingNodes nodes;
+    for (std::size_t i = 0; i < row.nodes_; ++i)
+        nodes.live_.push_back({ "node-" + std::to_string(i) });
+    nodes.known_ = row.nodes_;
+    std::uint64_t sum = 0;
+    for (const VmId& vm : nodes.live_) {
+        std::uint64_t share = slotShare(row.slots_, backend, vm, nodes);
+        CHECK(share >= row.slots_ / row.nodes_);
+        CHECK(share <= row.slots_ / row.nodes_ + 1);
+        sum += share;
+    }
+    CHECK(sum == row.slots_);
+    CHECK(slotShare(row.slots_, backend, { "stopping" }, nodes) == 0);
+}
+
 TEST_CASE("a share that passes to another node starts without credit", "[shares]")
 {
     SteadyTime start { milliseconds(1000000) };
