--- a/include/pistachioloom/Paths.h
+++ b/include/pistachioloom/Paths.h
@@ -76,6 +76,8 @@
         bool isLost_ = false;
         std::uint64_t lossCount_ = 0;
         bool isBeingProbed_ = false;
+        /// Another service was lost.
+        bool isSuspected_ = false;
         /// New connections that failed since one was established.
         unsigned failedConnections_ = 0;
         /// Rounds of probes without an answer in a row.
--- a/lib/Gateway/BackendRelay.cpp
+++ b/lib/Gateway/BackendRelay.cpp
@@ -99,7 +99,8 @@
                 stream->cancel();
                 co_return;
             }
-            auto sent = co_await sendBytes(stream, buffer.substr(0, count));
+            std::string bytes = buffer.substr(0, count);
+            auto sent = co_await sendBytes(stream, std::move(bytes));
             if (!sent) {
                 abortSocket(*socket);
                 co_return;
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -12,6 +12,9 @@
 
 namespace pistachioloom {
 
+// Unreachable services in one report. A node refuses to carry connections to further ones.
+static constexpr std::size_t maxUnreachableServices = 64;
+
 /// Composes the part of a report that any node may receive: the identity of this node, and
 /// changes that concern all nodes and whose size is bounded.
 void PeerReports::composeIntroduction(wire::NodeReport& report, AdvertisedPeers amount)
@@ -34,8 +37,10 @@
     report.set_is_platform_lost(hooks_.isPlatformUnavailable_());
     report.set_is_reader(hooks_.isReader_());
     report.set_cores(settings.cores_);
-    for (const ServiceName& service : context_.paths_.lostServices())
-        report.add_unreachable_services(service.value_);
+    for (const ServiceName& service : context_.paths_.lostServices()) {
+        if (static_cast<std::size_t>(report.unreachable_services_size()) < maxUnreachableServices)
+            report.add_unreachable_services(service.value_);
+    }
     report.set_registry_fingerprint(context_.backends_.fingerprint());
     putSuspects(context_.quarantine_.suspectsToReport(now, randomBits()), *report.mutable_suspects(), now);
     putRollouts(context_.rollouts_.states(), *report.mutable_rollouts(), now);
--- a/lib/Paths/ServicePaths.cpp
+++ b/lib/Paths/ServicePaths.cpp
@@ -50,7 +50,7 @@
 
 bool ServicePaths::isSuspect(const Path& path, SteadyTime now) const
 {
-    if (path.isLost_ || path.failedRounds_ || path.failedConnections_ >= settings_.failuresToProbe_)
+    if (path.isLost_ || path.isSuspected_ || path.failedRounds_ || path.failedConnections_ >= settings_.failuresToProbe_)
         return true;
     if (path.waiting_.empty())
         return false;
@@ -79,13 +79,19 @@
     if (answered || !probed) {
         path.failedRounds_ = 0;
         path.failedConnections_ = 0;
+        path.isSuspected_ = false;
         path.isLost_ = false;
         path.nextProbeAt_ = now + settings_.successValidity_;
         return wasLost;
     }
     ++path.failedRounds_;
     path.isLost_ = wasLost || path.failedRounds_ >= settings_.roundsToLose_;
-    path.lossCount_ += path.isLost_ && !wasLost;
+    if (path.isLost_ && !wasLost) {
+        ++path.lossCount_;
+        // A node that loses its paths to one service has often lost those to the others.
+        for (auto& [other, otherPath] : paths_)
+            otherPath.isSuspected_ = true;
+    }
     path.nextProbeAt_ = now + (path.isLost_ ? settings_.lostProbePeriod_ : settings_.retryDelay_);
     return path.isLost_ != wasLost;
 }
--- a/unittests/Paths/PathsTest.cpp
+++ b/unittests/Paths/PathsTest.cpp
@@ -80,6 +80,18 @@
     CHECK(paths.lossCount(service) == 1);
 }
 
+TEST_CASE("the loss of one service makes the node probe the others", "[paths]")
+{
+    const ServiceName other { "other" };
+    ServicePaths paths;
+    paths.noteConnected(other);
+    lose(paths, 500);
+    CHECK(paths.takeDue(at(510)) == std::vector<ServiceName> { other });
+    CHECK_FALSE(paths.noteProbed(other, probed, 1, at(520)));
+    CHECK_FALSE(paths.isLost(other));
+    CHECK(paths.takeDue(at(2000)) == std::vector<ServiceName> { service });
+}
+
 TEST_CASE("one round without an answer, or a service without servers, is no loss", "[paths]")
 {
     ServicePaths paths;
