Attempts on lost paths are replaced at once; the first probe asks one server

Requests that were under way when a node lost its paths waited on their connections for 0.4 of their time, and resumable streams for 1.4 s. An attempt that may be replaced now checks each 250 ms whether the paths to its service were lost since it was sent, and goes on through a peer then.

A suspicion is mostly wrong (a slow answer on a quiet service), so that its first round probes one server; the next one probes four.

LostPaths and PathsTests pass.

--- a/include/pistachioloom/Paths.h
+++ b/include/pistachioloom/Paths.h
@@ -35,7 +35,8 @@
     milliseconds successValidity_ { 1000 };
     /// Time between rounds of probes of a lost service.
     milliseconds lostProbePeriod_ { 250 };
-    /// Backend servers that a round probes.
+    /// Backend servers that a round probes after one without an answer. The first round probes
+    /// one, since a suspicion is mostly wrong.
     std::size_t serversPerRound_ = 4;
 };
 
@@ -59,6 +60,8 @@
 
     /// Returns the services to probe now. Each is not returned again before noteProbed().
     std::vector<ServiceName> takeDue(SteadyTime now);
+    /// Returns the number of backend servers to probe in the round that takeDue() has begun.
+    std::size_t serversToProbe(const ServiceName& service) const;
     /// Notes a round of probes in which \p answered of \p probed backend servers accepted a
     /// connection.
     /// \returns whether the service was lost or found with this round.
@@ -69,7 +72,6 @@
     std::vector<ServiceName> lostServices() const;
     /// Returns how often \p service was lost. Connections that were open at a loss may hang.
     std::uint64_t lossCount(const ServiceName& service) const;
-    const PathSettings& settings() const { return settings_; }
 
 private:
     struct Path {
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -23,6 +23,8 @@
     // A request during which this many backend servers crashed is isolated from other
     // requests, because so many crashes are unlikely to be a coincidence.
     constexpr std::size_t crashesToIsolate = 2;
+    // Interval at which a waiting attempt that can be replaced checks its paths.
+    constexpr milliseconds pathCheckPeriod { 250 };
     // The largest urgency value, which is the least urgent.
     constexpr unsigned maxUrgency = 9;
 
@@ -119,7 +121,7 @@
 
 void RequestForwarder::armTimer()
 {
-    timer_.expires_at(std::min(deadline_, waitDeadline_));
+    timer_.expires_at(std::min({ deadline_, waitDeadline_, pathCheckAt_ }));
     timer_.async_wait([self = shared_from_this()](const boost::system::error_code& code) {
         if (!code)
             self->onTimer();
@@ -137,9 +139,20 @@
         waitDeadline_ = SteadyTime::max();
         stop(StopReason::WaitLimitExceeded);
     }
+    if (now >= pathCheckAt_)
+        checkPaths(now);
     armTimer();
 }
 
+/// Gives up an attempt whose paths were lost after it was sent: its connection may hang.
+void RequestForwarder::checkPaths(SteadyTime now)
+{
+    bool isLost = context_.paths_.lossCount(shape_.service_) != lossCount_;
+    pathCheckAt_ = isLost ? SteadyTime::max() : now + pathCheckPeriod;
+    if (isLost)
+        stop(StopReason::WaitLimitExceeded);
+}
+
 void RequestForwarder::stop(StopReason reason)
 {
     stopReason_ = reason;
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -164,6 +164,7 @@
     // Deadlines and timers.
     void armTimer();
     void onTimer();
+    void checkPaths(SteadyTime now);
     void stop(StopReason reason);
     milliseconds timeLeft() const;
     bool isHead() const { return equalWithoutCase(request_.method_, "HEAD"); }
@@ -187,6 +188,11 @@
     /// The end of the wait limit of the current attempt; SteadyTime::max() if it has
     /// none.
     SteadyTime waitDeadline_ {};
+    /// When to check next whether the paths of the current attempt are lost; SteadyTime::max()
+    /// if the attempt could not be replaced.
+    SteadyTime pathCheckAt_ = SteadyTime::max();
+    /// ServicePaths::lossCount() when the current attempt was sent.
+    std::uint64_t lossCount_ = 0;
     SteadyTimer timer_;
     StopReason stopReason_ = StopReason::None;
     BackendConnectionPtr currentConnection_;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -207,6 +207,10 @@
         if (route_->isStream_)
             waitLimit = std::min(waitLimit, std::max(waitLimitFactor * route_->objective_, attempt.choice_.estimate_ * 2));
         waitDeadline_ = steadyNow() + waitLimit;
+        if (!attempt.isRelayed_) {
+            lossCount_ = context_.paths_.lossCount(shape_.service_);
+            checkPaths(steadyNow());
+        }
         armTimer();
     }
     startWriting(attempt);
@@ -214,6 +218,7 @@
     if (std::exchange(attempt.isWaiting_, false))
         context_.paths_.noteEnded(shape_.service_, attempt.sentAt_);
     waitDeadline_ = SteadyTime::max();
+    pathCheckAt_ = SteadyTime::max();
     if (end != SendOutcome::Delivered && attempt.connection_)
         attempt.connection_->abort();
     if ((end == SendOutcome::Lost) && (stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded)) {
--- a/lib/Gateway/ReachabilityProbe.cpp
+++ b/lib/Gateway/ReachabilityProbe.cpp
@@ -37,7 +37,7 @@
 /// The attempts run on the event loop of this coroutine, so that the round needs no lock.
 asio::awaitable<void> ReachabilityProbe::probeService(ServiceName service)
 {
-    std::vector<BackendRecord> sample = context_.backends_.sampleOf(service, context_.paths_.settings().serversPerRound_);
+    std::vector<BackendRecord> sample = context_.backends_.sampleOf(service, context_.paths_.serversToProbe(service));
     auto round = std::make_shared<ProbeRound>();
     auto executor = co_await asio::this_coro::executor;
     for (const BackendRecord& backend : sample)
--- a/lib/Paths/ServicePaths.cpp
+++ b/lib/Paths/ServicePaths.cpp
@@ -70,6 +70,14 @@
     return due;
 }
 
+std::size_t ServicePaths::serversToProbe(const ServiceName& service) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = paths_.find(service);
+    bool isFirstRound = found == paths_.end() || (!found->second.isLost_ && !found->second.failedRounds_);
+    return isFirstRound ? 1 : settings_.serversPerRound_;
+}
+
 bool ServicePaths::noteProbed(const ServiceName& service, std::size_t probed, std::size_t answered, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
--- a/unittests/Paths/PathsTest.cpp
+++ b/unittests/Paths/PathsTest.cpp
@@ -27,8 +27,10 @@
     paths.noteConnectionFailed(service);
     paths.noteConnectionFailed(service);
     REQUIRE(isDue(paths, ms - 200));
+    CHECK(paths.serversToProbe(service) == 1);
     CHECK_FALSE(paths.noteProbed(service, probed, 0, at(ms - 200)));
     REQUIRE(isDue(paths, ms));
+    CHECK(paths.serversToProbe(service) == PathSettings {}.serversPerRound_);
     CHECK(paths.noteProbed(service, probed, 0, at(ms)));
     REQUIRE(paths.isLost(service));
 }
