--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -446,6 +446,8 @@
             double value_ = 0;
             /// When the server last stated the number, or left it out.
             SteadyTime statedAt_ {};
+
+            bool holds() const { return value_ > 0; }
         };
         /// Requests a second that the server takes from all nodes.
         StatedNumber requestLimit_;
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -112,7 +112,7 @@
     if (found == backends_.end())
         return;
     releaseLoad(found->second, choice.uncachedTokens_, false);
-    if (found->second.requestLimit_.value_)
+    if (found->second.requestLimit_.holds())
         found->second.bucket_.giveBack();
 }
 
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -211,7 +211,7 @@
         choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimate));
         choice.queueWait_ = milliseconds(static_cast<std::int64_t>(queueWaitMs(*backend, shape)));
     }
-    if (chosen->requestLimit_.value_)
+    if (chosen->requestLimit_.holds())
         chosen->bucket_.take(now);
     chosen->ownLoad_.running_ += 1;
     chosen->ownLoad_.queuedTokens_ += choice.uncachedTokens_.value_;
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -110,7 +110,7 @@
         return;
     pause = std::min(pause, settings_.maxPause_);
     // Nodes that return to a brittle server at the same time would fill it again.
-    if (found->second.maxRejections_.value_)
+    if (found->second.maxRejections_.holds())
         pause += milliseconds(static_cast<std::int64_t>(randomBits() % static_cast<std::uint64_t>(pause.count() / 2 + 1)));
     found->second.pausedUntil_ = std::max(found->second.pausedUntil_, now + pause);
 }
@@ -123,9 +123,9 @@
     number.statedAt_ = statedAt;
     bool isChanged = number.value_ != value;
     // A server that states a limit anew has no requests of the time before to its credit.
-    if (kind == ConditionKind::RequestLimit && !number.value_)
+    if (kind == ConditionKind::RequestLimit && !number.holds())
         backend.bucket_ = {};
-    if (kind == ConditionKind::Brittle && !number.value_)
+    if (kind == ConditionKind::Brittle && !number.holds())
         backend.slotShare_ = 1;
     number.value_ = value;
     return isChanged;
@@ -136,7 +136,7 @@
 void BackendTable::applyStatedNumber(Backend& backend, ConditionKind kind, const std::optional<double>& stated, SteadyTime sentAt, SteadyTime now, std::vector<BackendStatement>& statements)
 {
     const Backend::StatedNumber& number = backend.numberOf(kind);
-    bool hasEnded = !stated && number.value_ && sentAt > number.statedAt_;
+    bool hasEnded = !stated && number.holds() && sentAt > number.statedAt_;
     if (!stated && !hasEnded)
         return;
     applyNumber(backend, kind, stated.value_or(0), now);
@@ -190,7 +190,7 @@
     std::vector<std::pair<BackendId, std::uint64_t>> brittle;
     for (const auto& [id, backend] : backends_) {
         auto slots = static_cast<std::uint64_t>(settings_.brittleFill_ * static_cast<double>(backend.record_.slots_));
-        if (backend.maxRejections_.value_)
+        if (backend.maxRejections_.holds())
             brittle.emplace_back(id, std::max<std::uint64_t>(1, slots));
     }
     return brittle;
@@ -206,9 +206,9 @@
 
 bool BackendTable::takesRequests(const Backend& backend, SteadyTime now) const
 {
-    if (backend.pausedUntil_ > now || (backend.requestLimit_.value_ && !backend.bucket_.canTake(now)))
+    if (backend.pausedUntil_ > now || (backend.requestLimit_.holds() && !backend.bucket_.canTake(now)))
         return false;
-    return !backend.maxRejections_.value_ || backend.ownLoad_.running_ < backend.slotShare_;
+    return !backend.maxRejections_.holds() || backend.ownLoad_.running_ < backend.slotShare_;
 }
 
 std::vector<std::pair<BackendId, double>> BackendTable::requestLimits() const
@@ -216,7 +216,7 @@
     std::lock_guard lock(mutex_);
     std::vector<std::pair<BackendId, double>> limits;
     for (const auto& [id, backend] : backends_) {
-        if (backend.requestLimit_.value_)
+        if (backend.requestLimit_.holds())
             limits.emplace_back(id, backend.requestLimit_.value_);
     }
     return limits;
@@ -241,7 +241,7 @@
             return std::nullopt;
         milliseconds wait = std::chrono::ceil<milliseconds>(std::max(SteadyTime::duration(0), backend.pausedUntil_ - now));
         // Without a share of its own, the node tells the caller when any node may send again.
-        if (backend.requestLimit_.value_)
+        if (backend.requestLimit_.holds())
             wait = std::max(wait, backend.bucket_.timeUntilNext(now).value_or(milliseconds(static_cast<std::int64_t>(1000 / backend.requestLimit_.value_))));
         first = std::min(first.value_or(wait), wait);
     }
--- a/lib/Forward/ConnectionPool.h
+++ b/lib/Forward/ConnectionPool.h
@@ -42,6 +42,7 @@
     /// and its bytes arrive at the time at which it completes.
     bool isReceiveBufferEmpty() const;
 
+    // NOLINTBEGIN(readability-identifier-naming): Asio requires these names of a stream.
     executor_type get_executor() { return socket_.get_executor(); }
 
     template <typename Buffers, typename Token>
@@ -69,6 +70,7 @@
             },
             token, buffers);
     }
+    // NOLINTEND(readability-identifier-naming)
 
     asio::ip::tcp::socket socket_;
     /// Set for a connection through a peer, whose socket is not open.
--- a/lib/Gateway/BackendRelay.cpp
+++ b/lib/Gateway/BackendRelay.cpp
@@ -8,6 +8,7 @@
 #include "generated/Peer.pb.h"
 
 #include <algorithm>
+#include <boost/asio.hpp>
 
 namespace pistachioloom {
 
--- a/lib/Gateway/ReachabilityProbe.cpp
+++ b/lib/Gateway/ReachabilityProbe.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "ReachabilityProbe.h"
 
+#include <boost/asio.hpp>
+
 namespace pistachioloom {
 
 namespace {
