Loss of paths and ends of servers are judged by servers that were alive last

Four refused connections then looked like lost paths, and a node refused or relayed what it could have served; and a crash was not counted, since the servers that were to show that the node reaches others were dead as well.

Probes now take, of each data centre, the servers that registered, connected or answered last. BackendsTests has the case: with 30 dead servers registered, the two that are alive are in the sample of four.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -383,8 +383,9 @@
     /// Discards the failures of the backend servers of \p service. They say nothing of the
     /// servers if this node has lost its paths to all of them.
     void forgetFailures(const ServiceName& service, SteadyTime now);
-    /// Returns up to \p count random backend servers of \p service that take new requests, of as
-    /// many data centres as possible.
+    /// Returns up to \p count backend servers of \p service that take new requests, of as many data
+    /// centres as possible, and of each those that showed last that they are alive: by
+    /// registering, or by a connection or an answer.
     std::vector<BackendRecord> sampleOf(const ServiceName& service, std::size_t count) const;
     /// Whether \p dataCentre counts as reachable from this node.
     bool isReachable(const DataCentreId& dataCentre) const;
@@ -433,6 +434,8 @@
         std::uint64_t hash_ = 0;
         std::uint64_t nameHash_ = 0;
         BackendKey key_ = 0;
+        /// Orders the servers by when they last showed that they are alive.
+        std::uint64_t aliveOrder_ = 0;
         BackendLoad ownLoad_;
         BackendLoad peerLoad_;
         /// Consecutive failures.
@@ -481,7 +484,11 @@
     static bool applyNumber(Backend& backend, ConditionKind kind, double value, SteadyTime statedAt);
     static void applyStatedNumber(Backend& backend, ConditionKind kind, const std::optional<double>& stated, SteadyTime sentAt, SteadyTime now, std::vector<BackendStatement>& statements);
     bool isReachableLocked(const DataCentreId& dataCentre) const;
-    void noteReachable(const Backend& backend) { failedByDataCentre_.erase(backend.record_.dataCentre_); }
+    void noteReachable(Backend& backend)
+    {
+        backend.aliveOrder_ = ++lastAliveOrder_;
+        failedByDataCentre_.erase(backend.record_.dataCentre_);
+    }
     /// Learns a service's speed. A least-squares fit with exponentially decaying weights
     /// maps prompt tokens to waits; its slope is the time to read one token.
     struct ServiceEstimator {
@@ -531,6 +538,7 @@
     const DataCentreId ownDataCentre_;
     const ChoiceSettings settings_;
     mutable std::mutex mutex_;
+    std::uint64_t lastAliveOrder_ = 0;
     std::map<BackendId, Backend> backends_;
     /// The value of fingerprint(); nullopt after a change.
     mutable std::optional<std::uint64_t> fingerprint_;
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -237,22 +237,23 @@
 
 std::vector<BackendRecord> BackendTable::sampleOf(const ServiceName& service, std::size_t count) const
 {
-    std::map<DataCentreId, std::vector<BackendRecord>> byDataCentre;
+    using Candidate = std::pair<std::uint64_t, BackendRecord>;
+    std::map<DataCentreId, std::vector<Candidate>> byDataCentre;
     {
         std::lock_guard lock(mutex_);
         for (const auto& [id, backend] : backends_) {
             if (backend.record_.service_ == service && !backend.record_.isLeaving_)
-                byDataCentre[backend.record_.dataCentre_].push_back(backend.record_);
+                byDataCentre[backend.record_.dataCentre_].emplace_back(backend.aliveOrder_, backend.record_);
         }
     }
+    for (auto& [dataCentre, candidates] : byDataCentre)
+        std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) { return left.first < right.first; });
     std::vector<BackendRecord> sample;
     while (sample.size() < count && !byDataCentre.empty()) {
         for (auto next = byDataCentre.begin(); next != byDataCentre.end() && sample.size() < count;) {
-            std::vector<BackendRecord>& records = next->second;
-            std::swap(records[randomBits() % records.size()], records.back());
-            sample.push_back(std::move(records.back()));
-            records.pop_back();
-            next = records.empty() ? byDataCentre.erase(next) : std::next(next);
+            sample.push_back(std::move(next->second.back().second));
+            next->second.pop_back();
+            next = next->second.empty() ? byDataCentre.erase(next) : std::next(next);
         }
     }
     return sample;
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -32,6 +32,8 @@
     newest = record.startTime_;
     bool isNew = !backends_.contains(record.id_);
     Backend& backend = backends_[record.id_];
+    if (isNew)
+        backend.aliveOrder_ = ++lastAliveOrder_;
     // A leaving backend server never takes new requests again under the same id.
     bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_ || removedLeaving_.contains(record.id_);
     backend.record_ = record;
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -561,6 +561,28 @@
         CHECK(chosen(table, plainRequest(), {}, at(771)) == "x");
 }
 
+TEST_CASE("servers that are long dead are probed instead of those that answered last", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    for (int i = 0; i < 30; ++i)
+        table.put(record("dead-" + std::to_string(i)));
+    table.put(record("answered"));
+    table.put(record("remote-dead", "b"));
+    table.put(record("remote", "b"));
+    table.put(record("leaving"));
+    table.setLeaving({ "leaving" }, start);
+    table.noteReachable({ "remote" });
+    table.noteReachable({ "answered" });
+    // A record that is repeated says nothing new; the first one of a server does.
+    table.put(record("dead-7"));
+    table.put(record("new"));
+    std::set<std::string> sampled;
+    for (const BackendRecord& sample : table.sampleOf(service, 4))
+        sampled.insert(sample.id_.value_);
+    CHECK(sampled == std::set<std::string> { "answered", "new", "remote", "remote-dead" });
+    CHECK(table.sampleOf(service, 100).size() == 34);
+}
+
 TEST_CASE("requests for a service without backend servers count as demand", "[backends]")
 {
     BackendTable table({ "a" }, ChoiceSettings {});
