Servers that failed last are not those that were alive last

An attempt that broke off, a refused connection and a notice of termination now put a server last, and six servers instead of two are tried.

--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -296,11 +296,13 @@
         fingerprint_.reset();
         return;
     case BackendOutcome::Unreachable:
+        backend.aliveOrder_ = 0;
         failedByDataCentre_[backend.record_.dataCentre_].insert(id);
         backend.consecutiveFailures_ = std::max(backend.consecutiveFailures_, settings_.failuresToEject_);
         recordFailure(backend, now);
         return;
     case BackendOutcome::Broken:
+        backend.aliveOrder_ = 0;
         failedByDataCentre_[backend.record_.dataCentre_].insert(id);
         backend.failedShare_ += learningRate * (1 - backend.failedShare_);
         recordFailure(backend, now);
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -100,8 +100,10 @@
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
-    if (found != backends_.end())
-        found->second.ejectedUntil_ = std::max(found->second.ejectedUntil_, now + settings_.maxEjection_);
+    if (found == backends_.end())
+        return;
+    found->second.aliveOrder_ = 0;
+    found->second.ejectedUntil_ = std::max(found->second.ejectedUntil_, now + settings_.maxEjection_);
 }
 
 void BackendTable::setPause(const BackendId& id, milliseconds pause, SteadyTime now)
--- a/lib/Forward/LivenessProbe.cpp
+++ b/lib/Forward/LivenessProbe.cpp
@@ -14,7 +14,7 @@
 // probe follows after this delay.
 static constexpr milliseconds reprobeDelay { 150 };
 // Other backend servers that are tried before one is taken for terminated.
-static constexpr std::size_t controlProbes = 2;
+static constexpr std::size_t controlProbes = 6;
 
 static const Logger& logger()
 {
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -580,6 +580,13 @@
     for (const BackendRecord& sample : table.sampleOf(service, 4))
         sampled.insert(sample.id_.value_);
     CHECK(sampled == std::set<std::string> { "answered", "new", "remote", "remote-dead" });
+    // A server that crashed after it answered is none of those that are alive.
+    table.noteReachable({ "dead-1" });
+    table.end({ "dead-1" }, { BackendOutcome::Broken, {}, false, {} }, start);
+    table.noteReachable({ "dead-2" });
+    table.setTerminated({ "dead-2" }, start);
+    for (const BackendRecord& sample : table.sampleOf(service, 4))
+        CHECK(sampled.contains(sample.id_.value_));
     CHECK(table.sampleOf(service, 100).size() == 34);
 }
 
