--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -51,6 +51,9 @@
     std::string urgency_;
     /// The id of the last event that the caller has received.
     std::string lastEvent_;
+    /// In a request that resumes a stream, the id of the caller's attempt that brought the
+    /// stream's first event.
+    std::string resumes_;
     /// The location of the KV cache from which a moved stream resumes.
     std::string resumeFrom_;
     /// Headers that only this system sets. They are removed from callers' requests.
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -404,11 +404,13 @@
     LogLine line("Attempt ended.");
     line.add("id", attemptId_).add("outcome", toString(outcome)).add("why", attempt.detail_).add("status", latestStatus_).add("attempt", sendCount_);
     line.add("route", route_->name_).add("organisation", organisation_ ? organisation_->name_.value_ : "").add("configuration", static_cast<std::int64_t>(table_->version()));
-    line.add("backend", choice.backend_.id_.value_).add("service", shape_.service_.value_).add("data_centre", choice.backend_.dataCentre_.value_).add("candidates", static_cast<std::int64_t>(choice.candidateCount_));
+    line.add("backend", choice.backend_.id_.value_).add("service", shape_.service_.value_).add("version", choice.backend_.version_.value_).add("data_centre", choice.backend_.dataCentre_.value_).add("candidates", static_cast<std::int64_t>(choice.candidateCount_));
     line.add("estimate_ms", choice.estimate_.count()).add("running", static_cast<std::int64_t>(choice.running_)).add("queued_tokens", static_cast<std::int64_t>(choice.queuedTokensAhead_.value_)).add("uncached_tokens", static_cast<std::int64_t>(choice.uncachedTokens_.value_));
     line.add("charged", static_cast<std::int64_t>(quotaCost_)).add("shared_part", shape_.parts_.size() < 2 ? "" : shape_.parts_[shape_.parts_.size() - 2].id_);
-    if (route_->isStream_)
-        line.add("last_event", eventSplitter_.last() ? static_cast<std::int64_t>(*eventSplitter_.last()) : 0);
+    if (route_->isStream_) {
+        line.add("after_event", static_cast<std::int64_t>(attempt.lastEventBefore_)).add("last_event", static_cast<std::int64_t>(eventSplitter_.last().value_or(0)));
+        line.add("resumes", request_.field(context_.names_.resumes_));
+    }
     if (attempt.reportsLeaving_)
         line.add("leaving", true);
     if (attempt.pause_.count())
