--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -289,7 +289,8 @@
                 exchange.abort();
                 co_return;
             }
-            std::string event = "id: " + std::to_string(id) + "\ndata: event " + std::to_string(id) + "\n\n";
+            std::string sender = controls_["names_sender"] ? " from " + id_ : "";
+            std::string event = "id: " + std::to_string(id) + "\ndata: event " + std::to_string(id) + sender + "\n\n";
             auto written = co_await exchange.writeChunk(std::move(event));
             if (!written) {
                 abandonedRuns_.emplace_back(exchange.request().header("x-pistachioloom-attempt-id"));
@@ -312,7 +313,7 @@
     std::set<HttpExchange*> runningExchanges_;
     HttpServer server_;
     std::uint16_t port_ = 0;
-    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "brittle", 0 }, { "brittle_slots", 8 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
+    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "brittle", 0 }, { "brittle_slots", 8 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "names_sender", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     /// Attempt ids of the requests that started to run, in order.
     json::array runAttemptIds_;
     /// Number of requests answered 503 without execution.
