A stream goes on only at the software version that sent its first event

Within one answer, retries after the first event and moves took any server of the service; a caller that resumed at another node was served as a new request, since only the node that had served the first attempt knew its version.

The software (service and version) of the server that sends the first event is now a property of the request: every later choice, moves included, is restricted to servers with it, instead of a roll-out's rule for retries. An unknown origin is refused at once (503, not run), unless the service has had one software for as long as the stream can have run, by a list that was current all the while. A version that has left, or was reverted, is refused without a Retry-After. A stream whose only servers are full or broke off waits for them.

Tried first: coroutines that return a value from within a condition (if (!a && co_await b())); GCC 12 corrupts their frames.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -33,6 +33,11 @@
 /// The version of the software that a backend server runs.
 using BackendVersion = Id<struct BackendVersionTag>;
 
+/// Identifies a version of the software of a service's backend servers, by a hash of both.
+using SoftwareKey = Quantity<struct SoftwareKeyTag>;
+
+SoftwareKey softwareKeyOf(const ServiceName& service, const BackendVersion& version);
+
 /// Returns the id of the incarnation of \p name that started at \p start.
 BackendId backendId(const BackendName& name, BackendStartTime start);
 
@@ -159,6 +164,9 @@
     /// of one data centre are reclaimed together, so that none of them is chosen.
     std::optional<DataCentreId> reclaimedDataCentre_;
     std::optional<VersionRule> version_;
+    /// Set for a stream that has begun. What different software writes does not fit together,
+    /// so that only backend servers with this software are chosen.
+    std::optional<SoftwareKey> software_ {};
 };
 
 /// A backend server's id, hashed to 32 bits for messages. Among 2,100 servers the
@@ -331,9 +339,14 @@
     void setRequestShare(const BackendId& id, RequestShare share, SteadyTime now);
     /// Returns the time until the first backend server of \p service takes a request of this
     /// node, if all of them are paused or have no part of their limit left for it. Leaving
-    /// servers do not count. Returns nullopt if a server takes requests now, or if there are
-    /// none.
-    std::optional<milliseconds> timeUntilUsable(const ServiceName& service, SteadyTime now) const;
+    /// servers do not count, nor do those with other software than \p software, if it is set.
+    /// Returns nullopt if a server takes requests now, or if there are none.
+    std::optional<milliseconds> timeUntilUsable(const ServiceName& service, const std::optional<SoftwareKey>& software, SteadyTime now) const;
+    /// Returns the service of which backend servers with \p software take new requests.
+    std::optional<ServiceName> serviceServing(SoftwareKey software) const;
+    /// Returns the software of the backend servers of \p service, if all of those that were
+    /// registered at any time since \p since have the same.
+    std::optional<SoftwareKey> soleSoftware(const ServiceName& service, SteadyTime since, SteadyTime now);
     /// Whether a request for which \p id was chosen may still be sent there.
     bool mayReceive(const BackendId& id, SteadyTime now) const;
     std::vector<BackendRecord> records() const;
@@ -434,6 +447,7 @@
         std::uint64_t hash_ = 0;
         std::uint64_t nameHash_ = 0;
         BackendKey key_ = 0;
+        SoftwareKey software_ {};
         /// Orders the servers by when they last showed that they are alive.
         std::uint64_t aliveOrder_ = 0;
         BackendLoad ownLoad_;
@@ -531,6 +545,7 @@
     void sumPeerLoads(SteadyTime now);
     /// Discards the record of \p id and everything learnt about it.
     void forget(const BackendId& id);
+    void rememberSoftware(const Backend& backend, std::optional<SteadyTime> removedAt);
     /// Notes that \p id is leaving although it has no record, so that a record that
     /// arrives later is marked as leaving.
     void rememberLeaving(const BackendId& id, SteadyTime now);
@@ -547,6 +562,9 @@
     /// Leaving servers without a record, and the time at which each of them was reported
     /// as leaving or removed.
     std::map<BackendId, SteadyTime> removedLeaving_;
+    /// Software of which a backend server was removed, by service, and when the last one was;
+    /// nullopt if the time has not been noted yet.
+    std::map<ServiceName, std::map<SoftwareKey, std::optional<SteadyTime>>> removedSoftware_;
     /// Names of removed servers, oldest first.
     std::deque<BackendName> removedNames_;
     std::map<VmId, PeerLoads> peers_;
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -9,6 +9,7 @@
 
 #include "pistachioloom/Admission.h"
 #include "pistachioloom/Backends.h"
+#include "pistachioloom/Origins.h"
 #include "pistachioloom/Paths.h"
 #include "pistachioloom/Quarantine.h"
 #include "pistachioloom/Quota.h"
@@ -102,6 +103,14 @@
     std::function<void()> reset_;
 };
 
+/// The origin of a stream that a caller resumes.
+struct FoundOrigin {
+    /// nullopt if no node knows it.
+    std::optional<StreamOrigin> origin_;
+    /// Who knows it, for logs.
+    std::string source_;
+};
+
 /// Callbacks from request forwarding into the rest of the node.
 struct ForwardHooks {
     /// Called once per request of \p organisation, when the first byte of an answer shows
@@ -115,6 +124,14 @@
     /// no server. Errors: Errc::NotFound if no peer reaches the service either. The request
     /// has not been sent in any case.
     std::function<asio::awaitable<Result<RelayedConnection>>(BackendRecord backend, milliseconds timeout)> openRelayed_;
+    /// Called before the first event of a stream is forwarded. Other nodes must learn of
+    /// \p origin.
+    std::function<void(StreamKey stream, StreamOrigin origin)> tellOrigin_ = [](StreamKey, const StreamOrigin&) {};
+    /// Finds the origin of a stream that a caller resumes, here or at other nodes.
+    std::function<asio::awaitable<FoundOrigin>(StreamKey stream)> findOrigin_ = [](StreamKey) -> asio::awaitable<FoundOrigin> { co_return FoundOrigin { std::nullopt, "unknown" }; };
+    /// Returns the time since which this node's list of backend servers has always been current;
+    /// nullopt if it is not.
+    std::function<std::optional<SteadyTime>()> registryCurrentSince_ = [] { return std::nullopt; };
     /// \returns the current configuration, or nullptr before the first.
     std::function<std::shared_ptr<const RouteTable>()> table_;
     /// Copies a stream's KV cache. A second copy of the same cache transfers only the
--- a/include/pistachioloom/Rollout.h
+++ b/include/pistachioloom/Rollout.h
@@ -267,6 +267,15 @@
     };
     /// The versions that a request of \p service on \p route may be sent to; nullopt for any.
     std::optional<VersionRule> assign(const ServiceName& service, RouteKey route, SendKind send, SteadyTime now);
+    /// Whether streams may go on at the software that began them.
+    enum class Continuation {
+        Allowed,
+        /// The target gets no requests for now.
+        Paused,
+        /// The target was reverted.
+        Ended,
+    };
+    Continuation continuationAt(const ServiceName& service, SoftwareKey software, SteadyTime now) const;
     /// Counts a request that was sent to a backend server of \p service.
     void noteSent(const ServiceName& service, const BackendVersion& version);
     void noteAnswer(const ServiceName& service, const RolloutAnswer& answer);
@@ -292,6 +301,8 @@
         std::map<RouteKey, double> dueToTarget_;
     };
 
+    double trialShare(const Entry& entry, SteadyTime now) const;
+
     const RolloutSettings settings_;
     mutable std::mutex mutex_;
     std::map<ServiceName, Entry> entries_;
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -109,6 +109,15 @@
     ConnectionsRelayed,
     /// Connections to backend servers that this node opened for peers.
     ConnectionsCarried,
+    /// Streams that callers resumed and whose software is known.
+    StreamsResumed,
+    /// Streams that callers resumed and whose software is not known.
+    ResumptionsUnknown,
+    /// Streams that callers resumed, or that broke off, and whose software serves no more.
+    StreamsUnserved,
+    /// Streams whose origin was asked for, and nodes that did not answer.
+    OriginQueries,
+    OriginQueriesUnanswered,
     Last,
 };
 
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -66,6 +66,11 @@
     return { start.value_ ? name.value_ + "@" + std::to_string(start.value_) : name.value_ };
 }
 
+SoftwareKey softwareKeyOf(const ServiceName& service, const BackendVersion& version)
+{
+    return { digest64({ service.value_, version.value_ }) };
+}
+
 BackendKey keyOf(const BackendId& id)
 {
     return static_cast<BackendKey>(stableHash(id.value_));
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -165,6 +165,8 @@
     for (auto& [id, backend] : backends_) {
         if (backend.record_.service_ != shape.service_ || backend.record_.isLeaving_ || !takesRequests(backend, now) || excluded.contains(id))
             continue;
+        if (shape.software_ && backend.software_ != *shape.software_)
+            continue;
         if (backend.record_.isReclaimable_ && shape.reclaimedDataCentre_ == backend.record_.dataCentre_)
             continue;
         bool isHealthy = isUsable(backend, now) && backend.failedShare_ < maxFailedShare;
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -19,6 +19,9 @@
 // terminates within a minute.
 static constexpr milliseconds leavingRetention { 60000 };
 
+// Time for which the software of a removed server is remembered. No stream runs for longer.
+static constexpr milliseconds removedSoftwareRetention { 600000 };
+
 BackendTable::PutResult BackendTable::put(const BackendRecord& record)
 {
     assert(!record.name_.isEmpty() && "a registered backend server has a name");
@@ -34,6 +37,10 @@
     Backend& backend = backends_[record.id_];
     if (isNew)
         backend.aliveOrder_ = ++lastAliveOrder_;
+    SoftwareKey software = softwareKeyOf(record.service_, record.version_);
+    if (!isNew && backend.software_ != software)
+        rememberSoftware(backend, std::nullopt);
+    backend.software_ = software;
     // A leaving backend server never takes new requests again under the same id.
     bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_ || removedLeaving_.contains(record.id_);
     backend.record_ = record;
@@ -52,10 +59,19 @@
 {
     for (auto& [dataCentre, failed] : failedByDataCentre_)
         failed.erase(id);
-    backends_.erase(id);
+    auto found = backends_.find(id);
+    if (found != backends_.end()) {
+        rememberSoftware(found->second, std::nullopt);
+        backends_.erase(found);
+    }
     fingerprint_.reset();
 }
 
+void BackendTable::rememberSoftware(const Backend& backend, std::optional<SteadyTime> removedAt)
+{
+    removedSoftware_[backend.record_.service_][backend.software_] = removedAt;
+}
+
 void BackendTable::rememberLeaving(const BackendId& id, SteadyTime now)
 {
     std::erase_if(removedLeaving_, [&](const auto& removed) { return now - removed.second > leavingRetention; });
@@ -71,6 +87,7 @@
         return;
     if (found->second.record_.isLeaving_)
         rememberLeaving(id, now);
+    rememberSoftware(found->second, now);
     removedNames_.push_back(found->second.record_.name_);
     backends_.erase(found);
     fingerprint_.reset();
@@ -234,12 +251,40 @@
         found->second.bucket_.setShare(share, now);
 }
 
-std::optional<milliseconds> BackendTable::timeUntilUsable(const ServiceName& service, SteadyTime now) const
+std::optional<ServiceName> BackendTable::serviceServing(SoftwareKey software) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = std::find_if(backends_.begin(), backends_.end(), [&](const auto& entry) { return entry.second.software_ == software && !entry.second.record_.isLeaving_; });
+    return found == backends_.end() ? std::nullopt : std::optional(found->second.record_.service_);
+}
+
+std::optional<SoftwareKey> BackendTable::soleSoftware(const ServiceName& service, SteadyTime since, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    std::set<SoftwareKey> present;
+    for (const auto& [id, backend] : backends_) {
+        if (backend.record_.service_ == service)
+            present.insert(backend.software_);
+    }
+    auto removed = removedSoftware_.find(service);
+    if (removed != removedSoftware_.end()) {
+        for (auto& [software, removedAt] : removed->second) {
+            removedAt = removedAt.value_or(now);
+            if (*removedAt >= since)
+                present.insert(software);
+        }
+        std::erase_if(removed->second, [&](const auto& entry) { return now - *entry.second > removedSoftwareRetention; });
+    }
+    return present.size() == 1 ? std::optional(*present.begin()) : std::nullopt;
+}
+
+std::optional<milliseconds> BackendTable::timeUntilUsable(const ServiceName& service, const std::optional<SoftwareKey>& software, SteadyTime now) const
 {
     std::lock_guard lock(mutex_);
     std::optional<milliseconds> first;
     for (const auto& [id, backend] : backends_) {
-        if (backend.record_.service_ != service || backend.record_.isLeaving_)
+        bool isCandidate = backend.record_.service_ == service && !backend.record_.isLeaving_ && (!software || backend.software_ == *software);
+        if (!isCandidate)
             continue;
         if (takesRequests(backend, now))
             return std::nullopt;
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -226,7 +226,7 @@
         logger().info(LogLine("Request is no longer suspected.").add("id", attemptId_).add("request", toString(fingerprint())));
 }
 
-asio::awaitable<void> RequestForwarder::serve()
+asio::awaitable<void> RequestForwarder::tryBackends()
 {
     for (;;) {
         if (auto rejected = rejectQuarantined()) {
@@ -235,10 +235,12 @@
             break;
         }
         auto choice = takeMoveTarget();
-        shape_.version_ = context_.rollouts_.assign(shape_.service_, routeKeyOf(route_->name_), sendCount_ ? RolloutTracker::SendKind::Subsequent : RolloutTracker::SendKind::First, steadyNow());
         if (!choice)
-            choice = context_.backends_.choose(shape_, excludedBackends_, steadyNow());
+            choice = chooseBackend(shape_, sendCount_ ? RolloutTracker::SendKind::Subsequent : RolloutTracker::SendKind::First);
         if (!choice) {
+            bool mayTryAgain = co_await waitForServer();
+            if (mayTryAgain)
+                continue;
             context_.backends_.noteNoBackend(shape_);
             break;
         }
@@ -257,7 +259,8 @@
         stopReason_ = StopReason::None;
         SendOutcome end = co_await send(attempt);
         finishAttempt(attempt, end);
-        if (end == SendOutcome::Delivered || caller_->isDisconnected())
+        isDelivered_ = end == SendOutcome::Delivered;
+        if (isDelivered_ || caller_->isDisconnected())
             co_return;
         if (end == SendOutcome::Moved)
             continue;
@@ -271,9 +274,18 @@
         // the next one starts, because the close is sent before the retry, and its
         // network path is no longer than that of the retry.
     }
-    if (caller_->isDisconnected())
+}
+
+asio::awaitable<void> RequestForwarder::serve()
+{
+    co_await findSoftware();
+    if (!heldAnswer_)
+        co_await tryBackends();
+    if (isDelivered_ || caller_->isDisconnected())
         co_return;
     if (hasStartedAnswer_) {
+        if (isUnserved())
+            context_.metrics_.add(Counter::StreamsUnserved);
         caller_->abort();
         co_return;
     }
@@ -439,8 +451,10 @@
 RequestForwarder::HeldAnswer RequestForwarder::finalFailure() const
 {
     // 503 promises that the request has not run and never will run.
+    if (!mayHaveRun_ && isUnserved())
+        return rejectUnserved();
     if (!mayHaveRun_ && stopReason_ != StopReason::DeadlineExceeded) {
-        auto wait = context_.backends_.timeUntilUsable(shape_.service_, steadyNow());
+        auto wait = context_.backends_.timeUntilUsable(shape_.service_, shape_.software_, steadyNow());
         std::string reason = wait ? "all backend servers asked for a pause or for fewer requests" : "no backend server";
         return rejection(503, lastDetail_.empty() ? reason : lastDetail_, std::max(fullRetryAfter, wait.value_or(fullRetryAfter)));
     }
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -105,8 +105,21 @@
     std::optional<HeldAnswer> takeQuota();
     RequestShape shapeOf() const;
 
+    // The software of streams.
+    OrganisationId organisationName() const;
+    asio::awaitable<void> findSoftware();
+    std::optional<HeldAnswer> applyOrigin(const FoundOrigin& found);
+    FoundOrigin soleOrigin() const;
+    HeldAnswer rejectUnserved() const;
+    bool isUnserved() const;
+    std::optional<BackendChoice> chooseBackend(RequestShape& shape, RolloutTracker::SendKind kind);
+    void noteStreamBegun(const Attempt& attempt);
+    asio::awaitable<bool> waitForServer();
+
     // Attempts at backend servers.
     asio::awaitable<void> serve();
+    /// Sends the request to one backend server after the other.
+    asio::awaitable<void> tryBackends();
     asio::awaitable<SendOutcome> send(Attempt& attempt);
     /// \returns SendOutcome::Held if the attempt has a connection, or the outcome of
     /// the failed attempt.
@@ -211,9 +224,15 @@
     /// started.
     bool hasCountedStart_ = false;
     bool hasStartedAnswer_ = false;
+    /// Whether the caller has the complete answer.
+    bool isDelivered_ = false;
     bool isFinished_ = false;
     bool keepsConnection_ = false;
     EventSplitter eventSplitter_ { std::nullopt };
+    /// Whether other nodes have been told which software began the stream.
+    bool hasToldOrigin_ = false;
+    /// How long the stream has waited for servers with its software.
+    milliseconds waitedForServer_ {};
     /// The latest move of the running stream to another engine.
     struct Move {
         explicit Move(const asio::any_io_executor& executor)
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -410,6 +410,7 @@
         if (events.empty())
             continue;
         noteFirstByte(attempt);
+        noteStreamBegun(attempt);
         if (mayRetryElsewhere(attempt)) {
             waitDeadline_ = steadyNow() + context_.settings_.streamStallTimeout_;
             // The timer checks the deadlines again when it fires, so it is set only if it
--- a/lib/Forward/StreamMove.cpp
+++ b/lib/Forward/StreamMove.cpp
@@ -46,8 +46,7 @@
     shape.promptTokens_ = {};
     shape.parts_.clear();
     shape.reclaimedDataCentre_ = from.dataCentre_;
-    shape.version_ = context_.rollouts_.assign(shape.service_, routeKeyOf(route_->name_), RolloutTracker::SendKind::Subsequent, steadyNow());
-    auto to = context_.backends_.choose(shape, excludedBackends_, steadyNow());
+    auto to = chooseBackend(shape, RolloutTracker::SendKind::Subsequent);
     if (!to)
         return;
     // A moved stream reaches its target as a retry does, so the retry budget applies.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "BackendRelay.h"
 #include "DutyRunner.h"
 #include "LoopLag.h"
+#include "OriginExchange.h"
 #include "PlatformFeed.h"
 #include "QuarantineEndpoint.h"
 #include "QuarantineStore.h"
@@ -53,6 +54,7 @@
     BackgroundExecutor background_;
     PeerPool peerPool_;
     PeerReports peerReports_;
+    OriginExchange origins_;
     DutyRunner duties_;
     ReachabilityProbe probe_;
     BackendRelay relay_;
@@ -79,7 +81,8 @@
     , context_(std::move(settings), std::move(platform))
     , ios_(makeContexts(context_.settings_.threads_))
     , peerPool_(ios_[0]->get_executor(), context_.settings_.peerCredential_, [this](const Error& error) { logger_.warn("Peer link failed: " + describe(error)); })
-    , peerReports_(*ios_[0], context_, { [this] { return duties_.reportedToken(); }, [this] { return duties_.releasedToken(); }, [this](const VmId& vm, DutyToken token, SteadyTime reportedAt) { duties_.noteHolder(vm, token, reportedAt); }, [this](DutyToken token) { duties_.noteReleased(token); }, [this](const VmId& vm) { duties_.noteStopping(vm); }, [this] { return feed_.isReader(); }, [this] { return feed_.isPlatformUnavailable(); } })
+    , peerReports_(*ios_[0], context_, { [this] { return duties_.reportedToken(); }, [this] { return duties_.releasedToken(); }, [this](const VmId& vm, DutyToken token, SteadyTime reportedAt) { duties_.noteHolder(vm, token, reportedAt); }, [this](DutyToken token) { duties_.noteReleased(token); }, [this](const VmId& vm) { duties_.noteStopping(vm); }, [this] { return feed_.isReader(); }, [this] { return feed_.isPlatformUnavailable(); }, [this](const wire::Datagram& message, const Endpoint& sender) { origins_.handle(message, sender); } })
+    , origins_(*ios_[0], context_, peerReports_)
     , duties_(*ios_[0], context_)
     , probe_(context_)
     , relay_(context_, peerPool_, [this](const ServiceName& service) { return peerReports_.peersReaching(service); })
@@ -100,6 +103,9 @@
         peerReports_.noteStatement(statement);
     };
     context_.forward_.hooks_.openRelayed_ = [this](BackendRecord backend, milliseconds timeout) { return relay_.open(std::move(backend), timeout); };
+    context_.forward_.hooks_.tellOrigin_ = [this](StreamKey stream, const StreamOrigin& origin) { origins_.tell(stream, origin); };
+    context_.forward_.hooks_.findOrigin_ = [this](StreamKey stream) { return origins_.find(stream); };
+    context_.forward_.hooks_.registryCurrentSince_ = [this] { return feed_.registryCurrentSince(); };
     context_.forward_.hooks_.onTerminated_ = [this](const BackendId& backend) { peerReports_.noteTerminated(backend); };
     for (const auto& io : ios_)
         workers_.push_back(std::make_unique<ForwardWorker>(*io, context_.forward_));
@@ -135,6 +141,7 @@
         { "services_unreachable", static_cast<double>(context_.paths_.lostServices().size()) },
         { "backend_servers_limited", static_cast<double>(context_.backends_.requestLimits().size()) },
         { "requests_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(steadyNow())) },
+        { "stream_origins", static_cast<double>(origins_.size()) },
         { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
     };
     return { 200, { { "content-type", "text/plain; version=0.0.4" } }, context_.metrics_.render(gauges) };
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -405,6 +405,8 @@
             applyReport(datagram.report(), steadyNow());
         else if (isParsed && datagram.has_relayed() && !datagram.relayed().vm().empty())
             applyRelayReport(*datagram.mutable_relayed(), { sender.address().to_string(), sender.port() }, steadyNow());
+        else if (isParsed && (datagram.has_origin() || datagram.has_origin_query() || datagram.has_origin_answer()))
+            hooks_.onMessage_(datagram, { sender.address().to_string(), sender.port() });
         else {
             context_.metrics_.add(Counter::PeerErrors);
             logger_.warn("Datagram from " + sender.address().to_string() + " is not a valid report.");
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -41,6 +41,8 @@
         std::function<bool()> isReader_;
         /// Returns whether this node's reads from the platform fail.
         std::function<bool()> isPlatformUnavailable_;
+        /// Called with a datagram that is no report, and its sender.
+        std::function<void(const wire::Datagram&, const Endpoint&)> onMessage_;
     };
 
     PeerReports(asio::io_context& io, GatewayContext& context, Hooks hooks);
@@ -67,6 +69,11 @@
     Coverage coverage(SteadyTime now) const;
     /// Returns whether \p vm reported that it is stopping.
     bool isStopping(const VmId& vm) const { return table_.isStopping(vm); }
+    /// Returns the other nodes that may hold the origins of streams. Must be called on the event
+    /// loop.
+    std::vector<OriginNode> originNodes() const { return table_.originNodes(steadyNow()); }
+    /// Sends \p datagram to \p receivers. Must be called on the event loop.
+    void send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
     /// Adds a node that was announced on the platform or advertised by a peer. This node
     /// introduces itself to the added node from now on.
     void addKnownPeer(const VmId& vm, const Endpoint& gossip);
@@ -95,7 +102,6 @@
     void sendSums(SteadyTime now);
     void sendDigests(wire::Datagram& datagram, const std::vector<VmId>& receivers, const std::vector<Suspect>& suspects, SteadyTime now);
     void sendIntroductions(SteadyTime now);
-    void send(const wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
     /// Sends a relay's message, and its usage windows separately if it is too large.
     void sendRelayed(wire::Datagram& datagram, const std::vector<Endpoint>& receivers);
     void sendBytes(const std::string& bytes, const std::vector<Endpoint>& receivers);
--- a/lib/Gateway/PeerTable.cpp
+++ b/lib/Gateway/PeerTable.cpp
@@ -200,6 +200,20 @@
     return nodes;
 }
 
+std::vector<OriginNode> PeerTable::originNodes(SteadyTime now) const
+{
+    std::lock_guard lock(mutex_);
+    // In a large fleet the silence of a node says nothing until it is removed.
+    bool isLarge = peers_.size() > settings_.fanout_;
+    std::vector<OriginNode> nodes;
+    for (const auto& [vm, peer] : peers_) {
+        bool isLive = peer.receivedAt_ != SteadyTime {} && (isLarge || now - peer.receivedAt_ <= settings_.unresponsiveAfter_);
+        if (isLive)
+            nodes.push_back({ vm, peer.dataCentre_, peer.gossipEndpoint_ });
+    }
+    return nodes;
+}
+
 std::vector<VmId> PeerTable::rankRelays(const DataCentreId& dataCentre, const std::vector<VmId>& candidates) const
 {
     auto coresOf = [&](const VmId& vm) { return vm == self_ ? cores_ : peers_.at(vm).cores_; };
--- a/lib/Gateway/PeerTable.h
+++ b/lib/Gateway/PeerTable.h
@@ -104,6 +104,8 @@
     /// Returns the nodes among which the request limits of backend servers are divided.
     /// \p isSelfStopping excludes this node.
     SharingNodes sharingNodes(bool isSelfStopping, SteadyTime now) const;
+    /// Returns the other nodes that may hold the origins of streams.
+    std::vector<OriginNode> originNodes(SteadyTime now) const;
     /// Returns the relays of this node's data centre; this node may be one of them. A
     /// node that has sent no sums for a while after it was asked to relay is skipped.
     std::vector<VmId> chooseRelays(SteadyTime now);
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -18,6 +18,8 @@
     constexpr milliseconds readerCheckPeriod { 150 };
     // Maximum age of a peer's list of backend servers that is still used.
     constexpr std::uint64_t maxListAgeMs = 1500;
+    // A list counts as current if it was found to be so within this time.
+    constexpr milliseconds maxListLag { 3000 };
     // Changes of one list that the log names; the others are counted. A node that starts
     // receives a list of thousands of backend servers.
     constexpr std::size_t maxNamedChanges = 32;
@@ -248,6 +250,7 @@
             registryReadAt_ = steadyNow();
             listReadAt_ = steadyNow();
             apply(read.value(), read.value().isComplete_ ? context_.backends_.records() : std::vector<BackendRecord> {}, platformSource);
+            noteIfListIsCurrent();
             backoff.noteSuccess();
         }
         co_await sleepFor(read ? settings.registryPeriod_ : backoff.nextPause(randomBits()));
@@ -259,6 +262,33 @@
     return steadyNow() - registryReadAt_.load() > context_.settings_.feed_.askPeersAfter_;
 }
 
+bool PlatformFeed::isListCurrent() const
+{
+    if (isReader())
+        return registryReadAt_.load() != SteadyTime {} && !isRegistryStale();
+    std::vector<KnownPeer> peers = peerReports_.reportedWithin(context_.settings_.feed_.readerTimeout_);
+    return std::any_of(peers.begin(), peers.end(), [&](const KnownPeer& known) {
+        return known.second.isReader_ && !known.second.isPlatformUnavailable_ && known.second.registryFingerprint_ == context_.backends_.fingerprint();
+    });
+}
+
+void PlatformFeed::noteIfListIsCurrent()
+{
+    if (!isListCurrent())
+        return;
+    SteadyTime now = steadyNow();
+    if (now - listCurrentAt_.load() > maxListLag)
+        listCurrentSince_ = now;
+    listCurrentAt_ = now;
+}
+
+std::optional<SteadyTime> PlatformFeed::registryCurrentSince() const
+{
+    SteadyTime since = listCurrentSince_.load();
+    bool isCurrent = steadyNow() - listCurrentAt_.load() <= maxListLag;
+    return isCurrent && since != SteadyTime {} ? std::optional(since) : std::nullopt;
+}
+
 std::optional<KnownPeer> PlatformFeed::readerWithDifferentList() const
 {
     // Prefers readers whose streams have not failed lately, then that of this data centre.
@@ -283,6 +313,7 @@
 {
     for (;;) {
         co_await sleepFor(jitter(listCheckPeriod(peerReports_.nodesKnown()), randomBits()));
+        noteIfListIsCurrent();
         auto source = backendsSource();
         if (source)
             co_await fetchBackends(source->first, source->second);
--- a/lib/Gateway/PlatformFeed.h
+++ b/lib/Gateway/PlatformFeed.h
@@ -23,6 +23,9 @@
     bool isReader() const;
     /// Returns whether the latest read of this node failed, if it is a reader.
     bool isPlatformUnavailable() const { return isRegistryUnavailable_ || isConfigurationUnavailable_; }
+    /// Returns the time since which this node's list of backend servers has always been current,
+    /// give or take `maxListLag`; nullopt if it is not. Thread-safe.
+    std::optional<SteadyTime> registryCurrentSince() const;
     /// Returns what isStartTurn() needs to know of this node.
     ColdStart coldStart() const;
     /// Answers a peer that fetches what this node has read from the platform. A peer that
@@ -55,6 +58,9 @@
     void removeUnlisted(const RegistryRead& read, const std::vector<BackendRecord>& known, const std::string& source);
     void applyDueRemovals();
     bool isRegistryStale() const;
+    /// Whether the list in use is that of the platform, as far as this node can know.
+    bool isListCurrent() const;
+    void noteIfListIsCurrent();
     std::vector<ReaderState> readerStates() const;
     /// Returns a reader whose list of backend servers differs from this node's.
     std::optional<KnownPeer> readerWithDifferentList() const;
@@ -71,6 +77,9 @@
     std::atomic<SteadyTime> registryReadAt_ { SteadyTime {} };
     /// When the list in use was read from the platform, by this node or by a peer.
     SteadyTime listReadAt_ {};
+    /// When the list was last found to be current, and since when it always was.
+    std::atomic<SteadyTime> listCurrentAt_ { SteadyTime {} };
+    std::atomic<SteadyTime> listCurrentSince_ { SteadyTime {} };
     std::atomic<bool> isRegistryUnavailable_ { false };
     std::atomic<bool> isConfigurationUnavailable_ { false };
     /// Time until which missing registrations are kept after an outage.
--- a/lib/Rollout/RolloutTracker.cpp
+++ b/lib/Rollout/RolloutTracker.cpp
@@ -191,9 +191,7 @@
     case RolloutPhase::Reverted:
         return rule;
     case RolloutPhase::Trial:
-        // If the share was not reported for too long, the holder may have failed, or may
-        // have decided meanwhile that the target is bad.
-        rule.share_ = now - entry.received_.reportedAt_ > settings_.validity_ ? 0 : state.share_;
+        rule.share_ = trialShare(entry, now);
         break;
     case RolloutPhase::Shifting:
         rule.share_ = state.share_;
@@ -213,6 +211,36 @@
     return rule;
 }
 
+RolloutTracker::Continuation RolloutTracker::continuationAt(const ServiceName& service, SoftwareKey software, SteadyTime now) const
+{
+    if (isEmpty())
+        return Continuation::Allowed;
+    std::lock_guard lock(mutex_);
+    auto found = entries_.find(service);
+    if (found == entries_.end())
+        return Continuation::Allowed;
+    const RolloutState& state = found->second.received_.state_;
+    if (software != softwareKeyOf(service, state.order_.target_))
+        return Continuation::Allowed;
+    switch (state.phase_) {
+    case RolloutPhase::Reverted:
+        return Continuation::Ended;
+    case RolloutPhase::Trial:
+        return trialShare(found->second, now) > 0 ? Continuation::Allowed : Continuation::Paused;
+    case RolloutPhase::Shifting:
+    case RolloutPhase::Complete:
+        break;
+    }
+    return Continuation::Allowed;
+}
+
+/// If the share was not reported for too long, the holder may have failed, or may have decided
+/// meanwhile that the target is bad.
+double RolloutTracker::trialShare(const Entry& entry, SteadyTime now) const
+{
+    return now - entry.received_.reportedAt_ > settings_.validity_ ? 0 : entry.received_.state_.share_;
+}
+
 void RolloutTracker::noteSent(const ServiceName& service, const BackendVersion& version)
 {
     if (isEmpty())
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -53,6 +53,11 @@
         "datagrams_too_large",
         "connections_relayed",
         "connections_carried",
+        "streams_resumed",
+        "resumptions_unknown",
+        "streams_unserved",
+        "origin_queries",
+        "origin_queries_unanswered",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
--- a/test/StreamVersionsTest.cpp
+++ b/test/StreamVersionsTest.cpp
@@ -194,3 +194,48 @@
         CHECK(readStream(versions->gateways()[2].callers_, gatewayRequest("POST", streamPath, "anew"), milliseconds(5000)).isComplete_);
     }
 }
+
+TEST_CASE("a stream breaks off with its connection although the only server of its version still serves", "[gateway]")
+{
+    DeploymentOfVersions versions({ "v1", "v1.1" }, 1);
+    for (const auto& gateway : versions->gateways()) {
+        for (const std::string& server : versions.servers())
+            versions->backend(server, { { "cut_at", 10 }, { "cut_once", 1 } });
+        StreamAttempt attempt = readStream(gateway.callers_, gatewayRequest("POST", streamPath, "on-" + gateway.vm_), milliseconds(6000));
+        CHECK(attempt.isComplete_);
+        std::set<std::string> senders(attempt.senders_.begin(), attempt.senders_.end());
+        CHECK(senders.size() == 1);
+    }
+}
+
+TEST_CASE("a stream of a reverted version is resumed at the other version, or there again", "[gateway]")
+{
+    DeploymentOfVersions versions({ "v1", "v1.1" }, 1);
+    const Endpoint gateway = versions->gateways()[0].callers_;
+    std::string begun;
+    for (int i = 0; begun.empty() && i < 40; ++i) {
+        std::string id = "trial-" + std::to_string(i);
+        StreamAttempt attempt = readStream(gateway, gatewayRequest("POST", streamPath, id), milliseconds(5000));
+        if (attempt.isComplete_ && versionOf(attempt.senders_.front()) == "v1.1")
+            begun = id;
+    }
+    REQUIRE(!begun.empty());
+    json::object order { { "service", "engines" }, { "target", "v1.1" }, { "period_s", 600 } };
+    json::object entry { { "topic", "keyed.op" }, { "key", "rollout/engines" }, { "value", json::serialize(order) } };
+    versions->control({ { "put", json::array { entry } } });
+    auto isReverted = [&](const GatewayDeployment::Gateway& node) {
+        HttpRequest revert { "DELETE", "/rollouts/engines", { { "authorization", "Bearer credential-of-tests" } }, {} };
+        auto answer = callHttpBlocking(node.metrics_, revert, milliseconds(2000));
+        return answer && answer.value().status_ / 100 == 2;
+    };
+    REQUIRE(waitUntil([&] { return std::any_of(versions->gateways().begin(), versions->gateways().end(), isReverted); }, milliseconds(15000)));
+    std::this_thread::sleep_for(milliseconds(2000));
+    HttpRequest request = gatewayRequest("POST", streamPath, "again");
+    request.headers_["Last-Event-Id"] = "3";
+    request.headers_["Resumes"] = begun;
+    for (const auto& node : versions->gateways()) {
+        StreamAttempt attempt = readStream(node.callers_, request, milliseconds(5000));
+        CHECK(attempt.status_ == 503);
+        CHECK(!attempt.retryAfter_);
+    }
+}
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -283,6 +283,8 @@
             co_return;
         for (std::int64_t id = next; id <= controls_["events"]; ++id) {
             if (id == controls_["cut_at"]) {
+                if (controls_["cut_once"])
+                    controls_.update({ { "cut_at", 0 } });
                 // The connection is closed in the middle of an event.
                 std::string part = "id: " + std::to_string(id) + "\nda";
                 (void)co_await exchange.writeChunk(std::move(part));
@@ -313,7 +315,7 @@
     std::set<HttpExchange*> runningExchanges_;
     HttpServer server_;
     std::uint16_t port_ = 0;
-    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "brittle", 0 }, { "brittle_slots", 8 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "names_sender", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
+    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "brittle", 0 }, { "brittle_slots", 8 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "cut_once", 0 }, { "names_sender", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     /// Attempt ids of the requests that started to run, in order.
     json::array runAttemptIds_;
     /// Number of requests answered 503 without execution.
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -455,11 +455,11 @@
     table.setPause({ "x" }, milliseconds(100), at(10));
     for (int i = 0; i < 10; ++i)
         CHECK(chosen(table, plainRequest(), {}, at(20)) == "y");
-    CHECK_FALSE(table.timeUntilUsable(service, at(20)));
+    CHECK_FALSE(table.timeUntilUsable(service, std::nullopt, at(20)));
     CHECK_FALSE(table.mayReceive({ "x" }, at(20)));
     table.setPause({ "y" }, milliseconds(500), at(20));
     CHECK(chosen(table, plainRequest(), {}, at(20)).empty());
-    CHECK(table.timeUntilUsable(service, at(20)) == milliseconds(500));
+    CHECK(table.timeUntilUsable(service, std::nullopt, at(20)) == milliseconds(500));
     CHECK(chosen(table, plainRequest(), {}, at(520)) == "y");
     CHECK(chosen(table, plainRequest(), { { "y" } }, at(2000)) == "x");
     // Excessive pauses are bounded.
@@ -481,9 +481,9 @@
     CHECK(table.requestLimits() == std::vector<std::pair<BackendId, double>> { { { "x" }, 2.0 } });
     // Nothing is sent before the share is known.
     CHECK(chosen(table, plainRequest(), {}, at(20)).empty());
-    CHECK(table.timeUntilUsable(service, at(20)) == milliseconds(500));
+    CHECK(table.timeUntilUsable(service, std::nullopt, at(20)) == milliseconds(500));
     table.setRequestShare({ "x" }, { 1, 1 }, at(20));
-    CHECK(table.timeUntilUsable(service, at(20)) == milliseconds(1000));
+    CHECK(table.timeUntilUsable(service, std::nullopt, at(20)) == milliseconds(1000));
     CHECK(chosen(table, plainRequest(), {}, at(1000)).empty());
     CHECK(chosen(table, plainRequest(), {}, at(1020)) == "x");
     CHECK(chosen(table, plainRequest(), {}, at(1030)).empty());
@@ -527,7 +527,7 @@
     BackendStatement pause { { "x" }, ConditionKind::Pause, 1000, start };
     CHECK(table.applyStatement(pause, at(300)));
     CHECK_FALSE(table.applyStatement(pause, at(500)));
-    CHECK(table.timeUntilUsable(service, at(300)) == milliseconds(700));
+    CHECK(table.timeUntilUsable(service, std::nullopt, at(300)) == milliseconds(700));
     CHECK(chosen(table, plainRequest(), {}, at(900)).empty());
     CHECK(chosen(table, plainRequest(), {}, at(1000)) == "x");
 }
@@ -663,3 +663,65 @@
     CHECK(versions.othersRunning_ == 1);
     CHECK(versions.target_ == 0);
 }
+
+TEST_CASE("a stream that has begun goes to a server with other software", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    for (const char* id : { "x", "y" }) {
+        BackendRecord registered = record(id);
+        registered.version_ = { std::string("v-") + id };
+        table.put(registered);
+    }
+    RequestShape shape = plainRequest();
+    shape.software_ = softwareKeyOf(service, { "v-x" });
+    for (int i = 0; i < 20; ++i)
+        CHECK(chosen(table, shape) == "x");
+    CHECK(table.serviceServing(*shape.software_) == service);
+    // Not even if its server is excluded, ejected, paused or leaving.
+    CHECK(chosen(table, shape, { { "x" } }).empty());
+    table.setPause({ "x" }, milliseconds(500), start);
+    CHECK(chosen(table, shape).empty());
+    CHECK(table.timeUntilUsable(service, shape.software_, start) == milliseconds(500));
+    CHECK_FALSE(table.timeUntilUsable(service, std::nullopt, start));
+    table.setLeaving({ "x" }, start);
+    CHECK(chosen(table, shape, {}, start + milliseconds(600)).empty());
+    CHECK_FALSE(table.serviceServing(*shape.software_));
+}
+
+TEST_CASE("software is taken for the only one although another served a short time ago", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    auto at = [](std::int64_t ms) { return start + milliseconds(ms); };
+    BackendRecord old = record("x");
+    old.version_ = { "v1" };
+    const SoftwareKey v1 = softwareKeyOf(service, { "v1" });
+    const SoftwareKey v2 = softwareKeyOf(service, { "v2" });
+    CHECK_FALSE(table.soleSoftware(service, at(0), at(0)));
+    table.put(old);
+    CHECK(table.soleSoftware(service, at(0), at(100)) == v1);
+    BackendRecord next = record("y");
+    next.version_ = { "v2" };
+    table.put(next);
+    CHECK_FALSE(table.soleSoftware(service, at(0), at(200)));
+    // A leaving server may still have begun streams.
+    table.setLeaving({ "x" }, at(300));
+    CHECK_FALSE(table.soleSoftware(service, at(300), at(300)));
+    table.remove({ "x" }, at(400));
+    CHECK_FALSE(table.soleSoftware(service, at(400), at(500)));
+    CHECK(table.soleSoftware(service, at(401), at(500)) == v2);
+    // A server that starts again with other software, under its name or even under its id.
+    BackendRecord other = record("y");
+    other.version_ = { "v3" };
+    table.put(other);
+    CHECK_FALSE(table.soleSoftware(service, at(600), at(600)));
+    CHECK(table.soleSoftware(service, at(601), at(700)) == softwareKeyOf(service, { "v3" }));
+    BackendRecord named = recordWithStart("z", 1);
+    named.version_ = { "v3" };
+    table.put(named);
+    named = recordWithStart("z", 2);
+    named.version_ = { "v4" };
+    table.put(named);
+    table.remove({ "y" }, at(800));
+    CHECK_FALSE(table.soleSoftware(service, at(800), at(900)));
+    CHECK(table.soleSoftware(service, at(801), at(1000)) == softwareKeyOf(service, { "v4" }));
+}
--- a/unittests/Gateway/PeerTableTest.cpp
+++ b/unittests/Gateway/PeerTableTest.cpp
@@ -171,3 +171,15 @@
     CHECK(table.removeUnresponsive(start + 2 * rotation).empty());
     CHECK(table.removeUnresponsive(start + 4 * rotation + milliseconds(31000)).size() == static_cast<std::size_t>(count - 1));
 }
+
+TEST_CASE("a small fleet's unresponsive nodes hold the origins of streams, or a large fleet's silent ones do not", "[peers]")
+{
+    for (int count : { 9, 60 }) {
+        PeerTable table(vmOf(0), near, 1, GossipSettings {});
+        reportAll(table, 0, count);
+        table.addKnownPeer({ "advertised" }, { "10.0.0.2", 7500 });
+        CHECK(table.originNodes(start).size() == static_cast<std::size_t>(count - 1));
+        SteadyTime later = start + GossipSettings {}.unresponsiveAfter_ + period;
+        CHECK(table.originNodes(later).size() == static_cast<std::size_t>(count > 24 ? count - 1 : 0));
+    }
+}
--- a/unittests/Rollout/RolloutTest.cpp
+++ b/unittests/Rollout/RolloutTest.cpp
@@ -266,3 +266,31 @@
     CHECK(shifting.adjust({ tallyOf(1000, 640), 40, 40, 9 }, after(8000)).share_ == 1);
     CHECK(shifting.state().term_ == 4);
 }
+
+TEST_CASE("a stream goes on at a target that gets no requests", "[rollout]")
+{
+    using Continuation = RolloutTracker::Continuation;
+    struct Row {
+        RolloutPhase phase_;
+        double share_;
+        std::int64_t ageMs_;
+        Continuation atTarget_;
+    };
+    auto row = GENERATE(values<Row>({
+        { RolloutPhase::Trial, 0, 0, Continuation::Paused },
+        { RolloutPhase::Trial, 0.08, 0, Continuation::Allowed },
+        { RolloutPhase::Trial, 0.08, 5000, Continuation::Paused },
+        { RolloutPhase::Shifting, 0.5, 5000, Continuation::Allowed },
+        { RolloutPhase::Complete, 1, 5000, Continuation::Allowed },
+        { RolloutPhase::Reverted, 0, 0, Continuation::Ended },
+    }));
+    CAPTURE(toString(row.phase_), row.share_, row.ageMs_);
+    RolloutTracker tracker({});
+    const SoftwareKey target = softwareKeyOf(service, { "v2" });
+    CHECK(tracker.continuationAt(service, target, start) == Continuation::Allowed);
+    tracker.applyState({ orderOf(1), row.phase_, row.share_, 1, 1 }, start, start);
+    CHECK(tracker.continuationAt(service, target, after(row.ageMs_)) == row.atTarget_);
+    // Servers of the other versions serve until they have gone.
+    CHECK(tracker.continuationAt(service, softwareKeyOf(service, { "v1" }), after(row.ageMs_)) == Continuation::Allowed);
+    CHECK(tracker.continuationAt({ "other" }, target, after(row.ageMs_)) == Continuation::Allowed);
+}
