--- a/benchmarks/DecisionBenchmark.cpp
+++ b/benchmarks/DecisionBenchmark.cpp
@@ -8,6 +8,7 @@
 #include "pistachioloom/Catalogue.h"
 #include "pistachioloom/Ledger.h"
 #include "pistachioloom/Limits.h"
+#include "pistachioloom/Origins.h"
 #include "pistachioloom/Routing.h"
 
 #include "generated/Peer.pb.h"
@@ -241,10 +242,45 @@
     }
 }
 
+/// The choice of a stream's holders, and the memory and messages of its origin.
+void benchOrigins()
+{
+    std::puts("origins of streams");
+    double before = 0;
+    for (std::size_t count : { 9, 63, 195, 985, 1970 }) {
+        std::vector<OriginNode> nodes;
+        for (std::size_t i = 0; i < count; ++i)
+            nodes.push_back({ { "edge-data-centre-" + std::to_string(i) }, { "data-centre-" + std::to_string(i % 14) }, { "10.0.0.1", 7500 } });
+        std::uint64_t stream = 0;
+        double time = medianTimeUs(200, [&] { (void)rankOriginNodes({ ++stream }, nodes, OriginSettings {}.holders_); });
+        std::printf("  %5zu nodes: holders chosen in %.1f us\n", count, time);
+        if (count == 1970)
+            checkBound("time at 1,970 nodes against 985", time / before, 3);
+        before = time;
+    }
+    std::size_t heap = heapBytes();
+    constexpr std::size_t origins = 20000;
+    OriginTable table;
+    for (std::size_t i = 0; i < origins; ++i)
+        table.add({ mixBits(i) }, { { i }, false }, SteadyTime { milliseconds(static_cast<std::int64_t>(i)) });
+    std::printf("  %zu origins: %.0f bytes each\n", origins, static_cast<double>(heapBytes() - heap) / origins);
+    wire::Datagram told;
+    told.mutable_origin()->set_stream(mixBits(1));
+    told.mutable_origin()->set_software(mixBits(2));
+    wire::Datagram asked;
+    asked.mutable_origin_query()->set_number(mixBits(3));
+    asked.mutable_origin_query()->set_stream(mixBits(1));
+    wire::Datagram answered;
+    answered.mutable_origin_answer()->set_number(mixBits(3));
+    *answered.mutable_origin_answer()->mutable_origin() = told.origin();
+    std::printf("  messages: told %zu, asked %zu, answered %zu bytes\n", told.ByteSizeLong(), asked.ByteSizeLong(), answered.ByteSizeLong());
+}
+
 } // namespace
 
 int main()
 {
+    benchOrigins();
     benchMembership();
     benchRouting();
     benchLedger();
