--- a/unittests/Rollout/EvaluatorsTest.cpp
+++ b/unittests/Rollout/EvaluatorsTest.cpp
@@ -167,6 +167,19 @@
     std::uint64_t badAnswers_ = 0;
 };
 
+/// One step of a simulated order, for the printed history of an order.
+struct Step {
+    double now_ = 0;
+    double load_ = 0;
+    /// The share that the nodes apply, and the requests of the step at the target.
+    double share_ = 0;
+    std::uint64_t exposed_ = 0;
+    /// Bad answers of the step, of the target and of the other versions.
+    std::uint64_t badOfTarget_ = 0;
+    std::uint64_t badOfOthers_ = 0;
+    RolloutPhase phase_ = RolloutPhase::Trial;
+};
+
 struct Outcome {
     bool isReverted_ = false;
     /// Seconds from the order to its final decision; 0 if there was none.
@@ -177,7 +190,15 @@
     std::uint64_t afterRollback_ = 0;
 };
 
-Outcome simulate(Fault fault, std::uint64_t seed, RolloutEvaluator evaluator)
+Step stepOf(double now, double load, double share, const RolloutTally& counted, RolloutPhase phase)
+{
+    Step step { now, load, share, counted.exposed_, 0, 0, phase };
+    for (const auto& [cell, answers] : counted.cells_)
+        (cell.first == stableBackendKey ? step.badOfOthers_ : step.badOfTarget_) += answers.bad_;
+    return step;
+}
+
+Outcome simulate(Fault fault, std::uint64_t seed, RolloutEvaluator evaluator, std::vector<Step>* history = nullptr)
 {
     Simulation simulation(fault, seed);
     const SteadyTime start { milliseconds(1000000) };
@@ -197,6 +218,7 @@
         shares.push_back(controller.state().share_);
         double share = shares.size() > delaySteps ? shares[shares.size() - 1 - delaySteps] : 0;
         std::uint64_t exposedBefore = tally.exposed_;
+        RolloutTally before = tally;
         simulation.step(now, share, tally);
         if (now > toleranceReachedAt + maxRollbackTime)
             outcome.afterRollback_ += tally.exposed_ - exposedBefore;
@@ -206,6 +228,8 @@
         if (tallies.size() > delaySteps + 1)
             tallies.pop_front();
         controller.adjust({ tallies.front(), targetServers, stableServerCount, share >= 1 ? 0U : 50U }, at(now));
+        if (history)
+            history->push_back(stepOf(now, simulation.load(now), share, tally.since(before), controller.state().phase_));
         bool isOver = isFinal(controller.state().phase_);
         outcome.isReverted_ |= controller.state().phase_ == RolloutPhase::Reverted;
         if (controller.isReadyToComplete() && !isOver) {
@@ -261,6 +285,23 @@
     }
 }
 
+TEST_CASE("the history of each bad version that is judged too late", "[.seeds]")
+{
+    for (const FaultRow& row : faults) {
+        for (std::uint64_t seed = 1; seed <= orders; ++seed) {
+            std::vector<Step> history;
+            Outcome outcome = simulate(row.fault_, seed, makeSequentialEvaluator(), &history);
+            if (outcome.isReverted_ && outcome.exposedOverBound_ <= 0 && !outcome.afterRollback_)
+                continue;
+            std::cout << row.name_ << ", seed " << seed << ": " << (outcome.isReverted_ ? "reverted" : "not reverted") << ", " << outcome.exposedOverBound_ << " over the bound, " << outcome.afterRollback_ << " after the roll-back time\n";
+            for (std::size_t i = 0; i < history.size(); i += 2) {
+                const Step& step = history[i];
+                std::cout << "  " << std::fixed << std::setprecision(2) << std::setw(6) << step.now_ << " load " << step.load_ << " share " << step.share_ << " target " << step.exposed_ << " bad " << step.badOfTarget_ << ", others bad " << step.badOfOthers_ << " " << toString(step.phase_) << "\n";
+            }
+        }
+    }
+}
+
 TEST_CASE("results of both evaluators", "[.figures]")
 {
     struct Method {
