Versions are judged by answers at the same time, and have to be sound

The others' rate was remembered for a second, so that a spell of slow answers on both sides masked what followed; the shift outran its evidence; evidence was divided by route; and a trial that had seen nothing went on.

The cumulative sums are now of how many of the bad answers of both sides at the same time and on the same route are the target's, on each route and on all together. A suspect target's share does not grow before 0.8 of the period, and after 50 bad answers of any cause a target has to be sound within the roll-back time, which is a setting, or is reverted.

--- a/include/pistachioloom/Rollout.h
+++ b/include/pistachioloom/Rollout.h
@@ -113,6 +113,9 @@
     /// was not worse gets the remaining requests in steps. The trial takes as long as the
     /// period allows, since a version may degrade late.
     double trialFraction_ = 0.7;
+    /// The share of a target that is suspect does not grow before this fraction of the period.
+    /// Most suspicions are dispelled, or borne out, in that time.
+    double holdFraction_ = 0.8;
     /// An order that is still in its trial after this fraction of the period is reverted.
     /// A later phase then does not wait for requests that run at other versions.
     double decisionFraction_ = 0.9;
@@ -122,20 +125,38 @@
     /// During a trial a share that the holder of the duties has not reported for this time
     /// counts as 0.
     milliseconds validity_ { 2500 };
+    /// Bad answers of a bad version after which it may get requests for `rollbackTime_` at most.
+    std::uint64_t toleratedBad_ = 50;
+    milliseconds rollbackTime_ { 5000 };
+    /// The part of `rollbackTime_` that remains for a decision to reach all nodes, and for their
+    /// reports before it.
+    milliseconds rollbackMargin_ { 1500 };
     /// Answers of the target that are required on each route with traffic before it may get
     /// the remaining requests.
     std::uint64_t minAnswers_ = 20;
 };
 
-/// Returns why the target is worse than the other versions, or nullopt. \p tally is
+/// What the answers so far show of the target.
+struct RolloutEvaluation {
+    /// Why the target is worse than the other versions; nullopt if that is not shown.
+    std::optional<std::string> worse_;
+    /// Whether there is some evidence that the target is worse, so that its share must not grow.
+    bool isSuspect_ = false;
+    /// Whether the answers are evidence that the target is not worse. Answers from times in
+    /// which both sides are bad are weak evidence either way.
+    bool isSound_ = true;
+};
+
+/// Evaluates the answers of the target against those of the other versions. \p tally is
 /// cumulative since the order. To be called at regular intervals.
-using RolloutEvaluator = std::function<std::optional<std::string>(const RolloutTally& tally, SteadyTime now)>;
+using RolloutEvaluator = std::function<RolloutEvaluation(const RolloutTally& tally, SteadyTime now)>;
 
 /// Makes an evaluator that runs a cumulative sum test (Page, 1954) for each backend server
-/// of the target on each route. The sum is the log likelihood ratio of a degraded rate of
-/// bad answers against the rate that the other versions have at the same time, and never
-/// falls below 0. The target is worse if most of its backend servers exceed a threshold:
-/// a single server that fails is not evidence against its version.
+/// of the target, on each route and on all routes together. The sum is the log likelihood
+/// ratio of worse odds of a bad answer against the odds that the other versions have at the
+/// same time on the same route, and never falls below 0. The target is worse if most of its
+/// backend servers exceed a threshold: a single server that fails is not evidence against its
+/// version.
 RolloutEvaluator makeSequentialEvaluator();
 
 /// Makes an evaluator that compares the rates of bad answers of the target and of the
@@ -178,6 +199,9 @@
     void adjustTrial(const RolloutView& view, SteadyTime now);
     void adjustShift(const RolloutView& view, SteadyTime now);
     bool hasEvidence(const RolloutTally& tally) const;
+    /// Whether the target has given so many bad answers, whatever their cause, that it must be
+    /// shown to be sound or get no more requests.
+    bool mustBeSound(const RolloutTally& tally, SteadyTime now);
     /// The time at which this fraction of the order's period has passed.
     SteadyTime timeAt(double fractionOfPeriod) const;
 
@@ -186,12 +210,16 @@
     const SteadyTime startedAt_;
     RolloutEvaluator evaluator_;
     std::string reason_;
+    /// When the target had given `toleratedBad_` bad answers; the epoch before that.
+    SteadyTime badToleratedAt_ {};
     /// When the share of the target last increased.
     SteadyTime shiftedAt_ {};
     /// Since when only backend servers of the target accept work; the epoch if others do.
     SteadyTime targetOnlySince_ {};
     SteadyTime targetOnlySeenAt_ {};
     bool isReadyToComplete_ = false;
+    /// Whether the share of the target may grow.
+    bool mayGrow_ = false;
 };
 
 /// The outcome of an attempt at one backend server, as far as it depends on the version.
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -114,6 +114,8 @@
         settings.decisionFraction_ = map.number("verdict_part", 0, 1, settings.decisionFraction_);
         settings.shiftStepFraction_ = map.number("shift_step", 0, 1, settings.shiftStepFraction_);
         settings.validity_ = map.duration("validity", milliseconds(200), oneMinute, settings.validity_);
+        settings.toleratedBad_ = map.integer("tolerated_bad", 1, 1'000'000, settings.toleratedBad_);
+        settings.rollbackTime_ = map.duration("rollback_time", milliseconds(500), oneMinute, settings.rollbackTime_);
         settings.minAnswers_ = map.integer("least_answers", 1, 1'000'000, settings.minAnswers_);
         // A version on trial may be bad, so the share of a trial must not exceed the
         // share of the requests to which a bad version may be exposed.
--- a/lib/Rollout/Evaluators.cpp
+++ b/lib/Rollout/Evaluators.cpp
@@ -8,59 +8,13 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <numeric>
 #include <set>
 
 namespace pistachioloom {
 
 namespace {
 
-    // Time constants of the exponential decay of the stable version's long-term and
-    // short-term rates of bad answers, in ms.
-    constexpr double longDecayMs = 1000;
-    constexpr double shortDecayMs = 20;
-
-    /// Rate of bad answers of the stable version, with exponential decay.
-    class DecayingRate {
-    public:
-        explicit DecayingRate(double decayMs)
-            : decayMs_(decayMs)
-        {
-        }
-
-        void observe(const AnswerTally& counted, double passedMs)
-        {
-            double remaining = std::exp(-passedMs / decayMs_);
-            answers_ = answers_ * remaining + static_cast<double>(counted.answers_);
-            bad_ = bad_ * remaining + static_cast<double>(counted.bad_);
-        }
-
-        double answers() const { return answers_; }
-        double rate() const
-        {
-            // While there are few answers, a small rate of bad ones is assumed.
-            constexpr double assumedBad = 0.4;
-            constexpr double assumedAnswers = 20;
-            return (bad_ + assumedBad) / (answers_ + assumedAnswers);
-        }
-        /// Upper bound of the rate: the rate plus its standard error, by which the rate of
-        /// so few answers may be higher by chance.
-        double upperRate() const
-        {
-            constexpr double deviations = 1.0;
-            return rate() + deviations * std::sqrt(rate() * (1 - rate()) / (answers_ + 1));
-        }
-
-    private:
-        double decayMs_;
-        double answers_ = 0;
-        double bad_ = 0;
-    };
-
-    double passedMs(SteadyTime from, SteadyTime until)
-    {
-        return std::chrono::duration<double, std::milli>(until - from).count();
-    }
-
     std::set<RouteKey> routesOf(const RolloutTally& tally)
     {
         std::set<RouteKey> routes;
@@ -71,98 +25,117 @@
 
     class SequentialEvaluator {
     public:
-        std::optional<std::string> operator()(const RolloutTally& tally, SteadyTime now)
+        RolloutEvaluation operator()(const RolloutTally& tally, SteadyTime)
         {
             RolloutTally counted = tally.since(previousTally_);
-            double passed = evaluatedAt_ == SteadyTime {} ? 0 : passedMs(evaluatedAt_, now);
             previousTally_ = tally;
-            evaluatedAt_ = now;
             for (const auto& [cell, answers] : counted.cells_) {
                 if (cell.first == stableBackendKey)
-                    stableRates_[cell.second].observe(answers, passed);
-            }
-            std::map<RouteKey, std::uint64_t> ofTarget;
-            for (const auto& [cell, answers] : counted.cells_)
-                ofTarget[cell.second] += cell.first == stableBackendKey ? 0 : answers.answers_;
-            for (const auto& [cell, answers] : counted.cells_) {
-                if (cell.first != stableBackendKey && stableRates_[cell.second].outnumbers(ofTarget[cell.second]))
-                    updateScore(cell, answers);
+                    continue;
+                auto stable = counted.cells_.find({ stableBackendKey, cell.second });
+                if (stable != counted.cells_.end())
+                    updateScores(cell, answers, stable->second);
             }
-            for (RouteKey route : routesOf(tally)) {
-                if (auto why = evaluate(route))
-                    return why;
+            RolloutEvaluation evaluation;
+            for (const auto& [route, scores] : scores_) {
+                evaluation.isSuspect_ |= sumOfLowest(scores) >= suspectScore;
+                if (!evaluation.worse_)
+                    evaluation.worse_ = evaluate(scores);
             }
-            return std::nullopt;
+            evaluation.isSound_ = isSound();
+            return evaluation;
         }
 
     private:
-        // A rate of bad answers that exceeds the baseline by this much counts as worse.
-        static constexpr double degradation = 0.15;
-        // Upper bound of the degraded rate, so that the logarithms in the ratios are finite.
-        static constexpr double maxRate = 0.97;
-        // Limit of one backend server's score on one route: a single server is no evidence
-        // against the version.
-        static constexpr double maxScore = 6;
+        // The target is suspect if the lowest scores of this fraction of its backend servers
+        // sum up to this. Servers that fail by themselves do not raise the lowest scores.
+        static constexpr double suspectFraction = 0.6;
+        static constexpr double suspectScore = 2.5;
+        // The target is not sound if the log ratios of its backend servers since the order, each
+        // limited to `maxTotal`, sum up to this.
+        static constexpr double maxTotal = 2;
+        static constexpr double unsoundTotal = 4;
+        // Logarithm of the odds ratio of a bad answer, of the target against the other
+        // versions, that counts as worse.
+        static constexpr double degradation = 1.0;
+        // Limit of one backend server's score: a single server is no evidence against the
+        // version.
+        static constexpr double maxScore = 5;
         // A backend server counts as degraded from this score on. One bad answer in a dozen
         // raises a score by about 2.
         static constexpr double degradedScore = 1.5;
-        // The target is worse only if the scores of its backend servers on one route sum up
-        // to this, and this fraction of them is degraded.
-        static constexpr double scoreToRevert = 12;
+        // The target is worse only if the scores of its backend servers sum up to this, and
+        // this fraction of them is degraded.
+        static constexpr double scoreToRevert = 13;
         static constexpr double fractionToRevert = 0.8;
-        // Backend servers with fewer answers on the route are left out.
+        // Backend servers with fewer answers are left out.
         static constexpr std::uint64_t minAnswers = 4;
         // Backend servers with enough answers that are required, or all if there are fewer.
         static constexpr std::size_t minServers = 3;
-        // Answers of the stable version that are required for each answer of the target at the
-        // same time. With fewer, the target's answers are no evidence about its version.
-        static constexpr double minStablePerTarget = 3;
 
-        struct StableRates {
-            DecayingRate longTerm_ { longDecayMs };
-            DecayingRate shortTerm_ { shortDecayMs };
-
-            void observe(const AnswerTally& counted, double passed)
-            {
-                longTerm_.observe(counted, passed);
-                shortTerm_.observe(counted, passed);
-            }
-            /// Whether the stable version has enough recent answers to compare with \p ofTarget
-            /// answers of the target.
-            bool outnumbers(std::uint64_t ofTarget) const
-            {
-                double required = minStablePerTarget * static_cast<double>(ofTarget);
-                return longTerm_.answers() >= required && shortTerm_.answers() >= required;
-            }
-            // The higher of both rates, since the long-term rate hardly shows a fault that has
-            // just started.
-            double rate() const { return std::max(longTerm_.upperRate(), shortTerm_.rate()); }
-        };
         struct Score {
+            /// The cumulative sum, which never falls below 0.
             double value_ = 0;
+            /// The sum since the order.
+            double total_ = 0;
             std::uint64_t answers_ = 0;
+
+            void add(double logRatio, std::uint64_t answers)
+            {
+                answers_ += answers;
+                total_ += logRatio;
+                value_ = std::clamp(value_ + logRatio, 0.0, maxScore);
+            }
         };
+        using Scores = std::map<BackendKey, Score>;
+
+        /// Adds the answers of one backend server of the target. Given the number of bad
+        /// answers of both sides at the same time on the same route, the number that are the
+        /// target's depends on the odds ratio only, and not on the rate that both have (Cox,
+        /// 1958). The log likelihood ratio is approximated to second order.
+        void updateScores(const std::pair<BackendKey, RouteKey>& cell, const AnswerTally& target, const AnswerTally& stable)
+        {
+            auto ofTarget = static_cast<double>(target.answers_);
+            auto ofStable = static_cast<double>(stable.answers_);
+            double all = ofTarget + ofStable;
+            if (!target.answers_ || !stable.answers_)
+                return;
+            auto bad = static_cast<double>(target.bad_ + stable.bad_);
+            double expected = ofTarget * bad / all;
+            double variance = expected * (ofStable / all) * (all - bad) / (all - 1);
+            double logRatio = degradation * (static_cast<double>(target.bad_) - expected) - degradation * degradation / 2 * variance;
+            scores_[cell.second][cell.first].add(logRatio, target.answers_);
+            scores_[std::nullopt][cell.first].add(logRatio, target.answers_);
+        }
+
+        static double sumOfLowest(const Scores& scores)
+        {
+            std::vector<double> values;
+            for (const auto& [backend, score] : scores)
+                values.push_back(score.value_);
+            std::sort(values.begin(), values.end());
+            values.resize(static_cast<std::size_t>(std::ceil(suspectFraction * static_cast<double>(values.size()))));
+            return std::accumulate(values.begin(), values.end(), 0.0);
+        }
 
-        void updateScore(const std::pair<BackendKey, RouteKey>& cell, const AnswerTally& counted)
+        /// Whether neither a route nor all of them together are evidence against the target.
+        bool isSound() const
         {
-            double baseline = std::min(maxRate - degradation / 2, stableRates_[cell.second].rate());
-            double degraded = std::min(maxRate, baseline + degradation);
-            double badLogRatio = std::log(degraded / baseline);
-            double goodLogRatio = std::log((1 - degraded) / (1 - baseline));
-            Score& score = scores_[cell];
-            score.answers_ += counted.answers_;
-            auto bad = static_cast<double>(counted.bad_);
-            auto good = static_cast<double>(counted.answers_ - counted.bad_);
-            score.value_ = std::clamp(score.value_ + bad * badLogRatio + good * goodLogRatio, 0.0, maxScore);
+            return std::all_of(scores_.begin(), scores_.end(), [](const auto& entry) {
+                double total = 0;
+                for (const auto& [backend, score] : entry.second)
+                    total += std::min(score.total_, maxTotal);
+                return total < unsoundTotal;
+            });
         }
 
-        std::optional<std::string> evaluate(RouteKey route) const
+        std::optional<std::string> evaluate(const Scores& scores) const
         {
             double sum = 0;
             std::size_t evaluated = 0;
             std::size_t degraded = 0;
-            for (const auto& [cell, score] : scores_) {
-                if (cell.second != route || score.answers_ < minAnswers)
+            for (const auto& [backend, score] : scores) {
+                if (score.answers_ < minAnswers)
                     continue;
                 ++evaluated;
                 sum += score.value_;
@@ -180,21 +153,18 @@
         /// Backend servers of the target that have answered on any route.
         std::size_t servers() const
         {
-            std::set<BackendKey> all;
-            for (const auto& [cell, score] : scores_)
-                all.insert(cell.first);
-            return all.size();
+            auto all = scores_.find(std::nullopt);
+            return all == scores_.end() ? 0 : all->second.size();
         }
 
         RolloutTally previousTally_;
-        SteadyTime evaluatedAt_ {};
-        std::map<RouteKey, StableRates> stableRates_;
-        std::map<std::pair<BackendKey, RouteKey>, Score> scores_;
+        /// By route, and of all routes together under nullopt.
+        std::map<std::optional<RouteKey>, Scores> scores_;
     };
 
     class ThresholdEvaluator {
     public:
-        std::optional<std::string> operator()(const RolloutTally& tally, SteadyTime now)
+        RolloutEvaluation operator()(const RolloutTally& tally, SteadyTime now)
         {
             recent_.push_back({ now, tally });
             while (now - recent_.front().at_ > window)
@@ -211,9 +181,9 @@
                     side.bad_ += answers.bad_;
                 }
                 if (target.answers_ >= minAnswers && badRateOf(target) > badRateOf(stable) + degradation)
-                    return std::to_string(target.bad_) + " of " + std::to_string(target.answers_) + " answers are bad, against " + std::to_string(stable.bad_) + " of " + std::to_string(stable.answers_);
+                    return { std::to_string(target.bad_) + " of " + std::to_string(target.answers_) + " answers are bad, against " + std::to_string(stable.bad_) + " of " + std::to_string(stable.answers_), true, false };
             }
-            return std::nullopt;
+            return {};
         }
 
     private:
--- a/lib/Rollout/RolloutController.cpp
+++ b/lib/Rollout/RolloutController.cpp
@@ -77,14 +77,32 @@
     });
 }
 
+bool RolloutController::mustBeSound(const RolloutTally& tally, SteadyTime now)
+{
+    std::uint64_t bad = 0;
+    for (const auto& [cell, answers] : tally.cells_)
+        bad += cell.first == stableBackendKey ? 0 : answers.bad_;
+    if (bad < settings_.toleratedBad_)
+        return false;
+    if (badToleratedAt_ == SteadyTime {})
+        badToleratedAt_ = now;
+    return now - badToleratedAt_ >= settings_.rollbackTime_ - settings_.rollbackMargin_;
+}
+
 const RolloutState& RolloutController::adjust(const RolloutView& view, SteadyTime now)
 {
     if (isFinal(state_.phase_))
         return state_;
-    if (auto degradation = evaluator_(view.tally_, now)) {
-        revert(*degradation);
+    RolloutEvaluation evaluation = evaluator_(view.tally_, now);
+    if (evaluation.worse_) {
+        revert(*evaluation.worse_);
+        return state_;
+    }
+    if (mustBeSound(view.tally_, now) && !evaluation.isSound_) {
+        revert("many bad answers, and not shown to be sound");
         return state_;
     }
+    mayGrow_ = !evaluation.isSuspect_ || now >= timeAt(settings_.holdFraction_);
     // An order for a version needs no trial if no backend server of another version runs.
     bool isTargetOnly = !view.stableServers_ && view.targetServers_;
     if (!isTargetOnly)
@@ -113,7 +131,7 @@
     bool isWithinExposure = static_cast<double>(view.tally_.exposed_) < allowed;
     if (!view.targetServers_ || !isWithinExposure)
         return setState(RolloutPhase::Trial, 0, view.targetServers_ ? "exposure is used up" : "no backend server of the target");
-    if (now >= timeAt(settings_.trialFraction_) && hasEvidence(view.tally_)) {
+    if (now >= timeAt(settings_.trialFraction_) && mayGrow_ && hasEvidence(view.tally_)) {
         shiftedAt_ = now;
         return setState(RolloutPhase::Shifting, 2 * settings_.trialShare_, "not worse for the time of the trial");
     }
@@ -122,7 +140,7 @@
 
 void RolloutController::adjustShift(const RolloutView& view, SteadyTime now)
 {
-    if (state_.share_ < 1 && now - shiftedAt_ >= timeAt(settings_.shiftStepFraction_) - startedAt_) {
+    if (state_.share_ < 1 && mayGrow_ && now - shiftedAt_ >= timeAt(settings_.shiftStepFraction_) - startedAt_) {
         shiftedAt_ = now;
         return setState(RolloutPhase::Shifting, std::min(1.0, 2 * state_.share_), "the rest follows");
     }
--- a/unittests/Gateway/GatewaySettingsTest.cpp
+++ b/unittests/Gateway/GatewaySettingsTest.cpp
@@ -35,6 +35,8 @@
     exposed_share: 0.1
     exposed_extra: 50
     trial_part: 0.6
+    tolerated_bad: 40
+    rollback_time: 4s
 )";
 
 TEST_CASE("valid settings of a gateway are read", "[gateway]")
@@ -52,6 +54,8 @@
     CHECK(settings->quarantine_.organisationCapacity_ == 64);
     CHECK(settings->rollout_.exposedExtra_ == 50);
     CHECK(settings->rollout_.trialFraction_ == 0.6);
+    CHECK(settings->rollout_.toleratedBad_ == 40);
+    CHECK(settings->rollout_.rollbackTime_ == milliseconds(4000));
     CHECK(settings->logs_.output_ == LogOutput::StandardOutput);
 }
 
@@ -74,6 +78,8 @@
         { "first: 20s", "first: 20", "f:20: gateway.quarantine.first" },
         { "exposed_share: 0.1", "exposed_share: 1.1", "f:23: gateway.rollout.exposed_share" },
         { "trial_part: 0.6", "trial_part: 0.97", "f:25: gateway.rollout.trial_part" },
+        { "tolerated_bad: 40", "tolerated_bad: 0", "f:26: gateway.rollout.tolerated_bad" },
+        { "rollback_time: 4s", "rollback_time: 4", "f:27: gateway.rollout.rollback_time" },
         { "\"10.0.0.2:70\"", "\"here\"", "gateway.seeds" },
     }));
     std::string text = validSettings;
--- a/unittests/Rollout/RolloutTest.cpp
+++ b/unittests/Rollout/RolloutTest.cpp
@@ -294,3 +294,41 @@
     CHECK(tracker.continuationAt(service, softwareKeyOf(service, { "v1" }), after(row.ageMs_)) == Continuation::Allowed);
     CHECK(tracker.continuationAt({ "other" }, target, after(row.ageMs_)) == Continuation::Allowed);
 }
+
+namespace {
+
+/// A controller on trial whose evaluator returns \p evaluation.
+RolloutController controllerOnTrial(const RolloutEvaluation& evaluation)
+{
+    return RolloutController({}, { orderOf(1), RolloutPhase::Trial, 0, 0, 0 }, start, 3, [&evaluation](const RolloutTally&, SteadyTime) { return evaluation; });
+}
+
+} // namespace
+
+TEST_CASE("the share of a suspect target grows", "[rollout]")
+{
+    RolloutEvaluation evaluation { std::nullopt, true, true };
+    RolloutController controller = controllerOnTrial(evaluation);
+    RolloutView view { tallyOf(4000, 200), 4, 20, 10 };
+    for (std::int64_t ms = 0; ms < 8000; ms += 100)
+        CHECK(controller.adjust(view, after(ms)).phase_ == RolloutPhase::Trial);
+    // A suspicion that is neither dispelled nor borne out holds the target up for a time only.
+    CHECK(controller.adjust(view, after(8000)).phase_ == RolloutPhase::Shifting);
+}
+
+TEST_CASE("a target that is not sound gets requests after its tolerated bad answers", "[rollout]")
+{
+    RolloutEvaluation evaluation { std::nullopt, false, false };
+    RolloutController controller = controllerOnTrial(evaluation);
+    RolloutSettings settings;
+    std::int64_t allowedMs = (settings.rollbackTime_ - settings.rollbackMargin_).count();
+    for (std::int64_t ms = 0; ms <= 1000; ms += 100)
+        CHECK(controller.adjust({ tallyOf(2000, 200, 48), 4, 20, 10 }, after(ms)).phase_ == RolloutPhase::Trial);
+    RolloutView view { tallyOf(2000, 200, 52), 4, 20, 10 };
+    CHECK(controller.adjust(view, after(1100)).phase_ == RolloutPhase::Trial);
+    CHECK(controller.adjust(view, after(1000 + allowedMs)).phase_ == RolloutPhase::Trial);
+    evaluation.isSound_ = true;
+    CHECK(controller.adjust(view, after(1100 + allowedMs)).phase_ == RolloutPhase::Trial);
+    evaluation.isSound_ = false;
+    CHECK(controller.adjust(view, after(1200 + allowedMs)).phase_ == RolloutPhase::Reverted);
+}
