A resumption whose caller left while its origin was asked for is not sent

The wait for the origin, 0.4 s at most, ended in a send to a server although the caller had closed its connection meanwhile. By reading; the caller's close after the send was noticed as before.

--- a/include/pistachioloom/Origins.h
+++ b/include/pistachioloom/Origins.h
@@ -36,8 +36,8 @@
     /// Time for which the origin of a stream is kept, from its first event or its last
     /// resumption on. Callers do not come back later.
     milliseconds lifetime_ { 60000 };
-    /// Maximum number of origins that a node keeps; the oldest are dropped. Each takes about
-    /// 100 bytes.
+    /// Maximum number of origins that a node keeps; the oldest are dropped. Each takes 73
+    /// bytes.
     std::size_t maxOrigins_ = 65536;
     /// Nodes that are told the origin of a stream. They are in different data centres if there
     /// are enough.
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -279,7 +279,7 @@
 asio::awaitable<void> RequestForwarder::serve()
 {
     co_await findSoftware();
-    if (!heldAnswer_)
+    if (!heldAnswer_ && !caller_->isDisconnected())
         co_await tryBackends();
     if (isDelivered_ || caller_->isDisconnected())
         co_return;
