Software is remembered also if its last server is replaced at its address

A server whose address another one has (421) was dropped from the table without a trace of its software, so that the other version counted as the only one, and a stream of which no node knew the origin could go on there. All three ways out of the table are one function now.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -545,6 +545,7 @@
     void sumPeerLoads(SteadyTime now);
     /// Discards the record of \p id and everything learnt about it.
     void forget(const BackendId& id);
+    void erase(std::map<BackendId, Backend>::iterator backend, std::optional<SteadyTime> removedAt);
     void rememberSoftware(const Backend& backend, std::optional<SteadyTime> removedAt);
     /// Notes that \p id is leaving although it has no record, so that a record that
     /// arrives later is marked as leaving.
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -297,8 +297,7 @@
         return;
     case BackendOutcome::WrongInstance:
         // The record is outdated, since another server has the address.
-        backends_.erase(found);
-        fingerprint_.reset();
+        erase(found, now);
         return;
     case BackendOutcome::Unreachable:
         backend.aliveOrder_ = 0;
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -60,10 +60,14 @@
     for (auto& [dataCentre, failed] : failedByDataCentre_)
         failed.erase(id);
     auto found = backends_.find(id);
-    if (found != backends_.end()) {
-        rememberSoftware(found->second, std::nullopt);
-        backends_.erase(found);
-    }
+    if (found != backends_.end())
+        erase(found, std::nullopt);
+}
+
+void BackendTable::erase(std::map<BackendId, Backend>::iterator backend, std::optional<SteadyTime> removedAt)
+{
+    rememberSoftware(backend->second, removedAt);
+    backends_.erase(backend);
     fingerprint_.reset();
 }
 
@@ -87,10 +91,8 @@
         return;
     if (found->second.record_.isLeaving_)
         rememberLeaving(id, now);
-    rememberSoftware(found->second, now);
     removedNames_.push_back(found->second.record_.name_);
-    backends_.erase(found);
-    fingerprint_.reset();
+    erase(found, now);
     if (removedNames_.size() <= maxRemovedNames)
         return;
     BackendName oldest = removedNames_.front();
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -725,3 +725,16 @@
     CHECK_FALSE(table.soleSoftware(service, at(800), at(900)));
     CHECK(table.soleSoftware(service, at(801), at(1000)) == softwareKeyOf(service, { "v4" }));
 }
+
+TEST_CASE("software whose last server was replaced at its address is forgotten at once", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    for (const char* id : { "x", "y" }) {
+        BackendRecord registered = record(id);
+        registered.version_ = { std::string("v-") + id };
+        table.put(registered);
+    }
+    table.end({ "x" }, { BackendOutcome::WrongInstance }, start + milliseconds(100));
+    CHECK_FALSE(table.soleSoftware(service, start + milliseconds(100), start + milliseconds(200)));
+    CHECK(table.soleSoftware(service, start + milliseconds(101), start + milliseconds(200)) == softwareKeyOf(service, { "v-y" }));
+}
