--- a/include/pistachioloom/Quarantine.h
+++ b/include/pistachioloom/Quarantine.h
@@ -38,6 +38,9 @@
 /// not know it.
 RequestFingerprint fingerprintOf(const RequestIdentity& identity, std::string_view secret);
 
+/// \returns the fingerprint of the prompt part \p id of requests for \p service.
+RequestFingerprint fingerprintOf(const ServiceName& service, std::string_view id, std::string_view secret);
+
 /// \returns \p fingerprint as sixteen hexadecimal digits.
 std::string toString(RequestFingerprint fingerprint);
 
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -395,6 +395,15 @@
     return *fingerprint_;
 }
 
+/// Returns the fingerprints of the prompt's parts in order, for logs.
+std::string RequestForwarder::promptFingerprints() const
+{
+    std::string text;
+    for (const PromptPart& part : shape_.parts_)
+        text += (text.empty() ? "" : " ") + toString(fingerprintOf(shape_.service_, part.id_, context_.fingerprintSecret_));
+    return text;
+}
+
 void RequestForwarder::noteCutOff(const Attempt& attempt)
 {
     const BackendRecord& backend = attempt.choice_.backend_;
@@ -434,7 +443,7 @@
     if (attempt.sentAt_ != SteadyTime {})
         line.add("sent_after_ms", std::chrono::duration_cast<milliseconds>(attempt.sentAt_ - request_.receivedAt_).count());
     if (outcome == BackendOutcome::Broken)
-        line.add("request", toString(fingerprint()));
+        line.add("request", toString(fingerprint())).add("prompt_parts", promptFingerprints());
     line.add("first_byte_ms", firstByteLatency_.count()).add("took_ms", took.count()).add("left_ms", timeLeft().count());
     logger().info(line);
 }
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -150,6 +150,7 @@
     /// Reports the outcome of an attempt to the roll-out of its backend server's version.
     void noteVersionOutcome(const Attempt& attempt, BackendOutcome outcome);
     RequestFingerprint fingerprint();
+    std::string promptFingerprints() const;
     /// The answer to a quarantined request; nullopt if the request is not quarantined.
     std::optional<HeldAnswer> rejectQuarantined();
     void clearSuspicion();
--- a/lib/Quarantine/Fingerprint.cpp
+++ b/lib/Quarantine/Fingerprint.cpp
@@ -18,6 +18,11 @@
     return { digest64({ secret, identity.organisation_, identity.method_, identity.host_, identity.target_, identity.body_ }) };
 }
 
+RequestFingerprint fingerprintOf(const ServiceName& service, std::string_view id, std::string_view secret)
+{
+    return { digest64({ secret, "prompt part", service.value_, id }) };
+}
+
 std::string toString(RequestFingerprint fingerprint)
 {
     char digits[fingerprintDigits];
