--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -95,6 +95,11 @@
     virtual asio::awaitable<Result<void>> endStream() = 0;
     /// Closes the connection without completing the response.
     virtual void abort() = 0;
+    /// Writes \p bytes as they are, for a response whose head and framing the handler writes
+    /// itself. The connection closes after it.
+    virtual asio::awaitable<Result<void>> writeRaw(std::string bytes) = 0;
+    /// Resets the connection, which discards what has not been sent yet.
+    virtual void reset() = 0;
 
 protected:
     HttpRequest request_;
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -102,6 +102,25 @@
             stream_.close();
         }
 
+        asio::awaitable<Result<void>> writeRaw(std::string bytes) override
+        {
+            hasStartedAnswer_ = true;
+            keepAlive_ = false;
+            stream_.expires_after(state_.bounds_.idleTimeout_);
+            auto [code, count] = co_await asio::async_write(stream_, asio::buffer(bytes), asTuple);
+            if (code)
+                co_return failed(code);
+            co_return boost::outcome_v2::success();
+        }
+
+        void reset() override
+        {
+            keepAlive_ = false;
+            beast::error_code ignored;
+            stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+            stream_.close();
+        }
+
     private:
         /// Sets the headers that announce whether the connection closes, or after which
         /// idle time. Without them the caller may send its next request while the server
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -80,6 +80,34 @@
     return text;
 }
 
+/// Where in its answer a backend server crashes.
+enum class CrashPoint {
+    None,
+    BeforeHead,
+    AfterHead,
+    InsideEvent,
+    AfterEvent,
+};
+
+CrashPoint parseCrashPoint(const std::string& text)
+{
+    static const std::map<std::string, CrashPoint> points { { "before_head", CrashPoint::BeforeHead }, { "after_head", CrashPoint::AfterHead }, { "inside_event", CrashPoint::InsideEvent }, { "after_event", CrashPoint::AfterEvent } };
+    auto found = points.find(text);
+    return found == points.end() ? CrashPoint::None : found->second;
+}
+
+/// Hooks of a backend server into the fleet.
+struct BackendHooks {
+    /// Called when a request starts to run. It may crash the server.
+    std::function<void(const HttpRequest&)> onRun_;
+    /// Returns where in the answer to a request the server crashes. Called once per request.
+    std::function<CrashPoint(const HttpRequest&)> crashPointOf_;
+    /// Crashes the server.
+    std::function<void()> onCrash_;
+    /// Returns whether event streams have neither a length nor chunks.
+    std::function<bool()> isUnframed_;
+};
+
 /// One backend server. It answers with an event stream if the path contains /stream, else
 /// with a plain body.
 class Backend {
@@ -96,16 +124,20 @@
 
     std::uint16_t listen() { return port_ = server_.listen({ "127.0.0.1", 0 }).value(); }
     const std::string& id() const { return id_; }
+    /// How the connections of running requests end in a crash.
+    enum class CrashKind {
+        Close,
+        Reset,
+    };
     /// Simulates a crash: accepts no more connections and aborts running and new requests.
-    void crash()
+    void crash(CrashKind kind = CrashKind::Close)
     {
         isCrashed_ = true;
         server_.stopAccepting();
         for (HttpExchange* exchange : runningExchanges_)
-            exchange->abort();
+            kind == CrashKind::Reset ? exchange->reset() : exchange->abort();
     }
-    /// Sets a hook that is called when a request starts to run. It may crash this server.
-    void setRunHook(std::function<void(const HttpRequest&)> hook) { onRun_ = std::move(hook); }
+    void setHooks(BackendHooks hooks) { hooks_ = std::move(hooks); }
 
     json::object control(const json::object& body)
     {
@@ -202,8 +234,8 @@
     asio::awaitable<void> answerRun(HttpExchange& exchange, HttpResponse answer)
     {
         const HttpRequest& request = exchange.request();
-        if (onRun_)
-            onRun_(request);
+        if (hooks_.onRun_)
+            hooks_.onRun_(request);
         if (isCrashed_)
             co_return;
         if (controls_["no_seal"])
@@ -279,25 +311,39 @@
             (void)co_await exchange.respond(std::move(head));
             co_return;
         }
-        if (!co_await exchange.beginStream(std::move(head)))
+        const CrashPoint crashPoint = hooks_.crashPointOf_(exchange.request());
+        if (crashPoint == CrashPoint::BeforeHead)
+            co_return hooks_.onCrash_();
+        const bool isUnframed = hooks_.isUnframed_();
+        auto begun = co_await begin(exchange, std::move(head), isUnframed);
+        if (!begun)
             co_return;
+        if (crashPoint == CrashPoint::AfterHead)
+            co_return hooks_.onCrash_();
         for (std::int64_t id = next; id <= controls_["events"]; ++id) {
             if (id == controls_["cut_at"]) {
                 if (controls_["cut_once"])
                     controls_.update({ { "cut_at", 0 } });
                 // The connection is closed in the middle of an event.
                 std::string part = "id: " + std::to_string(id) + "\nda";
-                (void)co_await exchange.writeChunk(std::move(part));
+                (void)co_await writeBytes(exchange, std::move(part), isUnframed);
                 exchange.abort();
                 co_return;
             }
+            if (crashPoint == CrashPoint::InsideEvent) {
+                std::string part = "id: " + std::to_string(id) + "\nda";
+                (void)co_await writeBytes(exchange, std::move(part), isUnframed);
+                co_return hooks_.onCrash_();
+            }
             std::string sender = controls_["names_sender"] ? " from " + id_ : "";
             std::string event = "id: " + std::to_string(id) + "\ndata: event " + std::to_string(id) + sender + "\n\n";
-            auto written = co_await exchange.writeChunk(std::move(event));
+            auto written = co_await writeBytes(exchange, std::move(event), isUnframed);
             if (!written) {
                 abandonedRuns_.emplace_back(exchange.request().header("x-pistachioloom-attempt-id"));
                 co_return;
             }
+            if (crashPoint == CrashPoint::AfterEvent)
+                co_return hooks_.onCrash_();
             stream.lastEventId_ = id;
             if (stream.isStopped_ || isCrashed_) {
                 exchange.abort();
@@ -305,13 +351,33 @@
             }
             co_await pause(milliseconds(controls_["gap_ms"]));
         }
-        (void)co_await exchange.endStream();
+        // A stream without framing ends with its connection.
+        if (!isUnframed)
+            (void)co_await exchange.endStream();
+    }
+
+    static asio::awaitable<Result<void>> begin(HttpExchange& exchange, HttpResponse head, bool isUnframed)
+    {
+        if (!isUnframed)
+            co_return co_await exchange.beginStream(std::move(head));
+        std::string bytes = "HTTP/1.1 " + std::to_string(head.status_) + " OK\r\n";
+        for (const auto& [name, value] : head.headers_)
+            bytes += name + ": " + value + "\r\n";
+        bytes += "\r\n";
+        co_return co_await exchange.writeRaw(std::move(bytes));
+    }
+
+    static asio::awaitable<Result<void>> writeBytes(HttpExchange& exchange, std::string bytes, bool isUnframed)
+    {
+        if (isUnframed)
+            co_return co_await exchange.writeRaw(std::move(bytes));
+        co_return co_await exchange.writeChunk(std::move(bytes));
     }
 
     std::string id_;
     std::chrono::seconds announcedIdleTimeout_;
     bool isCrashed_ = false;
-    std::function<void(const HttpRequest&)> onRun_;
+    BackendHooks hooks_;
     std::set<HttpExchange*> runningExchanges_;
     HttpServer server_;
     std::uint16_t port_ = 0;
@@ -380,6 +446,13 @@
     /// `restart`: crashes a backend server and starts another under the same id.
     /// `crash_text`: a request whose body contains it crashes each backend server that
     /// starts to run it. A replacement starts `restart_ms` later.
+    /// `crash_parts`: prompt parts. A request with one of them, other than as its last part,
+    /// crashes each backend server at `crash_point` of its answer: `before_head`,
+    /// `after_head`, `inside_event` or `after_event`; with `crash_one_in`, only every n-th such
+    /// request does. The server's connections are reset with `crash_resets`, else closed. With
+    /// `keeps_id`, replacements have the id of the crashed server.
+    /// `unframed`: event streams have neither a length nor chunks.
+    /// `crash_some`: crashes this many backend servers of the service `crash_service` at once.
     /// `backend`: sets faults of one backend server and returns what that one recorded.
     /// `born`: returns the start time of a backend server.
     /// `view`: returns in `view_port` a port at which the registered addresses of backend
@@ -404,6 +477,12 @@
             restart(textField(body, "restart"));
         if (body.contains("crash_text"))
             crashText_ = textField(body, "crash_text");
+        if (const json::value* parts = body.if_contains("crash_parts"))
+            crashParts_ = json::value_to<std::set<std::string>>(*parts);
+        if (body.contains("crash_point"))
+            crashPoint_ = parseCrashPoint(textField(body, "crash_point"));
+        if (body.contains("crash_some"))
+            crashSome(textField(body, "crash_service"), static_cast<std::size_t>(numberField(body, "crash_some")));
         if (Backend* chosen = find(textField(body, "backend")))
             answer = chosen->control(body);
         if (std::string view = textField(body, "view"); !view.empty())
@@ -413,6 +492,7 @@
             answer["born"] = queried->second.at("born");
         answer["duties"] = recordedDutyCalls_;
         answer["crashes"] = crashes_;
+        answer["part_arrivals"] = partArrivals_;
         answer["statuses"] = statuses_;
         answer["ports"] = ports;
         co_await reply(exchange, 200, answer);
@@ -498,7 +578,12 @@
         if (!entry.contains("unregistered"))
             log_.put("keyed.servers", id, json::serialize(entry));
         registrations_[id] = std::move(entry);
-        backend->setRunHook([this, id](const HttpRequest& request) { crashIfMatching(id, request); });
+        BackendHooks hooks;
+        hooks.onRun_ = [this, id](const HttpRequest& request) { crashIfMatching(id, request); };
+        hooks.crashPointOf_ = [this, id](const HttpRequest& request) { return crashPointOf(id, request); };
+        hooks.onCrash_ = [this, id, raw = backend.get()] { crashBackend(id, *raw); };
+        hooks.isUnframed_ = [this] { return controls_["unframed"] != 0; };
+        backend->setHooks(std::move(hooks));
         backends_[id] = std::move(backend);
         return port;
     }
@@ -508,22 +593,75 @@
     {
         if (crashText_.empty() || request.body_.find(crashText_) == std::string::npos)
             return;
-        crashes_.push_back(json::object { { "backend", id }, { "at_ms", std::chrono::duration_cast<milliseconds>(steadyNow().time_since_epoch()).count() }, { "request", request.header("x-pistachioloom-attempt-id") } });
-        crashedBackends_.push_back(std::move(backends_[id]));
-        backends_.erase(id);
-        crashedBackends_.back()->crash();
+        crashes_.push_back(json::object { { "backend", id }, { "at_ms", nowMs() }, { "request", request.header("x-pistachioloom-attempt-id") } });
+        crashBackend(id, *backends_[id]);
+    }
+
+    static std::int64_t nowMs() { return std::chrono::duration_cast<milliseconds>(steadyNow().time_since_epoch()).count(); }
+
+    /// Returns the part of the prompt of \p request, other than the last one, that is one of
+    /// `crash_parts`; empty if there is none.
+    std::string crashPartOf(const HttpRequest& request) const
+    {
+        std::string header = request.header("x-pistachioloom-prompt-prefix");
+        std::string_view rest = header;
+        for (std::size_t comma = rest.find(','); comma != std::string_view::npos; comma = rest.find(',')) {
+            std::string part(rest.substr(0, rest.find(':')));
+            if (crashParts_.contains(part))
+                return part;
+            rest.remove_prefix(comma + 1);
+        }
+        return {};
+    }
+
+    CrashPoint crashPointOf(const std::string& id, const HttpRequest& request)
+    {
+        std::string part = crashParts_.empty() ? std::string() : crashPartOf(request);
+        if (part.empty())
+            return CrashPoint::None;
+        partArrivals_.push_back(json::object { { "backend", id }, { "at_ms", nowMs() }, { "part", part }, { "request", request.header("x-pistachioloom-attempt-id") } });
+        bool crashes = partArrivals_.size() % static_cast<std::size_t>(controls_["crash_one_in"]) == 0;
+        if (!crashes)
+            return CrashPoint::None;
+        crashes_.push_back(partArrivals_.back());
+        return crashPoint_;
+    }
+
+    /// Crashes \p backend, which has \p id, unless that has happened already.
+    void crashBackend(const std::string& id, Backend& backend)
+    {
+        auto running = backends_.find(id);
+        if (running == backends_.end() || running->second.get() != &backend)
+            return;
+        crashedBackends_.push_back(std::move(running->second));
+        backends_.erase(running);
+        crashedBackends_.back()->crash(controls_["crash_resets"] ? Backend::CrashKind::Reset : Backend::CrashKind::Close);
         asio::co_spawn(io_, replaceCrashed(id), asio::detached);
     }
 
-    /// Starts a replacement under a new id for the crashed backend server of \p id, and deletes
-    /// the registration of \p id.
+    void crashSome(const std::string& service, std::size_t count)
+    {
+        std::vector<std::string> ids;
+        for (const auto& [id, backend] : backends_) {
+            if (textField(registrations_[id], "service") == service)
+                ids.push_back(id);
+        }
+        for (std::size_t i = 0; i < std::min(count, ids.size()); ++i) {
+            std::swap(ids[i], ids[i + randomBits() % (ids.size() - i)]);
+            crashBackend(ids[i], *backends_[ids[i]]);
+        }
+    }
+
+    /// Starts a replacement for the crashed backend server of \p id. It has a new id, and the
+    /// registration of \p id is deleted, unless `keeps_id` is set.
     asio::awaitable<void> replaceCrashed(std::string id)
     {
         co_await pause(milliseconds(controls_["restart_ms"]));
         json::object spec = registrations_[id];
-        spec["id"] = id + "'";
+        spec["id"] = controls_["keeps_id"] ? id : id + "'";
         registrations_.erase(id);
-        log_.put("keyed.servers", id, "");
+        if (!controls_["keeps_id"])
+            log_.put("keyed.servers", id, "");
         startBackend(spec);
     }
 
@@ -616,7 +754,7 @@
     asio::io_context& io_;
     Log log_;
     std::map<std::string, View> views_;
-    Controls controls_ { { { "down", 0 }, { "lose_appends", 0 }, { "restart_ms", 1000 } } };
+    Controls controls_ { { { "down", 0 }, { "lose_appends", 0 }, { "restart_ms", 1000 }, { "crash_resets", 0 }, { "crash_one_in", 1 }, { "keeps_id", 0 }, { "unframed", 0 } } };
     std::map<std::string, std::unique_ptr<Backend>> backends_;
     /// Crashed backend servers, oldest first.
     std::vector<std::unique_ptr<Backend>> crashedBackends_;
@@ -624,7 +762,11 @@
     std::map<std::string, json::object> registrations_;
     json::array recordedDutyCalls_;
     std::string crashText_;
+    std::set<std::string> crashParts_;
+    CrashPoint crashPoint_ = CrashPoint::AfterHead;
     json::array crashes_;
+    /// The requests with one of crashParts_ that reached a backend server.
+    json::array partArrivals_;
     struct ProducerState {
         std::uint64_t epoch_ = 0;
         std::uint64_t sequence_ = 0;
