Crashes are counted by attributes of requests, and weighed against sound answers

Callers saw their streams break off on one engine after the other: requests that share one part of their prompts crash each engine, and no two of them are alike. Crashes were counted by the whole request, so that each was the first of its suspect.

Cause, and the class: harm was counted by one fixed key, and the culprit is another attribute. Now every attribute of a request, itself and the parts of its prompt, has its crashes, and parts have the sound answers of their requests beside. A part is condemned by the likelihood ratio of both, over all nodes: crashes at one moment are one observation, weighed by what else crashed then; what a condemned attribute explains does not count against the others; the share of other requests that are cut off is what the engines' own crashes explain. Counts of sound answers are told by node and merged by their maximum, crashes as before, condemnations and releases by their time.

After a quarantine one node of the fleet, by the rendezvous order, tries one request a second; a crash doubles the quarantine, three sound answers release the part. A new request with a condemned part is answered 503 with the time that is left, which is true: it has not run.

--- a/lib/Forward/LivenessProbe.cpp
+++ b/lib/Forward/LivenessProbe.cpp
@@ -22,17 +22,20 @@
     return logger;
 }
 
-void logCrash(ForwardContext& context, const BackendId& backend, const CrashDetector::CountedRequest& counted)
+void logCrash(ForwardContext& context, const BackendId& backend, const CrashDetector::CountedCrash& counted)
 {
     context.metrics_.add(Counter::BackendCrashes);
+    std::string parts;
+    for (std::size_t i = 1; i < counted.attributes_.size(); ++i)
+        parts += (i > 1 ? " " : "") + toString(counted.attributes_[i].key_) + ":" + std::to_string(counted.crashes_[i]);
     LogLine line("Backend server crashed while serving a request.");
-    line.add("backend", backend.value_).add("request", toString(counted.request_)).add("crashes", static_cast<std::int64_t>(counted.crashes_));
+    line.add("backend", backend.value_).add("request", toString(counted.attributes_.front().key_)).add("crashes", static_cast<std::int64_t>(counted.crashes_.front())).add("prompt_parts", parts);
     logger().info(line);
 }
 
 void noteBackendTerminated(ForwardContext& context, const BackendId& backend)
 {
-    for (const CrashDetector::CountedRequest& counted : context.crashes_.noteTerminated({ keyOf(backend) }, steadyNow()))
+    for (const CrashDetector::CountedCrash& counted : context.crashes_.noteTerminated({ keyOf(backend) }, steadyNow()))
         logCrash(context, backend, counted);
 }
 
@@ -66,7 +69,7 @@
     LogLine line(hasTerminated ? "Backend server has terminated." : "Backend server closed a connection during a request.");
     line.add("backend", backend.id_.value_).add("connection", code ? code.message() : "accepted");
     logger().info(line);
-    context.crashes_.noteProbed({ keyOf(backend.id_) });
+    context.crashes_.noteProbed({ keyOf(backend.id_) }, !code, steadyNow());
     if (!hasTerminated)
         co_return;
     context.backends_.setTerminated(backend.id_, steadyNow());
--- a/lib/Forward/LivenessProbe.h
+++ b/lib/Forward/LivenessProbe.h
@@ -16,6 +16,6 @@
 asio::awaitable<void> probeLiveness(ForwardContext& context, BackendRecord backend);
 
 /// Logs that a crash of \p backend was counted against a request.
-void logCrash(ForwardContext& context, const BackendId& backend, const CrashDetector::CountedRequest& counted);
+void logCrash(ForwardContext& context, const BackendId& backend, const CrashDetector::CountedCrash& counted);
 
 } // namespace pistachioloom
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -20,9 +20,11 @@
     // The number of attempts after which a request fails if they sent nothing, for
     // example because the connection failed.
     constexpr unsigned maxUnsentAttempts = 4;
-    // A request during which this many backend servers crashed is isolated from other
-    // requests, because so many crashes are unlikely to be a coincidence.
-    constexpr std::size_t crashesToIsolate = 2;
+    // Parts of a prompt by which crashes are counted.
+    constexpr std::size_t maxPromptAttributes = 8;
+    // Time after the first event of a stream in which a prompt that crashes its server has done
+    // so.
+    constexpr milliseconds goingOnTime { 1000 };
     // Interval at which a waiting attempt that can be replaced checks its paths.
     constexpr milliseconds pathCheckPeriod { 250 };
     // The largest urgency value, which is the least urgent.
@@ -195,22 +197,29 @@
 {
     if (context_.quarantine_.isEmpty())
         return std::nullopt;
-    auto quarantine = context_.quarantine_.check(fingerprint(), steadyNow());
+    std::vector<Attribute> suspected = attributes();
+    auto quarantine = context_.quarantine_.admit(suspected, steadyNow());
     if (!quarantine) {
-        shape_.isSuspect_ = context_.quarantine_.activeCrashesOf(fingerprint()) >= crashesToIsolate;
+        shape_.isSuspect_ = context_.quarantine_.isSuspected(suspected);
         return std::nullopt;
     }
     context_.metrics_.add(Counter::RequestsQuarantined);
     logQuarantined(*quarantine);
-    // 503 promises that the request never runs, which invites the caller to retry. 4xx would
-    // blame the request, whose fault is likely but not certain.
-    return rejection(502, "quarantined: " + std::to_string(quarantine->crashes_) + " backend servers crashed under this request", {});
+    std::string reason = "quarantined: " + std::to_string(quarantine->crashes_) + " backend servers crashed under ";
+    // 4xx would blame the request, whose fault is likely but not certain. 503 promises that the
+    // request has not run and never will, which may be untrue of a repeated request. A new
+    // request with a quarantined prompt part has not run, and its caller learns when to return.
+    bool hasNotRun = quarantine->attribute_.kind_ == AttributeKind::PromptPart && !mayHaveRun_ && !sendCount_;
+    if (hasNotRun)
+        return rejection(503, reason + "a part of this prompt", quarantine->timeLeft_);
+    return rejection(502, reason + "this request", {});
 }
 
 void RequestForwarder::logQuarantined(const Quarantine& quarantine)
 {
     LogLine line("Request is quarantined.");
-    line.add("id", attemptId_).add("request", toString(fingerprint())).add("crashes", static_cast<std::int64_t>(quarantine.crashes_));
+    line.add("id", attemptId_).add("kind", toString(quarantine.attribute_.kind_)).add("request", toString(quarantine.attribute_.key_));
+    line.add("crashes", static_cast<std::int64_t>(quarantine.crashes_)).add("sound", static_cast<std::int64_t>(quarantine.soundAnswers_)).add("on_trial", quarantine.isOnTrial_);
     line.add("last_crash_ms", quarantine.sinceLastCrash_.count()).add("left_ms", quarantine.timeLeft_.count());
     line.add("target", request_.target_).add("organisation", organisation_ ? organisation_->name_.value_ : "");
     logger().info(line);
@@ -218,14 +227,38 @@
 
 /// A complete answer, even a failure, shows that the request does not crash its backend
 /// server.
-void RequestForwarder::clearSuspicion()
+void RequestForwarder::noteSound(const Attempt& attempt)
 {
-    if (context_.crashes_.isIdle())
-        return;
-    if (context_.crashes_.clear(fingerprint(), steadyNow()))
+    std::vector<Attribute> sound;
+    if (!context_.crashes_.isIdle())
+        sound.push_back({ AttributeKind::Request, fingerprint() });
+    if (!attempt.hasGoneOn_) {
+        std::vector<Attribute> parts = promptAttributes();
+        sound.insert(sound.end(), parts.begin(), parts.end());
+    }
+    if (context_.crashes_.noteSound(sound, steadyNow()))
         logger().info(LogLine("Request is no longer suspected.").add("id", attemptId_).add("request", toString(fingerprint())));
 }
 
+/// Counts a stream as sound before its end. A crash after that has another cause than its prompt.
+void RequestForwarder::noteGoingOn(Attempt& attempt)
+{
+    if (attempt.hasGoneOn_ || steadyNow() - attempt.firstByteAt_ < goingOnTime)
+        return;
+    attempt.hasGoneOn_ = true;
+    (void)context_.crashes_.noteSound(promptAttributes(), steadyNow());
+}
+
+void RequestForwarder::noteEvidence(const Attempt& attempt, SendOutcome end)
+{
+    if (attempt.sentAt_ == SteadyTime {})
+        return;
+    if (end == SendOutcome::Delivered || end == SendOutcome::Held)
+        return noteSound(attempt);
+    if (end == SendOutcome::Lost && attempt.isCutOff_ && !attempt.isRelayed_)
+        noteCutOff(attempt, AttemptEnd::CutOff);
+}
+
 asio::awaitable<void> RequestForwarder::tryBackends()
 {
     for (;;) {
@@ -357,10 +390,7 @@
     context_.metrics_.observe(Histogram::CompleteAnswer, now - request_.receivedAt_);
     noteVersionOutcome(attempt, outcome);
     logAttempt(attempt, outcome, took);
-    if (outcome == BackendOutcome::Broken && attempt.isCutOff_)
-        noteCutOff(attempt);
-    if (end == SendOutcome::Delivered || end == SendOutcome::Held)
-        clearSuspicion();
+    noteEvidence(attempt, end);
     lastDetail_ = attempt.detail_;
 }
 
@@ -386,7 +416,7 @@
     context_.rollouts_.noteAnswer(shape_.service_, { backend.version_, keyOf(backend.id_), routeKeyOf(route_->name_), observed });
 }
 
-RequestFingerprint RequestForwarder::fingerprint()
+Fingerprint RequestForwarder::fingerprint()
 {
     if (!fingerprint_) {
         std::string_view organisation = organisation_ ? std::string_view(organisation_->name_.value_) : std::string_view();
@@ -395,24 +425,46 @@
     return *fingerprint_;
 }
 
+std::vector<Attribute> RequestForwarder::promptAttributes() const
+{
+    std::vector<Attribute> attributes;
+    for (const PromptPart& part : shape_.parts_) {
+        Attribute attribute { AttributeKind::PromptPart, fingerprintOf(shape_.service_, part.id_, context_.fingerprintSecret_) };
+        bool isNew = std::find(attributes.begin(), attributes.end(), attribute) == attributes.end();
+        if (isNew && attributes.size() < maxPromptAttributes)
+            attributes.push_back(attribute);
+    }
+    return attributes;
+}
+
+std::vector<Attribute> RequestForwarder::attributes()
+{
+    std::vector<Attribute> attributes { { AttributeKind::Request, fingerprint() } };
+    std::vector<Attribute> parts = promptAttributes();
+    attributes.insert(attributes.end(), parts.begin(), parts.end());
+    return attributes;
+}
+
 /// Returns the fingerprints of the prompt's parts in order, for logs.
 std::string RequestForwarder::promptFingerprints() const
 {
     std::string text;
-    for (const PromptPart& part : shape_.parts_)
-        text += (text.empty() ? "" : " ") + toString(fingerprintOf(shape_.service_, part.id_, context_.fingerprintSecret_));
+    for (const Attribute& attribute : promptAttributes())
+        text += (text.empty() ? "" : " ") + toString(attribute.key_);
     return text;
 }
 
-void RequestForwarder::noteCutOff(const Attempt& attempt)
+void RequestForwarder::noteCutOff(const Attempt& attempt, AttemptEnd end)
 {
     const BackendRecord& backend = attempt.choice_.backend_;
     auto known = context_.backends_.find(backend.id_);
     // The termination of a leaving backend server was announced and is not a crash.
     if (known && known->isLeaving_)
         return;
-    CutOff cutOff { fingerprint(), organisation_ ? organisation_->name_ : OrganisationId {}, { keyOf(backend.id_) } };
-    CrashDetector::CutOffResult result = context_.crashes_.noteCutOff(cutOff, steadyNow());
+    CutOff cutOff { attributes(), organisation_ ? organisation_->name_ : OrganisationId {}, { keyOf(backend.id_) } };
+    if (attempt.hasGoneOn_)
+        cutOff.attributes_.resize(1);
+    CrashDetector::CutOffResult result = context_.crashes_.noteCutOff(cutOff, steadyNow(), end);
     if (result.counted_)
         logCrash(context_, backend.id_, *result.counted_);
     if (result.needsProbe_)
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -78,6 +78,9 @@
         SteadyTime firstByteAt_ {};
         /// Whether the backend server closed the connection before the end of its answer.
         bool isCutOff_ = false;
+        /// Whether the answer went on for long enough to show that its prompt does not crash
+        /// the backend server.
+        bool hasGoneOn_ = false;
         /// Whether the answer reported that the backend server is leaving.
         bool reportsLeaving_ = false;
         /// The pause that the answer asked for.
@@ -144,16 +147,22 @@
     void releaseTarget(const BackendChoice& to);
     void cancelMove();
     void finishAttempt(Attempt& attempt, SendOutcome end);
-    /// Reports that the backend server cut the request off, and probes in the background
-    /// whether it has terminated.
-    void noteCutOff(const Attempt& attempt);
+    /// Records what the end of the attempt says of crashes under the request's attributes.
+    void noteEvidence(const Attempt& attempt, SendOutcome end);
+    /// Records that the attempt ended without proof that its backend server is alive, and
+    /// probes in the background whether it has terminated.
+    void noteCutOff(const Attempt& attempt, AttemptEnd end);
+    void noteGoingOn(Attempt& attempt);
     /// Reports the outcome of an attempt to the roll-out of its backend server's version.
     void noteVersionOutcome(const Attempt& attempt, BackendOutcome outcome);
-    RequestFingerprint fingerprint();
+    Fingerprint fingerprint();
+    /// The request's attributes by which crashes are counted, the request itself first.
+    std::vector<Attribute> attributes();
+    std::vector<Attribute> promptAttributes() const;
     std::string promptFingerprints() const;
     /// The answer to a quarantined request; nullopt if the request is not quarantined.
     std::optional<HeldAnswer> rejectQuarantined();
-    void clearSuspicion();
+    void noteSound(const Attempt& attempt);
     void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took);
     void logQuarantined(const Quarantine& quarantine);
     void logRejection(const HeldAnswer& answer) const;
@@ -258,7 +267,7 @@
     /// The answer to deliver unless a retry succeeds.
     std::optional<HeldAnswer> heldAnswer_;
     /// Computed on first use, because most requests never need it.
-    std::optional<RequestFingerprint> fingerprint_;
+    std::optional<Fingerprint> fingerprint_;
     /// Attempt::detail_ of the latest attempt.
     std::string lastDetail_;
     /// The time from the request's arrival to the first byte of an answer.
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -328,6 +328,7 @@
         attempt.connection_->arrivedAt_ = steadyNow();
         if (!attempt.isRelayed_)
             context_.backends_.noteReachable(attempt.choice_.backend_.id_);
+        context_.crashes_.noteAlive({ keyOf(attempt.choice_.backend_.id_) });
         if (std::exchange(attempt.isWaiting_, false))
             context_.paths_.noteAnswered(shape_.service_, attempt.sentAt_, steadyNow());
         if (parser.get().result_int() / 100 == 1)
@@ -410,6 +411,7 @@
         if (events.empty())
             continue;
         noteFirstByte(attempt);
+        noteGoingOn(attempt);
         noteStreamBegun(attempt);
         if (mayRetryElsewhere(attempt)) {
             waitDeadline_ = steadyNow() + context_.settings_.streamStallTimeout_;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -141,6 +141,7 @@
         { "services_unreachable", static_cast<double>(context_.paths_.lostServices().size()) },
         { "backend_servers_limited", static_cast<double>(context_.backends_.requestLimits().size()) },
         { "requests_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(steadyNow())) },
+        { "prompt_parts_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(AttributeKind::PromptPart, steadyNow())) },
         { "stream_origins", static_cast<double>(origins_.size()) },
         { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
     };
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -34,6 +34,22 @@
     return quotas;
 }
 
+static void logCondemned(const Condemnation& condemnation)
+{
+    static const Logger logger("quarantine");
+    const Suspect& suspect = condemnation.suspect_;
+    SteadyTime now = steadyNow();
+    std::string crashes;
+    for (const Crash& crash : suspect.crashes_) {
+        if (!crash.isCleared_)
+            crashes += (crashes.empty() ? "" : " ") + std::to_string(crash.backend_.value_) + ":" + std::to_string(std::chrono::duration_cast<milliseconds>(now - crash.at_).count());
+    }
+    LogLine line("Attribute of requests is condemned.");
+    line.add("kind", toString(suspect.attribute_.kind_)).add("request", toString(suspect.attribute_.key_)).add("crashes", static_cast<std::int64_t>(suspect.activeCrashes()));
+    line.add("sound", static_cast<std::int64_t>(suspect.soundAnswers())).add("evidence", std::to_string(condemnation.evidence_)).add("backends_and_ages_ms", crashes);
+    logger.info(line);
+}
+
 GatewayContext::GatewayContext(GatewaySettings settings, GatewayPlatform platform)
     : settings_(std::move(settings))
     , platform_(std::move(platform))
@@ -41,7 +57,7 @@
     , backends_(settings_.dataCentre_, settings_.choice_)
     , quotas_(steadyNow(), quotaSettings(settings_))
     , retries_(retrySettings(settings_))
-    , quarantine_(settings_.quarantine_)
+    , quarantine_(settings_.quarantine_, { static_cast<std::uint32_t>(stableHash(settings_.vm_.value_, incarnation_)) })
     , crashes_(quarantine_)
     , rollouts_(settings_.rollout_)
     , usage_(settings_.usageWindow_)
@@ -51,6 +67,7 @@
     forward_.nodes_ = minNodesAssumed;
     quotas_.setNodes(nodesAssumedAtStart);
     forward_.workers_ = settings_.threads_;
+    quarantine_.setCondemnedHook([](const Condemnation& condemnation) { logCondemned(condemnation); });
     forward_.hooks_.table_ = [this] { return table(); };
     forward_.hooks_.copyStream_ = platform_.copyStream_;
     forward_.hooks_.dropCopy_ = platform_.dropCopy_;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -97,6 +97,7 @@
     void parseQuarantine(YamlMap map, QuarantineSettings& settings)
     {
         settings.crashesToQuarantine_ = map.integer("crashes", 1, 12, settings.crashesToQuarantine_);
+        settings.evidenceToQuarantine_ = map.number("evidence", 1, 100, settings.evidenceToQuarantine_);
         settings.initialDuration_ = map.duration("first", milliseconds(1000), oneDay, settings.initialDuration_);
         settings.maxDuration_ = map.duration("longest", milliseconds(1000), 30 * oneDay, settings.maxDuration_);
         settings.retention_ = map.duration("memory", milliseconds(1000), oneDay, settings.retention_);
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -242,6 +242,7 @@
         }
         usesRelays_ = isLarge;
         shareRequestLimits(now);
+        context_.quarantine_.selectTrials([this](const Attribute& attribute) { return rankFor("trial of " + toString(attribute.key_)) == 0; });
         if (isLarge)
             reportToRelays(now);
         else
--- a/lib/Gateway/QuarantineStore.cpp
+++ b/lib/Gateway/QuarantineStore.cpp
@@ -20,9 +20,15 @@
     constexpr std::size_t maxWritesPerPeriod = 4;
     const std::string keyPrefix = "quarantine/";
 
-    std::string keyOf(RequestFingerprint request)
+    std::string keyOf(const Attribute& attribute)
     {
-        return keyPrefix + toString(request);
+        return keyPrefix + toString(attribute.key_);
+    }
+
+    LogLine& addSuspect(LogLine& line, const Suspect& suspect)
+    {
+        line.add("kind", toString(suspect.attribute_.kind_)).add("request", toString(suspect.attribute_.key_));
+        return line.add("crashes", static_cast<std::int64_t>(suspect.activeCrashes()));
     }
 
 } // namespace
@@ -30,7 +36,7 @@
 QuarantineStore::QuarantineStore(GatewayContext& context, Hooks hooks)
     : context_(context)
     , hooks_(std::move(hooks))
-    , tracker_(context.settings_.quarantine_.crashesToQuarantine_)
+    , tracker_([&context](const Suspect& suspect) { return context.quarantine_.isCondemned(suspect); })
 {
 }
 
@@ -77,7 +83,8 @@
     context_.quarantine_.mergeSuspects(suspects, now);
     for (const Suspect& suspect : suspects) {
         tracker_.noteRecorded({ suspect, false });
-        logger_.info(LogLine("Quarantine is read.").add("request", toString(suspect.request_)).add("crashes", static_cast<std::int64_t>(suspect.activeCrashes())).add("note_age_ms", age));
+        LogLine line("Quarantine is read.");
+        logger_.info(addSuspect(line, suspect).add("note_age_ms", age));
     }
 }
 
@@ -94,7 +101,7 @@
 /// \returns whether the platform stored \p change.
 asio::awaitable<bool> QuarantineStore::write(QuarantineRecordTracker::Change change)
 {
-    StoredNote note { keyOf(change.suspect_.request_), {} };
+    StoredNote note { keyOf(change.suspect_.attribute_), {} };
     if (!change.isDropped_) {
         wire::QuarantineNote stored;
         google::protobuf::RepeatedPtrField<wire::SuspectReport> reports;
@@ -105,8 +112,7 @@
     }
     auto written = co_await context_.platform_.writeNote_(std::move(note));
     LogLine line(change.isDropped_ ? "Quarantine is removed." : "Quarantine is written.");
-    line.add("request", toString(change.suspect_.request_)).add("crashes", static_cast<std::int64_t>(change.suspect_.activeCrashes())).add("error", written ? "" : describe(written.error()));
-    logger_.info(line);
+    logger_.info(addSuspect(line, change.suspect_).add("error", written ? "" : describe(written.error())));
     if (written)
         tracker_.noteRecorded(change);
     co_return written.has_value();
--- a/lib/Gateway/SuspectMessages.h
+++ b/lib/Gateway/SuspectMessages.h
@@ -1,7 +1,7 @@
 //===- lib/Gateway/SuspectMessages.h - messages about suspects ------------===//
 ///
 /// \file
-/// Converts the crashes that occurred during requests to messages between nodes, and back.
+/// Converts the evidence on attributes of requests to messages between nodes, and back.
 //===----------------------------------------------------------------------===//
 #pragma once
 
--- a/lib/Quarantine/CrashDetector.cpp
+++ b/lib/Quarantine/CrashDetector.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "pistachioloom/Quarantine.h"
 
+#include <algorithm>
+
 namespace pistachioloom {
 
 // Longest time between the cut-off of an attempt and the time at which this node learns
@@ -12,54 +14,105 @@
 // backend server after three missed heartbeats, and the nodes learn of the removal a
 // second later.
 static constexpr milliseconds maxTerminationDelay { 10000 };
+// An attempt whose end was not the backend server's counts if the crash is known to have
+// happened within this time of it.
+static constexpr milliseconds givenUpTolerance { 500 };
 
 void CrashDetector::removeExpired(SteadyTime now)
 {
-    std::erase_if(pending_, [&](const Pending& pending) { return now - pending.cutOffAt_ > maxTerminationDelay; });
+    std::erase_if(pending_, [&](const Pending& pending) { return now - pending.endedAt_ > maxTerminationDelay; });
     std::erase_if(terminatedAt_, [&](const auto& terminated) { return now - terminated.second > maxTerminationDelay; });
     pendingCount_ = pending_.size();
+    terminatedCount_ = terminatedAt_.size();
+}
+
+CrashDetector::CountedCrash CrashDetector::count(const CutOff& cutOff, SteadyTime at, SteadyTime now)
+{
+    return { cutOff.attributes_, table_.noteCrash(cutOff.attributes_, cutOff.organisation_, cutOff.backend_, at, now) };
 }
 
-CrashDetector::CutOffResult CrashDetector::noteCutOff(const CutOff& cutOff, SteadyTime now)
+CrashDetector::CutOffResult CrashDetector::noteCutOff(const CutOff& cutOff, SteadyTime now, AttemptEnd end)
 {
     std::lock_guard lock(mutex_);
     removeExpired(now);
-    if (terminatedAt_.contains(cutOff.backend_))
-        return { CountedRequest { cutOff.request_, table_.noteCrash(cutOff.request_, cutOff.organisation_, cutOff.backend_, now) }, false };
-    pending_.push_back({ cutOff, now });
+    if (terminatedAt_.contains(cutOff.backend_) && end != AttemptEnd::GivenUp)
+        return { count(cutOff, now, now), false };
+    pending_.push_back({ cutOff, now, end });
     pendingCount_ = pending_.size();
-    return { std::nullopt, runningProbes_.insert(cutOff.backend_).second };
+    return { std::nullopt, cutOff.mayProbe_ && end != AttemptEnd::GivenUp && runningProbes_.insert(cutOff.backend_).second };
 }
 
-void CrashDetector::noteProbed(BackendIncarnationKey backend)
+void CrashDetector::noteProbed(BackendIncarnationKey backend, bool isAlive, SteadyTime now)
 {
-    std::lock_guard lock(mutex_);
-    runningProbes_.erase(backend);
+    std::vector<Pending> complete;
+    {
+        std::lock_guard lock(mutex_);
+        runningProbes_.erase(backend);
+        if (!isAlive)
+            return;
+        auto isComplete = [&](const Pending& pending) { return pending.cutOff_.backend_ == backend && pending.end_ == AttemptEnd::ConnectionClosed; };
+        std::copy_if(pending_.begin(), pending_.end(), std::back_inserter(complete), isComplete);
+        std::erase_if(pending_, isComplete);
+        pendingCount_ = pending_.size();
+    }
+    for (const Pending& pending : complete)
+        (void)noteSound(pending.cutOff_.attributes_, now);
+}
+
+/// Whether \p pending was cut off by the crash of its backend server, which has terminated.
+bool CrashDetector::isLikelyCrash(const Pending& pending) const
+{
+    if (pending.end_ != AttemptEnd::GivenUp)
+        return true;
+    bool hasCutOff = std::any_of(pending_.begin(), pending_.end(), [&](const Pending& other) {
+        return other.end_ == AttemptEnd::CutOff && other.cutOff_.backend_ == pending.cutOff_.backend_ && std::chrono::abs(other.endedAt_ - pending.endedAt_) <= givenUpTolerance;
+    });
+    return hasCutOff || table_.hasCrashNear(pending.cutOff_.backend_, pending.endedAt_, givenUpTolerance);
 }
 
-std::vector<CrashDetector::CountedRequest> CrashDetector::noteTerminated(BackendIncarnationKey backend, SteadyTime now)
+std::vector<CrashDetector::CountedCrash> CrashDetector::noteTerminated(BackendIncarnationKey backend, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
     removeExpired(now);
     terminatedAt_.try_emplace(backend, now);
-    std::vector<CountedRequest> counted;
-    for (const Pending& pending : pending_) {
-        if (pending.cutOff_.backend_ == backend)
-            counted.push_back({ pending.cutOff_.request_, table_.noteCrash(pending.cutOff_.request_, pending.cutOff_.organisation_, backend, now) });
-    }
+    terminatedCount_ = terminatedAt_.size();
+    std::vector<Pending> cutOff;
+    std::copy_if(pending_.begin(), pending_.end(), std::back_inserter(cutOff), [&](const Pending& pending) { return pending.cutOff_.backend_ == backend && isLikelyCrash(pending); });
     std::erase_if(pending_, [&](const Pending& pending) { return pending.cutOff_.backend_ == backend; });
     pendingCount_ = pending_.size();
+    std::vector<CountedCrash> counted;
+    for (const Pending& pending : cutOff)
+        counted.push_back(count(pending.cutOff_, pending.endedAt_, now));
     return counted;
 }
 
-bool CrashDetector::clear(RequestFingerprint request, SteadyTime now)
+void CrashDetector::noteAlive(BackendIncarnationKey backend)
 {
-    {
-        std::lock_guard lock(mutex_);
-        std::erase_if(pending_, [&](const Pending& pending) { return pending.cutOff_.request_ == request; });
-        pendingCount_ = pending_.size();
-    }
-    return table_.clear(request, now);
+    if (!terminatedCount_)
+        return;
+    std::lock_guard lock(mutex_);
+    terminatedAt_.erase(backend);
+    terminatedCount_ = terminatedAt_.size();
+}
+
+void CrashDetector::forgetRequest(const Attribute& request)
+{
+    std::lock_guard lock(mutex_);
+    std::erase_if(pending_, [&](const Pending& pending) { return !pending.cutOff_.attributes_.empty() && pending.cutOff_.attributes_.front() == request; });
+    pendingCount_ = pending_.size();
+}
+
+bool CrashDetector::noteSound(std::span<const Attribute> attributes, SteadyTime now)
+{
+    if (pendingCount_ && !attributes.empty() && attributes.front().kind_ == AttributeKind::Request)
+        forgetRequest(attributes.front());
+    return table_.noteSound(attributes, now);
+}
+
+bool CrashDetector::clear(const Attribute& attribute, SteadyTime now)
+{
+    forgetRequest(attribute);
+    return table_.clear(attribute, now);
 }
 
 } // namespace pistachioloom
--- a/lib/Quarantine/Fingerprint.cpp
+++ b/lib/Quarantine/Fingerprint.cpp
@@ -13,17 +13,28 @@
 static constexpr int hexBase = 16;
 static constexpr std::size_t fingerprintDigits = 16;
 
-RequestFingerprint fingerprintOf(const RequestIdentity& identity, std::string_view secret)
+Fingerprint fingerprintOf(const RequestIdentity& identity, std::string_view secret)
 {
     return { digest64({ secret, identity.organisation_, identity.method_, identity.host_, identity.target_, identity.body_ }) };
 }
 
-RequestFingerprint fingerprintOf(const ServiceName& service, std::string_view id, std::string_view secret)
+Fingerprint fingerprintOf(const ServiceName& service, std::string_view id, std::string_view secret)
 {
     return { digest64({ secret, "prompt part", service.value_, id }) };
 }
 
-std::string toString(RequestFingerprint fingerprint)
+std::string_view toString(AttributeKind kind)
+{
+    switch (kind) {
+    case AttributeKind::Request:
+        return "request";
+    case AttributeKind::PromptPart:
+        return "prompt_part";
+    }
+    return "unknown";
+}
+
+std::string toString(Fingerprint fingerprint)
 {
     char digits[fingerprintDigits];
     auto written = std::to_chars(digits, digits + fingerprintDigits, fingerprint.value_, hexBase);
@@ -31,12 +42,12 @@
     return std::string(fingerprintDigits - text.size(), '0') + text;
 }
 
-std::optional<RequestFingerprint> parseFingerprint(std::string_view text)
+std::optional<Fingerprint> parseFingerprint(std::string_view text)
 {
     std::uint64_t value = 0;
     auto read = std::from_chars(text.data(), text.data() + text.size(), value, hexBase);
     bool isValid = text.size() == fingerprintDigits && read.ec == std::errc {} && read.ptr == text.data() + text.size();
-    return isValid ? std::optional(RequestFingerprint { value }) : std::nullopt;
+    return isValid ? std::optional(Fingerprint { value }) : std::nullopt;
 }
 
 } // namespace pistachioloom
--- a/lib/Quarantine/QuarantineRecordTracker.cpp
+++ b/lib/Quarantine/QuarantineRecordTracker.cpp
@@ -7,21 +7,26 @@
 
 namespace pistachioloom {
 
+QuarantineRecordTracker::State QuarantineRecordTracker::stateOf(const Suspect& suspect)
+{
+    return { suspect.activeCrashes(), suspect.order_ ? suspect.order_->at_ : SteadyTime {} };
+}
+
 std::vector<QuarantineRecordTracker::Change> QuarantineRecordTracker::pendingChanges(const std::vector<Suspect>& suspects) const
 {
     std::vector<Change> changes;
-    std::set<RequestFingerprint> toRecord;
+    std::set<Attribute> toRecord;
     for (const Suspect& suspect : suspects) {
-        if (suspect.activeCrashes() < crashesToQuarantine_)
+        if (!isCondemned_(suspect))
             continue;
-        toRecord.insert(suspect.request_);
-        auto recorded = recordedCrashes_.find(suspect.request_);
-        if (recorded == recordedCrashes_.end() || recorded->second != suspect.activeCrashes())
+        toRecord.insert(suspect.attribute_);
+        auto recorded = recorded_.find(suspect.attribute_);
+        if (recorded == recorded_.end() || recorded->second != stateOf(suspect))
             changes.push_back({ suspect, false });
     }
-    for (const auto& [request, crashes] : recordedCrashes_) {
-        if (!toRecord.contains(request))
-            changes.push_back({ { request, 0, {} }, true });
+    for (const auto& [attribute, state] : recorded_) {
+        if (!toRecord.contains(attribute))
+            changes.push_back({ { attribute, 0, {} }, true });
     }
     return changes;
 }
@@ -29,9 +34,9 @@
 void QuarantineRecordTracker::noteRecorded(const Change& change)
 {
     if (change.isDropped_)
-        recordedCrashes_.erase(change.suspect_.request_);
+        recorded_.erase(change.suspect_.attribute_);
     else
-        recordedCrashes_[change.suspect_.request_] = change.suspect_.activeCrashes();
+        recorded_[change.suspect_.attribute_] = stateOf(change.suspect_);
 }
 
 } // namespace pistachioloom
--- a/unittests/Fuzz/FuzzTest.cpp
+++ b/unittests/Fuzz/FuzzTest.cpp
@@ -185,7 +185,7 @@
     report.mutable_report()->set_vm("a");
     putLoads({ { 7, { 1, 1000 } } }, *report.mutable_report()->mutable_loads());
     putUsage({ { { 3 }, { { { "north" }, 4 } } } }, *report.mutable_report()->mutable_usage());
-    putSuspects({ { { 7 }, 9, { { { 1 }, SteadyTime {}, false }, { { 2 }, SteadyTime {}, true } } } }, *report.mutable_report()->mutable_suspects(), SteadyTime {});
+    putSuspects({ { { AttributeKind::PromptPart, { 7 } }, 9, { { { 1 }, SteadyTime {}, false }, { { 2 }, SteadyTime {}, true } } } }, *report.mutable_report()->mutable_suspects(), SteadyTime {});
     wire::Datagram relayed;
     relayed.mutable_relayed()->set_vm("r");
     relayed.mutable_relayed()->set_data_centre("far");
--- a/unittests/Gateway/SuspectMessagesTest.cpp
+++ b/unittests/Gateway/SuspectMessagesTest.cpp
@@ -16,11 +16,11 @@
 TEST_CASE("crashes of a request are read as they were sent, on the reader's clock", "[gateway]")
 {
     Message message;
-    putSuspects({ { { 7 }, 9, { { { 1 }, now - milliseconds(300), false }, { { 2 }, now - milliseconds(200), true }, { { 3 }, now, false } } } }, message, now);
+    putSuspects({ { { AttributeKind::Request, { 7 } }, 9, { { { 1 }, now - milliseconds(300), false }, { { 2 }, now - milliseconds(200), true }, { { 3 }, now, false } } } }, message, now);
     SteadyTime readerNow { std::chrono::hours(40) };
     auto read = suspectsOf(message, readerNow);
     REQUIRE(read.size() == 1);
-    CHECK(read[0].request_.value_ == 7);
+    CHECK(read[0].attribute_ == Attribute { AttributeKind::Request, { 7 } });
     CHECK(read[0].organisation_ == 9);
     REQUIRE(read[0].crashes_.size() == 3);
     CHECK(read[0].crashes_[0].backend_.value_ == 1);
--- a/unittests/Quarantine/FingerprintTest.cpp
+++ b/unittests/Quarantine/FingerprintTest.cpp
@@ -40,7 +40,7 @@
 TEST_CASE("fingerprints are formatted and parsed as sixteen digits", "[quarantine]")
 {
     auto value = GENERATE(std::uint64_t { 0 }, std::uint64_t { 0x1f }, ~std::uint64_t { 0 });
-    std::string text = toString(RequestFingerprint { value });
+    std::string text = toString(Fingerprint { value });
     CHECK(text.size() == 16);
     REQUIRE(parseFingerprint(text));
     CHECK(parseFingerprint(text)->value_ == value);
--- a/unittests/Quarantine/QuarantineTest.cpp
+++ b/unittests/Quarantine/QuarantineTest.cpp
@@ -12,7 +12,7 @@
 
 using namespace pistachioloom;
 
-static const RequestFingerprint request { 0xabc };
+static const Attribute request { AttributeKind::Request, { 0xabc } };
 static const OrganisationId north { "north" };
 static const SteadyTime start = SteadyTime {} + milliseconds(3'600'000);
 
@@ -29,7 +29,12 @@
     return start + milliseconds(ms);
 }
 
-static void crash(QuarantineTable& table, RequestFingerprint of, std::uint32_t servers, SteadyTime at, const OrganisationId& organisation = north)
+static Attribute requestOf(std::uint64_t key)
+{
+    return { AttributeKind::Request, { key } };
+}
+
+static void crash(QuarantineTable& table, const Attribute& of, std::uint32_t servers, SteadyTime at, const OrganisationId& organisation = north)
 {
     for (std::uint32_t i = 0; i < servers; ++i)
         table.noteCrash(of, organisation, { 1000 + i }, at);
@@ -48,7 +53,7 @@
     REQUIRE(quarantine);
     CHECK(quarantine->crashes_ == 3);
     CHECK(quarantine->sinceLastCrash_ == milliseconds(500));
-    CHECK_FALSE(table.check({ 0xabd }, after(600)));
+    CHECK_FALSE(table.check(requestOf(0xabd), after(600)));
     CHECK(table.quarantined(after(600)) == 1);
 }
 
@@ -79,8 +84,8 @@
 {
     QuarantineTable table({});
     crash(table, request, 2, start);
-    CHECK(table.clear(request, after(10)));
-    CHECK_FALSE(table.clear(request, after(10)));
+    CHECK(table.noteSound(std::span(&request, 1), after(10)));
+    CHECK_FALSE(table.noteSound(std::span(&request, 1), after(10)));
     CHECK(table.noteCrash(request, north, { 9 }, after(20)) == 1);
     // A node that did not receive that the request was answered reports the same crash
     // later.
@@ -101,7 +106,7 @@
         tables.push_back(std::make_unique<QuarantineTable>(QuarantineSettings {}));
     for (std::int64_t at = 0; at < 4000; at += 100) {
         QuarantineTable& table = *tables[random() % tables.size()];
-        RequestFingerprint of { 1 + random() % 6 };
+        Attribute of = requestOf(1 + random() % 6);
         if (random() % 5)
             table.noteCrash(of, north, { static_cast<std::uint32_t>(random() % 20) }, after(at));
         else
@@ -120,7 +125,7 @@
     for (std::uint64_t of = 1; of <= 6; ++of) {
         CAPTURE(seed, of);
         for (auto& table : tables) {
-            bool isSame = table->check({ of }, after(8000)).has_value() == tables[0]->check({ of }, after(8000)).has_value();
+            bool isSame = table->check(requestOf(of), after(8000)).has_value() == tables[0]->check(requestOf(of), after(8000)).has_value();
             CHECK(isSame);
         }
     }
@@ -130,7 +135,7 @@
 {
     QuarantineTable table({});
     for (std::uint64_t of = 1; of <= 20; ++of)
-        crash(table, { of }, 3, start);
+        crash(table, requestOf(of), 3, start);
     QuarantineTable started({});
     // A new node receives 15 reports within the platform's contact time.
     for (std::uint64_t report = 0; report < 15; ++report)
@@ -141,12 +146,12 @@
 TEST_CASE("a flood of suspects of one organisation evicts its own, those with the fewest crashes first", "[quarantine]")
 {
     QuarantineTable table(smallTableSettings());
-    crash(table, { 1 }, 3, start);
-    crash(table, { 2 }, 1, start, { "south" });
+    crash(table, requestOf(1), 3, start);
+    crash(table, requestOf(2), 1, start, { "south" });
     for (std::uint64_t of = 100; of < 200; ++of)
-        crash(table, { of }, 1, after(10));
-    CHECK(table.check({ 1 }, after(20)));
-    CHECK(table.activeCrashesOf({ 2 }) == 1);
+        crash(table, requestOf(of), 1, after(10));
+    CHECK(table.check(requestOf(1), after(20)));
+    CHECK(table.activeCrashesOf(requestOf(2)) == 1);
     CHECK(table.suspects(after(20)).size() <= 8);
 }
 
@@ -154,12 +159,12 @@
 {
     QuarantineTable table({});
     for (std::uint64_t of = 1; of <= 200; ++of)
-        crash(table, { of }, 1, start);
-    crash(table, { 500 }, 2, start);
+        crash(table, requestOf(of), 1, start);
+    crash(table, requestOf(500), 2, start);
     auto reported = table.suspectsToReport(after(100), 0);
     CHECK(reported.size() <= 24);
     REQUIRE_FALSE(reported.empty());
-    CHECK(reported.front().request_.value_ == 500);
+    CHECK(reported.front().attribute_ == requestOf(500));
     // Requests with a single crash are reported only shortly after they changed.
     CHECK(table.suspectsToReport(after(5000), 0).size() == 1);
 }
@@ -171,7 +176,7 @@
     auto reported = table.suspects(start);
     SteadyTime later = start + milliseconds(600'001);
     table.mergeSuspects(reported, later);
-    table.noteCrash({ 77 }, north, { 1 }, later);
+    table.noteCrash(requestOf(77), north, { 1 }, later);
     CHECK(table.activeCrashesOf(request) == 0);
     table.mergeSuspects(reported, later);
     CHECK(table.activeCrashesOf(request) == 0);
@@ -182,28 +187,28 @@
     QuarantineTable table({});
     CrashDetector detector(table);
     CHECK(detector.isIdle());
-    auto first = detector.noteCutOff({ request, north, { 1 } }, start);
+    auto first = detector.noteCutOff({ { request }, north, { 1 } }, start);
     CHECK_FALSE(first.counted_);
     CHECK(first.needsProbe_);
-    CHECK_FALSE(detector.noteCutOff({ { 0xdef }, north, { 1 } }, start).needsProbe_);
+    CHECK_FALSE(detector.noteCutOff({ { requestOf(0xdef) }, north, { 1 } }, start).needsProbe_);
     CHECK(table.isEmpty());
     CHECK_FALSE(detector.isIdle());
-    detector.noteProbed({ 1 });
+    detector.noteProbed({ 1 }, false, after(200));
     // The registry removes the server some seconds later.
     CHECK(detector.noteTerminated({ 1 }, after(4000)).size() == 2);
     CHECK(table.activeCrashesOf(request) == 1);
     // An attempt that is found cut off after the server's end counts immediately.
-    auto late = detector.noteCutOff({ { 0x123 }, north, { 1 } }, after(4100));
+    auto late = detector.noteCutOff({ { requestOf(0x123) }, north, { 1 } }, after(4100));
     REQUIRE(late.counted_);
-    CHECK(late.counted_->crashes_ == 1);
+    CHECK(late.counted_->crashes_.front() == 1);
 }
 
 TEST_CASE("an attempt that was cut off does not count if the request was answered elsewhere", "[quarantine]")
 {
     QuarantineTable table({});
     CrashDetector detector(table);
-    (void)detector.noteCutOff({ request, north, { 1 } }, start);
-    detector.clear(request, after(200));
+    (void)detector.noteCutOff({ { request }, north, { 1 } }, start);
+    (void)detector.noteSound(std::span(&request, 1), after(200));
     CHECK(detector.noteTerminated({ 1 }, after(3000)).empty());
     CHECK(table.activeCrashesOf(request) == 0);
 }
@@ -212,7 +217,7 @@
 {
     QuarantineTable table({});
     CrashDetector detector(table);
-    (void)detector.noteCutOff({ request, north, { 1 } }, start);
+    (void)detector.noteCutOff({ { request }, north, { 1 } }, start);
     CHECK(detector.noteTerminated({ 1 }, after(10'001)).empty());
     CHECK(table.isEmpty());
 }
@@ -220,12 +225,12 @@
 TEST_CASE("a quarantined request is recorded again for each crash, and removed when it is cleared", "[quarantine]")
 {
     QuarantineTable table({});
-    QuarantineRecordTracker record(3);
+    QuarantineRecordTracker record([&](const Suspect& suspect) { return table.isCondemned(suspect); });
     auto recordChanges = [&](std::size_t expected, bool isDropped) {
         auto changes = record.pendingChanges(table.suspects(start));
         REQUIRE(changes.size() == expected);
         for (const QuarantineRecordTracker::Change& change : changes) {
-            CHECK(change.suspect_.request_ == request);
+            CHECK(change.suspect_.attribute_ == request);
             CHECK(change.isDropped_ == isDropped);
             record.noteRecorded(change);
         }
