Ends of engines under streams without framing, and under attempts given up, are counted

A stream without a length or chunks that ended inside an event was an attempt that broke off, but not one that was cut off; one that ended between events was a complete answer, which cleared what was held against its request. Answers that end with their connection now prove nothing until their engine gives a sign of life, or accepts a connection 0.3 s later; a stream that ends inside an event takes the path of broken ones, moves included. A caller of HTTP/1.0 gets a reset where its answer breaks off.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -388,6 +388,10 @@
     double noteFirstByte(const BackendChoice& choice, const RequestShape& shape, milliseconds wait);
     /// Notes that a connection to \p id could be established.
     void noteReachable(const BackendId& id);
+    /// Returns a number that grows with each sign of life of any backend server.
+    std::uint64_t latestAliveOrder() const;
+    /// Whether \p id has given a sign of life since latestAliveOrder() was \p order.
+    bool wasAliveSince(const BackendId& id, std::uint64_t order) const;
     /// Returns one random backend server of each data centre that counts as unreachable,
     /// since connections and requests to several of its servers have failed without a
     /// success in between. Servers of such a data centre are chosen only if there are no
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -200,6 +200,19 @@
         noteReachable(found->second);
 }
 
+std::uint64_t BackendTable::latestAliveOrder() const
+{
+    std::lock_guard lock(mutex_);
+    return lastAliveOrder_;
+}
+
+bool BackendTable::wasAliveSince(const BackendId& id, std::uint64_t order) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    return found != backends_.end() && found->second.aliveOrder_ > order;
+}
+
 bool BackendTable::isReachable(const DataCentreId& dataCentre) const
 {
     std::lock_guard lock(mutex_);
--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -160,6 +160,13 @@
     socket_.close(ignored);
 }
 
+void CallerConnection::reset()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    abort();
+}
+
 void CallerConnection::shutdownSend()
 {
     boost::system::error_code ignored;
--- a/lib/Forward/CallerConnection.h
+++ b/lib/Forward/CallerConnection.h
@@ -43,6 +43,8 @@
     milliseconds idleTime() const { return idleTime_; }
     /// Closes the connection immediately.
     void abort();
+    /// Resets the connection, so that an answer that ends with it does not seem complete.
+    void reset();
     /// Closes the sending direction after the data that was written.
     void shutdownSend();
     std::string peer() const { return peer_; }
--- a/lib/Forward/LivenessProbe.cpp
+++ b/lib/Forward/LivenessProbe.cpp
@@ -15,6 +15,8 @@
 static constexpr milliseconds reprobeDelay { 150 };
 // Other backend servers that are tried before one is taken for terminated.
 static constexpr std::size_t controlProbes = 6;
+// Time for a sign of life of a backend server that closed a connection in order.
+static constexpr milliseconds closedProbeDelay { 300 };
 
 static const Logger& logger()
 {
@@ -53,9 +55,25 @@
     co_return others.empty();
 }
 
-asio::awaitable<void> probeLiveness(ForwardContext& context, BackendRecord backend)
+/// Whether \p backend answers or accepts a connection of another request soon.
+static asio::awaitable<bool> showsLife(ForwardContext& context, BackendId backend)
+{
+    std::uint64_t order = context.backends_.latestAliveOrder();
+    co_await sleepFor(closedProbeDelay);
+    co_return context.backends_.wasAliveSince(backend, order);
+}
+
+asio::awaitable<void> probeLiveness(ForwardContext& context, BackendRecord backend, AttemptEnd end)
 {
     const milliseconds waitLimit = context.settings_.connectTimeout_;
+    const BackendIncarnationKey key { keyOf(backend.id_) };
+    if (end == AttemptEnd::ConnectionClosed) {
+        bool isAlive = co_await showsLife(context, backend.id_);
+        if (isAlive) {
+            context.crashes_.noteProbed(key, true, steadyNow());
+            co_return;
+        }
+    }
     auto code = co_await tryConnection(backend.endpoint_, waitLimit);
     if (!code) {
         co_await sleepFor(reprobeDelay);
@@ -69,7 +87,7 @@
     LogLine line(hasTerminated ? "Backend server has terminated." : "Backend server closed a connection during a request.");
     line.add("backend", backend.id_.value_).add("connection", code ? code.message() : "accepted");
     logger().info(line);
-    context.crashes_.noteProbed({ keyOf(backend.id_) }, !code, steadyNow());
+    context.crashes_.noteProbed(key, !code, steadyNow());
     if (!hasTerminated)
         co_return;
     context.backends_.setTerminated(backend.id_, steadyNow());
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -253,10 +253,15 @@
 {
     if (attempt.sentAt_ == SteadyTime {})
         return;
-    if (end == SendOutcome::Delivered || end == SendOutcome::Held)
+    if (end == SendOutcome::Delivered || end == SendOutcome::Held) {
+        if (attempt.endsWithConnection_)
+            return noteCutOff(attempt, AttemptEnd::ConnectionClosed);
         return noteSound(attempt);
-    if (end == SendOutcome::Lost && attempt.isCutOff_ && !attempt.isRelayed_)
-        noteCutOff(attempt, AttemptEnd::CutOff);
+    }
+    if (end == SendOutcome::Lost && (attempt.isCutOff_ || stopReason_ == StopReason::WaitLimitExceeded))
+        return noteCutOff(attempt, AttemptEnd::CutOff);
+    if (end == SendOutcome::Stopped || end == SendOutcome::Moved)
+        noteCutOff(attempt, AttemptEnd::GivenUp);
 }
 
 asio::awaitable<void> RequestForwarder::tryBackends()
@@ -319,6 +324,8 @@
     if (hasStartedAnswer_) {
         if (isUnserved())
             context_.metrics_.add(Counter::StreamsUnserved);
+        if (request_.isHttp10_)
+            caller_->reset();
         caller_->abort();
         co_return;
     }
@@ -464,11 +471,13 @@
     CutOff cutOff { attributes(), organisation_ ? organisation_->name_ : OrganisationId {}, { keyOf(backend.id_) } };
     if (attempt.hasGoneOn_)
         cutOff.attributes_.resize(1);
+    // This node does not reach a server that it reaches through a peer only.
+    cutOff.mayProbe_ = !attempt.isRelayed_;
     CrashDetector::CutOffResult result = context_.crashes_.noteCutOff(cutOff, steadyNow(), end);
     if (result.counted_)
         logCrash(context_, backend.id_, *result.counted_);
     if (result.needsProbe_)
-        asio::co_spawn(pool_.executor(), probeLiveness(context_, backend), asio::detached);
+        asio::co_spawn(pool_.executor(), probeLiveness(context_, backend, end), asio::detached);
 }
 
 void RequestForwarder::logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took)
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -78,6 +78,8 @@
         SteadyTime firstByteAt_ {};
         /// Whether the backend server closed the connection before the end of its answer.
         bool isCutOff_ = false;
+        /// Whether the answer had no length, so that the end of the connection ended it.
+        bool endsWithConnection_ = false;
         /// Whether the answer went on for long enough to show that its prompt does not crash
         /// the backend server.
         bool hasGoneOn_ = false;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -377,6 +377,7 @@
         }
     }
     noteFirstByte(attempt);
+    attempt.endsWithConnection_ = parser.need_eof();
     HeldAnswer answer { static_cast<int>(parser.get().result_int()), fieldsOf(parser, context_.names_), std::move(body) };
     latestStatus_ = answer.status_;
     releaseConnection(attempt, parser);
@@ -427,9 +428,10 @@
         if (shouldMove(attempt))
             startMove(attempt);
     }
+    attempt.endsWithConnection_ = parser.need_eof();
     if (eventSplitter_.hasPartial()) {
-        attempt.detail_ = "event_cut";
-        co_return SendOutcome::Lost;
+        attempt.isCutOff_ = attempt.endsWithConnection_;
+        co_return co_await handleStreamBreak(attempt, http::error::partial_message);
     }
     releaseConnection(attempt, parser);
     if (!hasStartedAnswer_ && !co_await startEvents(fields))
