Up to 24 other servers are tried before an end counts as a crash

Servers that have ended refuse at once, so that more are tried, for twice the time limit of a connection in all.

--- a/lib/Forward/LivenessProbe.cpp
+++ b/lib/Forward/LivenessProbe.cpp
@@ -13,8 +13,9 @@
 // last. A connection may therefore still be accepted after the first one breaks, so a second
 // probe follows after this delay.
 static constexpr milliseconds reprobeDelay { 150 };
-// Other backend servers that are tried before one is taken for terminated.
-static constexpr std::size_t controlProbes = 6;
+// Other backend servers that are tried before one is taken for terminated. Those that have
+// terminated too refuse at once.
+static constexpr std::size_t controlProbes = 24;
 // Time for a sign of life of a backend server that closed a connection in order.
 static constexpr milliseconds closedProbeDelay { 300 };
 
@@ -47,7 +48,10 @@
 {
     std::vector<BackendRecord> others = context.backends_.sampleOf(backend.service_, controlProbes + 1);
     std::erase_if(others, [&](const BackendRecord& other) { return other.id_ == backend.id_; });
+    SteadyTime deadline = steadyNow() + 2 * context.settings_.connectTimeout_;
     for (const BackendRecord& other : others) {
+        if (steadyNow() >= deadline)
+            break;
         auto code = co_await tryConnection(other.endpoint_, context.settings_.connectTimeout_);
         if (!code)
             co_return true;
