A node reads no more connections than it can process

For some seconds most callers of a region may connect to one node.

Accepted connections now wait unread, and one is served each time the event loop has come round. If they have waited for over 50 ms for 150 ms, those that have are reset: a caller whose request was not read may try another node at once. Nor are more connections served than half of the descriptors.

Tried and replaced: measuring the time in which the loop runs a posted handler.

Links are not measured: a node whose link is full reads more requests than it gets whole.

--- a/include/pistachioloom/Admission.h
+++ b/include/pistachioloom/Admission.h
@@ -45,6 +45,37 @@
     milliseconds maxRetryAfter_ { 800 };
 };
 
+struct AcceptSettings {
+    /// Time for which an accepted connection waits unread while the node keeps up.
+    milliseconds targetDelay_ { 50 };
+    /// Time for which the delay must stay above the target before connections are closed. A
+    /// single stall is no overload.
+    milliseconds interval_ { 150 };
+};
+
+/// Decides whether a node serves a new connection. If most callers connect to one node, it gets
+/// more requests than it can process. A connection that is closed before anything is read from
+/// it tells its caller that the request has not run, and the caller tries another node at once;
+/// a request that was read would wait until it is too late. The decision follows the time for
+/// which connections wait unread, as CoDel (RFC 8289) does for packets.
+class AcceptGate {
+public:
+    explicit AcceptGate(AcceptSettings settings = {})
+        : settings_(settings)
+    {
+    }
+
+    /// Notes that a connection waited unread for \p delay until \p now.
+    void noteDelay(milliseconds delay, SteadyTime now);
+    /// Whether that connection is served.
+    bool admits(SteadyTime now) const;
+
+private:
+    const AcceptSettings settings_;
+    /// Since when the delay has been above the target.
+    std::optional<SteadyTime> aboveSince_;
+};
+
 /// Returns the delay after which the caller of a rejected request may retry, or nullopt
 /// if the request is admitted.
 std::optional<milliseconds> retryAfterIfRejected(const AdmissionView& view, const AdmissionSettings& settings);
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -18,6 +18,7 @@
 #include "pistachioloom/Telemetry.h"
 
 #include <boost/asio/io_context.hpp>
+#include <limits>
 
 namespace pistachioloom {
 
@@ -79,6 +80,10 @@
     /// The maximum size of a buffered answer. All answers except event streams are
     /// buffered.
     ByteCount maxAnswerSize_ { 8UL * 1024 * 1024 };
+    AcceptSettings accept_;
+    /// The maximum number of callers' connections, so that descriptors are left for those to
+    /// backend servers and peers.
+    std::size_t maxCallerConnections_ = std::numeric_limits<std::size_t>::max();
 };
 
 /// Describes a copy of a running stream's KV cache from one engine to another.
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -118,6 +118,8 @@
     /// Streams whose origin was asked for, and nodes that did not answer.
     OriginQueries,
     OriginQueriesUnanswered,
+    /// Callers' connections that were closed unread because the node was overloaded.
+    ConnectionsUnread,
     Last,
 };
 
--- a/lib/Admission/Admission.cpp
+++ b/lib/Admission/Admission.cpp
@@ -24,4 +24,17 @@
     return std::clamp(view.queueWait_ - view.maxQueueWait_ / 2, settings.minRetryAfter_, settings.maxRetryAfter_);
 }
 
+void AcceptGate::noteDelay(milliseconds delay, SteadyTime now)
+{
+    if (delay <= settings_.targetDelay_)
+        aboveSince_.reset();
+    else if (!aboveSince_)
+        aboveSince_ = now;
+}
+
+bool AcceptGate::admits(SteadyTime now) const
+{
+    return !aboveSince_ || now - *aboveSince_ < settings_.interval_;
+}
+
 } // namespace pistachioloom
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "RequestForwarder.h"
 
+#include <deque>
 #include <unordered_set>
 
 namespace pistachioloom {
@@ -30,10 +31,15 @@
         , context_(context)
         , pool_(io.get_executor())
         , acceptor_(io)
+        , hasAccepted_(io.get_executor())
+        , gate_(context.settings_.accept_)
     {
     }
 
     asio::awaitable<void> acceptLoop();
+    void acceptWaiting();
+    asio::awaitable<void> admitLoop();
+    void closeUnread(tcp::socket& socket);
     asio::awaitable<void> serveConnection(std::shared_ptr<CallerConnection> caller);
     asio::awaitable<bool> serveRequests(std::shared_ptr<CallerConnection> caller);
     asio::awaitable<void> answerBadRequest(CallerConnection& caller, const Error& error);
@@ -45,6 +51,14 @@
     ForwardContext& context_;
     ConnectionPool pool_;
     tcp::acceptor acceptor_;
+    /// Accepted connections from which nothing has been read yet, oldest first.
+    struct AcceptedConnection {
+        tcp::socket socket_;
+        SteadyTime acceptedAt_ {};
+    };
+    std::deque<AcceptedConnection> accepted_;
+    AutoResetEvent hasAccepted_;
+    AcceptGate gate_;
     std::unordered_set<std::shared_ptr<CallerConnection>> callers_;
     Logger logger_ { "forward" };
 };
@@ -115,6 +129,28 @@
     callers_.erase(caller);
 }
 
+/// Closes a connection from which nothing was read. The reset tells its caller so.
+void ForwardWorker::State::closeUnread(tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+    context_.metrics_.add(Counter::ConnectionsUnread);
+}
+
+/// Accepts the connections that wait in the kernel, so that their waiting time is known.
+void ForwardWorker::State::acceptWaiting()
+{
+    for (;;) {
+        tcp::socket socket(io_);
+        boost::system::error_code code;
+        acceptor_.accept(socket, code);
+        if (code)
+            return;
+        accepted_.push_back({ std::move(socket), steadyNow() });
+    }
+}
+
 asio::awaitable<void> ForwardWorker::State::acceptLoop()
 {
     for (;;) {
@@ -127,7 +163,32 @@
             (void)co_await pause.async_wait(asTuple);
             continue;
         }
-        asio::co_spawn(io_, serveConnection(std::make_shared<CallerConnection>(std::move(socket))), asio::detached);
+        accepted_.push_back({ std::move(socket), steadyNow() });
+        acceptWaiting();
+        hasAccepted_.notify();
+    }
+}
+
+/// Serves accepted connections, one each time the event loop has come round, so that connections
+/// whose requests it cannot process yet stay unread. Those that wait for too long are closed.
+asio::awaitable<void> ForwardWorker::State::admitLoop()
+{
+    for (;;) {
+        if (accepted_.empty()) {
+            (void)co_await hasAccepted_.waitUntil(SteadyTime::max());
+            continue;
+        }
+        AcceptedConnection next = std::move(accepted_.front());
+        accepted_.pop_front();
+        SteadyTime now = steadyNow();
+        auto delay = std::chrono::duration_cast<milliseconds>(now - next.acceptedAt_);
+        gate_.noteDelay(delay, now);
+        if (!gate_.admits(now) || context_.connections_ >= context_.settings_.maxCallerConnections_) {
+            closeUnread(next.socket_);
+            continue;
+        }
+        asio::co_spawn(io_, serveConnection(std::make_shared<CallerConnection>(std::move(next.socket_))), asio::detached);
+        co_await asio::post(io_, asio::use_awaitable);
     }
 }
 
@@ -163,10 +224,14 @@
         acceptor.bind(address, code);
     if (!code)
         acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (!code)
+        acceptor.non_blocking(true, code);
     if (code)
         return Error { Errc::Unavailable, "listen for callers", endpoint.toString(), code.message(), Ran::No, {} };
     asio::co_spawn(
         state_->io_, [state = state_] { return state->acceptLoop(); }, asio::detached);
+    asio::co_spawn(
+        state_->io_, [state = state_] { return state->admitLoop(); }, asio::detached);
     asio::co_spawn(
         state_->io_, [state = state_] { return state->sweepLoop(); }, asio::detached);
     return acceptor.local_endpoint().port();
--- a/lib/Gateway/GatewayContext.cpp
+++ b/lib/Gateway/GatewayContext.cpp
@@ -5,12 +5,19 @@
 //===----------------------------------------------------------------------===//
 #include "GatewayContext.h"
 
+#include <limits>
+#include <sys/resource.h>
+
 namespace pistachioloom {
 
 // Upper bound on a configuration's size: four times the largest record that the
 // platform stores.
 static constexpr ByteCount maxConfigurationSize { 16UL * 1024 * 1024 };
 
+// Descriptors for connections to peers and the platform, and for files.
+static constexpr std::size_t otherDescriptors = 256;
+static constexpr std::size_t minCallerConnections = 64;
+
 static milliseconds elapsedSince(SteadyTime startedAt)
 {
     return std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt);
@@ -34,6 +41,16 @@
     return quotas;
 }
 
+/// Returns the number of callers' connections that leaves as many descriptors for connections to
+/// backend servers.
+static std::size_t maxCallerConnections()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) || limit.rlim_cur == RLIM_INFINITY)
+        return std::numeric_limits<std::size_t>::max();
+    return std::max(minCallerConnections, (limit.rlim_cur - std::min<rlim_t>(limit.rlim_cur, otherDescriptors)) / 2);
+}
+
 static void logCondemned(const Condemnation& condemnation)
 {
     static const Logger logger("quarantine");
@@ -67,6 +84,7 @@
     forward_.nodes_ = minNodesAssumed;
     quotas_.setNodes(nodesAssumedAtStart);
     forward_.workers_ = settings_.threads_;
+    forward_.settings_.maxCallerConnections_ = maxCallerConnections();
     quarantine_.setCondemnedHook([](const Condemnation& condemnation) { logCondemned(condemnation); });
     forward_.hooks_.table_ = [this] { return table(); };
     forward_.hooks_.copyStream_ = platform_.copyStream_;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -83,6 +83,8 @@
         settings.admission_.queueWaitFactor_ = map.number("admitted_share", 0.01, 100, settings.admission_.queueWaitFactor_);
         settings.waitLimitShare_ = map.number("patience_share", 0.01, 1, settings.waitLimitShare_);
         settings.defaultIdleTimeout_ = map.duration("default_idle", milliseconds(0), oneDay, settings.defaultIdleTimeout_);
+        settings.accept_.targetDelay_ = map.duration("accept_delay", milliseconds(1), oneMinute, settings.accept_.targetDelay_);
+        settings.accept_.interval_ = map.duration("accept_interval", milliseconds(1), oneMinute, settings.accept_.interval_);
         map.reportUnknownKeys();
     }
 
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -58,6 +58,7 @@
         "streams_unserved",
         "origin_queries",
         "origin_queries_unanswered",
+        "connections_unread",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
--- a/unittests/Admission/AdmissionTest.cpp
+++ b/unittests/Admission/AdmissionTest.cpp
@@ -54,3 +54,21 @@
     CHECK(countOnTime({}) >= 95);
     CHECK(countOnTime(admitAll) <= 10);
 }
+
+TEST_CASE("connections are closed unread only while they keep waiting for too long", "[admission]")
+{
+    struct Step {
+        int atMs_;
+        int delayMs_;
+        bool isAdmitted_;
+    };
+    const SteadyTime start = SteadyTime {} + std::chrono::hours(1);
+    AcceptGate gate({ milliseconds(50), milliseconds(150) });
+    CHECK(gate.admits(start));
+    for (const Step& step : std::vector<Step> { { 0, 0, true }, { 100, 60, true }, { 200, 80, true }, { 260, 80, false }, { 400, 51, false }, { 450, 50, true }, { 500, 2000, true }, { 510, 1, true }, { 700, 60, true }, { 849, 60, true }, { 850, 60, false } }) {
+        CAPTURE(step.atMs_);
+        SteadyTime now = start + milliseconds(step.atMs_);
+        gate.noteDelay(milliseconds(step.delayMs_), now);
+        CHECK(gate.admits(now) == step.isAdmitted_);
+    }
+}
--- a/unittests/Gateway/GatewaySettingsTest.cpp
+++ b/unittests/Gateway/GatewaySettingsTest.cpp
@@ -31,6 +31,9 @@
     crashes: 4
     first: 20s
     organisation_capacity: 64
+    evidence: 8
+  forward:
+    accept_delay: 70ms
   rollout:
     exposed_share: 0.1
     exposed_extra: 50
@@ -52,6 +55,8 @@
     CHECK(settings->quarantine_.crashesToQuarantine_ == 4);
     CHECK(settings->quarantine_.initialDuration_ == milliseconds(20000));
     CHECK(settings->quarantine_.organisationCapacity_ == 64);
+    CHECK(settings->quarantine_.evidenceToQuarantine_ == 8);
+    CHECK(settings->forward_.accept_.targetDelay_ == milliseconds(70));
     CHECK(settings->rollout_.exposedExtra_ == 50);
     CHECK(settings->rollout_.trialFraction_ == 0.6);
     CHECK(settings->rollout_.toleratedBad_ == 40);
@@ -76,10 +81,12 @@
         { "  stopping:", "  stoping:", "stoping" },
         { "crashes: 4", "crashes: 0", "f:19: gateway.quarantine.crashes" },
         { "first: 20s", "first: 20", "f:20: gateway.quarantine.first" },
-        { "exposed_share: 0.1", "exposed_share: 1.1", "f:23: gateway.rollout.exposed_share" },
-        { "trial_part: 0.6", "trial_part: 0.97", "f:25: gateway.rollout.trial_part" },
-        { "tolerated_bad: 40", "tolerated_bad: 0", "f:26: gateway.rollout.tolerated_bad" },
-        { "rollback_time: 4s", "rollback_time: 4", "f:27: gateway.rollout.rollback_time" },
+        { "evidence: 8", "evidence: 0", "f:22: gateway.quarantine.evidence" },
+        { "accept_delay: 70ms", "accept_delay: 0ms", "f:24: gateway.forward.accept_delay" },
+        { "exposed_share: 0.1", "exposed_share: 1.1", "f:26: gateway.rollout.exposed_share" },
+        { "trial_part: 0.6", "trial_part: 0.97", "f:28: gateway.rollout.trial_part" },
+        { "tolerated_bad: 40", "tolerated_bad: 0", "f:29: gateway.rollout.tolerated_bad" },
+        { "rollback_time: 4s", "rollback_time: 4", "f:30: gateway.rollout.rollback_time" },
         { "\"10.0.0.2:70\"", "\"here\"", "gateway.seeds" },
     }));
     std::string text = validSettings;
