Failures of an engine do not clear the parts of a prompt

An engine may fail a request before it has looked at its prompt: beside engines that fail a share of their requests, those answers counted for the part that crashes others.

--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -226,13 +226,13 @@
 }
 
 /// A complete answer, even a failure, shows that the request does not crash its backend
-/// server.
+/// server. A failure may come before the server has looked at the prompt.
 void RequestForwarder::noteSound(const Attempt& attempt)
 {
     std::vector<Attribute> sound;
     if (!context_.crashes_.isIdle())
         sound.push_back({ AttributeKind::Request, fingerprint() });
-    if (!attempt.hasGoneOn_) {
+    if (!attempt.hasGoneOn_ && latestStatus_ / 100 == 2) {
         std::vector<Attribute> parts = promptAttributes();
         sound.insert(sound.end(), parts.begin(), parts.end());
     }
