--- a/test/CrashingPromptPartsTest.cpp
+++ b/test/CrashingPromptPartsTest.cpp
@@ -318,3 +318,34 @@
     CAPTURE(before.sent_, before.begun_, after.sent_, after.begun_);
     CHECK(after.share() >= minSoundShare * before.share());
 }
+
+TEST_CASE("an operator quarantines a prompt part at all gateways, and lifts it", "[gateway]")
+{
+    GatewayDeployment deployment(fleetOptions("24"));
+    deployment.startStandardServices();
+    auto callOperator = [&](std::vector<std::string> command) {
+        std::vector<std::string> arguments { "--node", deployment.gateways()[1].metrics_.toString(), "--credential", "credential-of-tests", "quarantine" };
+        arguments.insert(arguments.end(), command.begin(), command.end());
+        return runToEnd(programPath("pistachioloomctl"), arguments);
+    };
+    auto callWith = [&](const GatewayDeployment::Gateway& gateway, const std::string& part) {
+        HttpRequest request = gatewayRequest("POST", "/ask/stream/ordered", "ordered-" + std::to_string(randomBits()));
+        request.headers_["X-Pistachioloom-Prompt-Prefix"] = "f1:300," + part + ":200,99:50";
+        return readStream(gateway.callers_, request, callTimeout);
+    };
+    auto [code, output] = callOperator({ "add", "--service", "engines", "--prompt-part", "c1", "--for", "60s" });
+    REQUIRE(code == 0);
+    for (const auto& gateway : deployment.gateways()) {
+        REQUIRE(waitUntil([&] { return callWith(gateway, "c1").status_ == 503; }, propagationTime));
+        // The caller learns when the quarantine ends.
+        auto retryAfter = callWith(gateway, "c1").retryAfter_;
+        REQUIRE(retryAfter);
+        CHECK(*retryAfter > milliseconds(50'000));
+        CHECK(callWith(gateway, "c2").status_ == 200);
+    }
+    CHECK(callOperator({ "list" }).second.find("prompt_part") != std::string::npos);
+    CHECK(callOperator({ "add", "--service", "engines" }).first == 1);
+    CHECK(callOperator({ "lift", output.substr(0, output.find(':')) }).first == 0);
+    for (const auto& gateway : deployment.gateways())
+        CHECK(waitUntil([&] { return callWith(gateway, "c1").status_ == 200; }, propagationTime));
+}
--- a/tools/pistachioloomctl/main.cpp
+++ b/tools/pistachioloomctl/main.cpp
@@ -6,6 +6,7 @@
 #include "Client.h"
 #include "Render.h"
 #include "pistachioloom/Json.h"
+#include "pistachioloom/Yaml.h"
 
 #include <CLI/CLI.hpp>
 #include <fstream>
@@ -17,6 +18,7 @@
 
 namespace {
 
+constexpr int exitInvalid = 1;
 constexpr int exitRejected = 2;
 constexpr int exitConflict = 3;
 constexpr int exitOutcomeUnknown = 4;
@@ -32,6 +34,8 @@
     std::string request_;
     std::string service_;
     std::string notice_;
+    std::string promptPart_;
+    std::string length_ = "10min";
     std::optional<std::uint64_t> base_;
     bool queriesAllNodes_ = false;
 };
@@ -265,6 +269,30 @@
     return 0;
 }
 
+int orderQuarantine(const OperatorClient& client, const Options& options)
+{
+    auto length = parseDuration(options.length_);
+    bool namesOne = options.request_.empty() != (options.service_.empty() && options.promptPart_.empty());
+    if (!length || !namesOne || options.service_.empty() != options.promptPart_.empty()) {
+        std::cerr << "error: expected either --request, or --service and --prompt-part, and a duration such as 10min in --for\n";
+        return exitInvalid;
+    }
+    json::object body { { "for_ms", length->count() } };
+    if (options.request_.empty()) {
+        body["service"] = options.service_;
+        body["prompt_part"] = options.promptPart_;
+    } else
+        body["request"] = options.request_;
+    auto response = client.call("POST", "/quarantine", json::serialize(body));
+    if (!response)
+        return reportError(response.error());
+    if (response.value().status_ != 200)
+        return reportError(errorFromResponse(response.value(), "POST /quarantine", client.node().toString()));
+    auto answer = parseJsonObject(response.value().body_);
+    std::cout << (answer ? textField(*answer, "request") : "") << ": quarantined\n";
+    return 0;
+}
+
 int revertRollout(const OperatorClient& client, const Options& options)
 {
     const std::string target = "/rollouts/" + options.service_;
@@ -351,13 +379,20 @@
         options.queriesAllNodes_ = true;
         code = printListing(client(), options, "/requests", "requests", "owner", { "request", "entry", "model", "owner", "replica", "engine", "tokens", "over" });
     });
-    auto* quarantine = app.add_subcommand("quarantine", "Manage requests that crashed backend servers; --node is the metrics address of a gateway");
+    auto* quarantine = app.add_subcommand("quarantine", "Manage requests and prompt parts that crashed backend servers; --node is the metrics address of a gateway");
     quarantine->require_subcommand(1);
-    auto* listSuspects = addJson(quarantine->add_subcommand("list", "List these requests, most crashes first"));
+    auto* listSuspects = addJson(quarantine->add_subcommand("list", "List them with the evidence, quarantined ones and most crashes first"));
     listSuspects->footer("Example: pistachioloomctl --node 10.0.0.4:7501 quarantine list");
-    listSuspects->callback([&] { code = printListing(client(), options, "/quarantine", "requests", "", { "request", "crashes", "last_crash_ms", "left_ms" }); });
-    auto* liftCommand = quarantine->add_subcommand("lift", "Allow a quarantined request again, on all nodes");
-    liftCommand->add_option("request", options.request_, "Request hash of 16 hexadecimal digits, from the list or a log line")->required();
+    listSuspects->callback([&] { code = printListing(client(), options, "/quarantine", "requests", "", { "request", "kind", "crashes", "sound", "last_crash_ms", "left_ms", "on_trial", "by_order" }); });
+    auto* orderCommand = quarantine->add_subcommand("add", "Quarantine a prompt part or a request for a time, on all nodes");
+    orderCommand->add_option("--service", options.service_, "Service that gets requests with the prompt part");
+    orderCommand->add_option("--prompt-part", options.promptPart_, "Id of the prompt part, as callers send it");
+    orderCommand->add_option("--request", options.request_, "Request hash of 16 hexadecimal digits, from the list or a log line");
+    orderCommand->add_option("--for", options.length_, "Length of the quarantine")->capture_default_str();
+    orderCommand->footer("Example: pistachioloomctl --node 10.0.0.4:7501 --credential WORD quarantine add --service vobo15a --prompt-part 4d75da899745 --for 30min");
+    orderCommand->callback([&] { code = orderQuarantine(client(), options); });
+    auto* liftCommand = quarantine->add_subcommand("lift", "Allow a quarantined request or prompt part again, on all nodes");
+    liftCommand->add_option("request", options.request_, "Hash of 16 hexadecimal digits, from the list or a log line")->required();
     liftCommand->footer("Example: pistachioloomctl --node 10.0.0.4:7501 --credential WORD quarantine lift ab2906c5a5dab86a");
     liftCommand->callback([&] { code = liftQuarantine(client(), options); });
     auto* rollout = app.add_subcommand("rollout", "Manage roll-outs of service versions; --node is the metrics address of a gateway");
--- a/unittests/Gateway/SuspectMessagesTest.cpp
+++ b/unittests/Gateway/SuspectMessagesTest.cpp
@@ -46,3 +46,25 @@
     table.mergeSuspects(read, now);
     CHECK(table.isEmpty());
 }
+
+TEST_CASE("sound answers, verdicts and orders are read as they were sent, and unknown kinds are left out", "[gateway]")
+{
+    Suspect suspect { { AttributeKind::PromptPart, { 7 } }, 9, { { { 1 }, now - milliseconds(300) } }, { { { 5 }, 40 }, { { 6 }, 2 } } };
+    suspect.condemnedAt_ = now - milliseconds(200);
+    suspect.releasedAt_ = now - milliseconds(100);
+    suspect.order_ = QuarantineOrder { now - milliseconds(50), milliseconds(60'000) };
+    Message message;
+    putSuspects({ suspect }, message, now);
+    message.Add()->CopyFrom(message.Get(0));
+    message.Mutable(1)->set_kind(99);
+    SteadyTime readerNow { std::chrono::hours(40) };
+    auto read = suspectsOf(message, readerNow);
+    REQUIRE(read.size() == 1);
+    CHECK(read[0].attribute_ == suspect.attribute_);
+    CHECK(read[0].sound_ == suspect.sound_);
+    CHECK(read[0].condemnedAt_ == readerNow - milliseconds(200));
+    CHECK(read[0].releasedAt_ == readerNow - milliseconds(100));
+    REQUIRE(read[0].order_);
+    CHECK(read[0].order_->at_ == readerNow - milliseconds(50));
+    CHECK(read[0].order_->length_ == milliseconds(60'000));
+}
