Sound answers of parts that are counted go on counting beside many others

When as many parts had been answered in some seconds as are kept, those that were counted already stopped too. The test fails without the change (condemned after 300 sound answers).

--- a/lib/Quarantine/CrashEvidence.cpp
+++ b/lib/Quarantine/CrashEvidence.cpp
@@ -109,7 +109,8 @@
     }
     ++current_.total_;
     for (const Attribute& attribute : attributes) {
-        if (attribute.kind_ == AttributeKind::PromptPart && current_.byKey_.size() < settings_.capacity_)
+        bool isCounted = current_.byKey_.size() < settings_.capacity_ || current_.byKey_.contains(attribute.key_.value_);
+        if (attribute.kind_ == AttributeKind::PromptPart && isCounted)
             ++current_.byKey_[attribute.key_.value_];
     }
 }
--- a/unittests/Quarantine/CrashEvidenceTest.cpp
+++ b/unittests/Quarantine/CrashEvidenceTest.cpp
@@ -271,7 +271,7 @@
         change(scenario);
         all.push_back(scenario);
     };
-    add("one part among 400 crashes servers", [](Scenario&) { });
+    add("one part among 400 crashes servers", [](Scenario&) {});
     add("two parts crash servers", [](Scenario& scenario) { scenario.crashingParts_ = 2; });
     add("a part crashes one server in three", [](Scenario& scenario) { scenario.crashShare_ = 1.0 / 3; });
     add("a fifth of the servers crashes by itself again and again", [](Scenario& scenario) {
@@ -339,6 +339,21 @@
     CHECK(simulation.rejectedShare() <= scenario.maxRejected_);
 }
 
+TEST_CASE("sound answers of a part count beside those of more parts than are kept", "[quarantine]")
+{
+    QuarantineSettings settings;
+    settings.capacity_ = 4;
+    QuarantineTable table(settings);
+    SteadyTime now = SteadyTime {} + std::chrono::hours(1);
+    for (std::uint64_t i = 0; i < 300; ++i) {
+        std::vector<Attribute> answered { part(1), part(1000 + i) };
+        (void)table.noteSound(answered, now);
+    }
+    for (std::uint32_t server = 0; server < 5; ++server)
+        table.noteCrash(part(1), { "north" }, { server }, now + std::chrono::seconds(server));
+    CHECK_FALSE(table.check(part(1), now + std::chrono::seconds(5)));
+}
+
 TEST_CASE("a prompt part is tried by one node at a time after its quarantine, and released if it is sound", "[quarantine]")
 {
     std::vector<std::unique_ptr<QuarantineTable>> nodes;
