Answers that ended with their connection are sound only before a sign of life

A sign of life, or an accepted connection, cleared all answers of its engine that had ended with their connections, also those that ended later: an engine that closed one in order and crashed under the next within 0.3 s was taken for alive under both. QuarantineTests: two answers 290 ms apart, the engine alive between them.

--- a/include/pistachioloom/Quarantine.h
+++ b/include/pistachioloom/Quarantine.h
@@ -399,8 +399,9 @@
     /// Records an attempt that ended without proof that its backend server is alive.
     CutOffResult noteCutOff(const CutOff& cutOff, SteadyTime now, AttemptEnd end = AttemptEnd::CutOff);
     /// Notes that the probe that noteCutOff() requested has finished. If the backend server
-    /// is alive, answers that ended with their connections were complete.
-    void noteProbed(BackendIncarnationKey backend, bool isAlive, SteadyTime now);
+    /// was alive at \p aliveAt, answers that ended with their connections before were complete.
+    /// \returns whether the caller must probe again, since others ended later.
+    bool noteProbed(BackendIncarnationKey backend, std::optional<SteadyTime> aliveAt, SteadyTime now);
     /// Notes that \p backend terminated without having reported that it leaves.
     /// \returns the attempts with a crash counted because of this.
     std::vector<CountedCrash> noteTerminated(BackendIncarnationKey backend, SteadyTime now);
--- a/lib/Forward/LivenessProbe.cpp
+++ b/lib/Forward/LivenessProbe.cpp
@@ -59,28 +59,32 @@
     co_return others.empty();
 }
 
-/// Whether \p backend answers or accepts a connection of another request soon.
-static asio::awaitable<bool> showsLife(ForwardContext& context, BackendId backend)
+/// Whether \p backend gives no sign of life to other requests soon after the connections that it
+/// closed.
+static asio::awaitable<bool> isSilent(ForwardContext& context, BackendId backend)
 {
-    std::uint64_t order = context.backends_.latestAliveOrder();
-    co_await sleepFor(closedProbeDelay);
-    co_return context.backends_.wasAliveSince(backend, order);
+    const BackendIncarnationKey key { keyOf(backend) };
+    for (;;) {
+        SteadyTime since = steadyNow();
+        std::uint64_t order = context.backends_.latestAliveOrder();
+        co_await sleepFor(closedProbeDelay);
+        if (!context.backends_.wasAliveSince(backend, order))
+            co_return true;
+        if (!context.crashes_.noteProbed(key, since, steadyNow()))
+            co_return false;
+    }
 }
 
-asio::awaitable<void> probeLiveness(ForwardContext& context, BackendRecord backend, AttemptEnd end)
+/// Connects to \p backend. \returns whether it must be probed again, since it closed further
+/// connections.
+static asio::awaitable<bool> probeByConnecting(ForwardContext& context, BackendRecord backend)
 {
     const milliseconds waitLimit = context.settings_.connectTimeout_;
-    const BackendIncarnationKey key { keyOf(backend.id_) };
-    if (end == AttemptEnd::ConnectionClosed) {
-        bool isAlive = co_await showsLife(context, backend.id_);
-        if (isAlive) {
-            context.crashes_.noteProbed(key, true, steadyNow());
-            co_return;
-        }
-    }
+    SteadyTime startedAt = steadyNow();
     auto code = co_await tryConnection(backend.endpoint_, waitLimit);
     if (!code) {
         co_await sleepFor(reprobeDelay);
+        startedAt = steadyNow();
         code = co_await tryConnection(backend.endpoint_, waitLimit);
     }
     // Connections are also refused if a network fault isolates the data centre or this node. A
@@ -91,13 +95,33 @@
     LogLine line(hasTerminated ? "Backend server has terminated." : "Backend server closed a connection during a request.");
     line.add("backend", backend.id_.value_).add("connection", code ? code.message() : "accepted");
     logger().info(line);
-    context.crashes_.noteProbed(key, !code, steadyNow());
+    std::optional<SteadyTime> aliveAt;
+    if (!code)
+        aliveAt = startedAt;
+    bool needsProbe = context.crashes_.noteProbed({ keyOf(backend.id_) }, aliveAt, steadyNow());
     if (!hasTerminated)
-        co_return;
+        co_return needsProbe;
     context.backends_.setTerminated(backend.id_, steadyNow());
     noteBackendTerminated(context, backend.id_);
     if (context.hooks_.onTerminated_)
         context.hooks_.onTerminated_(backend.id_);
+    co_return false;
+}
+
+asio::awaitable<void> probeLiveness(ForwardContext& context, BackendRecord backend, AttemptEnd end)
+{
+    bool mayWait = end == AttemptEnd::ConnectionClosed;
+    for (;;) {
+        if (mayWait) {
+            bool silent = co_await isSilent(context, backend.id_);
+            if (!silent)
+                co_return;
+        }
+        bool needsProbe = co_await probeByConnecting(context, backend);
+        if (!needsProbe)
+            co_return;
+        mayWait = true;
+    }
 }
 
 } // namespace pistachioloom
--- a/lib/Gateway/QuarantineEndpoint.cpp
+++ b/lib/Gateway/QuarantineEndpoint.cpp
@@ -77,8 +77,8 @@
     auto attribute = body ? attributeOf(context, *body) : std::nullopt;
     if (!attribute)
         return errorResponse(Error { Errc::InvalidInput, step, {}, "expected a JSON object with service and prompt_part, or with request as sixteen hexadecimal digits", Ran::No, {} });
-    double length = numberField(*body, "for_ms");
-    if (!(length >= 1 && length <= static_cast<double>(maxOrderLength.count())))
+    std::uint64_t length = numberField(*body, "for_ms");
+    if (!length || length > static_cast<std::uint64_t>(maxOrderLength.count()))
         return errorResponse(Error { Errc::InvalidInput, step, {}, "expected for_ms from 1 to " + std::to_string(maxOrderLength.count()), Ran::No, {} });
     context.quarantine_.order(*attribute, milliseconds(static_cast<std::int64_t>(length)), steadyNow());
     logger().info(LogLine("Quarantine is ordered by an operator.").add("kind", toString(attribute->kind_)).add("request", toString(attribute->key_)).add("for_ms", static_cast<std::int64_t>(length)));
--- a/lib/Quarantine/CrashDetector.cpp
+++ b/lib/Quarantine/CrashDetector.cpp
@@ -42,21 +42,27 @@
     return { std::nullopt, cutOff.mayProbe_ && end != AttemptEnd::GivenUp && runningProbes_.insert(cutOff.backend_).second };
 }
 
-void CrashDetector::noteProbed(BackendIncarnationKey backend, bool isAlive, SteadyTime now)
+bool CrashDetector::noteProbed(BackendIncarnationKey backend, std::optional<SteadyTime> aliveAt, SteadyTime now)
 {
     std::vector<Pending> complete;
+    bool needsProbe = false;
     {
         std::lock_guard lock(mutex_);
-        runningProbes_.erase(backend);
-        if (!isAlive)
-            return;
-        auto isComplete = [&](const Pending& pending) { return pending.cutOff_.backend_ == backend && pending.end_ == AttemptEnd::ConnectionClosed; };
-        std::copy_if(pending_.begin(), pending_.end(), std::back_inserter(complete), isComplete);
-        std::erase_if(pending_, isComplete);
+        removeExpired(now);
+        auto isClosed = [&](const Pending& pending) { return pending.cutOff_.backend_ == backend && pending.end_ == AttemptEnd::ConnectionClosed; };
+        auto isComplete = [&](const Pending& pending) { return isClosed(pending) && pending.endedAt_ < *aliveAt; };
+        if (aliveAt) {
+            std::copy_if(pending_.begin(), pending_.end(), std::back_inserter(complete), isComplete);
+            std::erase_if(pending_, isComplete);
+            needsProbe = std::any_of(pending_.begin(), pending_.end(), isClosed);
+        }
         pendingCount_ = pending_.size();
+        if (!needsProbe)
+            runningProbes_.erase(backend);
     }
     for (const Pending& pending : complete)
         (void)noteSound(pending.cutOff_.attributes_, now);
+    return needsProbe;
 }
 
 /// Whether \p pending was cut off by the crash of its backend server, which has terminated.
--- a/unittests/Quarantine/QuarantineTest.cpp
+++ b/unittests/Quarantine/QuarantineTest.cpp
@@ -193,7 +193,7 @@
     CHECK_FALSE(detector.noteCutOff({ { requestOf(0xdef) }, north, { 1 } }, start).needsProbe_);
     CHECK(table.isEmpty());
     CHECK_FALSE(detector.isIdle());
-    detector.noteProbed({ 1 }, false, after(200));
+    CHECK_FALSE(detector.noteProbed({ 1 }, std::nullopt, after(200)));
     // The registry removes the server some seconds later.
     CHECK(detector.noteTerminated({ 1 }, after(4000)).size() == 2);
     CHECK(table.activeCrashesOf(request) == 1);
@@ -246,3 +246,38 @@
     recordChanges(1, true);
     recordChanges(0, true);
 }
+
+TEST_CASE("an answer that ended with its connection is sound only if its server was alive afterwards", "[quarantine]")
+{
+    QuarantineTable table({});
+    CrashDetector detector(table);
+    crash(table, request, 1, after(-1000));
+    const Attribute other = requestOf(0xdef);
+    CHECK(detector.noteCutOff({ { request }, north, { 1 } }, start, AttemptEnd::ConnectionClosed).needsProbe_);
+    CHECK_FALSE(detector.noteCutOff({ { other }, north, { 1 } }, after(290), AttemptEnd::ConnectionClosed).needsProbe_);
+    // The sign of life came before the end of the second answer.
+    CHECK(detector.noteProbed({ 1 }, after(100), after(300)));
+    CHECK(table.activeCrashesOf(request) == 0);
+    CHECK(detector.noteTerminated({ 1 }, after(700)).size() == 1);
+    CHECK(table.activeCrashesOf(other) == 1);
+    CHECK_FALSE(detector.noteProbed({ 1 }, after(900), after(1000)));
+}
+
+TEST_CASE("an attempt that was given up counts only if its server is known to have crashed then", "[quarantine]")
+{
+    struct Row {
+        const char* name_;
+        bool hasCutOff_;
+        int cutOffAtMs_;
+        std::size_t crashes_;
+    };
+    auto row = GENERATE(values<Row>({ { "no other attempt", false, 0, 0 }, { "another attempt was cut off then", true, 300, 1 }, { "another attempt was cut off later", true, 900, 0 } }));
+    CAPTURE(row.name_);
+    QuarantineTable table({});
+    CrashDetector detector(table);
+    CHECK_FALSE(detector.noteCutOff({ { request }, north, { 1 } }, start, AttemptEnd::GivenUp).needsProbe_);
+    if (row.hasCutOff_)
+        (void)detector.noteCutOff({ { requestOf(0xdef) }, north, { 1 } }, after(row.cutOffAtMs_));
+    (void)detector.noteTerminated({ 1 }, after(1000));
+    CHECK(table.activeCrashesOf(request) == row.crashes_);
+}
