Crashes count beside a reset probe, and if a peer learns of the removal first

Traced in the logs of its gateways: the second crash was not counted. Its probe was neither accepted nor refused but reset, by the backlog of the process that ended, and was not repeated; and when the platform dropped the engine 1.5 s later, a peer that read it first had told it as leaving, 88 ms before, so that its end counted as announced.

A reset probe is repeated like an accepted one. A removal that was not announced is told as an end beside. The first has no test of its own.

--- a/lib/Forward/LivenessProbe.cpp
+++ b/lib/Forward/LivenessProbe.cpp
@@ -10,8 +10,8 @@
 namespace pistachioloom {
 
 // A terminating process closes its sockets one after the other, its listening socket possibly
-// last. A connection may therefore still be accepted after the first one breaks, so a second
-// probe follows after this delay.
+// last. A connection may therefore still be accepted, or be reset while it waits to be, after the
+// first one breaks, so a second probe follows after this delay.
 static constexpr milliseconds reprobeDelay { 150 };
 // Other backend servers that are tried before one is taken for terminated. Those that have
 // terminated too refuse at once.
@@ -82,7 +82,7 @@
     const milliseconds waitLimit = context.settings_.connectTimeout_;
     SteadyTime startedAt = steadyNow();
     auto code = co_await tryConnection(backend.endpoint_, waitLimit);
-    if (!code) {
+    if (!code || code == asio::error::connection_reset) {
         co_await sleepFor(reprobeDelay);
         startedAt = steadyNow();
         code = co_await tryConnection(backend.endpoint_, waitLimit);
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -133,8 +133,12 @@
     }
     // A backend server that disappears without an announcement that it leaves has
     // crashed.
-    if (!known->isLeaving_)
+    if (!known->isLeaving_) {
         noteBackendTerminated(context_.forward_, known->id_);
+        // Peers would take the report below for an announcement that it leaves.
+        if (source == platformSource)
+            peerReports_.noteTerminated(known->id_);
+    }
     logChange(LogLine("Backend server was removed.").add("backend", known->id_.value_).add("from", source));
     // A removal that was found in a peer's list is not reported: other nodes fetch that
     // list themselves.
--- a/test/CrashingRequestsTest.cpp
+++ b/test/CrashingRequestsTest.cpp
@@ -4,6 +4,7 @@
 /// One request crashes each backend server that starts to run it, and the caller repeats
 /// it at every gateway; other requests are still served.
 //===----------------------------------------------------------------------===//
+#include "Harness/DelayProxy.h"
 #include "Platform/GatewayDeployment.h"
 
 #include <catch2/catch.hpp>
@@ -199,3 +200,24 @@
     CHECK(deployment.call(restarted, crashingRequest("crash-again")).status_ == 502);
     CHECK(crashTimes(deployment).size() == crashThreshold);
 }
+
+TEST_CASE("a crash is not counted if a peer learns of the server's removal first", "[gateway]")
+{
+    std::unique_ptr<DelayProxy> platformOfFirst;
+    GatewayDeploymentOptions options = fleetOptions(3, "24");
+    options.platformEndpointFor_ = [&](const std::string& vm, const Endpoint& platform) {
+        if (vm != "node-1")
+            return platform;
+        platformOfFirst = std::make_unique<DelayProxy>(platform);
+        return platformOfFirst->endpoint();
+    };
+    GatewayDeployment deployment(options);
+    deployment.startStandardServices();
+    deployment.control({ { "crash_text", "crashing body" }, { "restart_ms", 1000 } });
+    platformOfFirst->setDelay(milliseconds(800));
+    // The other engine is down, so that a refused connection does not prove a crash.
+    deployment.control({ { "crash_some", 1 }, { "crash_service", "engines" } });
+    (void)deployment.call(deployment.gateways()[0], crashingRequest("crash-0"));
+    REQUIRE(crashTimes(deployment).size() == 1);
+    CHECK(waitUntil([&] { return deployment.metric(deployment.gateways()[0], "requests_suspected") == 1; }, 2 * propagationTime));
+}
