The reading speed of engines is fitted once over the waits that all nodes observed

Cause: each node fitted a line through its own few hundred waits, and the nodes' rates were averaged.

Change: nodes report the moments of their waits (SpeedMoments); relays add them; the fit is made over the sum. Each node also bases its estimates for requests on that fit.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "pistachioloom/Http.h"
+#include "pistachioloom/Speed.h"
 #include "pistachioloom/Support.h"
 
 #include <deque>
@@ -422,8 +423,13 @@
         /// Prompt tokens that an engine reads per millisecond.
         double prefillPerMs_ = 0;
         std::uint64_t observations_ = 0;
+        /// The observed waits from which this node's fit follows.
+        SpeedMoments moments_;
     };
     std::map<ServiceName, ServiceStatistics> services() const;
+    /// Sets the waits that all other nodes observed. The estimates for \p service are
+    /// based on them and on those of this node.
+    void setFleetSpeed(const ServiceName& service, const SpeedMoments& others);
 
     /// Slots of a service's backend servers that take new requests, and how many of them
     /// are taken by requests of this node and, as reported, of its peers.
@@ -507,19 +513,17 @@
         backend.aliveOrder_ = ++lastAliveOrder_;
         failedByDataCentre_.erase(backend.record_.dataCentre_);
     }
-    /// Learns a service's speed. A least-squares fit with exponentially decaying weights
-    /// maps prompt tokens to waits; its slope is the time to read one token.
+    /// Learns a service's speed from the waits of this node's requests and those of others.
     struct ServiceEstimator {
         void observeWait(double tokens, double waitedMs);
         void observeSlotHold(milliseconds held);
-        double prefillPerMs(double fallback) const;
-        double firstEventOverheadMs(double prefillPerMs, double fallback) const;
+        /// Recomputes the fit over the observations of all nodes.
+        void updateFit();
 
         std::uint64_t observations_ = 0;
-        double meanTokens_ = 0;
-        double meanWait_ = 0;
-        double meanSquaredTokens_ = 0;
-        double meanTokensTimesWait_ = 0;
+        SpeedMoments own_;
+        SpeedMoments others_;
+        SpeedMoments all_;
         std::uint64_t tokensRequested_ = 0;
         /// Moving average of the time for which a request holds its slot.
         std::optional<double> meanSlotHoldMs_;
--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -10,6 +10,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "pistachioloom/Speed.h"
 #include "pistachioloom/Support.h"
 
 #include <deque>
@@ -181,6 +182,8 @@
     double prefillPerMs_ = 0;
     /// Number of answers from which `prefillPerMs_` was observed.
     std::uint64_t observations_ = 0;
+    /// The observed waits; without weight from nodes of an earlier version.
+    SpeedMoments moments_ {};
 };
 
 /// Estimates the prompt tokens a second that callers of all nodes request from each
@@ -203,9 +206,13 @@
     /// Sets the demand that \p vm reports. It counts until the next report, or until its
     /// validity has passed.
     void setSource(const VmId& vm, const ServiceName& service, const ServiceDemand& reported, SteadyTime now);
-    /// Prompt tokens that an engine reads in a millisecond: the mean over nodes, weighted
-    /// by the answers that each node has observed; \p fallback if there are too few.
+    /// Prompt tokens that an engine reads in a millisecond, by one fit over the waits that
+    /// all sources observed; \p fallback if there are too few. If no source reports its
+    /// waits, the mean of their rates, weighted by the answers that each has observed.
     double prefillPerMs(const ServiceName& service, double fallback) const;
+    /// The waits that all sources but \p own observed. Those of silent sources count, since
+    /// the speed of engines does not change with them.
+    SpeedMoments momentsOfOthers(const ServiceName& service, const VmId& own) const;
     /// Removes the demand of \p vm, which another source, such as a relay, reports from now
     /// on.
     void forgetSource(const VmId& vm);
@@ -238,6 +245,7 @@
     };
 
     static double rateOf(const std::deque<Reading>& local);
+    static double meanRate(const Demand& demand, double fallback);
 
     const DemandTiming timing_;
     mutable std::mutex mutex_;
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -12,16 +12,8 @@
 
 // Weight of one observation in a moving average.
 static constexpr double learningRate = 0.15;
-// The prefill rate of a service is learnt from a few hundred requests.
-static constexpr double prefillLearningRate = 0.005;
 // Slot hold times differ by a factor of a hundred between requests.
 static constexpr double slotHoldLearningRate = 0.02;
-static constexpr std::uint64_t minObservations = 12;
-// A learnt rate differs from the configured one by at most this factor.
-static constexpr double maxFallbackRatio = 8;
-// Upper bound in ms of the time to the first event without prefill, which is 15 ms and
-// the time of a few batch steps.
-static constexpr double maxFirstEventOverheadMs = 150;
 static constexpr double minSlowness = 0.5;
 static constexpr double maxSlowness = 8;
 
@@ -85,13 +77,13 @@
 double BackendTable::prefillRateOf(const ServiceName& service) const
 {
     auto found = estimators_.find(service);
-    return found == estimators_.end() ? settings_.prefillPerMs_ : found->second.prefillPerMs(settings_.prefillPerMs_);
+    return found == estimators_.end() ? settings_.prefillPerMs_ : found->second.all_.prefillPerMs(settings_.prefillPerMs_);
 }
 
 double BackendTable::firstEventOverheadMs(const ServiceName& service) const
 {
     auto found = estimators_.find(service);
-    return found == estimators_.end() ? settings_.firstEventOverheadMs_ : found->second.firstEventOverheadMs(prefillRateOf(service), settings_.firstEventOverheadMs_);
+    return found == estimators_.end() ? settings_.firstEventOverheadMs_ : found->second.all_.overheadMs(prefillRateOf(service), settings_.firstEventOverheadMs_);
 }
 
 std::map<ServiceName, BackendTable::ServiceStatistics> BackendTable::services() const
@@ -99,10 +91,18 @@
     std::lock_guard lock(mutex_);
     std::map<ServiceName, ServiceStatistics> statistics;
     for (const auto& [service, estimator] : estimators_)
-        statistics[service] = { estimator.tokensRequested_, prefillRateOf(service), estimator.observations_ };
+        statistics[service] = { estimator.tokensRequested_, estimator.own_.prefillPerMs(settings_.prefillPerMs_), estimator.observations_, estimator.own_ };
     return statistics;
 }
 
+void BackendTable::setFleetSpeed(const ServiceName& service, const SpeedMoments& others)
+{
+    std::lock_guard lock(mutex_);
+    ServiceEstimator& estimator = estimators_[service];
+    estimator.others_ = others;
+    estimator.updateFit();
+}
+
 void BackendTable::noteAdmitted(const BackendChoice& choice)
 {
     std::lock_guard lock(mutex_);
@@ -161,12 +161,15 @@
 
 void BackendTable::ServiceEstimator::observeWait(double tokens, double waitedMs)
 {
-    // The first observations have equal weights.
-    double weight = std::max(prefillLearningRate, 1.0 / static_cast<double>(++observations_));
-    meanTokens_ += weight * (tokens - meanTokens_);
-    meanWait_ += weight * (waitedMs - meanWait_);
-    meanSquaredTokens_ += weight * (tokens * tokens - meanSquaredTokens_);
-    meanTokensTimesWait_ += weight * (tokens * waitedMs - meanTokensTimesWait_);
+    ++observations_;
+    own_.observe(tokens, waitedMs);
+    updateFit();
+}
+
+void BackendTable::ServiceEstimator::updateFit()
+{
+    all_ = own_;
+    all_.add(others_);
 }
 
 void BackendTable::ServiceEstimator::observeSlotHold(milliseconds held)
@@ -176,22 +179,6 @@
     *meanSlotHoldMs_ += slotHoldLearningRate * (ms - *meanSlotHoldMs_);
 }
 
-double BackendTable::ServiceEstimator::prefillPerMs(double fallback) const
-{
-    double variance = meanSquaredTokens_ - meanTokens_ * meanTokens_;
-    double covariance = meanTokensTimesWait_ - meanTokens_ * meanWait_;
-    if (observations_ < minObservations || variance <= 0 || covariance <= 0)
-        return fallback;
-    return std::clamp(variance / covariance, fallback / maxFallbackRatio, fallback * maxFallbackRatio);
-}
-
-double BackendTable::ServiceEstimator::firstEventOverheadMs(double prefillPerMs, double fallback) const
-{
-    if (observations_ < minObservations)
-        return fallback;
-    return std::clamp(meanWait_ - meanTokens_ / prefillPerMs, 0.0, maxFirstEventOverheadMs);
-}
-
 void BackendTable::noteReachable(const BackendId& id)
 {
     std::lock_guard lock(mutex_);
--- a/lib/Duties/Demand.cpp
+++ b/lib/Duties/Demand.cpp
@@ -55,15 +55,11 @@
         demand.sources_.erase(vm);
 }
 
-double DemandEstimator::prefillPerMs(const ServiceName& service, double fallback) const
+double DemandEstimator::meanRate(const Demand& demand, double fallback)
 {
-    std::lock_guard lock(mutex_);
-    auto found = demand_.find(service);
-    if (found == demand_.end())
-        return fallback;
     double sum = 0;
     double weights = 0;
-    for (const auto& [vm, source] : found->second.sources_) {
+    for (const auto& [vm, source] : demand.sources_) {
         const ServiceDemand& reported = source.reportedDemand_;
         if (reported.observations_ < minObservations)
             continue;
@@ -74,6 +70,30 @@
     return weights > 0 ? sum / weights : fallback;
 }
 
+double DemandEstimator::prefillPerMs(const ServiceName& service, double fallback) const
+{
+    SpeedMoments all = momentsOfOthers(service, {});
+    if (all.weight_ > 0)
+        return all.prefillPerMs(fallback);
+    std::lock_guard lock(mutex_);
+    auto found = demand_.find(service);
+    return found == demand_.end() ? fallback : meanRate(found->second, fallback);
+}
+
+SpeedMoments DemandEstimator::momentsOfOthers(const ServiceName& service, const VmId& own) const
+{
+    std::lock_guard lock(mutex_);
+    SpeedMoments moments;
+    auto found = demand_.find(service);
+    if (found == demand_.end())
+        return moments;
+    for (const auto& [vm, source] : found->second.sources_) {
+        if (vm != own)
+            moments.add(source.reportedDemand_.moments_);
+    }
+    return moments;
+}
+
 void DemandEstimator::sample(SteadyTime now)
 {
     std::lock_guard lock(mutex_);
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -190,9 +190,10 @@
     SteadyTime now = steadyNow();
     for (const auto& [service, view] : context_.backends_.services()) {
         context_.demand_.recordLocalTokens(service, { view.tokensRequested_ }, now);
-        // The prefill rate and its observations are averaged with those of the peers. The
-        // token rate is passed as 0, since the tokens are recorded above.
-        context_.demand_.setSource(context_.settings_.vm_, service, { 0, view.prefillPerMs_, view.observations_ }, now);
+        // The observed waits are added to those of the peers. The token rate is passed as 0,
+        // since the tokens are recorded above.
+        context_.demand_.setSource(context_.settings_.vm_, service, { 0, view.prefillPerMs_, view.observations_, view.moments_ }, now);
+        context_.backends_.setFleetSpeed(service, context_.demand_.momentsOfOthers(service, context_.settings_.vm_));
     }
     context_.demand_.sample(now);
     for (const FleetView& view : fleetViews(now))
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -48,6 +48,11 @@
         return services;
     }
 
+    ServiceDemand demandOf(const wire::DemandReport& reported)
+    {
+        return { reported.tokens_per_second(), reported.prefill_per_ms(), reported.observations(), momentsOf(reported) };
+    }
+
     Endpoint endpointOr(const std::string& text, const Endpoint& fallback)
     {
         auto parsed = parseEndpoint(text);
@@ -559,7 +564,7 @@
     }
     context_.quotas_.setPeer(vm, report.incarnation(), admitted, levels, now, 1, areCountsFresh(report.counted_ms()));
     for (const wire::DemandReport& reported : report.demand())
-        context_.demand_.setSource(vm, { reported.service() }, { reported.tokens_per_second(), reported.prefill_per_ms(), reported.observations() }, now);
+        context_.demand_.setSource(vm, { reported.service() }, demandOf(reported), now);
     context_.usage_.setPeer(vm, report.incarnation(), usageOf(report.usage()));
     context_.rollouts_.setPeer(vm, talliesOf(report.rollout_counts()));
 }
@@ -643,7 +648,7 @@
     context_.quotas_.setPeer(allOthers(), context_.incarnation_, admitted, levels, now, sums.nodes(), areCountsFresh(sums.counted_ms()));
     context_.quotas_.setUnresponsiveNodes(sums.silent_nodes(), sums.nodes(), now);
     for (const wire::DemandReport& reported : sums.demand())
-        context_.demand_.setSource(allOthers(), { reported.service() }, { reported.tokens_per_second(), reported.prefill_per_ms(), reported.observations() }, now);
+        context_.demand_.setSource(allOthers(), { reported.service() }, demandOf(reported), now);
 }
 
 } // namespace pistachioloom
--- a/lib/Gateway/ReportAggregator.cpp
+++ b/lib/Gateway/ReportAggregator.cpp
@@ -10,6 +10,7 @@
 #include "RolloutMessages.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pistachioloom {
 
@@ -107,6 +108,20 @@
     }
 }
 
+SpeedMoments momentsOf(const wire::DemandReport& message)
+{
+    return { static_cast<double>(message.mean_weight()), message.mean_tokens(), message.mean_wait_ms(), message.mean_squared_tokens(), message.mean_tokens_times_wait() };
+}
+
+void putMoments(const SpeedMoments& moments, wire::DemandReport& message)
+{
+    message.set_mean_weight(static_cast<std::uint64_t>(std::llround(moments.weight_)));
+    message.set_mean_tokens(moments.meanTokens_);
+    message.set_mean_wait_ms(moments.meanWaitMs_);
+    message.set_mean_squared_tokens(moments.meanSquaredTokens_);
+    message.set_mean_tokens_times_wait(moments.meanTokensTimesWait_);
+}
+
 wire::NodeSums sumsOf(const wire::NodeReport& report)
 {
     wire::NodeSums sums;
@@ -168,8 +183,12 @@
     }
     for (wire::DemandReport& demand : *sums.mutable_demand()) {
         for (const wire::DemandReport& ownDemand : own.demand()) {
-            if (ownDemand.service() == demand.service())
-                demand.set_tokens_per_second(std::max(0.0, demand.tokens_per_second() - ownDemand.tokens_per_second()));
+            if (ownDemand.service() != demand.service())
+                continue;
+            demand.set_tokens_per_second(std::max(0.0, demand.tokens_per_second() - ownDemand.tokens_per_second()));
+            SpeedMoments moments = momentsOf(demand);
+            moments.remove(momentsOf(ownDemand));
+            putMoments(moments, demand);
         }
     }
 }
@@ -193,6 +212,7 @@
         total.tokensPerSecond_ += demand.tokens_per_second();
         total.weightedRate_ += demand.prefill_per_ms() * static_cast<double>(demand.observations());
         total.observations_ += demand.observations();
+        total.moments_.add(momentsOf(demand));
     }
     leaving_.insert(sums.leaving().begin(), sums.leaving().end());
     terminated_.insert(sums.ended().begin(), sums.ended().end());
@@ -255,8 +275,11 @@
     for (const auto& [service, tally] : talliesOf(sums.rollout_counts()))
         tallies_[service].remove(tally);
     addCounts(admitted_, group.admitted(), -1);
-    for (const wire::DemandReport& demand : sums.demand())
-        demand_[demand.service()].tokensPerSecond_ -= demand.tokens_per_second();
+    for (const wire::DemandReport& demand : sums.demand()) {
+        Demand& total = demand_[demand.service()];
+        total.tokensPerSecond_ -= demand.tokens_per_second();
+        total.moments_.remove(momentsOf(demand));
+    }
 }
 
 wire::NodeSums ReportTotals::toMessage() const
@@ -280,6 +303,7 @@
         reported.set_tokens_per_second(std::max(0.0, demand.tokensPerSecond_));
         reported.set_observations(demand.observations_);
         reported.set_prefill_per_ms(demand.observations_ ? demand.weightedRate_ / static_cast<double>(demand.observations_) : 0);
+        putMoments(demand.moments_, reported);
     }
     putNotices(leaving_, *sums.mutable_leaving());
     putNotices(terminated_, *sums.mutable_ended());
--- a/lib/Gateway/ReportAggregator.h
+++ b/lib/Gateway/ReportAggregator.h
@@ -31,6 +31,7 @@
         /// Sum of the prefill rates, each multiplied by its number of observations.
         double weightedRate_ = 0;
         std::uint64_t observations_ = 0;
+        SpeedMoments moments_;
     };
 
     /// Adds a group: its current sums, and its counts even if it is unresponsive.
@@ -140,6 +141,10 @@
 /// as zero.
 LoadTable loadsOf(const wire::BackendLoads& message);
 
+/// Conversion between the means of observed waits and their messages.
+SpeedMoments momentsOf(const wire::DemandReport& message);
+void putMoments(const SpeedMoments& moments, wire::DemandReport& message);
+
 /// Encodes loads.
 void putLoads(const LoadTable& loads, wire::BackendLoads& message);
 
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -81,6 +81,7 @@
         reported.set_tokens_per_second(context_.demand_.localRate(service));
         reported.set_prefill_per_ms(view.prefillPerMs_);
         reported.set_observations(view.observations_);
+        putMoments(view.moments_, reported);
     }
 }
 
