Quota: the rest of a short quota is kept for requests that are not deferrable

Cause: an organisation that asked for 6.9 times its usual load used up its quota with long requests, of which one takes as much as five short and more urgent ones.

Change: a route is deferrable if its priority number exceeds the lowest one of a route to one of its services by two or more. A deferrable request is refused while the level is within a reserve of 0.3 s of the rate (at most 0.3 of the burst), and while the nodes divide the remainder, except on a node that has just started. An organisation whose own priority is more urgent than the route's is not deferred. A refusal logs what it follows from.

--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -24,6 +24,36 @@
     double burst_ = 0;
 };
 
+/// What a request may use while its organisation's quota is short.
+enum class QuotaClass {
+    Normal,
+    /// Leaves a reserve of the quota to other requests; see Route::isDeferrable_.
+    Deferrable,
+};
+
+/// Why a request was refused because of its organisation's quota, for its log line and its
+/// retry delay. Amounts are in requests or tokens.
+struct QuotaRefusal {
+    QuotaClass class_ = QuotaClass::Normal;
+    /// The time after which the quota may admit one request.
+    milliseconds retryAfter_ {};
+    QuotaLimit limit_;
+    double cost_ = 0;
+    /// The bucket's level. It is negative while more was admitted than the quota allows.
+    double level_ = 0;
+    /// Unused tokens of this node's share of the rate, set while the nodes divide the remainder.
+    std::optional<double> shareBalance_;
+    /// This node's share of the rate, per second.
+    double shareRate_ = 0;
+    /// The sum of what this node refused to the organisation; it halves every second.
+    double refusedCost_ = 0;
+    /// How long the quota has been short: since the first of the refusals at this node that
+    /// followed each other within a second.
+    milliseconds shortage_ {};
+    /// Nodes that share the quota.
+    std::uint64_t nodes_ = 1;
+};
+
 struct QuotaSettings {
     /// A node is unresponsive after this time without a report. It is then assumed to
     /// admit an equal share.
@@ -52,6 +82,11 @@
     /// How far small requests may drive the level below zero: by the tokens that the rate
     /// adds in this time.
     milliseconds maxSmallDebt_ { 100 };
+    /// Deferrable requests leave what the rate adds in this time, but at most the given share
+    /// of the burst, since the level would rarely exceed the reserve of a small burst. Counts of
+    /// other nodes are as old as this.
+    milliseconds reserve_ { 300 };
+    double maxReservedBurst_ = 0.3;
     /// Share, from 0 to 1, of the first request's cost by which this node's share balance
     /// is reduced when nodes begin to divide the remainder of a quota. It differs between
     /// nodes, so that they do not all admit their first request simultaneously.
@@ -66,7 +101,9 @@
 /// While the level of a bucket exceeds what other nodes may have admitted but not yet
 /// reported, each node admits all requests. Below that, each node admits its share of the
 /// rate, so that nodes with delayed reports do not all use the same remainder. A negative
-/// level must refill before more requests are admitted.
+/// level must refill before more requests are admitted. Deferrable requests are refused while
+/// the nodes divide the remainder, and as long as only a reserve is left. A node that has just
+/// started divides the rate among both classes.
 class QuotaLimiter {
 public:
     /// \p startedAt is when this node started. Buckets start without their burst, so
@@ -76,6 +113,9 @@
     /// Takes \p cost out of the organisation's bucket.
     /// \returns nullopt if the request is admitted, else the time after which to retry.
     std::optional<milliseconds> take(const OrganisationId& organisation, const QuotaLimit& limit, double cost, SteadyTime now);
+    /// Does the same for a request of class \p quotaClass. \returns nullopt if the request is
+    /// admitted, else why not.
+    std::optional<QuotaRefusal> take(const OrganisationId& organisation, const QuotaLimit& limit, double cost, SteadyTime now, QuotaClass quotaClass);
     /// Refunds the tokens that were taken for a request that did not run.
     void giveBack(const OrganisationId& organisation, double cost);
 
@@ -119,6 +159,11 @@
         /// Unused tokens of this node's share of the rate, set while the nodes divide the
         /// remainder of the quota.
         std::optional<double> shareBalance_;
+        /// See QuotaRefusal::refusedCost_.
+        double refusedCost_ = 0;
+        SteadyTime refusedAt_ {};
+        /// The first refusal of the current shortage.
+        SteadyTime shortSince_ {};
         /// Tokens charged for unresponsive peers since their last reports.
         std::map<VmId, double> chargedByPeer_;
     };
@@ -160,6 +205,13 @@
     /// \returns an estimate of what other nodes have admitted but not reported yet.
     double estimateUnreported(const Bucket& bucket) const;
     std::optional<milliseconds> takeShare(Bucket& bucket, double cost, SteadyTime now);
+    /// \returns the level that a deferrable request leaves to others.
+    double reserveOf(const QuotaLimit& limit) const;
+    /// \returns the time after which to retry if the bucket does not admit a request, which
+    /// is not charged yet.
+    std::optional<milliseconds> waitIfShort(Bucket& bucket, double cost, QuotaClass quotaClass, SteadyTime now);
+    /// Records the refusal of a request.
+    QuotaRefusal noteRefusal(Bucket& bucket, double cost, QuotaClass quotaClass, milliseconds retryAfter, SteadyTime now) const;
 
     const SteadyTime startedAt_;
     const QuotaSettings settings_;
--- a/include/pistachioloom/Routes.h
+++ b/include/pistachioloom/Routes.h
@@ -54,6 +54,10 @@
     /// the route's objective, but at most twice the objective of any more urgent route to
     /// the same service, whose requests would wait behind it. Set by RouteTable::build().
     milliseconds maxQueueWait_ {};
+    /// Requests leave capacity to more urgent ones while it is short: the priority is higher by
+    /// 2 or more than the lowest among the routes to one of the same services. Set by
+    /// RouteTable::build().
+    bool isDeferrable_ = false;
 
     /// Whether a request may be sent again after it may have run.
     bool mayRepeat() const { return isStream_ ? isResumable_ : isIdempotent_; }
@@ -146,9 +150,12 @@
     const OrganisationPolicy* findOrganisation(const std::string& credential) const;
     const OrganisationPolicy* findOrganisation(const OrganisationId& name) const;
     const ServicePolicy* findService(const ServiceName& name) const;
+    /// Whether any route is deferrable; see Route::isDeferrable_.
+    bool hasDeferrableRoutes() const { return hasDeferrableRoutes_; }
 
 private:
     RouteConfiguration configuration_;
+    bool hasDeferrableRoutes_ = false;
     /// Routes of a host, longest prefix first.
     std::unordered_map<std::string, std::vector<const Route*>> byHost_;
     std::unordered_map<std::string, const OrganisationPolicy*> byCredential_;
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -7,6 +7,8 @@
 //===----------------------------------------------------------------------===//
 #include "RequestForwarder.h"
 
+#include <cmath>
+
 namespace pistachioloom {
 
 namespace {
@@ -31,6 +33,23 @@
         return logger;
     }
 
+    /// Rounds to a whole request or token.
+    std::int64_t rounded(double amount)
+    {
+        return std::llround(amount);
+    }
+
+    /// Adds what the refusal follows from.
+    void addQuotaInputs(LogLine& line, const QuotaRefusal& refusal)
+    {
+        line.add("class", refusal.class_ == QuotaClass::Deferrable ? "deferrable" : "normal").add("cost", rounded(refusal.cost_));
+        line.add("level", rounded(refusal.level_)).add("burst", rounded(refusal.limit_.burst_)).add("rate", rounded(refusal.limit_.ratePerSecond_));
+        if (refusal.shareBalance_)
+            line.add("share_balance", rounded(*refusal.shareBalance_));
+        line.add("share_rate", rounded(refusal.shareRate_)).add("refused_cost", rounded(refusal.refusedCost_));
+        line.add("shortage_ms", refusal.shortage_.count()).add("nodes", static_cast<std::int64_t>(refusal.nodes_));
+    }
+
 } // namespace
 
 RequestForwarder::RequestForwarder(ForwardContext& context, ConnectionPool& pool, std::shared_ptr<CallerConnection> caller, CallerRequest request)
@@ -73,6 +92,13 @@
     return shape;
 }
 
+/// An organisation whose own priority is more urgent than the route's is not deferred.
+bool RequestForwarder::isDeferrable() const
+{
+    bool isRaised = organisation_ && organisation_->priority_ && *organisation_->priority_ < route_->priority_;
+    return route_->isDeferrable_ && !isRaised;
+}
+
 std::optional<RequestForwarder::HeldAnswer> RequestForwarder::takeQuota()
 {
     if (!organisation_)
@@ -81,10 +107,11 @@
     quotaCost_ = 1;
     if (organisation_->countsTokens_)
         quotaCost_ = static_cast<double>(tokens ? tokens : organisation_->defaultTokens_);
-    auto wait = context_.quotas_.take(organisation_->name_, { organisation_->ratePerSecond_, organisation_->burst_ }, quotaCost_, steadyNow());
-    if (wait) {
+    QuotaClass quotaClass = isDeferrable() ? QuotaClass::Deferrable : QuotaClass::Normal;
+    quotaRefusal_ = context_.quotas_.take(organisation_->name_, { organisation_->ratePerSecond_, organisation_->burst_ }, quotaCost_, steadyNow(), quotaClass);
+    if (quotaRefusal_) {
         context_.metrics_.add(Counter::RequestsRefused);
-        return rejection(429, "quota of " + organisation_->name_.value_ + " used up", *wait);
+        return rejection(429, "quota of " + organisation_->name_.value_ + " used up", quotaRefusal_->retryAfter_);
     }
     hasQuota_ = true;
     return std::nullopt;
@@ -381,6 +408,8 @@
     line.add("id", attemptId_).add("status", answer.status_).add("why", std::string_view(answer.body_).substr(0, answer.body_.find('\n')));
     line.add("target", request_.target_).add("host", request_.field("Host")).add("route", route_ ? route_->name_ : "").add("organisation", organisation_ ? organisation_->name_.value_ : "");
     line.add("configuration", table_ ? static_cast<std::int64_t>(table_->version()) : 0).add("peer", caller_->peer());
+    if (quotaRefusal_)
+        addQuotaInputs(line, *quotaRefusal_);
     logger().info(line);
 }
 
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -108,6 +108,8 @@
     std::optional<HeldAnswer> admit();
     std::optional<HeldAnswer> authorise();
     std::optional<HeldAnswer> takeQuota();
+    /// Whether the request leaves capacity to more urgent ones; see Route::isDeferrable_.
+    bool isDeferrable() const;
     RequestShape shapeOf() const;
 
     // The software of streams.
@@ -208,6 +210,8 @@
     /// What the request takes from its organisation's quota, in requests or tokens.
     double quotaCost_ = 0;
     bool hasQuota_ = false;
+    /// Set if the request was refused because of its organisation's quota.
+    std::optional<QuotaRefusal> quotaRefusal_;
 
     SteadyTime deadline_ {};
     /// The end of the wait limit of the current attempt; SteadyTime::max() if it has
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -24,6 +24,10 @@
 // Share of the nodes whose reports a starting node needs to know how much of a quota is
 // left. The other nodes admit no more than the tenth by which a quota may be exceeded.
 static constexpr double minReportingShare = 0.9;
+// A shortage ends when no request was refused for this time.
+static constexpr milliseconds shortageGap { 1000 };
+// Time in which the sum of refused requests halves, in seconds.
+static constexpr double refusedHalfLifeSeconds = 1;
 // Steps of the golden ratio distribute phases evenly for any number of steps.
 static constexpr double phaseStep = 0.6180339887;
 
@@ -177,7 +181,57 @@
     }
 }
 
+double QuotaLimiter::reserveOf(const QuotaLimit& limit) const
+{
+    return std::min(secondsOf(settings_.reserve_) * limit.ratePerSecond_, settings_.maxReservedBurst_ * limit.burst_);
+}
+
+static milliseconds roundedUp(double seconds)
+{
+    return milliseconds(static_cast<std::int64_t>(seconds * 1000) + 1);
+}
+
+std::optional<milliseconds> QuotaLimiter::waitIfShort(Bucket& bucket, double cost, QuotaClass quotaClass, SteadyTime now)
+{
+    double rate = bucket.limit_.ratePerSecond_;
+    if (bucket.level_ <= floorFor(bucket, cost))
+        return roundedUp((1 - bucket.level_) / rate);
+    bool starts = isStarting(bucket, now);
+    double unreported = estimateUnreported(bucket);
+    bool isDivided = bucket.level_ <= unreported;
+    if (quotaClass == QuotaClass::Deferrable && !starts) {
+        double needed = std::max(unreported, reserveOf(bucket.limit_));
+        if (bucket.level_ <= needed)
+            return roundedUp((needed + 1 - bucket.level_) / rate);
+    }
+    if (isDivided || starts)
+        return takeShare(bucket, cost, now);
+    bucket.shareBalance_.reset();
+    return std::nullopt;
+}
+
+QuotaRefusal QuotaLimiter::noteRefusal(Bucket& bucket, double cost, QuotaClass quotaClass, milliseconds retryAfter, SteadyTime now) const
+{
+    if (now - bucket.refusedAt_ > shortageGap)
+        bucket.shortSince_ = now;
+    double seconds = std::max(0.0, secondsOf(now - bucket.refusedAt_));
+    bucket.refusedCost_ = bucket.refusedCost_ * std::exp2(-seconds / refusedHalfLifeSeconds) + cost;
+    bucket.refusedAt_ = std::max(bucket.refusedAt_, now);
+    QuotaRefusal refusal { quotaClass, retryAfter, bucket.limit_, cost, bucket.level_, bucket.shareBalance_ };
+    refusal.shareRate_ = bucket.limit_.ratePerSecond_ * shareOf(bucket);
+    refusal.refusedCost_ = bucket.refusedCost_;
+    refusal.shortage_ = std::chrono::duration_cast<milliseconds>(bucket.refusedAt_ - bucket.shortSince_);
+    refusal.nodes_ = static_cast<std::uint64_t>(nodes());
+    return refusal;
+}
+
 std::optional<milliseconds> QuotaLimiter::take(const OrganisationId& organisation, const QuotaLimit& limit, double cost, SteadyTime now)
+{
+    auto refusal = take(organisation, limit, cost, now, QuotaClass::Normal);
+    return refusal ? std::optional(refusal->retryAfter_) : std::nullopt;
+}
+
+std::optional<QuotaRefusal> QuotaLimiter::take(const OrganisationId& organisation, const QuotaLimit& limit, double cost, SteadyTime now, QuotaClass quotaClass)
 {
     std::lock_guard lock(mutex_);
     if (limit.ratePerSecond_ <= 0) {
@@ -194,14 +248,8 @@
     chargeUnresponsive(now);
     fill(bucket, now);
     bucket.meanCost_ += meanCostWeight * (cost - bucket.meanCost_);
-    if (bucket.level_ <= floorFor(bucket, cost)) {
-        double wait = (1 - bucket.level_) / limit.ratePerSecond_;
-        return milliseconds(static_cast<std::int64_t>(wait * 1000) + 1);
-    }
-    if (bucket.level_ > estimateUnreported(bucket) && !isStarting(bucket, now))
-        bucket.shareBalance_.reset();
-    else if (auto wait = takeShare(bucket, cost, now))
-        return wait;
+    if (auto wait = waitIfShort(bucket, cost, quotaClass, now))
+        return noteRefusal(bucket, cost, quotaClass, *wait, now);
     bucket.level_ -= cost;
     bucket.ownRecent_ += cost;
     bucket.ownLong_ += cost;
--- a/lib/Routes/Routes.cpp
+++ b/lib/Routes/Routes.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+    // The least difference of priorities at which a route is deferrable. Neighbouring priorities
+    // are too close for one class to be refused so that the other is served.
+    constexpr unsigned deferrableDistance = 2;
+
     /// Maps a priority to the strictest objective among those routes of one service that
     /// are at least as urgent.
     using ObjectivesByPriority = std::map<unsigned, milliseconds>;
@@ -47,6 +51,14 @@
         return wait;
     }
 
+    bool isDeferrable(const Route& route, const ObjectivesByService& services)
+    {
+        return std::any_of(route.split_.begin(), route.split_.end(), [&](const SplitShare& share) {
+            unsigned mostUrgent = services.at(share.service_).begin()->first;
+            return route.priority_ - mostUrgent >= deferrableDistance;
+        });
+    }
+
 } // namespace
 
 std::shared_ptr<const RouteTable> RouteTable::build(RouteConfiguration configuration)
@@ -56,8 +68,11 @@
     // Comparing all pairs of routes would take quadratic time: for 8,000 routes 663 ms of
     // processor time instead of 1.07 ms.
     const ObjectivesByService objectives = collectObjectives(table->configuration_.routes_);
-    for (Route& route : table->configuration_.routes_)
+    for (Route& route : table->configuration_.routes_) {
         route.maxQueueWait_ = maxQueueWait(route, objectives);
+        route.isDeferrable_ = isDeferrable(route, objectives);
+        table->hasDeferrableRoutes_ = table->hasDeferrableRoutes_ || route.isDeferrable_;
+    }
     for (const Route& route : table->configuration_.routes_)
         table->byHost_[route.host_].push_back(&route);
     for (auto& [host, routes] : table->byHost_)
