Quota: refused callers return when the quota can admit them

Cause: a refused caller was told to return as soon as the quota may admit one request, although many others were refused. Most retries were refused again.

Change: where the configuration has deferrable routes, the caller is told the time in which this node's share of the rate serves what the node refused recently, within bounds for each class, spread evenly over half of that time and cut to a third of the time left.

--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -93,6 +93,27 @@
     double phase_ = 0;
 };
 
+struct ReturnDelaySettings {
+    /// Lower bound of the time after which callers return.
+    milliseconds min_ { 500 };
+    /// Upper bounds. Callers of requests that are not deferrable usually have only a few seconds.
+    milliseconds max_ { 3000 };
+    milliseconds maxDeferrable_ { 5000 };
+};
+
+/// Callers wait for at most this part of the time that they have left.
+constexpr std::int64_t maxPartOfTimeLeft = 3;
+
+/// Spreads the returns of refused callers evenly between half of \p latest and all of it, so that
+/// they do not all return at the same moment. \p draw is uniformly distributed from 0 to 1. The
+/// result is at most a third of \p timeLeft, the time until the request's deadline.
+milliseconds spreadReturn(milliseconds latest, milliseconds timeLeft, double draw);
+
+/// \returns the time after which a caller that was refused because of a quota is told to return:
+/// when this node's share of the rate has served what this node refused recently. See
+/// spreadReturn() for \p timeLeft and \p draw.
+milliseconds returnDelay(const QuotaRefusal& refusal, milliseconds timeLeft, double draw, const ReturnDelaySettings& settings = {});
+
 /// What a node has admitted since its start, by organisation.
 using AdmittedCounts = std::map<OrganisationId, double>;
 
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -33,6 +33,13 @@
         return logger;
     }
 
+    /// Returns a random number from 0 to 1.
+    double uniformDraw()
+    {
+        // The upper 53 bits give a double in [0, 1).
+        return static_cast<double>(randomBits() >> 11) * 0x1p-53;
+    }
+
     /// Rounds to a whole request or token.
     std::int64_t rounded(double amount)
     {
@@ -111,7 +118,9 @@
     quotaRefusal_ = context_.quotas_.take(organisation_->name_, { organisation_->ratePerSecond_, organisation_->burst_ }, quotaCost_, steadyNow(), quotaClass);
     if (quotaRefusal_) {
         context_.metrics_.add(Counter::RequestsRefused);
-        return rejection(429, "quota of " + organisation_->name_.value_ + " used up", quotaRefusal_->retryAfter_);
+        // Without deferrable routes, callers return as soon as one request may be admitted.
+        milliseconds retryAfter = table_->hasDeferrableRoutes() ? returnDelay(*quotaRefusal_, timeLeft(), uniformDraw()) : quotaRefusal_->retryAfter_;
+        return rejection(429, "quota of " + organisation_->name_.value_ + " used up", retryAfter);
     }
     hasQuota_ = true;
     return std::nullopt;
--- a/unittests/Quota/QuotaPriorityTest.cpp
+++ b/unittests/Quota/QuotaPriorityTest.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t nodeCount = 60;
 constexpr milliseconds countsLag { 300 };
 constexpr milliseconds reportInterval { 200 };
+constexpr milliseconds minPause { 20 };
 const QuotaLimit tokens { 1000000, 1000000 };
 
 /// One of the two kinds of requests, and how long callers retry them.
@@ -38,6 +39,11 @@
     double refusedShare() const { return static_cast<double>(refusedRetries_) / retries_; }
 };
 
+std::ostream& operator<<(std::ostream& out, const Tally& tally)
+{
+    return out << tally.requests_ << " requests, " << tally.admittedShare() << " admitted; " << tally.retries_ << " retries, " << tally.refusedShare() << " refused";
+}
+
 struct Attempt {
     const Kind* kind_;
     SteadyTime arrivedAt_;
@@ -45,11 +51,23 @@
     bool isRetry_;
 };
 
+/// All decisions of a replay.
+struct Decisions {
+    int admitted_ = 0;
+    int refused_ = 0;
+    /// The sum of the delays after which callers were told to return.
+    milliseconds delays_ {};
+
+    bool operator==(const Decisions&) const = default;
+};
+
 struct ReplayOptions {
     /// Whether long requests are deferrable.
     bool hasClasses_ = false;
     /// Whether callers retry what was refused.
     bool hasRetries_ = false;
+    /// Whether returnDelay() tells callers when to retry.
+    bool hasReturnDelay_ = false;
 };
 
 /// The requests of one organisation over all nodes.
@@ -83,6 +101,7 @@
     }
 
     const Tally& tally(const Kind& kind) { return tallies_[&kind]; }
+    const Decisions& decisions() const { return decisions_; }
 
     double maxAdmitted(milliseconds length) const
     {
@@ -126,21 +145,22 @@
         tally.retries_ += attempt.isRetry_ && attempt.isInBurst_;
         if (!refusal) {
             tally.admitted_ += attempt.isInBurst_;
+            ++decisions_.admitted_;
             admitted_.emplace_back(now, kind.cost_);
             return;
         }
         tally.refusedRetries_ += attempt.isRetry_ && attempt.isInBurst_;
         auto left = std::chrono::duration_cast<milliseconds>(attempt.arrivedAt_ + kind.timeout_ - now);
-        milliseconds wait = std::min(delayFor(*refusal, left), left / 3);
-        // Callers need not return more often than this, and have nothing to gain from it.
-        wait = std::max(wait, milliseconds(20));
+        milliseconds wait = options_.hasReturnDelay_ ? returnDelay(*refusal, left, draw()) : refusal->retryAfter_;
+        ++decisions_.refused_;
+        decisions_.delays_ += wait;
+        // Callers wait for at most a third of their time, and do not retry at once.
+        wait = std::max(std::min(wait, left / 3), minPause);
         attempt.isRetry_ = true;
         if (options_.hasRetries_ && wait < left)
             retries_.emplace(now + wait, attempt);
     }
 
-    milliseconds delayFor(const QuotaRefusal& refusal, milliseconds /*left*/) { return refusal.retryAfter_; }
-
     void exchange(SteadyTime now)
     {
         std::vector<double> counts;
@@ -163,6 +183,7 @@
     std::multimap<SteadyTime, Attempt> retries_;
     std::deque<std::pair<SteadyTime, double>> admitted_;
     std::map<const Kind*, Tally> tallies_;
+    Decisions decisions_;
 };
 
 constexpr double usualPerSecond = 420000;
@@ -201,6 +222,48 @@
     CHECK(after.maxAdmitted(milliseconds(8000)) <= maxInWindow());
 }
 
+// Guards against decisions that differ where no route is deferrable. The expected ones are those of
+// the limiter before it knew classes (5d07d18).
+TEST_CASE("without deferrable routes, decisions are the same as without classes", "[quota]")
+{
+    struct Row {
+        unsigned seed_;
+        bool hasRetries_;
+        Decisions decisions_;
+    };
+    auto row = GENERATE(values<Row>({
+        { 1, false, { 4025, 2390, milliseconds(350696) } },
+        { 2, false, { 3980, 2466, milliseconds(426766) } },
+        { 1, true, { 5095, 94213, milliseconds(15034771) } },
+        { 2, true, { 5057, 89238, milliseconds(14187964) } },
+    }));
+    Replay replay({ false, row.hasRetries_, false }, row.seed_);
+    replayBurst(replay);
+    CAPTURE(row.seed_, row.hasRetries_, replay.decisions().admitted_, replay.decisions().refused_, replay.decisions().delays_.count());
+    CHECK(replay.decisions() == row.decisions_);
+}
+
+// Guards against callers that return while the quota still cannot admit them.
+TEST_CASE("callers that return when the quota can admit them are refused less often", "[quota]")
+{
+    auto seed = GENERATE(range(1U, 4U));
+    auto replayOf = [&](ReplayOptions options) {
+        Replay replay(options, seed);
+        replayBurst(replay);
+        return replay;
+    };
+    Replay earlier = replayOf({ false, true, false });
+    Replay before = replayOf({ true, true, false });
+    Replay after = replayOf({ true, true, true });
+    for (const Kind* kind : { &longKind, &shortKind }) {
+        UNSCOPED_INFO("without both decisions: " << earlier.tally(*kind));
+        UNSCOPED_INFO("with classes only: " << before.tally(*kind));
+        UNSCOPED_INFO("with classes and return delays: " << after.tally(*kind));
+        CHECK(after.tally(*kind).refusedShare() < 0.9 * before.tally(*kind).refusedShare());
+    }
+    CHECK(after.maxAdmitted(milliseconds(8000)) <= maxInWindow());
+}
+
 // Guards against a quota that is left unused because all of its requests are deferrable, and against
 // one that is exceeded when its level rises above the reserve at all nodes at once.
 TEST_CASE("an organisation with deferrable requests only gets its quota and little more", "[quota]")
