Admission: deferrable streams wait for half of their bound at most

Cause: deferrable streams filled the queues of engines up to a bound that may be twice that of more urgent ones, so that the urgent ones were rejected.

Change: a deferrable stream is rejected at half of its bound. Its Retry-After is up to 5 s instead of 0.8 s, spread like that of quotas and cut to a third of the time left. Other streams are decided as before.

--- a/include/pistachioloom/Admission.h
+++ b/include/pistachioloom/Admission.h
@@ -12,7 +12,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "pistachioloom/Support.h"
+#include "pistachioloom/Quota.h"
 
 #include <optional>
 
@@ -31,6 +31,12 @@
     milliseconds queueWait_ {};
     /// Upper bound of that wait for its route; see Route::maxQueueWait_.
     milliseconds maxQueueWait_ {};
+    /// The request leaves room in the queue to more urgent ones; see Route::isDeferrable_.
+    bool isDeferrable_ = false;
+    /// Time until the request's deadline, and a uniformly distributed number from 0 to 1, which
+    /// spread the retries of deferrable requests; see spreadReturn().
+    milliseconds timeLeft_ = milliseconds::max();
+    double draw_ = 0;
 };
 
 struct AdmissionSettings {
@@ -43,6 +49,10 @@
     /// Upper bound of the retry delay. Callers spend about a third of their time waiting,
     /// and the strictest latency objectives are 400 ms.
     milliseconds maxRetryAfter_ { 800 };
+    /// Share of AdmissionView::maxQueueWait_ that a deferrable request may wait for.
+    double deferrableWaitShare_ = 0.5;
+    /// Upper bound of the retry delay of deferrable requests, whose objectives are longer.
+    milliseconds maxDeferrableRetryAfter_ { 5000 };
 };
 
 struct AcceptSettings {
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -216,7 +216,7 @@
 
 std::optional<RequestForwarder::HeldAnswer> RequestForwarder::rejectLongWait(const BackendChoice& choice) const
 {
-    AdmissionView view { shape_.isForEngine_ && route_->isStream_, sendCount_ || eventSplitter_.last(), choice.queueWait_, route_->maxQueueWait_ };
+    AdmissionView view { shape_.isForEngine_ && route_->isStream_, sendCount_ || eventSplitter_.last(), choice.queueWait_, route_->maxQueueWait_, isDeferrable(), timeLeft(), uniformDraw() };
     auto retryAfter = retryAfterIfRejected(view, context_.settings_.admission_);
     if (!retryAfter)
         return std::nullopt;
