--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -24,6 +24,36 @@
     double burst_ = 0;
 };
 
+/// What a request may use while its organisation's quota is short.
+enum class QuotaClass {
+    Normal,
+    /// Leaves a reserve of the quota to other requests; see Route::isDeferrable_.
+    Deferrable,
+};
+
+/// Why a request was refused because of its organisation's quota, for its log line and its
+/// retry delay. Amounts are in requests or tokens.
+struct QuotaRefusal {
+    QuotaClass class_ = QuotaClass::Normal;
+    /// The time after which the quota may admit one request.
+    milliseconds retryAfter_ {};
+    QuotaLimit limit_;
+    double cost_ = 0;
+    /// The bucket's level. It is negative while more was admitted than the quota allows.
+    double level_ = 0;
+    /// Unused tokens of this node's share of the rate, set while the nodes divide the remainder.
+    std::optional<double> shareBalance_;
+    /// This node's share of the rate, per second.
+    double shareRate_ = 0;
+    /// The sum of what this node refused to the organisation; it halves every second.
+    double refusedCost_ = 0;
+    /// How long the quota has been short: since the first of the refusals at this node that
+    /// followed each other within a second.
+    milliseconds shortage_ {};
+    /// Nodes that share the quota.
+    std::uint64_t nodes_ = 1;
+};
+
 struct QuotaSettings {
     /// A node is unresponsive after this time without a report. It is then assumed to
     /// admit an equal share.
@@ -52,12 +82,38 @@
     /// How far small requests may drive the level below zero: by the tokens that the rate
     /// adds in this time.
     milliseconds maxSmallDebt_ { 100 };
+    /// Deferrable requests leave what the rate adds in this time, but at most the given share
+    /// of the burst, since the level would rarely exceed the reserve of a small burst. Counts of
+    /// other nodes are as old as this.
+    milliseconds reserve_ { 300 };
+    double maxReservedBurst_ = 0.3;
     /// Share, from 0 to 1, of the first request's cost by which this node's share balance
     /// is reduced when nodes begin to divide the remainder of a quota. It differs between
     /// nodes, so that they do not all admit their first request simultaneously.
     double phase_ = 0;
 };
 
+struct ReturnDelaySettings {
+    /// Lower bound of the time after which callers return.
+    milliseconds min_ { 500 };
+    /// Upper bounds. Callers of requests that are not deferrable usually have only a few seconds.
+    milliseconds max_ { 3000 };
+    milliseconds maxDeferrable_ { 5000 };
+};
+
+/// Callers wait for at most this part of the time that they have left.
+constexpr std::int64_t maxPartOfTimeLeft = 3;
+
+/// Spreads the returns of refused callers evenly between half of \p latest and all of it, so that
+/// they do not all return at the same moment. \p draw is uniformly distributed from 0 to 1. The
+/// result is at most a third of \p timeLeft, the time until the request's deadline.
+milliseconds spreadReturn(milliseconds latest, milliseconds timeLeft, double draw);
+
+/// \returns the time after which a caller that was refused because of a quota is told to return:
+/// when this node's share of the rate has served what this node refused recently. See
+/// spreadReturn() for \p timeLeft and \p draw.
+milliseconds returnDelay(const QuotaRefusal& refusal, milliseconds timeLeft, double draw, const ReturnDelaySettings& settings = {});
+
 /// What a node has admitted since its start, by organisation.
 using AdmittedCounts = std::map<OrganisationId, double>;
 
@@ -66,7 +122,9 @@
 /// While the level of a bucket exceeds what other nodes may have admitted but not yet
 /// reported, each node admits all requests. Below that, each node admits its share of the
 /// rate, so that nodes with delayed reports do not all use the same remainder. A negative
-/// level must refill before more requests are admitted.
+/// level must refill before more requests are admitted. Deferrable requests are refused while
+/// the nodes divide the remainder, and as long as only a reserve is left. A node that has just
+/// started divides the rate among both classes.
 class QuotaLimiter {
 public:
     /// \p startedAt is when this node started. Buckets start without their burst, so
@@ -76,6 +134,9 @@
     /// Takes \p cost out of the organisation's bucket.
     /// \returns nullopt if the request is admitted, else the time after which to retry.
     std::optional<milliseconds> take(const OrganisationId& organisation, const QuotaLimit& limit, double cost, SteadyTime now);
+    /// Does the same for a request of class \p quotaClass. \returns nullopt if the request is
+    /// admitted, else why not.
+    std::optional<QuotaRefusal> take(const OrganisationId& organisation, const QuotaLimit& limit, double cost, SteadyTime now, QuotaClass quotaClass);
     /// Refunds the tokens that were taken for a request that did not run.
     void giveBack(const OrganisationId& organisation, double cost);
 
@@ -119,6 +180,11 @@
         /// Unused tokens of this node's share of the rate, set while the nodes divide the
         /// remainder of the quota.
         std::optional<double> shareBalance_;
+        /// See QuotaRefusal::refusedCost_.
+        double refusedCost_ = 0;
+        SteadyTime refusedAt_ {};
+        /// The first refusal of the current shortage.
+        SteadyTime shortSince_ {};
         /// Tokens charged for unresponsive peers since their last reports.
         std::map<VmId, double> chargedByPeer_;
     };
@@ -160,6 +226,13 @@
     /// \returns an estimate of what other nodes have admitted but not reported yet.
     double estimateUnreported(const Bucket& bucket) const;
     std::optional<milliseconds> takeShare(Bucket& bucket, double cost, SteadyTime now);
+    /// \returns the level that a deferrable request leaves to others.
+    double reserveOf(const QuotaLimit& limit) const;
+    /// \returns the time after which to retry if the bucket does not admit a request, which
+    /// is not charged yet.
+    std::optional<milliseconds> waitIfShort(Bucket& bucket, double cost, QuotaClass quotaClass, SteadyTime now);
+    /// Records the refusal of a request.
+    QuotaRefusal noteRefusal(Bucket& bucket, double cost, QuotaClass quotaClass, milliseconds retryAfter, SteadyTime now) const;
 
     const SteadyTime startedAt_;
     const QuotaSettings settings_;
