Fleet: on-demand engines for the whole need while reclaimable ones vanish

On deployment E the reclaimable engines of all three data centres were reclaimed within 6 s. The plan went on relying on those of the data centres that had not lost theirs yet, and the need fell with an overestimated reading rate.

CapacityShortage begins when a data centre has lost more than half of its reclaimable engines without an order and the need exceeds the bound of one data centre. Until it ends the plan relies on no reclaimable engine, counts the highest need of 15 s, and dismisses neither on-demand engines nor reclaimable ones that serve.

--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -68,6 +68,10 @@
     /// An order that the platform rejected because it had no engines available is
     /// repeated after this time.
     milliseconds rejectedRepeatInterval_ { 2000 };
+    /// A shortage of reclaimable engines ends at the latest when this time has passed since
+    /// the last loss; see CapacityShortage. An on-demand engine costs 5.6 times as much as a
+    /// reclaimable one. 0 ends each shortage at once, so that the plan ignores it.
+    milliseconds maxShortage_ { 30000 };
 };
 
 /// Engines of one service in one data centre.
@@ -84,6 +88,11 @@
     /// On-demand engines of a version that may not receive the service's requests. The
     /// platform counts them with the others, but the plan does not.
     std::uint64_t onDemandExcluded_ = 0;
+    /// Reclaimable engines of such a version. They do not serve, but were not reclaimed.
+    std::uint64_t reclaimableExcluded_ = 0;
+    /// Engines by which on-demand ones stay below the upper bound during a shortage, so that
+    /// reclaimable ones can return; see CapacityShortage.
+    std::uint64_t reclaimableReserved_ = 0;
 };
 
 struct FleetDemand {
@@ -97,6 +106,8 @@
     /// The plan does not rely on this fraction of the reclaimable engines in the data
     /// centre that has most of them, since they are all reclaimed together.
     double reserveShare_ = 1;
+    /// Whether the plan relies on no reclaimable engine; see CapacityShortage.
+    bool isShort_ = false;
 };
 
 /// Engines needed for \p tokensPerSecond prompt tokens if an engine reads \p prefillPerMs
@@ -108,6 +119,8 @@
 /// Plans the orders for each data centre: reclaimable engines as wanted, and on-demand
 /// ones for the need that would remain uncovered if the data centre with most reclaimable
 /// engines lost the reserved fraction of them. Cheaper data centres are filled first.
+/// During a shortage on-demand engines are planned for the whole need, and neither they nor
+/// reclaimable engines that serve are dismissed.
 std::vector<FleetOrder> planFleet(const ServiceName& service, const FleetDemand& demand, const std::vector<DataCentreFleet>& fleets);
 
 /// A snapshot of one service's engines and demand.
@@ -131,12 +144,70 @@
     /// Whether a new version is being rolled out or removed. Engines are then neither
     /// dismissed nor ordered beyond the need, since an order does not specify a version.
     bool isRollingOut_ = false;
+    /// Whether the platform can be reached, so that engines can be ordered.
+    bool isPlatformAvailable_ = true;
 
     std::uint64_t onDemand() const;
     std::uint64_t reclaimable() const;
     std::uint64_t engines() const { return onDemand() + reclaimable(); }
 };
 
+/// Decides whether the plan of one service may rely on reclaimable engines. A shortage
+/// begins when a data centre has lost more than half of its reclaimable engines without an
+/// order, if the need exceeds the upper bound of one data centre: those of the other data
+/// centres may follow within seconds, and the last data centre could not carry the load. It
+/// ends when reclaimable engines have returned to a data centre that lost them, or
+/// FleetSettings::maxShortage_ after the last loss. Time for which the platform is
+/// unavailable does not count, since nothing can be ordered then. Not thread-safe.
+class CapacityShortage {
+public:
+    /// Reclaimable engines that a data centre lost.
+    struct Loss {
+        std::uint64_t lost_ = 0;
+        /// The fewest reclaimable engines observed since the loss.
+        std::uint64_t remaining_ = 0;
+        /// Whether the platform has accepted an order of additional reclaimable engines
+        /// since the loss, or may have accepted one of an earlier holder of the duties.
+        bool mayReturn_ = false;
+    };
+
+    explicit CapacityShortage(milliseconds maxDuration);
+
+    /// Records that the reclaimable engines of a data centre fell from \p before to those of
+    /// \p fleet. To be called on every node, like observe().
+    void noteLoss(const DataCentreFleet& fleet, std::uint64_t before, SteadyTime now);
+    /// Records the engines present, and ends a shortage that has reached its maximum length.
+    void observe(const FleetView& view, SteadyTime now);
+    /// Records that the platform accepted an order of additional reclaimable engines.
+    void noteOrderAccepted(const DataCentreId& dataCentre);
+    /// Records that this node has taken over the duties. Which orders the earlier holder had
+    /// accepted is not known, so registered engines alone show whether they have returned.
+    void noteTakeover();
+    /// Begins or ends the shortage for \p demand. Engines that boot in \p bootTime and
+    /// registered earlier after the last loss were ordered before it.
+    void review(const FleetDemand& demand, const std::vector<DataCentreFleet>& fleets, milliseconds bootTime, SteadyTime now);
+    bool isActive() const { return isActive_; }
+    /// Losses of the current shortage by data centre, or recent ones that began none.
+    const std::map<DataCentreId, Loss>& losses() const { return losses_; }
+    /// The data centre whose return ended the last shortage; nullopt if its time had passed.
+    const std::optional<DataCentreId>& returned() const { return returned_; }
+    /// Engines for which on-demand ones leave room in \p dataCentre below \p maxEngines.
+    std::uint64_t reservedIn(const DataCentreId& dataCentre, std::uint64_t maxEngines) const;
+
+private:
+    bool hasReturned(const DataCentreFleet& fleet, const FleetDemand& demand) const;
+    void end(std::optional<DataCentreId> returned);
+
+    milliseconds maxDuration_;
+    std::map<DataCentreId, Loss> losses_;
+    SteadyTime lastLossAt_ {};
+    SteadyTime observedAt_ {};
+    /// Time since the last loss for which the platform was unavailable.
+    SteadyTime::duration unavailableFor_ {};
+    bool isActive_ = false;
+    std::optional<DataCentreId> returned_;
+};
+
 /// Decides on the orders of all services. Not thread-safe.
 class FleetTracker {
 public:
@@ -157,6 +228,8 @@
     void noteOrdered(const FleetOrder& order, bool isAccepted, SteadyTime now);
     /// Engines that the service needed when dueOrders() was last called for it.
     std::uint64_t needed(const ServiceName& service) const;
+    /// The state of the service's shortage of reclaimable engines.
+    CapacityShortage shortage(const ServiceName& service) const;
 
 private:
     struct LastOrder {
@@ -186,7 +259,10 @@
         std::uint64_t engines_ = 0;
     };
 
-    FleetDemand demandOf(const FleetView& view, SteadyTime now);
+    CapacityShortage& shortageOf(const ServiceName& service);
+    std::vector<DataCentreFleet> fleetsWithOrders(const FleetView& view) const;
+    void observeReclaims(const FleetView& view, SteadyTime now);
+    FleetDemand demandOf(const FleetView& view, std::vector<DataCentreFleet>& fleets, SteadyTime now);
     bool isDue(const FleetOrder& order, std::uint64_t present, const Registrations& registrations, SteadyTime now) const;
     const LastOrder* lastOrder(const FleetOrder& order) const;
 
@@ -201,6 +277,7 @@
     std::map<ServiceName, std::uint64_t> lastNeeds_;
     /// Services whose need was inherited from the previous holder.
     std::set<ServiceName> servicesWithInheritedNeed_;
+    std::map<ServiceName, CapacityShortage> shortages_;
 };
 
 } // namespace pistachioloom
--- a/lib/Fleet/FleetTracker.cpp
+++ b/lib/Fleet/FleetTracker.cpp
@@ -58,12 +58,23 @@
     // reclaimable ones are reclaimed.
     bool isLost = !known.hasObservedEngines_ && view.tokensPerSecond_;
     known.isSettled_ |= isLost || (known.hasObservedEngines_ && now - known.grewAt_ >= settings_.settleTime_);
+    observeReclaims(view, now);
+    shortageOf(view.service_).observe(view, now);
+}
+
+void FleetTracker::observeReclaims(const FleetView& view, SteadyTime now)
+{
+    Registrations& known = registrations_[view.service_];
     for (const DataCentreFleet& fleet : view.dataCentres_) {
         std::uint64_t& before = known.reclaimable_[fleet.dataCentre_];
         const LastOrder* ordered = lastOrder({ view.service_, fleet.dataCentre_, true, 0 });
         bool wasDismissed = ordered && ordered->wanted_ <= fleet.reclaimable_;
-        if (static_cast<double>(fleet.reclaimable_) < reclaimedThreshold * static_cast<double>(before) && !wasDismissed)
+        auto isBelowThreshold = [&](std::uint64_t engines) { return static_cast<double>(engines) < reclaimedThreshold * static_cast<double>(before); };
+        if (isBelowThreshold(fleet.reclaimable_) && !wasDismissed)
             known.reclaimedAt_ = now;
+        // The end of a roll-out excludes engines that are still registered.
+        if (isBelowThreshold(fleet.reclaimable_ + fleet.reclaimableExcluded_) && !wasDismissed)
+            shortageOf(view.service_).noteLoss(fleet, before, now);
         before = fleet.reclaimable_;
     }
 }
@@ -80,8 +91,8 @@
 
 /// The engines that the service needs now. Before the demand is known the need that was
 /// inherited from the previous holder is used, or the highest number of engines present,
-/// so that a new holder changes nothing.
-FleetDemand FleetTracker::demandOf(const FleetView& view, SteadyTime now)
+/// so that a new holder changes nothing. Sets in \p fleets what a shortage reserves.
+FleetDemand FleetTracker::demandOf(const FleetView& view, std::vector<DataCentreFleet>& fleets, SteadyTime now)
 {
     std::uint64_t& before = lastNeeds_[view.service_];
     std::uint64_t needed = before;
@@ -111,6 +122,16 @@
     auto reclaimable = static_cast<std::uint64_t>(std::ceil(static_cast<double>(highest) * settings_.reclaimableShare_));
     std::uint64_t capacity = demand.maxEngines_ - std::min(demand.maxEngines_, demand.minEngines_);
     demand.reclaimablePerDataCentre_ = std::min(capacity, reclaimable);
+    CapacityShortage& shortage = shortageOf(view.service_);
+    shortage.review(demand, fleets, view.bounds_.bootTime_, now);
+    if (shortage.isActive()) {
+        // The waits at the few engines that remain say little about their speed, and refused
+        // requests show only part of their demand.
+        demand.isShort_ = true;
+        demand.needed_ = highest;
+        for (DataCentreFleet& fleet : fleets)
+            fleet.reclaimableReserved_ = shortage.reservedIn(fleet.dataCentre_, demand.maxEngines_);
+    }
     before = demand.needed_;
     return demand;
 }
@@ -138,26 +159,33 @@
     return !isSame || (present != order.wanted_ && now - last->notedAt_ >= settings_.repeatInterval_);
 }
 
+std::vector<DataCentreFleet> FleetTracker::fleetsWithOrders(const FleetView& view) const
+{
+    std::vector<DataCentreFleet> fleets = view.dataCentres_;
+    for (DataCentreFleet& fleet : fleets) {
+        const LastOrder* last = lastOrder({ view.service_, fleet.dataCentre_, false, 0 });
+        fleet.onDemandOrdered_ = last && last->isAccepted_ ? last->wanted_ - std::min(last->wanted_, fleet.onDemandExcluded_) : 0;
+    }
+    return fleets;
+}
+
 std::vector<FleetOrder> FleetTracker::dueOrders(const FleetView& view, SteadyTime now)
 {
-    FleetDemand demand = demandOf(view, now);
+    std::vector<DataCentreFleet> fleets = fleetsWithOrders(view);
+    FleetDemand demand = demandOf(view, fleets, now);
     // The platform applies its bounds to all engines present, including those of the new
     // version, so an order could make it dismiss some of them.
     if (view.isRollingOut_ && view.engines() >= demand.needed_)
         return {};
     std::vector<FleetOrder> dismissals;
     std::vector<FleetOrder> additions;
-    std::vector<DataCentreFleet> fleets = view.dataCentres_;
     std::map<DataCentreId, const DataCentreFleet*> fleetOf;
     // On-demand engines as ordered: the platform limits reclaimable engines to the capacity
     // that these leave.
     std::map<DataCentreId, std::uint64_t> onDemand;
-    for (DataCentreFleet& fleet : fleets) {
+    for (const DataCentreFleet& fleet : fleets) {
         const LastOrder* last = lastOrder({ view.service_, fleet.dataCentre_, false, 0 });
-        bool isOrdered = last && last->isAccepted_;
-        std::uint64_t ordered = isOrdered ? last->wanted_ - std::min(last->wanted_, fleet.onDemandExcluded_) : 0;
-        fleet.onDemandOrdered_ = ordered;
-        onDemand[fleet.dataCentre_] = isOrdered ? ordered : fleet.onDemand_;
+        onDemand[fleet.dataCentre_] = last && last->isAccepted_ ? fleet.onDemandOrdered_ : fleet.onDemand_;
         fleetOf[fleet.dataCentre_] = &fleet;
     }
     std::vector<FleetOrder> orders = planFleet(view.service_, demand, fleets);
@@ -188,11 +216,25 @@
     servicesWithInheritedNeed_.insert(service);
     lastNeeds_[service] = engines;
     recentNeeds_[service].push_back({ now, engines });
+    shortageOf(service).noteTakeover();
 }
 
 void FleetTracker::noteOrdered(const FleetOrder& order, bool isAccepted, SteadyTime now)
 {
     lastOrders_[{ order.service_, order.dataCentre_, order.isReclaimable_ }] = { order.wanted_, isAccepted, now };
+    if (isAccepted && order.isReclaimable_ && order.wanted_ > registrations_[order.service_].reclaimable_[order.dataCentre_])
+        shortageOf(order.service_).noteOrderAccepted(order.dataCentre_);
+}
+
+CapacityShortage& FleetTracker::shortageOf(const ServiceName& service)
+{
+    return shortages_.try_emplace(service, settings_.maxShortage_).first->second;
+}
+
+CapacityShortage FleetTracker::shortage(const ServiceName& service) const
+{
+    auto found = shortages_.find(service);
+    return found == shortages_.end() ? CapacityShortage(settings_.maxShortage_) : found->second;
 }
 
 std::uint64_t FleetTracker::needed(const ServiceName& service) const
--- a/lib/Fleet/Plan.cpp
+++ b/lib/Fleet/Plan.cpp
@@ -18,6 +18,16 @@
     return static_cast<std::uint64_t>(std::ceil(busy + margin * std::sqrt(busy)));
 }
 
+/// Capacity of a data centre that on-demand engines leave to reclaimable ones.
+static std::uint64_t reservedIn(const DataCentreFleet& fleet, const FleetDemand& demand)
+{
+    // Only reclaimable engines that are present use up capacity. Those that are merely
+    // wanted do not, since they may not be available.
+    if (!demand.isShort_)
+        return std::min(fleet.reclaimable_, demand.reclaimablePerDataCentre_);
+    return std::min(demand.maxEngines_, std::max(fleet.reclaimable_, fleet.reclaimableReserved_));
+}
+
 std::vector<FleetOrder> planFleet(const ServiceName& service, const FleetDemand& demand, const std::vector<DataCentreFleet>& fleets)
 {
     std::uint64_t reclaimable = 0;
@@ -28,6 +38,8 @@
         largest = std::max(largest, counted);
     }
     std::uint64_t reliable = reclaimable - static_cast<std::uint64_t>(std::ceil(static_cast<double>(largest) * demand.reserveShare_));
+    if (demand.isShort_)
+        reliable = 0;
     std::uint64_t onDemand = demand.needed_ - std::min(demand.needed_, reliable);
 
     std::vector<const DataCentreFleet*> byCost;
@@ -46,8 +58,12 @@
     auto expected = [&](const DataCentreFleet& fleet) { return std::max({ fleet.onDemand_, fleet.onDemandOrdered_, minOnDemand(fleet) }); };
     for (const DataCentreFleet& fleet : fleets)
         present += expected(fleet);
+    // During a shortage no on-demand engine is dismissed, apart from booting ones whose
+    // capacity reclaimable engines have taken.
+    bool keepsAll = demand.isShort_ || present <= onDemand;
     for (const DataCentreFleet& fleet : fleets) {
-        std::uint64_t kept = std::min(present <= onDemand ? expected(fleet) : minOnDemand(fleet), demand.maxEngines_);
+        std::uint64_t capacity = demand.isShort_ ? std::max(fleet.onDemand_, demand.maxEngines_ - reservedIn(fleet, demand)) : demand.maxEngines_;
+        std::uint64_t kept = std::min({ keepsAll ? expected(fleet) : minOnDemand(fleet), capacity, demand.maxEngines_ });
         share[fleet.dataCentre_] = kept;
         assigned += kept;
     }
@@ -55,9 +71,7 @@
     // on-demand engines, so that no data centre holds most of them.
     for (std::uint64_t level = 0; level < demand.maxEngines_; ++level) {
         for (const DataCentreFleet* fleet : byCost) {
-            // Only reclaimable engines that are present use up capacity. Those that are
-            // merely wanted do not, since they may not be available.
-            bool hasCapacity = level + std::min(fleet->reclaimable_, demand.reclaimablePerDataCentre_) < demand.maxEngines_;
+            bool hasCapacity = level + reservedIn(*fleet, demand) < demand.maxEngines_;
             if (share[fleet->dataCentre_] != level || assigned >= onDemand || !hasCapacity)
                 continue;
             ++share[fleet->dataCentre_];
@@ -67,7 +81,10 @@
     std::vector<FleetOrder> orders;
     for (const DataCentreFleet& fleet : fleets) {
         std::uint64_t wanted = share[fleet.dataCentre_];
-        orders.push_back({ service, fleet.dataCentre_, true, std::min(demand.reclaimablePerDataCentre_, demand.maxEngines_ - wanted) });
+        // During a shortage a lower need dismisses no reclaimable engine that serves, since
+        // on-demand ones would take its place.
+        std::uint64_t reclaimables = std::max(demand.reclaimablePerDataCentre_, demand.isShort_ ? fleet.reclaimable_ : 0);
+        orders.push_back({ service, fleet.dataCentre_, true, std::min(reclaimables, demand.maxEngines_ - wanted) });
         orders.push_back({ service, fleet.dataCentre_, false, wanted });
     }
     return orders;
