Gateway: log lines and a gauge of shortages; unreachable platform passed in

The holder of the duties logs when a shortage of reclaimable engines begins and ends, and the gauge fleet_shortage is 1 meanwhile. Reclaimable engines that a roll-out excludes are counted, so that the end of a roll-out is not taken for a loss.

Two tests of the plan during shortages follow from changes of single conditions that the earlier tests did not notice: a takeover after engines had returned, and a need that falls.

--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -5,8 +5,11 @@
 //===----------------------------------------------------------------------===//
 #include "DutyRunner.h"
 
+#include "Readers.h"
 #include "generated/Peer.pb.h"
 
+#include <boost/algorithm/string/join.hpp>
+
 namespace pistachioloom {
 
 namespace {
@@ -98,6 +101,11 @@
     return lease_.isHolder() ? lease_.token() : DutyToken {};
 }
 
+bool DutyRunner::hasShortage() const
+{
+    return isAnyShort_ && heldToken().value_;
+}
+
 DutyToken DutyRunner::reportedToken() const
 {
     return context_.isStopping_ ? DutyToken {} : heldToken();
@@ -195,8 +203,14 @@
         context_.demand_.setSource(context_.settings_.vm_, service, { 0, view.prefillPerMs_, view.observations_ }, now);
     }
     context_.demand_.sample(now);
-    for (const FleetView& view : fleetViews(now))
+    bool isAnyShort = false;
+    for (const FleetView& view : fleetViews(now)) {
+        CapacityShortage before = fleetTracker_.shortage(view.service_);
         fleetTracker_.observe(view, now);
+        logShortage(view, before);
+        isAnyShort |= fleetTracker_.shortage(view.service_).isActive();
+    }
+    isAnyShort_ = isAnyShort;
 }
 
 /// Reads the log of duties up to its end. \returns whether this succeeded.
@@ -359,8 +373,8 @@
             continue;
         if (!rollout || mayServe(*rollout, record.version_))
             ++(record.isReclaimable_ ? found->second.reclaimable_ : found->second.onDemand_);
-        else if (!record.isReclaimable_)
-            ++found->second.onDemandExcluded_;
+        else
+            ++(record.isReclaimable_ ? found->second.reclaimableExcluded_ : found->second.onDemandExcluded_);
     }
     FleetView view { service.name_, *service.fleet_, {}, {}, 0, 0, 0, true, false };
     for (auto& [dataCentre, fleet] : fleets)
@@ -376,6 +390,36 @@
     return view;
 }
 
+/// Returns whether no peer that reads from the platform reaches it.
+bool DutyRunner::isPlatformUnavailable() const
+{
+    std::vector<ReaderState> states;
+    for (const auto& [vm, peer] : peerReports_->live())
+        states.push_back({ vm, peer.dataCentre_, peer.isStopping_, peer.isPlatformUnavailable_, peer.isReader_, peer.cores_ });
+    return haveAllReadersFailed(states);
+}
+
+/// Logs that a shortage of the service's engines has begun or ended since \p before, if
+/// this node holds the duties.
+void DutyRunner::logShortage(const FleetView& view, const CapacityShortage& before) const
+{
+    CapacityShortage after = fleetTracker_.shortage(view.service_);
+    if (before.isActive() == after.isActive() || !heldToken().value_)
+        return;
+    LogLine line(after.isActive() ? "A shortage of reclaimable engines begins." : "A shortage of reclaimable engines ends.");
+    std::vector<std::string> dataCentres;
+    std::uint64_t lost = 0;
+    for (const auto& [dataCentre, loss] : (after.isActive() ? after : before).losses()) {
+        dataCentres.push_back(dataCentre.value_);
+        lost += loss.lost_;
+    }
+    line.add("service", view.service_.value_).add("data_centre", boost::algorithm::join(dataCentres, ",")).add("lost", static_cast<std::int64_t>(lost));
+    line.add("needed", static_cast<std::int64_t>(fleetTracker_.needed(view.service_))).add("lasting", static_cast<std::int64_t>(view.onDemand())).add("reclaimable", static_cast<std::int64_t>(view.reclaimable()));
+    if (!after.isActive())
+        line.add("why", after.returned() ? "reclaimable engines returned to " + after.returned()->value_ : "the time since the last loss has passed");
+    logger_.info(line);
+}
+
 std::vector<FleetView> DutyRunner::fleetViews(SteadyTime now) const
 {
     std::vector<FleetView> views;
@@ -386,6 +430,9 @@
         if (service.fleet_)
             views.push_back(viewOf(service, now));
     }
+    bool isAvailable = !isPlatformUnavailable();
+    for (FleetView& view : views)
+        view.isPlatformAvailable_ = isAvailable;
     return views;
 }
 
@@ -394,7 +441,9 @@
     std::vector<FleetOrder> due;
     for (const FleetView& view : fleetViews(now)) {
         std::uint64_t before = fleetTracker_.needed(view.service_);
+        CapacityShortage shortage = fleetTracker_.shortage(view.service_);
         std::vector<FleetOrder> orders = fleetTracker_.dueOrders(view, now);
+        logShortage(view, shortage);
         due.insert(due.end(), orders.begin(), orders.end());
         std::uint64_t needed = fleetTracker_.needed(view.service_);
         if (needed == before)
--- a/lib/Gateway/DutyRunner.h
+++ b/lib/Gateway/DutyRunner.h
@@ -25,6 +25,9 @@
     void start(const PeerReports& reports);
     /// Returns the token under which this node holds the duties, or 0.
     DutyToken heldToken() const;
+    /// Returns whether this node holds the duties and the reclaimable engines of a service
+    /// are short; see CapacityShortage. Thread-safe.
+    bool hasShortage() const;
     /// Returns the token to report to peers: heldToken(), or 0 while this node is
     /// stopping.
     DutyToken reportedToken() const;
@@ -65,6 +68,8 @@
     asio::awaitable<AppendResult> appendRecord(const wire::DutyRecord& record);
     FleetView viewOf(const ServicePolicy& service, SteadyTime now) const;
     std::vector<FleetView> fleetViews(SteadyTime now) const;
+    bool isPlatformUnavailable() const;
+    void logShortage(const FleetView& view, const CapacityShortage& before) const;
     std::vector<FleetOrder> dueOrders(SteadyTime now);
     void sampleDemand();
     void releaseDuties(const std::string& why);
@@ -91,6 +96,8 @@
     /// Number of engines that each service needs, by the newest record of any holder.
     std::map<ServiceName, std::uint64_t> recordedNeeds_;
     FleetTracker fleetTracker_;
+    /// Whether any service had a shortage at the last observation.
+    std::atomic<bool> isAnyShort_ { false };
     RolloutRunner rollouts_;
     /// When this node last reviewed the orders of engines.
     SteadyTime fleetCheckedAt_ {};
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -143,6 +143,7 @@
         { "requests_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(steadyNow())) },
         { "prompt_parts_in_quarantine", static_cast<double>(context_.quarantine_.quarantined(AttributeKind::PromptPart, steadyNow())) },
         { "stream_origins", static_cast<double>(origins_.size()) },
+        { "fleet_shortage", duties_.hasShortage() ? 1 : 0 },
         { "duty_token_held", static_cast<double>(duties_.heldToken().value_) },
     };
     return { 200, { { "content-type", "text/plain; version=0.0.4" } }, context_.metrics_.render(gauges) };
--- a/unittests/Fleet/CapacityShortageTest.cpp
+++ b/unittests/Fleet/CapacityShortageTest.cpp
@@ -311,3 +311,26 @@
     tracker.dueOrders(view, start + step);
     CHECK(tracker.shortage(service).isActive() == row.isShort_);
 }
+
+TEST_CASE("a new holder begins no shortage after engines that its predecessor ordered have returned", "[fleet]")
+{
+    FleetTracker tracker({});
+    FleetView view { service, { 1, maxEngines, bootTime, 0.18, {} }, { { { "a" }, 1, 0, 39 } }, busyForNeed70 * 50000, 50, 0, 0, true, false };
+    SteadyTime now = start;
+    for (std::uint64_t reclaimable : { 39, 0, 20 }) {
+        view.dataCentres_[0].reclaimable_ = reclaimable;
+        tracker.observe(view, now);
+        now += bootTime;
+    }
+    tracker.inheritNeed(service, 70, now);
+    tracker.dueOrders(view, now);
+    CHECK_FALSE(tracker.shortage(service).isActive());
+}
+
+TEST_CASE("a lower need dismisses no engine that serves while a shortage lasts", "[fleet]")
+{
+    // On-demand engines would take the place of the dismissed reclaimable ones.
+    Replay replay({ busyForNeed70, { allLost[0] }, milliseconds(40000), milliseconds(1000000), 2 }, {});
+    CHECK(replay.leastEngines(milliseconds(0), milliseconds(29500)) == 78);
+    CHECK(replay.leastEngines(bootTime + 2 * step, milliseconds(29500)) == 78 + 39);
+}
