--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -196,15 +196,14 @@
     double rate = bucket.limit_.ratePerSecond_;
     if (bucket.level_ <= floorFor(bucket, cost))
         return roundedUp((1 - bucket.level_) / rate);
-    bool starts = isStarting(bucket, now);
+    bool hasJustStarted = isStarting(bucket, now);
     double unreported = estimateUnreported(bucket);
-    bool isDivided = bucket.level_ <= unreported;
-    if (quotaClass == QuotaClass::Deferrable && !starts) {
+    if (quotaClass == QuotaClass::Deferrable && !hasJustStarted) {
         double needed = std::max(unreported, reserveOf(bucket.limit_));
         if (bucket.level_ <= needed)
             return roundedUp((needed + 1 - bucket.level_) / rate);
     }
-    if (isDivided || starts)
+    if (bucket.level_ <= unreported || hasJustStarted)
         return takeShare(bucket, cost, now);
     bucket.shareBalance_.reset();
     return std::nullopt;
