Backends: prompts stay at engines that have read their shared part

Where the objective is above 1,000 ms and the service has more than 24 engines, reading a part again now counts three times, as long as the estimate of the engine that has it is within half of the objective.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -167,6 +167,8 @@
     /// Set for a stream that has begun. What different software writes does not fit together,
     /// so that only backend servers with this software are chosen.
     std::optional<SoftwareKey> software_ {};
+    /// The latency objective of the request's route; 0 if there is none.
+    milliseconds objective_ {};
 };
 
 /// A backend server's id, hashed to 32 bits for messages. Among 2,100 servers the
@@ -584,6 +586,11 @@
     /// Returns the estimated wait for requests that are at \p backend already.
     double queueWaitMs(const Backend& backend, const RequestShape& shape) const;
     double estimateMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const;
+    /// Returns the estimate with the penalty for another data centre.
+    double scoreMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const;
+    /// Returns the engine that \p shape prefers to \p chosen, since it has read the shared part;
+    /// nullptr if there is none.
+    Backend* preferredReader(const RequestShape& shape, const std::vector<Backend*>& candidates, const BackendId& affinityBackend, const Backend& chosen, SteadyTime now) const;
     /// Returns the estimated wait for a slot, which is 0 while a slot is free.
     double slotWaitMs(const Backend& backend) const;
     /// Returns the prompt tokens of \p shape that \p backend has to read, since it is
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -28,6 +28,12 @@
 // Minimum number of backend servers used in a version's trial. One or two may have
 // problems that are unrelated to the version.
 static constexpr std::size_t minTrialBackends = 3;
+// Times that reading a shared part again counts in the comparison with an engine that has read it.
+// It also delays the other requests at the engine that reads it, and evicts other parts.
+static constexpr double rereadWeight = 3;
+// Only routes with a longer objective prefer engines that have read the part. Callers of the others
+// need each answer as soon as possible.
+static constexpr milliseconds minPreferenceObjective { 1000 };
 // Maximum number of prompt parts kept for one engine; each takes about 100 bytes.
 static constexpr std::size_t maxRememberedParts = 400;
 
@@ -148,6 +154,41 @@
     return ahead + own * slowdownFactor(backend);
 }
 
+double BackendTable::scoreMs(const Backend& backend, const RequestShape& shape, TokenCount uncached) const
+{
+    return estimateMs(backend, shape, uncached) + (backend.record_.dataCentre_ == ownDataCentre_ ? 0 : settings_.remotePenaltyMs_);
+}
+
+BackendTable::Backend* BackendTable::preferredReader(const RequestShape& shape, const std::vector<Backend*>& candidates, const BackendId& affinityBackend, const Backend& chosen, SteadyTime now) const
+{
+    if (!shape.isForEngine_ || shape.isSuspect_ || shape.objective_ <= minPreferenceObjective)
+        return nullptr;
+    auto hasRead = [&](const Backend& backend) { return uncachedAt(backend, shape, affinityBackend, now) < shape.promptTokens_; };
+    if (hasRead(chosen))
+        return nullptr;
+    double maxEstimateMs = static_cast<double>(shape.objective_.count()) / 2;
+    Backend* preferred = nullptr;
+    double bestScore = 0;
+    TokenCount uncached;
+    for (Backend* backend : candidates) {
+        if (!hasRead(*backend))
+            continue;
+        TokenCount ofBackend = uncachedAt(*backend, shape, affinityBackend, now);
+        double score = scoreMs(*backend, shape, ofBackend);
+        if (estimateMs(*backend, shape, ofBackend) > maxEstimateMs || (preferred && score >= bestScore))
+            continue;
+        preferred = backend;
+        bestScore = score;
+        uncached = ofBackend;
+    }
+    if (!preferred)
+        return nullptr;
+    // The estimate of the chosen engine contains the time for reading the part once.
+    auto reread = static_cast<double>(shape.promptTokens_.value_ - uncached.value_);
+    double rereadMs = reread / prefillRateOf(shape.service_) * slowdownFactor(chosen);
+    return bestScore < scoreMs(chosen, shape, shape.promptTokens_) + (rereadWeight - 1) * rereadMs ? preferred : nullptr;
+}
+
 /// Limits a trial to so few backend servers of the target version that each of them gets
 /// as much load as a server of another version, since a version may fail only under load.
 /// All nodes choose the same servers.
@@ -206,16 +247,15 @@
     BackendChoice choice;
     choice.candidateCount_ = candidates.size();
     BackendId affinityBackend = affinityBackendOf(shape, candidates);
-    if (candidates.size() > settings_.samplingThreshold_ && !shape.isSuspect_)
+    bool isLarge = candidates.size() > settings_.samplingThreshold_;
+    if (isLarge && !shape.isSuspect_)
         reduceToSample(candidates, shape, affinityBackend, now);
     Backend* chosen = nullptr;
     double bestScore = 0;
     double tieCount = 0;
     for (Backend* backend : candidates) {
-        TokenCount uncached = uncachedAt(*backend, shape, affinityBackend, now);
-        double estimate = estimateMs(*backend, shape, uncached);
         double suspectPenalty = shape.isSuspect_ ? suspectPenaltyMs * (backend->ownLoad_.running_ + backend->peerLoad_.running_) : 0;
-        double score = suspectPenalty + estimate + (backend->record_.dataCentre_ == ownDataCentre_ ? 0 : settings_.remotePenaltyMs_);
+        double score = suspectPenalty + scoreMs(*backend, shape, uncachedAt(*backend, shape, affinityBackend, now));
         // Of candidates with equal scores a random one is chosen, so that nodes do not
         // all choose the same one.
         bool isTie = chosen && score == bestScore;
@@ -224,12 +264,14 @@
             continue;
         chosen = backend;
         bestScore = score;
-        choice.uncachedTokens_ = uncached;
-        choice.queuedTokensAhead_ = { backend->ownLoad_.queuedTokens_ + backend->peerLoad_.queuedTokens_ };
-        choice.running_ = backend->ownLoad_.running_ + backend->peerLoad_.running_;
-        choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimate));
-        choice.queueWait_ = milliseconds(static_cast<std::int64_t>(queueWaitMs(*backend, shape)));
     }
+    Backend* preferred = isLarge ? preferredReader(shape, candidates, affinityBackend, *chosen, now) : nullptr;
+    chosen = preferred ? preferred : chosen;
+    choice.uncachedTokens_ = uncachedAt(*chosen, shape, affinityBackend, now);
+    choice.queuedTokensAhead_ = { chosen->ownLoad_.queuedTokens_ + chosen->peerLoad_.queuedTokens_ };
+    choice.running_ = chosen->ownLoad_.running_ + chosen->peerLoad_.running_;
+    choice.estimate_ = milliseconds(static_cast<std::int64_t>(estimateMs(*chosen, shape, choice.uncachedTokens_)));
+    choice.queueWait_ = milliseconds(static_cast<std::int64_t>(queueWaitMs(*chosen, shape)));
     if (chosen->requestLimit_.holds())
         chosen->bucket_.take(now);
     chosen->ownLoad_.running_ += 1;
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -70,6 +70,7 @@
     const ServicePolicy* service = table_->findService(shape.service_);
     shape.isForEngine_ = service && service->engine_;
     shape.urgency_ = urgency_;
+    shape.objective_ = route_->objective_;
     return shape;
 }
 
