Quota: an organisation's priority does not matter among its own requests; urgent callers return early

It applies to all requests that share the quota.

Change: the class follows from the route alone; only deferrable requests get the longer delay.

--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -206,9 +206,9 @@
     /// Sets the demand that \p vm reports. It counts until the next report, or until its
     /// validity has passed.
     void setSource(const VmId& vm, const ServiceName& service, const ServiceDemand& reported, SteadyTime now);
-    /// Prompt tokens that an engine reads in a millisecond, by one fit over the waits that
-    /// all sources observed; \p fallback if there are too few. If no source reports its
-    /// waits, the mean of their rates, weighted by the answers that each has observed.
+    /// Prompt tokens that an engine reads in a millisecond: the mean over nodes, weighted by the
+    /// answers that each node has observed, bounded by one fit over the waits of all nodes;
+    /// \p fallback if there are too few. Without the bound, irregular waits raise the mean.
     double prefillPerMs(const ServiceName& service, double fallback) const;
     /// The waits that all sources but \p own observed. Those of silent sources count, since
     /// the speed of engines does not change with them.
--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -94,11 +94,9 @@
 };
 
 struct ReturnDelaySettings {
-    /// Lower bound of the time after which callers return.
+    /// Bounds of the time after which callers of deferrable requests return.
     milliseconds min_ { 500 };
-    /// Upper bounds. Callers of requests that are not deferrable usually have only a few seconds.
-    milliseconds max_ { 3000 };
-    milliseconds maxDeferrable_ { 5000 };
+    milliseconds max_ { 5000 };
 };
 
 /// Callers wait for at most this part of the time that they have left.
@@ -109,9 +107,10 @@
 /// result is at most a third of \p timeLeft, the time until the request's deadline.
 milliseconds spreadReturn(milliseconds latest, milliseconds timeLeft, double draw);
 
-/// \returns the time after which a caller that was refused because of a quota is told to return:
-/// when this node's share of the rate has served what this node refused recently. See
-/// spreadReturn() for \p timeLeft and \p draw.
+/// \returns the time after which a caller that was refused because of a quota is told to return.
+/// For a deferrable request this is when this node's share of the rate has served what the node
+/// refused recently (see spreadReturn() for \p timeLeft and \p draw), for others when the quota may
+/// admit one request.
 milliseconds returnDelay(const QuotaRefusal& refusal, milliseconds timeLeft, double draw, const ReturnDelaySettings& settings = {});
 
 /// What a node has admitted since its start, by organisation.
--- a/include/pistachioloom/Routes.h
+++ b/include/pistachioloom/Routes.h
@@ -150,12 +150,9 @@
     const OrganisationPolicy* findOrganisation(const std::string& credential) const;
     const OrganisationPolicy* findOrganisation(const OrganisationId& name) const;
     const ServicePolicy* findService(const ServiceName& name) const;
-    /// Whether any route is deferrable; see Route::isDeferrable_.
-    bool hasDeferrableRoutes() const { return hasDeferrableRoutes_; }
 
 private:
     RouteConfiguration configuration_;
-    bool hasDeferrableRoutes_ = false;
     /// Routes of a host, longest prefix first.
     std::unordered_map<std::string, std::vector<const Route*>> byHost_;
     std::unordered_map<std::string, const OrganisationPolicy*> byCredential_;
--- a/lib/Duties/Demand.cpp
+++ b/lib/Duties/Demand.cpp
@@ -14,6 +14,10 @@
 // Nodes that have observed fewer answers are left out of the mean prefill rate.
 static constexpr std::uint64_t minObservations = 12;
 
+// The mean of the nodes' rates exceeds the rate fitted over all nodes by the noise of the waits,
+// by up to a quarter while engines are neither lost nor overloaded.
+static constexpr double maxRateRatio = 1.25;
+
 // A rate is computed over at least this time, in seconds: over a shorter one single
 // requests would dominate it.
 static constexpr double minSpanSeconds = 1;
@@ -73,11 +77,10 @@
 double DemandEstimator::prefillPerMs(const ServiceName& service, double fallback) const
 {
     SpeedMoments all = momentsOfOthers(service, {});
-    if (all.weight_ > 0)
-        return all.prefillPerMs(fallback);
     std::lock_guard lock(mutex_);
     auto found = demand_.find(service);
-    return found == demand_.end() ? fallback : meanRate(found->second, fallback);
+    double mean = found == demand_.end() ? fallback : meanRate(found->second, fallback);
+    return all.isSufficient() ? std::min(mean, maxRateRatio * all.prefillPerMs(fallback)) : mean;
 }
 
 SpeedMoments DemandEstimator::momentsOfOthers(const ServiceName& service, const VmId& own) const
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -115,12 +115,13 @@
     quotaCost_ = 1;
     if (organisation_->countsTokens_)
         quotaCost_ = static_cast<double>(tokens ? tokens : organisation_->defaultTokens_);
-    QuotaClass quotaClass = isDeferrable() ? QuotaClass::Deferrable : QuotaClass::Normal;
+    // The organisation's own priority does not matter here, since it applies equally to all
+    // requests that share the quota.
+    QuotaClass quotaClass = route_->isDeferrable_ ? QuotaClass::Deferrable : QuotaClass::Normal;
     quotaRefusal_ = context_.quotas_.take(organisation_->name_, { organisation_->ratePerSecond_, organisation_->burst_ }, quotaCost_, steadyNow(), quotaClass);
     if (quotaRefusal_) {
         context_.metrics_.add(Counter::RequestsRefused);
-        // Without deferrable routes, callers return as soon as one request may be admitted.
-        milliseconds retryAfter = table_->hasDeferrableRoutes() ? returnDelay(*quotaRefusal_, timeLeft(), uniformDraw()) : quotaRefusal_->retryAfter_;
+        milliseconds retryAfter = returnDelay(*quotaRefusal_, timeLeft(), uniformDraw());
         return rejection(429, "quota of " + organisation_->name_.value_ + " used up", retryAfter);
     }
     hasQuota_ = true;
--- a/lib/Routes/Routes.cpp
+++ b/lib/Routes/Routes.cpp
@@ -71,7 +71,6 @@
     for (Route& route : table->configuration_.routes_) {
         route.maxQueueWait_ = maxQueueWait(route, objectives);
         route.isDeferrable_ = isDeferrable(route, objectives);
-        table->hasDeferrableRoutes_ = table->hasDeferrableRoutes_ || route.isDeferrable_;
     }
     for (const Route& route : table->configuration_.routes_)
         table->byHost_[route.host_].push_back(&route);
--- a/unittests/Quota/ReturnDelayTest.cpp
+++ b/unittests/Quota/ReturnDelayTest.cpp
@@ -17,6 +17,7 @@
 {
     QuotaRefusal refusal;
     refusal.class_ = quotaClass;
+    refusal.retryAfter_ = milliseconds(123);
     refusal.shareRate_ = 1000;
     refusal.refusedCost_ = refusedCost;
     refusal.shortage_ = shortage;
@@ -39,17 +40,15 @@
         milliseconds latest_;
     };
     auto row = GENERATE(values<Row>({
-        { "time to serve", refusalOf(normal, 2000, milliseconds(0)), ampleTime, milliseconds(1000), milliseconds(2000) },
-        { "lower bound", refusalOf(normal, 10, milliseconds(0)), ampleTime, milliseconds(250), milliseconds(500) },
-        { "upper bound", refusalOf(normal, 1e30, milliseconds(0)), ampleTime, milliseconds(1500), milliseconds(3000) },
-        { "not deferrable: the shortage's length does not count", refusalOf(normal, 1000, milliseconds(2500)), ampleTime, milliseconds(500), milliseconds(1000) },
+        { "not deferrable: when one request may be admitted", refusalOf(normal, 2000, milliseconds(2500)), ampleTime, milliseconds(123), milliseconds(123) },
+        { "deferrable: upper bound of the time to serve", refusalOf(deferrable, 1e30, milliseconds(0)), ampleTime, milliseconds(2500), milliseconds(5000) },
         { "deferrable: time to serve", refusalOf(deferrable, 4000, milliseconds(100)), ampleTime, milliseconds(2000), milliseconds(4000) },
         { "deferrable: the shortage's length", refusalOf(deferrable, 1000, milliseconds(2500)), ampleTime, milliseconds(1250), milliseconds(2500) },
         { "deferrable: lower bound", refusalOf(deferrable, 10, milliseconds(100)), ampleTime, milliseconds(250), milliseconds(500) },
         { "deferrable: upper bound", refusalOf(deferrable, 1000, milliseconds(9000)), ampleTime, milliseconds(2500), milliseconds(5000) },
-        { "cut to a third of the time left", refusalOf(normal, 2000, milliseconds(0)), milliseconds(4500), milliseconds(1000), milliseconds(1500) },
+        { "cut to a third of the time left", refusalOf(deferrable, 2000, milliseconds(0)), milliseconds(4500), milliseconds(1000), milliseconds(1500) },
         { "little time left", refusalOf(deferrable, 4000, milliseconds(0)), milliseconds(300), milliseconds(100), milliseconds(100) },
-        { "no time left", refusalOf(normal, 2000, milliseconds(0)), milliseconds(0), milliseconds(0), milliseconds(0) },
+        { "no time left", refusalOf(deferrable, 2000, milliseconds(0)), milliseconds(0), milliseconds(0), milliseconds(0) },
     }));
     CAPTURE(row.name_);
     CHECK(returnDelay(row.refusal_, row.timeLeft_, 0) == row.earliest_);
@@ -59,7 +58,7 @@
 // Guards against callers that all return at the same moment.
 TEST_CASE("returns are spread evenly over half of the delay", "[quota]")
 {
-    const QuotaRefusal refusal = refusalOf(QuotaClass::Normal, 2000, milliseconds(0));
+    const QuotaRefusal refusal = refusalOf(QuotaClass::Deferrable, 2000, milliseconds(0));
     CHECK(returnDelay(refusal, ampleTime, 0.25) == milliseconds(1250));
     CHECK(returnDelay(refusal, ampleTime, 0.5) == milliseconds(1500));
 }
