--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -70,8 +70,8 @@
     milliseconds rejectedRepeatInterval_ { 2000 };
     /// A shortage of reclaimable engines ends at the latest when this time has passed since
     /// the last loss; see CapacityShortage. An on-demand engine costs 5.6 times as much as a
-    /// reclaimable one. 0 ends each shortage at once, so that the plan ignores it.
-    milliseconds maxShortage_ { 30000 };
+    /// reclaimable one, so that 30 s are long enough for most deployments. 0 disables shortages.
+    milliseconds maxShortage_ { 0 };
 };
 
 /// Engines of one service in one data centre.
--- a/lib/Fleet/CapacityShortage.cpp
+++ b/lib/Fleet/CapacityShortage.cpp
@@ -21,6 +21,8 @@
 
 void CapacityShortage::noteLoss(const DataCentreFleet& fleet, std::uint64_t before, SteadyTime now)
 {
+    if (!maxDuration_.count())
+        return;
     Loss& loss = losses_[fleet.dataCentre_];
     loss.lost_ += before - fleet.reclaimable_;
     loss.remaining_ = fleet.reclaimable_;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -49,6 +49,7 @@
         settings.period_ = map.duration("period", milliseconds(100), oneMinute, settings.period_);
         settings.stabilisationWindow_ = map.duration("hold", milliseconds(0), oneDay, settings.stabilisationWindow_);
         settings.reclaimableStabilisationWindow_ = map.duration("reclaimable_hold", milliseconds(0), oneDay, settings.reclaimableStabilisationWindow_);
+        settings.maxShortage_ = map.duration("shortage", milliseconds(0), oneDay, settings.maxShortage_);
         settings.settleTime_ = map.duration("settling", milliseconds(0), oneDay, settings.settleTime_);
         settings.dismissalCooldown_ = map.duration("caution", milliseconds(0), oneDay, settings.dismissalCooldown_);
         settings.repeatInterval_ = map.duration("repeat", milliseconds(100), oneDay, settings.repeatInterval_);
--- a/unittests/Fleet/CapacityShortageTest.cpp
+++ b/unittests/Fleet/CapacityShortageTest.cpp
@@ -152,13 +152,20 @@
     std::vector<FleetOrder> orders_;
 };
 
-FleetSettings withoutShortages()
+constexpr milliseconds maxShortage { 30000 };
+
+FleetSettings withShortages()
 {
     FleetSettings settings;
-    settings.maxShortage_ = milliseconds(0);
+    settings.maxShortage_ = maxShortage;
     return settings;
 }
 
+FleetSettings withoutShortages()
+{
+    return {};
+}
+
 const std::vector<Loss> allLost { { 0, milliseconds(0) }, { 1, milliseconds(2750) }, { 2, milliseconds(6000) } };
 
 } // namespace
@@ -172,7 +179,7 @@
         // No engine is lost.
         { busyForNeed70, {} },
     }));
-    Replay replay(day, {});
+    Replay replay(day, withShortages());
     CHECK(replay.orders() == Replay(day, withoutShortages()).orders());
     CHECK(std::none_of(replay.moments().begin(), replay.moments().end(), [](const Moment& moment) { return moment.isShort_; }));
 }
@@ -193,7 +200,7 @@
         { "another node takes over the duties", { busyForNeed70, allLost, milliseconds(20000), milliseconds(4000) }, 31, 39 },
     }));
     CAPTURE(row.name_);
-    Replay replay(row.day_, {});
+    Replay replay(row.day_, withShortages());
     CHECK(Replay(row.day_, withoutShortages()).leastEngines(bootTime + 2 * step, milliseconds(20000)) == row.withoutShortages_);
     CHECK(replay.leastEngines(bootTime + 2 * step, milliseconds(20000)) == row.withShortages_);
     // The last loss is at 6 s; engines that are ordered then have booted by 10.5 s.
@@ -215,7 +222,7 @@
         std::uint64_t onDemandAfter10s_;
     };
     auto row = GENERATE(values<Row>({ { busyForNeed44, 44, 0 }, { busyForNeed70, 39, 6 } }));
-    Replay replay({ row.busyEngines_, { allLost[0] }, milliseconds(8000) }, {});
+    Replay replay({ row.busyEngines_, { allLost[0] }, milliseconds(8000) }, withShortages());
     const std::vector<Moment>& moments = replay.moments();
     auto lost = std::find_if(moments.begin(), moments.end(), [](const Moment& moment) { return moment.at_ == milliseconds(0); });
     auto returned = std::find_if(lost, moments.end(), [&](const Moment& moment) { return moment.reclaimable_ > lost->reclaimable_; });
@@ -239,7 +246,7 @@
         { "the platform is unavailable for 40 s", milliseconds(40000), milliseconds(70000) },
     }));
     CAPTURE(row.name_);
-    CapacityShortage shortage(FleetSettings {}.maxShortage_);
+    CapacityShortage shortage(maxShortage);
     FleetView view { service, {}, { { { "a" }, 1, 0, 0 } }, {}, 50, 0, 0, true, false };
     shortage.noteLoss(view.dataCentres_[0], 39, start);
     shortage.review({ 70, 1, maxEngines, 39, 1 }, view.dataCentres_, bootTime, start);
@@ -272,7 +279,7 @@
         { "no engine returned to a new holder", false, true, 0, bootTime, true },
     }));
     CAPTURE(row.name_);
-    CapacityShortage shortage(FleetSettings {}.maxShortage_);
+    CapacityShortage shortage(maxShortage);
     std::vector<DataCentreFleet> fleets { { { "a" }, 1, 0, 0 }, { { "b" }, 1, 0, 39 } };
     FleetDemand demand { 70, 1, maxEngines, 39, 1 };
     shortage.noteLoss(fleets[0], 39, start);
@@ -301,7 +308,7 @@
         { "dismissed", 0, 2, false },
     }));
     CAPTURE(row.name_);
-    FleetTracker tracker({});
+    FleetTracker tracker(withShortages());
     FleetView view { service, { 1, maxEngines, bootTime, 0.18, {} }, { { { "a" }, 1, 0, 39 } }, busyForNeed70 * 50000, 50, 0, 0, true, false };
     tracker.observe(view, start);
     tracker.noteOrdered({ service, { "a" }, true, row.ordered_ }, true, start);
@@ -314,7 +321,7 @@
 
 TEST_CASE("a new holder begins no shortage after engines that its predecessor ordered have returned", "[fleet]")
 {
-    FleetTracker tracker({});
+    FleetTracker tracker(withShortages());
     FleetView view { service, { 1, maxEngines, bootTime, 0.18, {} }, { { { "a" }, 1, 0, 39 } }, busyForNeed70 * 50000, 50, 0, 0, true, false };
     SteadyTime now = start;
     for (std::uint64_t reclaimable : { 39, 0, 20 }) {
@@ -330,7 +337,7 @@
 TEST_CASE("a lower need dismisses no engine that serves while a shortage lasts", "[fleet]")
 {
     // On-demand engines would take the place of the dismissed reclaimable ones.
-    Replay replay({ busyForNeed70, { allLost[0] }, milliseconds(40000), milliseconds(1000000), 2 }, {});
+    Replay replay({ busyForNeed70, { allLost[0] }, milliseconds(40000), milliseconds(1000000), 2 }, withShortages());
     CHECK(replay.leastEngines(milliseconds(0), milliseconds(29500)) == 78);
     CHECK(replay.leastEngines(bootTime + 2 * step, milliseconds(29500)) == 78 + 39);
 }
