Soak: deferrable requests of an organisation with a small quota

The soak did not exercise quota classes. A stream of a route two priorities behind the most urgent one shares the quota of the limited organisation; the quota holds over both classes, and each rejection has a Retry-After header.

--- a/test/Platform/Soak/InvariantChecker.cpp
+++ b/test/Platform/Soak/InvariantChecker.cpp
@@ -24,6 +24,12 @@
         return kind == RequestKind::Safe || kind == RequestKind::ResumableStream || kind == RequestKind::Limited;
     }
 
+    /// Whether requests of this kind count towards the small quota.
+    bool isLimited(RequestKind kind)
+    {
+        return kind == RequestKind::Limited || kind == RequestKind::Deferrable;
+    }
+
     /// Whether \p status states that the request has not run and never will.
     bool isRejection(int status)
     {
@@ -72,7 +78,7 @@
         reportViolation("events arrive in order and exactly once", describe(call));
     if (call.status_ >= 400 && call.status_ < 500 && !isRejection(call.status_))
         reportViolation("permitted requests are not denied", describe(call));
-    if (call.status_ == 429 && call.kind_ != RequestKind::Limited)
+    if (call.status_ == 429 && !isLimited(call.kind_))
         reportViolation("no organisation is rejected below its quota", describe(call));
     if ((call.status_ == 429 || call.status_ == 503) && !call.hasRetryAfter_)
         reportViolation("a rejection has a Retry-After header", describe(call));
@@ -197,9 +203,9 @@
         if (call.kind_ != RequestKind::Crashing)
             checkRuns(call);
         auto runs = runCounts_.find(call.id_);
-        if (call.kind_ == RequestKind::Limited && runs != runCounts_.end())
+        if (isLimited(call.kind_) && runs != runCounts_.end())
             limitedRuns += 1;
-        bool mustBeServed = call.kind_ != RequestKind::Limited && call.kind_ != RequestKind::Crashing;
+        bool mustBeServed = !isLimited(call.kind_) && call.kind_ != RequestKind::Crashing;
         if (call.sentAt_ < recoveredAt || call.hasCallerLeft_ || !mustBeServed)
             continue;
         ++sentAfterRecovery;
--- a/test/Platform/Soak/SoakCaller.cpp
+++ b/test/Platform/Soak/SoakCaller.cpp
@@ -54,6 +54,8 @@
             return "/draft/stream/";
         case RequestKind::UnresumableStream:
             return "/ask/stream/";
+        case RequestKind::Deferrable:
+            return "/batch/stream/";
         case RequestKind::Crashing:
             return "/draft/stream/crash";
         }
@@ -63,9 +65,10 @@
     http::request<http::string_body> requestFor(const Call& call)
     {
         bool isCrashing = call.kind_ == RequestKind::Crashing;
+        bool isLimited = call.kind_ == RequestKind::Limited || call.kind_ == RequestKind::Deferrable;
         http::request<http::string_body> request(http::verb::post, pathOf(call.kind_) + (isCrashing ? "" : call.id_), 11);
         request.set(http::field::host, "h.example");
-        request.set(http::field::authorization, call.kind_ == RequestKind::Limited ? "Bearer key-small" : "Bearer key-north");
+        request.set(http::field::authorization, isLimited ? "Bearer key-small" : "Bearer key-north");
         request.set("X-Pistachioloom-Attempt-Id", call.id_);
         request.set("X-Pistachioloom-Deadline-Ms", deadlineMs);
         request.body() = isCrashing ? crashText : "body of " + call.id_;
@@ -134,7 +137,7 @@
 
 std::string expectedBody(const Call& call, int events)
 {
-    bool isStream = call.kind_ == RequestKind::ResumableStream || call.kind_ == RequestKind::UnresumableStream;
+    bool isStream = call.kind_ == RequestKind::ResumableStream || call.kind_ == RequestKind::UnresumableStream || call.kind_ == RequestKind::Deferrable;
     if (!isStream)
         return std::string("POST ") + pathOf(call.kind_) + call.id_ + " body of " + call.id_;
     std::string body;
@@ -168,7 +171,7 @@
     std::mt19937_64 random(seed);
     auto executor = co_await asio::this_coro::executor;
     std::shared_ptr<Connection> connection;
-    constexpr RequestKind kinds[] = { RequestKind::Unsafe, RequestKind::Safe, RequestKind::ResumableStream, RequestKind::UnresumableStream, RequestKind::Limited };
+    constexpr RequestKind kinds[] = { RequestKind::Unsafe, RequestKind::Safe, RequestKind::ResumableStream, RequestKind::UnresumableStream, RequestKind::Limited, RequestKind::Deferrable };
     int requestsOnConnection = 0;
     for (int sent = 0; !hooks.isOver_(); ++sent) {
         if (!connection || !connection->isOpen_ || requestsOnConnection >= maxRequestsPerConnection) {
--- a/test/Platform/Soak/SoakCaller.h
+++ b/test/Platform/Soak/SoakCaller.h
@@ -25,6 +25,9 @@
     UnresumableStream,
     /// A safe request of an organisation with a small quota.
     Limited,
+    /// An event stream of that organisation, of a route that leaves the rest of its quota to more
+    /// urgent requests.
+    Deferrable,
     /// Crashes each engine that starts to run it. All calls of this kind are attempts at
     /// the same request.
     Crashing,
--- a/test/Platform/Soak/SoakFaults.cpp
+++ b/test/Platform/Soak/SoakFaults.cpp
@@ -209,7 +209,8 @@
 asio::awaitable<void> SoakRun::configure(std::int64_t versions)
 {
     for (std::int64_t i = 0; i < versions; ++i) {
-        deployment_->putConfiguration(++publishedVersion_);
+        ++publishedVersion_;
+        putConfiguration();
         co_await sleepFor(monitorPeriod);
     }
 }
--- a/test/Platform/Soak/SoakRun.cpp
+++ b/test/Platform/Soak/SoakRun.cpp
@@ -74,10 +74,18 @@
     return { chosen.vm_, chosen.callers_ };
 }
 
+void SoakRun::putConfiguration()
+{
+    // Two priorities behind the most urgent route of the service; see Route::isDeferrable_.
+    constexpr const char* deferrableRoute = R"(,
+{"name":"batch","hostname":"h.example","path_prefix":"/batch/","type":"stream","timeout_ms":5000,"goal_ms":2500,"priority":2,"service":"engines","attempts":2})";
+    deployment_->putConfiguration(publishedVersion_, deferrableRoute);
+}
+
 void SoakRun::startDeployment()
 {
     deployment_ = std::make_unique<GatewayDeployment>(deploymentOptions());
-    deployment_->putConfiguration(publishedVersion_);
+    putConfiguration();
     for (std::size_t i = 0; i < serversPerService; ++i) {
         startServer("plain");
         startServer("engines");
--- a/test/Platform/Soak/SoakRun.h
+++ b/test/Platform/Soak/SoakRun.h
@@ -59,6 +59,8 @@
     // The deployment and its callers.
     GatewayDeploymentOptions deploymentOptions();
     void startDeployment();
+    /// Publishes `publishedVersion_`, which has a deferrable route.
+    void putConfiguration();
     void startServer(const std::string& service);
     void registerServer(const Server& server, const char* phase, bool isReclaimed = false) const;
     void waitUntilServing();
