Duties: both estimates of the reading rate are in the log of the engines needed

The rate that the plan uses is the mean of the nodes' rates, bounded by 1.25 times the fit over all waits; which of the two decided could not be told from the log. A test shows the bound.

--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -175,6 +175,17 @@
     milliseconds validity_ { 3000 };
 };
 
+/// Prompt tokens that an engine reads in a millisecond, estimated in two ways.
+struct PrefillRate {
+    /// Mean of the rates that the nodes fitted, weighted by the answers that each has observed.
+    double mean_ = 0;
+    /// Rate of one fit over the waits of all nodes; nullopt if there are too few.
+    std::optional<double> fitted_;
+
+    /// The mean, bounded by a multiple of the fit: irregular waits raise the mean without limit.
+    double bounded() const;
+};
+
 /// Demand for a service's engines, as one node or a group of nodes reports it.
 struct ServiceDemand {
     double tokensPerSecond_ = 0;
@@ -206,10 +217,8 @@
     /// Sets the demand that \p vm reports. It counts until the next report, or until its
     /// validity has passed.
     void setSource(const VmId& vm, const ServiceName& service, const ServiceDemand& reported, SteadyTime now);
-    /// Prompt tokens that an engine reads in a millisecond: the mean over nodes, weighted by the
-    /// answers that each node has observed, bounded by one fit over the waits of all nodes;
-    /// \p fallback if there are too few. Without the bound, irregular waits raise the mean.
-    double prefillPerMs(const ServiceName& service, double fallback) const;
+    /// Estimates of the reading rate of \p service; \p fallback if there are too few answers.
+    PrefillRate prefillRate(const ServiceName& service, double fallback) const;
     /// The waits that all sources but \p own observed. Those of silent sources count, since
     /// the speed of engines does not change with them.
     SpeedMoments momentsOfOthers(const ServiceName& service, const VmId& own) const;
--- a/include/pistachioloom/Fleet.h
+++ b/include/pistachioloom/Fleet.h
@@ -134,6 +134,9 @@
     std::optional<double> tokensPerSecond_;
     /// Prompt tokens that an engine reads in a millisecond.
     double prefillPerMs_ = 0;
+    /// The estimates from which it was computed, for the log; see PrefillRate.
+    double meanPrefillPerMs_ = 0;
+    double fittedPrefillPerMs_ = 0;
     /// Slots of all engines.
     std::uint64_t slots_ = 0;
     /// Slots that running requests occupy.
--- a/lib/Duties/Demand.cpp
+++ b/lib/Duties/Demand.cpp
@@ -22,6 +22,11 @@
 // requests would dominate it.
 static constexpr double minSpanSeconds = 1;
 
+double PrefillRate::bounded() const
+{
+    return fitted_ ? std::min(mean_, maxRateRatio * *fitted_) : mean_;
+}
+
 double DemandEstimator::rateOf(const std::deque<Reading>& local)
 {
     if (local.size() < 2)
@@ -74,13 +79,13 @@
     return weights > 0 ? sum / weights : fallback;
 }
 
-double DemandEstimator::prefillPerMs(const ServiceName& service, double fallback) const
+PrefillRate DemandEstimator::prefillRate(const ServiceName& service, double fallback) const
 {
     SpeedMoments all = momentsOfOthers(service, {});
     std::lock_guard lock(mutex_);
     auto found = demand_.find(service);
     double mean = found == demand_.end() ? fallback : meanRate(found->second, fallback);
-    return all.isSufficient() ? std::min(mean, maxRateRatio * all.prefillPerMs(fallback)) : mean;
+    return { mean, all.isSufficient() ? std::optional(all.prefillPerMs(fallback)) : std::nullopt };
 }
 
 SpeedMoments DemandEstimator::momentsOfOthers(const ServiceName& service, const VmId& own) const
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -381,7 +381,10 @@
     for (auto& [dataCentre, fleet] : fleets)
         view.dataCentres_.push_back(std::move(fleet));
     view.tokensPerSecond_ = context_.demand_.peakRate(service.name_, now);
-    view.prefillPerMs_ = context_.demand_.prefillPerMs(service.name_, context_.settings_.choice_.prefillPerMs_);
+    PrefillRate rate = context_.demand_.prefillRate(service.name_, context_.settings_.choice_.prefillPerMs_);
+    view.prefillPerMs_ = rate.bounded();
+    view.meanPrefillPerMs_ = rate.mean_;
+    view.fittedPrefillPerMs_ = rate.fitted_.value_or(0);
     BackendTable::Occupancy occupancy = context_.backends_.occupancy(service.name_);
     view.slots_ = occupancy.slots_;
     view.slotsTaken_ = occupancy.takenSlots_;
@@ -452,6 +455,7 @@
         LogLine line("The number of engines needed has changed.");
         line.add("service", view.service_.value_).add("needed", static_cast<std::int64_t>(needed)).add("lasting", static_cast<std::int64_t>(view.onDemand())).add("reclaimable", static_cast<std::int64_t>(view.reclaimable()));
         line.add("tokens_per_s", view.tokensPerSecond_ ? std::to_string(static_cast<std::int64_t>(*view.tokensPerSecond_)) : "").add("prefill_per_ms", std::to_string(view.prefillPerMs_));
+        line.add("mean_prefill_per_ms", std::to_string(view.meanPrefillPerMs_)).add("fitted_prefill_per_ms", std::to_string(view.fittedPrefillPerMs_));
         line.add("is_whole", view.isComplete_ ? "yes" : "no");
         line.add("slots", static_cast<std::int64_t>(view.slots_)).add("slots_taken", static_cast<std::int64_t>(view.slotsTaken_));
         logger_.info(line);
--- a/unittests/Duties/DutiesTest.cpp
+++ b/unittests/Duties/DutiesTest.cpp
@@ -293,8 +293,29 @@
     const ServiceName service { "s" };
     demand.setSource({ "a" }, service, { 1, 50, 100 }, start);
     demand.setSource({ "b" }, service, { 1, 80, 50 }, start);
-    CHECK(demand.prefillPerMs(service, 10) == Approx((50 * 100 + 80 * 50) / 150.0));
-    CHECK(demand.prefillPerMs({ "other" }, 10) == 10);
+    CHECK(demand.prefillRate(service, 10).bounded() == Approx((50 * 100 + 80 * 50) / 150.0));
+    CHECK(demand.prefillRate({ "other" }, 10).bounded() == 10);
+}
+
+// The mean of the nodes' rates without a bound doubled when engines were lost, and half of the
+// engines that were needed were ordered.
+TEST_CASE("the reading rate is bounded by the fit over the waits of all nodes")
+{
+    struct Row {
+        const char* name_;
+        double meanRate_;
+        int observations_;
+        double boundedRate_;
+    };
+    auto row = GENERATE(values<Row>({ { "mean near the fit", 45, 100, 45 }, { "mean far above the fit", 101, 100, 50 }, { "mean below the fit", 30, 100, 30 }, { "too few waits for a fit", 101, 11, 101 } }));
+    CAPTURE(row.name_);
+    ServiceDemand reported { 0, row.meanRate_, 100, {} };
+    for (int i = 0; i < row.observations_; ++i)
+        reported.moments_.observe(1000 * i, 25 * i);
+    const ServiceName service { "s" };
+    DemandEstimator demand;
+    demand.setSource({ "b" }, service, reported, start);
+    CHECK(demand.prefillRate(service, 50).bounded() == Approx(row.boundedRate_));
 }
 
 TEST_CASE("a window's usage is due soon after its end if all nodes have reported their counts", "[duties]")
