--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -469,9 +469,6 @@
         SpeedMoments moments_;
     };
     std::map<ServiceName, ServiceStatistics> services() const;
-    /// Sets the waits that all other nodes observed. The estimates for \p service are
-    /// based on them and on those of this node.
-    void setFleetSpeed(const ServiceName& service, const SpeedMoments& others);
 
     /// Slots of a service's backend servers that take new requests, and how many of them
     /// are taken by requests of this node and, as reported, of its peers.
@@ -563,17 +560,13 @@
         backend.aliveOrder_ = ++lastAliveOrder_;
         failedByDataCentre_.erase(backend.record_.dataCentre_);
     }
-    /// Learns a service's speed from the waits of this node's requests and those of others.
+    /// Learns a service's speed from the waits of this node's requests.
     struct ServiceEstimator {
         void observeWait(double tokens, double waitedMs);
         void observeSlotHold(milliseconds held);
-        /// Recomputes the fit over the observations of all nodes.
-        void updateFit();
 
         std::uint64_t observations_ = 0;
-        SpeedMoments own_;
-        SpeedMoments others_;
-        SpeedMoments all_;
+        SpeedMoments moments_;
         std::uint64_t tokensRequested_ = 0;
         /// Moving average of the time for which a request holds its slot.
         std::optional<double> meanSlotHoldMs_;
--- a/include/pistachioloom/Duties.h
+++ b/include/pistachioloom/Duties.h
@@ -219,9 +219,6 @@
     void setSource(const VmId& vm, const ServiceName& service, const ServiceDemand& reported, SteadyTime now);
     /// Estimates of the reading rate of \p service; \p fallback if there are too few answers.
     PrefillRate prefillRate(const ServiceName& service, double fallback) const;
-    /// The waits that all sources but \p own observed. Those of silent sources count, since
-    /// the speed of engines does not change with them.
-    SpeedMoments momentsOfOthers(const ServiceName& service, const VmId& own) const;
     /// Removes the demand of \p vm, which another source, such as a relay, reports from now
     /// on.
     void forgetSource(const VmId& vm);
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -77,13 +77,13 @@
 double BackendTable::prefillRateOf(const ServiceName& service) const
 {
     auto found = estimators_.find(service);
-    return found == estimators_.end() ? settings_.prefillPerMs_ : found->second.all_.prefillPerMs(settings_.prefillPerMs_);
+    return found == estimators_.end() ? settings_.prefillPerMs_ : found->second.moments_.prefillPerMs(settings_.prefillPerMs_);
 }
 
 double BackendTable::firstEventOverheadMs(const ServiceName& service) const
 {
     auto found = estimators_.find(service);
-    return found == estimators_.end() ? settings_.firstEventOverheadMs_ : found->second.all_.overheadMs(prefillRateOf(service), settings_.firstEventOverheadMs_);
+    return found == estimators_.end() ? settings_.firstEventOverheadMs_ : found->second.moments_.overheadMs(prefillRateOf(service), settings_.firstEventOverheadMs_);
 }
 
 std::map<ServiceName, BackendTable::ServiceStatistics> BackendTable::services() const
@@ -91,18 +91,10 @@
     std::lock_guard lock(mutex_);
     std::map<ServiceName, ServiceStatistics> statistics;
     for (const auto& [service, estimator] : estimators_)
-        statistics[service] = { estimator.tokensRequested_, estimator.own_.prefillPerMs(settings_.prefillPerMs_), estimator.observations_, estimator.own_ };
+        statistics[service] = { estimator.tokensRequested_, estimator.moments_.prefillPerMs(settings_.prefillPerMs_), estimator.observations_, estimator.moments_ };
     return statistics;
 }
 
-void BackendTable::setFleetSpeed(const ServiceName& service, const SpeedMoments& others)
-{
-    std::lock_guard lock(mutex_);
-    ServiceEstimator& estimator = estimators_[service];
-    estimator.others_ = others;
-    estimator.updateFit();
-}
-
 void BackendTable::noteAdmitted(const BackendChoice& choice)
 {
     std::lock_guard lock(mutex_);
@@ -164,14 +156,7 @@
 void BackendTable::ServiceEstimator::observeWait(double tokens, double waitedMs)
 {
     ++observations_;
-    own_.observe(tokens, waitedMs);
-    updateFit();
-}
-
-void BackendTable::ServiceEstimator::updateFit()
-{
-    all_ = own_;
-    all_.add(others_);
+    moments_.observe(tokens, waitedMs);
 }
 
 void BackendTable::ServiceEstimator::observeSlotHold(milliseconds held)
--- a/lib/Duties/Demand.cpp
+++ b/lib/Duties/Demand.cpp
@@ -81,25 +81,15 @@
 
 PrefillRate DemandEstimator::prefillRate(const ServiceName& service, double fallback) const
 {
-    SpeedMoments all = momentsOfOthers(service, {});
     std::lock_guard lock(mutex_);
     auto found = demand_.find(service);
-    double mean = found == demand_.end() ? fallback : meanRate(found->second, fallback);
-    return { mean, all.isSufficient() ? std::optional(all.prefillPerMs(fallback)) : std::nullopt };
-}
-
-SpeedMoments DemandEstimator::momentsOfOthers(const ServiceName& service, const VmId& own) const
-{
-    std::lock_guard lock(mutex_);
-    SpeedMoments moments;
-    auto found = demand_.find(service);
     if (found == demand_.end())
-        return moments;
-    for (const auto& [vm, source] : found->second.sources_) {
-        if (vm != own)
-            moments.add(source.reportedDemand_.moments_);
-    }
-    return moments;
+        return { fallback, std::nullopt };
+    // Waits of silent sources count, since the speed of engines does not change with them.
+    SpeedMoments all;
+    for (const auto& [vm, source] : found->second.sources_)
+        all.add(source.reportedDemand_.moments_);
+    return { meanRate(found->second, fallback), all.isSufficient() ? std::optional(all.prefillPerMs(fallback)) : std::nullopt };
 }
 
 void DemandEstimator::sample(SteadyTime now)
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -201,7 +201,6 @@
         // The observed waits are added to those of the peers. The token rate is passed as 0,
         // since the tokens are recorded above.
         context_.demand_.setSource(context_.settings_.vm_, service, { 0, view.prefillPerMs_, view.observations_, view.moments_ }, now);
-        context_.backends_.setFleetSpeed(service, context_.demand_.momentsOfOthers(service, context_.settings_.vm_));
     }
     context_.demand_.sample(now);
     bool isAnyShort = false;
