Node: an exported KV cache is kept until an attempt has started

A generation whose engine is reclaimed passes the handle of its exported KV cache to the next attempt. The handle was dropped when an attempt was sent, also if it was rejected, so the next candidate recomputed the prompt and all tokens.

This explains the intermittent failure of `recomputed == 0` in "generations survive a reclaim of their engine's VM": the dispatcher may export before the owner knows that the engine is leaving. The owner then tries that engine first, which rejects the attempt. The handle is now kept until an attempt has started.

A new test has all engines but one reject the moved streams.

--- a/lib/Node/Generation.h
+++ b/lib/Node/Generation.h
@@ -186,6 +186,8 @@
     /// The engine and the KV cache that the next attempt should use first.
     struct Preference {
         VmId engine_;
+        /// Handle of the exported KV cache of all tokens so far. Empty once an attempt has
+        /// started.
         std::string kvHandle_;
         bool attachesToStream_ = false;
         /// Engines and dispatchers that failed the request.
--- a/lib/Node/GenerationOwner.cpp
+++ b/lib/Node/GenerationOwner.cpp
@@ -184,7 +184,7 @@
     wire::GenerateRequest& request = *frame.mutable_generate();
     *request.mutable_record() = generation->record();
     request.set_engine(engine.value_);
-    request.set_kv_handle(std::exchange(preference.kvHandle_, {}));
+    request.set_kv_handle(preference.kvHandle_);
     request.set_attach(preference.attachesToStream_);
     request.set_may_queue(mayQueue);
     request.set_traceparent(scope.context().toHeader());
@@ -199,6 +199,9 @@
     milliseconds waitLimit = mayQueue ? std::max(startTimeout, timeLeft(*generation)) : startTimeout;
     auto reply = co_await stream->receiveWithin(waitLimit);
     if (reply && reply.value().has_started()) {
+        // The cache lacks the tokens of this attempt. A candidate that rejects the attempt
+        // leaves the cache to the next one.
+        preference.kvHandle_.clear();
         generation->setEngine(engine.value_);
         generation->markAccepted();
         auto outcome = co_await receiveTokens(generation, stream, engine, dispatcher, preference);
--- a/test/GenerationsTest.cpp
+++ b/test/GenerationsTest.cpp
@@ -117,6 +117,33 @@
         CHECK(recomputed == 0);
 }
 
+// Guards against the loss of an exported KV cache when the engine that is tried first
+// rejects the stream, as the leaving engine does while the owner does not know that it is
+// leaving.
+TEST_CASE("generations keep their exported KV cache when engines reject them")
+{
+    Deployment deployment(deploymentOptions());
+    deployment.applyCatalogue(Deployment::standardCatalogue());
+    RunningGenerations generations(deployment, 8, 600);
+    auto& reclaimed = busiestEngine(deployment, "caxias-a");
+    auto& accepting = *std::find_if(deployment.engines().begin(), deployment.engines().end(), [](auto& engine) { return engine.dataCentre_ != "caxias-a"; });
+    // No notice announces that these engines are leaving, so nodes learn it from the rejections.
+    std::vector<Endpoint> rejecting;
+    for (auto& engine : deployment.engines()) {
+        if (engine.id_ == reclaimed.id_ || engine.id_ == accepting.id_)
+            continue;
+        Deployment::control(engine.endpoint_, { { "leaving", 1 } });
+        rejecting.push_back(engine.endpoint_);
+    }
+    reclaimEngine(deployment, reclaimed, milliseconds(2000));
+    generations.checkAll();
+    std::uint64_t rejections = 0;
+    for (const Endpoint& engine : rejecting)
+        rejections += numberField(Deployment::control(engine), "started_while_leaving");
+    CHECK(rejections > 0);
+    CHECK(deployment.metricOfAll("tokens_recomputed_total") == 0);
+}
+
 TEST_CASE("generations survive a crash of their engine")
 {
     Deployment deployment(deploymentOptions());
