Admission: callers refused after a loss of engines return when others have booted

Cause: when most engines of a service are lost, refused callers are told to return after 0.15 to 0.8 s and find the same situation; they return only once.

Change: each node observes the engines of services with scaling (EngineForecast, fed beside FleetTracker::observe()). After a decrease by a half or more within a boot time, the Retry-After of a 503 for want of engines names the time when the engines ordered because of it are expected, plus a random part, if the caller can wait for them with a third of its time left. A 503 for want of engines logs its inputs, a 429 the age of the newest counts of other nodes, and requests_refused_until_engines_total counts the refusals with a changed delay.

--- a/include/pistachioloom/Admission.h
+++ b/include/pistachioloom/Admission.h
@@ -2,8 +2,8 @@
 ///
 /// \file
 /// Decides whether a stream is sent to the engine that was chosen for it or rejected
-/// immediately, and after what time its caller may retry. The decision is a pure
-/// function of its arguments.
+/// immediately, and after what time its caller may retry. The code does no I/O: time, load
+/// and randomness are passed in.
 ///
 /// Admission control protects engines that are asked for more prompt tokens than they can
 /// read. A request that misses its latency objective delays the requests queued behind
@@ -14,6 +14,9 @@
 
 #include "pistachioloom/Quota.h"
 
+#include <deque>
+#include <map>
+#include <mutex>
 #include <optional>
 
 namespace pistachioloom {
@@ -90,4 +93,113 @@
 /// if the request is admitted.
 std::optional<milliseconds> retryAfterIfRejected(const AdmissionView& view, const AdmissionSettings& settings);
 
+/// Returns the longest queue wait with which the request is admitted.
+milliseconds admissionBound(const AdmissionView& view, const AdmissionSettings& settings);
+
+/// What a node observes of the engines of a service with scaling.
+struct EngineObservation {
+    /// Registered engines that are not leaving.
+    std::uint64_t engines_ = 0;
+    /// Time from the order of an engine to its registration; see FleetBounds::bootTime_.
+    milliseconds bootTime_ {};
+    /// Interval at which orders are reviewed; see FleetSettings::period_.
+    milliseconds reviewInterval_ { 500 };
+    /// Prompt tokens that an engine reads in a millisecond.
+    double tokensPerMs_ = 0;
+    /// Whether registrations can be read from the platform.
+    bool isPlatformAvailable_ = true;
+};
+
+struct EngineForecastSettings {
+    /// The fraction of the engines by which their number decreases in a loss, within one boot
+    /// time.
+    double lossShare_ = 0.5;
+    /// A loss is over when this fraction of the engines from before it is registered.
+    double recoveredShare_ = 0.75;
+    /// A loss is over when the boot time and this time have passed without a change of the number
+    /// of engines: the platform has no others.
+    milliseconds overdueAfter_ { 2000 };
+    /// Half-life of the refused tokens.
+    milliseconds refusedHalfLife_ { 1000 };
+    /// Bounds of ExpectedEngines::spread_.
+    milliseconds minSpread_ { 500 };
+    milliseconds maxSpread_ { 2000 };
+};
+
+/// Engines that are expected to register after a loss.
+struct ExpectedEngines {
+    /// Time until they register; 0 if they are overdue.
+    milliseconds until_ {};
+    /// Time that they need to read what has been refused since the loss. Returns are spread over
+    /// it.
+    milliseconds spread_ {};
+
+    bool operator==(const ExpectedEngines&) const = default;
+};
+
+/// Forecasts when engines register that are ordered because others were lost, from the
+/// registrations that this node observes. Thread-safe.
+class EngineForecast {
+public:
+    explicit EngineForecast(EngineForecastSettings settings = {})
+        : settings_(settings)
+    {
+    }
+
+    /// Records the engines of \p service. To be called at regular intervals, on every node.
+    void observe(const ServiceName& service, const EngineObservation& observation, SteadyTime now);
+    /// Records that a request for \p tokens prompt tokens was refused because there is no engine or
+    /// the queue is too long.
+    void noteRefused(const ServiceName& service, std::uint64_t tokens, SteadyTime now);
+    /// \returns the engines that are expected because of a loss; nullopt if there is none. Each of
+    /// \p nodes nodes is assumed to have refused as many tokens as this one.
+    std::optional<ExpectedEngines> expected(const ServiceName& service, std::uint64_t nodes, SteadyTime now) const;
+
+private:
+    struct Count {
+        SteadyTime observedAt_ {};
+        std::uint64_t engines_ = 0;
+    };
+    /// A decrease of the engines by EngineForecastSettings::lossShare_ or more.
+    struct Loss {
+        SteadyTime at_ {};
+        std::uint64_t enginesBefore_ = 0;
+        /// When the number of engines last changed.
+        SteadyTime changedAt_ {};
+        /// Tokens refused since the loss, with exponential decay until `refusedAt_`.
+        double refusedTokens_ = 0;
+        SteadyTime refusedAt_ {};
+    };
+    struct Service {
+        EngineObservation last_;
+        /// Observations of the last boot time.
+        std::deque<Count> recent_;
+        std::optional<Loss> loss_;
+    };
+
+    double refusedTokensAt(const Loss& loss, SteadyTime now) const;
+    bool isOver(const Service& service, SteadyTime now) const;
+    void observeLoss(Service& service, SteadyTime now) const;
+
+    const EngineForecastSettings settings_;
+    mutable std::mutex mutex_;
+    std::map<ServiceName, Service> services_;
+};
+
+/// What the retry delay of a refused request depends on besides the expected engines.
+struct ReturnView {
+    /// The delay without a forecast.
+    milliseconds retryAfter_ {};
+    bool isDeferrable_ = false;
+    /// Time until the request's deadline.
+    milliseconds timeLeft_ = milliseconds::max();
+    /// A uniformly distributed number from 0 to 1.
+    double draw_ = 0;
+};
+
+/// \returns the delay after which the caller returns to the \p expected engines: at most a third of
+/// the time left. Returns nullopt if the engines are expected later than that, so that the caller
+/// can only hope for a shorter queue.
+std::optional<milliseconds> returnWithEngines(const ExpectedEngines& expected, const ReturnView& view, const AdmissionSettings& settings = {});
+
 } // namespace pistachioloom
--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -479,6 +479,10 @@
         std::uint64_t takenSlots_ = 0;
         std::uint64_t slots_ = 0;
         std::size_t backends_ = 0;
+        /// Backend servers at which peers have requests in progress.
+        std::size_t loadedByPeers_ = 0;
+        /// When the newest loads of a peer arrived; nullopt if there are none.
+        std::optional<SteadyTime> peersReportedAt_ {};
     };
     Occupancy occupancy(const ServiceName& service) const;
 
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -174,6 +174,8 @@
     std::atomic<std::uint64_t> nodes_ { 1 };
     /// The number of workers of this node, which divide the node's share among them.
     std::uint64_t workers_ = 1;
+    /// Observes the engines of services with scaling.
+    EngineForecast engineForecast_ {};
 };
 
 /// Counts the termination of \p backend, which the removal of its record or a probe has
--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -52,6 +52,8 @@
     milliseconds shortage_ {};
     /// Nodes that share the quota.
     std::uint64_t nodes_ = 1;
+    /// Age of the newest counts of another node; nullopt if there are none.
+    std::optional<milliseconds> peersAge_ {};
 };
 
 struct QuotaSettings {
@@ -238,6 +240,8 @@
     mutable std::mutex mutex_;
     std::map<OrganisationId, Bucket> buckets_;
     std::map<VmId, Peer> peers_;
+    /// When the newest counts of another node arrived.
+    std::optional<SteadyTime> peersReportedAt_;
     std::uint64_t nodesKnown_ = 1;
     /// Nodes that relays report as live.
     std::uint64_t liveNodes_ = 0;
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -120,6 +120,8 @@
     OriginQueriesUnanswered,
     /// Callers' connections that were closed unread because the node was overloaded.
     ConnectionsUnread,
+    /// Requests refused whose callers were told to return when booting engines are expected.
+    RefusedUntilEngines,
     Last,
 };
 
--- a/lib/Admission/Admission.cpp
+++ b/lib/Admission/Admission.cpp
@@ -17,6 +17,11 @@
     return std::chrono::duration_cast<milliseconds>(view.maxQueueWait_ * settings.deferrableWaitShare_);
 }
 
+milliseconds admissionBound(const AdmissionView& view, const AdmissionSettings& settings)
+{
+    return std::chrono::duration_cast<milliseconds>(longestWait(view, settings) * settings.queueWaitFactor_);
+}
+
 std::optional<milliseconds> retryAfterIfRejected(const AdmissionView& view, const AdmissionSettings& settings)
 {
     assert(settings.minRetryAfter_ <= settings.maxRetryAfter_ && settings.maxRetryAfter_ <= settings.maxDeferrableRetryAfter_ && "bounds are in order");
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -382,12 +382,15 @@
 {
     std::lock_guard lock(mutex_);
     Occupancy sum;
+    if (peerLoadsAt_ != SteadyTime {})
+        sum.peersReportedAt_ = peerLoadsAt_;
     for (const auto& [id, backend] : backends_) {
         if (backend.record_.service_ != service || backend.record_.isLeaving_)
             continue;
         sum.takenSlots_ += std::min<std::uint64_t>(backend.record_.slots_, backend.ownLoad_.running_ + backend.peerLoad_.running_);
         sum.slots_ += backend.record_.slots_;
         ++sum.backends_;
+        sum.loadedByPeers_ += backend.peerLoad_.running_ > 0;
     }
     return sum;
 }
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -55,6 +55,8 @@
             line.add("share_balance", rounded(*refusal.shareBalance_));
         line.add("share_rate", rounded(refusal.shareRate_)).add("refused_cost", rounded(refusal.refusedCost_));
         line.add("shortage_ms", refusal.shortage_.count()).add("nodes", static_cast<std::int64_t>(refusal.nodes_));
+        if (refusal.peersAge_)
+            line.add("peers_age_ms", refusal.peersAge_->count());
     }
 
 } // namespace
@@ -216,13 +218,35 @@
     return context_.retries_.tryRetry(shape_.service_, steadyNow());
 }
 
-std::optional<RequestForwarder::HeldAnswer> RequestForwarder::rejectLongWait(const BackendChoice& choice) const
+std::optional<RequestForwarder::HeldAnswer> RequestForwarder::rejectLongWait(const BackendChoice& choice)
 {
     AdmissionView view { shape_.isForEngine_ && route_->isStream_, sendCount_ || eventSplitter_.last(), choice.queueWait_, route_->maxQueueWait_, isDeferrable(), timeLeft(), uniformDraw() };
     auto retryAfter = retryAfterIfRejected(view, context_.settings_.admission_);
     if (!retryAfter)
         return std::nullopt;
-    return rejection(503, "engines are busy for " + std::to_string(choice.queueWait_.count()) + " ms", *retryAfter);
+    capacityRefusal_ = CapacityRefusal { choice.queueWait_, admissionBound(view, context_.settings_.admission_) };
+    milliseconds told = delayUntilEngines(choice.uncachedTokens_, *retryAfter);
+    return rejection(503, "engines are busy for " + std::to_string(choice.queueWait_.count()) + " ms", told);
+}
+
+/// Returns the retry delay of a request that is refused for want of engines, which is
+/// \p retryAfter unless its caller can wait for engines that boot. Completes
+/// `capacityRefusal_`.
+milliseconds RequestForwarder::delayUntilEngines(TokenCount tokens, milliseconds retryAfter)
+{
+    SteadyTime now = steadyNow();
+    EngineForecast& forecast = context_.engineForecast_;
+    forecast.noteRefused(shape_.service_, tokens.value_, now);
+    capacityRefusal_->expected_ = forecast.expected(shape_.service_, context_.nodes_, now);
+    capacityRefusal_->retryAfter_ = retryAfter;
+    if (!capacityRefusal_->expected_)
+        return retryAfter;
+    ReturnView view { retryAfter, isDeferrable(), timeLeft(), uniformDraw() };
+    if (auto delay = returnWithEngines(*capacityRefusal_->expected_, view, context_.settings_.admission_)) {
+        context_.metrics_.add(Counter::RefusedUntilEngines);
+        capacityRefusal_->retryAfter_ = *delay;
+    }
+    return capacityRefusal_->retryAfter_;
 }
 
 asio::awaitable<void> RequestForwarder::tryBackends()
@@ -241,6 +265,7 @@
             if (mayTryAgain)
                 continue;
             context_.backends_.noteNoBackend(shape_);
+            hasNoBackend_ = true;
             break;
         }
         if (auto rejected = rejectLongWait(*choice)) {
@@ -421,10 +446,26 @@
     line.add("configuration", table_ ? static_cast<std::int64_t>(table_->version()) : 0).add("peer", caller_->peer());
     if (quotaRefusal_)
         addQuotaInputs(line, *quotaRefusal_);
+    if (capacityRefusal_)
+        addCapacityInputs(line);
     logger().info(line);
 }
 
-RequestForwarder::HeldAnswer RequestForwarder::finalFailure() const
+/// Adds what a refusal for want of engines follows from.
+void RequestForwarder::addCapacityInputs(LogLine& line) const
+{
+    BackendTable::Occupancy occupancy = context_.backends_.occupancy(shape_.service_);
+    line.add("class", isDeferrable() ? "deferrable" : "normal").add("engines", static_cast<std::int64_t>(occupancy.backends_)).add("engines_loaded_by_peers", static_cast<std::int64_t>(occupancy.loadedByPeers_));
+    if (occupancy.peersReportedAt_)
+        line.add("peers_age_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - *occupancy.peersReportedAt_).count());
+    if (capacityRefusal_->queueWait_)
+        line.add("wait_ms", capacityRefusal_->queueWait_->count()).add("bound_ms", capacityRefusal_->maxQueueWait_.count());
+    if (capacityRefusal_->expected_)
+        line.add("engines_in_ms", capacityRefusal_->expected_->until_.count());
+    line.add("retry_after_ms", capacityRefusal_->retryAfter_.count());
+}
+
+RequestForwarder::HeldAnswer RequestForwarder::finalFailure()
 {
     // 503 promises that the request has not run and never will run.
     if (!mayHaveRun_ && isUnserved())
@@ -432,7 +473,13 @@
     if (!mayHaveRun_ && stopReason_ != StopReason::DeadlineExceeded) {
         auto wait = context_.backends_.timeUntilUsable(shape_.service_, shape_.software_, steadyNow());
         std::string reason = wait ? "all backend servers asked for a pause or for fewer requests" : "no backend server";
-        return rejection(503, lastDetail_.empty() ? reason : lastDetail_, std::max(fullRetryAfter, wait.value_or(fullRetryAfter)));
+        milliseconds retryAfter = std::max(fullRetryAfter, wait.value_or(fullRetryAfter));
+        // Servers that asked for a pause are there, so that no others are awaited.
+        if (hasNoBackend_ && !wait) {
+            capacityRefusal_ = CapacityRefusal {};
+            retryAfter = delayUntilEngines(shape_.promptTokens_, retryAfter);
+        }
+        return rejection(503, lastDetail_.empty() ? reason : lastDetail_, retryAfter);
     }
     int status = stopReason_ == StopReason::DeadlineExceeded ? 504 : 502;
     return rejection(status, lastDetail_.empty() ? "the backend server broke off" : lastDetail_, {});
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -104,6 +104,17 @@
         std::string body_;
     };
 
+    /// Why a request was refused for want of engines, for its log line.
+    struct CapacityRefusal {
+        /// Estimated wait and its bound; nullopt if there is no engine.
+        std::optional<milliseconds> queueWait_ {};
+        milliseconds maxQueueWait_ {};
+        /// Engines expected after a loss; nullopt if there was none.
+        std::optional<ExpectedEngines> expected_ {};
+        /// The delay that the caller is told.
+        milliseconds retryAfter_ {};
+    };
+
     // Checks before the first attempt.
     std::optional<HeldAnswer> admit();
     std::optional<HeldAnswer> authorise();
@@ -139,7 +150,8 @@
     asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, Parser& parser);
     bool mayRetry(SendOutcome end);
     /// The answer to a request that would have to wait for too long; see Admission.h.
-    std::optional<HeldAnswer> rejectLongWait(const BackendChoice& choice) const;
+    std::optional<HeldAnswer> rejectLongWait(const BackendChoice& choice);
+    milliseconds delayUntilEngines(TokenCount tokens, milliseconds retryAfter);
     bool mayRetryElsewhere(const Attempt& attempt) const;
     asio::awaitable<SendOutcome> handleStreamBreak(Attempt& attempt, const boost::system::error_code& code);
 
@@ -170,6 +182,7 @@
     void logAttempt(const Attempt& attempt, BackendOutcome outcome, milliseconds took);
     void logQuarantined(const Quarantine& quarantine);
     void logRejection(const HeldAnswer& answer) const;
+    void addCapacityInputs(LogLine& line) const;
     std::optional<SendOutcome> checkAnswerHead(Attempt& attempt, const Parser& parser);
     /// Records the conditions that an answer states of its backend server.
     void noteBackendState(Attempt& attempt, const Parser& parser);
@@ -183,7 +196,7 @@
     asio::awaitable<bool> startEvents(const HeaderFields& fields);
     asio::awaitable<bool> writeEvents(std::string events);
     HeldAnswer rejection(int status, std::string reason, milliseconds retryAfter) const;
-    HeldAnswer finalFailure() const;
+    HeldAnswer finalFailure();
     /// The idle timeout of the caller's connection, of which the answer's Keep-Alive header
     /// announces a part; nullopt if the connection closes after the answer.
     std::optional<milliseconds> announcedIdle();
@@ -212,6 +225,8 @@
     bool hasQuota_ = false;
     /// Set if the request was refused because of its organisation's quota.
     std::optional<QuotaRefusal> quotaRefusal_;
+    /// Set if the request was refused for want of engines.
+    std::optional<CapacityRefusal> capacityRefusal_;
 
     SteadyTime deadline_ {};
     /// The end of the wait limit of the current attempt; SteadyTime::max() if it has
@@ -232,6 +247,8 @@
     unsigned sendCount_ = 0;
     /// Attempts that sent nothing, for example because the connection failed.
     unsigned unsentAttempts_ = 0;
+    /// Whether no backend server could be chosen for the request.
+    bool hasNoBackend_ = false;
     /// Whether no peer reaches the service either.
     bool isRejectedByPeers_ = false;
     /// Whether a backend server may have run the request.
--- a/lib/Gateway/DutyRunner.cpp
+++ b/lib/Gateway/DutyRunner.cpp
@@ -65,6 +65,16 @@
         return true;
     }
 
+    /// Returns what the forecast of engines follows from. Engines of a version that may not serve
+    /// count, since the end of a roll-out is no loss.
+    EngineObservation observationOf(const FleetView& view, milliseconds reviewInterval)
+    {
+        std::uint64_t engines = view.engines();
+        for (const DataCentreFleet& fleet : view.dataCentres_)
+            engines += fleet.onDemandExcluded_ + fleet.reclaimableExcluded_;
+        return { engines, view.bounds_.bootTime_, reviewInterval, view.prefillPerMs_, view.isPlatformAvailable_ };
+    }
+
     std::set<ServiceName> servicesIn(const std::vector<FleetOrder>& orders)
     {
         std::set<ServiceName> services;
@@ -208,6 +218,7 @@
     for (const FleetView& view : fleetViews(now)) {
         CapacityShortage before = fleetTracker_.shortage(view.service_);
         fleetTracker_.observe(view, now);
+        context_.forward_.engineForecast_.observe(view.service_, observationOf(view, context_.settings_.fleet_.period_), now);
         logShortage(view, before);
         isAnyShort |= fleetTracker_.shortage(view.service_).isActive();
     }
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -221,6 +221,8 @@
     refusal.refusedCost_ = bucket.refusedCost_;
     refusal.shortage_ = std::chrono::duration_cast<milliseconds>(bucket.refusedAt_ - bucket.shortSince_);
     refusal.nodes_ = static_cast<std::uint64_t>(nodes());
+    if (peersReportedAt_)
+        refusal.peersAge_ = std::chrono::duration_cast<milliseconds>(now - *peersReportedAt_);
     return refusal;
 }
 
@@ -325,6 +327,7 @@
     }
     peer.incarnation_ = incarnation;
     peer.receivedAt_ = now;
+    peersReportedAt_ = now;
     std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.receivedAt_ > 2 * settings_.forgetAfter_; });
 }
 
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -59,6 +59,7 @@
         "origin_queries",
         "origin_queries_unanswered",
         "connections_unread",
+        "requests_refused_until_engines",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
