Admission: returns are spread over all that was refused since a loss; short objectives as before

Callers of routes with an objective of a second or less are told what they were told before: the queue is their only chance to be served in time.

--- a/include/pistachioloom/Admission.h
+++ b/include/pistachioloom/Admission.h
@@ -119,8 +119,6 @@
     /// A loss is over when the boot time and this time have passed without a change of the number
     /// of engines: the platform has no others.
     milliseconds overdueAfter_ { 2000 };
-    /// Half-life of the refused tokens.
-    milliseconds refusedHalfLife_ { 1000 };
     /// Bounds of ExpectedEngines::spread_.
     milliseconds minSpread_ { 500 };
     milliseconds maxSpread_ { 2000 };
@@ -150,7 +148,7 @@
     void observe(const ServiceName& service, const EngineObservation& observation, SteadyTime now);
     /// Records that a request for \p tokens prompt tokens was refused because there is no engine or
     /// the queue is too long.
-    void noteRefused(const ServiceName& service, std::uint64_t tokens, SteadyTime now);
+    void noteRefused(const ServiceName& service, std::uint64_t tokens);
     /// \returns the engines that are expected because of a loss; nullopt if there is none. Each of
     /// \p nodes nodes is assumed to have refused as many tokens as this one.
     std::optional<ExpectedEngines> expected(const ServiceName& service, std::uint64_t nodes, SteadyTime now) const;
@@ -166,9 +164,8 @@
         std::uint64_t enginesBefore_ = 0;
         /// When the number of engines last changed.
         SteadyTime changedAt_ {};
-        /// Tokens refused since the loss, with exponential decay until `refusedAt_`.
+        /// Tokens refused since the loss. All of their callers may return when engines register.
         double refusedTokens_ = 0;
-        SteadyTime refusedAt_ {};
     };
     struct Service {
         EngineObservation last_;
@@ -177,7 +174,6 @@
         std::optional<Loss> loss_;
     };
 
-    double refusedTokensAt(const Loss& loss, SteadyTime now) const;
     bool isOver(const Service& service, SteadyTime now) const;
     void observeLoss(Service& service, SteadyTime now) const;
 
@@ -191,6 +187,8 @@
     /// The delay without a forecast.
     milliseconds retryAfter_ {};
     bool isDeferrable_ = false;
+    /// Latency objective of the route.
+    milliseconds objective_ {};
     /// Time until the request's deadline.
     milliseconds timeLeft_ = milliseconds::max();
     /// A uniformly distributed number from 0 to 1.
@@ -198,8 +196,8 @@
 };
 
 /// \returns the delay after which the caller returns to the \p expected engines: at most a third of
-/// the time left. Returns nullopt if the engines are expected later than that, so that the caller
-/// can only hope for a shorter queue.
+/// the time left. Returns nullopt if the engines are expected later than that, or if the objective
+/// is a second or less, so that the caller can only hope for a shorter queue.
 std::optional<milliseconds> returnWithEngines(const ExpectedEngines& expected, const ReturnView& view, const AdmissionSettings& settings = {});
 
 } // namespace pistachioloom
--- a/lib/Admission/EngineForecast.cpp
+++ b/lib/Admission/EngineForecast.cpp
@@ -6,20 +6,12 @@
 #include "pistachioloom/Admission.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace pistachioloom {
 
-static double secondsOf(SteadyTime::duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-double EngineForecast::refusedTokensAt(const Loss& loss, SteadyTime now) const
-{
-    double seconds = std::max(0.0, secondsOf(now - loss.refusedAt_));
-    return loss.refusedTokens_ * std::exp2(-seconds / secondsOf(settings_.refusedHalfLife_));
-}
+// Callers of routes with shorter objectives need each answer as soon as possible, so that the queue
+// is their only chance.
+static constexpr milliseconds minAwaitingObjective { 1000 };
 
 bool EngineForecast::isOver(const Service& service, SteadyTime now) const
 {
@@ -67,15 +59,13 @@
     service.recent_.push_back({ now, observation.engines_ });
 }
 
-void EngineForecast::noteRefused(const ServiceName& name, std::uint64_t tokens, SteadyTime now)
+void EngineForecast::noteRefused(const ServiceName& name, std::uint64_t tokens)
 {
     std::lock_guard lock(mutex_);
     auto found = services_.find(name);
     if (found == services_.end() || !found->second.loss_)
         return;
-    Loss& loss = *found->second.loss_;
-    loss.refusedTokens_ = refusedTokensAt(loss, now) + static_cast<double>(tokens);
-    loss.refusedAt_ = std::max(loss.refusedAt_, now);
+    found->second.loss_->refusedTokens_ += static_cast<double>(tokens);
 }
 
 std::optional<ExpectedEngines> EngineForecast::expected(const ServiceName& name, std::uint64_t nodes, SteadyTime now) const
@@ -88,7 +78,7 @@
     auto until = std::chrono::duration_cast<milliseconds>(loss->at_ + last.bootTime_ + last.reviewInterval_ - now);
     double tokensPerMs = static_cast<double>(loss->enginesBefore_ - last.engines_) * last.tokensPerMs_;
     // The time is bounded before its conversion, since an unknown rate makes it infinite.
-    double spreadMs = tokensPerMs > 0 ? refusedTokensAt(*loss, now) * static_cast<double>(nodes) / tokensPerMs : static_cast<double>(settings_.maxSpread_.count());
+    double spreadMs = tokensPerMs > 0 ? loss->refusedTokens_ * static_cast<double>(nodes) / tokensPerMs : static_cast<double>(settings_.maxSpread_.count());
     spreadMs = std::clamp(spreadMs, static_cast<double>(settings_.minSpread_.count()), static_cast<double>(settings_.maxSpread_.count()));
     return ExpectedEngines { std::max(milliseconds(0), until), milliseconds(static_cast<std::int64_t>(spreadMs)) };
 }
@@ -96,7 +86,7 @@
 std::optional<milliseconds> returnWithEngines(const ExpectedEngines& expected, const ReturnView& view, const AdmissionSettings& settings)
 {
     milliseconds longest = view.timeLeft_ / maxPartOfTimeLeft;
-    if (longest <= milliseconds(0) || expected.until_ > longest)
+    if (view.objective_ <= minAwaitingObjective || longest <= milliseconds(0) || expected.until_ > longest)
         return std::nullopt;
     auto spread = milliseconds(static_cast<std::int64_t>(static_cast<double>(expected.spread_.count()) * view.draw_));
     milliseconds least = view.isDeferrable_ ? view.retryAfter_ : settings.minRetryAfter_;
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -236,12 +236,12 @@
 {
     SteadyTime now = steadyNow();
     EngineForecast& forecast = context_.engineForecast_;
-    forecast.noteRefused(shape_.service_, tokens.value_, now);
+    forecast.noteRefused(shape_.service_, tokens.value_);
     capacityRefusal_->expected_ = forecast.expected(shape_.service_, context_.nodes_, now);
     capacityRefusal_->retryAfter_ = retryAfter;
     if (!capacityRefusal_->expected_)
         return retryAfter;
-    ReturnView view { retryAfter, isDeferrable(), timeLeft(), uniformDraw() };
+    ReturnView view { retryAfter, isDeferrable(), route_->objective_, timeLeft(), uniformDraw() };
     if (auto delay = returnWithEngines(*capacityRefusal_->expected_, view, context_.settings_.admission_)) {
         context_.metrics_.add(Counter::RefusedUntilEngines);
         capacityRefusal_->retryAfter_ = *delay;
--- a/unittests/Admission/EngineForecastTest.cpp
+++ b/unittests/Admission/EngineForecastTest.cpp
@@ -21,6 +21,8 @@
 constexpr double tokensPerMs = 40;
 /// A delay without a forecast.
 constexpr milliseconds usualDelay { 300 };
+/// Objective of a route whose callers wait for a result.
+constexpr milliseconds resultObjective { 2500 };
 const SteadyTime start = SteadyTime {} + std::chrono::hours(1);
 const ServiceName service { "s" };
 
@@ -126,10 +128,10 @@
         if (caller.hasReturned_)
             return;
         EngineForecast& node = nodes_[static_cast<std::size_t>(draw() * static_cast<double>(nodes_.size()))];
-        node.noteRefused(service, static_cast<std::uint64_t>(tokens), start + milliseconds(ms));
+        node.noteRefused(service, static_cast<std::uint64_t>(tokens));
         const double returnDraw = draw();
         if (auto expected = node.expected(service, nodes_.size(), start + milliseconds(ms))) {
-            if (auto delay = returnWithEngines(*expected, { *retryAfter, false, timeLeft, returnDraw })) {
+            if (auto delay = returnWithEngines(*expected, { *retryAfter, false, resultObjective, timeLeft, returnDraw })) {
                 retryAfter = delay;
                 result_.longestPart_ = std::max(result_.longestPart_, static_cast<double>(delay->count()) / static_cast<double>(timeLeft.count()));
             }
@@ -165,7 +167,7 @@
     };
     auto row = GENERATE(values<Row>({
         { { "21 of 60 engines remain", 60, { 47, 34, 21 }, 60 }, 0.45, 0.6, 3 },
-        { { "none of 117 remains", 117, { 78, 39, 0 }, 60 }, 0.1, 0.25, 4.5 },
+        { { "none of 117 remains", 117, { 78, 39, 0 }, 60 }, 0.1, 0.25, 3 },
     }));
     auto seed = GENERATE(range(1U, 6U));
     Replay before = LossReplay(row.loss_, std::nullopt, seed).run();
@@ -223,7 +225,7 @@
         { "some engines register", { { 0, 60, -1 }, { 250, 21, 4500 }, { 6000, 30, 0 }, { 11900, 30, 0 }, { 12000, 30, -1 } } },
         { "the platform is unavailable", { { 0, 60, -1 }, { 250, 0, -1, false }, { 500, 0, -1 }, { 750, 60, -1 } } },
         { "the platform becomes unavailable", { { 0, 60, -1 }, { 250, 0, 4500 }, { 500, 0, -1, false }, { 750, 0, -1 } } },
-        { "refused tokens halve every second", { { 0, 60, -1 }, { 250, 20, 4500, true, 160000, 1000 }, { 1250, 20, 3500, true, 0, 500 }, { 1250, 20, 3500, true, 160000, 1500 }, { 1250, 20, 3500, true, 1600000, 2000 } } },
+        { "refused tokens add up", { { 0, 60, -1 }, { 250, 20, 4500, true, 160000, 1000 }, { 1250, 20, 3500, true, 0, 1000 }, { 1250, 20, 3500, true, 80000, 1500 }, { 1250, 20, 3500, true, 1600000, 2000 } } },
     }));
     CAPTURE(row.name_);
     EngineForecast forecast;
@@ -231,7 +233,7 @@
         CAPTURE(step.atMs_);
         SteadyTime now = start + milliseconds(step.atMs_);
         forecast.observe(service, { step.engines_, bootTime, reviewInterval, tokensPerMs, step.isPlatformAvailable_ }, now);
-        forecast.noteRefused(service, step.refusedTokens_, now);
+        forecast.noteRefused(service, step.refusedTokens_);
         auto expected = step.expectedInMs_ < 0 ? std::nullopt : std::optional(ExpectedEngines { milliseconds(step.expectedInMs_), milliseconds(step.spreadMs_) });
         CHECK(forecast.expected(service, 10, now) == expected);
     }
@@ -248,17 +250,18 @@
         std::optional<milliseconds> delay_;
     };
     auto row = GENERATE(values<Row>({
-        { "no draw", { milliseconds(3000), milliseconds(1000) }, { usualDelay, false, milliseconds(15000), 0 }, milliseconds(3000) },
-        { "half of the spread", { milliseconds(3000), milliseconds(1000) }, { usualDelay, false, milliseconds(15000), 0.5 }, milliseconds(3500) },
-        { "cut to a third", { milliseconds(4500), milliseconds(2000) }, { usualDelay, false, milliseconds(15000), 1 }, milliseconds(5000) },
-        { "just in time", { milliseconds(1000), milliseconds(500) }, { usualDelay, false, milliseconds(3000), 1 }, milliseconds(1000) },
-        { "too late", { milliseconds(1001), milliseconds(500) }, { usualDelay, false, milliseconds(3000), 0 }, std::nullopt },
-        { "overdue", { milliseconds(0), milliseconds(500) }, { usualDelay, false, milliseconds(15000), 0 }, milliseconds(150) },
-        { "deferrable, longer before", { milliseconds(1000), milliseconds(500) }, { milliseconds(2500), true, milliseconds(15000), 0 }, milliseconds(2500) },
-        { "deferrable, shorter before", { milliseconds(3000), milliseconds(500) }, { milliseconds(2500), true, milliseconds(15000), 0 }, milliseconds(3000) },
-        { "deferrable, cut to a third", { milliseconds(1000), milliseconds(500) }, { milliseconds(2500), true, milliseconds(6000), 0 }, milliseconds(2000) },
-        { "no time left", { milliseconds(0), milliseconds(500) }, { usualDelay, false, milliseconds(0), 0 }, std::nullopt },
-        { "no deadline", { milliseconds(4500), milliseconds(2000) }, { usualDelay, false }, milliseconds(4500) },
+        { "no draw", { milliseconds(3000), milliseconds(1000) }, { usualDelay, false, resultObjective, milliseconds(15000), 0 }, milliseconds(3000) },
+        { "half of the spread", { milliseconds(3000), milliseconds(1000) }, { usualDelay, false, resultObjective, milliseconds(15000), 0.5 }, milliseconds(3500) },
+        { "cut to a third", { milliseconds(4500), milliseconds(2000) }, { usualDelay, false, resultObjective, milliseconds(15000), 1 }, milliseconds(5000) },
+        { "just in time", { milliseconds(1000), milliseconds(500) }, { usualDelay, false, resultObjective, milliseconds(3000), 1 }, milliseconds(1000) },
+        { "too late", { milliseconds(1001), milliseconds(500) }, { usualDelay, false, resultObjective, milliseconds(3000), 0 }, std::nullopt },
+        { "overdue", { milliseconds(0), milliseconds(500) }, { usualDelay, false, resultObjective, milliseconds(15000), 0 }, milliseconds(150) },
+        { "deferrable, longer before", { milliseconds(1000), milliseconds(500) }, { milliseconds(2500), true, resultObjective, milliseconds(15000), 0 }, milliseconds(2500) },
+        { "deferrable, shorter before", { milliseconds(3000), milliseconds(500) }, { milliseconds(2500), true, resultObjective, milliseconds(15000), 0 }, milliseconds(3000) },
+        { "deferrable, cut to a third", { milliseconds(1000), milliseconds(500) }, { milliseconds(2500), true, resultObjective, milliseconds(6000), 0 }, milliseconds(2000) },
+        { "no time left", { milliseconds(0), milliseconds(500) }, { usualDelay, false, resultObjective, milliseconds(0), 0 }, std::nullopt },
+        { "an objective of a second", { milliseconds(3000), milliseconds(1000) }, { usualDelay, false, milliseconds(1000), milliseconds(15000), 0 }, std::nullopt },
+        { "no deadline", { milliseconds(4500), milliseconds(2000) }, { usualDelay, false, resultObjective }, milliseconds(4500) },
     }));
     CAPTURE(row.name_);
     CHECK(returnWithEngines(row.expected_, row.view_) == row.delay_);
--- a/unittests/Forward/EngineReturnTest.cpp
+++ b/unittests/Forward/EngineReturnTest.cpp
@@ -16,13 +16,14 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 const ServiceName service { "s" };
 
-std::shared_ptr<const RouteTable> tableWithTimeout(milliseconds timeout)
+std::shared_ptr<const RouteTable> tableOf(milliseconds objective, milliseconds timeout)
 {
     Route route;
     route.name_ = "r";
     route.host_ = "h";
     route.pathPrefix_ = "/";
     route.isStream_ = true;
+    route.objective_ = objective;
     route.timeout_ = timeout;
     route.split_ = { { service, 1 } };
     ServicePolicy policy;
@@ -52,6 +53,7 @@
     struct Row {
         const char* name_;
         std::uint64_t enginesBefore_;
+        milliseconds objective_;
         milliseconds timeout_;
         /// Bounds of the Retry-After in seconds.
         double min_;
@@ -60,9 +62,10 @@
     };
     // Engines are expected 4.5 s after the loss, less the time that the call takes.
     auto row = GENERATE(values<Row>({
-        { "no loss", 0, milliseconds(15000), 0.15, 0.15, false },
-        { "a loss", 60, milliseconds(15000), 3, 5, true },
-        { "a loss, but too little time", 60, milliseconds(3000), 0.15, 0.15, false },
+        { "no loss", 0, milliseconds(2500), milliseconds(15000), 0.15, 0.15, false },
+        { "a loss", 60, milliseconds(2500), milliseconds(15000), 3, 5, true },
+        { "a loss, but too little time", 60, milliseconds(2500), milliseconds(3000), 0.15, 0.15, false },
+        { "a loss, but a short objective", 60, milliseconds(1000), milliseconds(15000), 0.15, 0.15, false },
     }));
     CAPTURE(row.name_);
     BackendTable backends { { "a" }, {} };
@@ -74,7 +77,7 @@
     RolloutTracker rollouts { {} };
     Metrics metrics;
     ForwardContext context { {}, {}, {}, "secret", backends, paths, quotas, retries, quarantine, crashes, rollouts, metrics, {}, {}, {}, {} };
-    context.hooks_.table_ = [table = tableWithTimeout(row.timeout_)] { return table; };
+    context.hooks_.table_ = [table = tableOf(row.objective_, row.timeout_)] { return table; };
     for (std::uint64_t engines : { row.enginesBefore_, std::uint64_t(0) })
         context.engineForecast_.observe(service, { engines, milliseconds(4000), milliseconds(500), 40 }, steadyNow());
     asio::io_context io;
