Gateway: seeds refer new nodes that they cannot answer in a period to nodes that they answer

Cause: if 1,000 nodes start while the platform cannot be reached, they know three seeds only. A seed answers 48 nodes in a period of 200 ms. The seeds queue the nodes in the same order and therefore answer the same 48, so that the last node waits 21 periods (4.2 s) for the relays.

Change: in each period, a node refers up to 160 of the nodes that remain in its queue to nodes that it answers in the same period (20 referrals of two nodes each, to 8 receivers each). Each waiting node is referred once and stays in the queue, since a referral may be lost. While 48 nodes or fewer wait, no referral is sent, so that the traffic in a steady state is unchanged.

A referral is a NodeReport without a vm that contains `nodes` only, so the generated code is unchanged.

By arithmetic, 48 answers of 4 KB and 160 referrals of 150 bytes are 8.6 Mbit/s.

The simulation sends and receives referrals as PeerReports does; its bounds are unchanged. Referrals were not run between processes.

--- a/lib/Gateway/Discovery.cpp
+++ b/lib/Gateway/Discovery.cpp
@@ -18,6 +18,14 @@
     // seed that hundreds of nodes contact when all start simultaneously uses a third of a
     // link of 20 Mbit/s for its answers.
     constexpr std::size_t answersPerPeriod = 48;
+    // Number of referrals that this node sends in a period while more nodes wait than it
+    // can answer, the nodes that receive each of them, and the nodes that each advertises.
+    // With answers only, 1,000 nodes that know three seeds wait up to 4.2 s, since the seeds
+    // answer the same 48 nodes in a period. 160 referrals of 150 bytes use 1 Mbit/s.
+    constexpr std::size_t referralsPerPeriod = 20;
+    constexpr std::size_t receiversPerReferral = 8;
+    constexpr std::size_t peersPerReferral = 2;
+    static_assert(referralsPerPeriod * peersPerReferral <= answersPerPeriod, "each answered node is advertised in one referral at most");
     // Number of nodes of its own data centre that a digest advertises in rotation: 26
     // nodes are advertised within seven periods, 1.4 s.
     constexpr std::size_t membersPerDigest = 4;
@@ -40,19 +48,42 @@
 
 void Discovery::queueAnswer(const VmId& vm)
 {
-    if (std::find(unanswered_.begin(), unanswered_.end(), vm) == unanswered_.end())
-        unanswered_.push_back(vm);
+    if (std::none_of(unanswered_.begin(), unanswered_.end(), [&](const UnansweredNode& node) { return node.vm_ == vm; }))
+        unanswered_.push_back({ vm });
 }
 
-std::vector<Endpoint> Discovery::takeUnanswered()
+std::vector<KnownPeer> Discovery::takeUnanswered()
 {
-    std::vector<Endpoint> receivers;
+    std::vector<KnownPeer> answered;
     for (std::size_t i = 0; i < answersPerPeriod && !unanswered_.empty(); ++i) {
-        if (auto address = table_.gossipEndpointOf(unanswered_.front()))
-            receivers.push_back(*address);
+        if (auto peer = table_.find(unanswered_.front().vm_))
+            answered.emplace_back(unanswered_.front().vm_, *peer);
         unanswered_.pop_front();
     }
-    return receivers;
+    return answered;
+}
+
+std::vector<Discovery::Referral> Discovery::referUnanswered(const std::vector<KnownPeer>& answered)
+{
+    std::vector<Referral> referrals;
+    std::size_t referredPeers = 0;
+    for (UnansweredNode& node : unanswered_) {
+        if (node.isReferred_)
+            continue;
+        auto address = table_.gossipEndpointOf(node.vm_);
+        if (!address)
+            continue;
+        if (referrals.empty() || referrals.back().receivers_.size() == receiversPerReferral) {
+            if (referrals.size() == referralsPerPeriod || referredPeers + peersPerReferral > answered.size())
+                break;
+            auto first = answered.begin() + static_cast<std::ptrdiff_t>(referredPeers);
+            referrals.push_back({ {}, { first, first + peersPerReferral } });
+            referredPeers += peersPerReferral;
+        }
+        referrals.back().receivers_.push_back(*address);
+        node.isReferred_ = true;
+    }
+    return referrals;
 }
 
 std::vector<Endpoint> Discovery::nextUnseen(const std::vector<KnownPeer>& peers)
@@ -71,7 +102,10 @@
 Discovery::Receivers Discovery::receivers(const std::vector<Endpoint>& unseenSeeds)
 {
     std::vector<KnownPeer> peers = table_.all();
-    Receivers receivers { nextUnseen(peers), takeUnanswered() };
+    std::vector<KnownPeer> answered = takeUnanswered();
+    Receivers receivers { nextUnseen(peers), {}, referUnanswered(answered) };
+    for (const auto& [vm, peer] : answered)
+        receivers.answered_.push_back(peer.gossipEndpoint_);
     std::vector<Endpoint> all = unseenSeeds;
     for (const auto& [vm, peer] : peers)
         all.push_back(peer.gossipEndpoint_);
--- a/lib/Gateway/Discovery.h
+++ b/lib/Gateway/Discovery.h
@@ -30,11 +30,21 @@
     /// the start of this node, or took this node for a relay. The answer introduces
     /// this node to \p vm and advertises the relays that this node knows.
     void queueAnswer(const VmId& vm);
+    /// Nodes that wait for an answer, and nodes that can answer them now.
+    struct Referral {
+        std::vector<Endpoint> receivers_;
+        /// Receive an answer of this node in the same period, so that they know the relays
+        /// when the receivers introduce themselves to them.
+        std::vector<KnownPeer> answered_;
+    };
     struct Receivers {
         /// Receive an introduction of this node.
         std::vector<Endpoint> introduced_;
         /// Receive an introduction and relaysToAdvertise().
         std::vector<Endpoint> answered_;
+        /// Their receivers receive Referral::answered_ only. An introduction of this node
+        /// would make each of them send an answer, and take this node for a relay.
+        std::vector<Referral> referrals_ {};
     };
     /// Returns the receivers of introductions in this period. \p unseenSeeds are the
     /// configured seeds that have not reported yet.
@@ -55,9 +65,17 @@
     std::set<VmId> summaryReceivers(const DataCentreId& dataCentre, const std::vector<VmId>& reporting, SteadyTime now) const;
 
 private:
+    struct UnansweredNode {
+        VmId vm_;
+        bool isReferred_ = false;
+    };
+
     void addRelays(const DataCentreId& dataCentre, std::vector<KnownPeer>& relays, SteadyTime now) const;
-    /// Removes the next nodes from the queue of answers, and returns their endpoints.
-    std::vector<Endpoint> takeUnanswered();
+    /// Removes the next nodes from the queue of answers, and returns them.
+    std::vector<KnownPeer> takeUnanswered();
+    /// Refers nodes that remain in the queue of answers to nodes among \p answered. Each
+    /// node is referred once, and stays in the queue since a referral may be lost.
+    std::vector<Referral> referUnanswered(const std::vector<KnownPeer>& answered);
     /// Returns endpoints of nodes among \p peers that have not reported yet, in rotation.
     std::vector<Endpoint> nextUnseen(const std::vector<KnownPeer>& peers);
 
@@ -66,7 +84,7 @@
     const GossipSettings settings_;
     /// Nodes to which an answer is due, each of them once. They are answered only while
     /// the fleet is large.
-    std::deque<VmId> unanswered_;
+    std::deque<UnansweredNode> unanswered_;
     /// Start offsets into lists that are the same on all nodes. They differ by node: if
     /// all nodes began with the same entries, the last ones would receive no introduction
     /// for a long time.
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -319,6 +319,11 @@
     report.set_is_brief(true);
     composeMembers(*report.mutable_relays(), discovery_.relaysToAdvertise(now), now);
     send(datagram, receivers.answered_);
+    for (const Discovery::Referral& referral : receivers.referrals_) {
+        report.Clear();
+        addKnownNodes(report, referral.answered_);
+        send(datagram, referral.receivers_);
+    }
 }
 
 std::uint64_t PeerReports::countedMs(SteadyTime now) const
@@ -409,6 +414,8 @@
         bool isParsed = datagram.ParseFromArray(buffer.data(), static_cast<int>(count));
         if (isParsed && datagram.has_report() && !datagram.report().vm().empty())
             applyReport(datagram.report(), steadyNow());
+        else if (isParsed && datagram.has_report() && datagram.report().nodes_size() > 0)
+            applyKnownNodes(datagram.report());
         else if (isParsed && datagram.has_relayed() && !datagram.relayed().vm().empty())
             applyRelayReport(*datagram.mutable_relayed(), { sender.address().to_string(), sender.port() }, steadyNow());
         else if (isParsed && (datagram.has_origin() || datagram.has_origin_query() || datagram.has_origin_answer()))
@@ -529,10 +536,7 @@
     if (shouldLog)
         logger_.info(LogLine(kind == PeerTable::ReportKind::Resumed ? "Peer sends reports again." : "Peer sent its first report.").add("peer", vm.value_).add("address", report.address()).add("configuration", static_cast<std::int64_t>(report.configuration_version())));
     applyMembers(report.relays(), now);
-    for (const wire::KnownNode& known : report.nodes()) {
-        if (auto address = parseEndpoint(known.address()))
-            addKnownPeer({ known.vm() }, *address);
-    }
+    applyKnownNodes(report);
     context_.clocks_.setPeer(vm, report.wall_ms() - context_.localWallMs(), now);
     applyLeaving(report.leaving(), vm);
     applyTerminated(report.ended(), vm, now);
@@ -552,6 +556,14 @@
         applyState(report, now);
 }
 
+void PeerReports::applyKnownNodes(const wire::NodeReport& report)
+{
+    for (const wire::KnownNode& known : report.nodes()) {
+        if (auto address = parseEndpoint(known.address()))
+            addKnownPeer({ known.vm() }, *address);
+    }
+}
+
 void PeerReports::applyState(const wire::NodeReport& report, SteadyTime now)
 {
     VmId vm { report.vm() };
--- a/lib/Gateway/PeerReports.h
+++ b/lib/Gateway/PeerReports.h
@@ -107,6 +107,7 @@
     void sendBytes(const std::string& bytes, const std::vector<Endpoint>& receivers);
 
     void composeIntroduction(wire::NodeReport& report, AdvertisedPeers amount);
+    static void addKnownNodes(wire::NodeReport& report, const std::vector<KnownPeer>& peers);
     /// Adds the backend servers that are leaving or have terminated, as this node detected.
     void composeNotices(wire::NodeReport& report);
     void composeState(wire::NodeReport& report);
@@ -116,6 +117,8 @@
     std::vector<Endpoint> unseenSeeds();
 
     void applyReport(const wire::NodeReport& report, SteadyTime now);
+    /// Adds the nodes that \p report advertises.
+    void applyKnownNodes(const wire::NodeReport& report);
     void applyState(const wire::NodeReport& report, SteadyTime now);
     void applyMembers(const google::protobuf::RepeatedPtrField<wire::MemberEntry>& members, SteadyTime now);
     void applyRelayReport(wire::RelayReport& report, const Endpoint& sender, SteadyTime now);
--- a/lib/Gateway/ReportMessages.cpp
+++ b/lib/Gateway/ReportMessages.cpp
@@ -44,7 +44,12 @@
     report.set_registry_fingerprint(context_.backends_.fingerprint());
     putSuspects(context_.quarantine_.suspectsToReport(now, randomBits()), *report.mutable_suspects(), now);
     putRollouts(context_.rollouts_.states(), *report.mutable_rollouts(), now);
-    for (const auto& [vm, peer] : discovery_.peersToAdvertise(amount, sequence_, now)) {
+    addKnownNodes(report, discovery_.peersToAdvertise(amount, sequence_, now));
+}
+
+void PeerReports::addKnownNodes(wire::NodeReport& report, const std::vector<KnownPeer>& peers)
+{
+    for (const auto& [vm, peer] : peers) {
         wire::KnownNode& entry = *report.add_nodes();
         entry.set_vm(vm.value_);
         entry.set_address(peer.gossipEndpoint_.toString());
--- a/unittests/Gateway/DiscoveryTest.cpp
+++ b/unittests/Gateway/DiscoveryTest.cpp
@@ -150,7 +150,12 @@
         report.set_sequence(++node.sequence_);
         report.set_address(node.address_.toString());
         report.set_cores(node.cores_);
-        for (const auto& [vm, peer] : node.discovery_.peersToAdvertise(amount, node.sequence_, now)) {
+        addKnownNodes(report, node.discovery_.peersToAdvertise(amount, node.sequence_, now));
+    }
+
+    static void addKnownNodes(wire::NodeReport& report, const std::vector<KnownPeer>& peers)
+    {
+        for (const auto& [vm, peer] : peers) {
             wire::KnownNode& entry = *report.add_nodes();
             entry.set_vm(vm.value_);
             entry.set_address(peer.gossipEndpoint_.toString());
@@ -171,6 +176,12 @@
             relays = node.discovery_.relaysToAdvertise(now);
         for (const Endpoint& receiver : receivers.answered_)
             messages.push_back({ node.address_, receiver, answer, relays });
+        for (const Discovery::Referral& referral : receivers.referrals_) {
+            wire::Datagram referring;
+            addKnownNodes(*referring.mutable_report(), referral.answered_);
+            for (const Endpoint& receiver : referral.receivers_)
+                messages.push_back({ node.address_, receiver, referring, {} });
+        }
         wire::Datagram report;
         composeIntroduction(*report.mutable_report(), node, AdvertisedPeers::Few, now);
         report.mutable_report()->set_wants_digest(true);
@@ -243,6 +254,8 @@
 
     static void receiveReport(Node& node, const wire::NodeReport& report, SteadyTime now)
     {
+        if (report.vm().empty())
+            return addAdvertisedPeers(node, report);
         Peer peer;
         peer.gossipEndpoint_ = *parseEndpoint(report.address());
         peer.dataCentre_ = { report.data_centre() };
@@ -255,12 +268,17 @@
             return;
         if (kind == PeerTable::ReportKind::Restarted)
             node.discovery_.queueAnswer({ report.vm() });
-        for (const wire::KnownNode& known : report.nodes())
-            node.table_.addKnownPeer({ known.vm() }, *parseEndpoint(known.address()));
+        addAdvertisedPeers(node, report);
         if (report.wants_digest())
             node.aggregator_.applyReport(report, now);
     }
 
+    static void addAdvertisedPeers(Node& node, const wire::NodeReport& report)
+    {
+        for (const wire::KnownNode& known : report.nodes())
+            node.table_.addKnownPeer({ known.vm() }, *parseEndpoint(known.address()));
+    }
+
     Shape shape_;
     std::vector<std::unique_ptr<Node>> nodes_;
     std::map<std::string, Node*> nodesByAddress_;
@@ -295,6 +313,67 @@
     checkStart(shape);
 }
 
+// Guards against a node that sends as many messages in a period as nodes contact it, which
+// would fill its link at the start of a large fleet.
+TEST_CASE("a node answers and refers a bounded number of nodes in a period", "[peers]")
+{
+    // 48 answers of 4 KB and 160 referrals of 150 bytes take 8.6 Mbit/s; a link has 10 Mbit/s.
+    constexpr std::size_t maxAnswers = 48;
+    constexpr std::size_t maxReferred = 160;
+    auto waiting = GENERATE(values<std::size_t>({ 1, 48, 49, 208, 1000 }));
+    CAPTURE(waiting);
+    PeerTable table({ "seed" }, { "dc-0" }, 1, GossipSettings {});
+    Discovery discovery(table, { "seed" }, { "dc-0" }, GossipSettings {});
+    for (std::size_t i = 0; i < waiting; ++i) {
+        Peer peer;
+        peer.gossipEndpoint_ = { "10.0." + std::to_string(i / 200) + "." + std::to_string(1 + i % 200), 7500 };
+        peer.dataCentre_ = { "dc-0" };
+        peer.incarnation_ = 1;
+        peer.receivedAt_ = start;
+        VmId vm { "node-" + std::to_string(i) };
+        (void)table.applyReport(vm, peer);
+        discovery.queueAnswer(vm);
+        discovery.queueAnswer(vm);
+    }
+    std::map<std::string, std::size_t> answered;
+    std::map<std::string, std::size_t> referred;
+    for (std::size_t sent = 0; sent < waiting; sent += maxAnswers) {
+        Discovery::Receivers receivers = discovery.receivers({});
+        CHECK(receivers.answered_.size() == std::min(maxAnswers, waiting - sent));
+        std::set<std::string> answeredNow;
+        for (const Endpoint& endpoint : receivers.answered_) {
+            ++answered[endpoint.toString()];
+            answeredNow.insert(endpoint.toString());
+        }
+        std::size_t referredNow = 0;
+        std::set<std::string> advertised;
+        for (const Discovery::Referral& referral : receivers.referrals_) {
+            CHECK_FALSE(referral.answered_.empty());
+            referredNow += referral.receivers_.size();
+            for (const Endpoint& endpoint : referral.receivers_) {
+                ++referred[endpoint.toString()];
+                CHECK(answered.count(endpoint.toString()) == 0);
+            }
+            for (const auto& [vm, peer] : referral.answered_) {
+                // A node that has no answer yet cannot advertise the relays.
+                CHECK(answeredNow.count(peer.gossipEndpoint_.toString()) == 1);
+                // One node would receive the introductions of all that wait.
+                CHECK(advertised.insert(vm.value_).second);
+            }
+        }
+        CHECK(referredNow <= maxReferred);
+    }
+    Discovery::Receivers receivers = discovery.receivers({});
+    CHECK(receivers.answered_.empty());
+    CHECK(receivers.referrals_.empty());
+    CHECK(answered.size() == waiting);
+    auto isOnce = [](const auto& entry) { return entry.second == 1; };
+    CHECK(std::all_of(answered.begin(), answered.end(), isOnce));
+    CHECK(std::all_of(referred.begin(), referred.end(), isOnce));
+    // Every node that is not answered in the first period is referred before its answer.
+    CHECK(referred.size() == waiting - std::min(waiting, maxAnswers));
+}
+
 // Hidden, since it takes half a minute; run as LargeFleetStartTests.
 TEST_CASE("a thousand nodes that start at the same time receive the sums of all others in time", "[.][thousand]")
 {
