Backends: samples of other nodes decide only in services above the sampling threshold

At 24 engines and fewer each node compares all engines and sees each of them often.

updateSpeeds() skips services with at most ChoiceSettings::samplingThreshold_ registered engines.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -483,7 +483,8 @@
     Occupancy occupancy(const ServiceName& service) const;
 
     /// Returns the factor by which \p id is slower than the median of its service's engines by the
-    /// samples of all nodes, as of the last choice; nullopt if there are too few samples.
+    /// samples of all nodes, as of the last choice; nullopt if there are too few samples, or not more
+    /// engines than ChoiceSettings::samplingThreshold_.
     std::optional<double> slowdownOf(const BackendId& id) const;
 
     /// Backend servers of a service that take new requests, of a target version and of
--- a/lib/Backends/EngineSpeeds.cpp
+++ b/lib/Backends/EngineSpeeds.cpp
@@ -97,8 +97,11 @@
     speedsUpdatedAt_ = now;
     bool hasPeers = now - peerLoadsAt_ <= settings_.peerLoadValidity_;
     std::map<ServiceName, std::vector<std::pair<Backend*, WaitSamples>>> services;
+    // In smaller services each node compares all engines and sees each of them often.
+    std::map<ServiceName, std::size_t> registered;
     for (auto& [id, backend] : backends_) {
         backend.slowdown_.reset();
+        ++registered[backend.record_.service_];
         WaitSamples samples = backend.waits_.at(now);
         if (hasPeers)
             samples.addReported(backend.peerLoad_);
@@ -106,6 +109,8 @@
             services[backend.record_.service_].emplace_back(&backend, samples);
     }
     for (const auto& [service, engines] : services) {
+        if (registered[service] <= settings_.samplingThreshold_)
+            continue;
         std::vector<WaitSamples> samples;
         for (const auto& [backend, ofBackend] : engines)
             samples.push_back(ofBackend);
