--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -311,6 +311,9 @@
     std::size_t samplingThreshold_ = 24;
     /// Number of servers in the random sample.
     std::size_t sampleSize_ = 4;
+    /// Whether nodes tell each other how long the engines' first bytes took, and judge the speeds
+    /// of engines by the samples of all nodes; see EngineSpeeds.
+    bool sharesEngineSpeeds_ = false;
     /// Number of different backend servers of a data centre that must fail, with no
     /// connection to or answer from any of its servers in between, before the data centre
     /// counts as unreachable. Without this rule a node whose data centre is partitioned
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -309,7 +309,8 @@
     std::map<BackendKey, BackendLoad> loads;
     for (const auto& [id, backend] : backends_) {
         BackendLoad load = backend.ownLoad_;
-        backend.waits_.at(now).putInto(load);
+        if (settings_.sharesEngineSpeeds_)
+            backend.waits_.at(now).putInto(load);
         if (load.running_ || load.waitSamples_)
             loads[backend.key_] = load;
     }
--- a/lib/Backends/EngineSpeeds.cpp
+++ b/lib/Backends/EngineSpeeds.cpp
@@ -92,7 +92,7 @@
 
 void BackendTable::updateSpeeds(SteadyTime now)
 {
-    if (now - speedsUpdatedAt_ < speedInterval)
+    if (!settings_.sharesEngineSpeeds_ || now - speedsUpdatedAt_ < speedInterval)
         return;
     speedsUpdatedAt_ = now;
     bool hasPeers = now - peerLoadsAt_ <= settings_.peerLoadValidity_;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -66,6 +66,12 @@
         map.reportUnknownKeys();
     }
 
+    void parseChoice(YamlMap map, ChoiceSettings& settings)
+    {
+        settings.sharesEngineSpeeds_ = map.flag("shared_engine_speeds", settings.sharesEngineSpeeds_);
+        map.reportUnknownKeys();
+    }
+
     void parseFeed(YamlMap map, FeedSettings& settings)
     {
         settings.configurationWait_ = map.duration("configuration_wait", milliseconds(50), oneMinute, settings.configurationWait_);
@@ -185,6 +191,8 @@
             parseFeed(std::move(*section), settings.feed_);
         if (auto section = map.map("fleet"))
             parseFleet(std::move(*section), settings.fleet_);
+        if (auto section = map.map("choice"))
+            parseChoice(std::move(*section), settings.choice_);
         if (auto section = map.map("forward"))
             parseForward(std::move(*section), settings.forward_);
         map.reportUnknownKeys();
--- a/unittests/Gateway/GatewaySettingsTest.cpp
+++ b/unittests/Gateway/GatewaySettingsTest.cpp
@@ -40,6 +40,8 @@
     trial_part: 0.6
     tolerated_bad: 40
     rollback_time: 4s
+  choice:
+    shared_engine_speeds: true
 )";
 
 TEST_CASE("valid settings of a gateway are read", "[gateway]")
@@ -56,6 +58,7 @@
     CHECK(settings->quarantine_.initialDuration_ == milliseconds(20000));
     CHECK(settings->quarantine_.organisationCapacity_ == 64);
     CHECK(settings->quarantine_.evidenceToQuarantine_ == 8);
+    CHECK(settings->choice_.sharesEngineSpeeds_);
     CHECK(settings->forward_.accept_.targetDelay_ == milliseconds(70));
     CHECK(settings->rollout_.exposedExtra_ == 50);
     CHECK(settings->rollout_.trialFraction_ == 0.6);
