Review: duties stay without a holder once their log has expired

Adds a script with a store that keeps 20 s of history: all gateway processes are killed, and the platform reclaims the engines of one zone after the other.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p built
-g++ -std=c++20 -O1 -pthread -Wall standin/length.cpp -o built/length
+for case in length duties; do
+  g++ -std=c++20 -O1 -pthread -Wall "standin/$case.cpp" -o "built/$case"
+done
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -13,6 +13,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
@@ -162,7 +163,7 @@
                 }
                 std::size_t colon = line.find(':');
                 if (colon != std::string::npos)
-                    message.fields_[lower(line.substr(0, colon))] = line.substr(line.find_first_not_of(' ', colon + 1));
+                    message.fields_[lower(line.substr(0, colon))] = line.substr(std::min(line.size(), line.find_first_not_of(' ', colon + 1)));
             }
             need = end + 4 + std::strtoul(message.field("content-length").c_str(), nullptr, 10);
         }
@@ -223,9 +224,14 @@
     return text;
 }
 
-/// The platform's store, a log, and its API for duties, which accepts every call.
+/// The platform's store, a log, and its API for duties, which accepts every call that no hook answers.
 class Platform {
 public:
+    /// How long the records of a topic stay, in seconds; see `keep_s` in PROTOCOL.md.
+    double keepS_ = 300;
+    /// Answers a call of the API for duties with a status.
+    std::function<int(const Message& request)> onDuty_;
+
     bool listen(const std::string& host, int port)
     {
         int listener = listenOn(host, port);
@@ -246,6 +252,11 @@
         std::string value_;
         std::size_t offset_;
     };
+    struct Log {
+        std::size_t first_ = 0;
+        std::deque<std::pair<double, std::string>> records_;
+        std::size_t end() const { return first_ + records_.size(); }
+    };
 
     void append(const std::string& topic, const std::string& record)
     {
@@ -253,11 +264,11 @@
             std::size_t length = static_cast<unsigned char>(record[0]);
             std::string key = record.substr(1, length);
             if (record.size() > 1 + length)
-                newest_[topic][key] = { record.substr(1 + length), logs_[topic].size() };
+                newest_[topic][key] = { record.substr(1 + length), logs_[topic].end() };
             else
                 newest_[topic].erase(key);
         }
-        logs_[topic].push_back(record);
+        logs_[topic].records_.emplace_back(now(), record);
         changed_.notify_all();
     }
 
@@ -276,11 +287,15 @@
         std::string target = request.word(1);
         auto query = queryOf(target);
         std::unique_lock lock(mutex_);
-        std::vector<std::string>& log = logs_[query["topic"]];
+        Log& log = logs_[query["topic"]];
+        while (!log.records_.empty() && now() - log.records_.front().first > keepS_) {
+            log.records_.pop_front();
+            ++log.first_;
+        }
         if (target.starts_with("/log-append")) {
-            if (query.contains("at") && std::stoul(query["at"]) != log.size())
-                return { 412, "{\"end\":" + std::to_string(log.size()) + "}" };
-            std::size_t offset = log.size();
+            if (query.contains("at") && std::stoul(query["at"]) != log.end())
+                return { 412, "{\"end\":" + std::to_string(log.end()) + "}" };
+            std::size_t offset = log.end();
             for (std::size_t at = 0; at + 4 <= request.body_.size();) {
                 std::size_t length = 0;
                 for (int i = 0; i < 4; ++i)
@@ -288,15 +303,19 @@
                 append(query["topic"], request.body_.substr(at + 4, length));
                 at += 4 + length;
             }
-            return { 200, "{\"offset\":" + std::to_string(offset) + ",\"end\":" + std::to_string(log.size()) + "}" };
+            return { 200, "{\"offset\":" + std::to_string(offset) + ",\"end\":" + std::to_string(log.end()) + "}" };
         }
         if (target.starts_with("/log-read")) {
             std::size_t from = std::stoul(query["from"]);
+            if (from < log.first_)
+                return { 410, "{\"first\":" + std::to_string(log.first_) + "}" };
             auto wait = std::chrono::milliseconds(query.contains("wait_ms") ? std::stoul(query["wait_ms"]) : 0);
-            changed_.wait_for(lock, wait, [&] { return log.size() > from; });
-            std::string body = bigEndian(log.size(), 8) + bigEndian(0, 8);
-            for (std::size_t i = from; i < log.size(); ++i)
-                body += bigEndian(log[i].size(), 4) + log[i];
+            changed_.wait_for(lock, wait, [&] { return log.end() > from; });
+            std::string body = bigEndian(log.end(), 8) + bigEndian(log.first_, 8);
+            for (std::size_t i = std::max(from, log.first_); i < log.end(); ++i) {
+                const std::string& record = log.records_[i - log.first_].second;
+                body += bigEndian(record.size(), 4) + record;
+            }
             return { 200, body };
         }
         if (target.starts_with("/log-newest")) {
@@ -306,9 +325,10 @@
                 body += std::string(isFirst ? "" : ",") + "{\"key\":\"" + key + "\",\"value\":\"" + base64(newest.value_) + "\",\"offset\":" + std::to_string(newest.offset_) + "}";
                 isFirst = false;
             }
-            return { 200, body + "],\"has_more\":false,\"end\":" + std::to_string(log.size()) + "}" };
+            return { 200, body + "],\"has_more\":false,\"end\":" + std::to_string(log.end()) + "}" };
         }
-        return { 200, "{}" };
+        lock.unlock();
+        return { onDuty_ ? onDuty_(request) : 200, "{}" };
     }
 
     void serve(int fd)
@@ -324,7 +344,7 @@
 
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::string, std::vector<std::string>> logs_;
+    std::map<std::string, Log> logs_;
     std::map<std::string, std::map<std::string, Newest>> newest_;
 };
 
@@ -340,6 +360,9 @@
     double workMs_ = 15;
     /// Answers instead of the normal answer if it returns true; the connection then closes.
     std::function<bool(int fd, const Message& request, const std::string& head, const std::string& body)> fault_;
+    /// Called when the server begins to run a request, with the id of the request before on the same
+    /// connection; empty for the first.
+    std::function<void(int fd, const std::string& before)> extra_;
     /// Called when the server begins to run a request, with its id.
     std::function<void(const std::string& id)> onRun_;
 
@@ -363,6 +386,7 @@
     void serve(int fd)
     {
         std::string buffer;
+        std::string before;
         Message request;
         while (readMessage(fd, buffer, request, now() + 10) == ReadEnd::Complete) {
             std::string id = request.field("X-Pistachioloom-Attempt-Id");
@@ -374,6 +398,9 @@
             record_->line("server %s runs %s", id_.c_str(), id.c_str());
             if (onRun_)
                 onRun_(id);
+            if (extra_)
+                extra_(fd, before);
+            before = id;
             pollfd closed { fd, POLLIN, 0 };
             if (poll(&closed, 1, static_cast<int>(workMs_)) > 0)
                 return;
