Review: an extra answer with status 421 makes a false promise

Adds a script in which a server sends extra answers with ids of their own where the next answer is expected, with the statuses that engines use, in turn.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p built
-for case in length duties; do
+for case in length foreign duties; do
   g++ -std=c++20 -O1 -pthread -Wall "standin/$case.cpp" -o "built/$case"
 done
