--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")"
 mkdir -p built
 for case in length foreign duties; do
-  g++ -std=c++20 -O1 -pthread -Wall "standin/$case.cpp" -o "built/$case"
+  g++ -std=c++20 -O1 -pthread -Wall "standin/$case.cc" -o "built/$case"
 done
--- a/review/standin/duties.cpp
+++ b/review/standin/duties.cc
@@ -1,7 +1,7 @@
 // Three gateways before model engines of which nearly all are reclaimable. The store keeps the records
 // of its topics for 20 s. All gateway processes are killed, and the platform reclaims the engines of
 // one zone after the other. See claim.txt beside run.sh.
-#include "standin.h"
+#include "standin.hh"
 
 #include <memory>
 
--- a/review/standin/foreign.cpp
+++ b/review/standin/foreign.cc
@@ -1,7 +1,7 @@
 // The first server sends an extra answer, which belongs to no request, where the next answer is
 // expected. Its id tells it apart.
 // See claim.txt beside run.sh.
-#include "small.h"
+#include "small.hh"
 
 using namespace review;
 
--- a/review/standin/length.cpp
+++ b/review/standin/length.cc
@@ -1,6 +1,6 @@
 // The first server spoils some of its answers: the digits of the length are repeated, and the answer
 // breaks off. See claim.txt beside run.sh.
-#include "small.h"
+#include "small.hh"
 
 using namespace review;
 
--- a/review/standin/small.h
+++ b/review/standin/small.hh
@@ -2,7 +2,7 @@
 // and clients on kept connections. A case adds the fault of the first server.
 #pragma once
 
-#include "standin.h"
+#include "standin.hh"
 
 #include <cmath>
 
@@ -166,7 +166,9 @@
             Message answer;
             ReadEnd end = readMessage(fd, buffer, answer, sentAt + deadlineMs / 1000.0);
             Outcome outcome { id, isKept, now() - sentAt, end, end == ReadEnd::Complete ? answer.status() : 0 };
-            record_.line("client gets %s: %s %d after %.0f ms", id, end == ReadEnd::Complete ? "answer" : end == ReadEnd::Closed ? "connection closed" : "nothing until its deadline", outcome.status_, outcome.lastedS_ * 1000);
+            record_.line("client gets %s: %s %d after %.0f ms", id, end == ReadEnd::Complete ? "answer" : end == ReadEnd::Closed ? "connection closed"
+                                                                                                                                 : "nothing until its deadline",
+                outcome.status_, outcome.lastedS_ * 1000);
             {
                 std::lock_guard lock(mutex_);
                 outcomes_.push_back(outcome);
--- a/review/standin/standin.h
+++ b/review/standin/standin.hh
@@ -502,13 +502,22 @@
     section("bounds.expose_share", "");
     section("seed_nodes", list);
     const std::map<std::string, std::string> fields {
-        { "node_name", gateway.name_ }, { "zone", gateway.zone_ }, { "ip_addr", gateway.host_ }, { "limits.cpu_frac", "0.25" },
-        { "platform.address", platform }, { "cloud_api.address", platform }, { "port_range.0", "7500" },
+        { "node_name", gateway.name_ },
+        { "zone", gateway.zone_ },
+        { "ip_addr", gateway.host_ },
+        { "limits.cpu_frac", "0.25" },
+        { "platform.address", platform },
+        { "cloud_api.address", platform },
+        { "port_range.0", "7500" },
         { "listen.front", gateway.host_ + ":" + std::to_string(Gateway::callersPort) },
         { "listen.ready", gateway.host_ + ":" + std::to_string(Gateway::readinessPort) },
         { "listen.control_addr", gateway.host_ + ":" + std::to_string(Gateway::controlPort) },
-        { "bounds.lease_ms", "3000" }, { "bounds.window_s", "5" }, { "bounds.grace_s", "8" }, { "bounds.retry_ratio", "0.2" },
-        { "bounds.budget_extra", "58" }, { "bounds.budget_window_s", "10" },
+        { "bounds.lease_ms", "3000" },
+        { "bounds.window_s", "5" },
+        { "bounds.grace_s", "8" },
+        { "bounds.retry_ratio", "0.2" },
+        { "bounds.budget_extra", "58" },
+        { "bounds.budget_window_s", "10" },
     };
     for (const auto& [name, value] : fields)
         text = replaceAll(text, "{{" + name + "}}", value);
