Forward: an exception fails only its request

Cause: asio::detached drops an exception that leaves a coroutine. The request was left without an answer, its connection stayed open, and the disconnect hook with its plain pointer outlived the forwarder. When the caller closed, the hook called into freed memory.

An exception while an answer is received now fails the attempt like a broken connection, and is logged with the request and the backend server. One elsewhere in a request is logged and resets the caller's connection. The hook holds a weak pointer.

--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -334,7 +334,10 @@
     context_.retries_.countRequest(shape_.service_, steadyNow());
     waitDeadline_ = SteadyTime::max();
     armTimer();
-    caller_->setDisconnectHook([this] { stop(StopReason::CallerDisconnected); });
+    caller_->setDisconnectHook([weak = weak_from_this()] {
+        if (auto forwarder = weak.lock())
+            forwarder->stop(StopReason::CallerDisconnected);
+    });
     co_await serve();
     caller_->setDisconnectHook(nullptr);
     isFinished_ = true;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -25,6 +25,12 @@
 // The maximum number of bytes per read from a backend server's connection.
 static constexpr std::size_t readSize = 4UL * 1024;
 
+static const Logger& logger()
+{
+    static const Logger logger("send");
+    return logger;
+}
+
 static std::string_view view(beast::string_view text)
 {
     return { text.data(), text.size() };
@@ -214,7 +220,13 @@
         armTimer();
     }
     startWriting(attempt);
-    SendOutcome end = co_await receive(attempt);
+    SendOutcome end = SendOutcome::Lost;
+    try {
+        end = co_await receive(attempt);
+    } catch (const std::exception& error) {
+        attempt.detail_ = std::string("exception:") + error.what();
+        logger().error(LogLine("Receiving an answer failed.").add("id", attemptId_).add("backend", attempt.choice_.backend_.id_.value_).add("why", error.what()));
+    }
     if (std::exchange(attempt.isWaiting_, false))
         context_.paths_.noteEnded(shape_.service_, attempt.sentAt_);
     waitDeadline_ = SteadyTime::max();
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -117,7 +117,13 @@
     CountGuard counted(context_.connections_);
     callers_.insert(caller);
     caller->start();
-    bool mayHaveAnswerInFlight = co_await serveRequests(caller);
+    bool mayHaveAnswerInFlight = false;
+    try {
+        mayHaveAnswerInFlight = co_await serveRequests(caller);
+    } catch (const std::exception& error) {
+        logger_.error(LogLine("Serving a request failed.").add("why", error.what()).add("peer", caller->peer()));
+        caller->reset();
+    }
     if (mayHaveAnswerInFlight)
         caller->shutdownSend();
     if (mayHaveAnswerInFlight && !caller->isDisconnected()) {
