Forward: a stated length no longer allocates memory

The limit of answers was compared only with bytes that had arrived.

ReceivedBody takes memory as bytes arrive, and an answer whose stated length exceeds the limit fails at its head.

Related paths: requests of callers are limited before their body is allocated, frames of peers by maxFrameSize, records of the store by the bytes that are there.

--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -11,8 +11,7 @@
 #include "CallerConnection.h"
 #include "ConnectionPool.h"
 #include "EventSplitter.h"
-
-#include <boost/beast/http.hpp>
+#include "pistachioloom/Answers.h"
 
 namespace pistachioloom {
 
@@ -60,7 +59,7 @@
     asio::awaitable<bool> run();
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
     /// One send to a backend server and its results.
     struct Attempt {
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -43,7 +43,7 @@
 }
 
 /// The fields of an answer that are forwarded to the caller.
-static HeaderFields fieldsOf(const http::response_parser<http::string_body>& parser, const ForwardHeaderNames& names)
+static HeaderFields fieldsOf(const http::response_parser<ReceivedBody>& parser, const ForwardHeaderNames& names)
 {
     HeaderFields fields;
     for (const auto& field : parser.get()) {
@@ -375,6 +375,11 @@
 
 asio::awaitable<SendOutcome> RequestForwarder::receiveFullAnswer(Attempt& attempt, Parser& parser)
 {
+    const ByteCount maxSize = context_.settings_.maxAnswerSize_;
+    if (!parser.is_done() && parser.content_length().value_or(0) > maxSize.value_) {
+        attempt.detail_ = "answer_too_large";
+        co_return SendOutcome::Lost;
+    }
     std::string body;
     while (!parser.is_done()) {
         if (auto code = co_await readSome(attempt, parser)) {
@@ -383,7 +388,7 @@
             co_return SendOutcome::Lost;
         }
         body.append(std::exchange(parser.get().body(), {}));
-        if (body.size() > context_.settings_.maxAnswerSize_.value_) {
+        if (body.size() > maxSize.value_) {
             attempt.detail_ = "answer_too_large";
             co_return SendOutcome::Lost;
         }
