Forward: an event without end is given up, and searched once

A stream whose event never ends was read until the deadline, without a bound on what was kept, and searched for the end of the event from its beginning with each read: 32 MB in reads of 1 KB took 58.6 s of processor time.

An event beyond 1 MB fails the attempt with event_too_large, so that a stream that may resume has time left.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -80,6 +80,8 @@
     /// The maximum size of a buffered answer. All answers except event streams are
     /// buffered.
     ByteCount maxAnswerSize_ { 8UL * 1024 * 1024 };
+    /// The maximum size of an event of a stream. Events are forwarded when they are complete.
+    ByteCount maxEventSize_ { 1024UL * 1024 };
     AcceptSettings accept_;
     /// The maximum number of callers' connections, so that descriptors are left for those to
     /// backend servers and peers.
--- a/lib/Forward/EventSplitter.cpp
+++ b/lib/Forward/EventSplitter.cpp
@@ -29,16 +29,29 @@
     return std::nullopt;
 }
 
-/// The position after the end of the first event of \p text, or npos.
-static std::size_t eventEnd(std::string_view text)
+// The blank line that ends an event, in both kinds of line ends.
+static constexpr std::string_view lfEnd = "\n\n";
+static constexpr std::string_view crlfEnd = "\r\n\r\n";
+
+/// The position after the end of the first event of \p text, or npos. The first \p scanned bytes
+/// do not contain this end.
+static std::size_t eventEnd(std::string_view text, std::size_t scanned)
+{
+    // An end may begin within the bytes that were searched.
+    std::size_t from = scanned - std::min(scanned, crlfEnd.size() - 1);
+    std::size_t lf = text.find(lfEnd, from);
+    // Of the other kind, only an end that begins earlier is searched for.
+    std::size_t limit = lf == std::string_view::npos ? lf : lf + crlfEnd.size() - 1;
+    std::size_t crlf = text.substr(0, limit).find(crlfEnd, from);
+    if (crlf != std::string_view::npos)
+        return crlf + crlfEnd.size();
+    return lf == std::string_view::npos ? lf : lf + lfEnd.size();
+}
+
+void EventSplitter::dropPartial()
 {
-    std::size_t lfEnd = text.find("\n\n");
-    std::size_t crlfEnd = text.find("\r\n\r\n");
-    if (lfEnd == std::string_view::npos && crlfEnd == std::string_view::npos)
-        return std::string_view::npos;
-    if (crlfEnd < lfEnd)
-        return crlfEnd + 4;
-    return lfEnd + 2;
+    partial_.clear();
+    scanned_ = 0;
 }
 
 std::string EventSplitter::feed(std::string_view bytes)
@@ -48,7 +61,7 @@
     std::size_t at = 0;
     while (!hasGap_) {
         std::string_view rest = std::string_view(partial_).substr(at);
-        std::size_t length = eventEnd(rest);
+        std::size_t length = eventEnd(rest, std::exchange(scanned_, 0));
         if (length == std::string_view::npos)
             break;
         std::string_view event = rest.substr(0, length);
@@ -65,6 +78,7 @@
         complete.append(event);
     }
     partial_.erase(0, at);
+    scanned_ = partial_.size();
     return complete;
 }
 
--- a/lib/Forward/EventSplitter.h
+++ b/lib/Forward/EventSplitter.h
@@ -26,16 +26,20 @@
     /// whose predecessor is missing sets hasGap().
     std::string feed(std::string_view bytes);
     /// Discards an incomplete event, because its stream broke off and another follows.
-    void dropPartial() { partial_.clear(); }
+    void dropPartial();
     /// The id of the newest event that the caller has.
     std::optional<std::uint64_t> last() const { return lastId_; }
     /// Whether an incomplete event is buffered.
     bool hasPartial() const { return !partial_.empty(); }
+    /// The size of the incomplete event.
+    ByteCount partialSize() const { return { partial_.size() }; }
     /// Whether an event is missing. No events are returned after the gap.
     bool hasGap() const { return hasGap_; }
 
 private:
     std::string partial_;
+    /// Bytes of the incomplete event that do not contain its end.
+    std::size_t scanned_ = 0;
     std::optional<std::uint64_t> lastId_;
     bool hasGap_ = false;
 };
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -426,6 +426,10 @@
             attempt.detail_ = "event_missing";
             co_return SendOutcome::Lost;
         }
+        if (eventSplitter_.partialSize() > context_.settings_.maxEventSize_) {
+            attempt.detail_ = "event_too_large";
+            co_return SendOutcome::Lost;
+        }
         if (events.empty())
             continue;
         noteFirstByte(attempt);
--- a/unittests/Forward/ForwardTest.cpp
+++ b/unittests/Forward/ForwardTest.cpp
@@ -107,6 +107,8 @@
     auto row = GENERATE(values<Row>({
         { "one piece", {}, { "id: 1\ndata: a\n\n" }, "id: 1\ndata: a\n\n", false, false },
         { "divided", {}, { "id: 1\nda", "ta: a\n", "\nid: 2" }, "id: 1\ndata: a\n\n", true, false },
+        { "divided within its end", {}, { "id: 1\r\n", "\r", "\nid: 2\n", "\n" }, "id: 1\r\n\r\nid: 2\n\n", false, false },
+        { "both kinds of ends", {}, { "id: 1\r\n\r\n\nid: 2\n\n" }, "id: 1\r\n\r\n\nid: 2\n\n", false, false },
         { "carriage returns", {}, { "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n" }, "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", false, false },
         { "duplicate", 2, { "id: 2\ndata: a\n\nid: 3\ndata: b\n\n" }, "id: 3\ndata: b\n\n", false, false },
         { "gap at the start", 2, { "id: 4\ndata: a\n\n" }, "", false, true },
@@ -124,6 +126,21 @@
         CHECK(splitter.hasPartial() == row.hasPartial_);
 }
 
+// Guards against an event that is searched for its end from its beginning with each read.
+TEST_CASE("the time to read an event grows with its size only", "[forward]")
+{
+    constexpr std::size_t readSize = 1024;
+    constexpr std::size_t reads = 32UL * 1024;
+    const std::string bytes(readSize, 'x');
+    EventSplitter splitter(std::nullopt);
+    SteadyTime startedAt = steadyNow();
+    for (std::size_t i = 0; i < reads; ++i)
+        REQUIRE(splitter.feed(bytes).empty());
+    CHECK(splitter.partialSize().value_ == reads * readSize);
+    CHECK(splitter.feed("\n\n").size() == reads * readSize + 2);
+    CHECK(steadyNow() - startedAt < std::chrono::seconds(5));
+}
+
 TEST_CASE("an incomplete event is not joined to the events of another engine", "[forward]")
 {
     EventSplitter splitter(std::nullopt);
