Forward: answers without end fail in time and in bounded memory

A backend server could send a chunk size, a chunk extension or trailers without end: the parser needs them as a whole, and the buffer had no limit. Interim answers were read until the deadline, since each started the limit of the head anew.

AnswerReader parses answers without input or output. It bounds the head together with the interim answers before it, and what the parser cannot use before more bytes arrive, to 16 KB each. What can no longer become an answer fails at once.

FuzzTests: answers are parsed the same however they are split.

--- a/include/pistachioloom/Answers.h
+++ b/include/pistachioloom/Answers.h
@@ -1,14 +1,17 @@
-//===- pistachioloom/Answers.h - parsing of answers ------------------------===//
+//===- pistachioloom/Answers.h - parsing of answers in bounded memory ------===//
 ///
 /// \file
-/// Parts for parsing HTTP/1.1 answers of servers that may be faulty. No memory is allocated for a
-/// length that is only stated.
+/// Parses HTTP/1.1 answers without input or output. A faulty server may send any bytes and
+/// never stop, so what is kept of them is bounded, and no memory is allocated for a length
+/// that is only stated.
 //===----------------------------------------------------------------------===//
 #pragma once
 
 #include "pistachioloom/Support.h"
 
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace pistachioloom {
 
@@ -46,4 +49,71 @@
     // NOLINTEND(readability-identifier-naming)
 };
 
+/// Limits of one answer, in bytes.
+struct AnswerBounds {
+    /// The head, together with the interim answers before it.
+    ByteCount head_ { 16UL * 1024 };
+    /// The line before a chunk, or the last chunk with the trailers.
+    ByteCount framing_ { 16UL * 1024 };
+};
+
+/// Whether a body follows the head. It does not in answers to HEAD.
+enum class BodyFollows {
+    Yes,
+    No,
+};
+
+/// Parses one answer. Interim answers (1xx) before it are skipped.
+class AnswerReader {
+public:
+    using Input = boost::beast::flat_buffer;
+    using Parser = boost::beast::http::response_parser<ReceivedBody>;
+
+    enum class Progress {
+        /// More bytes are needed.
+        NeedsMore,
+        /// A head, a part of the body or the end of the answer has been parsed.
+        Advanced,
+        /// The bytes are no answer, or exceed a bound; see error().
+        Bad,
+    };
+
+    explicit AnswerReader(AnswerBounds bounds, BodyFollows bodyFollows = BodyFollows::Yes);
+
+    /// Parses bytes of \p input and removes them. Bytes after the answer stay there.
+    Progress parse(Input& input);
+    /// Ends the answer because the server has closed the connection in order. \returns an error
+    /// if the answer is incomplete.
+    boost::beast::error_code finish();
+    /// Limits the rest of the body to \p limit. Call this after the head has been parsed.
+    /// \returns Progress::Bad if the stated length is larger, or else Progress::Advanced.
+    Progress limitBody(ByteCount limit);
+
+    /// Whether the head of an answer, possibly an interim one, has been parsed.
+    bool hasAnyHead() const { return hasInterimHead_ || hasHead(); }
+    bool hasHead() const { return parser_->is_header_done(); }
+    bool isComplete() const { return parser_->is_done(); }
+    /// Whether the end of the connection ends the answer, since it states no length.
+    bool endsWithConnection() const { return parser_->need_eof(); }
+    const boost::beast::error_code& error() const { return error_; }
+    /// The head and the body received so far, which may be moved from.
+    Parser::value_type& message() { return parser_->get(); }
+    const Parser::value_type& message() const { return parser_->get(); }
+
+private:
+    void startHead();
+    Progress endHead();
+    Progress checkUnparsed(const Input& input);
+    Progress fail(const boost::beast::error_code& code);
+
+    AnswerBounds bounds_;
+    BodyFollows bodyFollows_;
+    /// Replaced after an interim answer.
+    std::optional<Parser> parser_;
+    /// Bytes of heads that were parsed, of interim answers too.
+    std::size_t headSize_ = 0;
+    bool hasInterimHead_ = false;
+    boost::beast::error_code error_;
+};
+
 } // namespace pistachioloom
--- /dev/null
+++ b/lib/Answers/AnswerReader.cpp
@@ -0,0 +1,99 @@
+//===- lib/Answers/AnswerReader.cpp - parsing of answers -------------------===//
+///
+/// \file
+/// See Answers.h.
+//===----------------------------------------------------------------------===//
+#include "pistachioloom/Answers.h"
+
+namespace pistachioloom {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+AnswerReader::AnswerReader(AnswerBounds bounds, BodyFollows bodyFollows)
+    : bounds_(bounds)
+    , bodyFollows_(bodyFollows)
+{
+    startHead();
+}
+
+void AnswerReader::startHead()
+{
+    parser_.emplace();
+    // The parser's limit would start anew after an interim answer, and that of the body depends
+    // on the head.
+    parser_->header_limit(static_cast<std::uint32_t>(bounds_.head_.value_) + 1);
+    parser_->body_limit(boost::none);
+    parser_->skip(bodyFollows_ == BodyFollows::No);
+}
+
+AnswerReader::Progress AnswerReader::fail(const beast::error_code& code)
+{
+    error_ = code;
+    return Progress::Bad;
+}
+
+AnswerReader::Progress AnswerReader::endHead()
+{
+    if (parser_->get().result_int() / 100 == 1) {
+        hasInterimHead_ = true;
+        startHead();
+    } else
+        parser_->eager(true);
+    return Progress::Advanced;
+}
+
+/// Checks the size of what the parser cannot use before more bytes arrive.
+AnswerReader::Progress AnswerReader::checkUnparsed(const Input& input)
+{
+    if (!hasHead() && headSize_ + input.size() > bounds_.head_.value_)
+        return fail(http::error::header_limit);
+    if (hasHead() && input.size() > bounds_.framing_.value_)
+        return fail(http::error::buffer_overflow);
+    return Progress::NeedsMore;
+}
+
+AnswerReader::Progress AnswerReader::parse(Input& input)
+{
+    while (input.size() && !isComplete()) {
+        const bool hadHead = hasHead();
+        const std::size_t bodySize = parser_->get().body().size();
+        beast::error_code code;
+        std::size_t taken = parser_->put(input.data(), code);
+        input.consume(taken);
+        if (!hadHead)
+            headSize_ += taken;
+        if (code && code != http::error::need_more)
+            return fail(code);
+        if (headSize_ > bounds_.head_.value_)
+            return fail(http::error::header_limit);
+        if (!hadHead && hasHead())
+            return endHead();
+        if (isComplete() || parser_->get().body().size() > bodySize)
+            return Progress::Advanced;
+        if (code == http::error::need_more || !taken)
+            break;
+    }
+    return isComplete() ? Progress::Advanced : checkUnparsed(input);
+}
+
+beast::error_code AnswerReader::finish()
+{
+    if (!parser_->got_some())
+        return http::error::end_of_stream;
+    beast::error_code code;
+    parser_->put_eof(code);
+    return code;
+}
+
+AnswerReader::Progress AnswerReader::limitBody(ByteCount limit)
+{
+    parser_->body_limit(limit.value_);
+    auto length = parser_->content_length();
+    // An answer without a body may state the length of the body that GET would return.
+    if (length && *length > limit.value_ && !isComplete())
+        return fail(http::error::body_limit);
+    return Progress::Advanced;
+}
+
+} // namespace pistachioloom
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -59,8 +59,6 @@
     asio::awaitable<bool> run();
 
 private:
-    using Parser = boost::beast::http::response_parser<ReceivedBody>;
-
     /// One send to a backend server and its results.
     struct Attempt {
         BackendChoice choice_;
@@ -144,9 +142,9 @@
     asio::awaitable<SendOutcome> connectThroughPeer(Attempt& attempt);
     bool mayConnect(const BackendId& backend) const;
     asio::awaitable<SendOutcome> receive(Attempt& attempt);
-    asio::awaitable<SendOutcome> receiveFullAnswer(Attempt& attempt, Parser& parser);
-    asio::awaitable<SendOutcome> forwardEvents(Attempt& attempt, Parser& parser);
-    asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, Parser& parser);
+    asio::awaitable<SendOutcome> receiveFullAnswer(Attempt& attempt, AnswerReader& reader);
+    asio::awaitable<SendOutcome> forwardEvents(Attempt& attempt, AnswerReader& reader);
+    asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, AnswerReader& reader);
     bool mayRetry(SendOutcome end);
     /// The answer to a request that would have to wait for too long; see Admission.h.
     std::optional<HeldAnswer> rejectLongWait(const BackendChoice& choice);
@@ -182,13 +180,14 @@
     void logQuarantined(const Quarantine& quarantine);
     void logRejection(const HeldAnswer& answer) const;
     void addCapacityInputs(LogLine& line) const;
-    std::optional<SendOutcome> checkAnswerHead(Attempt& attempt, const Parser& parser);
+    std::optional<SendOutcome> checkAnswerHead(Attempt& attempt, const AnswerReader& reader);
     /// Records the conditions that an answer states of its backend server.
-    void noteBackendState(Attempt& attempt, const Parser& parser);
+    void noteBackendState(Attempt& attempt, const AnswerReader& reader);
     void startWriting(Attempt& attempt);
     std::string renderRequestHead(const BackendRecord& backend) const;
+    void noteAnswering(Attempt& attempt);
     void noteFirstByte(Attempt& attempt);
-    void releaseConnection(Attempt& attempt, const Parser& parser);
+    void releaseConnection(Attempt& attempt, const AnswerReader& reader);
 
     // Answers to the caller.
     asio::awaitable<bool> deliver(HeldAnswer answer);
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -43,10 +43,10 @@
 }
 
 /// The fields of an answer that are forwarded to the caller.
-static HeaderFields fieldsOf(const http::response_parser<ReceivedBody>& parser, const ForwardHeaderNames& names)
+static HeaderFields fieldsOf(const AnswerReader& reader, const ForwardHeaderNames& names)
 {
     HeaderFields fields;
-    for (const auto& field : parser.get()) {
+    for (const auto& field : reader.message()) {
         std::string_view name = view(field.name_string());
         if (!equalWithoutCase(name, names.leaving_) && !equalWithoutCase(name, names.limit_) && !equalWithoutCase(name, names.brittle_))
             fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
@@ -243,38 +243,31 @@
     co_return end;
 }
 
-/// Reads until the body has grown or the message is complete. The library's read_some
-/// reads until the message is complete, which delays events by up to the length of
-/// their stream.
-asio::awaitable<beast::error_code> RequestForwarder::readSome(Attempt& attempt, Parser& parser)
+/// Reads until a head, a part of the body or the end of the answer has been parsed.
+asio::awaitable<beast::error_code> RequestForwarder::readSome(Attempt& attempt, AnswerReader& reader)
 {
-    beast::flat_buffer& buffer = attempt.connection_->buffer_;
+    beast::flat_buffer& input = attempt.connection_->buffer_;
     for (;;) {
-        beast::error_code code;
-        if (buffer.size())
-            buffer.consume(parser.put(buffer.data(), code));
-        if (code && code != http::error::need_more)
-            co_return code;
-        if (parser.is_done() || !parser.get().body().empty())
+        AnswerReader::Progress progress = reader.parse(input);
+        if (progress == AnswerReader::Progress::Bad)
+            co_return reader.error();
+        if (progress == AnswerReader::Progress::Advanced)
             co_return beast::error_code {};
         bool isReceiveBufferEmpty = attempt.connection_->isReceiveBufferEmpty();
-        auto [readCode, count] = co_await attempt.connection_->async_read_some(buffer.prepare(readSize), asTuple);
+        auto [code, count] = co_await attempt.connection_->async_read_some(input.prepare(readSize), asTuple);
         if (isReceiveBufferEmpty)
             attempt.connection_->arrivedAt_ = steadyNow();
-        if (readCode == asio::error::eof) {
-            // An answer without a length ends here. Any other answer is cut off.
-            parser.put_eof(code);
+        if (code == asio::error::eof)
+            co_return reader.finish();
+        if (code)
             co_return code;
-        }
-        if (readCode)
-            co_return readCode;
-        buffer.commit(count);
+        input.commit(count);
     }
 }
 
-void RequestForwarder::noteBackendState(Attempt& attempt, const Parser& parser)
+void RequestForwarder::noteBackendState(Attempt& attempt, const AnswerReader& reader)
 {
-    const auto& message = parser.get();
+    const auto& message = reader.message();
     // With status 421 another backend server answers, which now has the address of the
     // intended one.
     if (message.result_int() == 421)
@@ -295,9 +288,9 @@
 }
 
 /// \returns the outcome if the head alone determines it, or nullopt to continue reading.
-std::optional<SendOutcome> RequestForwarder::checkAnswerHead(Attempt& attempt, const Parser& parser)
+std::optional<SendOutcome> RequestForwarder::checkAnswerHead(Attempt& attempt, const AnswerReader& reader)
 {
-    const auto& message = parser.get();
+    const auto& message = reader.message();
     int status = static_cast<int>(message.result_int());
     if (status == 421) {
         attempt.detail_ = "wrong_instance";
@@ -322,38 +315,36 @@
     return std::nullopt;
 }
 
+/// Records that the backend server has begun to answer, possibly with an interim answer.
+void RequestForwarder::noteAnswering(Attempt& attempt)
+{
+    if (!attempt.isRelayed_)
+        context_.backends_.noteReachable(attempt.choice_.backend_.id_);
+    context_.crashes_.noteAlive({ keyOf(attempt.choice_.backend_.id_) });
+    if (std::exchange(attempt.isWaiting_, false))
+        context_.paths_.noteAnswered(shape_.service_, attempt.sentAt_, steadyNow());
+}
+
 asio::awaitable<SendOutcome> RequestForwarder::receive(Attempt& attempt)
 {
-    for (;;) {
-        Parser parser;
-        parser.body_limit(boost::none);
-        if (isHead())
-            parser.skip(true);
-        // An event stream is forwarded as it arrives. All other answers are read completely.
-        parser.eager(false);
-        auto [code, count] = co_await http::async_read_header(*attempt.connection_, attempt.connection_->buffer_, parser, asTuple);
-        if (code) {
+    AnswerReader reader(AnswerBounds {}, isHead() ? BodyFollows::No : BodyFollows::Yes);
+    while (!reader.hasHead()) {
+        if (auto code = co_await readSome(attempt, reader)) {
             attempt.detail_ = "head:" + code.message();
             attempt.isCutOff_ = isDisconnect(code);
             co_return SendOutcome::Lost;
         }
-        attempt.connection_->arrivedAt_ = steadyNow();
-        if (!attempt.isRelayed_)
-            context_.backends_.noteReachable(attempt.choice_.backend_.id_);
-        context_.crashes_.noteAlive({ keyOf(attempt.choice_.backend_.id_) });
-        if (std::exchange(attempt.isWaiting_, false))
-            context_.paths_.noteAnswered(shape_.service_, attempt.sentAt_, steadyNow());
-        if (parser.get().result_int() / 100 == 1)
-            continue;
-        noteBackendState(attempt, parser);
-        if (auto decided = checkAnswerHead(attempt, parser))
-            co_return *decided;
-        parser.eager(true);
-        bool isSuccess = parser.get().result_int() / 100 == 2;
-        if (route_->isStream_ && isSuccess && !isHead())
-            co_return co_await forwardEvents(attempt, parser);
-        co_return co_await receiveFullAnswer(attempt, parser);
+        noteAnswering(attempt);
     }
+    attempt.connection_->arrivedAt_ = steadyNow();
+    noteBackendState(attempt, reader);
+    if (auto decided = checkAnswerHead(attempt, reader))
+        co_return *decided;
+    bool isSuccess = reader.message().result_int() / 100 == 2;
+    // An event stream is forwarded as it arrives. All other answers are read completely.
+    if (route_->isStream_ && isSuccess && !isHead())
+        co_return co_await forwardEvents(attempt, reader);
+    co_return co_await receiveFullAnswer(attempt, reader);
 }
 
 void RequestForwarder::noteFirstByte(Attempt& attempt)
@@ -373,31 +364,23 @@
         context_.hooks_.onStarted_(organisation_->name_);
 }
 
-asio::awaitable<SendOutcome> RequestForwarder::receiveFullAnswer(Attempt& attempt, Parser& parser)
+asio::awaitable<SendOutcome> RequestForwarder::receiveFullAnswer(Attempt& attempt, AnswerReader& reader)
 {
-    const ByteCount maxSize = context_.settings_.maxAnswerSize_;
-    if (!parser.is_done() && parser.content_length().value_or(0) > maxSize.value_) {
-        attempt.detail_ = "answer_too_large";
+    beast::error_code code;
+    if (reader.limitBody(context_.settings_.maxAnswerSize_) == AnswerReader::Progress::Bad)
+        code = reader.error();
+    while (!code && !reader.isComplete())
+        code = co_await readSome(attempt, reader);
+    if (code) {
+        attempt.detail_ = code == http::error::body_limit ? "answer_too_large" : "body:" + code.message();
+        attempt.isCutOff_ = isDisconnect(code);
         co_return SendOutcome::Lost;
     }
-    std::string body;
-    while (!parser.is_done()) {
-        if (auto code = co_await readSome(attempt, parser)) {
-            attempt.detail_ = "body:" + code.message();
-            attempt.isCutOff_ = isDisconnect(code);
-            co_return SendOutcome::Lost;
-        }
-        body.append(std::exchange(parser.get().body(), {}));
-        if (body.size() > maxSize.value_) {
-            attempt.detail_ = "answer_too_large";
-            co_return SendOutcome::Lost;
-        }
-    }
     noteFirstByte(attempt);
-    attempt.endsWithConnection_ = parser.need_eof();
-    HeldAnswer answer { static_cast<int>(parser.get().result_int()), fieldsOf(parser, context_.names_), std::move(body) };
+    attempt.endsWithConnection_ = reader.endsWithConnection();
+    HeldAnswer answer { static_cast<int>(reader.message().result_int()), fieldsOf(reader, context_.names_), std::move(reader.message().body()) };
     latestStatus_ = answer.status_;
-    releaseConnection(attempt, parser);
+    releaseConnection(attempt, reader);
     bool isServerFailure = answer.status_ >= 500;
     if (isServerFailure && route_->mayRepeat()) {
         // Another backend server may succeed. If no retry is possible, this answer is delivered.
@@ -409,19 +392,19 @@
     co_return isWritten ? SendOutcome::Delivered : SendOutcome::Stopped;
 }
 
-asio::awaitable<SendOutcome> RequestForwarder::forwardEvents(Attempt& attempt, Parser& parser)
+asio::awaitable<SendOutcome> RequestForwarder::forwardEvents(Attempt& attempt, AnswerReader& reader)
 {
-    HeaderFields fields = fieldsOf(parser, context_.names_);
+    HeaderFields fields = fieldsOf(reader, context_.names_);
     // The previous engine's stream may have ended within an event.
     eventSplitter_.dropPartial();
-    latestStatus_ = static_cast<int>(parser.get().result_int());
-    while (!parser.is_done()) {
-        if (auto code = co_await readSome(attempt, parser)) {
+    latestStatus_ = static_cast<int>(reader.message().result_int());
+    while (!reader.isComplete()) {
+        if (auto code = co_await readSome(attempt, reader)) {
             attempt.isCutOff_ = isDisconnect(code);
             co_return co_await handleStreamBreak(attempt, code);
         }
-        std::string events = eventSplitter_.feed(parser.get().body());
-        parser.get().body().clear();
+        std::string events = eventSplitter_.feed(reader.message().body());
+        reader.message().body().clear();
         if (eventSplitter_.hasGap()) {
             attempt.detail_ = "event_missing";
             co_return SendOutcome::Lost;
@@ -449,12 +432,12 @@
         if (shouldMove(attempt))
             startMove(attempt);
     }
-    attempt.endsWithConnection_ = parser.need_eof();
+    attempt.endsWithConnection_ = reader.endsWithConnection();
     if (eventSplitter_.hasPartial()) {
         attempt.isCutOff_ = attempt.endsWithConnection_;
         co_return co_await handleStreamBreak(attempt, http::error::partial_message);
     }
-    releaseConnection(attempt, parser);
+    releaseConnection(attempt, reader);
     if (!hasStartedAnswer_ && !co_await startEvents(fields))
         co_return SendOutcome::Stopped;
     if (request_.isHttp10_)
@@ -465,15 +448,15 @@
 }
 
 /// Returns the connection to the pool if it is reusable, and closes it otherwise.
-void RequestForwarder::releaseConnection(Attempt& attempt, const Parser& parser)
+void RequestForwarder::releaseConnection(Attempt& attempt, const AnswerReader& reader)
 {
     BackendConnectionPtr connection = std::move(attempt.connection_);
     currentConnection_ = nullptr;
-    if (connection->relayed_ || !parser.get().keep_alive() || parser.need_eof() || connection->isWriting_ || connection->buffer_.size()) {
+    if (connection->relayed_ || !reader.message().keep_alive() || reader.endsWithConnection() || connection->isWriting_ || connection->buffer_.size()) {
         connection->close();
         return;
     }
-    connection->usableUntil_ = connection->arrivedAt_ + usableIdle(view(parser.get()[http::field::keep_alive]), context_.settings_);
+    connection->usableUntil_ = connection->arrivedAt_ + usableIdle(view(reader.message()[http::field::keep_alive]), context_.settings_);
     if (connection->usableUntil_ <= steadyNow()) {
         connection->close();
         return;
--- a/test/Harness/Process.cpp
+++ b/test/Harness/Process.cpp
@@ -193,6 +193,17 @@
     return { resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)) };
 }
 
+ByteCount Process::peakMemory() const
+{
+    std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+    const std::string name = "VmHWM:";
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(name))
+            return { std::stoull(line.substr(name.size())) * 1024 };
+    }
+    return {};
+}
+
 std::pair<int, std::string> runToEnd(const std::string& program, const std::vector<std::string>& arguments)
 {
     Spawned spawned = spawn(program, arguments, {});
--- a/test/Harness/Process.h
+++ b/test/Harness/Process.h
@@ -40,6 +40,8 @@
     std::chrono::microseconds processorTime() const;
     /// Resident memory of the process.
     ByteCount residentMemory() const;
+    /// The largest resident memory of the process so far; 0 if it has ended.
+    ByteCount peakMemory() const;
 
 private:
     pid_t id_ = -1;
--- a/test/LostPathsTest.cpp
+++ b/test/LostPathsTest.cpp
@@ -35,13 +35,13 @@
 public:
     explicit DeploymentWithPaths(std::size_t gateways)
         : paths_(gateways)
-        , deployment_(optionsFor(gateways))
+        , deployment_(optionsWithViews(gateways))
     {
         for (std::size_t i = 0; i < gateways; ++i) {
             json::object addresses;
             for (const char* backend : backends)
                 addresses[backend] = paths_[i].endpoint(paths_[i].add()).toString();
-            deployment_.control({ { "view", vmOf(i) }, { "view_addresses", addresses } });
+            deployment_.setView(deployment_.gateways()[i], addresses);
         }
         deployment_.startStandardServices();
         for (PathProxies& paths : paths_) {
@@ -54,23 +54,6 @@
     PathProxies& pathsOf(std::size_t gateway) { return paths_[gateway]; }
 
 private:
-    static std::string vmOf(std::size_t index) { return "node-" + std::to_string(index + 1); }
-    static GatewayDeploymentOptions optionsFor(std::size_t gateways)
-    {
-        GatewayDeploymentOptions options;
-        options.gatewayCount_ = gateways;
-        options.dataCentreCount_ = gateways;
-        options.platformEndpointFor_ = [](const std::string& vm, const Endpoint& platform) {
-            HttpRequest request { "POST", "/control", {}, json::serialize(json::object { { "view", vm } }) };
-            auto answer = callHttpBlocking(platform, request, milliseconds(5000));
-            if (!answer)
-                throw std::runtime_error(describe(answer.error()));
-            json::object body = parseJsonObject(answer.value().body_).value_or(json::object {});
-            return Endpoint { "127.0.0.1", static_cast<std::uint16_t>(numberField(body, "view_port")) };
-        };
-        return options;
-    }
-
     std::vector<PathProxies> paths_;
     GatewayDeployment deployment_;
 };
--- a/test/Platform/GatewayDeployment.cpp
+++ b/test/Platform/GatewayDeployment.cpp
@@ -35,6 +35,22 @@
 
 } // namespace
 
+GatewayDeploymentOptions optionsWithViews(std::size_t gatewayCount)
+{
+    GatewayDeploymentOptions options;
+    options.gatewayCount_ = gatewayCount;
+    options.dataCentreCount_ = gatewayCount;
+    options.platformEndpointFor_ = [](const std::string& vm, const Endpoint& platform) {
+        HttpRequest request { "POST", "/control", {}, json::serialize(json::object { { "view", vm } }) };
+        auto answer = callHttpBlocking(platform, request, callTimeout);
+        if (!answer)
+            throw std::runtime_error(describe(answer.error()));
+        json::object body = parseJsonObject(answer.value().body_).value_or(json::object {});
+        return Endpoint { "127.0.0.1", static_cast<std::uint16_t>(numberField(body, "view_port")) };
+    };
+    return options;
+}
+
 GatewayDeployment::GatewayDeployment(std::size_t count)
     : GatewayDeployment(GatewayDeploymentOptions { count, 1, {}, {} })
 {
@@ -125,6 +141,11 @@
     registerBackend(id, service, address, "draining");
 }
 
+void GatewayDeployment::setView(const Gateway& gateway, const json::object& addresses) const
+{
+    control({ { "view", gateway.vm_ }, { "view_addresses", addresses } });
+}
+
 void GatewayDeployment::registerBackend(const std::string& id, const std::string& service, const std::string& address, const char* phase) const
 {
     json::object value { { "service", service }, { "address", address }, { "zone", "a" }, { "version", "v1" }, { "slot_count", 8 }, { "phase", phase }, { "cold_left_ms", 0 }, { "call_seq", 1 } };
--- a/test/Platform/GatewayDeployment.h
+++ b/test/Platform/GatewayDeployment.h
@@ -24,6 +24,10 @@
     std::function<std::string(const std::string& vm)> extraSettings_;
 };
 
+/// Options for gateways in data centres of their own. Each reads the list of backend servers
+/// through a view of its own, in which GatewayDeployment::setView() replaces addresses.
+GatewayDeploymentOptions optionsWithViews(std::size_t gatewayCount);
+
 /// Gateways and the stand-in of the users' platform, as child processes.
 class GatewayDeployment {
 public:
@@ -57,6 +61,9 @@
     void startBackend(const std::string& id, const std::string& service);
     /// Registers backend server \p id as leaving.
     void setLeaving(const std::string& id, const std::string& service, const std::string& address) const;
+    /// Sets the addresses of backend servers, by id, that \p gateway reads. Needs the options of
+    /// optionsWithViews().
+    void setView(const Gateway& gateway, const boost::json::object& addresses) const;
     /// Registers \p id at \p address on behalf of the backend server, with the start time
     /// of its running process if there is one.
     void registerBackend(const std::string& id, const std::string& service, const std::string& address, const char* phase) const;
--- a/unittests/Fuzz/FuzzTest.cpp
+++ b/unittests/Fuzz/FuzzTest.cpp
@@ -10,6 +10,7 @@
 #include "ReportAggregator.h"
 #include "RequestReader.h"
 #include "SuspectMessages.h"
+#include "pistachioloom/Answers.h"
 #include "platform/Platform.h"
 #include "platform/Records.h"
 
@@ -71,8 +72,44 @@
     return events;
 }
 
+/// Parses an answer that arrives in \p pieces. \returns its body, or nullopt if it is invalid or
+/// incomplete: invalid bytes may be found only when more have arrived.
+std::optional<std::string> parseAnswer(const std::vector<std::string>& pieces)
+{
+    AnswerReader reader(AnswerBounds {});
+    AnswerReader::Input input;
+    for (const std::string& piece : pieces) {
+        input.commit(boost::asio::buffer_copy(input.prepare(piece.size()), boost::asio::buffer(piece)));
+        auto progress = AnswerReader::Progress::Advanced;
+        while (progress == AnswerReader::Progress::Advanced && !reader.isComplete())
+            progress = reader.parse(input);
+        if (progress == AnswerReader::Progress::Bad)
+            return std::nullopt;
+    }
+    if (!reader.isComplete())
+        return std::nullopt;
+    return std::move(reader.message().body());
+}
+
 } // namespace
 
+TEST_CASE("answers are parsed the same however they are split", "[fuzz]")
+{
+    Mutator mutator(seed(), {
+                                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\n\r\n",
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n",
+                                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+                                "HTTP/1.0 500 Error\r\nConnection: close\r\n\r\nuntil the end",
+                            });
+    for (std::uint64_t run = 0; run < runCount(); ++run) {
+        std::string bytes = mutator.next();
+        CAPTURE(run, bytes);
+        auto unsplit = parseAnswer({ bytes });
+        REQUIRE(unsplit == parseAnswer(mutator.splitRandomly(bytes)));
+    }
+}
+
 TEST_CASE("requests are parsed the same however they are split, within the bounds", "[fuzz]")
 {
     Mutator mutator(seed(), {
