Http: calls limit what they read

callHttp(), which calls engines about KV caches, the store and the platform, had no limit of a body, and its time limit grows with the bytes received, so that a fast body without end was read until the memory was used up. Chunk extensions and trailers had no limit either.

The client parses answers with AnswerReader. Interim answers are skipped and no longer taken for the answer.

--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -133,6 +133,9 @@
     std::shared_ptr<State> state_;
 };
 
+/// The maximum size of a response's body that is read as a whole.
+inline constexpr ByteCount defaultMaxAnswerSize { 8UL * 1024 * 1024 };
+
 /// Reads the body of a response incrementally.
 class HttpBodyReader {
 public:
@@ -143,9 +146,10 @@
     /// body. An error means that the body is incomplete. \p timeout limits each read from
     /// the connection.
     virtual asio::awaitable<Result<std::optional<std::string>>> readLine(milliseconds timeout) = 0;
-    /// Reads the rest of the body. Fails if nothing arrives for \p timeout, or if the body
-    /// takes longer than \p timeout and the time of the bytes received at minBodyRate.
-    virtual asio::awaitable<Result<std::string>> readAll(milliseconds timeout) = 0;
+    /// Reads the rest of the body. Fails if nothing arrives for \p timeout, if the body
+    /// takes longer than \p timeout and the time of the bytes received at minBodyRate, or if
+    /// it is larger than \p maxSize (Errc::TooLarge).
+    virtual asio::awaitable<Result<std::string>> readAll(milliseconds timeout, ByteCount maxSize = defaultMaxAnswerSize) = 0;
     /// Closes the connection. May be called from any thread.
     virtual void cancel() = 0;
 
@@ -166,7 +170,7 @@
 inline constexpr std::uint64_t minBodyRate = 64;
 
 /// Combines openHttp() and readAll(). \p timeout applies to each of them.
-asio::awaitable<Result<HttpResponse>> callHttp(Endpoint endpoint, HttpRequest request, milliseconds timeout);
+asio::awaitable<Result<HttpResponse>> callHttp(Endpoint endpoint, HttpRequest request, milliseconds timeout, ByteCount maxAnswerSize = defaultMaxAnswerSize);
 
 /// Runs callHttp() to completion on the calling thread, for tools and tests.
 Result<HttpResponse> callHttpBlocking(const Endpoint& endpoint, const HttpRequest& request, milliseconds timeout);
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -4,6 +4,7 @@
 /// Uses a new connection for each request. A stream from an engine occupies its
 /// connection anyway, and other requests are too few to need a connection pool.
 //===----------------------------------------------------------------------===//
+#include "pistachioloom/Answers.h"
 #include "pistachioloom/Http.h"
 
 #include <boost/asio.hpp>
@@ -23,6 +24,8 @@
 
     Errc errcOf(const beast::error_code& code)
     {
+        if (code == http::error::header_limit || code == http::error::body_limit || code == http::error::buffer_overflow)
+            return Errc::TooLarge;
         if (code == beast::error::timeout)
             return Errc::Timeout;
         if (code == asio::error::operation_aborted)
@@ -35,19 +38,20 @@
         BeastBodyReader(beast::tcp_stream stream, std::string peer)
             : stream_(std::move(stream))
             , peer_(std::move(peer))
+            , reader_(AnswerBounds {})
         {
-            parser_.body_limit(boost::none);
         }
 
         beast::tcp_stream& stream() { return stream_; }
 
         asio::awaitable<beast::error_code> readHead()
         {
-            auto [code, count] = co_await http::async_read_header(stream_, buffer_, parser_, asTuple);
-            if (code)
-                co_return code;
-            status_ = static_cast<int>(parser_.get().result_int());
-            for (const auto& field : parser_.get()) {
+            while (!reader_.hasHead()) {
+                if (auto code = co_await readSome())
+                    co_return code;
+            }
+            status_ = static_cast<int>(reader_.message().result_int());
+            for (const auto& field : reader_.message()) {
                 std::string name(field.name_string());
                 std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
                 headers_[name] = std::string(field.value());
@@ -69,18 +73,20 @@
                 scanned_ = pending_.size();
                 if (pending_.size() - consumed_ > maxLineLength)
                     co_return Error { Errc::TooLarge, "read body", peer_, "line too long", Ran::Unknown, {} };
-                if (parser_.is_done())
+                if (reader_.isComplete())
                     co_return std::optional<std::string>();
                 if (auto code = co_await readMore(timeout))
                     co_return failed(code);
             }
         }
 
-        asio::awaitable<Result<std::string>> readAll(milliseconds timeout) override
+        asio::awaitable<Result<std::string>> readAll(milliseconds timeout, ByteCount maxSize) override
         {
+            if (reader_.limitBody(maxSize) == AnswerReader::Progress::Bad)
+                co_return failed(reader_.error());
             SteadyTime startedAt = steadyNow();
             std::size_t before = pending_.size();
-            while (!parser_.is_done()) {
+            while (!reader_.isComplete()) {
                 milliseconds allowed = timeout + milliseconds((pending_.size() - before) / minBodyRate);
                 auto remaining = std::chrono::duration_cast<milliseconds>(startedAt + allowed - steadyNow());
                 if (remaining <= milliseconds(0))
@@ -99,17 +105,28 @@
     private:
         asio::awaitable<beast::error_code> readMore(milliseconds timeout)
         {
-            chunk_.resize(readChunk);
-            parser_.get().body().data = chunk_.data();
-            parser_.get().body().size = chunk_.size();
-            parser_.get().body().more = true;
             stream_.expires_after(timeout);
-            auto [code, count] = co_await http::async_read_some(stream_, buffer_, parser_, asTuple);
-            beast::error_code outcome = code;
-            if (outcome == http::error::need_buffer)
-                outcome = {};
-            pending_.append(chunk_.data(), readChunk - parser_.get().body().size);
-            co_return outcome;
+            auto code = co_await readSome();
+            pending_.append(std::exchange(reader_.message().body(), {}));
+            co_return code;
+        }
+
+        /// Reads until a head, a part of the body or the end of the answer has been parsed.
+        asio::awaitable<beast::error_code> readSome()
+        {
+            for (;;) {
+                AnswerReader::Progress progress = reader_.parse(input_);
+                if (progress == AnswerReader::Progress::Bad)
+                    co_return reader_.error();
+                if (progress == AnswerReader::Progress::Advanced)
+                    co_return beast::error_code {};
+                auto [code, count] = co_await stream_.async_read_some(input_.prepare(readChunk), asTuple);
+                if (code == asio::error::eof)
+                    co_return reader_.finish();
+                if (code)
+                    co_return code;
+                input_.commit(count);
+            }
         }
 
         void compact()
@@ -128,9 +145,8 @@
 
         beast::tcp_stream stream_;
         std::string peer_;
-        beast::flat_buffer buffer_;
-        http::response_parser<http::buffer_body> parser_;
-        std::string chunk_;
+        beast::flat_buffer input_;
+        AnswerReader reader_;
         // Received bytes of the body. The bytes before consumed_ have been returned, and there
         // is no newline from consumed_ to scanned_.
         std::string pending_;
@@ -169,12 +185,12 @@
     co_return std::static_pointer_cast<HttpBodyReader>(reader);
 }
 
-asio::awaitable<Result<HttpResponse>> callHttp(Endpoint endpoint, HttpRequest request, milliseconds timeout)
+asio::awaitable<Result<HttpResponse>> callHttp(Endpoint endpoint, HttpRequest request, milliseconds timeout, ByteCount maxAnswerSize)
 {
     auto opened = co_await openHttp(std::move(endpoint), std::move(request), timeout);
     if (!opened)
         co_return opened.error();
-    auto body = co_await opened.value()->readAll(timeout);
+    auto body = co_await opened.value()->readAll(timeout, maxAnswerSize);
     opened.value()->cancel();
     if (!body)
         co_return body.error();
--- a/unittests/Http/ClientTest.cpp
+++ b/unittests/Http/ClientTest.cpp
@@ -1,8 +1,8 @@
 //===- unittests/Http/ClientTest.cpp - bounds of a call -------------------===//
 ///
 /// \file
-/// A call ends in bounded time if the body of the answer trickles, and waits for a large
-/// body that arrives at a sufficient rate.
+/// A call ends in bounded time and memory if the body of the answer trickles or the answer never
+/// ends, and waits for a large body that arrives at a sufficient rate.
 //===----------------------------------------------------------------------===//
 #include "pistachioloom/Http.h"
 
@@ -17,6 +17,9 @@
 constexpr milliseconds timeout { 300 };
 constexpr milliseconds slack { 300 };
 constexpr milliseconds pause { 20 };
+constexpr std::size_t writeSize = 16UL * 1024;
+// What the sockets of both ends may hold in addition to the bytes that were read.
+constexpr std::size_t socketBuffers = 16UL * 1024 * 1024;
 
 /// Answers one connection with a body of \p chunks chunks of \p chunkSize bytes, with a
 /// pause after each.
@@ -36,6 +39,22 @@
     }
 }
 
+/// Answers one connection with \p beginning, and then with \p repeated until the caller closes.
+asio::awaitable<void> answerWithoutEnd(std::shared_ptr<tcp::acceptor> acceptor, std::string beginning, std::string repeated, std::size_t& sent)
+{
+    auto socket = co_await acceptor->async_accept(asio::use_awaitable);
+    std::string request;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(beginning), asio::use_awaitable);
+    while (repeated.size() < writeSize)
+        repeated += repeated;
+    for (boost::system::error_code code; !code;) {
+        std::size_t count = 0;
+        std::tie(code, count) = co_await asio::async_write(socket, asio::buffer(repeated), asio::as_tuple(asio::use_awaitable));
+        sent += count;
+    }
+}
+
 } // namespace
 
 TEST_CASE("a call ends in bounded time if the body trickles", "[http]")
@@ -76,3 +95,48 @@
     // A third of the rate that is accepted allows half of the time again.
     CHECK(elapsed <= timeout + timeout / 2 + slack);
 }
+
+// Guards against reading an answer without end until the memory is used up. The time limit of a
+// body grows with the bytes received, so that it alone never ends a fast one.
+TEST_CASE("a call ends in bounded time and memory if the answer has no end", "[http]")
+{
+    struct Row {
+        const char* name_;
+        std::string beginning_;
+        std::string repeated_;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    auto row = GENERATE_COPY(values<Row>({
+        { "no HTTP", "", "garbage " },
+        { "fields", ok, "X-Filler: x\r\n" },
+        { "one field", ok + "X-Filler: ", "x" },
+        { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "stated length", ok + "Content-Length: 800800800800800800\r\n\r\n", "x" },
+        { "body", ok + "\r\n", "x" },
+        { "chunks", chunked, "8\r\nxxxxxxxx\r\n" },
+        { "extension of a chunk", chunked + "8;", "x" },
+        { "trailers", chunked + "0\r\n", "X-Filler: x\r\n" },
+    }));
+    CAPTURE(row.name_);
+    constexpr ByteCount maxAnswerSize { 1024UL * 1024 };
+    asio::io_context io;
+    auto acceptor = std::make_shared<tcp::acceptor>(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Endpoint server { "127.0.0.1", acceptor->local_endpoint().port() };
+    std::size_t sent = 0;
+    asio::co_spawn(io, answerWithoutEnd(acceptor, row.beginning_, row.repeated_, sent), asio::detached);
+    std::optional<Result<HttpResponse>> response;
+    milliseconds elapsed {};
+    auto call = [&]() -> asio::awaitable<void> {
+        SteadyTime startedAt = steadyNow();
+        HttpRequest request { "GET", "/", {}, {} };
+        response = co_await callHttp(server, std::move(request), timeout, maxAnswerSize);
+        elapsed = std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt);
+    };
+    asio::co_spawn(io, call, asio::detached);
+    io.run_for(std::chrono::seconds(10));
+    REQUIRE(response);
+    CHECK_FALSE(response->has_value());
+    CHECK(elapsed <= timeout + slack);
+    CHECK(sent <= maxAnswerSize.value_ + socketBuffers);
+}
