Forward: the answers being received are limited together

Each answer is limited to 8 MB and each event to 1 MB, but a faulty server can send such large ones to many requests at once: with 96 callers of one gateway and bodies without end, it took 629 MB (a node has 260 MB).

The answers and events that a node is receiving may take 32 MB together, which is up to four times as much with growing buffers and the copies for callers. Beyond that, the ones that grow fail.

Test: EndlessAnswers "answers without end to many callers at once stay in bounded memory", which fails without the limit.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -82,6 +82,9 @@
     ByteCount maxAnswerSize_ { 8UL * 1024 * 1024 };
     /// The maximum size of an event of a stream. Events are forwarded when they are complete.
     ByteCount maxEventSize_ { 1024UL * 1024 };
+    /// The maximum size of all answers and events together that are being received. Growing
+    /// buffers and the copies that are sent to callers take up to four times as much.
+    ByteCount maxAnswerMemory_ { 32UL * 1024 * 1024 };
     AcceptSettings accept_;
     /// The maximum number of callers' connections, so that descriptors are left for those to
     /// backend servers and peers.
@@ -178,6 +181,8 @@
     std::uint64_t workers_ = 1;
     /// Observes the engines of services with scaling.
     EngineForecast engineForecast_ {};
+    /// The size of the answers and events that are being received, in bytes.
+    std::atomic<std::uint64_t> answerMemory_ { 0 };
 };
 
 /// Counts the termination of \p backend, which the removal of its record or a probe has
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -5,6 +5,7 @@
 /// it comes from the intended instance, belongs to the request that was sent, and is
 /// complete.
 //===----------------------------------------------------------------------===//
+#include "AnswerMemory.h"
 #include "RequestForwarder.h"
 
 #include <boost/algorithm/string.hpp>
@@ -42,6 +43,12 @@
     return code == asio::error::eof || code == asio::error::connection_reset || code == asio::error::broken_pipe || code == http::error::end_of_stream || code == http::error::partial_message;
 }
 
+/// The error of an answer that is given up because all answers together are too large.
+static beast::error_code noMemory()
+{
+    return boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+}
+
 /// The fields of an answer that are forwarded to the caller.
 static HeaderFields fieldsOf(const AnswerReader& reader, const ForwardHeaderNames& names)
 {
@@ -369,10 +376,15 @@
     beast::error_code code;
     if (reader.limitBody(context_.settings_.maxAnswerSize_) == AnswerReader::Progress::Bad)
         code = reader.error();
-    while (!code && !reader.isComplete())
+    AnswerMemory memory(context_.answerMemory_, context_.settings_.maxAnswerMemory_);
+    while (!code && !reader.isComplete()) {
         code = co_await readSome(attempt, reader);
+        if (!code && !memory.resize({ reader.message().body().size() }))
+            code = noMemory();
+    }
     if (code) {
-        attempt.detail_ = code == http::error::body_limit ? "answer_too_large" : "body:" + code.message();
+        bool isTooLarge = code == http::error::body_limit || code == noMemory();
+        attempt.detail_ = isTooLarge ? "answer_too_large" : "body:" + code.message();
         attempt.isCutOff_ = isDisconnect(code);
         co_return SendOutcome::Lost;
     }
@@ -397,6 +409,7 @@
     HeaderFields fields = fieldsOf(reader, context_.names_);
     // The previous engine's stream may have ended within an event.
     eventSplitter_.dropPartial();
+    AnswerMemory memory(context_.answerMemory_, context_.settings_.maxAnswerMemory_);
     latestStatus_ = static_cast<int>(reader.message().result_int());
     while (!reader.isComplete()) {
         if (auto code = co_await readSome(attempt, reader)) {
@@ -409,7 +422,8 @@
             attempt.detail_ = "event_missing";
             co_return SendOutcome::Lost;
         }
-        if (eventSplitter_.partialSize() > context_.settings_.maxEventSize_) {
+        ByteCount partialSize = eventSplitter_.partialSize();
+        if (partialSize > context_.settings_.maxEventSize_ || !memory.resize(partialSize)) {
             attempt.detail_ = "event_too_large";
             co_return SendOutcome::Lost;
         }
--- a/test/EndlessAnswersTest.cpp
+++ b/test/EndlessAnswersTest.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds streamTimeout { 3000 };
 // A final answer may be later than the timeout by this.
 constexpr milliseconds answerMargin { 500 };
-constexpr int callerCount = 8;
+constexpr std::size_t usualCallerCount = 8;
+constexpr std::size_t manyCallers = 96;
 const std::string wholeBody = "ok";
 
 const std::string seal = "X-Pistachioloom-Engine-Seal: s\r\nX-Pistachioloom-Attempt-Id: ID\r\n";
@@ -96,7 +97,7 @@
 
     /// Calls \p path of the first gateway from several callers at once. Each must get one of
     /// \p statuses within \p limit, while all gateways stay within the memory of a node.
-    void checkCalls(const std::string& path, const std::vector<int>& statuses, milliseconds limit)
+    void checkCalls(const std::string& path, const std::vector<int>& statuses, milliseconds limit, std::size_t callerCount = usualCallerCount)
     {
         std::vector<CallResult> results(callerCount);
         std::vector<std::thread> callers;
@@ -177,6 +178,24 @@
         endless.checkCalls(path, { 502, 0 }, limit);
 }
 
+// Guards against answers and events that are each within their limit, and together use up the
+// memory of the node.
+TEST_CASE("answers without end to many callers at once stay in bounded memory", "[gateway]")
+{
+    struct ManyRow {
+        const char* path_;
+        EndlessAnswer answer_;
+        milliseconds limit_;
+    };
+    auto row = GENERATE(values<ManyRow>({
+        { "/once/x", { ok + "\r\n", "x" }, timeout + answerMargin },
+        { "/ask/x", { events + "fffffffffffffff\r\n", "x" }, streamTimeout + answerMargin },
+    }));
+    EndlessDeployment endless(row.answer_);
+    // Engines that have enough requests get no more.
+    endless.checkCalls(row.path_, { 502, 503 }, row.limit_, manyCallers);
+}
+
 // Guards against bytes after a complete answer that are kept, or taken for the next answer. A request
 // that was sent before these bytes arrived fails, since its server may have run it.
 TEST_CASE("bytes without end after an answer do not reach the next caller", "[gateway]")
@@ -206,5 +225,5 @@
         return deployment.metric(gateway, "connections_relayed_total") > 0;
     }));
     endless.checkCalls("/once/x", { 502 }, timeout);
-    CHECK(deployment.metric(gateway, "connections_relayed_total") > callerCount);
+    CHECK(deployment.metric(gateway, "connections_relayed_total") > usualCallerCount);
 }
