Http: the server limits what it has not parsed

A chunk extension of a request to a node's own interfaces was kept without a limit until its end, like those of answers. The buffer of a connection is limited to 64 KB; the connection is closed beyond that.

Test: HttpTests "a chunk extension is limited", which fails without the limit (1,000,000 bytes were accepted).

--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -28,6 +28,8 @@
 namespace {
 
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    // Bytes of one connection that are received and not parsed, at most.
+    constexpr std::size_t maxUnparsed = 64UL * 1024;
 
     Error writeError(const beast::error_code& code)
     {
@@ -187,7 +189,8 @@
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    // Bounds what the parser must have as a whole, such as the line before a chunk.
+    beast::flat_buffer buffer(maxUnparsed);
     for (;;) {
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(state->bounds_.header_.value_));
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -131,6 +131,13 @@
     CHECK(fetchHead({}, answerComplete, pieces).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a chunk whose first line is kept without bound while it does not end.
+TEST_CASE("a chunk extension is limited", "[http]")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n8;";
+    CHECK_FALSE(fetchHead({}, answerComplete, { head, std::string(1000000, 'x'), "\r\nabcdefgh\r\n0\r\n\r\n" }).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("a stopping server announces the close in the response in progress", "[http]")
 {
     asio::io_context io;
