Forward: only an answer to the request itself says that it has not run

An extra answer of a faulty server, with status 421 and an id of its own, was taken for the answer to the unsafe request that waited on the connection. An answer to another request could also take its server out of use, since leaving, pauses and limits were noted before the id was compared.

The id is now compared before anything that the answer states is used.

--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -180,6 +180,7 @@
     void logQuarantined(const Quarantine& quarantine);
     void logRejection(const HeldAnswer& answer) const;
     void addCapacityInputs(LogLine& line) const;
+    bool isToThisRequest(const AnswerReader& reader) const;
     std::optional<SendOutcome> checkAnswerHead(Attempt& attempt, const AnswerReader& reader);
     /// Records the conditions that an answer states of its backend server.
     void noteBackendState(Attempt& attempt, const AnswerReader& reader);
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -294,6 +294,16 @@
         context_.hooks_.onStatement_(statement);
 }
 
+/// Whether an answer is one to the request that was sent. A server may send further answers, with
+/// other ids, where this one is expected. Nothing that these state is used. A failure may lack
+/// its id.
+bool RequestForwarder::isToThisRequest(const AnswerReader& reader) const
+{
+    const auto& message = reader.message();
+    std::string_view echoed = view(message[context_.names_.attempt_]);
+    return attemptId_.empty() || echoed == attemptId_ || (echoed.empty() && message.result_int() >= 400);
+}
+
 /// \returns the outcome if the head alone determines it, or nullopt to continue reading.
 std::optional<SendOutcome> RequestForwarder::checkAnswerHead(Attempt& attempt, const AnswerReader& reader)
 {
@@ -303,12 +313,6 @@
         attempt.detail_ = "wrong_instance";
         return SendOutcome::NotRun;
     }
-    std::string_view echoed = view(message[context_.names_.attempt_]);
-    bool matchesAttempt = attemptId_.empty() || echoed == attemptId_;
-    if (!matchesAttempt && !(echoed.empty() && status >= 400)) {
-        attempt.detail_ = "other_answer";
-        return SendOutcome::Lost;
-    }
     if (message.find(context_.names_.notRun_) != message.end()) {
         attempt.detail_ = "not_run:" + std::to_string(status);
         return SendOutcome::NotRun;
@@ -344,6 +348,10 @@
         noteAnswering(attempt);
     }
     attempt.connection_->arrivedAt_ = steadyNow();
+    if (!isToThisRequest(reader)) {
+        attempt.detail_ = "other_answer";
+        co_return SendOutcome::Lost;
+    }
     noteBackendState(attempt, reader);
     if (auto decided = checkAnswerHead(attempt, reader))
         co_return *decided;
