--- a/test/EndlessAnswersTest.cpp
+++ b/test/EndlessAnswersTest.cpp
@@ -80,7 +80,7 @@
 /// Gateways whose backend servers, two of each service, send one endless answer.
 class EndlessDeployment {
 public:
-    explicit EndlessDeployment(EndlessAnswer answer, Reached reached = Reached::Directly)
+    explicit EndlessDeployment(const EndlessAnswer& answer, Reached reached = Reached::Directly)
         : servers_ { EndlessServer(answer), EndlessServer(answer), EndlessServer(answer), EndlessServer(answer) }
         , deployment_(reached == Reached::Directly ? GatewayDeploymentOptions {} : optionsWithViews(2))
     {
