Observability: a process that a fault ends reports its stack

Four own ends with signal 11 are on record, and none left more than its exit code: nothing told them from a SIGKILL at the end of the grace time. The daemon now writes one line with signal, address and stack to standard error; exit code and core file stay the same.

--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -42,6 +42,11 @@
 /// no thread waits.
 void initialiseLogging(const LogSettings& settings, const std::string& node);
 
+/// Makes the process write a line with its stack to standard error when a fault such as SIGSEGV
+/// or an abort ends it. The signal then has its usual effect, so that exit code and core file
+/// stay the same. Must be called once, from the main thread.
+void installCrashReporter(const std::string& node);
+
 /// Returns the number of lines dropped since the start, because the output was not
 /// writable or the rate limit was exceeded.
 std::uint64_t droppedLogLines();
--- a/tools/pistachioloomd/main.cpp
+++ b/tools/pistachioloomd/main.cpp
@@ -36,6 +36,7 @@
         return 0;
     }
     initialiseLogging(settings->logs_, settings->vm_.value_);
+    installCrashReporter(settings->vm_.value_);
     Node node(std::move(*settings));
     auto ports = node.start();
     if (!ports) {
@@ -65,6 +66,7 @@
         return 0;
     }
     initialiseLogging(settings->logs_, settings->vm_.value_);
+    installCrashReporter(settings->vm_.value_);
     GatewayPlatform platform = platform::makePlatform(*settings);
     Gateway gateway(std::move(*settings), std::move(platform), file);
     auto port = gateway.start();
