Http: an expired time limit no longer acts after its connection attempt

Callers saw: processes ended by signal 11 and lost the requests and streams that they had, without a line. Where the memory had not been reused yet, the handler closed a descriptor a second time, and with it whatever connection had got its number meanwhile.

Cause: tryConnection() kept a reference to a socket on its coroutine frame in the handler of its timer. If the event loop is delayed beyond the time limit (a frozen VM, a VM with a tenth of a core), the connection and the limit are due in the same round. The connection completes first and ends the coroutine; cancelling the timer does not retract its handler, which is queued already.

The handler now shares the attempt and does nothing once it has ended. The same cause elsewhere: a connection that a node carries for a peer (BackendRelay) was closed after it had been reported as made; links to peers cancelled a socket that had been moved from, without effect. All three use connectWithin() now.

--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -12,6 +12,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/result.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -175,8 +176,13 @@
 /// Runs callHttp() to completion on the calling thread, for tools and tests.
 Result<HttpResponse> callHttpBlocking(const Endpoint& endpoint, const HttpRequest& request, milliseconds timeout);
 
+/// Connects to \p endpoint.
+/// \returns the connected socket or the error of the attempt: invalid_argument if the host is not
+/// an IP number, timed_out after \p timeout.
+asio::awaitable<boost::system::result<std::shared_ptr<asio::ip::tcp::socket>>> connectWithin(Endpoint endpoint, milliseconds timeout);
+
 /// Connects to \p endpoint and closes the connection.
-/// \returns the error of the connection attempt, or operation_aborted after \p timeout.
+/// \returns the error of the attempt as connectWithin() does.
 asio::awaitable<boost::system::error_code> tryConnection(Endpoint endpoint, milliseconds timeout);
 
 /// Returns the `Keep-Alive` header of a connection that closes after \p idle without a
--- a/lib/Gateway/BackendRelay.cpp
+++ b/lib/Gateway/BackendRelay.cpp
@@ -68,23 +68,6 @@
         socket.close(ignored);
     }
 
-    asio::awaitable<boost::system::error_code> connectWithin(std::shared_ptr<tcp::socket> socket, Endpoint endpoint, milliseconds timeout)
-    {
-        boost::system::error_code invalid;
-        tcp::endpoint address(asio::ip::make_address(endpoint.host_, invalid), endpoint.port_);
-        if (invalid)
-            co_return invalid;
-        SteadyTimer timer(socket->get_executor(), timeout);
-        timer.async_wait([socket](const boost::system::error_code& code) {
-            boost::system::error_code ignored;
-            if (!code)
-                socket->close(ignored);
-        });
-        auto [code] = co_await socket->async_connect(address, asTuple);
-        timer.cancel();
-        co_return code;
-    }
-
     /// Copies what the backend server sends. An orderly close is passed on as one, since it ends
     /// an answer without a length; a reset is not.
     asio::awaitable<void> copyFromBackend(std::shared_ptr<tcp::socket> socket, std::shared_ptr<PeerStream> stream)
@@ -244,17 +227,17 @@
         co_return;
     }
     ++carried_;
-    auto socket = std::make_shared<tcp::socket>(co_await asio::this_coro::executor);
     milliseconds timeout = std::min(context_.settings_.forward_.connectTimeout_, milliseconds(static_cast<std::int64_t>(request.relay_open().connect_timeout_ms())));
-    auto code = co_await connectWithin(socket, backend->endpoint_, timeout);
-    if (code) {
+    auto connected = co_await connectWithin(backend->endpoint_, timeout);
+    if (!connected) {
         context_.paths_.noteConnectionFailed(backend->service_);
-        wire::Frame failure = failureFrame({ Errc::Unavailable, "connect to backend server", backend->id_.value_, code.message(), Ran::No, {} });
+        wire::Frame failure = failureFrame({ Errc::Unavailable, "connect to backend server", backend->id_.value_, connected.error().message(), Ran::No, {} });
         (void)co_await stream->send(failure);
         --carried_;
         co_return;
     }
     context_.paths_.noteConnected(backend->service_);
+    std::shared_ptr<tcp::socket> socket = std::move(*connected);
     boost::system::error_code ignored;
     socket->set_option(tcp::no_delay(true), ignored);
     context_.metrics_.add(Counter::ConnectionsCarried);
--- a/lib/Wire/Peers.cpp
+++ b/lib/Wire/Peers.cpp
@@ -88,28 +88,17 @@
 // earlier one in the pool, and both continue to serve their own streams.
 static asio::awaitable<Result<std::shared_ptr<PeerLink>>> connectLink(std::shared_ptr<PeerPool::State> state, Endpoint peer, SteadyTime deadline)
 {
-    boost::system::error_code code;
-    tcp::endpoint address(asio::ip::make_address(peer.host_, code), peer.port_);
-    if (code)
-        co_return Error { Errc::InvalidInput, "connect to peer", peer.toString(), "not an IP number", Ran::No, {} };
+    auto left = std::chrono::duration_cast<milliseconds>(deadline - steadyNow());
     auto strand = asio::make_strand(state->executor_);
-    auto socket = std::make_shared<tcp::socket>(strand);
-    SteadyTimer timer(strand);
-    timer.expires_at(std::min(deadline, steadyNow() + maxConnectTime));
-    auto hasExpired = std::make_shared<bool>(false);
-    timer.async_wait([socket, hasExpired](boost::system::error_code cancelled) {
-        if (cancelled)
-            return;
-        *hasExpired = true;
-        boost::system::error_code ignored;
-        socket->cancel(ignored);
-    });
-    auto [connectCode] = co_await socket->async_connect(address, asio::bind_executor(strand, asTuple));
-    timer.cancel();
-    if (connectCode)
-        co_return Error { Errc::Unavailable, "connect to peer", peer.toString(), *hasExpired ? "no answer in time" : connectCode.message(), Ran::No, {} };
-    socket->set_option(tcp::no_delay(true), code);
-    auto link = std::make_shared<PeerLink>(std::move(*socket), PeerLink::Side::Client, state->credential_, peer.toString(),
+    auto connecting = connectWithin(peer, std::clamp(left, milliseconds(0), maxConnectTime));
+    auto connected = co_await asio::co_spawn(strand, std::move(connecting), asio::use_awaitable);
+    if (!connected) {
+        bool isInvalid = connected.error() == asio::error::invalid_argument;
+        co_return Error { isInvalid ? Errc::InvalidInput : Errc::Unavailable, "connect to peer", peer.toString(), connected.error().message(), Ran::No, {} };
+    }
+    boost::system::error_code ignored;
+    (*connected)->set_option(tcp::no_delay(true), ignored);
+    auto link = std::make_shared<PeerLink>(std::move(**connected), PeerLink::Side::Client, state->credential_, peer.toString(),
         state->counters_, nullptr, state->onError_, state->keepAlive_);
     link->start();
     std::lock_guard lock(state->mutex_);
--- a/unittests/Http/ConnectTest.cpp
+++ b/unittests/Http/ConnectTest.cpp
@@ -58,3 +58,42 @@
     }
     CHECK(closedByOthers == 0);
 }
+
+TEST_CASE("a connection is made or has timed out, and is not closed after it was made", "[http]")
+{
+    asio::io_context io(1);
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    for (int i = 0; i < rounds; ++i) {
+        boost::system::result<std::shared_ptr<tcp::socket>> connected;
+        auto connect = [&]() -> asio::awaitable<void> { connected = co_await connectWithin(endpointOf(acceptor), timeLimit); };
+        runDelayed(io, connect());
+        // The attempt may count as late, but a socket that was returned stays open.
+        if (connected)
+            CHECK((*connected)->is_open());
+        else
+            CHECK(connected.error() == asio::error::timed_out);
+    }
+}
+
+TEST_CASE("a connection attempt without an answer ends after its time limit", "[http]")
+{
+    asio::io_context io(1);
+    // The queue of a listener that accepts nothing is full after two connections, and the kernel
+    // drops further attempts.
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    acceptor.listen(0);
+    std::vector<tcp::socket> waiting;
+    for (int i = 0; i < 4; ++i) {
+        waiting.emplace_back(io);
+        waiting.back().async_connect(acceptor.local_endpoint(), [](const boost::system::error_code&) {});
+    }
+    io.run_for(milliseconds(50));
+    io.restart();
+    boost::system::error_code outcome;
+    auto probe = [&]() -> asio::awaitable<void> { outcome = co_await tryConnection(endpointOf(acceptor), milliseconds(100)); };
+    SteadyTime startedAt = steadyNow();
+    asio::co_spawn(io, probe(), asio::detached);
+    io.run_for(milliseconds(2000));
+    CHECK(outcome == asio::error::timed_out);
+    CHECK(steadyNow() - startedAt >= milliseconds(100));
+}
