Observability: answers that this node ends while their server is at work

The record can't tell an attempt that was given up for silence from one whose server broke off, nor name the requests that the end of the grace time cuts. Each answer that a node ends before its deadline, while its server neither broke off nor was done, is now counted (answers_ended_early_total) and named with the reason.

--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -127,6 +127,9 @@
     ConnectionsUnread,
     /// Requests refused whose callers were told to return when booting engines are expected.
     RefusedUntilEngines,
+    /// Answers that this node ended before their deadline, while the server neither broke off
+    /// nor was done.
+    AnswersEndedEarly,
     Last,
 };
 
--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -160,6 +160,12 @@
     socket_.close(ignored);
 }
 
+void CallerConnection::abortByNode()
+{
+    isAbortedByNode_ = !isDisconnected_;
+    abort();
+}
+
 void CallerConnection::reset()
 {
     boost::system::error_code ignored;
--- a/lib/Forward/CallerConnection.h
+++ b/lib/Forward/CallerConnection.h
@@ -43,6 +43,9 @@
     milliseconds idleTime() const { return idleTime_; }
     /// Closes the connection immediately.
     void abort();
+    /// Closes the connection immediately, although the caller may wait for an answer.
+    void abortByNode();
+    bool isAbortedByNode() const { return isAbortedByNode_; }
     /// Resets the connection, so that an answer that ends with it does not seem complete.
     void reset();
     /// Closes the sending direction after the data that was written.
@@ -68,6 +71,7 @@
     AutoResetEvent inputConsumed_;
     std::function<void()> disconnectHook_;
     bool isDisconnected_ = false;
+    bool isAbortedByNode_ = false;
     bool isIdle_ = true;
     /// The result of isIdle() at the previous call of hasStayedIdle().
     bool wasIdle_ = false;
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -340,6 +340,7 @@
     });
     co_await serve();
     caller_->setDisconnectHook(nullptr);
+    noteEndedEarly();
     isFinished_ = true;
     cancelMove();
     timer_.cancel();
@@ -380,6 +381,8 @@
     }
     currentConnection_ = nullptr;
     SteadyTime now = steadyNow();
+    bool hasEndedByNode = stopReason_ == StopReason::WaitLimitExceeded || caller_->isAbortedByNode();
+    hasEndedAttempt_ = attempt.sentAt_ != SteadyTime {} && !attempt.isCutOff_ && end != SendOutcome::Delivered && end != SendOutcome::Held && hasEndedByNode;
     auto streamed = attempt.hasFirstByte_ ? std::chrono::duration_cast<milliseconds>(now - attempt.firstByteAt_) : milliseconds(0);
     context_.backends_.end(attempt.choice_.backend_.id_, { outcome, attempt.choice_.uncachedTokens_, attempt.hasFirstByte_, streamed }, now);
     auto took = std::chrono::duration_cast<milliseconds>(now - request_.receivedAt_);
@@ -468,6 +471,17 @@
     line.add("retry_after_ms", capacityRefusal_->retryAfter_.count());
 }
 
+void RequestForwarder::noteEndedEarly() const
+{
+    if (!hasEndedAttempt_ || isDelivered_ || timeLeft() <= milliseconds(0))
+        return;
+    context_.metrics_.add(Counter::AnswersEndedEarly);
+    LogLine line("An answer is ended while its server is at work.");
+    line.add("id", attemptId_).add("why", caller_->isAbortedByNode() ? "the grace time is over" : lastDetail_).add("route", route_->name_).add("sends", sendCount_);
+    line.add("last_event", static_cast<std::int64_t>(eventSplitter_.last().value_or(0))).add("stopping", context_.isStopping_ ? "1" : "0").add("left_ms", timeLeft().count());
+    logger().warn(line);
+}
+
 RequestForwarder::HeldAnswer RequestForwarder::finalFailure()
 {
     // 503 promises that the request has not run and never will run.
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -196,6 +196,8 @@
     asio::awaitable<bool> writeEvents(std::string events);
     HeldAnswer rejection(int status, std::string reason, milliseconds retryAfter) const;
     HeldAnswer finalFailure();
+    /// Reports an answer that this node ends although its server is at work and time is left.
+    void noteEndedEarly() const;
     /// The idle timeout of the caller's connection, of which the answer's Keep-Alive header
     /// announces a part; nullopt if the connection closes after the answer.
     std::optional<milliseconds> announcedIdle();
@@ -290,6 +292,8 @@
     std::optional<HeldAnswer> heldAnswer_;
     /// Computed on first use, because most requests never need it.
     std::optional<Fingerprint> fingerprint_;
+    /// Whether this node ended the latest attempt, whose server neither broke off nor was done.
+    bool hasEndedAttempt_ = false;
     /// Attempt::detail_ of the latest attempt.
     std::string lastDetail_;
     /// The time from the request's arrival to the first byte of an answer.
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -257,7 +257,7 @@
 {
     asio::post(state_->io_, [state = state_] {
         for (const auto& caller : state->callers_)
-            caller->abort();
+            caller->abortByNode();
     });
 }
 
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -60,6 +60,7 @@
         "origin_queries_unanswered",
         "connections_unread",
         "requests_refused_until_engines",
+        "answers_ended_early",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
