Forward: a silent attempt is given up only for a certain replacement

Callers saw: streams closed in the middle, and 502 instead of an answer, while their server was at work: it had been silent for longer than the limit, and no retry or no other server was left.

Cause: the limit decided by the sends and the candidates at the time of the choice, and aborted the server's run. Retry budget, room and health of the others were asked only afterwards.

Before an attempt is given up, for silence or for lost paths, its replacement is now chosen and its retry taken; the choice must be a server that is healthy and not full, or a peer must be known that reaches the service. Otherwise the attempt goes on, and is checked again each 250 ms. Bytes that wait to be read are no silence. Requests that may crash their server are not given up for silence.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -252,6 +252,8 @@
     milliseconds queueWait_ {};
     /// Number of candidates before sampling.
     std::size_t candidateCount_ = 0;
+    /// Whether the server was chosen only because none is healthy, reachable and not full.
+    bool isFallback_ = false;
     /// Prompt tokens that the server has to read, since it is not likely to have them
     /// cached.
     TokenCount uncachedTokens_;
@@ -423,6 +425,8 @@
     /// since its caller retries once: counting all of them would overstate the demand in an
     /// overload.
     void noteRejected(const BackendChoice& choice);
+    /// Reverts choose(): the request is not sent as chosen.
+    void withdraw(const BackendChoice& choice);
     /// Notes that there is no backend server for the request. Half of its tokens count as
     /// demand, like those of a rejected request. Otherwise a service that has lost all of
     /// its engines would show no demand and get no new ones.
@@ -609,6 +613,7 @@
     /// Reduces \p candidates to a random sample and those that may have the shared part
     /// cached.
     void reduceToSample(std::vector<Backend*>& candidates, const RequestShape& shape, const BackendId& affinityBackend, SteadyTime now) const;
+    void withdrawLocked(const BackendChoice& choice);
     static void releaseLoad(Backend& backend, TokenCount uncached, bool hasFirstByte);
     void recordFailure(Backend& backend, SteadyTime now);
     void sumPeerLoads(SteadyTime now);
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -134,6 +134,8 @@
     /// no server. Errors: Errc::NotFound if no peer reaches the service either. The request
     /// has not been sent in any case.
     std::function<asio::awaitable<Result<RelayedConnection>>(BackendRecord backend, milliseconds timeout)> openRelayed_;
+    /// Returns whether a peer is known that reaches \p service.
+    std::function<bool(const ServiceName& service)> hasPeerReaching_ = [](const ServiceName&) { return false; };
     /// Called before the first event of a stream is forwarded. Other nodes must learn of
     /// \p origin.
     std::function<void(StreamKey stream, StreamOrigin origin)> tellOrigin_ = [](StreamKey, const StreamOrigin&) {};
--- a/include/pistachioloom/Quota.h
+++ b/include/pistachioloom/Quota.h
@@ -274,6 +274,8 @@
 
     /// Counts a request of \p service.
     void countRequest(const ServiceName& service, SteadyTime now);
+    /// \returns whether one more retry is allowed.
+    bool allowsRetry(const ServiceName& service, SteadyTime now);
     /// \returns whether one more retry is allowed, and counts it if so.
     bool tryRetry(const ServiceName& service, SteadyTime now);
     /// Sets how many nodes share the additional retries.
@@ -285,6 +287,8 @@
         std::deque<SteadyTime> retries_;
     };
 
+    bool allowsRetryLocked(Window& window, SteadyTime now) const;
+
     RetrySettings settings_;
     std::mutex mutex_;
     std::map<ServiceName, Window> windows_;
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -105,6 +105,17 @@
 {
     std::lock_guard lock(mutex_);
     estimators_[choice.backend_.service_].tokensRequested_ += choice.uncachedTokens_.value_ / 2;
+    withdrawLocked(choice);
+}
+
+void BackendTable::withdraw(const BackendChoice& choice)
+{
+    std::lock_guard lock(mutex_);
+    withdrawLocked(choice);
+}
+
+void BackendTable::withdrawLocked(const BackendChoice& choice)
+{
     auto found = backends_.find(choice.backend_.id_);
     if (found == backends_.end())
         return;
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -238,7 +238,8 @@
             applyVersionRule(*group, *shape.version_, shape.service_);
     }
     // A degraded server is preferred to a rejection, since it may have recovered.
-    if (usable.empty())
+    bool isFallback = usable.empty();
+    if (isFallback)
         usable = unreachable.empty() ? std::move(degraded) : std::move(unreachable);
     std::vector<Backend*>& candidates = usable;
     if (candidates.empty())
@@ -246,6 +247,7 @@
 
     BackendChoice choice;
     choice.candidateCount_ = candidates.size();
+    choice.isFallback_ = isFallback;
     BackendId affinityBackend = affinityBackendOf(shape, candidates);
     bool isLarge = candidates.size() > settings_.samplingThreshold_;
     if (isLarge && !shape.isSuspect_)
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -24,6 +24,8 @@
     constexpr unsigned maxUnsentAttempts = 4;
     // Interval at which a waiting attempt that can be replaced checks its paths.
     constexpr milliseconds pathCheckPeriod { 250 };
+    // Interval at which a silent attempt for which there was no replacement tries again.
+    constexpr milliseconds replacementCheckPeriod { 250 };
     // The largest urgency value, which is the least urgent.
     constexpr unsigned maxUrgency = 9;
 
@@ -172,24 +174,66 @@
     SteadyTime now = steadyNow();
     if (now >= deadline_)
         return stop(StopReason::DeadlineExceeded);
-    if (now >= waitDeadline_) {
-        waitDeadline_ = SteadyTime::max();
-        stop(StopReason::WaitLimitExceeded);
-    }
+    if (now >= waitDeadline_)
+        checkSilence(now);
     if (now >= pathCheckAt_)
         checkPaths(now);
     armTimer();
 }
 
-/// Gives up an attempt whose paths were lost after it was sent: its connection may hang.
+/// Gives up an attempt that was silent for too long, if it can be replaced.
+void RequestForwarder::checkSilence(SteadyTime now)
+{
+    // Bytes that wait to be read, because the event loop or the caller is slow, are no silence.
+    bool hasInput = isAttemptSent_ && currentConnection_ && !currentConnection_->isReceiveBufferEmpty();
+    bool mayGiveUp = !isAttemptSent_ || (!hasInput && reserveReplacement());
+    waitDeadline_ = mayGiveUp ? SteadyTime::max() : now + replacementCheckPeriod;
+    if (mayGiveUp)
+        stop(StopReason::WaitLimitExceeded);
+}
+
+/// Gives up an attempt whose paths were lost after it was sent, if it can be replaced: its
+/// connection may hang.
 void RequestForwarder::checkPaths(SteadyTime now)
 {
     bool isLost = context_.paths_.lossCount(shape_.service_) != lossCount_;
-    pathCheckAt_ = isLost ? SteadyTime::max() : now + pathCheckPeriod;
-    if (isLost)
+    bool isReplaced = isLost && reserveReplacement();
+    pathCheckAt_ = isReplaced ? SteadyTime::max() : now + pathCheckPeriod;
+    if (isReplaced)
         stop(StopReason::WaitLimitExceeded);
 }
 
+bool RequestForwarder::reserveReplacement()
+{
+    SteadyTime now = steadyNow();
+    if (replacement_)
+        return true;
+    if (!route_->mayRepeat() || sendCount_ >= route_->maxAttempts_ || timeLeft() <= milliseconds(0) || caller_->isDisconnected())
+        return false;
+    // A request that may have crashed its server is not sent again before that is known.
+    if (!context_.quarantine_.isEmpty() && context_.quarantine_.isSuspected(attributes()))
+        return false;
+    if (!context_.retries_.allowsRetry(shape_.service_, now))
+        return false;
+    auto choice = chooseBackend(shape_, RolloutTracker::SendKind::Subsequent);
+    if (!choice)
+        return false;
+    // While the paths to all servers of the service are lost, a peer opens the connection.
+    bool isReachable = context_.paths_.isLost(shape_.service_) ? context_.hooks_.hasPeerReaching_(shape_.service_) : !choice->isFallback_;
+    if (!isReachable || !context_.retries_.tryRetry(shape_.service_, now)) {
+        context_.backends_.withdraw(*choice);
+        return false;
+    }
+    replacement_ = std::move(choice);
+    return true;
+}
+
+void RequestForwarder::dropReplacement()
+{
+    if (auto choice = std::exchange(replacement_, std::nullopt))
+        context_.backends_.withdraw(*choice);
+}
+
 void RequestForwarder::stop(StopReason reason)
 {
     stopReason_ = reason;
@@ -258,6 +302,8 @@
             break;
         }
         auto choice = takeMoveTarget();
+        if (!choice)
+            choice = std::exchange(replacement_, std::nullopt);
         if (!choice)
             choice = chooseBackend(shape_, sendCount_ ? RolloutTracker::SendKind::Subsequent : RolloutTracker::SendKind::First);
         if (!choice) {
@@ -290,7 +336,9 @@
             continue;
         if (end == SendOutcome::Lost || end == SendOutcome::Held)
             mayHaveRun_ = true;
-        if (!mayRetry(end))
+        // The retry of a replacement was taken when the attempt was given up.
+        bool isReplaced = replacement_ && end == SendOutcome::Lost;
+        if (!isReplaced && !mayRetry(end))
             break;
         context_.metrics_.add(Counter::Retries);
         logger().info(LogLine("Retrying.").add("id", attemptId_).add("after", attempt.choice_.backend_.id_.value_).add("sends", sendCount_).add("why", attempt.detail_).add("left_ms", timeLeft().count()));
@@ -343,6 +391,7 @@
     noteEndedEarly();
     isFinished_ = true;
     cancelMove();
+    dropReplacement();
     timer_.cancel();
     if (!hasCountedStart_ && hasQuota_ && !mayHaveRun_)
         context_.quotas_.giveBack(organisation_->name_, quotaCost_);
@@ -382,7 +431,7 @@
     currentConnection_ = nullptr;
     SteadyTime now = steadyNow();
     bool hasEndedByNode = stopReason_ == StopReason::WaitLimitExceeded || caller_->isAbortedByNode();
-    hasEndedAttempt_ = attempt.sentAt_ != SteadyTime {} && !attempt.isCutOff_ && end != SendOutcome::Delivered && end != SendOutcome::Held && hasEndedByNode;
+    hasEndedAttempt_ |= attempt.sentAt_ != SteadyTime {} && !attempt.isCutOff_ && end != SendOutcome::Delivered && end != SendOutcome::Held && hasEndedByNode;
     auto streamed = attempt.hasFirstByte_ ? std::chrono::duration_cast<milliseconds>(now - attempt.firstByteAt_) : milliseconds(0);
     context_.backends_.end(attempt.choice_.backend_.id_, { outcome, attempt.choice_.uncachedTokens_, attempt.hasFirstByte_, streamed }, now);
     auto took = std::chrono::duration_cast<milliseconds>(now - request_.receivedAt_);
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -150,6 +150,11 @@
     std::optional<HeldAnswer> rejectLongWait(const BackendChoice& choice);
     milliseconds delayUntilEngines(TokenCount tokens, milliseconds retryAfter);
     bool mayRetryElsewhere(const Attempt& attempt) const;
+    /// Chooses the server that takes the place of the current attempt, and takes a retry for it.
+    /// \returns false if no healthy server takes it or no retry is left.
+    bool reserveReplacement();
+    /// Reverts the choice of a replacement that is not used.
+    void dropReplacement();
     asio::awaitable<SendOutcome> handleStreamBreak(Attempt& attempt, const boost::system::error_code& code);
 
     // Moves of a running stream.
@@ -206,6 +211,7 @@
     void armTimer();
     void onTimer();
     void checkPaths(SteadyTime now);
+    void checkSilence(SteadyTime now);
     void stop(StopReason reason);
     milliseconds timeLeft() const;
     bool isHead() const { return equalWithoutCase(request_.method_, "HEAD"); }
@@ -241,6 +247,11 @@
     SteadyTimer timer_;
     StopReason stopReason_ = StopReason::None;
     BackendConnectionPtr currentConnection_;
+    /// Whether the request was sent in the current attempt, so that its server may be at work.
+    bool isAttemptSent_ = false;
+    /// The choice for the next attempt, for which a retry was taken. Set when the current attempt
+    /// is given up.
+    std::optional<BackendChoice> replacement_;
 
     /// Backend servers of the attempts so far, which are not chosen again.
     std::set<BackendId> excludedBackends_;
@@ -292,7 +303,7 @@
     std::optional<HeldAnswer> heldAnswer_;
     /// Computed on first use, because most requests never need it.
     std::optional<Fingerprint> fingerprint_;
-    /// Whether this node ended the latest attempt, whose server neither broke off nor was done.
+    /// Whether this node ended an attempt whose server neither broke off nor was done.
     bool hasEndedAttempt_ = false;
     /// Attempt::detail_ of the latest attempt.
     std::string lastDetail_;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -211,6 +211,7 @@
     ++sendCount_;
     attempt.sentAt_ = steadyNow();
     attempt.isWaiting_ = true;
+    isAttemptSent_ = true;
     context_.paths_.noteSent(shape_.service_, attempt.sentAt_);
     context_.metrics_.add(Counter::Attempts);
     context_.rollouts_.noteSent(shape_.service_, attempt.choice_.backend_.version_);
@@ -234,6 +235,7 @@
         attempt.detail_ = std::string("exception:") + error.what();
         logger().error(LogLine("Receiving an answer failed.").add("id", attemptId_).add("backend", attempt.choice_.backend_.id_.value_).add("why", error.what()));
     }
+    isAttemptSent_ = false;
     if (std::exchange(attempt.isWaiting_, false))
         context_.paths_.noteEnded(shape_.service_, attempt.sentAt_);
     waitDeadline_ = SteadyTime::max();
--- a/lib/Gateway/BackendRelay.h
+++ b/lib/Gateway/BackendRelay.h
@@ -35,6 +35,8 @@
     /// Opens a connection to \p backend through a peer. Errors: NotFound if there is no peer that
     /// reaches the service, otherwise the error of the last peer that was asked.
     asio::awaitable<Result<RelayedConnection>> open(BackendRecord backend, milliseconds timeout);
+    /// Returns whether a peer is known that reaches \p service.
+    bool hasCarrier(const ServiceName& service) { return !carriersOf(service, steadyNow()).empty(); }
     /// Carries a connection for the peer that sent \p request.
     asio::awaitable<void> serve(std::shared_ptr<PeerStream> stream, wire::Frame request);
     /// Returns the number of connections that this node carries for peers.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -103,6 +103,7 @@
         peerReports_.noteStatement(statement);
     };
     context_.forward_.hooks_.openRelayed_ = [this](BackendRecord backend, milliseconds timeout) { return relay_.open(std::move(backend), timeout); };
+    context_.forward_.hooks_.hasPeerReaching_ = [this](const ServiceName& service) { return relay_.hasCarrier(service); };
     context_.forward_.hooks_.tellOrigin_ = [this](StreamKey stream, const StreamOrigin& origin) { origins_.tell(stream, origin); };
     context_.forward_.hooks_.findOrigin_ = [this](StreamKey stream) { return origins_.find(stream); };
     context_.forward_.hooks_.registryCurrentSince_ = [this] { return feed_.registryCurrentSince(); };
--- a/lib/Quota/Quota.cpp
+++ b/lib/Quota/Quota.cpp
@@ -393,14 +393,25 @@
     window.requests_.push_back(now);
 }
 
-bool ServiceRetryBudget::tryRetry(const ServiceName& service, SteadyTime now)
+bool ServiceRetryBudget::allowsRetryLocked(Window& window, SteadyTime now) const
 {
-    std::lock_guard lock(mutex_);
-    Window& window = windows_[service];
     dropOld(window.requests_, now - settings_.window_);
     dropOld(window.retries_, now - settings_.window_);
     double allowed = settings_.ratio_ * static_cast<double>(window.requests_.size()) + settings_.extraRetries_ / static_cast<double>(settings_.nodes_);
-    if (static_cast<double>(window.retries_.size()) + 1 > allowed * settings_.usableShare_)
+    return static_cast<double>(window.retries_.size()) + 1 <= allowed * settings_.usableShare_;
+}
+
+bool ServiceRetryBudget::allowsRetry(const ServiceName& service, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    return allowsRetryLocked(windows_[service], now);
+}
+
+bool ServiceRetryBudget::tryRetry(const ServiceName& service, SteadyTime now)
+{
+    std::lock_guard lock(mutex_);
+    Window& window = windows_[service];
+    if (!allowsRetryLocked(window, now))
         return false;
     window.retries_.push_back(now);
     return true;
