--- a/lib/Telemetry/CrashReporter.cpp
+++ b/lib/Telemetry/CrashReporter.cpp
@@ -126,7 +126,7 @@
     stack.ss_sp = signalStack.data();
     stack.ss_size = signalStack.size();
     ::sigaltstack(&stack, nullptr);
-    struct sigaction action {};
+    struct sigaction action { };
     action.sa_sigaction = reportCrash;
     action.sa_flags = SA_SIGINFO | SA_ONSTACK | SA_RESETHAND;
     ::sigemptyset(&action.sa_mask);
--- a/lib/Wire/Peers.cpp
+++ b/lib/Wire/Peers.cpp
@@ -88,7 +88,7 @@
 // earlier one in the pool, and both continue to serve their own streams.
 static asio::awaitable<Result<std::shared_ptr<PeerLink>>> connectLink(std::shared_ptr<PeerPool::State> state, Endpoint peer, SteadyTime deadline)
 {
-    auto left = std::chrono::duration_cast<milliseconds>(deadline - steadyNow());
+    auto left = std::chrono::ceil<milliseconds>(deadline - steadyNow());
     auto strand = asio::make_strand(state->executor_);
     auto connecting = connectWithin(peer, std::clamp(left, milliseconds(0), maxConnectTime));
     auto connected = co_await asio::co_spawn(strand, std::move(connecting), asio::use_awaitable);
