--- a/test/Platform/Soak/SoakFaults.cpp
+++ b/test/Platform/Soak/SoakFaults.cpp
@@ -38,6 +38,8 @@
         co_await sleepFor(milliseconds(10));
     if (process.isRunning() && !checker_.faultIntervals().overlaps(gateway(index).vm_, at, steadyNow()))
         checker_.reportViolation("a node stops within its grace period", gateway(index).vm_);
+    if (!process.isRunning() && signal == SIGTERM && process.wait(gatewayTimeout))
+        checker_.reportViolation("a stopping process exits with code 0", gateway(index).vm_);
     process.kill();
     (void)process.wait(gatewayTimeout);
     co_await sleepFor(pause);
@@ -45,6 +47,7 @@
     deployment_->restart(gateway(index));
     ++node.startCount_;
     node.reportedVersion_ = 0;
+    node.answersEndedEarly_ = 0;
     node.freezeCount_ = 0;
     node.isDown_ = false;
 }
--- a/test/Platform/Soak/SoakMonitor.cpp
+++ b/test/Platform/Soak/SoakMonitor.cpp
@@ -7,10 +7,10 @@
 
 namespace pistachioloom::test {
 
-/// The active configuration version according to \p metricsText; 0 if there is none.
-static double versionIn(const std::string& metricsText)
+/// The value of metric \p name according to \p metricsText; 0 if there is none.
+static double valueIn(const std::string& metricsText, const std::string& name)
 {
-    constexpr std::string_view key = "\npistachioloom_configuration_version ";
+    std::string key = "\npistachioloom_" + name + " ";
     std::size_t position = metricsText.find(key);
     return position == std::string::npos ? 0 : std::stod(metricsText.substr(position + key.size()));
 }
@@ -32,7 +32,11 @@
         auto answer = co_await callHttp(gateway(index).metrics_, request, gatewayTimeout);
         if (!answer || node.isDown_ || node.startCount_ != start)
             continue;
-        checkVersion(index, versionIn(answer.value().body_));
+        checkVersion(index, valueIn(answer.value().body_, "configuration_version"));
+        double endedEarly = valueIn(answer.value().body_, "answers_ended_early_total");
+        if (endedEarly > node.answersEndedEarly_)
+            checker_.reportViolation("no answer is ended early while its server is at work", gateway(index).vm_ + " ended " + std::to_string(endedEarly));
+        node.answersEndedEarly_ = endedEarly;
     }
 }
 
--- a/test/Platform/Soak/SoakRun.h
+++ b/test/Platform/Soak/SoakRun.h
@@ -54,6 +54,7 @@
         std::uint64_t startCount_ = 1;
         /// The highest configuration version that the gateway has reported since its start.
         double reportedVersion_ = 0;
+        double answersEndedEarly_ = 0;
     };
 
     // The deployment and its callers.
