Backends: a replacement goes only to a server that has room

A server counted as full for 100 ms only, so that a silent attempt could be given up for one that rejects the request again; with two attempts the stream then ended. A replacement now goes to healthy, reachable servers whose latest answer to this node did not say that they are full. An answer counts as ended early only if its caller has not left by itself.

SilentServerTests: the row of full servers passes without the longer backoff that its settings had.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -170,6 +170,9 @@
     std::optional<SoftwareKey> software_ {};
     /// The latency objective of the request's route; 0 if there is none.
     milliseconds objective_ {};
+    /// Set if the request is lost unless the server takes it: only healthy, reachable servers are
+    /// chosen whose latest answer did not say that they are full.
+    bool needsRoom_ = false;
 };
 
 /// A backend server's id, hashed to 32 bits for messages. Among 2,100 servers the
@@ -252,8 +255,6 @@
     milliseconds queueWait_ {};
     /// Number of candidates before sampling.
     std::size_t candidateCount_ = 0;
-    /// Whether the server was chosen only because none is healthy, reachable and not full.
-    bool isFallback_ = false;
     /// Prompt tokens that the server has to read, since it is not likely to have them
     /// cached.
     TokenCount uncachedTokens_;
@@ -520,6 +521,8 @@
         /// Consecutive failures.
         unsigned consecutiveFailures_ = 0;
         SteadyTime ejectedUntil_ {};
+        /// Whether the latest answer to a request of this node said that the server is full.
+        bool isFull_ = false;
         /// End of the pause that the server asked for.
         SteadyTime pausedUntil_ {};
         /// A number that the server states in its answers for as long as it holds.
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -147,6 +147,7 @@
         return 1;
     Backend& backend = found->second;
     noteReachable(backend);
+    backend.isFull_ = false;
     backend.ownLoad_.queuedTokens_ -= std::min(backend.ownLoad_.queuedTokens_, choice.uncachedTokens_.value_);
     double waited = std::max(1.0, static_cast<double>(wait.count()));
     double estimated = std::max(1.0, static_cast<double>(choice.estimate_.count()) / (shape.isForEngine_ ? choice.slowdown_.value_or(ownSlowdownFactor(backend)) : backend.slowness_));
@@ -291,6 +292,7 @@
         backend.failedShare_ += learningRate * (1 - backend.failedShare_);
         return;
     case BackendOutcome::Full:
+        backend.isFull_ = true;
         backend.ejectedUntil_ = std::max(backend.ejectedUntil_, now + settings_.fullBackoff_);
         return;
     case BackendOutcome::WrongInstance:
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -228,7 +228,10 @@
         if (backend.record_.isReclaimable_ && shape.reclaimedDataCentre_ == backend.record_.dataCentre_)
             continue;
         bool isHealthy = isUsable(backend, now) && backend.failedShare_ < maxFailedShare;
-        if (isHealthy && isReachableLocked(backend.record_.dataCentre_))
+        bool isReachable = isReachableLocked(backend.record_.dataCentre_);
+        if (shape.needsRoom_ && (!isHealthy || !isReachable || backend.isFull_))
+            continue;
+        if (isHealthy && isReachable)
             usable.push_back(&backend);
         else
             (isHealthy ? unreachable : degraded).push_back(&backend);
@@ -238,8 +241,7 @@
             applyVersionRule(*group, *shape.version_, shape.service_);
     }
     // A degraded server is preferred to a rejection, since it may have recovered.
-    bool isFallback = usable.empty();
-    if (isFallback)
+    if (usable.empty())
         usable = unreachable.empty() ? std::move(degraded) : std::move(unreachable);
     std::vector<Backend*>& candidates = usable;
     if (candidates.empty())
@@ -247,7 +249,6 @@
 
     BackendChoice choice;
     choice.candidateCount_ = candidates.size();
-    choice.isFallback_ = isFallback;
     BackendId affinityBackend = affinityBackendOf(shape, candidates);
     bool isLarge = candidates.size() > settings_.samplingThreshold_;
     if (isLarge && !shape.isSuspect_)
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -215,15 +215,20 @@
         return false;
     if (!context_.retries_.allowsRetry(shape_.service_, now))
         return false;
-    auto choice = chooseBackend(shape_, RolloutTracker::SendKind::Subsequent);
+    // While the paths to all servers of the service are lost, a peer opens the connection.
+    bool isLost = context_.paths_.isLost(shape_.service_);
+    if (isLost && !context_.hooks_.hasPeerReaching_(shape_.service_))
+        return false;
+    RequestShape shape = shape_;
+    shape.needsRoom_ = !isLost;
+    auto choice = chooseBackend(shape, RolloutTracker::SendKind::Subsequent);
     if (!choice)
         return false;
-    // While the paths to all servers of the service are lost, a peer opens the connection.
-    bool isReachable = context_.paths_.isLost(shape_.service_) ? context_.hooks_.hasPeerReaching_(shape_.service_) : !choice->isFallback_;
-    if (!isReachable || !context_.retries_.tryRetry(shape_.service_, now)) {
+    if (!context_.retries_.tryRetry(shape_.service_, now)) {
         context_.backends_.withdraw(*choice);
         return false;
     }
+    shape_.version_ = shape.version_;
     replacement_ = std::move(choice);
     return true;
 }
@@ -522,7 +527,8 @@
 
 void RequestForwarder::noteEndedEarly() const
 {
-    if (!hasEndedAttempt_ || isDelivered_ || timeLeft() <= milliseconds(0))
+    bool hasCallerLeft = stopReason_ == StopReason::CallerDisconnected && !caller_->isAbortedByNode();
+    if (!hasEndedAttempt_ || isDelivered_ || hasCallerLeft || timeLeft() <= milliseconds(0))
         return;
     context_.metrics_.add(Counter::AnswersEndedEarly);
     LogLine line("An answer is ended while its server is at work.");
--- a/unittests/Forward/SilentServerTest.cpp
+++ b/unittests/Forward/SilentServerTest.cpp
@@ -103,14 +103,6 @@
     (void)co_await asio::async_read_until(socket, asio::dynamic_buffer(answer), "0\r\n\r\n", asTuple);
 }
 
-/// Settings with which a server counts as full for the whole silence.
-ChoiceSettings choiceSettings()
-{
-    ChoiceSettings settings;
-    settings.fullBackoff_ = timeout;
-    return settings;
-}
-
 /// A worker with two backend servers.
 class WorkerWithServers {
 public:
@@ -160,7 +152,7 @@
     asio::io_context io_;
     std::deque<tcp::acceptor> acceptors_;
     std::shared_ptr<int> requests_ = std::make_shared<int>(0);
-    BackendTable backends_ { { "a" }, choiceSettings() };
+    BackendTable backends_ { { "a" }, {} };
     ServicePaths paths_;
     QuotaLimiter quotas_ { steadyNow(), {} };
     ServiceRetryBudget retries_;
