--- a/review/standin-2/World.h
+++ b/review/standin-2/World.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <signal.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
@@ -224,6 +225,8 @@
     {
         pid_ = ::fork();
         if (pid_ == 0) {
+            // It must not outlive this process, which may be ended by its time limit.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             int log = ::open(logFile_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, 1);
             ::dup2(log, 2);
