--- a/review/standin-2/ModelEngine.h
+++ b/review/standin-2/ModelEngine.h
@@ -43,6 +43,13 @@
         }).detach();
     }
 
+    /// Whether it has begun to work on the request.
+    bool hasStarted(const std::string& id)
+    {
+        std::lock_guard lock(mutex_);
+        return started_.count(id) > 0;
+    }
+
 private:
     /// Time of one step, which makes one event for each running request.
     static constexpr std::int64_t tickMs = 50;
@@ -109,6 +116,7 @@
             world_.record_.add("runs     " + run->id_ + " at " + id_ + " from event " + std::to_string(run->nextEvent_));
         }
         run->hasHead_ = true;
+        started_.insert(run->id_);
         std::string event = "id: " + std::to_string(run->nextEvent_) + "\ndata: " + std::string(40, 'w') + "\n\n";
         char size[16];
         std::snprintf(size, sizeof size, "%zx\r\n", event.size());
@@ -175,6 +183,7 @@
                 continue;
             }
             runs_.push_back(run);
+            world_.record_.add("takes    " + id + " at " + id_ + ", " + std::to_string(runs_.size() - 1) + " are there");
             changed_.wait(lock, [&] { return run->isDone_; });
         }
     }
@@ -190,6 +199,7 @@
     std::condition_variable changed_;
     std::list<RunPtr> runs_;
     std::int64_t orders_ = 0;
+    std::set<std::string> started_;
 };
 
 } // namespace standin
--- a/review/standin-2/SilentStream.cpp
+++ b/review/standin-2/SilentStream.cpp
@@ -1,61 +1,13 @@
 // Two model engines are well used. A stream through one gateway is preempted at its engine, as the newest there, and
 // goes on when there is room. Meanwhile the gateway gets SIGTERM.
 #include "ModelEngine.h"
+#include "StreamClient.h"
 
 using namespace standin;
 
 namespace {
 
-struct Outcome {
-    int status_ = 0;
-    int lastEvent_ = 0;
-    bool isComplete_ = false;
-    /// Whether the client left, after a pause of its patience.
-    bool hasLeft_ = false;
-    std::int64_t sentMs_ = 0;
-    std::int64_t endMs_ = 0;
-};
-
 constexpr int callersPerBusyGateway = 3;
-// Clients leave a stream after four times the objective of its route.
-constexpr std::int64_t patienceMs = 4800;
-
-Outcome readStream(World& world, const Gateway& gateway, const std::string& id, const std::string& path, int promptTokens, int events, int deadlineMs)
-{
-    Outcome outcome;
-    Connection connection;
-    const std::string body(600, '.');
-    outcome.sentMs_ = nowMs();
-    world.record_.add("sent     " + id + " to " + gateway.name_ + ", " + std::to_string(promptTokens) + " tokens in, " + std::to_string(events) + " events");
-    bool isSent = connection.connect(gateway.callers_) && connection.write("POST " + path + std::to_string(events) + " HTTP/1.1\r\nHost: loja.example\r\nX-Pistachioloom-Attempt-Id: " + id + "\r\nX-Pistachioloom-Model: m\r\nX-Pistachioloom-Token-Count: " + std::to_string(promptTokens) + ",8000\r\nX-Pistachioloom-Prompt-Prefix: " + id + ":" + std::to_string(promptTokens) + "\r\nX-Pistachioloom-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\nAuthorization: Bearer key-one\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-    Message head;
-    std::int64_t deadline = outcome.sentMs_ + deadlineMs + 500;
-    std::string events_;
-    if (isSent && readHead(connection, head, deadline) == ReadResult::Done) {
-        outcome.status_ = head.status();
-        std::int64_t heardMs = nowMs();
-        for (;;) {
-            std::size_t known = connection.input_.size();
-            std::size_t last = connection.input_.rfind("id: ");
-            if (last != std::string::npos && connection.input_.find('\n', last) != std::string::npos)
-                outcome.lastEvent_ = std::atoi(connection.input_.c_str() + last + 4);
-            outcome.isComplete_ = outcome.status_ == 200 && connection.input_.size() >= 5 && connection.input_.compare(connection.input_.size() - 5, 5, "0\r\n\r\n") == 0;
-            if (outcome.isComplete_)
-                break;
-            // Before the first event the patience is the same.
-            int more = connection.readMore(std::min(deadline, heardMs + (promptTokens < 1000 ? deadlineMs : patienceMs)));
-            if (more < 0)
-                outcome.hasLeft_ = true;
-            if (more <= 0)
-                break;
-            if (connection.input_.size() > known)
-                heardMs = nowMs();
-        }
-    }
-    outcome.endMs_ = nowMs();
-    world.record_.add("answered " + id + " " + std::to_string(outcome.status_) + ", events to " + std::to_string(outcome.lastEvent_) + (outcome.isComplete_ ? ", complete" : outcome.hasLeft_ ? ", the client left" : ", the connection ended before the stream"));
-    return outcome;
-}
 
 } // namespace
 
@@ -71,7 +23,7 @@
     ModelEngine second(world, "planos", "i-two", "b", {});
     first.start();
     second.start();
-    world.store_.put("keyed.op", "config", R"({"version":3,"routes":[{"name":"plan","hostname":"loja.example","path_prefix":"/plans/","type":"stream","timeout_ms":15000,"goal_ms":1200,"priority":1,"service":"planos","attempts":2,"public":false,"affinity":true,"resumable":true,"gap_aim_ms":400},{"name":"ask","hostname":"loja.example","path_prefix":"/asks/","type":"stream","timeout_ms":20000,"goal_ms":1200,"priority":1,"service":"planos","attempts":1,"public":false,"affinity":true,"resumable":false,"gap_aim_ms":400}],"services":[{"name":"planos","health_path":"/healthz","max_conns":370,"protocol":"h1","tls_cfg":false,"engine":{"slot_count":4,"kv_tokens":100000,"kv_bytes":18432,"link_mbps":280000.0,"moves":true,"backups":true,"stride":50,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"stores","api_keys":["key-one"],"unit":"tokens","plain_tokens":200,"rate_per_s":0,"burst_max":0}]})");
+    world.store_.put("keyed.op", "config", R"({"version":3,"routes":[{"name":"plan","hostname":"loja.example","path_prefix":"/plans/","type":"stream","timeout_ms":15000,"goal_ms":1200,"priority":1,"service":"planos","attempts":2,"public":false,"affinity":true,"resumable":true,"gap_aim_ms":400},{"name":"ask","hostname":"loja.example","path_prefix":"/asks/","type":"stream","timeout_ms":20000,"goal_ms":2500,"priority":1,"service":"planos","attempts":1,"public":false,"affinity":true,"resumable":false,"gap_aim_ms":400}],"services":[{"name":"planos","health_path":"/healthz","max_conns":370,"protocol":"h1","tls_cfg":false,"engine":{"slot_count":4,"kv_tokens":100000,"kv_bytes":18432,"link_mbps":280000.0,"moves":true,"backups":true,"stride":50,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"stores","api_keys":["key-one"],"unit":"tokens","plain_tokens":200,"rate_per_s":0,"burst_max":0}]})");
     for (const char* zone : { "a", "a", "b", "b" })
         world.addGateway(zone);
     world.launchGateways();
@@ -83,7 +35,7 @@
 
     std::vector<std::thread> threads;
     auto ask = [&](Gateway& gateway, std::string id, int promptTokens, int events) {
-        threads.emplace_back([&world, &gateway, id, promptTokens, events] { (void)readStream(world, gateway, id, "/asks/", promptTokens, events, 20000); });
+        threads.emplace_back([&world, &gateway, id, promptTokens, events] { (void)readStream(world, gateway, id, "/asks/", promptTokens, events, 20000, patienceOf(2500, 400)); });
     };
     // The second engine is taken: four run, two wait.
     for (int i = 0; i < callersPerBusyGateway; ++i) {
@@ -97,7 +49,7 @@
     ask(neighbour, "b2", 30000, 140);
     sleepMs(800);
     Outcome outcome;
-    std::thread reader([&] { outcome = readStream(world, stopping, "s1", "/plans/", 30000, 60, 15000); });
+    std::thread reader([&] { outcome = readStream(world, stopping, "s1", "/plans/", 30000, 60, 15000, patienceOf(1200, 400)); });
     sleepMs(1900);
     std::int64_t stoppedMs = 0;
     if (hasTrouble) {
