--- a/review/standin-2/GraceEnd.cpp
+++ b/review/standin-2/GraceEnd.cc
@@ -1,7 +1,7 @@
 // A model engine is well used, so that requests wait in its queue. Meanwhile a gateway that has passed such requests
 // on gets SIGTERM.
-#include "ModelEngine.h"
-#include "StreamClient.h"
+#include "ModelEngine.hh"
+#include "StreamClient.hh"
 
 using namespace standin;
 
--- a/review/standin-2/Http.h
+++ b/review/standin-2/Http.hh
@@ -163,7 +163,10 @@
     }
 };
 
-enum class ReadResult { Done, Closed, TimedOut, Malformed };
+enum class ReadResult { Done,
+    Closed,
+    TimedOut,
+    Malformed };
 
 /// Reads the head of a message, with field names in lower case.
 inline ReadResult readHead(Connection& connection, Message& message, std::int64_t untilMs)
--- a/review/standin-2/LateAnswer.cpp
+++ b/review/standin-2/LateAnswer.cc
@@ -1,6 +1,6 @@
 // Clients confirm orders on kept connections, over three gateways. For five seconds one engine of three sends a
 // second answer after a part of its answers. It arrives late, where the next answer on that connection is expected.
-#include "World.h"
+#include "World.hh"
 
 using namespace standin;
 
--- a/review/standin-2/ModelEngine.h
+++ b/review/standin-2/ModelEngine.hh
@@ -3,7 +3,7 @@
 // in again once there is room.
 #pragma once
 
-#include "World.h"
+#include "World.hh"
 
 #include <algorithm>
 #include <list>
--- a/review/standin-2/SilentStream.cpp
+++ b/review/standin-2/SilentStream.cc
@@ -1,7 +1,7 @@
 // Two model engines are well used. A stream through one gateway is preempted at its engine, as the newest there, and
 // goes on when there is room. Meanwhile the gateway gets SIGTERM.
-#include "ModelEngine.h"
-#include "StreamClient.h"
+#include "ModelEngine.hh"
+#include "StreamClient.hh"
 
 using namespace standin;
 
--- a/review/standin-2/StreamClient.h
+++ b/review/standin-2/StreamClient.hh
@@ -1,7 +1,7 @@
 // A client that reads an event stream.
 #pragma once
 
-#include "World.h"
+#include "World.hh"
 
 #include <algorithm>
 
@@ -60,7 +60,8 @@
         }
     }
     outcome.endMs_ = nowMs();
-    world.record_.add("answered " + id + " " + std::to_string(outcome.status_) + ", events to " + std::to_string(outcome.lastEvent_) + (outcome.isComplete_ ? ", complete" : outcome.hasLeft_ ? ", the client left" : ", the connection ended before the stream"));
+    world.record_.add("answered " + id + " " + std::to_string(outcome.status_) + ", events to " + std::to_string(outcome.lastEvent_) + (outcome.isComplete_ ? ", complete" : outcome.hasLeft_ ? ", the client left"
+                                                                                                                                                                                              : ", the connection ended before the stream"));
     return outcome;
 }
 
--- a/review/standin-2/Uploads.cpp
+++ b/review/standin-2/Uploads.cc
@@ -1,6 +1,6 @@
 // Clients confirm orders on kept connections, over three gateways. Beside them many clients come at once, with long
 // bodies that stay within `max_body_bytes`. The platform kills a process that exceeds its memory, and starts it again.
-#include "World.h"
+#include "World.hh"
 
 using namespace standin;
 
--- a/review/standin-2/World.h
+++ b/review/standin-2/World.hh
@@ -2,12 +2,12 @@
 // The stand-ins follow the users' pages; a test adds its disruption through hooks.
 #pragma once
 
-#include "Http.h"
+#include "Http.hh"
 
 #include <condition_variable>
-#include <fcntl.h>
 #include <cstdio>
 #include <cstdlib>
+#include <fcntl.h>
 #include <fstream>
 #include <memory>
 #include <random>
@@ -302,9 +302,9 @@
         for (std::size_t i = 0; i < gateways_.size(); ++i) {
             Gateway& gateway = *gateways_[i];
             std::map<std::string, std::string> values {
-                { "node_name", gateway.name_ }, { "zone", zones_[i] }, { "limits.cpu_frac", "0.25" }, { "platform.address", storeAddress_.text() },
+                { "node_name", gateway.name_ }, { "zone", zones_[i] }, { "limits.cpu_frac", "0.25" }, { "platform.address", storeFor_(i).text() },
                 { "listen.front", gateway.callers_.text() }, { "listen.ready", gateway.readiness_.text() }, { "listen.control_addr", gateway.callers_.host_ + ":8367" },
-                { "ip_addr", gateway.callers_.host_ }, { "port_range.0", "7500" }, { "cloud_api.address", cloudAddress_.text() },
+                { "ip_addr", gateway.callers_.host_ }, { "port_range.0", "7500" }, { "cloud_api.address", cloudFor_(i).text() },
                 { "bounds.lease_ms", "3000" }, { "bounds.window_s", "5" }, { "bounds.grace_s", "8" },
                 { "bounds.retry_ratio", "0.2" }, { "bounds.budget_extra", "58" }, { "bounds.budget_window_s", "10" }
             };
@@ -340,6 +340,9 @@
     Address storeAddress_;
     Address cloudAddress_;
     std::vector<std::unique_ptr<Gateway>> gateways_;
+    /// The addresses of the store and of the interface for duties as the gateway of this number reaches them.
+    std::function<Address(std::size_t)> storeFor_ = [this](std::size_t) { return storeAddress_; };
+    std::function<Address(std::size_t)> cloudFor_ = [this](std::size_t) { return cloudAddress_; };
     /// Called with each call to the interface for duties.
     std::function<void(const Message&)> onDuty_;
 
