Forward: log and count whose answer an attempt received

"Attempt ended." names whether the connection was reused, whose id the answer bears, its status, and when it arrived after the request. answers_to_others_total and answers_unidentified_total count answers with another id, and answers without an id on reused connections. No change of behaviour.

--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -130,6 +130,10 @@
     /// Answers that this node ended before their deadline, while the server neither broke off
     /// nor was done.
     AnswersEndedEarly,
+    /// Answers with the id of another request.
+    AnswersToOthers,
+    /// Answers without an id on connections that have served other requests.
+    AnswersUnidentified,
     Last,
 };
 
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -48,6 +48,21 @@
         return std::llround(amount);
     }
 
+    const char* toString(AnswerIdentity identity)
+    {
+        switch (identity) {
+        case AnswerIdentity::NoAnswer:
+            return "no_answer";
+        case AnswerIdentity::Own:
+            return "own";
+        case AnswerIdentity::Other:
+            return "other";
+        case AnswerIdentity::None:
+            return "none";
+        }
+        return "";
+    }
+
     /// Adds what the refusal follows from.
     void addQuotaInputs(LogLine& line, const QuotaRefusal& refusal)
     {
@@ -490,6 +505,10 @@
         line.add("via", attempt.via_.value_);
     if (!attempt.limit_.empty())
         line.add("limit", attempt.limit_);
+    if (attempt.sentAt_ != SteadyTime {})
+        line.add("reused", attempt.isReused_).add("answer_id", toString(attempt.answerIdentity_));
+    if (attempt.answeredAt_ != SteadyTime {})
+        line.add("answer_status", attempt.answerStatus_).add("answered_after_ms", std::chrono::duration_cast<milliseconds>(attempt.answeredAt_ - attempt.sentAt_).count());
     if (attempt.sentAt_ != SteadyTime {})
         line.add("sent_after_ms", std::chrono::duration_cast<milliseconds>(attempt.sentAt_ - request_.receivedAt_).count());
     if (outcome == BackendOutcome::Broken)
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -40,6 +40,18 @@
     Moved,
 };
 
+/// What the id in an answer says of the request that it answers.
+enum class AnswerIdentity {
+    /// No head of an answer has arrived.
+    NoAnswer,
+    /// The answer has the id of the request.
+    Own,
+    /// The answer has the id of another request.
+    Other,
+    /// The answer has no id.
+    None,
+};
+
 /// Why a send was stopped before its end.
 enum class StopReason {
     None,
@@ -68,6 +80,8 @@
         SteadyTime sentAt_ {};
         /// Whether the request was sent and no part of an answer has arrived.
         bool isWaiting_ = false;
+        /// Whether the connection has served other requests.
+        bool isReused_ = false;
         /// Whether the connection is one through a peer, and the peer.
         bool isRelayed_ = false;
         VmId via_;
@@ -86,6 +100,11 @@
         milliseconds pause_ {};
         /// The text of the request limit that the answer stated; empty if there was none.
         std::string limit_;
+        AnswerIdentity answerIdentity_ = AnswerIdentity::NoAnswer;
+        /// The status of the answer; 0 if none arrived.
+        int answerStatus_ = 0;
+        /// When the head of the answer had arrived.
+        SteadyTime answeredAt_ {};
         /// The wait for the first byte as a multiple of its estimate.
         double waitRatio_ = 1;
         /// The id of the last event that the caller had before the attempt.
@@ -185,7 +204,9 @@
     void logQuarantined(const Quarantine& quarantine);
     void logRejection(const HeldAnswer& answer) const;
     void addCapacityInputs(LogLine& line) const;
-    bool isToThisRequest(const AnswerReader& reader) const;
+    AnswerIdentity identityOf(const AnswerReader& reader) const;
+    void noteAnswerHead(Attempt& attempt, const AnswerReader& reader);
+    bool isToThisRequest(const Attempt& attempt) const;
     std::optional<SendOutcome> checkAnswerHead(Attempt& attempt, const AnswerReader& reader);
     /// Records the conditions that an answer states of its backend server.
     void noteBackendState(Attempt& attempt, const AnswerReader& reader);
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -210,6 +210,7 @@
     }
     ++sendCount_;
     attempt.sentAt_ = steadyNow();
+    attempt.isReused_ = attempt.connection_->isReused_;
     attempt.isWaiting_ = true;
     isAttemptSent_ = true;
     context_.paths_.noteSent(shape_.service_, attempt.sentAt_);
@@ -296,14 +297,33 @@
         context_.hooks_.onStatement_(statement);
 }
 
+AnswerIdentity RequestForwarder::identityOf(const AnswerReader& reader) const
+{
+    std::string_view echoed = view(reader.message()[context_.names_.attempt_]);
+    if (echoed.empty())
+        return AnswerIdentity::None;
+    return echoed == attemptId_ ? AnswerIdentity::Own : AnswerIdentity::Other;
+}
+
+void RequestForwarder::noteAnswerHead(Attempt& attempt, const AnswerReader& reader)
+{
+    attempt.connection_->arrivedAt_ = steadyNow();
+    attempt.answeredAt_ = attempt.connection_->arrivedAt_;
+    attempt.answerIdentity_ = identityOf(reader);
+    attempt.answerStatus_ = static_cast<int>(reader.message().result_int());
+    if (attempt.answerIdentity_ == AnswerIdentity::Other)
+        context_.metrics_.add(Counter::AnswersToOthers);
+    if (attempt.answerIdentity_ == AnswerIdentity::None && attempt.connection_->isReused_)
+        context_.metrics_.add(Counter::AnswersUnidentified);
+}
+
 /// Whether an answer is one to the request that was sent. A server may send further answers, with
 /// other ids, where this one is expected. Nothing that these state is used. A failure may lack
 /// its id.
-bool RequestForwarder::isToThisRequest(const AnswerReader& reader) const
+bool RequestForwarder::isToThisRequest(const Attempt& attempt) const
 {
-    const auto& message = reader.message();
-    std::string_view echoed = view(message[context_.names_.attempt_]);
-    return attemptId_.empty() || echoed == attemptId_ || (echoed.empty() && message.result_int() >= 400);
+    bool isFailure = attempt.answerStatus_ >= 400;
+    return attemptId_.empty() || attempt.answerIdentity_ == AnswerIdentity::Own || (attempt.answerIdentity_ == AnswerIdentity::None && isFailure);
 }
 
 /// \returns the outcome if the head alone determines it, or nullopt to continue reading.
@@ -349,8 +369,8 @@
         }
         noteAnswering(attempt);
     }
-    attempt.connection_->arrivedAt_ = steadyNow();
-    if (!isToThisRequest(reader)) {
+    noteAnswerHead(attempt, reader);
+    if (!isToThisRequest(attempt)) {
         attempt.detail_ = "other_answer";
         co_return SendOutcome::Lost;
     }
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -61,6 +61,8 @@
         "connections_unread",
         "requests_refused_until_engines",
         "answers_ended_early",
+        "answers_to_others",
+        "answers_unidentified",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
