--- /dev/null
+++ b/unittests/Forward/BegunAnswerTest.cpp
@@ -0,0 +1,170 @@
+//===- unittests/Forward/BegunAnswerTest.cpp - answers that have begun -----===//
+///
+/// \file
+/// A caller has a part of its answer. What follows must be the rest of it, or its connection must
+/// end in a way that shows that the rest is missing.
+//===----------------------------------------------------------------------===//
+#include "ForwardFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+using tcp = asio::ip::tcp;
+using End = ScriptedWorker::End;
+
+namespace {
+
+constexpr milliseconds timeout { 400 };
+const std::string ok = "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n";
+const std::string lastChunk = "0\r\n\r\n";
+
+Route streamRoute(unsigned attempts)
+{
+    Route route = routeOfTests();
+    route.isStream_ = true;
+    route.isResumable_ = true;
+    route.maxAttempts_ = attempts;
+    return route;
+}
+
+std::string request(const std::string& version = "HTTP/1.1")
+{
+    return "POST /x " + version + "\r\nHost: h\r\nAttempt: a1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::size_t countOf(const std::string& text, const std::string& part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+/// Sends two events, breaks off, answers the next request with \p second, and those after it
+/// with the rest of the stream.
+ServerScript interruptedServer(const std::string& second)
+{
+    return [second](tcp::socket& socket, const ReceivedRequest& received) -> asio::awaitable<bool> {
+        std::string bytes = ok + "Transfer-Encoding: chunked\r\n\r\n";
+        if (received.total_ == 1)
+            bytes += eventChunk(1) + eventChunk(2);
+        else if (received.total_ == 2)
+            bytes = second;
+        else
+            bytes += eventChunk(3) + lastChunk;
+        co_await send(socket, std::move(bytes));
+        if (received.total_ > 1)
+            co_return true;
+        co_await sleepFor(milliseconds(20));
+        resetSocket(socket);
+        co_return false;
+    };
+}
+
+} // namespace
+
+// Guards against a second status line in an answer: events of a stream are followed by the answer of
+// the server at which it was resumed.
+TEST_CASE("a resumed stream that is answered with a failure does not begin a second answer", "[forward]")
+{
+    auto status = GENERATE(values<std::string>({ "HTTP/1.1 204 No Content", "HTTP/1.1 302 Found", "HTTP/1.1 400 Bad Request", "HTTP/1.1 404 Not Found", "HTTP/1.1 410 Gone", "HTTP/1.1 500 Internal Server Error" }));
+    bool hasId = GENERATE(true, false);
+    CAPTURE(status, hasId);
+    std::string body = status.find("204") == std::string::npos ? "Content-Length: 4\r\n\r\nbody" : "\r\n";
+    ServerScript script = interruptedServer(status + "\r\nSeal: s\r\n" + (hasId ? "Attempt: a1\r\n" : "") + body);
+    SECTION("no attempt is left")
+    {
+        ScriptedWorker worker(streamRoute(2), 3, std::move(script));
+        ScriptedWorker::CallerAnswer answer = worker.call(request());
+        CAPTURE(answer.bytes_);
+        CHECK(worker.requests() == 2);
+        CHECK(countOf(answer.bytes_, "HTTP/1.1") == 1);
+        CHECK(answer.bytes_.ends_with(eventChunk(2)));
+    }
+    SECTION("another server resumes it")
+    {
+        ScriptedWorker worker(streamRoute(3), 3, std::move(script));
+        ScriptedWorker::CallerAnswer answer = worker.call(request(), lastChunk);
+        CAPTURE(answer.bytes_);
+        CHECK(countOf(answer.bytes_, "HTTP/1.1") == 1);
+        CHECK(answer.bytes_.ends_with(eventChunk(1) + eventChunk(2) + eventChunk(3) + lastChunk));
+    }
+}
+
+// Guards against a stream that looks whole to a caller of HTTP/1.0, for whom the end of the connection
+// ends it.
+TEST_CASE("a stream that is cut short for a caller of HTTP 1.0 ends with a reset", "[forward]")
+{
+    enum class Cut {
+        None,
+        ByServer,
+        AtDeadline,
+        AtGraceEnd,
+    };
+    auto cut = GENERATE(Cut::None, Cut::ByServer, Cut::AtDeadline, Cut::AtGraceEnd);
+    CAPTURE(cut);
+    Route route = streamRoute(1);
+    route.timeout_ = timeout;
+    std::function<void()> onEvents = [] {};
+    ScriptedWorker worker(route, 1, [&](tcp::socket& socket, const ReceivedRequest&) -> asio::awaitable<bool> {
+        std::string bytes = ok + "Transfer-Encoding: chunked\r\n\r\n" + eventChunk(1);
+        co_await send(socket, std::move(bytes));
+        co_await sleepFor(milliseconds(50));
+        if (cut == Cut::AtGraceEnd)
+            onEvents();
+        if (cut == Cut::AtDeadline || cut == Cut::AtGraceEnd)
+            co_await sleepFor(2 * timeout);
+        std::string rest = eventChunk(2) + lastChunk;
+        if (cut == Cut::None)
+            co_await send(socket, std::move(rest));
+        co_return false;
+    });
+    onEvents = [&worker] { worker.worker().abortAll(); };
+    ScriptedWorker::CallerAnswer answer = worker.call(request("HTTP/1.0"));
+    CAPTURE(answer.bytes_);
+    CHECK(answer.end_ == (cut == Cut::None ? End::Closed : End::Reset));
+    if (cut == Cut::None)
+        CHECK(answer.bytes_.ends_with("id: 1\ndata: e\n\nid: 2\ndata: e\n\n"));
+}
+
+// Guards against an answer that is taken for whole although its server closed the connection within the
+// head, the framing or the body.
+TEST_CASE("an answer that its server cuts short is not delivered as whole", "[forward]")
+{
+    struct Row {
+        const char* name_;
+        bool isStream_;
+        std::string bytes_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "with a length", false, ok + "Content-Length: 4\r\n\r\nbody" },
+        { "in chunks", false, ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n" + lastChunk },
+        { "after an interim answer", false, "HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody" },
+        { "a failure", false, "HTTP/1.1 500 Error\r\nAttempt: a1\r\nSeal: s\r\nContent-Length: 4\r\n\r\nbody" },
+        { "a stream", true, ok + "Transfer-Encoding: chunked\r\n\r\n" + eventChunk(1) + lastChunk },
+        { "a stream with a length", true, ok + "Content-Length: 15\r\n\r\nid: 1\ndata: e\n\n" },
+    }));
+    bool isReset = GENERATE(false, true);
+    CAPTURE(row.name_, isReset);
+    Route route = routeOfTests();
+    route.isStream_ = row.isStream_;
+    std::size_t size = 0;
+    ScriptedWorker worker(route, 1, [&](tcp::socket& socket, const ReceivedRequest&) -> asio::awaitable<bool> {
+        std::string bytes = row.bytes_.substr(0, size);
+        co_await send(socket, std::move(bytes));
+        if (isReset)
+            resetSocket(socket);
+        co_return false;
+    });
+    for (; size < row.bytes_.size(); ++size) {
+        ScriptedWorker::CallerAnswer answer = worker.call(request());
+        CAPTURE(size, answer.bytes_);
+        if (answer.bytes_.starts_with("HTTP/1.1 200")) {
+            CHECK(row.isStream_);
+            CHECK(!answer.bytes_.ends_with(lastChunk));
+        } else
+            CHECK((answer.bytes_.starts_with("HTTP/1.1 502") || answer.bytes_.starts_with("HTTP/1.1 503")));
+    }
+    CHECK(worker.requests() == static_cast<int>(row.bytes_.size()));
+}
