Forward: an answer without an id is believed only on a new connection

Cause: isToThisRequest() took each answer of 400 or more that lacks an id for the answer to the request in hand. A server may send a second answer late, where the answer to the next request on that connection is due; if it lacks an id, nothing in it tells whose it is. Class: an identity that is assumed where it is not stated.

Only the first answer on a connection can belong to no earlier request, so it alone may lack an id. On a reused connection such an answer fails the attempt, which promises nothing and is retried where that is allowed. For 10 s after any ambiguous answer of a server, requests that can't be sent again use new connections to it. Requests without an id always do.

--- a/lib/Forward/ConnectionPool.cpp
+++ b/lib/Forward/ConnectionPool.cpp
@@ -18,6 +18,8 @@
 // Longer idle timeouts are reduced to this limit, since no connection needs to be kept for
 // longer. The limit also bounds the external values that enter the arithmetic.
 static constexpr std::chrono::hours maxIdle { 1 };
+// Time after an answer without the request's id for which more of them are expected.
+static constexpr std::chrono::seconds ambiguityTime { 10 };
 
 /// Parses the idle timeout of a Keep-Alive header (RFC 2068, 19.7.1), which may be in quotes.
 /// \returns nullopt if the header states none.
@@ -168,6 +170,17 @@
     return connection;
 }
 
+void ConnectionPool::noteAmbiguous(const BackendId& backend, SteadyTime now)
+{
+    ambiguousUntil_[backend] = now + ambiguityTime;
+}
+
+bool ConnectionPool::isAmbiguous(const BackendId& backend, SteadyTime now) const
+{
+    auto found = ambiguousUntil_.find(backend);
+    return found != ambiguousUntil_.end() && now < found->second;
+}
+
 void ConnectionPool::put(BackendConnectionPtr connection)
 {
     std::vector<BackendConnectionPtr>& kept = idle_[connection->backend_];
@@ -184,6 +197,7 @@
             return true;
         });
     }
+    std::erase_if(ambiguousUntil_, [&](const auto& entry) { return entry.second <= now; });
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
     std::erase_if(openCounts_, [](const auto& entry) { return *entry.second == 0; });
 }
--- a/lib/Forward/ConnectionPool.h
+++ b/lib/Forward/ConnectionPool.h
@@ -138,6 +138,11 @@
     BackendConnectionPtr make(const BackendId& backend);
     /// The number of connections to \p backend, kept or in use.
     std::size_t openCount(const BackendId& backend) const;
+    /// Records that \p backend sent an answer without the id of the request for which it was
+    /// received.
+    void noteAmbiguous(const BackendId& backend, SteadyTime now);
+    /// Whether \p backend did so recently.
+    bool isAmbiguous(const BackendId& backend, SteadyTime now) const;
     /// Keeps \p connection for reuse.
     void put(BackendConnectionPtr connection);
     const asio::any_io_executor& executor() const { return executor_; }
@@ -148,6 +153,7 @@
     asio::any_io_executor executor_;
     std::map<BackendId, std::vector<BackendConnectionPtr>> idle_;
     std::map<BackendId, std::shared_ptr<std::size_t>> openCounts_;
+    std::map<BackendId, SteadyTime> ambiguousUntil_;
 };
 
 } // namespace pistachioloom
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -160,6 +160,7 @@
     asio::awaitable<SendOutcome> connect(Attempt& attempt);
     asio::awaitable<SendOutcome> connectThroughPeer(Attempt& attempt);
     bool mayConnect(const BackendId& backend) const;
+    bool mayReuseConnection(const BackendId& backend) const;
     asio::awaitable<SendOutcome> receive(Attempt& attempt);
     asio::awaitable<SendOutcome> receiveFullAnswer(Attempt& attempt, AnswerReader& reader);
     asio::awaitable<SendOutcome> forwardEvents(Attempt& attempt, AnswerReader& reader);
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -102,12 +102,23 @@
     return pool_.openCount(backend) < share;
 }
 
+/// Whether a connection that has served other requests may be used. If their answers may be taken
+/// for the one to this request, it fails although its server answers it, unless it can be sent
+/// again.
+bool RequestForwarder::mayReuseConnection(const BackendId& backend) const
+{
+    if (attemptId_.empty())
+        return false;
+    bool canBeSentAgain = route_->mayRepeat() && sendCount_ + 1 < route_->maxAttempts_;
+    return canBeSentAgain || !pool_.isAmbiguous(backend, steadyNow());
+}
+
 asio::awaitable<SendOutcome> RequestForwarder::connect(Attempt& attempt)
 {
     const BackendRecord& backend = attempt.choice_.backend_;
     bool isLost = context_.paths_.isLost(shape_.service_) && context_.hooks_.openRelayed_;
     std::uint64_t lossCount = context_.paths_.lossCount(shape_.service_);
-    if (!isLost)
+    if (!isLost && mayReuseConnection(backend.id_))
         attempt.connection_ = pool_.take(backend.id_, lossCount, steadyNow());
     if (attempt.connection_) {
         currentConnection_ = attempt.connection_;
@@ -313,17 +324,21 @@
     attempt.answerStatus_ = static_cast<int>(reader.message().result_int());
     if (attempt.answerIdentity_ == AnswerIdentity::Other)
         context_.metrics_.add(Counter::AnswersToOthers);
-    if (attempt.answerIdentity_ == AnswerIdentity::None && attempt.connection_->isReused_)
+    if (attempt.answerIdentity_ == AnswerIdentity::None && attempt.isReused_)
         context_.metrics_.add(Counter::AnswersUnidentified);
+    if (attempt.answerIdentity_ != AnswerIdentity::Own)
+        pool_.noteAmbiguous(attempt.choice_.backend_.id_, attempt.answeredAt_);
 }
 
 /// Whether an answer is one to the request that was sent. A server may send further answers, with
-/// other ids, where this one is expected. Nothing that these state is used. A failure may lack
-/// its id.
+/// other ids or none, where this one is expected. Nothing that these state is used. A failure may
+/// lack its id, but then only the first answer on a connection can be no other request's.
 bool RequestForwarder::isToThisRequest(const Attempt& attempt) const
 {
-    bool isFailure = attempt.answerStatus_ >= 400;
-    return attemptId_.empty() || attempt.answerIdentity_ == AnswerIdentity::Own || (attempt.answerIdentity_ == AnswerIdentity::None && isFailure);
+    if (attempt.answerIdentity_ != AnswerIdentity::None)
+        return attempt.answerIdentity_ == AnswerIdentity::Own;
+    bool mayLackId = attemptId_.empty() || attempt.answerStatus_ >= 400;
+    return mayLackId && !attempt.isReused_;
 }
 
 /// \returns the outcome if the head alone determines it, or nullopt to continue reading.
@@ -371,7 +386,7 @@
     }
     noteAnswerHead(attempt, reader);
     if (!isToThisRequest(attempt)) {
-        attempt.detail_ = "other_answer";
+        attempt.detail_ = attempt.answerIdentity_ == AnswerIdentity::None ? "unidentified_answer" : "other_answer";
         co_return SendOutcome::Lost;
     }
     noteBackendState(attempt, reader);
--- a/unittests/Forward/AnswerIdentityTest.cpp
+++ b/unittests/Forward/AnswerIdentityTest.cpp
@@ -42,12 +42,13 @@
     Together,
 };
 
-/// Answers each request. The second one on a connection gets \p late before its own answer.
+/// Answers each request. The second one on a connection to the first server gets \p late before
+/// its own answer.
 ServerScript stutteringServer(const std::string& late, Arrival arrival)
 {
     return [late, arrival](tcp::socket& socket, const ReceivedRequest& request) -> asio::awaitable<bool> {
         std::string own = ownAnswer(request);
-        if (request.number_ == 2) {
+        if (request.number_ == 2 && !request.server_) {
             std::string bytes = late;
             if (arrival == Arrival::Together)
                 bytes += own.substr(0, 20);
@@ -88,6 +89,9 @@
         CHECK(answer.find("a1") == std::string::npos);
         CHECK(worker.backends().mayReceive({ "b0" }, steadyNow()));
         CHECK(worker.count(Counter::AnswersUnidentified) == 1);
+        // A new connection is used, on which answers are not ambiguous.
+        CHECK(worker.call(requestOf("a3")).bytes_.ends_with("body of a3"));
+        CHECK(worker.call(requestOf("a4")).bytes_.ends_with("body of a4"));
     }
     SECTION("the request may be repeated")
     {
