Forward: an answer is begun once

Cause: receive() handed each answer but the 2xx of a stream to deliver(), whether or not the caller had events already; only failures of 500 and more were held back. Class: the end of an answer does not ask whether the answer has begun. deliver() was the only such place; a 2xx with another status than the begun one was joined to it as well.

Such an answer fails the attempt: another server may resume the stream, or the connection is closed without the last chunk. deliver() itself closes the connection if an answer has begun.

--- a/lib/Forward/Answering.cpp
+++ b/lib/Forward/Answering.cpp
@@ -70,10 +70,17 @@
     return answer;
 }
 
+/// Writes a complete answer. If another one has been started, closes the caller's connection instead,
+/// since the caller would take this one for the rest of it.
 asio::awaitable<bool> RequestForwarder::deliver(HeldAnswer answer)
 {
+    if (hasStartedAnswer_) {
+        caller_->abort();
+        co_return false;
+    }
     keepsConnection_ = keepsConnection_ && !context_.isStopping_;
     latestStatus_ = answer.status_;
+    startedStatus_ = answer.status_;
     hasStartedAnswer_ = true;
     BodySent sent = isHead() ? BodySent::No : BodySent::Yes;
     std::string bytes = renderAnswer(answer.status_, answer.fields_, answer.body_, announcedIdle(), sent);
@@ -90,6 +97,7 @@
     if (!request_.isHttp10_)
         appendField(head, "Transfer-Encoding", "chunked");
     head += connectionFields(announcedIdle()) + "\r\n";
+    startedStatus_ = latestStatus_;
     hasStartedAnswer_ = true;
     co_return co_await caller_->write(std::move(head));
 }
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -162,6 +162,7 @@
     bool mayConnect(const BackendId& backend) const;
     bool mayReuseConnection(const BackendId& backend) const;
     asio::awaitable<SendOutcome> receive(Attempt& attempt);
+    bool isForwardedAsItArrives(const Attempt& attempt) const;
     asio::awaitable<SendOutcome> receiveFullAnswer(Attempt& attempt, AnswerReader& reader);
     asio::awaitable<SendOutcome> forwardEvents(Attempt& attempt, AnswerReader& reader);
     asio::awaitable<boost::beast::error_code> readSome(Attempt& attempt, AnswerReader& reader);
@@ -291,6 +292,8 @@
     /// started.
     bool hasCountedStart_ = false;
     bool hasStartedAnswer_ = false;
+    /// The status of the answer that has been started.
+    int startedStatus_ = 0;
     /// Whether the caller has the complete answer.
     bool isDelivered_ = false;
     bool isFinished_ = false;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -373,6 +373,13 @@
         context_.paths_.noteAnswered(shape_.service_, attempt.sentAt_, steadyNow());
 }
 
+/// Whether an answer is an event stream, and goes on where the one that the caller has broke off.
+bool RequestForwarder::isForwardedAsItArrives(const Attempt& attempt) const
+{
+    bool isSuccess = attempt.answerStatus_ / 100 == 2;
+    return route_->isStream_ && isSuccess && !isHead() && (!hasStartedAnswer_ || attempt.answerStatus_ == startedStatus_);
+}
+
 asio::awaitable<SendOutcome> RequestForwarder::receive(Attempt& attempt)
 {
     AnswerReader reader(AnswerBounds {}, isHead() ? BodyFollows::No : BodyFollows::Yes);
@@ -392,9 +399,8 @@
     noteBackendState(attempt, reader);
     if (auto decided = checkAnswerHead(attempt, reader))
         co_return *decided;
-    bool isSuccess = reader.message().result_int() / 100 == 2;
     // An event stream is forwarded as it arrives. All other answers are read completely.
-    if (route_->isStream_ && isSuccess && !isHead())
+    if (isForwardedAsItArrives(attempt))
         co_return co_await forwardEvents(attempt, reader);
     co_return co_await receiveFullAnswer(attempt, reader);
 }
@@ -439,8 +445,9 @@
     latestStatus_ = answer.status_;
     releaseConnection(attempt, reader);
     bool isServerFailure = answer.status_ >= 500;
-    if (isServerFailure && route_->mayRepeat()) {
-        // Another backend server may succeed. If no retry is possible, this answer is delivered.
+    if (hasStartedAnswer_ || (isServerFailure && route_->mayRepeat())) {
+        // Another backend server may succeed. If no retry is possible, this answer is delivered,
+        // unless the caller already has a part of another one.
         attempt.detail_ = "failed:" + std::to_string(answer.status_);
         heldAnswer_ = std::move(answer);
         co_return SendOutcome::Held;
--- a/unittests/Forward/BegunAnswerTest.cpp
+++ b/unittests/Forward/BegunAnswerTest.cpp
@@ -80,7 +80,8 @@
         CAPTURE(answer.bytes_);
         CHECK(worker.requests() == 2);
         CHECK(countOf(answer.bytes_, "HTTP/1.1") == 1);
-        CHECK(answer.bytes_.ends_with(eventChunk(2)));
+        CHECK(countOf(answer.bytes_, "id: 1\ndata: e\n\nid: 2\ndata: e\n\n") == 1);
+        CHECK(answer.bytes_.ends_with("id: 2\ndata: e\n\n\r\n"));
     }
     SECTION("another server resumes it")
     {
@@ -88,7 +89,8 @@
         ScriptedWorker::CallerAnswer answer = worker.call(request(), lastChunk);
         CAPTURE(answer.bytes_);
         CHECK(countOf(answer.bytes_, "HTTP/1.1") == 1);
-        CHECK(answer.bytes_.ends_with(eventChunk(1) + eventChunk(2) + eventChunk(3) + lastChunk));
+        CHECK(countOf(answer.bytes_, "id: 1\ndata: e\n\nid: 2\ndata: e\n\n") == 1);
+        CHECK(answer.bytes_.ends_with("id: 2\ndata: e\n\n\r\n" + eventChunk(3) + lastChunk));
     }
 }
 
