Forward: a cut stream of an HTTP/1.0 caller always ends with a reset

Its end is that of the connection, and stop() and abortByNode() closed it in order; only serve() reset it. A kill of the process closed it in order too.

Cause and class: each place that closes a connection decides whether its answer looks whole. Now the socket does: from the head of such a stream to its last event any close resets, that by the end of the process as well.

--- a/lib/Forward/Answering.cpp
+++ b/lib/Forward/Answering.cpp
@@ -99,6 +99,9 @@
     head += connectionFields(announcedIdle()) + "\r\n";
     startedStatus_ = latestStatus_;
     hasStartedAnswer_ = true;
+    // The end of the connection ends the answer, so a close before its last event must differ.
+    if (request_.isHttp10_)
+        caller_->setResetOnClose(true);
     co_return co_await caller_->write(std::move(head));
 }
 
--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -168,11 +168,16 @@
 
 void CallerConnection::reset()
 {
-    boost::system::error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    setResetOnClose(true);
     abort();
 }
 
+void CallerConnection::setResetOnClose(bool isReset)
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
 void CallerConnection::shutdownSend()
 {
     boost::system::error_code ignored;
--- a/lib/Forward/CallerConnection.h
+++ b/lib/Forward/CallerConnection.h
@@ -48,6 +48,8 @@
     bool isAbortedByNode() const { return isAbortedByNode_; }
     /// Resets the connection, so that an answer that ends with it does not seem complete.
     void reset();
+    /// Sets whether any close resets the connection from now on, also by the end of the process.
+    void setResetOnClose(bool isReset);
     /// Closes the sending direction after the data that was written.
     void shutdownSend();
     std::string peer() const { return peer_; }
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -378,8 +378,6 @@
     if (hasStartedAnswer_) {
         if (isUnserved())
             context_.metrics_.add(Counter::StreamsUnserved);
-        if (request_.isHttp10_)
-            caller_->reset();
         caller_->abort();
         co_return;
     }
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -506,8 +506,10 @@
     releaseConnection(attempt, reader);
     if (!hasStartedAnswer_ && !co_await startEvents(fields))
         co_return SendOutcome::Stopped;
-    if (request_.isHttp10_)
+    if (request_.isHttp10_) {
+        caller_->setResetOnClose(false);
         co_return SendOutcome::Delivered;
+    }
     std::string lastChunk = "0\r\n\r\n";
     bool isWritten = co_await caller_->write(std::move(lastChunk));
     co_return isWritten ? SendOutcome::Delivered : SendOutcome::Stopped;
