Origins: callers resume streams after all nodes have ended at once

Cause: which software began a stream is known to a few nodes, in memory, so that it ends with all nodes at once. Class: knowledge that outlives no node is needed after the end of all of them.

Origins of resumable streams are now recorded in the platform's log as well. The log has 4 parts, and one node for each, chosen by rendezvous hashing, appends what it was told every 400 ms: at most 10 appends a second in a fleet of any size. No stream waits for its record. A node that gets a resumption of a stream that no node knows reads the newest records of its part. What is not in the log yet, or not readable, is refused as before.

Without the platform at the time of the end, resumptions are refused as before.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -138,7 +138,7 @@
     std::function<bool(const ServiceName& service)> hasPeerReaching_ = [](const ServiceName&) { return false; };
     /// Called before the first event of a stream is forwarded. Other nodes must learn of
     /// \p origin.
-    std::function<void(StreamKey stream, StreamOrigin origin)> tellOrigin_ = [](StreamKey, const StreamOrigin&) {};
+    std::function<void(StreamKey stream, StreamOrigin origin, OriginStorage storage)> tellOrigin_ = [](StreamKey, const StreamOrigin&, OriginStorage) {};
     /// Finds the origin of a stream that a caller resumes, here or at other nodes.
     std::function<asio::awaitable<FoundOrigin>(StreamKey stream)> findOrigin_ = [](StreamKey) -> asio::awaitable<FoundOrigin> { co_return FoundOrigin { std::nullopt, "unknown" }; };
     /// Returns the time since which this node's list of backend servers has always been current;
--- a/include/pistachioloom/Gateway.h
+++ b/include/pistachioloom/Gateway.h
@@ -86,6 +86,10 @@
     /// Errc::Conflict if it does not. After an error whose `ran_` is Unknown the record
     /// may still appear.
     std::function<asio::awaitable<Result<void>>(LogOffset end, std::string record)> appendDutyRecord_;
+    /// Appends \p record to part \p part of the log of origins, see OriginLog.h.
+    std::function<asio::awaitable<Result<void>>(std::uint32_t part, std::string record)> appendOrigins_;
+    /// Reads the newest records of \p part, at most \p count, that are at \p from or after it.
+    std::function<asio::awaitable<Result<LogRead>>(std::uint32_t part, LogOffset from, std::uint64_t count)> readOrigins_;
     /// Reports the usage of \p window, as the holder of the duties by \p token.
     std::function<asio::awaitable<Result<void>>(VmId holder, DutyToken token, WindowNumber window, UsageCounts counts)> reportUsage_;
     /// Orders engines, as the holder of the duties by \p token.
--- a/include/pistachioloom/Origins.h
+++ b/include/pistachioloom/Origins.h
@@ -32,6 +32,14 @@
     bool operator==(const StreamOrigin&) const = default;
 };
 
+/// Who keeps the origin of a stream.
+enum class OriginStorage {
+    /// Nodes, of which one has to stay alive.
+    Nodes,
+    /// Nodes, and within seconds the platform's log, which outlives all of them.
+    NodesAndLog,
+};
+
 struct OriginSettings {
     /// Time for which the origin of a stream is kept, from its first event or its last
     /// resumption on. Callers do not come back later.
@@ -49,6 +57,14 @@
     milliseconds askAgainAfter_ { 100 };
     /// Time after which the nodes that did not answer are not waited for any longer.
     milliseconds patience_ { 400 };
+    /// Parts of the log of origins. One node appends to each of them.
+    std::uint32_t logParts_ = 4;
+    /// Interval at which a node appends to a part what it has been told since.
+    milliseconds appendPeriod_ { 400 };
+    /// Minimum interval at which a node reads a part.
+    milliseconds readPeriod_ { 200 };
+    /// Newest records of a part that a node reads first. They cover the longest stream.
+    std::uint64_t recordsRead_ = 64;
 };
 
 /// The origins that a node knows. Thread-safe.
@@ -87,6 +103,11 @@
     Endpoint gossip_;
 };
 
+/// Returns the part of the log in which the origin of \p stream is recorded.
+std::uint32_t originPartOf(StreamKey stream, std::uint32_t parts);
+/// Returns the index in \p nodes of the one that appends to \p part; all nodes choose alike.
+std::size_t recorderOf(std::uint32_t part, const std::vector<OriginNode>& nodes);
+
 /// Returns up to \p count of \p nodes, best first, in the order in which all nodes choose the
 /// holders of \p stream: nodes of different data centres before others of the same ones.
 std::vector<OriginNode> rankOriginNodes(StreamKey stream, const std::vector<OriginNode>& nodes, std::size_t count);
--- a/include/pistachioloom/Platform.h
+++ b/include/pistachioloom/Platform.h
@@ -18,6 +18,8 @@
     /// The offset at which the next read starts.
     LogOffset next_;
     std::vector<std::pair<LogOffset, std::string>> records_;
+    /// The offset of the next record that is appended, if it is known.
+    LogOffset end_ {};
 };
 
 /// The platform's append-only log.
--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -134,6 +134,12 @@
     AnswersToOthers,
     /// Answers without an id on connections that have served other requests.
     AnswersUnidentified,
+    /// Origins of streams that were appended to the platform's log.
+    OriginsRecorded,
+    /// Origins that could not be recorded, since the platform was unavailable for too long.
+    OriginsUnrecorded,
+    /// Reads of the log of origins.
+    OriginLogReads,
     Last,
 };
 
--- a/lib/Forward/StreamVersion.cpp
+++ b/lib/Forward/StreamVersion.cpp
@@ -122,11 +122,12 @@
     if (!shape_.software_)
         shape_.software_ = softwareKeyOf(backend.service_, backend.version_);
     StreamOrigin origin { *shape_.software_, false };
+    OriginStorage storage = route_->mayRepeat() ? OriginStorage::NodesAndLog : OriginStorage::Nodes;
     // A resumed stream is told anew under the name of its first attempt too, since nodes that
     // hold it may have stopped.
     for (const std::string& id : { attemptId_, std::string(request_.field(context_.names_.resumes_)) }) {
         if (!id.empty())
-            context_.hooks_.tellOrigin_(streamKeyOf(organisationName(), id), origin);
+            context_.hooks_.tellOrigin_(streamKeyOf(organisationName(), id), origin, storage);
     }
 }
 
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -104,7 +104,7 @@
     };
     context_.forward_.hooks_.openRelayed_ = [this](BackendRecord backend, milliseconds timeout) { return relay_.open(std::move(backend), timeout); };
     context_.forward_.hooks_.hasPeerReaching_ = [this](const ServiceName& service) { return relay_.hasCarrier(service); };
-    context_.forward_.hooks_.tellOrigin_ = [this](StreamKey stream, const StreamOrigin& origin) { origins_.tell(stream, origin); };
+    context_.forward_.hooks_.tellOrigin_ = [this](StreamKey stream, const StreamOrigin& origin, OriginStorage storage) { origins_.tell(stream, origin, storage); };
     context_.forward_.hooks_.findOrigin_ = [this](StreamKey stream) { return origins_.find(stream); };
     context_.forward_.hooks_.registryCurrentSince_ = [this] { return feed_.registryCurrentSince(); };
     context_.forward_.hooks_.onTerminated_ = [this](const BackendId& backend) { peerReports_.noteTerminated(backend); };
@@ -291,6 +291,7 @@
     asio::co_spawn(*state_->ios_[0], state_->probe_.run(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->probe_.watchServices(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->quarantineStore_.run(), asio::detached);
+    asio::co_spawn(*state_->ios_[0], state_->origins_.log().run(), asio::detached);
     asio::co_spawn(*state_->ios_[0], state_->watchSignals(), asio::detached);
     state_->logger_.info(LogLine("Started.").add("data_centre", settings.dataCentre_.value_).add("callers", settings.callers_.toString()).add("incarnation", std::to_string(state_->context_.incarnation_)));
     return port;
--- a/lib/Gateway/OriginExchange.cpp
+++ b/lib/Gateway/OriginExchange.cpp
@@ -36,6 +36,7 @@
     , context_(context)
     , reports_(reports)
     , table_(settings_)
+    , log_(io, context, settings_, table_)
 {
 }
 
@@ -48,13 +49,13 @@
     return nodes_;
 }
 
-void OriginExchange::tell(StreamKey stream, const StreamOrigin& origin)
+void OriginExchange::tell(StreamKey stream, const StreamOrigin& origin, OriginStorage storage)
 {
     table_.add(stream, origin, steadyNow());
-    asio::dispatch(io_, [this, stream, origin] { sendToHolders(stream, origin); });
+    asio::dispatch(io_, [this, stream, origin, storage] { sendToHolders(stream, origin, storage); });
 }
 
-void OriginExchange::sendToHolders(StreamKey stream, const StreamOrigin& origin)
+void OriginExchange::sendToHolders(StreamKey stream, const StreamOrigin& origin, OriginStorage storage)
 {
     wire::Datagram datagram;
     *datagram.mutable_origin() = toWire(stream, origin);
@@ -62,6 +63,21 @@
     for (const OriginNode& node : rankOriginNodes(stream, nodes(steadyNow()), settings_.holders_))
         receivers.push_back(node.gossip_);
     reports_.send(datagram, receivers);
+    if (storage == OriginStorage::NodesAndLog)
+        sendToRecorder(stream, datagram);
+}
+
+void OriginExchange::sendToRecorder(StreamKey stream, const wire::Datagram& datagram)
+{
+    std::vector<OriginNode> candidates = nodes(steadyNow());
+    const GatewaySettings& settings = context_.settings_;
+    candidates.push_back({ settings.vm_, settings.dataCentre_, settings.gossip_ });
+    std::size_t recorder = recorderOf(originPartOf(stream, settings_.logParts_), candidates);
+    if (recorder + 1 == candidates.size())
+        return log_.record(stream, fromWire(datagram.origin()));
+    wire::Datagram recorded = datagram;
+    recorded.mutable_origin()->set_is_recorded(true);
+    reports_.send(recorded, { candidates[recorder].gossip_ });
 }
 
 asio::awaitable<FoundOrigin> OriginExchange::find(StreamKey stream)
@@ -69,7 +85,18 @@
     if (auto own = table_.find(stream, steadyNow()))
         co_return FoundOrigin { own, "own" };
     // The questions are asked on the event loop of the datagrams.
-    co_return co_await asio::co_spawn(io_, ask(stream), asio::use_awaitable);
+    co_return co_await asio::co_spawn(io_, look(stream), asio::use_awaitable);
+}
+
+asio::awaitable<FoundOrigin> OriginExchange::look(StreamKey stream)
+{
+    FoundOrigin found = co_await ask(stream);
+    if (found.origin_)
+        co_return found;
+    co_await log_.load(stream);
+    if (auto recorded = table_.find(stream, steadyNow()))
+        co_return FoundOrigin { recorded, "log" };
+    co_return found;
 }
 
 asio::awaitable<FoundOrigin> OriginExchange::ask(StreamKey stream)
@@ -115,13 +142,22 @@
 void OriginExchange::handle(const wire::Datagram& message, const Endpoint& sender)
 {
     if (message.has_origin())
-        table_.add({ message.origin().stream() }, fromWire(message.origin()), steadyNow());
+        add(message.origin());
     else if (message.has_origin_query())
         answer(message.origin_query(), sender);
     else if (message.has_origin_answer())
         applyAnswer(message.origin_answer());
 }
 
+void OriginExchange::add(const wire::StreamOrigin& message)
+{
+    StreamKey stream { message.stream() };
+    StreamOrigin origin = fromWire(message);
+    table_.add(stream, origin, steadyNow());
+    if (message.is_recorded())
+        log_.record(stream, origin);
+}
+
 void OriginExchange::answer(const wire::OriginQuery& query, const Endpoint& sender)
 {
     wire::Datagram datagram;
--- /dev/null
+++ b/lib/Gateway/OriginLog.h
@@ -0,0 +1,55 @@
+//===- lib/Gateway/OriginLog.h - origins of streams on the platform --------===//
+///
+/// \file
+/// Records the origins of streams in the platform's log, so that callers can resume their streams
+/// after all nodes have ended at once. The origins of a part are appended together, by one node, a
+/// while after the streams have begun: no stream waits for its record. An origin that is not
+/// recorded yet is unknown after such an end.
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "GatewayContext.h"
+#include "pistachioloom/Origins.h"
+
+#include <deque>
+
+namespace pistachioloom {
+
+/// All members must be called on one event loop.
+class OriginLog {
+public:
+    OriginLog(asio::io_context& io, GatewayContext& context, const OriginSettings& settings, OriginTable& table);
+
+    /// Appends what record() was given, and repeats appends that failed. Runs until the node ends.
+    asio::awaitable<void> run();
+    /// Records \p origin with the next append to its part.
+    void record(StreamKey stream, const StreamOrigin& origin);
+    /// Adds to the table what has been recorded in the part of \p stream since the latest load.
+    asio::awaitable<void> load(StreamKey stream);
+
+private:
+    struct Part {
+        explicit Part(asio::io_context& io)
+            : loaded_(io)
+        {
+        }
+
+        std::deque<std::pair<StreamKey, StreamOrigin>> pending_;
+        LogOffset next_ {};
+        bool isLoading_ = false;
+        SteadyTime loadedAt_ {};
+        /// Cancelled when a load ends.
+        SteadyTimer loaded_;
+    };
+
+    asio::awaitable<void> append(std::uint32_t number, Part& part);
+    asio::awaitable<void> read(std::uint32_t number, Part& part);
+
+    GatewayContext& context_;
+    const OriginSettings& settings_;
+    OriginTable& table_;
+    std::deque<Part> parts_;
+    Logger logger_ { "origins" };
+};
+
+} // namespace pistachioloom
--- a/lib/Origins/Origins.cpp
+++ b/lib/Origins/Origins.cpp
@@ -60,6 +60,18 @@
     return entries_.size();
 }
 
+std::uint32_t originPartOf(StreamKey stream, std::uint32_t parts)
+{
+    return static_cast<std::uint32_t>(mixBits(stream.value_) % parts);
+}
+
+std::size_t recorderOf(std::uint32_t part, const std::vector<OriginNode>& nodes)
+{
+    auto rankOf = [part](const OriginNode& node) { return mixBits(stableHash(node.vm_.value_, part)); };
+    auto best = std::max_element(nodes.begin(), nodes.end(), [&](const OriginNode& left, const OriginNode& right) { return rankOf(left) < rankOf(right); });
+    return static_cast<std::size_t>(best - nodes.begin());
+}
+
 std::vector<OriginNode> rankOriginNodes(StreamKey stream, const std::vector<OriginNode>& nodes, std::size_t count)
 {
     std::vector<std::pair<std::uint64_t, const OriginNode*>> ranked;
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -63,6 +63,9 @@
         "answers_ended_early",
         "answers_to_others",
         "answers_unidentified",
+        "origins_recorded",
+        "origins_unrecorded",
+        "origin_log_reads",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
--- a/test/StreamVersionsTest.cpp
+++ b/test/StreamVersionsTest.cpp
@@ -147,6 +147,32 @@
     }
 }
 
+// Guards against streams that are joined from two versions, or all refused, since what the nodes
+// knew of them ended with all nodes at once.
+TEST_CASE("resumed streams are refused or mixed after all gateways were killed", "[gateway]")
+{
+    struct Row {
+        const char* name_;
+        std::vector<std::string> versions_;
+    };
+    auto row = GENERATE(values<Row>({ { "one version", { "v1" } }, { "two versions", { "v1", "v1.1" } } }));
+    INFO(row.name_);
+    DeploymentOfVersions versions(row.versions_);
+    StreamCallers callers(*versions, streamPath, callerCount, versionOf);
+    for (int i = 0; i < 3; ++i) {
+        std::this_thread::sleep_for(milliseconds(2500));
+        for (auto& gateway : versions->gateways())
+            gateway.process_->signal(SIGKILL);
+        for (auto& gateway : versions->gateways())
+            gateway.process_->wait(milliseconds(6000));
+        for (auto& gateway : versions->gateways())
+            versions->restart(gateway);
+    }
+    std::this_thread::sleep_for(milliseconds(2500));
+    checkStreams(callers.results());
+    CHECK(callers.results().resumed_ >= 12);
+}
+
 TEST_CASE("a stream whose version is unknown, or no longer served, goes on at any version", "[gateway]")
 {
     DeploymentOfVersions versions({ "v1", "v1.1" }, 1);
