Forward: bound the bodies that a node holds together

Cause: each body is bounded, all bodies together are not; they are held whole from the first byte to the answer. Class: a bound on each of many, and none on their sum.

A request takes its stated length, or what has arrived of chunks, from 48 MB that all of them share.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -85,6 +85,8 @@
     /// The maximum size of all answers and events together that are being received. Growing
     /// buffers and the copies that are sent to callers take up to four times as much.
     ByteCount maxAnswerMemory_ { 32UL * 1024 * 1024 };
+    /// The maximum size of the bodies of all requests together, from the request's head to its answer.
+    ByteCount maxBodyMemory_ { 48UL * 1024 * 1024 };
     AcceptSettings accept_;
     /// The maximum number of callers' connections, so that descriptors are left for those to
     /// backend servers and peers.
@@ -185,6 +187,8 @@
     EngineForecast engineForecast_ {};
     /// The size of the answers and events that are being received, in bytes.
     std::atomic<std::uint64_t> answerMemory_ { 0 };
+    /// The size of the bodies of requests that are being received or served, in bytes.
+    std::atomic<std::uint64_t> bodyMemory_ { 0 };
 };
 
 /// Counts the termination of \p backend, which the removal of its record or a probe has
--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -23,6 +23,8 @@
     Error badRequest(const BadRequest& problem, const std::string& peer)
     {
         Errc code = problem.status_ == 413 || problem.status_ == 431 ? Errc::TooLarge : Errc::InvalidInput;
+        if (problem.status_ == 503)
+            code = Errc::Overloaded;
         return { code, "read request", peer, problem.reason_, Ran::No, {} };
     }
 
@@ -58,7 +60,8 @@
         auto [code, count] = co_await socket_.async_read_some(asio::buffer(chunk), asTuple);
         if (code)
             break;
-        input_.append(chunk.data(), count);
+        if (!discardsInput_)
+            input_.append(chunk.data(), count);
         inputArrived_.notify();
     }
     isDisconnected_ = true;
@@ -99,7 +102,14 @@
     co_return true;
 }
 
-asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::next(CallerBounds bounds)
+void CallerConnection::discardInput()
+{
+    discardsInput_ = true;
+    input_.clear();
+    inputConsumed_.notify();
+}
+
+asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::next(CallerBounds bounds, std::unique_ptr<MemoryShare> memory)
 {
     isIdle_ = true;
     SteadyTime idleSince = steadyNow();
@@ -108,18 +118,25 @@
     if (!hasArrived)
         co_return std::nullopt;
     isIdle_ = false;
-    co_return co_await readRequest(bounds);
+    co_return co_await readRequest(bounds, std::move(memory));
 }
 
-asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::readRequest(const CallerBounds& bounds)
+asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::readRequest(const CallerBounds& bounds, std::unique_ptr<MemoryShare> memory)
 {
     RequestReader reader(bounds, steadyNow());
     SteadyTime headUntil = steadyNow() + bounds.headerTimeout_;
     for (;;) {
         RequestReader::Progress progress = reader.feed(input_);
         inputConsumed_.notify();
-        if (progress == RequestReader::Progress::Done)
-            co_return reader.take();
+        if (progress != RequestReader::Progress::Bad && reader.hasHead() && !memory->resize(reader.bodyMemory())) {
+            reader.rejectBody();
+            progress = RequestReader::Progress::Bad;
+        }
+        if (progress == RequestReader::Progress::Done) {
+            CallerRequest request = reader.take();
+            request.memory_ = std::move(memory);
+            co_return request;
+        }
         if (progress == RequestReader::Progress::Bad) {
             badStatus_ = reader.problem().status_;
             co_return badRequest(reader.problem(), peer_);
--- a/lib/Forward/CallerConnection.h
+++ b/lib/Forward/CallerConnection.h
@@ -21,7 +21,10 @@
     /// Waits for the next request.
     /// \returns the request, or an error if the request is invalid (see badStatus()), or
     /// nullopt if the connection is to be closed without an answer.
-    asio::awaitable<std::optional<Result<CallerRequest>>> next(CallerBounds bounds);
+    /// \param memory the share of the request's body, which the request keeps.
+    asio::awaitable<std::optional<Result<CallerRequest>>> next(CallerBounds bounds, std::unique_ptr<MemoryShare> memory);
+    /// Drops all bytes that are unread or arrive from now on.
+    void discardInput();
     /// Writes \p bytes. \returns whether the write succeeded.
     asio::awaitable<bool> write(std::string bytes);
     /// Sets \p hook to be called once when the caller closes the connection or the
@@ -63,7 +66,7 @@
     /// \returns false if the connection is to be closed.
     asio::awaitable<bool> waitForRequest(SteadyTime idleUntil);
     bool hasUnread() const;
-    asio::awaitable<std::optional<Result<CallerRequest>>> readRequest(const CallerBounds& bounds);
+    asio::awaitable<std::optional<Result<CallerRequest>>> readRequest(const CallerBounds& bounds, std::unique_ptr<MemoryShare> memory);
 
     asio::ip::tcp::socket socket_;
     std::string input_;
@@ -74,6 +77,7 @@
     std::function<void()> disconnectHook_;
     bool isDisconnected_ = false;
     bool isAbortedByNode_ = false;
+    bool discardsInput_ = false;
     bool isIdle_ = true;
     /// The result of isIdle() at the previous call of hasStayedIdle().
     bool wasIdle_ = false;
--- a/lib/Forward/RequestReader.cpp
+++ b/lib/Forward/RequestReader.cpp
@@ -142,6 +142,17 @@
     return parser_.is_done() ? Progress::Done : Progress::NeedsMore;
 }
 
+ByteCount RequestReader::bodyMemory() const
+{
+    auto length = parser_.content_length();
+    return { length ? static_cast<std::size_t>(*length) : parser_.get().body().capacity() };
+}
+
+void RequestReader::rejectBody()
+{
+    problem_ = { 503, "the bodies of all requests together are too large" };
+}
+
 bool RequestReader::takeContinueExpectation()
 {
     return std::exchange(expectsContinue_, false);
--- a/lib/Forward/RequestReader.h
+++ b/lib/Forward/RequestReader.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "Headers.h"
+#include "MemoryShare.h"
 
 #include <boost/beast/http.hpp>
 
@@ -22,6 +23,8 @@
     /// Whether the version is 1.0. Event streams then end with the connection.
     bool isHttp10_ = false;
     SteadyTime receivedAt_ {};
+    /// The memory that the body takes.
+    std::unique_ptr<MemoryShare> memory_ {};
 
     /// The target without its query.
     std::string_view path() const { return std::string_view(target_).substr(0, target_.find('?')); }
@@ -55,8 +58,12 @@
     Progress feed(std::string& input);
     /// Whether the head is complete.
     bool hasHead() const { return hasHead_; }
+    /// The memory that the body takes: its stated length, or the allocated size of what has arrived.
+    ByteCount bodyMemory() const;
     /// \returns true once if the caller waits for "100 Continue" before it sends the body.
     bool takeContinueExpectation();
+    /// Gives the request up, since the node cannot hold its body.
+    void rejectBody();
     /// The reason for Progress::Bad.
     const BadRequest& problem() const { return problem_; }
     /// Moves the request out of the reader after Progress::Done.
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -5,7 +5,7 @@
 /// it comes from the intended instance, belongs to the request that was sent, and is
 /// complete.
 //===----------------------------------------------------------------------===//
-#include "AnswerMemory.h"
+#include "MemoryShare.h"
 #include "RequestForwarder.h"
 
 #include <boost/algorithm/string.hpp>
@@ -427,7 +427,7 @@
     beast::error_code code;
     if (reader.limitBody(context_.settings_.maxAnswerSize_) == AnswerReader::Progress::Bad)
         code = reader.error();
-    AnswerMemory memory(context_.answerMemory_, context_.settings_.maxAnswerMemory_);
+    MemoryShare memory(context_.answerMemory_, context_.settings_.maxAnswerMemory_);
     while (!code && !reader.isComplete()) {
         code = co_await readSome(attempt, reader);
         if (!code && !memory.resize({ reader.message().body().size() }))
@@ -461,7 +461,7 @@
     HeaderFields fields = fieldsOf(reader, context_.names_);
     // The previous engine's stream may have ended within an event.
     eventSplitter_.dropPartial();
-    AnswerMemory memory(context_.answerMemory_, context_.settings_.maxAnswerMemory_);
+    MemoryShare memory(context_.answerMemory_, context_.settings_.maxAnswerMemory_);
     latestStatus_ = static_cast<int>(reader.message().result_int());
     while (!reader.isComplete()) {
         if (auto code = co_await readSome(attempt, reader)) {
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -22,6 +22,8 @@
     // The time for which a closing connection waits for the caller's close, so that no reset
     // discards an answer in flight.
     constexpr milliseconds lingerTime { 500 };
+    // Seconds after which a request is likely to find room for its body.
+    constexpr const char* bodyRetryAfter = "1";
 
 } // namespace
 
@@ -75,6 +77,9 @@
     context_.metrics_.add(Counter::RequestsRefused);
     HeaderFields fields;
     fields.push_back({ "Content-Type", "text/plain" });
+    if (caller.badStatus() == 503)
+        fields.push_back({ "Retry-After", bodyRetryAfter });
+    caller.discardInput();
     std::string bytes = renderAnswer(caller.badStatus(), fields, error.message_ + "\n", std::nullopt);
     (void)co_await caller.write(std::move(bytes));
 }
@@ -95,7 +100,8 @@
 asio::awaitable<bool> ForwardWorker::State::serveRequests(std::shared_ptr<CallerConnection> caller)
 {
     for (;;) {
-        auto request = co_await caller->next(bounds());
+        auto memory = std::make_unique<MemoryShare>(context_.bodyMemory_, context_.settings_.maxBodyMemory_);
+        auto request = co_await caller->next(bounds(), std::move(memory));
         if (!request)
             co_return false;
         if (!*request) {
