Http: a call that is given up resets its connection

Cause: a call that timed out closed its connection in order, so that the kernel went on sending it. Class: bytes outlive the decision to send them.

Connections of calls reset when they close, unless the answer is complete.

--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -99,7 +99,20 @@
 
         void cancel() override
         {
-            asio::post(stream_.get_executor(), [self = shared_from_this()] { self->stream_.close(); });
+            asio::post(stream_.get_executor(), [self = shared_from_this()] {
+                if (self->reader_.isComplete())
+                    self->setResetOnClose(false);
+                self->stream_.close();
+            });
+        }
+
+        /// Sets whether a close discards what has not been sent. After an orderly close the kernel
+        /// goes on sending what a broken link has delayed, so that a call takes effect that was given
+        /// up seconds ago.
+        void setResetOnClose(bool isReset)
+        {
+            beast::error_code ignored;
+            stream_.socket().set_option(asio::socket_base::linger(isReset, 0), ignored);
         }
 
     private:
@@ -170,6 +183,7 @@
     if (connectCode)
         co_return Error { connectCode == beast::error::timeout ? Errc::Timeout : Errc::Unavailable, "connect", peer, connectCode.message(), Ran::No, {} };
     reader->stream().socket().set_option(tcp::no_delay(true), code);
+    reader->setResetOnClose(true);
 
     http::request<http::string_body> message(http::string_to_verb(request.method_), request.target_, 11);
     message.set(http::field::host, peer);
--- a/unittests/Http/ClientTest.cpp
+++ b/unittests/Http/ClientTest.cpp
@@ -140,3 +140,35 @@
     CHECK(elapsed <= timeout + slack);
     CHECK(sent <= maxAnswerSize.value_ + socketBuffers);
 }
+
+// Guards against a call that takes effect after it was given up, because the kernel goes on sending
+// what a broken link has delayed.
+TEST_CASE("a call that is given up closes its connection in order", "[http]")
+{
+    bool isAnswered = GENERATE(true, false);
+    CAPTURE(isAnswered);
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Endpoint server { "127.0.0.1", acceptor.local_endpoint().port() };
+    boost::system::error_code end;
+    auto serve = [&]() -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::string input;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n", asio::use_awaitable);
+        std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        if (isAnswered)
+            co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+        std::array<char, 1> byte {};
+        auto [code, count] = co_await socket.async_read_some(asio::buffer(byte), asio::as_tuple(asio::use_awaitable));
+        end = code;
+    };
+    asio::co_spawn(io, serve(), asio::detached);
+    std::optional<Result<HttpResponse>> response;
+    HttpRequest request { "POST", "/x", {}, {} };
+    auto call = [&]() -> asio::awaitable<void> { response = co_await callHttp(server, std::move(request), timeout); };
+    asio::co_spawn(io, call(), asio::detached);
+    io.run_for(10 * timeout);
+    REQUIRE(response);
+    CHECK(response->has_value() == isAnswered);
+    CHECK(end == (isAnswered ? boost::system::error_code(asio::error::eof) : boost::system::error_code(asio::error::connection_reset)));
+}
