Forward: requests without an answer get one at the end of the grace time

Cause: abortByNode() closed each connection, also where nothing of an answer had been written. Class: the end of a node is not told to the part that owes the answer.

The forwarder is asked first: a request whose answer has not begun fails with 502, which promises nothing, and only begun answers are cut. The node waits for these answers for up to half of its margin.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -210,7 +210,8 @@
     /// Closes the connections that have no request in progress now and had none at the
     /// previous call. The others close after their answer.
     void closeIdle();
-    /// Closes all connections immediately, which aborts the requests in progress.
+    /// Ends the requests in progress, those without a part of their answer with a failure, and closes
+    /// all connections.
     void abortAll();
 
 private:
--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -180,7 +180,9 @@
 void CallerConnection::abortByNode()
 {
     isAbortedByNode_ = !isDisconnected_;
-    abort();
+    bool isAnswered = isAbortedByNode_ && endHook_ && endHook_();
+    if (!isAnswered)
+        abort();
 }
 
 void CallerConnection::reset()
--- a/lib/Forward/CallerConnection.h
+++ b/lib/Forward/CallerConnection.h
@@ -46,7 +46,11 @@
     milliseconds idleTime() const { return idleTime_; }
     /// Closes the connection immediately.
     void abort();
-    /// Closes the connection immediately, although the caller may wait for an answer.
+    /// Sets \p hook to be called by abortByNode(). It returns whether it ends the request with an
+    /// answer, so that the connection must stay open for it.
+    void setEndHook(std::function<bool()> hook) { endHook_ = std::move(hook); }
+    /// Ends the request in progress: with an answer if none has begun, or else by closing the
+    /// connection.
     void abortByNode();
     bool isAbortedByNode() const { return isAbortedByNode_; }
     /// Resets the connection, so that an answer that ends with it does not seem complete.
@@ -75,6 +79,7 @@
     /// Set when bytes are removed from the input.
     AutoResetEvent inputConsumed_;
     std::function<void()> disconnectHook_;
+    std::function<bool()> endHook_;
     bool isDisconnected_ = false;
     bool isAbortedByNode_ = false;
     bool discardsInput_ = false;
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -264,9 +264,22 @@
         caller_->abort();
 }
 
+bool RequestForwarder::endByNode()
+{
+    if (hasStartedAnswer_)
+        return false;
+    stop(StopReason::NodeStopping);
+    return true;
+}
+
+bool RequestForwarder::isStoppedForGood() const
+{
+    return stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded || stopReason_ == StopReason::NodeStopping;
+}
+
 bool RequestForwarder::mayRetry(SendOutcome end)
 {
-    if (stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded || timeLeft() <= milliseconds(0))
+    if (isStoppedForGood() || caller_->isAbortedByNode() || timeLeft() <= milliseconds(0))
         return false;
     if (end == SendOutcome::NoPath && isRejectedByPeers_)
         return false;
@@ -315,7 +328,7 @@
 
 asio::awaitable<void> RequestForwarder::tryBackends()
 {
-    for (;;) {
+    while (!caller_->isAbortedByNode()) {
         if (auto rejected = rejectQuarantined()) {
             if (!heldAnswer_)
                 heldAnswer_ = std::move(rejected);
@@ -404,8 +417,13 @@
         if (auto forwarder = weak.lock())
             forwarder->stop(StopReason::CallerDisconnected);
     });
+    caller_->setEndHook([weak = weak_from_this()] {
+        auto forwarder = weak.lock();
+        return forwarder && forwarder->endByNode();
+    });
     co_await serve();
     caller_->setDisconnectHook(nullptr);
+    caller_->setEndHook(nullptr);
     noteEndedEarly();
     isFinished_ = true;
     cancelMove();
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -60,6 +60,8 @@
     DeadlineExceeded,
     /// The backend server did not respond within the wait limit.
     WaitLimitExceeded,
+    /// The grace time of this node is over.
+    NodeStopping,
 };
 
 /// Forwards one request and delivers its answer.
@@ -236,6 +238,10 @@
     void checkPaths(SteadyTime now);
     void checkSilence(SteadyTime now);
     void stop(StopReason reason);
+    /// Ends the request because the grace time is over. \returns whether it gets an answer.
+    bool endByNode();
+    /// Whether the request was stopped for a reason that another attempt would not change.
+    bool isStoppedForGood() const;
     milliseconds timeLeft() const;
     bool isHead() const { return equalWithoutCase(request_.method_, "HEAD"); }
 
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -151,10 +151,9 @@
         co_return SendOutcome::Held;
     }
     attempt.detail_ = stopReason_ == StopReason::WaitLimitExceeded ? "connect_timeout" : "connect:" + code.message();
-    bool isStopped = stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded;
-    if (!isStopped)
+    if (!isStoppedForGood())
         context_.paths_.noteConnectionFailed(shape_.service_);
-    co_return isStopped ? SendOutcome::Stopped : SendOutcome::Unreachable;
+    co_return isStoppedForGood() ? SendOutcome::Stopped : SendOutcome::Unreachable;
 }
 
 asio::awaitable<SendOutcome> RequestForwarder::connectThroughPeer(Attempt& attempt)
@@ -169,7 +168,7 @@
         attempt.detail_ = "relay:" + opened.error().message_;
         isRejectedByPeers_ = opened.error().code_ == Errc::NotFound;
     }
-    if (stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded)
+    if (isStoppedForGood())
         co_return SendOutcome::Stopped;
     co_return opened ? SendOutcome::Held : SendOutcome::NoPath;
 }
@@ -254,9 +253,10 @@
     pathCheckAt_ = SteadyTime::max();
     if (end != SendOutcome::Delivered && attempt.connection_)
         attempt.connection_->abort();
-    if ((end == SendOutcome::Lost) && (stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded)) {
+    if (end == SendOutcome::Lost && isStoppedForGood()) {
         mayHaveRun_ = true;
-        attempt.detail_ = stopReason_ == StopReason::CallerDisconnected ? "caller_gone" : "time_over";
+        attempt.detail_ = stopReason_ == StopReason::CallerDisconnected ? "caller_gone" : stopReason_ == StopReason::NodeStopping ? "node_stopping"
+                                                                                                                                  : "time_over";
         co_return SendOutcome::Stopped;
     }
     if (end == SendOutcome::Lost && stopReason_ == StopReason::WaitLimitExceeded)
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -246,7 +246,10 @@
         logger_.warn(LogLine("Requests that still run at the end of the grace time are aborted.").add("running", static_cast<std::int64_t>(context_.forward_.running_)));
         for (const auto& worker : workers_)
             worker->abortAll();
-        co_await sleepFor(drainPeriod);
+        SteadyTime answeredBy = steadyNow() + drainMargin / 2;
+        do
+            co_await sleepFor(drainPeriod);
+        while (context_.forward_.running_ && steadyNow() < answeredBy);
     }
     logger_.info("Stopped.");
     for (const auto& io : ios_)
--- a/unittests/Forward/BegunAnswerTest.cpp
+++ b/unittests/Forward/BegunAnswerTest.cpp
@@ -94,6 +94,27 @@
     }
 }
 
+// Guards against a request whose connection is closed without an answer at the end of the grace time,
+// while it waits at its server.
+TEST_CASE("a request that waits at the end of the grace time gets no answer", "[forward]")
+{
+    bool isStream = GENERATE(true, false);
+    CAPTURE(isStream);
+    Route route = routeOfTests();
+    route.isStream_ = isStream;
+    std::function<void()> onRequest = [] {};
+    ScriptedWorker worker(route, 1, [&](tcp::socket&, const ReceivedRequest&) -> asio::awaitable<bool> {
+        onRequest();
+        co_await sleepFor(2 * timeout);
+        co_return false;
+    });
+    onRequest = [&worker] { worker.worker().abortAll(); };
+    ScriptedWorker::CallerAnswer answer = worker.call(request());
+    // The server may run it.
+    CHECK(answer.bytes_.starts_with("HTTP/1.1 502"));
+    CHECK(answer.took_ < timeout);
+}
+
 // Guards against a stream that looks whole to a caller of HTTP/1.0, for whom the end of the connection
 // ends it.
 TEST_CASE("a stream that is cut short for a caller of HTTP 1.0 ends with a reset", "[forward]")
