Forward: a stream is given up only for a server with a free slot, and survives a refusal

Cause: the replacement had to be free by its own latest answer to this node only, and its refusal used up the last attempt, although it says that nothing ran. Class: a decision on less than what is known.

A replacement needs a free slot by the loads of all nodes too.

Evidence: BegunAnswerTests "a stream ends since a full server refuses its rest", 1 of 2 checks failed before.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -171,7 +171,7 @@
     /// The latency objective of the request's route; 0 if there is none.
     milliseconds objective_ {};
     /// Set if the request is lost unless the server takes it: only healthy, reachable servers are
-    /// chosen whose latest answer did not say that they are full.
+    /// chosen that have a free slot, by their latest answer and by the loads of all nodes.
     bool needsRoom_ = false;
 };
 
@@ -565,6 +565,7 @@
     };
 
     bool isUsable(const Backend& backend, SteadyTime now) const;
+    static bool hasRoom(const Backend& backend);
     /// Whether \p backend takes a request of this node, as far as its conditions say.
     bool takesRequests(const Backend& backend, SteadyTime now) const;
     static bool applyNumber(Backend& backend, ConditionKind kind, double value, SteadyTime statedAt);
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -42,6 +42,13 @@
     return !backend.record_.isLeaving_ && backend.ejectedUntil_ <= now;
 }
 
+/// Whether a server takes one more request, by its own latest answer and the loads of all nodes.
+bool BackendTable::hasRoom(const Backend& backend)
+{
+    std::uint64_t slots = backend.record_.slots_;
+    return !backend.isFull_ && (!slots || backend.ownLoad_.running_ + backend.peerLoad_.running_ < slots);
+}
+
 /// Returns the prompt part that other requests may share, or nullptr if there is none. It
 /// is the last part but one, since the last part belongs to the request or its session
 /// alone.
@@ -229,7 +236,7 @@
             continue;
         bool isHealthy = isUsable(backend, now) && backend.failedShare_ < maxFailedShare;
         bool isReachable = isReachableLocked(backend.record_.dataCentre_);
-        if (shape.needsRoom_ && (!isHealthy || !isReachable || backend.isFull_))
+        if (shape.needsRoom_ && (!isHealthy || !isReachable || !hasRoom(backend)))
             continue;
         if (isHealthy && isReachable)
             usable.push_back(&backend);
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -285,7 +285,11 @@
         return false;
     if (end == SendOutcome::Unreachable || end == SendOutcome::NoConnection || end == SendOutcome::NotAccepting || end == SendOutcome::NoPath)
         return ++unsentAttempts_ < maxUnsentAttempts;
-    if (sendCount_ >= route_->maxAttempts_)
+    // A server that refuses the rest of a stream has not run it.
+    bool isRefusedRest = end == SendOutcome::NotRun && hasStartedAnswer_;
+    if (isRefusedRest && ++unsentAttempts_ >= maxUnsentAttempts)
+        return false;
+    if (!isRefusedRest && sendCount_ >= route_->maxAttempts_)
         return false;
     if (end != SendOutcome::NotRun && !route_->mayRepeat())
         return false;
--- a/unittests/Forward/BegunAnswerTest.cpp
+++ b/unittests/Forward/BegunAnswerTest.cpp
@@ -94,6 +94,17 @@
     }
 }
 
+// Guards against a stream that ends because the server at which it was resumed refused it, which used up
+// its last attempt.
+TEST_CASE("a stream ends since a full server refuses its rest", "[forward]")
+{
+    ScriptedWorker worker(streamRoute(2), 3, interruptedServer("HTTP/1.1 503 Service Unavailable\r\nAttempt: a1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+    ScriptedWorker::CallerAnswer answer = worker.call(request(), lastChunk);
+    CAPTURE(answer.bytes_);
+    CHECK(countOf(answer.bytes_, "HTTP/1.1") == 1);
+    CHECK(answer.bytes_.ends_with("id: 2\ndata: e\n\n\r\n" + eventChunk(3) + lastChunk));
+}
+
 // Guards against a request whose connection is closed without an answer at the end of the grace time,
 // while it waits at its server.
 TEST_CASE("a request that waits at the end of the grace time gets no answer", "[forward]")
