--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -407,6 +407,23 @@
     CHECK(table.put(recordWithStart("n4999", 1000)) == BackendTable::PutResult::Outdated);
 }
 
+// Guards against a running attempt that is given up for a server that other nodes have filled.
+TEST_CASE("a server whose slots are taken by other nodes counts as one with room", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    table.put(record("x"));
+    RequestShape replacement = engineRequest(1000);
+    replacement.needsRoom_ = true;
+    table.setPeerLoads({ "peer" }, { { keyOf({ "x" }), { 4, 0 } } }, start);
+    CHECK(chosen(table, replacement).empty());
+    CHECK(chosen(table, engineRequest(1000)) == "x");
+    table.end({ "x" }, { BackendOutcome::Abandoned, { 1000 }, false, {} }, start);
+    table.setPeerLoads({ "peer" }, { { keyOf({ "x" }), { 3, 0 } } }, start);
+    CHECK(chosen(table, replacement) == "x");
+    // This node has taken the last slot.
+    CHECK(chosen(table, replacement).empty());
+}
+
 TEST_CASE("a request that may crash its server goes to the one with the fewest other requests", "[backends]")
 {
     BackendTable table({ "a" }, ChoiceSettings {});
--- a/unittests/Origins/OriginsTest.cpp
+++ b/unittests/Origins/OriginsTest.cpp
@@ -165,3 +165,26 @@
     CHECK(wrong == 0);
     CHECK(static_cast<double>(found) >= row.wanted_ * streams);
 }
+
+// Guards against a part of the log to which no node, or every node, appends.
+TEST_CASE("nodes that know the same fleet choose different recorders", "[origins]")
+{
+    auto size = GENERATE(std::size_t(1), std::size_t(9), std::size_t(63), std::size_t(985));
+    const std::uint32_t parts = OriginSettings {}.logParts_;
+    std::vector<OriginNode> fleet = fleetOf(size, 3);
+    std::mt19937_64 random(size);
+    std::set<std::uint32_t> used;
+    for (std::uint32_t part = 0; part < parts; ++part) {
+        const VmId recorder = fleet[recorderOf(part, fleet)].vm_;
+        // Nodes know the others in different orders.
+        std::vector<OriginNode> shuffled = fleet;
+        std::shuffle(shuffled.begin(), shuffled.end(), random);
+        CHECK(shuffled[recorderOf(part, shuffled)].vm_ == recorder);
+        // The end of another node changes nothing.
+        std::erase_if(shuffled, [&](const OriginNode& node) { return node.vm_ != recorder && random() % 2; });
+        CHECK(shuffled[recorderOf(part, shuffled)].vm_ == recorder);
+    }
+    for (std::size_t i = 0; i < 1000; ++i)
+        used.insert(originPartOf(streamOf(i), parts));
+    CHECK(used.size() == parts);
+}
