Origins: a resumption waits for the platform's log as long as for nodes, and no longer

While the platform is away a read takes up to 1.6 s, in which the caller could have tried elsewhere. The read goes on, and its result serves the next attempt.

--- a/lib/Gateway/OriginLog.cpp
+++ b/lib/Gateway/OriginLog.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 OriginLog::OriginLog(asio::io_context& io, GatewayContext& context, const OriginSettings& settings, OriginTable& table)
-    : context_(context)
+    : io_(io)
+    , context_(context)
     , settings_(settings)
     , table_(table)
 {
@@ -77,18 +78,14 @@
 {
     std::uint32_t number = originPartOf(stream, settings_.logParts_);
     Part& part = parts_[number];
-    if (part.isLoading_) {
-        (void)co_await part.loaded_.async_wait(asio::as_tuple(asio::use_awaitable));
-        co_return;
+    if (!part.isLoading_) {
+        if (steadyNow() - part.loadedAt_ < settings_.readPeriod_)
+            co_return;
+        part.isLoading_ = true;
+        part.loaded_.expires_after(settings_.patience_);
+        asio::co_spawn(io_, read(number, part), asio::detached);
     }
-    if (steadyNow() - part.loadedAt_ < settings_.readPeriod_)
-        co_return;
-    part.isLoading_ = true;
-    part.loaded_.expires_at(SteadyTime::max());
-    co_await read(number, part);
-    part.isLoading_ = false;
-    part.loadedAt_ = steadyNow();
-    part.loaded_.cancel();
+    (void)co_await part.loaded_.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
 asio::awaitable<void> OriginLog::read(std::uint32_t number, Part& part)
@@ -96,11 +93,19 @@
     SteadyTime startedAt = steadyNow();
     context_.metrics_.add(Counter::OriginLogReads);
     auto read = co_await context_.platform_.readOrigins_(number, part.next_, settings_.recordsRead_);
+    apply(number, part, read, startedAt);
+    part.isLoading_ = false;
+    part.loadedAt_ = steadyNow();
+    part.loaded_.cancel();
+}
+
+void OriginLog::apply(std::uint32_t number, Part& part, const Result<LogRead>& read, SteadyTime startedAt)
+{
     LogLine line("Origins of streams are read.");
     line.add("part", static_cast<std::int64_t>(number)).add("from", static_cast<std::int64_t>(part.next_.value_)).add("took_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt).count());
     if (!read) {
         logger_.info(line.add("error", describe(read.error())));
-        co_return;
+        return;
     }
     part.next_ = read.value().next_;
     std::size_t count = 0;
--- a/lib/Gateway/OriginLog.h
+++ b/lib/Gateway/OriginLog.h
@@ -24,7 +24,8 @@
     asio::awaitable<void> run();
     /// Records \p origin with the next append to its part.
     void record(StreamKey stream, const StreamOrigin& origin);
-    /// Adds to the table what has been recorded in the part of \p stream since the latest load.
+    /// Adds to the table what has been recorded in the part of \p stream since the latest load. Waits
+    /// for that up to OriginSettings::patience_.
     asio::awaitable<void> load(StreamKey stream);
 
 private:
@@ -38,13 +39,15 @@
         LogOffset next_ {};
         bool isLoading_ = false;
         SteadyTime loadedAt_ {};
-        /// Cancelled when a load ends.
+        /// Cancelled when a load ends. Expires when it is not waited for any longer.
         SteadyTimer loaded_;
     };
 
     asio::awaitable<void> append(std::uint32_t number, Part& part);
     asio::awaitable<void> read(std::uint32_t number, Part& part);
+    void apply(std::uint32_t number, Part& part, const Result<LogRead>& read, SteadyTime startedAt);
 
+    asio::io_context& io_;
     GatewayContext& context_;
     const OriginSettings& settings_;
     OriginTable& table_;
