Origins: a small fleet records with one node

A part is now used for each 64 nodes, up to four: at most 2.5 appends a second in a fleet of up to 64 nodes, 10 in the largest. Readers read all parts.

--- a/include/pistachioloom/Origins.h
+++ b/include/pistachioloom/Origins.h
@@ -57,8 +57,11 @@
     milliseconds askAgainAfter_ { 100 };
     /// Time after which the nodes that did not answer are not waited for any longer.
     milliseconds patience_ { 400 };
-    /// Parts of the log of origins. One node appends to each of them.
+    /// Parts of the log of origins. One node appends to each of those that are used.
     std::uint32_t logParts_ = 4;
+    /// Nodes for each part that is used, so that a small fleet makes few calls and no recorder of a
+    /// large one is told too much.
+    std::size_t nodesPerPart_ = 64;
     /// Interval at which a node appends to a part what it has been told since.
     milliseconds appendPeriod_ { 400 };
     /// Minimum interval at which a node reads a part.
@@ -103,8 +106,9 @@
     Endpoint gossip_;
 };
 
-/// Returns the part of the log in which the origin of \p stream is recorded.
-std::uint32_t originPartOf(StreamKey stream, std::uint32_t parts);
+/// Returns the part of the log in which the origin of \p stream is recorded while the fleet has
+/// \p nodes nodes.
+std::uint32_t originPartOf(StreamKey stream, std::size_t nodes, const OriginSettings& settings);
 /// Returns the index in \p nodes of the one that appends to \p part; all nodes choose alike.
 std::size_t recorderOf(std::uint32_t part, const std::vector<OriginNode>& nodes);
 
--- a/lib/Gateway/OriginExchange.cpp
+++ b/lib/Gateway/OriginExchange.cpp
@@ -72,9 +72,9 @@
     std::vector<OriginNode> candidates = nodes(steadyNow());
     const GatewaySettings& settings = context_.settings_;
     candidates.push_back({ settings.vm_, settings.dataCentre_, settings.gossip_ });
-    std::size_t recorder = recorderOf(originPartOf(stream, settings_.logParts_), candidates);
+    std::size_t recorder = recorderOf(originPartOf(stream, candidates.size(), settings_), candidates);
     if (recorder + 1 == candidates.size())
-        return log_.record(stream, fromWire(datagram.origin()));
+        return log_.record(stream, fromWire(datagram.origin()), candidates.size());
     wire::Datagram recorded = datagram;
     recorded.mutable_origin()->set_is_recorded(true);
     reports_.send(recorded, { candidates[recorder].gossip_ });
@@ -93,7 +93,7 @@
     FoundOrigin found = co_await ask(stream);
     if (found.origin_)
         co_return found;
-    co_await log_.load(stream);
+    co_await log_.load();
     if (auto recorded = table_.find(stream, steadyNow()))
         co_return FoundOrigin { recorded, "log" };
     co_return found;
@@ -155,7 +155,7 @@
     StreamOrigin origin = fromWire(message);
     table_.add(stream, origin, steadyNow());
     if (message.is_recorded())
-        log_.record(stream, origin);
+        log_.record(stream, origin, nodes(steadyNow()).size() + 1);
 }
 
 void OriginExchange::answer(const wire::OriginQuery& query, const Endpoint& sender)
--- a/lib/Gateway/OriginLog.cpp
+++ b/lib/Gateway/OriginLog.cpp
@@ -25,14 +25,14 @@
     , context_(context)
     , settings_(settings)
     , table_(table)
+    , parts_(settings_.logParts_)
+    , loaded_(io)
 {
-    for (std::uint32_t i = 0; i < settings_.logParts_; ++i)
-        parts_.emplace_back(io);
 }
 
-void OriginLog::record(StreamKey stream, const StreamOrigin& origin)
+void OriginLog::record(StreamKey stream, const StreamOrigin& origin, std::size_t nodes)
 {
-    Part& part = parts_[originPartOf(stream, settings_.logParts_)];
+    Part& part = parts_[originPartOf(stream, nodes, settings_)];
     part.pending_.emplace_back(stream, origin);
     if (part.pending_.size() <= maxPending)
         return;
@@ -76,29 +76,30 @@
     context_.metrics_.add(Counter::OriginsRecorded, count);
 }
 
-asio::awaitable<void> OriginLog::load(StreamKey stream)
+asio::awaitable<void> OriginLog::load()
 {
-    std::uint32_t number = originPartOf(stream, settings_.logParts_);
-    Part& part = parts_[number];
-    if (!part.isLoading_) {
-        if (steadyNow() - part.loadedAt_ < settings_.readPeriod_)
+    if (!isLoading_) {
+        if (steadyNow() - loadedAt_ < settings_.readPeriod_)
             co_return;
-        part.isLoading_ = true;
-        part.loaded_.expires_after(settings_.patience_);
-        asio::co_spawn(io_, read(number, part), asio::detached);
+        isLoading_ = true;
+        loaded_.expires_after(settings_.patience_);
+        asio::co_spawn(io_, readParts(), asio::detached);
     }
-    (void)co_await part.loaded_.async_wait(asio::as_tuple(asio::use_awaitable));
+    (void)co_await loaded_.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> OriginLog::read(std::uint32_t number, Part& part)
+/// Reads all parts, since the number of those that are used changes with the fleet.
+asio::awaitable<void> OriginLog::readParts()
 {
-    SteadyTime startedAt = steadyNow();
-    context_.metrics_.add(Counter::OriginLogReads);
-    auto read = co_await context_.platform_.readOrigins_(number, part.next_, settings_.recordsRead_);
-    apply(number, part, read, startedAt);
-    part.isLoading_ = false;
-    part.loadedAt_ = steadyNow();
-    part.loaded_.cancel();
+    for (std::uint32_t number = 0; number < parts_.size(); ++number) {
+        SteadyTime startedAt = steadyNow();
+        context_.metrics_.add(Counter::OriginLogReads);
+        auto read = co_await context_.platform_.readOrigins_(number, parts_[number].next_, settings_.recordsRead_);
+        apply(number, parts_[number], read, startedAt);
+    }
+    isLoading_ = false;
+    loadedAt_ = steadyNow();
+    loaded_.cancel();
 }
 
 void OriginLog::apply(std::uint32_t number, Part& part, const Result<LogRead>& read, SteadyTime startedAt)
@@ -110,6 +111,8 @@
         return;
     }
     part.next_ = read.value().next_;
+    if (read.value().records_.empty())
+        return;
     std::size_t count = 0;
     for (const auto& [offset, bytes] : read.value().records_) {
         wire::OriginRecord record;
--- a/lib/Gateway/OriginLog.h
+++ b/lib/Gateway/OriginLog.h
@@ -22,38 +22,33 @@
 
     /// Appends what record() was given, and repeats appends that failed. Runs until the node ends.
     asio::awaitable<void> run();
-    /// Records \p origin with the next append to its part.
-    void record(StreamKey stream, const StreamOrigin& origin);
-    /// Adds to the table what has been recorded in the part of \p stream since the latest load. Waits
-    /// for that up to OriginSettings::patience_.
-    asio::awaitable<void> load(StreamKey stream);
+    /// Records \p origin with the next append. \p nodes is the number of nodes in the fleet.
+    void record(StreamKey stream, const StreamOrigin& origin, std::size_t nodes);
+    /// Adds to the table what has been recorded since the latest load. Waits for that up to
+    /// OriginSettings::patience_.
+    asio::awaitable<void> load();
 
 private:
     struct Part {
-        explicit Part(asio::io_context& io)
-            : loaded_(io)
-        {
-        }
-
         std::deque<std::pair<StreamKey, StreamOrigin>> pending_;
         /// The oldest pending origins that were dropped since the latest append began.
         std::size_t dropped_ = 0;
         LogOffset next_ {};
-        bool isLoading_ = false;
-        SteadyTime loadedAt_ {};
-        /// Cancelled when a load ends. Expires when it is not waited for any longer.
-        SteadyTimer loaded_;
     };
 
     asio::awaitable<void> append(std::uint32_t number, Part& part);
-    asio::awaitable<void> read(std::uint32_t number, Part& part);
+    asio::awaitable<void> readParts();
     void apply(std::uint32_t number, Part& part, const Result<LogRead>& read, SteadyTime startedAt);
 
     asio::io_context& io_;
     GatewayContext& context_;
     const OriginSettings& settings_;
     OriginTable& table_;
-    std::deque<Part> parts_;
+    std::vector<Part> parts_;
+    bool isLoading_ = false;
+    SteadyTime loadedAt_ {};
+    /// Cancelled when a load ends. Expires when it is not waited for any longer.
+    SteadyTimer loaded_;
     Logger logger_ { "origins" };
 };
 
--- a/lib/Origins/Origins.cpp
+++ b/lib/Origins/Origins.cpp
@@ -60,8 +60,9 @@
     return entries_.size();
 }
 
-std::uint32_t originPartOf(StreamKey stream, std::uint32_t parts)
+std::uint32_t originPartOf(StreamKey stream, std::size_t nodes, const OriginSettings& settings)
 {
+    std::size_t parts = std::clamp<std::size_t>((nodes + settings.nodesPerPart_ - 1) / settings.nodesPerPart_, 1, settings.logParts_);
     return static_cast<std::uint32_t>(mixBits(stream.value_) % parts);
 }
 
--- a/unittests/Origins/OriginsTest.cpp
+++ b/unittests/Origins/OriginsTest.cpp
@@ -170,11 +170,12 @@
 TEST_CASE("nodes that know the same fleet choose different recorders", "[origins]")
 {
     auto size = GENERATE(std::size_t(1), std::size_t(9), std::size_t(63), std::size_t(985));
-    const std::uint32_t parts = OriginSettings {}.logParts_;
+    const OriginSettings settings;
+    const std::uint32_t parts = size <= 64 ? 1 : settings.logParts_;
     std::vector<OriginNode> fleet = fleetOf(size, 3);
     std::mt19937_64 random(size);
     std::set<std::uint32_t> used;
-    for (std::uint32_t part = 0; part < parts; ++part) {
+    for (std::uint32_t part = 0; part < settings.logParts_; ++part) {
         const VmId recorder = fleet[recorderOf(part, fleet)].vm_;
         // Nodes know the others in different orders.
         std::vector<OriginNode> shuffled = fleet;
@@ -185,6 +186,6 @@
         CHECK(shuffled[recorderOf(part, shuffled)].vm_ == recorder);
     }
     for (std::size_t i = 0; i < 1000; ++i)
-        used.insert(originPartOf(streamOf(i), parts));
+        used.insert(originPartOf(streamOf(i), size, settings));
     CHECK(used.size() == parts);
 }
