Forward: a body that arrives slowly takes the memory of what has arrived only

Cause: the bound on the bodies of all requests counted the length that a head states, whether or not a byte had arrived, and nothing limited the time in which a body has to arrive. It did not tell large bodies from small ones either. Class: a bound on a sum, taken by what is announced.

ArrivingBody reserves a stated length, which needs half of it to stay free, so that large bodies are refused before small ones. After 1 s a body that would not be complete by its deadline at its rate until now takes what has arrived of it. At its deadline it is answered 408. Callers that are refused return spread over 1 to 2 s, and the log line names the length, what is in use and the limit.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -192,6 +192,8 @@
 };
 
 /// Counts the termination of \p backend, which the removal of its record or a probe has
+    /// The number of requests of which a part has arrived.
+    std::atomic<std::size_t> arriving_ { 0 };
 /// shown, as a crash against the requests that it cut off.
 void noteBackendTerminated(ForwardContext& context, const BackendId& backend);
 
--- a/lib/Forward/Answering.cpp
+++ b/lib/Forward/Answering.cpp
@@ -62,10 +62,8 @@
     if (!attemptId_.empty())
         answer.fields_.push_back({ context_.names_.attempt_, attemptId_ });
     answer.fields_.push_back({ "Content-Type", "text/plain" });
-    if (retryAfter.count()) {
-        std::string fraction = std::to_string(1000 + retryAfter.count() % 1000);
-        answer.fields_.push_back({ "Retry-After", std::to_string(retryAfter.count() / 1000) + "." + fraction.substr(1) });
-    }
+    if (retryAfter.count())
+        answer.fields_.push_back({ "Retry-After", renderRetryAfter(retryAfter) });
     answer.body_ = std::move(reason) + "\n";
     return answer;
 }
--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "CallerConnection.h"
 
+#include "pistachioloom/Forward.h"
+
 namespace pistachioloom {
 
 namespace {
@@ -19,14 +21,11 @@
     // The time limit for reading bytes that the socket already has. It allows for two
     // iterations of an event loop that is delayed by half a second in each.
     constexpr milliseconds pendingReadTimeout { 1000 };
-
-    Error badRequest(const BadRequest& problem, const std::string& peer)
-    {
-        Errc code = problem.status_ == 413 || problem.status_ == 431 ? Errc::TooLarge : Errc::InvalidInput;
-        if (problem.status_ == 503)
-            code = Errc::Overloaded;
-        return { code, "read request", peer, problem.reason_, Ran::No, {} };
-    }
+    // Another node accepts at once a request that a stopping node rejects.
+    constexpr milliseconds stoppingRetryAfter { 10 };
+    // The least time after which a request is likely to find room for its body; callers return spread
+    // over twice this time.
+    constexpr milliseconds bodyRetryAfter { 1000 };
 
 } // namespace
 
@@ -109,49 +108,85 @@
     inputConsumed_.notify();
 }
 
-asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::next(CallerBounds bounds, std::unique_ptr<MemoryShare> memory)
+asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::next(RequestIntake intake)
 {
     isIdle_ = true;
     SteadyTime idleSince = steadyNow();
-    bool hasArrived = co_await waitForRequest(idleSince + std::max(bounds.idleTimeout_, announcedIdle_));
+    bool hasArrived = co_await waitForRequest(idleSince + std::max(intake.bounds_.idleTimeout_, announcedIdle_));
     idleTime_ = std::chrono::duration_cast<milliseconds>(steadyNow() - idleSince);
     if (!hasArrived)
         co_return std::nullopt;
     isIdle_ = false;
-    co_return co_await readRequest(bounds, std::move(memory));
+    isReading_ = true;
+    CountGuard arriving(intake.arriving_);
+    auto request = co_await readRequest(intake);
+    isReading_ = false;
+    co_return request;
+}
+
+Error CallerConnection::badRequest(const RequestReader& reader, const MemoryShare& memory)
+{
+    const BadRequest& problem = reader.problem();
+    badStatus_ = problem.status_;
+    Error error { Errc::InvalidInput, "read request", peer_, problem.reason_, Ran::No, {} };
+    if (problem.status_ == 413 || problem.status_ == 431)
+        error.code_ = Errc::TooLarge;
+    if (problem.status_ != 503)
+        return error;
+    error.code_ = Errc::Overloaded;
+    error.step_ += " of " + std::to_string(memory.size().value_) + " bytes, with " + std::to_string(memory.total().value_) + " of " + std::to_string(memory.limit().value_) + " in use";
+    error.retryAfter_ = bodyRetryAfter + milliseconds(randomBits() % static_cast<std::uint64_t>(bodyRetryAfter.count()));
+    return error;
 }
 
-asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::readRequest(const CallerBounds& bounds, std::unique_ptr<MemoryShare> memory)
+Error CallerConnection::endReading(int status, std::string reason, milliseconds retryAfter)
 {
-    RequestReader reader(bounds, steadyNow());
-    SteadyTime headUntil = steadyNow() + bounds.headerTimeout_;
+    badStatus_ = status;
+    return { status == 408 ? Errc::Timeout : Errc::Unavailable, "read request", peer_, std::move(reason), Ran::No, retryAfter };
+}
+
+asio::awaitable<void> CallerConnection::sendContinue(RequestReader& reader)
+{
+    if (!reader.hasHead() || !reader.takeContinueExpectation())
+        co_return;
+    std::string interimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+    (void)co_await write(std::move(interimAnswer));
+}
+
+asio::awaitable<std::optional<Result<CallerRequest>>> CallerConnection::readRequest(RequestIntake& intake)
+{
+    SteadyTime startedAt = steadyNow();
+    SteadyTime arrivedAt = startedAt;
+    RequestReader reader(intake.bounds_, startedAt);
+    std::optional<ArrivingBody> body;
     for (;;) {
         RequestReader::Progress progress = reader.feed(input_);
         inputConsumed_.notify();
-        if (progress != RequestReader::Progress::Bad && reader.hasHead() && !memory->resize(reader.bodyMemory())) {
+        if (reader.hasHead() && !body)
+            body.emplace(*intake.memory_, reader.statedLength(), steadyNow(), startedAt + intake.timeLimit_(reader));
+        if (progress != RequestReader::Progress::Bad && body && !body->update(reader.arrivedBody(), steadyNow())) {
             reader.rejectBody();
             progress = RequestReader::Progress::Bad;
         }
         if (progress == RequestReader::Progress::Done) {
             CallerRequest request = reader.take();
-            request.memory_ = std::move(memory);
+            request.memory_ = std::move(intake.memory_);
             co_return request;
         }
-        if (progress == RequestReader::Progress::Bad) {
-            badStatus_ = reader.problem().status_;
-            co_return badRequest(reader.problem(), peer_);
-        }
+        if (progress == RequestReader::Progress::Bad)
+            co_return badRequest(reader, *intake.memory_);
         if (isDisconnected_)
             co_return std::nullopt;
-        if (reader.hasHead() && reader.takeContinueExpectation()) {
-            std::string interimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
-            (void)co_await write(std::move(interimAnswer));
-        }
-        SteadyTime until = reader.hasHead() ? steadyNow() + bodyReadTimeout : headUntil;
-        if (co_await inputArrived_.waitUntil(until))
-            continue;
-        badStatus_ = 408;
-        co_return Error { Errc::Timeout, "read request", peer_, "the request did not arrive in time", Ran::No, {} };
+        if (isAbortedByNode_)
+            co_return endReading(503, "this node is stopping", stoppingRetryAfter);
+        co_await sendContinue(reader);
+        SteadyTime until = body ? std::min(arrivedAt + bodyReadTimeout, body->deadline()) : startedAt + intake.bounds_.headerTimeout_;
+        SteadyTime checkAt = body ? body->checkAt(steadyNow()) : SteadyTime::max();
+        bool hasArrived = co_await inputArrived_.waitUntil(std::min(until, checkAt));
+        if (hasArrived)
+            arrivedAt = steadyNow();
+        else if (steadyNow() >= until)
+            co_return endReading(408, "the request did not arrive in time", {});
     }
 }
 
--- a/lib/Forward/CallerConnection.h
+++ b/lib/Forward/CallerConnection.h
@@ -6,11 +6,23 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "ArrivingBody.h"
 #include "AutoResetEvent.h"
 #include "RequestReader.h"
 
 namespace pistachioloom {
 
+/// What applies to the requests of a connection while they arrive.
+struct RequestIntake {
+    CallerBounds bounds_;
+    /// The share of the request's body, which the request keeps.
+    std::unique_ptr<MemoryShare> memory_;
+    /// Returns the time limit of a request, of which the head is complete, from its arrival to its answer.
+    std::function<milliseconds(const RequestReader&)> timeLimit_;
+    /// Counts the requests that are arriving.
+    std::atomic<std::size_t>& arriving_;
+};
+
 /// The connection of one caller.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
@@ -21,8 +33,7 @@
     /// Waits for the next request.
     /// \returns the request, or an error if the request is invalid (see badStatus()), or
     /// nullopt if the connection is to be closed without an answer.
-    /// \param memory the share of the request's body, which the request keeps.
-    asio::awaitable<std::optional<Result<CallerRequest>>> next(CallerBounds bounds, std::unique_ptr<MemoryShare> memory);
+    asio::awaitable<std::optional<Result<CallerRequest>>> next(RequestIntake intake);
     /// Drops all bytes that are unread or arrive from now on.
     void discardInput();
     /// Writes \p bytes. \returns whether the write succeeded.
@@ -49,8 +60,8 @@
     /// Sets \p hook to be called by abortByNode(). It returns whether it ends the request with an
     /// answer, so that the connection must stay open for it.
     void setEndHook(std::function<bool()> hook) { endHook_ = std::move(hook); }
-    /// Ends the request in progress: with an answer if none has begun, or else by closing the
-    /// connection.
+    /// Ends the request that is arriving or in progress: with an answer if none has begun, or else by
+    /// closing the connection.
     void abortByNode();
     bool isAbortedByNode() const { return isAbortedByNode_; }
     /// Resets the connection, so that an answer that ends with it does not seem complete.
@@ -70,7 +81,10 @@
     /// \returns false if the connection is to be closed.
     asio::awaitable<bool> waitForRequest(SteadyTime idleUntil);
     bool hasUnread() const;
-    asio::awaitable<std::optional<Result<CallerRequest>>> readRequest(const CallerBounds& bounds, std::unique_ptr<MemoryShare> memory);
+    asio::awaitable<std::optional<Result<CallerRequest>>> readRequest(RequestIntake& intake);
+    Error badRequest(const RequestReader& reader, const MemoryShare& memory);
+    Error endReading(int status, std::string reason, milliseconds retryAfter);
+    asio::awaitable<void> sendContinue(RequestReader& reader);
 
     asio::ip::tcp::socket socket_;
     std::string input_;
@@ -83,6 +97,8 @@
     bool isDisconnected_ = false;
     bool isAbortedByNode_ = false;
     bool discardsInput_ = false;
+    /// Whether a part of a request has arrived.
+    bool isReading_ = false;
     bool isIdle_ = true;
     /// The result of isIdle() at the previous call of hasStayedIdle().
     bool wasIdle_ = false;
--- a/lib/Forward/Headers.cpp
+++ b/lib/Forward/Headers.cpp
@@ -70,6 +70,12 @@
     return value;
 }
 
+std::string renderRetryAfter(milliseconds delay)
+{
+    std::string fraction = std::to_string(1000 + delay.count() % 1000);
+    return std::to_string(delay.count() / 1000) + "." + fraction.substr(1);
+}
+
 std::optional<double> parsePositiveDecimal(std::string_view text)
 {
     auto value = parseDecimal(text);
--- a/lib/Forward/Headers.h
+++ b/lib/Forward/Headers.h
@@ -36,6 +36,9 @@
 /// milliseconds. Longer times are reduced to one year. \returns nullopt for any other text.
 std::optional<milliseconds> parseRetryAfter(std::string_view text);
 
+/// Renders \p delay as a number of seconds with a fraction.
+std::string renderRetryAfter(milliseconds delay);
+
 /// Parses a positive decimal number. \returns nullopt for any other text.
 std::optional<double> parsePositiveDecimal(std::string_view text);
 
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -78,6 +78,12 @@
 
 } // namespace
 
+milliseconds timeLimitOf(const Route& route, std::string_view callerDeadline)
+{
+    std::uint64_t limit = parseNumber(callerDeadline).value_or(std::numeric_limits<std::uint64_t>::max());
+    return milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(limit, static_cast<std::uint64_t>(std::max<std::int64_t>(0, route.timeout_.count())))));
+}
+
 RequestForwarder::RequestForwarder(ForwardContext& context, ConnectionPool& pool, std::shared_ptr<CallerConnection> caller, CallerRequest request)
     : context_(context)
     , pool_(pool)
@@ -162,9 +168,7 @@
     urgency_ = std::min(maxUrgency, organisation_ && organisation_->priority_ ? *organisation_->priority_ : route_->priority_);
     shape_ = shapeOf();
     eventSplitter_ = EventSplitter(parseNumber(request_.field(context_.names_.lastEvent_)));
-    deadline_ = request_.receivedAt_ + route_->timeout_;
-    if (auto callerDeadline = parseNumber(request_.field(context_.names_.deadline_)))
-        deadline_ = std::min(deadline_, request_.receivedAt_ + milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(*callerDeadline, 3600000))));
+    deadline_ = request_.receivedAt_ + timeLimitOf(*route_, request_.field(context_.names_.deadline_));
     return takeQuota();
 }
 
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -344,6 +344,10 @@
     int latestStatus_ = 0;
 };
 
+/// Returns the time from the arrival of a request for \p route to the end of its answer. \p callerDeadline is
+/// the value of the header in which the caller states its own limit; it may be empty.
+milliseconds timeLimitOf(const Route& route, std::string_view callerDeadline);
+
 /// Whether an answer's body follows its head. It does not for HEAD requests.
 enum class BodySent {
     Yes,
--- a/lib/Forward/RequestReader.cpp
+++ b/lib/Forward/RequestReader.cpp
@@ -142,10 +142,29 @@
     return parser_.is_done() ? Progress::Done : Progress::NeedsMore;
 }
 
-ByteCount RequestReader::bodyMemory() const
+std::string_view RequestReader::field(std::string_view name) const
+{
+    auto value = parser_.get()[boost::beast::string_view(name.data(), name.size())];
+    return { value.data(), value.size() };
+}
+
+std::string_view RequestReader::path() const
+{
+    auto target = parser_.get().target();
+    std::string_view text(target.data(), target.size());
+    return text.substr(0, text.find('?'));
+}
+
+std::optional<ByteCount> RequestReader::statedLength() const
 {
     auto length = parser_.content_length();
-    return { length ? static_cast<std::size_t>(*length) : parser_.get().body().capacity() };
+    return length ? std::optional(ByteCount { static_cast<std::size_t>(*length) }) : std::nullopt;
+}
+
+ByteCount RequestReader::arrivedBody() const
+{
+    const std::string& body = parser_.get().body();
+    return { parser_.content_length() ? body.size() : body.capacity() };
 }
 
 void RequestReader::rejectBody()
--- a/lib/Forward/RequestReader.h
+++ b/lib/Forward/RequestReader.h
@@ -58,8 +58,15 @@
     Progress feed(std::string& input);
     /// Whether the head is complete.
     bool hasHead() const { return hasHead_; }
-    /// The memory that the body takes: its stated length, or the allocated size of what has arrived.
-    ByteCount bodyMemory() const;
+    /// The value of a header, after the head is complete.
+    std::string_view field(std::string_view name) const;
+    /// The target without its query, after the head is complete.
+    std::string_view path() const;
+    /// The length of the body, if the head states one.
+    std::optional<ByteCount> statedLength() const;
+    /// The memory of what has arrived of the body: its size, or the allocated size if it has no stated
+    /// length.
+    ByteCount arrivedBody() const;
     /// \returns true once if the caller waits for "100 Continue" before it sends the body.
     bool takeContinueExpectation();
     /// Gives the request up, since the node cannot hold its body.
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -22,8 +22,6 @@
     // The time for which a closing connection waits for the caller's close, so that no reset
     // discards an answer in flight.
     constexpr milliseconds lingerTime { 500 };
-    // Seconds after which a request is likely to find room for its body.
-    constexpr const char* bodyRetryAfter = "1";
 
 } // namespace
 
@@ -48,6 +46,7 @@
     void logUnanswered(const CallerConnection& caller) const;
     asio::awaitable<void> sweepLoop();
     CallerBounds bounds() const;
+    milliseconds timeLimitOf(const RequestReader& request) const;
 
     asio::io_context& io_;
     ForwardContext& context_;
@@ -71,14 +70,21 @@
     return table ? table->configuration().bounds_ : CallerBounds {};
 }
 
+milliseconds ForwardWorker::State::timeLimitOf(const RequestReader& request) const
+{
+    auto table = context_.hooks_.table_();
+    const Route* route = table ? table->findRoute(request.field("Host"), request.path()) : nullptr;
+    return pistachioloom::timeLimitOf(route ? *route : Route {}, request.field(context_.names_.deadline_));
+}
+
 asio::awaitable<void> ForwardWorker::State::answerBadRequest(CallerConnection& caller, const Error& error)
 {
     logger_.info("Bad request: " + describe(error) + " status=" + std::to_string(caller.badStatus()));
     context_.metrics_.add(Counter::RequestsRefused);
     HeaderFields fields;
     fields.push_back({ "Content-Type", "text/plain" });
-    if (caller.badStatus() == 503)
-        fields.push_back({ "Retry-After", bodyRetryAfter });
+    if (error.retryAfter_.count())
+        fields.push_back({ "Retry-After", renderRetryAfter(error.retryAfter_) });
     caller.discardInput();
     std::string bytes = renderAnswer(caller.badStatus(), fields, error.message_ + "\n", std::nullopt);
     (void)co_await caller.write(std::move(bytes));
@@ -101,7 +107,8 @@
 {
     for (;;) {
         auto memory = std::make_unique<MemoryShare>(context_.bodyMemory_, context_.settings_.maxBodyMemory_);
-        auto request = co_await caller->next(bounds(), std::move(memory));
+        RequestIntake intake { bounds(), std::move(memory), [this](const RequestReader& reader) { return timeLimitOf(reader); }, context_.arriving_ };
+        auto request = co_await caller->next(std::move(intake));
         if (!request)
             co_return false;
         if (!*request) {
