Streams: the only known version is that of a stream if the list is newer than the resumption

Callers saw: a stream that began at a server of a new version went on at an old one (ORDER), at a node that had been cut off for less than 3 s.

Cause: if no node knows which software began a stream, and all servers have had one software for as long as a stream may last, it is taken for that of the stream. The list of servers counted as current if it had been found so within 3 s, and on nodes that read from peers by reports whose age a node that was cut off or stood still cannot tell. Class: "current" without a point in time to which it refers.

The rule now asks for a list that was read from the platform after the resumption had arrived, which contains every server at which the stream can have begun. Without one within 0.9 s the origin is unknown.

Evidence: StreamVersions, "a gateway out of step resumes a stream of a new version at the version that it knows": on the row of the cut was answered 200 by the old version; now 503. The rows without a fault (200) and of a gateway that stands still (503) held before and hold now.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -146,6 +146,9 @@
     /// Returns the time since which this node's list of backend servers has always been current;
     /// nullopt if it is not.
     std::function<std::optional<SteadyTime>()> registryCurrentSince_ = [] { return std::nullopt; };
+    /// Waits until this node's list of backend servers is known to have been that of the platform at
+    /// \p time or later. \returns false if that takes too long.
+    std::function<asio::awaitable<bool>(SteadyTime time)> confirmRegistry_ = [](SteadyTime) -> asio::awaitable<bool> { co_return false; };
     /// \returns the current configuration, or nullptr before the first.
     std::function<std::shared_ptr<const RouteTable>()> table_;
     /// Copies a stream's KV cache. A second copy of the same cache transfers only the
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -145,7 +145,8 @@
     OrganisationId organisationName() const;
     asio::awaitable<void> findSoftware();
     std::optional<HeldAnswer> applyOrigin(const FoundOrigin& found);
-    FoundOrigin soleOrigin() const;
+    asio::awaitable<FoundOrigin> soleOrigin();
+    std::optional<SoftwareKey> soleSoftware() const;
     HeldAnswer rejectUnserved() const;
     bool isUnserved() const;
     std::optional<BackendChoice> chooseBackend(RequestShape& shape, RolloutTracker::SendKind kind);
--- a/lib/Forward/StreamVersion.cpp
+++ b/lib/Forward/StreamVersion.cpp
@@ -43,7 +43,7 @@
         found = co_await context_.hooks_.findOrigin_(stream);
     }
     if (!found.origin_)
-        found = soleOrigin();
+        found = co_await soleOrigin();
     heldAnswer_ = applyOrigin(found);
     if (heldAnswer_)
         logRejection(*heldAnswer_);
@@ -72,19 +72,31 @@
     return std::nullopt;
 }
 
-/// The origin of any stream of the route that may still be resumed, if all servers of the
-/// route's service have had the same software for as long as such a stream may have run.
-FoundOrigin RequestForwarder::soleOrigin() const
+/// The only software that servers of the route's service have had for as long as a stream that may still
+/// be resumed may have run, as far as this node knows.
+std::optional<SoftwareKey> RequestForwarder::soleSoftware() const
 {
     SteadyTime now = steadyNow();
     auto currentSince = context_.hooks_.registryCurrentSince_();
     SteadyTime since = now - route_->timeout_;
     if (route_->split_.size() != 1 || !currentSince || *currentSince > since)
-        return { std::nullopt, "unknown" };
-    auto software = context_.backends_.soleSoftware(route_->split_.front().service_, since, now);
-    if (!software)
-        return { std::nullopt, "unknown" };
-    return { StreamOrigin { *software, false }, "only software" };
+        return std::nullopt;
+    return context_.backends_.soleSoftware(route_->split_.front().service_, since, now);
+}
+
+/// The origin of any stream of the route that may still be resumed, if all servers have the same software.
+/// The stream may have begun at a server that this node does not know yet, since it was cut off or stood
+/// still; a list of servers that is newer than the resumption contains that server.
+asio::awaitable<FoundOrigin> RequestForwarder::soleOrigin()
+{
+    FoundOrigin unknown { std::nullopt, "unknown" };
+    if (!soleSoftware())
+        co_return unknown;
+    bool isConfirmed = co_await context_.hooks_.confirmRegistry_(request_.receivedAt_);
+    auto software = soleSoftware();
+    if (!isConfirmed || !software)
+        co_return unknown;
+    co_return FoundOrigin { StreamOrigin { *software, false }, "only software" };
 }
 
 RequestForwarder::HeldAnswer RequestForwarder::rejectUnserved() const
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -107,6 +107,7 @@
     context_.forward_.hooks_.tellOrigin_ = [this](StreamKey stream, const StreamOrigin& origin, OriginStorage storage) { origins_.tell(stream, origin, storage); };
     context_.forward_.hooks_.findOrigin_ = [this](StreamKey stream) { return origins_.find(stream); };
     context_.forward_.hooks_.registryCurrentSince_ = [this] { return feed_.registryCurrentSince(); };
+    context_.forward_.hooks_.confirmRegistry_ = [this](SteadyTime time) { return feed_.confirmList(time); };
     context_.forward_.hooks_.onTerminated_ = [this](const BackendId& backend) { peerReports_.noteTerminated(backend); };
     for (const auto& io : ios_)
         workers_.push_back(std::make_unique<ForwardWorker>(*io, context_.forward_));
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -20,6 +20,10 @@
     constexpr std::uint64_t maxListAgeMs = 1500;
     // A list counts as current if it was found to be so within this time.
     constexpr milliseconds maxListLag { 3000 };
+    // Time for which a resumption waits until the list is confirmed, which takes a reading period.
+    constexpr milliseconds confirmationPatience { 900 };
+    // Interval at which a reader is asked for a newer list meanwhile.
+    constexpr milliseconds confirmationPeriod { 100 };
     // Changes of one list that the log names; the others are counted. A node that starts
     // receives a list of thousands of backend servers.
     constexpr std::size_t maxNamedChanges = 32;
@@ -238,6 +242,7 @@
     ReadBackoff backoff(settings.retryPause_);
     for (;;) {
         co_await waitUntilReader(resource, from, isRegistryUnavailable_);
+        SteadyTime startedAt = steadyNow();
         auto read = co_await context_.platform_.readRegistry_(from);
         bool wasUnavailable = isRegistryUnavailable_.exchange(!read);
         if (wasUnavailable == read.has_value())
@@ -251,8 +256,9 @@
             from.reset();
         if (read) {
             from = read.value().next_;
-            registryReadAt_ = steadyNow();
-            listReadAt_ = steadyNow();
+            registryReadAt_ = startedAt;
+            listReadAt_ = startedAt;
+            listConfirmedAt_ = startedAt;
             apply(read.value(), read.value().isComplete_ ? context_.backends_.records() : std::vector<BackendRecord> {}, platformSource);
             noteIfListIsCurrent();
             backoff.noteSuccess();
@@ -293,6 +299,36 @@
     return isCurrent && since != SteadyTime {} ? std::optional(since) : std::nullopt;
 }
 
+asio::awaitable<bool> PlatformFeed::confirmList(SteadyTime time)
+{
+    co_return co_await asio::co_spawn(io_, waitForConfirmation(time), asio::use_awaitable);
+}
+
+/// Only a read that began after \p time shows what was registered by then: how old a report of a peer is
+/// cannot be told on a node that was cut off or stood still.
+asio::awaitable<bool> PlatformFeed::waitForConfirmation(SteadyTime time)
+{
+    SteadyTime until = steadyNow() + confirmationPatience;
+    while (listConfirmedAt_ < time && steadyNow() < until) {
+        std::optional<KnownPeer> reader = isReader() || isConfirming_ ? std::nullopt : randomReader();
+        if (reader) {
+            isConfirming_ = true;
+            co_await fetchBackends(reader->first, reader->second);
+            isConfirming_ = false;
+        }
+        if (listConfirmedAt_ < time)
+            co_await sleepFor(confirmationPeriod);
+    }
+    co_return listConfirmedAt_ >= time;
+}
+
+std::optional<KnownPeer> PlatformFeed::randomReader() const
+{
+    std::vector<KnownPeer> readers = peerReports_.reportedWithin(context_.settings_.feed_.readerTimeout_);
+    std::erase_if(readers, [](const KnownPeer& known) { return !known.second.isReader_ || known.second.isPlatformUnavailable_; });
+    return readers.empty() ? std::nullopt : std::optional(readers[randomBits() % readers.size()]);
+}
+
 std::optional<KnownPeer> PlatformFeed::readerWithDifferentList() const
 {
     // Prefers readers whose streams have not failed lately, then that of this data centre.
@@ -390,6 +426,8 @@
     std::vector<bool> covered = update.bucket_count() ? includedBuckets(update, bucketCount) : std::vector<bool>(1, true);
     // An old list does not show that the servers which it lacks are gone.
     apply(read, isStale ? std::vector<BackendRecord> {} : context_.backends_.recordsIn(covered), vm.value_);
+    if (!isStale && !update.has_more())
+        listConfirmedAt_ = std::max(listConfirmedAt_, readAt);
     // The first list is complete only when its last part has arrived. Until then parts of any
     // age are used.
     if (!isFirst || (!update.has_more() && context_.backends_.size()))
--- a/lib/Gateway/PlatformFeed.h
+++ b/lib/Gateway/PlatformFeed.h
@@ -26,6 +26,9 @@
     /// Returns the time since which this node's list of backend servers has always been current,
     /// give or take `maxListLag`; nullopt if it is not. Thread-safe.
     std::optional<SteadyTime> registryCurrentSince() const;
+    /// Waits until the list in use is known to have been that of the platform at \p time or later.
+    /// \returns false if that takes too long. Thread-safe.
+    asio::awaitable<bool> confirmList(SteadyTime time);
     /// Returns what isStartTurn() needs to know of this node.
     ColdStart coldStart() const;
     /// Answers a peer that fetches what this node has read from the platform. A peer that
@@ -37,6 +40,8 @@
     asio::awaitable<void> followConfiguration();
     asio::awaitable<void> followRegistry();
     asio::awaitable<void> fetchBackendsFromPeers();
+    asio::awaitable<bool> waitForConfirmation(SteadyTime time);
+    std::optional<KnownPeer> randomReader() const;
     wire::Frame answer(const wire::Frame& request);
     bool hasNewerConfiguration(const wire::ConfigurationFetch& fetch) const;
     /// Sends the configuration to a peer, and returns once the peer has all of it.
@@ -73,8 +78,12 @@
     GatewayContext& context_;
     PeerReports& peerReports_;
     PeerPool& peers_;
-    /// When this node last read the registry from the platform.
+    /// When the last read of the registry from the platform, by this node, began.
     std::atomic<SteadyTime> registryReadAt_ { SteadyTime {} };
+    /// The latest time at which the list in use is known to have been that of the platform.
+    SteadyTime listConfirmedAt_ {};
+    /// Whether a reader is being asked for a newer list, to confirm this one.
+    bool isConfirming_ = false;
     /// When the list in use was read from the platform, by this node or by a peer.
     SteadyTime listReadAt_ {};
     /// When the list was last found to be current, and since when it always was.
--- a/test/StreamVersionsTest.cpp
+++ b/test/StreamVersionsTest.cpp
@@ -6,6 +6,7 @@
 /// event, within one answer and over the attempts of its caller at any gateway. Runs gateways
 /// and callers that resume, and breaks streams off in several ways.
 //===----------------------------------------------------------------------===//
+#include "Harness/PathProxy.h"
 #include "Platform/StreamCaller.h"
 
 #include <catch2/catch.hpp>
@@ -31,8 +32,8 @@
 /// Gateways in three data centres, and servers of each version.
 class DeploymentOfVersions {
 public:
-    explicit DeploymentOfVersions(const std::vector<std::string>& versions, int serversOfEach = 3)
-        : deployment_({ gatewayCount, 3, {}, {} })
+    explicit DeploymentOfVersions(const std::vector<std::string>& versions, int serversOfEach = 3, GatewayDeploymentOptions options = { gatewayCount, 3, {}, {} })
+        : deployment_(std::move(options))
     {
         deployment_.putConfiguration(1);
         for (const std::string& version : versions) {
@@ -54,8 +55,6 @@
         deployment_.backend(server, faults_);
     }
     void reclaim(const std::string& server) { deployment_.control({ { "reclaim", server } }); }
-
-private:
     void start(const std::string& version, int number)
     {
         std::string id = version + "-" + std::to_string(number);
@@ -65,6 +64,7 @@
         servers_.push_back(id);
     }
 
+private:
     const json::object faults_ { { "events", 60 }, { "gap_ms", 30 }, { "names_sender", 1 } };
     GatewayDeployment deployment_;
     std::vector<std::string> servers_;
@@ -265,3 +265,44 @@
         CHECK(!attempt.retryAfter_);
     }
 }
+
+// Guards against a stream that is joined from two versions: it began at a server that the gateway does
+// not know yet, which takes the only version that it knows for that of the stream.
+TEST_CASE("a gateway out of step resumes a stream of a new version at the version that it knows", "[gateway]")
+{
+    enum class Fault {
+        None,
+        CutOff,
+        StandsStill,
+    };
+    auto fault = GENERATE(Fault::None, Fault::CutOff, Fault::StandsStill);
+    CAPTURE(fault);
+    PathProxies paths;
+    std::size_t path = paths.add();
+    GatewayDeploymentOptions options;
+    options.platformEndpointFor_ = [&](const std::string&, const Endpoint& platform) {
+        paths.setTarget(path, platform);
+        return paths.endpoint(path);
+    };
+    DeploymentOfVersions versions({ "v1" }, 1, std::move(options));
+    GatewayDeployment::Gateway& gateway = versions->gateways().front();
+    // Longer than a stream may last, so that any stream began at the only version.
+    std::this_thread::sleep_for(milliseconds(7000));
+    if (fault == Fault::CutOff)
+        paths.set(PathFault::Hang);
+    if (fault == Fault::StandsStill)
+        gateway.process_->signal(SIGSTOP);
+    if (fault != Fault::None)
+        versions.start("v1.1", 1);
+    if (fault == Fault::StandsStill) {
+        std::this_thread::sleep_for(milliseconds(1500));
+        gateway.process_->signal(SIGCONT);
+    }
+    HttpRequest request = gatewayRequest("POST", streamPath, "again");
+    request.headers_["Resumes"] = "begun-elsewhere";
+    request.headers_["Last-Event-Id"] = "3";
+    StreamAttempt attempt = readStream(gateway.callers_, request, milliseconds(5000));
+    CHECK(attempt.status_ == (fault == Fault::None ? 200 : 503));
+    CHECK(attempt.timeToHead_ < milliseconds(2500));
+    CHECK((fault == Fault::None || attempt.retryAfter_));
+}
