Forward: requests that have not been sent are answered at the end of the grace time

Callers saw: a connection that a stopping node closes without an answer, for a request whose body was still arriving, or that waited for the origin of its stream or for a peer.

Cause: the end of the grace time reached a request only where it waits for its server. Class: an end that some waits do not notice.

Both waits end with the request now, and a request that arrives is answered. All three get 503 with a Retry-After: nothing has been sent.

--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -215,7 +215,9 @@
 void CallerConnection::abortByNode()
 {
     isAbortedByNode_ = !isDisconnected_;
-    bool isAnswered = isAbortedByNode_ && endHook_ && endHook_();
+    bool isAnswered = isAbortedByNode_ && (isReading_ || (endHook_ && endHook_()));
+    if (isAnswered && isReading_)
+        inputArrived_.notify();
     if (!isAnswered)
         abort();
 }
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -261,6 +261,8 @@
 void RequestForwarder::stop(StopReason reason)
 {
     stopReason_ = reason;
+    if (onStop_)
+        onStop_();
     if (currentConnection_)
         currentConnection_->abort();
     // A caller that reads slowly must not prolong a request beyond its deadline.
@@ -392,7 +394,7 @@
 asio::awaitable<void> RequestForwarder::serve()
 {
     co_await findSoftware();
-    if (!heldAnswer_ && !caller_->isDisconnected())
+    if (!heldAnswer_ && !isStoppedForGood() && !caller_->isDisconnected())
         co_await tryBackends();
     if (isDelivered_ || caller_->isDisconnected())
         co_return;
@@ -582,6 +584,8 @@
 
 RequestForwarder::HeldAnswer RequestForwarder::finalFailure()
 {
+    if (!mayHaveRun_ && stopReason_ == StopReason::NodeStopping)
+        return rejection(503, "this node is stopping", stoppingRetryAfter);
     // 503 promises that the request has not run and never will run.
     if (!mayHaveRun_ && isUnserved())
         return rejectUnserved();
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -144,6 +144,7 @@
     // The software of streams.
     OrganisationId organisationName() const;
     asio::awaitable<void> findSoftware();
+    asio::awaitable<FoundOrigin> findOrigin(std::string begin);
     std::optional<HeldAnswer> applyOrigin(const FoundOrigin& found);
     asio::awaitable<FoundOrigin> soleOrigin();
     std::optional<SoftwareKey> soleSoftware() const;
@@ -239,6 +240,14 @@
     void checkPaths(SteadyTime now);
     void checkSilence(SteadyTime now);
     void stop(StopReason reason);
+    template <typename T>
+    struct Pending;
+    template <typename T>
+    static asio::awaitable<void> resolve(std::shared_ptr<Pending<T>> pending, asio::awaitable<T> operation, std::function<void(T&)> discard);
+    /// Returns the result of \p operation, or nullopt if the request is stopped first or the operation throws.
+    /// An operation that is not awaited to its end goes on, and \p discard receives its result.
+    template <typename T>
+    asio::awaitable<std::optional<T>> resultUntilStopped(asio::awaitable<T> operation, std::function<void(T&)> discard = {});
     /// Ends the request because the grace time is over. \returns whether it gets an answer.
     bool endByNode();
     /// Whether the request was stopped for a reason that another attempt would not change.
@@ -276,6 +285,8 @@
     std::uint64_t lossCount_ = 0;
     SteadyTimer timer_;
     StopReason stopReason_ = StopReason::None;
+    /// Ends the wait of resultUntilStopped().
+    std::function<void()> onStop_;
     BackendConnectionPtr currentConnection_;
     /// Whether the request was sent in the current attempt, so that its server may be at work.
     bool isAttemptSent_ = false;
@@ -349,6 +360,43 @@
 /// the value of the header in which the caller states its own limit; it may be empty.
 milliseconds timeLimitOf(const Route& route, std::string_view callerDeadline);
 
+template <typename T>
+struct RequestForwarder::Pending {
+    explicit Pending(const asio::any_io_executor& executor)
+        : ended_(executor)
+    {
+    }
+
+    std::optional<T> result_;
+    bool isAbandoned_ = false;
+    AutoResetEvent ended_;
+};
+
+template <typename T>
+asio::awaitable<void> RequestForwarder::resolve(std::shared_ptr<Pending<T>> pending, asio::awaitable<T> operation, std::function<void(T&)> discard)
+{
+    T result = co_await std::move(operation);
+    if (!pending->isAbandoned_)
+        pending->result_ = std::move(result);
+    else if (discard)
+        discard(result);
+}
+
+template <typename T>
+asio::awaitable<std::optional<T>> RequestForwarder::resultUntilStopped(asio::awaitable<T> operation, std::function<void(T&)> discard)
+{
+    if (isStoppedForGood())
+        co_return std::nullopt;
+    auto pending = std::make_shared<Pending<T>>(pool_.executor());
+    auto onEnd = [pending](const std::exception_ptr&) { pending->ended_.notify(); };
+    asio::co_spawn(pool_.executor(), resolve<T>(pending, std::move(operation), std::move(discard)), onEnd);
+    onStop_ = [pending] { pending->ended_.notify(); };
+    (void)co_await pending->ended_.waitUntil(SteadyTime::max());
+    onStop_ = nullptr;
+    pending->isAbandoned_ = true;
+    co_return std::move(pending->result_);
+}
+
 /// Whether an answer's body follows its head. It does not for HEAD requests.
 enum class BodySent {
     Yes,
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -160,7 +160,14 @@
 {
     attempt.isRelayed_ = true;
     milliseconds timeout = std::min(timeLeft(), 2 * context_.settings_.connectTimeout_);
-    auto opened = co_await context_.hooks_.openRelayed_(attempt.choice_.backend_, timeout);
+    using Opened = Result<RelayedConnection>;
+    auto ended = co_await resultUntilStopped<Opened>(context_.hooks_.openRelayed_(attempt.choice_.backend_, timeout), [](Opened& late) {
+        if (late)
+            late.value().reset_();
+    });
+    if (!ended)
+        co_return isStoppedForGood() ? SendOutcome::Stopped : SendOutcome::NoPath;
+    Opened opened = std::move(*ended);
     if (opened) {
         attempt.via_ = opened.value().via_;
         attempt.connection_->relayed_ = std::move(opened.value());
--- a/lib/Forward/StreamVersion.cpp
+++ b/lib/Forward/StreamVersion.cpp
@@ -37,18 +37,25 @@
     std::string begin(request_.field(context_.names_.resumes_));
     if (!route_->isStream_ || (!eventSplitter_.last() && begin.empty()))
         co_return;
-    FoundOrigin found;
-    if (!begin.empty()) {
-        StreamKey stream = streamKeyOf(organisationName(), begin);
-        found = co_await context_.hooks_.findOrigin_(stream);
-    }
-    if (!found.origin_)
-        found = co_await soleOrigin();
-    heldAnswer_ = applyOrigin(found);
+    auto found = co_await resultUntilStopped(findOrigin(std::move(begin)));
+    if (!found && isStoppedForGood())
+        co_return;
+    heldAnswer_ = applyOrigin(found.value_or(FoundOrigin { std::nullopt, "unknown" }));
     if (heldAnswer_)
         logRejection(*heldAnswer_);
 }
 
+asio::awaitable<FoundOrigin> RequestForwarder::findOrigin(std::string begin)
+{
+    auto self = shared_from_this();
+    if (!begin.empty()) {
+        FoundOrigin found = co_await context_.hooks_.findOrigin_(streamKeyOf(organisationName(), begin));
+        if (found.origin_)
+            co_return found;
+    }
+    co_return co_await soleOrigin();
+}
+
 /// Restricts the request to the software that \p found names. \returns the rejection of a
 /// stream that cannot go on here.
 std::optional<RequestForwarder::HeldAnswer> RequestForwarder::applyOrigin(const FoundOrigin& found)
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -243,14 +243,14 @@
             worker->closeIdle();
         co_await sleepFor(drainPeriod);
     }
-    if (context_.forward_.running_) {
-        logger_.warn(LogLine("Requests that still run at the end of the grace time are aborted.").add("running", static_cast<std::int64_t>(context_.forward_.running_)));
+    if (context_.forward_.running_ || context_.forward_.arriving_) {
+        logger_.warn(LogLine("Requests that still run at the end of the grace time are aborted.").add("running", static_cast<std::int64_t>(context_.forward_.running_)).add("arriving", static_cast<std::int64_t>(context_.forward_.arriving_)));
         for (const auto& worker : workers_)
             worker->abortAll();
         SteadyTime answeredBy = steadyNow() + drainMargin / 2;
         do
             co_await sleepFor(drainPeriod);
-        while (context_.forward_.running_ && steadyNow() < answeredBy);
+        while ((context_.forward_.running_ || context_.forward_.arriving_) && steadyNow() < answeredBy);
     }
     logger_.info("Stopped.");
     for (const auto& io : ios_)
--- a/unittests/Forward/BegunAnswerTest.cpp
+++ b/unittests/Forward/BegunAnswerTest.cpp
@@ -7,6 +7,7 @@
 #include "ForwardFixture.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace pistachioloom;
 using namespace pistachioloom::test;
@@ -126,6 +127,56 @@
     CHECK(answer.took_ < timeout);
 }
 
+// Guards against a request whose connection is closed without an answer at the end of the grace time,
+// while this node waits for something other than its server.
+TEST_CASE("a request that has not been sent at the end of the grace time gets no answer in time", "[forward]")
+{
+    enum class Waits {
+        ForBody,
+        ForOrigin,
+        ForPeer,
+    };
+    auto waits = GENERATE(Waits::ForBody, Waits::ForOrigin, Waits::ForPeer);
+    CAPTURE(waits);
+    constexpr milliseconds wait { 3000 };
+    constexpr milliseconds graceEnd { 300 };
+    // Half of the time from the end of the grace time to that of the process.
+    constexpr milliseconds answerTime { 350 };
+    ScriptedWorker worker(streamRoute(2), 1, [](tcp::socket&, const ReceivedRequest&) -> asio::awaitable<bool> { co_return false; });
+    ForwardContext& context = worker.context();
+    context.names_.resumes_ = "Resumes";
+    std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nAttempt: a1\r\nConnection: close\r\n";
+    if (waits == Waits::ForBody)
+        head += "Content-Length: 10\r\n";
+    if (waits == Waits::ForOrigin)
+        head += "Resumes: a0\r\nLast-Event: 3\r\n";
+    context.hooks_.findOrigin_ = [wait](StreamKey) -> asio::awaitable<FoundOrigin> {
+        co_await sleepFor(wait);
+        co_return FoundOrigin { std::nullopt, "unknown" };
+    };
+    if (waits == Waits::ForPeer) {
+        for (int i = 0; i < 2; ++i)
+            (void)context.paths_.noteProbed({ "s" }, 1, 0, steadyNow());
+        REQUIRE(context.paths_.isLost({ "s" }));
+    }
+    context.hooks_.openRelayed_ = [wait](const BackendRecord&, milliseconds) -> asio::awaitable<Result<RelayedConnection>> {
+        co_await sleepFor(wait);
+        co_return Error { Errc::Timeout, "open", "peer", "no answer", Ran::No, {} };
+    };
+    std::thread stopping([&] {
+        std::this_thread::sleep_for(graceEnd);
+        worker.worker().abortAll();
+    });
+    ScriptedWorker::CallerAnswer answer = worker.call(head + "\r\n");
+    stopping.join();
+    CHECK(answer.bytes_.starts_with("HTTP/1.1 503"));
+    CHECK(answer.bytes_.find("Retry-After: ") != std::string::npos);
+    CHECK(answer.bytes_.find("stopping") != std::string::npos);
+    CHECK(answer.took_ >= graceEnd);
+    CHECK(answer.took_ < graceEnd + answerTime);
+    CHECK(worker.requests() == 0);
+}
+
 // Guards against a stream that looks whole to a caller of HTTP/1.0, for whom the end of the connection
 // ends it.
 TEST_CASE("a stream that is cut short for a caller of HTTP 1.0 ends with a reset", "[forward]")
