Forward: a refusal does not end a request that a silent server may have run

Callers saw: 502 with time left, since a silent server was given up for one that refused the request.

Cause: a refusal used the last of the route's attempts unless events of a stream had been delivered. A node cannot be certain that a replacement has room: loads and pauses are known some tenths of a second late.

--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -291,8 +291,8 @@
         return false;
     if (end == SendOutcome::Unreachable || end == SendOutcome::NoConnection || end == SendOutcome::NotAccepting || end == SendOutcome::NoPath)
         return ++unsentAttempts_ < maxUnsentAttempts;
-    // A server that refuses the rest of a stream has not run it.
-    bool isRefusedRest = end == SendOutcome::NotRun && hasStartedAnswer_;
+    // A server that refuses what another one may have run has not run it.
+    bool isRefusedRest = end == SendOutcome::NotRun && mustGoOn();
     if (isRefusedRest && ++unsentAttempts_ >= maxUnsentAttempts)
         return false;
     if (!isRefusedRest && sendCount_ >= route_->maxAttempts_)
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -250,6 +250,9 @@
     asio::awaitable<std::optional<T>> resultUntilStopped(asio::awaitable<T> operation, std::function<void(T&)> discard = {});
     /// Ends the request because the grace time is over. \returns whether it gets an answer.
     bool endByNode();
+    /// Whether a server may have run a part of the request, so that it has to go on at another one, and no
+    /// answer is at hand.
+    bool mustGoOn() const { return hasStartedAnswer_ || (mayHaveRun_ && !heldAnswer_); }
     /// Whether the request was stopped for a reason that another attempt would not change.
     bool isStoppedForGood() const;
     milliseconds timeLeft() const;
--- a/lib/Forward/StreamVersion.cpp
+++ b/lib/Forward/StreamVersion.cpp
@@ -154,7 +154,7 @@
 /// broke off. \returns false if there are none, or the caller has waited for too long.
 asio::awaitable<bool> RequestForwarder::waitForServer()
 {
-    if (!hasStartedAnswer_ || isStoppedForGood() || isUnserved() || timeLeft() <= serverCheckPeriod || waitedForServer_ >= context_.settings_.streamStallTimeout_)
+    if (!mustGoOn() || isStoppedForGood() || isUnserved() || timeLeft() <= serverCheckPeriod || waitedForServer_ >= context_.settings_.streamStallTimeout_)
         co_return false;
     waitedForServer_ += serverCheckPeriod;
     SteadyTimer timer(pool_.executor(), serverCheckPeriod);
