Platform: an odd key among those of the servers costs nothing but its entry

Operators saw: one entry with an empty key ends one reader of the list after the other (signal 6); one whose key is not UTF-8 keeps all nodes that get the list from peers from following it.

Cause: the value of a registration was checked, its key was not. An empty key reached an assertion; a key that is not UTF-8 went into the answers of readers, which their peers' parser rejects whole. Class: bytes of others taken for one's own.

Names of servers, and of nodes that are announced, have to be UTF-8 and not empty.

--- a/include/pistachioloom/Json.h
+++ b/include/pistachioloom/Json.h
@@ -15,10 +15,18 @@
 
 namespace pistachioloom {
 
+/// Whether a text that is not UTF-8 may stand in JSON.
+enum class InvalidUtf8 {
+    Rejected,
+    Kept,
+};
+
 /// Parses \p text as a JSON object; nullopt if it is not one. The object and its values
 /// are allocated from \p memory, which may be a monotonic resource for a large text whose
 /// values are all released together.
-std::optional<boost::json::object> parseJsonObject(const std::string& text, boost::json::storage_ptr memory = {});
+std::optional<boost::json::object> parseJsonObject(const std::string& text, boost::json::storage_ptr memory = {}, InvalidUtf8 invalidUtf8 = InvalidUtf8::Rejected);
+/// Returns whether \p text is UTF-8.
+bool isUtf8(const std::string& text);
 /// Returns the string in field \p key, or an empty string.
 std::string textField(const boost::json::object& object, const char* key);
 /// Returns the number in field \p key, or 0 if it is not an unsigned integer.
--- a/lib/Json/Json.cpp
+++ b/lib/Json/Json.cpp
@@ -9,15 +9,25 @@
 
 namespace json = boost::json;
 
-std::optional<json::object> parseJsonObject(const std::string& text, json::storage_ptr memory)
+std::optional<json::object> parseJsonObject(const std::string& text, json::storage_ptr memory, InvalidUtf8 invalidUtf8)
 {
     json::error_code code;
-    json::value value = json::parse(text, code, std::move(memory));
+    json::parse_options options;
+    options.allow_invalid_utf8 = invalidUtf8 == InvalidUtf8::Kept;
+    json::value value = json::parse(text, code, std::move(memory), options);
     if (code || !value.is_object())
         return std::nullopt;
     return std::move(value.as_object());
 }
 
+bool isUtf8(const std::string& text)
+{
+    // The parser rejects a text that is not UTF-8, which the serializer copies as it is.
+    json::error_code code;
+    json::parse(json::serialize(json::string(text)), code);
+    return !code;
+}
+
 std::string textField(const json::object& object, const char* key)
 {
     const json::value* value = object.if_contains(key);
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -66,6 +66,17 @@
     std::map<std::string, std::map<std::string, KeyedEntry>> keyed_;
 };
 
+std::string keyOf(const json::object& entry)
+{
+    const json::array* bytes = arrayField(entry, "key_bytes");
+    if (!bytes)
+        return textField(entry, "key");
+    std::string key;
+    for (const json::value& byte : *bytes)
+        key += static_cast<char>(byte.to_number<int>());
+    return key;
+}
+
 void appendBigEndian64(std::string& bytes, std::uint64_t number)
 {
     unsigned char big[8];
@@ -441,7 +452,8 @@
     /// `backends`: starts backend servers. They are not registered in the store if they
     /// have `unregistered`. With `idle_s`, they close idle connections after that many
     /// seconds and advertise it.
-    /// `put`: appends entries to keyed topics.
+    /// `put`: appends entries to keyed topics, under `key`, or the bytes whose numbers are in
+    /// `key_bytes`.
     /// `reclaim`: marks a backend server as about to be reclaimed.
     /// `restart`: crashes a backend server and starts another under the same id.
     /// `crash_text`: a request whose body contains it crashes each backend server that
@@ -466,7 +478,7 @@
         for (const json::object& spec : objectsField(body, "backends"))
             ports[textField(spec, "id")] = startBackend(spec);
         for (const json::object& entry : objectsField(body, "put"))
-            log_.put(textField(entry, "topic"), textField(entry, "key"), textField(entry, "value"));
+            log_.put(textField(entry, "topic"), keyOf(entry), textField(entry, "value"));
         auto reclaimed = registrations_.find(textField(body, "reclaim"));
         if (reclaimed != registrations_.end()) {
             reclaimed->second["phase"] = "draining";
