Backends: a server whose registration lapsed and came back is used again

Cause: the removal of a registration was told to other nodes as leaving, which is final for an id. A server that registers again under its id was never used by a node that had been told. Class: a state that can end, told as one that cannot.

The removal is told as a condition of its own, with its age. A node does not use the server until it applies a list that was read after that; an older list, or late word of the removal, changes nothing. A server that announced that it leaves stays leaving, so that DRAIN holds as before.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -90,6 +90,8 @@
     /// The server fails if it has to reject more than a number of requests a second for want of
     /// capacity.
     Brittle,
+    /// The server's registration was removed. Unlike the others, the platform states it.
+    Removed,
 };
 
 std::string_view toString(ConditionKind kind);
@@ -362,6 +364,9 @@
     /// No later record of this incarnation reverts that, not even after a removal.
     /// \returns whether the server was known and not marked before.
     bool setLeaving(const BackendId& id, SteadyTime now);
+    /// Notes that a list of the platform that was read at \p readAt has been applied. Servers that it contains
+    /// are registered, whatever removals were reported before then.
+    void noteListRead(SteadyTime readAt);
     /// Notes that \p id has terminated, and ejects it for ChoiceSettings::maxEjection_ as
     /// after consecutive failures.
     void setTerminated(const BackendId& id, SteadyTime now);
@@ -398,8 +403,8 @@
     /// Whether a request for which \p id was chosen may still be sent there.
     bool mayReceive(const BackendId& id, SteadyTime now) const;
     std::vector<BackendRecord> records() const;
-    /// Returns a hash that is equal for tables with the same backend servers in the same
-    /// leaving state.
+    /// Returns a hash that is equal for tables with the same backend servers, of which the same
+    /// are leaving or removed.
     std::uint64_t fingerprint() const;
     /// Divides the backend servers into \p buckets groups by name, and returns a hash of each
     /// group that is equal for equal groups, as fingerprint() is for tables. Two nodes
@@ -521,6 +526,9 @@
         /// Consecutive failures.
         unsigned consecutiveFailures_ = 0;
         SteadyTime ejectedUntil_ {};
+        /// When another node found that its registration was removed; zero if it is registered as far as
+        /// this node knows.
+        SteadyTime removedAt_ {};
         /// Whether the latest answer to a request of this node said that the server is full.
         bool isFull_ = false;
         /// End of the pause that the server asked for.
@@ -544,6 +552,8 @@
         /// This node's part of the limit.
         RequestBucket bucket_;
 
+        /// Whether the server is registered and not leaving.
+        bool isAccepting() const { return !record_.isLeaving_ && removedAt_ == SteadyTime {}; }
         StatedNumber& numberOf(ConditionKind kind) { return kind == ConditionKind::Brittle ? maxRejections_ : requestLimit_; }
         /// Duration of the last ejection; 0 after a successful request.
         milliseconds ejectionTime_ {};
@@ -621,6 +631,7 @@
     static void releaseLoad(Backend& backend, TokenCount uncached, bool hasFirstByte);
     void recordFailure(Backend& backend, SteadyTime now);
     void sumPeerLoads(SteadyTime now);
+    bool setRemoved(const BackendId& id, SteadyTime removedAt);
     /// Discards the record of \p id and everything learnt about it.
     void forget(const BackendId& id);
     void erase(std::map<BackendId, Backend>::iterator backend, std::optional<SteadyTime> removedAt);
@@ -646,6 +657,8 @@
     std::map<ServiceName, std::map<SoftwareKey, std::optional<SteadyTime>>> removedSoftware_;
     /// Names of removed servers, oldest first.
     std::deque<BackendName> removedNames_;
+    /// When the newest list that was applied had been read from the platform.
+    SteadyTime listReadAt_ {};
     std::map<VmId, PeerLoads> peers_;
     SteadyTime peerLoadsAt_ {};
     SteadyTime speedsUpdatedAt_ {};
--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -192,11 +192,11 @@
     std::atomic<std::uint64_t> answerMemory_ { 0 };
     /// The size of the bodies of requests that are being received or served, in bytes.
     std::atomic<std::uint64_t> bodyMemory_ { 0 };
+    /// The number of requests of which a part has arrived.
+    std::atomic<std::size_t> arriving_ { 0 };
 };
 
 /// Counts the termination of \p backend, which the removal of its record or a probe has
-    /// The number of requests of which a part has arrived.
-    std::atomic<std::size_t> arriving_ { 0 };
 /// shown, as a crash against the requests that it cut off.
 void noteBackendTerminated(ForwardContext& context, const BackendId& backend);
 
--- a/lib/Backends/Backends.cpp
+++ b/lib/Backends/Backends.cpp
@@ -49,6 +49,8 @@
         return "request_limit";
     case ConditionKind::Brittle:
         return "brittle";
+    case ConditionKind::Removed:
+        return "removed";
     }
     return "unknown";
 }
@@ -216,7 +218,7 @@
     std::lock_guard lock(mutex_);
     std::map<DataCentreId, std::vector<const BackendRecord*>> candidates;
     for (const auto& [id, backend] : backends_) {
-        if (!isReachableLocked(backend.record_.dataCentre_) && !backend.record_.isLeaving_)
+        if (!isReachableLocked(backend.record_.dataCentre_) && backend.isAccepting())
             candidates[backend.record_.dataCentre_].push_back(&backend.record_);
     }
     std::vector<BackendRecord> drawn;
@@ -246,7 +248,7 @@
     {
         std::lock_guard lock(mutex_);
         for (const auto& [id, backend] : backends_) {
-            if (backend.record_.service_ == service && !backend.record_.isLeaving_)
+            if (backend.record_.service_ == service && backend.isAccepting())
                 byDataCentre[backend.record_.dataCentre_].emplace_back(backend.aliveOrder_, backend.record_);
         }
     }
@@ -371,7 +373,7 @@
         bool isTarget = backend.record_.version_ == target;
         if (!isTarget)
             versions.othersRunning_ += backend.ownLoad_.running_ + backend.peerLoad_.running_;
-        if (!backend.record_.isLeaving_)
+        if (backend.isAccepting())
             ++(isTarget ? versions.target_ : versions.others_);
     }
     return versions;
@@ -384,7 +386,7 @@
     if (peerLoadsAt_ != SteadyTime {})
         sum.peersReportedAt_ = peerLoadsAt_;
     for (const auto& [id, backend] : backends_) {
-        if (backend.record_.service_ != service || backend.record_.isLeaving_)
+        if (backend.record_.service_ != service || !backend.isAccepting())
             continue;
         sum.takenSlots_ += std::min<std::uint64_t>(backend.record_.slots_, backend.ownLoad_.running_ + backend.peerLoad_.running_);
         sum.slots_ += backend.record_.slots_;
--- a/lib/Backends/Choice.cpp
+++ b/lib/Backends/Choice.cpp
@@ -39,7 +39,7 @@
 
 bool BackendTable::isUsable(const Backend& backend, SteadyTime now) const
 {
-    return !backend.record_.isLeaving_ && backend.ejectedUntil_ <= now;
+    return backend.isAccepting() && backend.ejectedUntil_ <= now;
 }
 
 /// Whether a server takes one more request, by its own latest answer and the loads of all nodes.
@@ -212,7 +212,7 @@
         return;
     std::size_t others = 0;
     for (const auto& [id, backend] : backends_)
-        others += backend.record_.service_ == service && !backend.record_.isLeaving_ && !rule.isTarget(backend.record_);
+        others += backend.record_.service_ == service && backend.isAccepting() && !rule.isTarget(backend.record_);
     std::size_t maxTrialBackends = std::max(minTrialBackends, static_cast<std::size_t>(std::ceil(rule.share_ * static_cast<double>(others))));
     if (candidates.size() <= maxTrialBackends)
         return;
@@ -228,7 +228,7 @@
     std::vector<Backend*> unreachable;
     std::vector<Backend*> degraded;
     for (auto& [id, backend] : backends_) {
-        if (backend.record_.service_ != shape.service_ || backend.record_.isLeaving_ || !takesRequests(backend, now) || excluded.contains(id))
+        if (backend.record_.service_ != shape.service_ || !backend.isAccepting() || !takesRequests(backend, now) || excluded.contains(id))
             continue;
         if (shape.software_ && backend.software_ != *shape.software_)
             continue;
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -115,6 +115,31 @@
     return true;
 }
 
+/// A list that was read later than that shows by itself whether the server is registered.
+bool BackendTable::setRemoved(const BackendId& id, SteadyTime removedAt)
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    if (found == backends_.end() || removedAt <= listReadAt_)
+        return false;
+    bool wasAccepting = found->second.isAccepting();
+    found->second.removedAt_ = std::max(found->second.removedAt_, removedAt);
+    fingerprint_.reset();
+    return wasAccepting;
+}
+
+void BackendTable::noteListRead(SteadyTime readAt)
+{
+    std::lock_guard lock(mutex_);
+    listReadAt_ = std::max(listReadAt_, readAt);
+    for (auto& [id, backend] : backends_) {
+        if (backend.removedAt_ == SteadyTime {} || backend.removedAt_ > readAt)
+            continue;
+        backend.removedAt_ = {};
+        fingerprint_.reset();
+    }
+}
+
 void BackendTable::setTerminated(const BackendId& id, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
@@ -198,6 +223,8 @@
         setPause(statement.backend_, pause, statement.statedAt_);
         return isNew;
     }
+    case ConditionKind::Removed:
+        return setRemoved(statement.backend_, statement.statedAt_);
     case ConditionKind::RequestLimit:
     case ConditionKind::Brittle:
         break;
@@ -256,7 +283,7 @@
 std::optional<ServiceName> BackendTable::serviceServing(SoftwareKey software) const
 {
     std::lock_guard lock(mutex_);
-    auto found = std::find_if(backends_.begin(), backends_.end(), [&](const auto& entry) { return entry.second.software_ == software && !entry.second.record_.isLeaving_; });
+    auto found = std::find_if(backends_.begin(), backends_.end(), [&](const auto& entry) { return entry.second.software_ == software && entry.second.isAccepting(); });
     return found == backends_.end() ? std::nullopt : std::optional(found->second.record_.service_);
 }
 
@@ -285,7 +312,7 @@
     std::lock_guard lock(mutex_);
     std::optional<milliseconds> first;
     for (const auto& [id, backend] : backends_) {
-        bool isCandidate = backend.record_.service_ == service && !backend.record_.isLeaving_ && (!software || backend.software_ == *software);
+        bool isCandidate = backend.record_.service_ == service && backend.isAccepting() && (!software || backend.software_ == *software);
         if (!isCandidate)
             continue;
         if (takesRequests(backend, now))
@@ -303,7 +330,7 @@
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
-    return found != backends_.end() && !found->second.record_.isLeaving_ && found->second.pausedUntil_ <= now;
+    return found != backends_.end() && found->second.isAccepting() && found->second.pausedUntil_ <= now;
 }
 
 std::vector<BackendRecord> BackendTable::records() const
@@ -322,7 +349,7 @@
         return *fingerprint_;
     std::uint64_t hash = 0;
     for (const auto& [id, backend] : backends_)
-        hash = stableHash(id.value_ + (backend.record_.isLeaving_ ? "-" : "+"), hash);
+        hash = stableHash(id.value_ + (backend.isAccepting() ? "+" : "-"), hash);
     fingerprint_ = hash;
     return hash;
 }
@@ -335,7 +362,7 @@
     // A sum does not depend on the order. Mixing keeps the hashes of a leaving and of another
     // server from cancelling out.
     for (const auto& [id, backend] : backends_)
-        fingerprints[backend.nameHash_ % buckets] += mixBits(backend.hash_ + backend.record_.isLeaving_);
+        fingerprints[backend.nameHash_ % buckets] += mixBits(backend.hash_ + !backend.isAccepting());
     return fingerprints;
 }
 
--- a/lib/Gateway/BackendStatements.cpp
+++ b/lib/Gateway/BackendStatements.cpp
@@ -26,6 +26,8 @@
             return wire::BackendStatement::REQUEST_LIMIT;
         case ConditionKind::Brittle:
             return wire::BackendStatement::BRITTLE;
+        case ConditionKind::Removed:
+            return wire::BackendStatement::REMOVED;
         }
         return wire::BackendStatement::UNKNOWN;
     }
@@ -38,6 +40,8 @@
             return ConditionKind::RequestLimit;
         if (kind == wire::BackendStatement::BRITTLE)
             return ConditionKind::Brittle;
+        if (kind == wire::BackendStatement::REMOVED)
+            return ConditionKind::Removed;
         return std::nullopt;
     }
 
--- a/lib/Gateway/PeerReports.cpp
+++ b/lib/Gateway/PeerReports.cpp
@@ -175,7 +175,7 @@
         isNew = statements_.add(statement);
     }
     if (isNew)
-        logStatement(statement, "its answer");
+        logStatement(statement, statement.kind_ == ConditionKind::Removed ? "the platform" : "its answer");
 }
 
 void PeerReports::logStatement(const BackendStatement& statement, const std::string& from) const
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -145,9 +145,11 @@
     }
     logChange(LogLine("Backend server was removed.").add("backend", known->id_.value_).add("from", source));
     // A removal that was found in a peer's list is not reported: other nodes fetch that
-    // list themselves.
-    if (source == platformSource)
+    // list themselves. A server that did not announce that it leaves may register again.
+    if (source == platformSource && known->isLeaving_)
         peerReports_.noteLeaving(known->id_);
+    else if (source == platformSource)
+        peerReports_.noteStatement({ known->id_, ConditionKind::Removed, 0, steadyNow() });
     context_.backends_.remove(known->id_, steadyNow());
 }
 
@@ -260,6 +262,7 @@
             listReadAt_ = startedAt;
             listConfirmedAt_ = startedAt;
             apply(read.value(), read.value().isComplete_ ? context_.backends_.records() : std::vector<BackendRecord> {}, platformSource);
+            context_.backends_.noteListRead(startedAt);
             noteIfListIsCurrent();
             backoff.noteSuccess();
         }
@@ -426,8 +429,10 @@
     std::vector<bool> covered = update.bucket_count() ? includedBuckets(update, bucketCount) : std::vector<bool>(1, true);
     // An old list does not show that the servers which it lacks are gone.
     apply(read, isStale ? std::vector<BackendRecord> {} : context_.backends_.recordsIn(covered), vm.value_);
-    if (!isStale && !update.has_more())
+    if (!isStale && !update.has_more()) {
         listConfirmedAt_ = std::max(listConfirmedAt_, readAt);
+        context_.backends_.noteListRead(readAt);
+    }
     // The first list is complete only when its last part has arrived. Until then parts of any
     // age are used.
     if (!isFirst || (!update.has_more() && context_.backends_.size()))
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -536,6 +536,51 @@
     CHECK(chosen(table, plainRequest(), {}, at(220)) == (row.hasEnded_ ? "x" : ""));
 }
 
+// Guards against a server that is never used again, since its registration lapsed while it was cut off from
+// the platform, and other nodes were told that it leaves.
+TEST_CASE("a server whose registration lapsed and came back stays out of use", "[backends]")
+{
+    BackendTable table({ "a" }, ChoiceSettings {});
+    table.put(record("x"));
+    auto at = [](std::int64_t ms) { return start + milliseconds(ms); };
+    BackendStatement removed { { "x" }, ConditionKind::Removed, 0, at(100) };
+    auto before = table.fingerprint();
+    CHECK(table.applyStatement(removed, at(150)));
+    CHECK_FALSE(table.applyStatement(removed, at(160)));
+    CHECK(chosen(table, plainRequest(), {}, at(200)).empty());
+    CHECK_FALSE(table.mayReceive({ "x" }, at(200)));
+    CHECK(table.fingerprint() != before);
+    SECTION("a later list contains it")
+    {
+        table.put(record("x"));
+        CHECK(chosen(table, plainRequest(), {}, at(200)).empty());
+        // A list that was read before the removal shows nothing.
+        table.noteListRead(at(90));
+        CHECK(chosen(table, plainRequest(), {}, at(200)).empty());
+        table.noteListRead(at(300));
+        CHECK(chosen(table, plainRequest(), {}, at(300)) == "x");
+        CHECK(table.fingerprint() == before);
+        // Late word of the removal, which other nodes repeat.
+        CHECK_FALSE(table.applyStatement(removed, at(400)));
+        CHECK(chosen(table, plainRequest(), {}, at(400)) == "x");
+    }
+    SECTION("this node finds the removal and the new registration itself")
+    {
+        table.remove({ "x" }, at(200));
+        table.put(record("x"));
+        table.noteListRead(at(300));
+        CHECK_FALSE(table.applyStatement(removed, at(400)));
+        CHECK(chosen(table, plainRequest(), {}, at(400)) == "x");
+    }
+    SECTION("it announced that it leaves")
+    {
+        table.setLeaving({ "x" }, at(200));
+        table.put(record("x"));
+        table.noteListRead(at(300));
+        CHECK(chosen(table, plainRequest(), {}, at(300)).empty());
+    }
+}
+
 TEST_CASE("a pause that a server asked of another node binds this one", "[backends]")
 {
     BackendTable table({ "a" }, ChoiceSettings {});
