Backends: a server that a node keeps although the list lacks it does not overrule a removal

Word that a server has terminated is no longer repeated by nodes in turn without end, which ejected servers that had come back.

--- a/include/pistachioloom/Backends.h
+++ b/include/pistachioloom/Backends.h
@@ -367,6 +367,13 @@
     /// Notes that a list of the platform that was read at \p readAt has been applied. Servers that it contains
     /// are registered, whatever removals were reported before then.
     void noteListRead(SteadyTime readAt);
+    /// Notes that the newest list does not contain \p id, which this node keeps for a while since it may
+    /// register again. Ends with put().
+    void setUnlisted(const BackendId& id);
+    bool isUnlisted(const BackendId& id) const;
+    /// Whether another node reported that the registration of \p id was removed, and no newer list has
+    /// contained it.
+    bool isRemoved(const BackendId& id) const;
     /// Notes that \p id has terminated, and ejects it for ChoiceSettings::maxEjection_ as
     /// after consecutive failures.
     void setTerminated(const BackendId& id, SteadyTime now);
@@ -529,6 +536,8 @@
         /// When another node found that its registration was removed; zero if it is registered as far as
         /// this node knows.
         SteadyTime removedAt_ {};
+        /// Whether the newest list does not contain it.
+        bool isUnlisted_ = false;
         /// Whether the latest answer to a request of this node said that the server is full.
         bool isFull_ = false;
         /// End of the pause that the server asked for.
--- a/lib/Backends/Registration.cpp
+++ b/lib/Backends/Registration.cpp
@@ -44,6 +44,7 @@
     // A leaving backend server never takes new requests again under the same id.
     bool isLeaving = backend.record_.isLeaving_ || record.isLeaving_ || removedLeaving_.contains(record.id_);
     backend.record_ = record;
+    backend.isUnlisted_ = false;
     backend.hash_ = stableHash(record.id_.value_);
     backend.nameHash_ = stableHash(record.name_.value_);
     fingerprint_.reset();
@@ -120,7 +121,7 @@
 {
     std::lock_guard lock(mutex_);
     auto found = backends_.find(id);
-    if (found == backends_.end() || removedAt <= listReadAt_)
+    if (found == backends_.end() || (removedAt <= listReadAt_ && !found->second.isUnlisted_))
         return false;
     bool wasAccepting = found->second.isAccepting();
     found->second.removedAt_ = std::max(found->second.removedAt_, removedAt);
@@ -133,13 +134,35 @@
     std::lock_guard lock(mutex_);
     listReadAt_ = std::max(listReadAt_, readAt);
     for (auto& [id, backend] : backends_) {
-        if (backend.removedAt_ == SteadyTime {} || backend.removedAt_ > readAt)
+        if (backend.removedAt_ == SteadyTime {} || backend.removedAt_ > readAt || backend.isUnlisted_)
             continue;
         backend.removedAt_ = {};
         fingerprint_.reset();
     }
 }
 
+void BackendTable::setUnlisted(const BackendId& id)
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    if (found != backends_.end())
+        found->second.isUnlisted_ = true;
+}
+
+bool BackendTable::isUnlisted(const BackendId& id) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    return found != backends_.end() && found->second.isUnlisted_;
+}
+
+bool BackendTable::isRemoved(const BackendId& id) const
+{
+    std::lock_guard lock(mutex_);
+    auto found = backends_.find(id);
+    return found != backends_.end() && found->second.removedAt_ != SteadyTime {};
+}
+
 void BackendTable::setTerminated(const BackendId& id, SteadyTime now)
 {
     std::lock_guard lock(mutex_);
--- a/lib/Gateway/BackendNotices.h
+++ b/lib/Gateway/BackendNotices.h
@@ -25,7 +25,7 @@
     /// A backend server is told for \p duration after it was added.
     explicit BackendNotices(milliseconds duration);
 
-    /// Adds \p id unless it is present. \returns whether it was added.
+    /// Adds \p id unless it is or was present. \returns whether it was added.
     bool add(const BackendId& id, SteadyTime now);
     bool contains(const BackendId& id) const;
     /// Returns the ids for one message, at most maxNotices.
@@ -36,6 +36,9 @@
     /// Ids, oldest first, and when each was added.
     std::deque<std::pair<SteadyTime, BackendId>> added_;
     std::set<BackendId> ids_;
+    /// Ids that were told, oldest first, and when each was added.
+    std::deque<std::pair<SteadyTime, BackendId>> told_;
+    std::set<BackendId> toldIds_;
     /// Position of the first of the older ids in the next message. It differs by node, so
     /// that several nodes that detected the same wave begin with different parts.
     std::size_t cursor_ = randomBits();
--- a/lib/Gateway/PlatformFeed.cpp
+++ b/lib/Gateway/PlatformFeed.cpp
@@ -133,6 +133,7 @@
         return;
     if (steadyNow() < removalGraceEnd_) {
         pendingRemovals_.insert(name);
+        context_.backends_.setUnlisted(known->id_);
         return;
     }
     // A backend server that disappears without an announcement that it leaves has
@@ -429,6 +430,10 @@
     std::vector<bool> covered = update.bucket_count() ? includedBuckets(update, bucketCount) : std::vector<bool>(1, true);
     // An old list does not show that the servers which it lacks are gone.
     apply(read, isStale ? std::vector<BackendRecord> {} : context_.backends_.recordsIn(covered), vm.value_);
+    for (const wire::BackendEntry& entry : update.backends()) {
+        if (entry.is_unlisted())
+            context_.backends_.setUnlisted(backendId({ entry.name() }, { entry.started_ms() }));
+    }
     if (!isStale && !update.has_more()) {
         listConfirmedAt_ = std::max(listConfirmedAt_, readAt);
         context_.backends_.noteListRead(readAt);
@@ -466,6 +471,8 @@
     }
     update.set_has_more(update.has_more() || listReadAt_ == SteadyTime {});
     for (const BackendRecord& record : context_.backends_.recordsIn(included)) {
+        if (context_.backends_.isRemoved(record.id_))
+            continue;
         wire::BackendEntry& entry = *update.add_backends();
         entry.set_name(record.name_.value_);
         entry.set_started_ms(record.startTime_.value_);
@@ -476,6 +483,7 @@
         entry.set_is_leaving(record.isLeaving_);
         entry.set_is_reclaimable(record.isReclaimable_);
         entry.set_version(record.version_.value_);
+        entry.set_is_unlisted(context_.backends_.isUnlisted(record.id_));
     }
     return frame;
 }
--- a/unittests/Backends/BackendsTest.cpp
+++ b/unittests/Backends/BackendsTest.cpp
@@ -572,6 +572,19 @@
         CHECK_FALSE(table.applyStatement(removed, at(400)));
         CHECK(chosen(table, plainRequest(), {}, at(400)) == "x");
     }
+    SECTION("this node keeps it although the list does not contain it")
+    {
+        table.setUnlisted({ "x" });
+        table.noteListRead(at(300));
+        CHECK(chosen(table, plainRequest(), {}, at(300)).empty());
+        table.put(record("x"));
+        table.noteListRead(at(400));
+        CHECK(chosen(table, plainRequest(), {}, at(400)) == "x");
+        // Of a server that it keeps, the node takes word of an earlier removal too.
+        table.setUnlisted({ "x" });
+        CHECK(table.applyStatement(removed, at(500)));
+        CHECK(chosen(table, plainRequest(), {}, at(500)).empty());
+    }
     SECTION("it announced that it leaves")
     {
         table.setLeaving({ "x" }, at(200));
--- a/unittests/Gateway/BackendNoticesTest.cpp
+++ b/unittests/Gateway/BackendNoticesTest.cpp
@@ -57,6 +57,24 @@
     CHECK_FALSE(notices.contains(idOf(0)));
 }
 
+// Guards against a notice that nodes go on telling each other, so that a server that has come back is left
+// out for good.
+TEST_CASE("nodes repeat each other's notices without end", "[notices]")
+{
+    std::vector<BackendNotices> nodes(3, BackendNotices(duration));
+    CHECK(nodes[0].add(idOf(0), start));
+    SteadyTime lastTold {};
+    for (SteadyTime now = start; now - start <= 10 * duration; now += period) {
+        for (std::size_t sender = 0; sender < nodes.size(); ++sender) {
+            for (const BackendId& id : nodes[sender].select(now)) {
+                lastTold = now;
+                nodes[(sender + 1) % nodes.size()].add(id, now + period / 2);
+            }
+        }
+    }
+    CHECK(lastTold - start <= 2 * duration);
+}
+
 TEST_CASE("the latest statement of a backend server reaches all nodes, in messages of bounded size", "[notices]")
 {
     auto servers = GENERATE(std::size_t { 2 }, std::size_t { 2000 });
