Move: logs and metrics tell why the end of a moved stream arrived

"Attempt ended." names the framing of the answer, for how long its engine had been told to stop it, and whether the engine had answered; "Engine is told to stop a stream." marks the order. Counters of orders and of moves.

--- a/include/pistachioloom/Telemetry.h
+++ b/include/pistachioloom/Telemetry.h
@@ -140,6 +140,10 @@
     OriginsUnrecorded,
     /// Reads of the log of origins.
     OriginLogReads,
+    /// Engines that were told to stop a stream, to move it.
+    StreamStopsOrdered,
+    /// Streams that moved to another engine with their KV cache.
+    StreamsMoved,
     Last,
 };
 
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -534,7 +534,9 @@
     if (attempt.sentAt_ != SteadyTime {})
         line.add("reused", attempt.isReused_).add("answer_id", toString(attempt.answerIdentity_));
     if (attempt.answeredAt_ != SteadyTime {})
-        line.add("answer_status", attempt.answerStatus_).add("answered_after_ms", std::chrono::duration_cast<milliseconds>(attempt.answeredAt_ - attempt.sentAt_).count());
+        line.add("answer_status", attempt.answerStatus_).add("answered_after_ms", std::chrono::duration_cast<milliseconds>(attempt.answeredAt_ - attempt.sentAt_).count()).add("framing", attempt.framing_);
+    if (move_ && move_->stopOrderedAt_ != SteadyTime {})
+        line.add("stop_ordered_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - move_->stopOrderedAt_).count()).add("stop_answered", move_->isDone_);
     if (attempt.sentAt_ != SteadyTime {})
         line.add("sent_after_ms", std::chrono::duration_cast<milliseconds>(attempt.sentAt_ - request_.receivedAt_).count());
     if (outcome == BackendOutcome::Broken)
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -93,6 +93,8 @@
         bool isCutOff_ = false;
         /// Whether the answer had no length, so that the end of the connection ended it.
         bool endsWithConnection_ = false;
+        /// How the end of the answer is marked; empty without a head.
+        const char* framing_ = "";
         /// Whether the answer went on for long enough to show that its prompt does not crash
         /// the backend server.
         bool hasGoneOn_ = false;
@@ -338,6 +340,8 @@
         bool isDone_ = false;
         /// Whether the move was cancelled. If it completes later, it has no effect.
         bool isCancelled_ = false;
+        /// When the engine was told to stop the run; zero before that.
+        SteadyTime stopOrderedAt_ {};
         /// The target, once the stream is stopped and its KV cache is copied.
         std::optional<BackendChoice> target_;
         std::string resumeFrom_;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -49,6 +49,14 @@
     return boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
 }
 
+/// How the end of an answer is marked, for logs.
+static const char* framingOf(const AnswerReader& reader)
+{
+    if (reader.endsWithConnection())
+        return "connection";
+    return reader.message().chunked() ? "chunks" : "length";
+}
+
 /// The fields of an answer that are forwarded to the caller.
 static HeaderFields fieldsOf(const AnswerReader& reader, const ForwardHeaderNames& names)
 {
@@ -329,6 +337,7 @@
     attempt.answeredAt_ = attempt.connection_->arrivedAt_;
     attempt.answerIdentity_ = identityOf(reader);
     attempt.answerStatus_ = static_cast<int>(reader.message().result_int());
+    attempt.framing_ = framingOf(reader);
     if (attempt.answerIdentity_ == AnswerIdentity::Other)
         context_.metrics_.add(Counter::AnswersToOthers);
     if (attempt.answerIdentity_ == AnswerIdentity::None && attempt.isReused_)
--- a/lib/Forward/StreamMove.cpp
+++ b/lib/Forward/StreamMove.cpp
@@ -68,15 +68,21 @@
     std::string copyHandle = copied ? copied.value() : "";
     if (copied && !move->isCancelled_) {
         copy.stopsRun_ = true;
+        move->stopOrderedAt_ = steadyNow();
+        context_.metrics_.add(Counter::StreamStopsOrdered);
+        logger().info(LogLine("Engine is told to stop a stream.").add("id", attemptId_).add("from", from.id_.value_).add("last_event", static_cast<std::int64_t>(eventSplitter_.last().value_or(0))));
         copied = co_await context_.hooks_.copyStream_(copy);
     }
     bool isMoved = copied && copy.stopsRun_;
     LogLine line(isMoved ? "Stream moved to another engine." : "Stream was not moved.");
     line.add("id", attemptId_).add("from", from.id_.value_).add("to", to.backend_.id_.value_).add("last_event", static_cast<std::int64_t>(eventSplitter_.last().value_or(0)));
     line.add("took_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt).count()).add("error", copied ? "" : describe(copied.error()));
+    if (move->stopOrderedAt_ != SteadyTime {})
+        line.add("stop_took_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - move->stopOrderedAt_).count());
     logger().info(line);
     move->isDone_ = true;
     if (isMoved && !move->isCancelled_) {
+        context_.metrics_.add(Counter::StreamsMoved);
         move->resumeFrom_ = std::move(copied.value());
         move->target_ = std::move(to);
         move->done_.notify();
--- a/lib/Telemetry/Metrics.cpp
+++ b/lib/Telemetry/Metrics.cpp
@@ -66,6 +66,8 @@
         "origins_recorded",
         "origins_unrecorded",
         "origin_log_reads",
+        "stream_stops_ordered",
+        "streams_moved",
     };
 
     constexpr std::array<std::string_view, histogramCount> histogramNames {
