Move: the end of a connection after a stop was ordered does not end the stream

Callers of streams without a length or chunks got a part as a complete answer: the node told the engine to stop the run, to move it, and the engine closed the connection without the stream's end. The end of a connection ends an answer without a length, and forwardEvents() did not ask whether this node had caused it, whatever the engine answered and whenever.

From the order on, such an end counts only if the engine says that the run goes on or had ended (404, 409, or the order did not reach it). Otherwise the stream goes on at the move's target, or is resumed after its last event, which is right in both cases. The platform's copyStream() tells these answers apart: an error with Ran::No has not stopped the run.

StreamMoveTests, "a stream whose engine was told to stop it ends as complete" (8 answers, 2 framings, HTTP/1.0 and 1.1): before, each of the ten rows without framing whose run is stopped ends early. PlatformGateway has rows of the same as processes.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -153,7 +153,9 @@
     std::function<std::shared_ptr<const RouteTable>()> table_;
     /// Copies a stream's KV cache. A second copy of the same cache transfers only the
     /// part that was added since.
-    /// \returns the value of ForwardHeaderNames::resumeFrom_ for resuming from it.
+    /// \returns the value of ForwardHeaderNames::resumeFrom_ for resuming from it. Errors: Ran::No if
+    /// the call has not stopped the run, which goes on or had ended. After any other error a call with
+    /// StreamCopy::stopsRun_ may have stopped it.
     std::function<asio::awaitable<Result<std::string>>(StreamCopy copy)> copyStream_;
     /// Frees a copy that is not resumed from, identified by the value that copyStream_
     /// returned. A copy that is not freed occupies a slot and memory of its engine until
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -183,9 +183,11 @@
     /// Reverts the choice of a replacement that is not used.
     void dropReplacement();
     asio::awaitable<SendOutcome> handleStreamBreak(Attempt& attempt, const boost::system::error_code& code);
+    asio::awaitable<bool> isStoppedForMove(const Attempt& attempt);
 
     // Moves of a running stream.
     bool shouldMove(const Attempt& attempt) const;
+    asio::awaitable<void> waitForMove();
     void startMove(const Attempt& attempt);
     asio::awaitable<void> move(BackendRecord from, BackendChoice to);
     std::optional<BackendChoice> takeMoveTarget();
@@ -342,6 +344,8 @@
         bool isCancelled_ = false;
         /// When the engine was told to stop the run; zero before that.
         SteadyTime stopOrderedAt_ {};
+        /// Whether the engine was told to stop the run, and has not said that it did not.
+        bool mayHaveStopped_ = false;
         /// The target, once the stream is stopped and its KV cache is copied.
         std::optional<BackendChoice> target_;
         std::string resumeFrom_;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -515,7 +515,8 @@
             startMove(attempt);
     }
     attempt.endsWithConnection_ = reader.endsWithConnection();
-    if (eventSplitter_.hasPartial()) {
+    bool isStopped = co_await isStoppedForMove(attempt);
+    if (isStopped || eventSplitter_.hasPartial()) {
         attempt.isCutOff_ = attempt.endsWithConnection_;
         co_return co_await handleStreamBreak(attempt, http::error::partial_message);
     }
--- a/lib/Forward/StreamMove.cpp
+++ b/lib/Forward/StreamMove.cpp
@@ -68,10 +68,13 @@
     std::string copyHandle = copied ? copied.value() : "";
     if (copied && !move->isCancelled_) {
         copy.stopsRun_ = true;
+        move->mayHaveStopped_ = true;
         move->stopOrderedAt_ = steadyNow();
         context_.metrics_.add(Counter::StreamStopsOrdered);
         logger().info(LogLine("Engine is told to stop a stream.").add("id", attemptId_).add("from", from.id_.value_).add("last_event", static_cast<std::int64_t>(eventSplitter_.last().value_or(0))));
         copied = co_await context_.hooks_.copyStream_(copy);
+        if (!copied && copied.error().ran_ == Ran::No)
+            move->mayHaveStopped_ = false;
     }
     bool isMoved = copied && copy.stopsRun_;
     LogLine line(isMoved ? "Stream moved to another engine." : "Stream was not moved.");
@@ -114,15 +117,33 @@
         releaseTarget(*to);
 }
 
+/// Waits until the move has ended, for a limited time.
+asio::awaitable<void> RequestForwarder::waitForMove()
+{
+    if (move_ && !move_->isDone_)
+        (void)co_await move_->done_.waitUntil(steadyNow() + moveWaitLimit);
+}
+
+/// Whether an answer that has ended may have been stopped for a move. An engine that is told to stop a run
+/// closes its connection, which ends an answer without a length. Only its answer to that call tells
+/// whether the run had ended before.
+asio::awaitable<bool> RequestForwarder::isStoppedForMove(const Attempt& attempt)
+{
+    if (!attempt.endsWithConnection_ || !move_ || !move_->mayHaveStopped_)
+        co_return false;
+    co_await waitForMove();
+    co_return move_->mayHaveStopped_;
+}
+
 /// Handles a stream that broke off, either because it was stopped for a move or because
 /// its engine was lost.
 asio::awaitable<SendOutcome> RequestForwarder::handleStreamBreak(Attempt& attempt, const boost::system::error_code& code)
 {
     attempt.detail_ = "events:" + code.message();
-    bool canWaitForMove = move_ && stopReason_ != StopReason::CallerDisconnected && stopReason_ != StopReason::DeadlineExceeded;
-    if (canWaitForMove && !move_->isDone_)
-        (void)co_await move_->done_.waitUntil(steadyNow() + moveWaitLimit);
-    if (!canWaitForMove || !move_->target_) {
+    bool isEnding = stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded;
+    if (!isEnding)
+        co_await waitForMove();
+    if (isEnding || !move_ || !move_->target_) {
         cancelMove();
         co_return SendOutcome::Lost;
     }
@@ -130,18 +151,19 @@
     co_return SendOutcome::Moved;
 }
 
-/// \returns the engine that has received this stream's KV cache, but only once.
+/// Ends the move of the previous attempt. \returns the engine that has received this stream's KV
+/// cache, if any.
 std::optional<BackendChoice> RequestForwarder::takeMoveTarget()
 {
-    if (!move_ || !move_->target_)
+    // The stream may have to move again.
+    std::shared_ptr<Move> move = std::exchange(move_, nullptr);
+    if (!move || !move->target_)
         return std::nullopt;
-    std::optional<BackendChoice> to = std::exchange(move_->target_, std::nullopt);
-    resumeFrom_ = std::move(move_->resumeFrom_);
-    // The stream may have to move again. The send to the previous engine does not count
-    // against the maximum number of attempts, as that engine is terminating.
-    move_.reset();
+    resumeFrom_ = std::move(move->resumeFrom_);
+    // The send to the previous engine does not count against the maximum number of attempts, as
+    // that engine is terminating.
     sendCount_ -= std::min(sendCount_, 1U);
-    return to;
+    return std::exchange(move->target_, std::nullopt);
 }
 
 } // namespace pistachioloom
--- a/test/PlatformGatewayTest.cpp
+++ b/test/PlatformGatewayTest.cpp
@@ -219,8 +219,14 @@
         { "no other engine has capacity: the stream stays", { { "refuse_moves", 1 } }, false, 0, 0 },
         { "the engine cannot stop the stream: it stays, and its copy is released", { { "refuse_stops", 1 } }, false, 0, 1 },
         { "the copy is lost: the other engine computes the prompt again", { { "lose_copies", 1 } }, true, 0, 0 },
+        { "the engine is stopped, and the other one has no room", { { "stop_finds_no_room", 1 } }, true, 0, 1 },
+        { "the engine is stopped, and does not answer", { { "lose_stops", 1 } }, true, 0, 1 },
+        { "the engine is stopped, and answers later than its stream closes", { { "stop_ms", 200 } }, true, 1, 0 },
+        { "the engine is stopped, and answers too late", { { "stop_ms", 1500 } }, true, 0, 1 },
     }));
-    CAPTURE(row.name_);
+    // A stream without framing ends with its connection, which its engine closes as well when it is stopped.
+    const bool isUnframed = GENERATE(false, true);
+    CAPTURE(row.name_, isUnframed);
     GatewayDeployment deployment(1);
     deployment.startStandardServices();
     deployment.startBackend("e-3", "engines");
@@ -231,6 +237,7 @@
     for (const std::string& engine : engines) {
         deployment.backend(engine, { { "events", events }, { "gap_ms", 25 } });
         deployment.backend(engine, row.faults_);
+        deployment.backend(engine, { { "unframed", isUnframed ? 1 : 0 } });
     }
     HttpResponse answer;
     std::thread caller([&] { answer = deployment.call(gateway, gatewayRequest("POST", "/draft/stream", "m-1")); });
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -294,7 +294,13 @@
             movedRuns_.emplace_back(id);
         }
         json::object copied { { "handle", "copy-of-" + id }, { "create_revision", found->second.lastEventId_ } };
-        co_await reply(exchange, 200, copied);
+        if (isLast)
+            co_await pause(milliseconds(controls_["stop_ms"]));
+        if (isLast && controls_["lose_stops"]) {
+            exchange.abort();
+            co_return;
+        }
+        co_await reply(exchange, isLast && controls_["stop_finds_no_room"] ? 503 : 200, copied);
     }
 
     asio::awaitable<void> stream(HttpExchange& exchange, HttpResponse head)
@@ -325,7 +331,7 @@
         const CrashPoint crashPoint = hooks_.crashPointOf_(exchange.request());
         if (crashPoint == CrashPoint::BeforeHead)
             co_return hooks_.onCrash_();
-        const bool isUnframed = hooks_.isUnframed_();
+        const bool isUnframed = hooks_.isUnframed_() || controls_["unframed"];
         auto begun = co_await begin(exchange, std::move(head), isUnframed);
         if (!begun)
             co_return;
@@ -392,7 +398,7 @@
     std::set<HttpExchange*> runningExchanges_;
     HttpServer server_;
     std::uint16_t port_ = 0;
-    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "brittle", 0 }, { "brittle_slots", 8 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "cut_once", 0 }, { "names_sender", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
+    Controls controls_ { { { "delay_ms", 0 }, { "full", 0 }, { "retry_after_ms", 0 }, { "says_leaving", 0 }, { "limit_per_1000_s", 0 }, { "brittle", 0 }, { "brittle_slots", 8 }, { "lose_answers", 0 }, { "fails_one_in", 0 }, { "other_id", 0 }, { "no_seal", 0 }, { "events", 5 }, { "gap_ms", 5 }, { "cut_at", 0 }, { "cut_once", 0 }, { "names_sender", 0 }, { "refuse_moves", 0 }, { "refuse_stops", 0 }, { "unframed", 0 }, { "stop_finds_no_room", 0 }, { "lose_stops", 0 }, { "stop_ms", 0 }, { "move_ms", 0 }, { "lose_copies", 0 } } };
     /// Attempt ids of the requests that started to run, in order.
     json::array runAttemptIds_;
     /// Number of requests answered 503 without execution.
--- a/unittests/Forward/ForwardFixture.cpp
+++ b/unittests/Forward/ForwardFixture.cpp
@@ -13,11 +13,14 @@
 
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     const ServiceName service { "s" };
+    constexpr int extraRetries = 1000;
 
     RetrySettings manyRetries()
     {
         RetrySettings settings;
-        settings.extraRetries_ = 1000;
+        settings.ratio_ = 0;
+        settings.usableShare_ = 1;
+        settings.extraRetries_ = extraRetries;
         return settings;
     }
 
@@ -81,13 +84,14 @@
     return route;
 }
 
-ScriptedWorker::ScriptedWorker(Route route, int serverCount, ServerScript script)
+ScriptedWorker::ScriptedWorker(Route route, int serverCount, ServerScript script, std::optional<EngineTraits> engine)
     : script_(std::move(script))
     , retries_(manyRetries())
 {
     ServicePolicy policy;
     policy.name_ = service;
     policy.maxConnections_ = 100;
+    policy.engine_ = engine;
     RouteConfiguration configuration;
     configuration.routes_ = { std::move(route) };
     configuration.services_ = { policy };
@@ -112,6 +116,28 @@
     port_ = worker_.listen({ "127.0.0.1", 0 }).value();
 }
 
+void ScriptedWorker::reclaim(int server)
+{
+    auto backend = backends_.find({ "b" + std::to_string(server) });
+    backend->isLeaving_ = true;
+    backend->isReclaimable_ = true;
+    (void)backends_.put(*backend);
+}
+
+void ScriptedWorker::stopAccepting(const Endpoint& endpoint)
+{
+    for (tcp::acceptor& acceptor : acceptors_) {
+        if (acceptor.is_open() && acceptor.local_endpoint().port() == endpoint.port_)
+            acceptor.close();
+    }
+}
+
+void ScriptedWorker::leaveRetries(int count)
+{
+    for (int i = count; i < extraRetries; ++i)
+        (void)retries_.tryRetry(service, steadyNow());
+}
+
 asio::awaitable<void> ScriptedWorker::accept(tcp::acceptor& acceptor, int server)
 {
     for (;;) {
@@ -138,6 +164,12 @@
     }
 }
 
+void ScriptedWorker::runFor(milliseconds time)
+{
+    io_.restart();
+    io_.run_for(time);
+}
+
 ScriptedWorker::CallerAnswer ScriptedWorker::call(std::string request, std::string until, milliseconds limit)
 {
     auto answer = std::make_shared<CallerAnswer>();
--- a/unittests/Forward/ForwardFixture.h
+++ b/unittests/Forward/ForwardFixture.h
@@ -42,12 +42,19 @@
 /// A worker, its servers, and callers.
 class ScriptedWorker {
 public:
-    ScriptedWorker(Route route, int serverCount, ServerScript script);
+    /// The servers are engines if \p engine is set.
+    ScriptedWorker(Route route, int serverCount, ServerScript script, std::optional<EngineTraits> engine = std::nullopt);
 
     ForwardContext& context() { return context_; }
     BackendTable& backends() { return backends_; }
     std::uint64_t count(Counter counter) const { return metrics_.value(counter); }
     int requests() const { return requests_; }
+    /// Registers \p server as leaving because it is reclaimed.
+    void reclaim(int server);
+    /// Refuses further connections to the server at \p endpoint.
+    void stopAccepting(const Endpoint& endpoint);
+    /// Uses up the retries of the service, except \p count.
+    void leaveRetries(int count);
 
     /// The end of a caller's connection.
     enum class End {
@@ -64,6 +71,8 @@
     /// Sends \p request and reads until \p until arrives, the connection ends or \p limit has passed.
     /// Without \p until, reads until the connection ends.
     CallerAnswer call(std::string request, std::string until = {}, milliseconds limit = milliseconds(5000));
+    /// Runs the worker and the servers for \p time without a caller.
+    void runFor(milliseconds time);
     ForwardWorker& worker() { return worker_; }
 
 private:
--- /dev/null
+++ b/unittests/Forward/StreamMoveTest.cpp
@@ -0,0 +1,212 @@
+//===- unittests/Forward/StreamMoveTest.cpp - streams that engines stop ----===//
+///
+/// \file
+/// A running stream is moved off an engine that is being reclaimed. The engine is told to stop it, and
+/// closes its connection without the stream's end, which the caller must not take for its end.
+//===----------------------------------------------------------------------===//
+#include "ForwardFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+using tcp = asio::ip::tcp;
+using End = ScriptedWorker::End;
+
+namespace {
+
+constexpr int eventCount = 12;
+// The first engine registers as leaving after this event.
+constexpr int reclaimedAfter = 3;
+constexpr milliseconds eventGap { 10 };
+const std::string lastChunk = "0\r\n\r\n";
+
+enum class Framing {
+    Connection,
+    Chunks,
+};
+
+/// How the engine answers the call that tells it to stop a run.
+enum class StopAnswer {
+    /// The run is stopped, and its KV cache is at the target.
+    Copied,
+    /// The same, after the connection of the stream has closed.
+    CopiedAfterClose,
+    /// The run is stopped. The target has no room.
+    NoRoom,
+    /// The run is stopped. No answer arrives.
+    None,
+    /// The run is stopped. No answer arrives within the time limit of the call.
+    TooLate,
+    /// The run ended by itself before.
+    NoRun,
+    /// Another copy is in progress, and the run goes on.
+    Busy,
+    /// The call does not reach the engine.
+    NotSent,
+};
+
+bool stopsRun(StopAnswer answer)
+{
+    return answer != StopAnswer::NoRun && answer != StopAnswer::Busy && answer != StopAnswer::NotSent;
+}
+
+Route streamRoute()
+{
+    Route route = routeOfTests();
+    route.isStream_ = true;
+    route.isResumable_ = true;
+    route.maxAttempts_ = 2;
+    route.timeout_ = milliseconds(5000);
+    return route;
+}
+
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: e\n\n";
+}
+
+/// The events that the caller received, without framing.
+std::string eventsOf(const std::string& bytes)
+{
+    std::string events;
+    for (std::size_t at = bytes.find("id: "); at != std::string::npos; at = bytes.find("id: ", at + 1))
+        events += bytes.substr(at, bytes.find("\n\n", at) + 2 - at);
+    return events;
+}
+
+std::string eventsUpTo(int last)
+{
+    std::string events;
+    for (int id = 1; id <= last; ++id)
+        events += eventText(id);
+    return events;
+}
+
+/// A worker whose first engine is reclaimed while it serves a stream.
+class Reclaim {
+public:
+    Reclaim(Framing framing, StopAnswer stopAnswer, int engineCount = 3)
+        : framing_(framing)
+        , stopAnswer_(stopAnswer)
+        , worker_(
+              streamRoute(), engineCount, [this](tcp::socket& socket, const ReceivedRequest& request) { return serve(socket, request); }, EngineTraits { 8, { 100000 }, 1, true })
+    {
+        ForwardContext& context = worker_.context();
+        context.names_.resumeFrom_ = "From";
+        context.hooks_.copyStream_ = [this](const StreamCopy& copy) { return copyStream(copy); };
+        context.hooks_.dropCopy_ = [this](const StreamCopy&, const std::string&) -> asio::awaitable<Result<void>> {
+            ++dropped_;
+            co_return boost::outcome_v2::success();
+        };
+    }
+
+    ScriptedWorker::CallerAnswer call(const std::string& version = "HTTP/1.1")
+    {
+        return worker_.call("POST /x " + version + "\r\nHost: h\r\nAttempt: a1\r\nContent-Length: 0\r\n\r\n", version == "HTTP/1.1" ? lastChunk : "", milliseconds(4000));
+    }
+
+    ScriptedWorker& worker() { return worker_; }
+    bool isStopped() const { return isStopped_; }
+    int stopCalls() const { return stopCalls_; }
+    int dropped() const { return dropped_; }
+    const std::string& resumedFrom() const { return resumedFrom_; }
+    /// The head of the latest request.
+    const ReceivedRequest& latest() const { return latest_; }
+    /// The engine that receives the copy ends when the copy is complete.
+    void endTarget() { endsTarget_ = true; }
+
+private:
+    asio::awaitable<bool> serve(tcp::socket& socket, const ReceivedRequest& request)
+    {
+        latest_ = request;
+        if (!request.field("From").empty())
+            resumedFrom_ = request.field("From");
+        std::string head = "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n" + std::string(framing_ == Framing::Chunks ? "Transfer-Encoding: chunked\r\n" : "") + "\r\n";
+        co_await send(socket, std::move(head));
+        std::string last = request.field("Last-Event");
+        for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= eventCount; ++id) {
+            std::string event = framing_ == Framing::Chunks ? eventChunk(id) : eventText(id);
+            co_await send(socket, std::move(event));
+            if (request.total_ == 1 && id == reclaimedAfter)
+                worker_.reclaim(request.server_);
+            co_await sleepFor(eventGap);
+            if (request.total_ == 1 && isStopped_)
+                co_return false;
+        }
+        hasEnded_ = true;
+        if (framing_ == Framing::Connection)
+            co_return false;
+        std::string end = lastChunk;
+        co_await send(socket, std::move(end));
+        co_return true;
+    }
+
+    asio::awaitable<Result<std::string>> copyStream(StreamCopy copy)
+    {
+        const std::string handle = copy.from_.toString() + "/h1";
+        if (!copy.stopsRun_)
+            co_return handle;
+        ++stopCalls_;
+        while (stopAnswer_ == StopAnswer::NoRun && !hasEnded_)
+            co_await sleepFor(milliseconds(1));
+        isStopped_ = stopsRun(stopAnswer_);
+        if (endsTarget_)
+            worker_.stopAccepting(copy.to_);
+        const std::string peer = copy.from_.toString();
+        switch (stopAnswer_) {
+        case StopAnswer::Copied:
+            co_return handle;
+        case StopAnswer::CopiedAfterClose:
+            co_await sleepFor(milliseconds(200));
+            co_return handle;
+        case StopAnswer::NoRoom:
+            co_return Error { Errc::Unavailable, "stop", peer, "status 503", Ran::Unknown, {} };
+        case StopAnswer::None:
+            co_return Error { Errc::Reset, "stop", peer, "end of stream", Ran::Unknown, {} };
+        case StopAnswer::TooLate:
+            co_await sleepFor(milliseconds(500));
+            co_return Error { Errc::Timeout, "stop", peer, "timeout", Ran::Unknown, {} };
+        case StopAnswer::NoRun:
+            co_return Error { Errc::NotFound, "stop", peer, "status 404", Ran::No, {} };
+        case StopAnswer::Busy:
+            co_return Error { Errc::Conflict, "stop", peer, "status 409", Ran::No, {} };
+        case StopAnswer::NotSent:
+            co_return Error { Errc::Unavailable, "connect", peer, "connection refused", Ran::No, {} };
+        }
+        co_return handle;
+    }
+
+    Framing framing_;
+    StopAnswer stopAnswer_;
+    bool isStopped_ = false;
+    bool hasEnded_ = false;
+    bool endsTarget_ = false;
+    int stopCalls_ = 0;
+    int dropped_ = 0;
+    std::string resumedFrom_;
+    ReceivedRequest latest_;
+    ScriptedWorker worker_;
+};
+
+} // namespace
+
+// Guards against a stream that its engine was told to stop, and that ends for its caller as if it were whole.
+TEST_CASE("a stream whose engine was told to stop it ends as complete", "[forward]")
+{
+    auto framing = GENERATE(Framing::Connection, Framing::Chunks);
+    auto answer = GENERATE(StopAnswer::Copied, StopAnswer::CopiedAfterClose, StopAnswer::NoRoom, StopAnswer::None, StopAnswer::TooLate, StopAnswer::NoRun, StopAnswer::Busy, StopAnswer::NotSent);
+    const char* version = GENERATE("HTTP/1.1", "HTTP/1.0");
+    CAPTURE(static_cast<int>(framing), static_cast<int>(answer), version);
+    Reclaim reclaim(framing, answer);
+    ScriptedWorker::CallerAnswer received = reclaim.call(version);
+    CAPTURE(received.bytes_);
+    CHECK(reclaim.stopCalls() == 1);
+    CHECK(eventsOf(received.bytes_) == eventsUpTo(eventCount));
+    CHECK(received.end_ == (std::string(version) == "HTTP/1.0" ? End::Closed : End::Open));
+    CHECK(reclaim.worker().requests() == (stopsRun(answer) ? 2 : 1));
+    bool isMoved = answer == StopAnswer::Copied || answer == StopAnswer::CopiedAfterClose;
+    CHECK(reclaim.resumedFrom().empty() != isMoved);
+    reclaim.worker().runFor(milliseconds(20));
+    CHECK(reclaim.dropped() == (isMoved ? 0 : 1));
+}
