Move: a stream that was stopped for a move that failed uses the retry of the move

Streams broke off at the caller although their request may be resumed: the engine had stopped the run, the move failed, and the retry that followed was asked from the budget, which the move had taken one from. If it had been the last, the stream ended.

A stream whose engine may have stopped it goes on as one that was moved, with the retry of its move and without the KV cache, and the send to the engine that is terminating does not count, as for a move. A retry that was taken for a move that did not happen serves the next attempt of the same request.

StreamMoveTests, "a stream breaks off when its last move fails and no further retry is left": before, the rows without a copy of both framings break off or end early.

--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -302,7 +302,7 @@
     // The request may have crashed this backend server as well, which is not known yet.
     if (end == SendOutcome::Lost && shape_.isSuspect_)
         return false;
-    return context_.retries_.tryRetry(shape_.service_, steadyNow());
+    return std::exchange(hasMoveRetry_, false) || context_.retries_.tryRetry(shape_.service_, steadyNow());
 }
 
 std::optional<RequestForwarder::HeldAnswer> RequestForwarder::rejectLongWait(const BackendChoice& choice)
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -36,7 +36,7 @@
     /// Nothing was sent: this node reaches no server of the service, and no peer opened a
     /// connection for it.
     NoPath,
-    /// The stream was stopped to resume on another engine, which has its KV cache.
+    /// The stream was stopped to resume on another engine, for which its move took a retry.
     Moved,
 };
 
@@ -346,11 +346,15 @@
         SteadyTime stopOrderedAt_ {};
         /// Whether the engine was told to stop the run, and has not said that it did not.
         bool mayHaveStopped_ = false;
+        /// Whether the stream was stopped, so that it resumes on another engine.
+        bool hasEndedAttempt_ = false;
         /// The target, once the stream is stopped and its KV cache is copied.
         std::optional<BackendChoice> target_;
         std::string resumeFrom_;
     };
     std::shared_ptr<Move> move_;
+    /// Whether a retry was taken for a move, and not used.
+    bool hasMoveRetry_ = false;
     /// The location of a KV cache, which only the next attempt sends.
     std::string resumeFrom_;
     /// The answer to deliver unless a retry succeeds.
--- a/lib/Forward/StreamMove.cpp
+++ b/lib/Forward/StreamMove.cpp
@@ -50,7 +50,8 @@
     if (!to)
         return;
     // A moved stream reaches its target as a retry does, so the retry budget applies.
-    if (!context_.retries_.tryRetry(shape_.service_, steadyNow())) {
+    hasMoveRetry_ = hasMoveRetry_ || context_.retries_.tryRetry(shape_.service_, steadyNow());
+    if (!hasMoveRetry_) {
         releaseTarget(*to);
         return;
     }
@@ -143,11 +144,12 @@
     bool isEnding = stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded;
     if (!isEnding)
         co_await waitForMove();
-    if (isEnding || !move_ || !move_->target_) {
+    if (isEnding || !move_ || (!move_->target_ && !move_->mayHaveStopped_)) {
         cancelMove();
         co_return SendOutcome::Lost;
     }
-    attempt.detail_ = "moved";
+    attempt.detail_ = move_->target_ ? "moved" : "stopped";
+    move_->hasEndedAttempt_ = true;
     co_return SendOutcome::Moved;
 }
 
@@ -157,9 +159,12 @@
 {
     // The stream may have to move again.
     std::shared_ptr<Move> move = std::exchange(move_, nullptr);
-    if (!move || !move->target_)
+    if (!move || !move->hasEndedAttempt_)
         return std::nullopt;
+    // A copy that completes later is not used.
+    move->isCancelled_ = true;
     resumeFrom_ = std::move(move->resumeFrom_);
+    hasMoveRetry_ = false;
     // The send to the previous engine does not count against the maximum number of attempts, as
     // that engine is terminating.
     sendCount_ -= std::min(sendCount_, 1U);
--- a/unittests/Forward/StreamMoveTest.cpp
+++ b/unittests/Forward/StreamMoveTest.cpp
@@ -210,3 +210,20 @@
     reclaim.worker().runFor(milliseconds(20));
     CHECK(reclaim.dropped() == (isMoved ? 0 : 1));
 }
+
+// Guards against a stream that breaks off because its move failed after its engine was told to stop it: the retry
+// that was taken for the move was asked for once more.
+TEST_CASE("a stream breaks off when its last move fails and no further retry is left", "[forward]")
+{
+    auto framing = GENERATE(Framing::Connection, Framing::Chunks);
+    auto answer = GENERATE(StopAnswer::Copied, StopAnswer::NoRoom, StopAnswer::None, StopAnswer::TooLate);
+    CAPTURE(static_cast<int>(framing), static_cast<int>(answer));
+    Reclaim reclaim(framing, answer);
+    reclaim.worker().leaveRetries(1);
+    ScriptedWorker::CallerAnswer received = reclaim.call();
+    CAPTURE(received.bytes_);
+    CHECK(eventsOf(received.bytes_) == eventsUpTo(eventCount));
+    CHECK(received.bytes_.ends_with(lastChunk));
+    CHECK(reclaim.worker().requests() == 2);
+    CHECK_FALSE(reclaim.worker().context().retries_.allowsRetry({ "s" }, steadyNow()));
+}
