Move: only the engine that holds a copy is asked to resume from it

A moved stream whose target has ended goes on at another engine, to which the location of the copy was sent as well. That engine does not hold the copy, so that it refuses the request, and the refusal takes a retry; without one the stream breaks off.

The location belongs to the attempt at the target instead of the next attempt that is written.

StreamMoveTests, "a moved stream whose target has ended names the copy to another engine": fails before.

--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -367,6 +367,7 @@
         context_.backends_.noteAdmitted(*choice);
         Attempt attempt;
         attempt.choice_ = std::move(*choice);
+        attempt.resumeFrom_ = std::exchange(resumeFrom_, {});
         attempt.startedAt_ = steadyNow();
         excludedBackends_.insert(attempt.choice_.backend_.id_);
         stopReason_ = StopReason::None;
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -76,6 +76,8 @@
     /// One send to a backend server and its results.
     struct Attempt {
         BackendChoice choice_;
+        /// The location of a KV cache that the server has; empty if it has none.
+        std::string resumeFrom_;
         BackendConnectionPtr connection_;
         SteadyTime startedAt_ {};
         /// When the request was sent; zero before that.
@@ -221,7 +223,7 @@
     /// Records the conditions that an answer states of its backend server.
     void noteBackendState(Attempt& attempt, const AnswerReader& reader);
     void startWriting(Attempt& attempt);
-    std::string renderRequestHead(const BackendRecord& backend) const;
+    std::string renderRequestHead(const Attempt& attempt) const;
     void noteAnswering(Attempt& attempt);
     void noteFirstByte(Attempt& attempt);
     void releaseConnection(Attempt& attempt, const AnswerReader& reader);
@@ -355,7 +357,7 @@
     std::shared_ptr<Move> move_;
     /// Whether a retry was taken for a move, and not used.
     bool hasMoveRetry_ = false;
-    /// The location of a KV cache, which only the next attempt sends.
+    /// The location of a KV cache that the server of the next attempt has.
     std::string resumeFrom_;
     /// The answer to deliver unless a retry succeeds.
     std::optional<HeldAnswer> heldAnswer_;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -69,7 +69,7 @@
     return fields;
 }
 
-std::string RequestForwarder::renderRequestHead(const BackendRecord& backend) const
+std::string RequestForwarder::renderRequestHead(const Attempt& attempt) const
 {
     const ForwardHeaderNames& names = context_.names_;
     std::vector<std::string> options = connectionOptions(request_.fields_);
@@ -85,15 +85,15 @@
         appendField(head, field.name_, field.value_);
     }
     appendField(head, names.deadline_, std::to_string(timeLeft().count()));
-    appendField(head, names.expectedBackend_, backend.name_.value_);
+    appendField(head, names.expectedBackend_, attempt.choice_.backend_.name_.value_);
     if (organisation_)
         appendField(head, names.organisation_, organisation_->name_.value_);
     if (shape_.isForEngine_)
         appendField(head, names.urgency_, std::to_string(urgency_));
     if (eventSplitter_.last() && route_->isStream_)
         appendField(head, names.lastEvent_, std::to_string(*eventSplitter_.last()));
-    if (!resumeFrom_.empty())
-        appendField(head, names.resumeFrom_, resumeFrom_);
+    if (!attempt.resumeFrom_.empty())
+        appendField(head, names.resumeFrom_, attempt.resumeFrom_);
     if (hadLength || !request_.body_.empty())
         appendField(head, "Content-Length", std::to_string(request_.body_.size()));
     return head + "\r\n";
@@ -194,8 +194,7 @@
         std::string head_;
         std::shared_ptr<RequestForwarder> owner_;
     };
-    auto outgoing = std::make_shared<Outgoing>(Outgoing { renderRequestHead(attempt.choice_.backend_), shared_from_this() });
-    resumeFrom_.clear();
+    auto outgoing = std::make_shared<Outgoing>(Outgoing { renderRequestHead(attempt), shared_from_this() });
     std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoing->head_), asio::buffer(request_.body_) };
     attempt.connection_->isWriting_ = true;
     asio::async_write(*attempt.connection_, buffers, [outgoing, connection = attempt.connection_](const beast::error_code& code, std::size_t) {
@@ -223,7 +222,6 @@
     if (!context_.backends_.mayReceive(attempt.choice_.backend_.id_, steadyNow())) {
         attempt.connection_->abort();
         attempt.detail_ = "no_longer_accepts";
-        resumeFrom_.clear();
         co_return SendOutcome::NotAccepting;
     }
     // The deadline may have passed while the VM was suspended, before any timer fires.
--- a/unittests/Forward/StreamMoveTest.cpp
+++ b/unittests/Forward/StreamMoveTest.cpp
@@ -227,3 +227,16 @@
     CHECK(reclaim.worker().requests() == 2);
     CHECK_FALSE(reclaim.worker().context().retries_.allowsRetry({ "s" }, steadyNow()));
 }
+
+// Guards against a request that names a copy to an engine that does not hold it, and is refused.
+TEST_CASE("a moved stream whose target has ended names the copy to another engine", "[forward]")
+{
+    Reclaim reclaim(Framing::Chunks, StopAnswer::Copied);
+    reclaim.endTarget();
+    ScriptedWorker::CallerAnswer received = reclaim.call();
+    CAPTURE(received.bytes_);
+    CHECK(reclaim.worker().requests() == 2);
+    CHECK(reclaim.latest().field("From").empty());
+    CHECK(eventsOf(received.bytes_) == eventsUpTo(eventCount));
+    CHECK(received.bytes_.ends_with(lastChunk));
+}
