Forward: an answer without a length that its server stops at the deadline is not whole

A server stops work at the deadline that it is given, and may close its connection in order, which ends an answer without a length. The deadline in the request is rounded down to milliseconds, and the end of a connection is handled before a timer that is due, so that this node took such an end for the end of the answer if it noticed both at once, or within the last millisecond.

The end of a connection at or after the deadline that the server was given does not end an answer. Answers with a length or in chunks are delivered late, as before.

BegunAnswerTests, "an answer without a length that ends at the deadline is delivered as whole": the plain answer and the stream without framing fail before.

--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -82,6 +82,8 @@
         SteadyTime startedAt_ {};
         /// When the request was sent; zero before that.
         SteadyTime sentAt_ {};
+        /// When the backend server stops work on the request, by the deadline that it was given, at the earliest.
+        SteadyTime stopsAt_ {};
         /// Whether the request was sent and no part of an answer has arrived.
         bool isWaiting_ = false;
         /// Whether the connection has served other requests.
@@ -186,6 +188,7 @@
     void dropReplacement();
     asio::awaitable<SendOutcome> handleStreamBreak(Attempt& attempt, const boost::system::error_code& code);
     asio::awaitable<bool> isStoppedForMove(const Attempt& attempt);
+    bool checkStopAtDeadline(const Attempt& attempt, const AnswerReader& reader);
 
     // Moves of a running stream.
     bool shouldMove(const Attempt& attempt) const;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -194,6 +194,8 @@
         std::string head_;
         std::shared_ptr<RequestForwarder> owner_;
     };
+    // The deadline in the head is the time that is left in whole milliseconds.
+    attempt.stopsAt_ = steadyNow() + timeLeft() - milliseconds(1);
     auto outgoing = std::make_shared<Outgoing>(Outgoing { renderRequestHead(attempt), shared_from_this() });
     std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoing->head_), asio::buffer(request_.body_) };
     attempt.connection_->isWriting_ = true;
@@ -436,6 +438,17 @@
         context_.hooks_.onStarted_(organisation_->name_);
 }
 
+/// Whether an answer without a length ended when its server stopped work at the deadline, or later. The
+/// end of the connection does not tell that the answer is incomplete.
+bool RequestForwarder::checkStopAtDeadline(const Attempt& attempt, const AnswerReader& reader)
+{
+    if (!reader.endsWithConnection() || attempt.connection_->arrivedAt_ < attempt.stopsAt_)
+        return false;
+    // There may be less than a millisecond left.
+    stopReason_ = StopReason::DeadlineExceeded;
+    return true;
+}
+
 asio::awaitable<SendOutcome> RequestForwarder::receiveFullAnswer(Attempt& attempt, AnswerReader& reader)
 {
     beast::error_code code;
@@ -447,6 +460,8 @@
         if (!code && !memory.resize({ reader.message().body().size() }))
             code = noMemory();
     }
+    if (!code && checkStopAtDeadline(attempt, reader))
+        code = http::error::partial_message;
     if (code) {
         bool isTooLarge = code == http::error::body_limit || code == noMemory();
         attempt.detail_ = isTooLarge ? "answer_too_large" : "body:" + code.message();
@@ -513,7 +528,9 @@
             startMove(attempt);
     }
     attempt.endsWithConnection_ = reader.endsWithConnection();
-    bool isStopped = co_await isStoppedForMove(attempt);
+    bool isStopped = checkStopAtDeadline(attempt, reader);
+    if (!isStopped)
+        isStopped = co_await isStoppedForMove(attempt);
     if (isStopped || eventSplitter_.hasPartial()) {
         attempt.isCutOff_ = attempt.endsWithConnection_;
         co_return co_await handleStreamBreak(attempt, http::error::partial_message);
--- a/unittests/Forward/BegunAnswerTest.cpp
+++ b/unittests/Forward/BegunAnswerTest.cpp
@@ -253,3 +253,34 @@
     }
     CHECK(worker.requests() == static_cast<int>(row.bytes_.size()));
 }
+
+// Guards against an answer without a length that its server stopped at the deadline that it was given, and that is
+// taken for whole since this node was late to notice the deadline.
+TEST_CASE("an answer without a length that ends at the deadline is delivered as whole", "[forward]")
+{
+    bool isStream = GENERATE(false, true);
+    bool isFramed = GENERATE(false, true);
+    CAPTURE(isStream, isFramed);
+    Route route = routeOfTests();
+    route.isStream_ = isStream;
+    route.timeout_ = timeout;
+    ScriptedWorker worker(route, 1, [&](tcp::socket& socket, const ReceivedRequest& received) -> asio::awaitable<bool> {
+        milliseconds left(std::stoi(received.field("Deadline")));
+        SteadyTime stopsAt = steadyNow() + left;
+        std::string bytes = ok + (isFramed ? "Transfer-Encoding: chunked\r\n\r\n" + eventChunk(1) : "\r\nid: 1\ndata: e\n\n");
+        co_await send(socket, std::move(bytes));
+        co_await sleepFor(left / 2);
+        // The worker runs on this thread, and sees the end and the deadline at once.
+        std::this_thread::sleep_until(stopsAt);
+        std::string end = isFramed ? lastChunk : "";
+        co_await send(socket, std::move(end));
+        co_return false;
+    });
+    worker.context().names_.deadline_ = "Deadline";
+    ScriptedWorker::CallerAnswer answer = worker.call(request());
+    CAPTURE(answer.bytes_);
+    if (isStream)
+        CHECK(answer.bytes_.ends_with(lastChunk) == isFramed);
+    else
+        CHECK(answer.bytes_.starts_with(isFramed ? "HTTP/1.1 200" : "HTTP/1.1 504"));
+}
