Move: what a move took is given back, or used once

A review of the fix found, by reading, what a move left behind: - An attempt that failed for another reason than the end of its connection (a missing event) dropped its move without cancelling it. The place at the target stayed taken, the copy was not freed, and a move in its first copy went on and stopped a run that was elsewhere. - A copy whose stream did not resume from it, since its caller had left, was not freed. - A stream that was stopped and had no copy did not count as an attempt. Only a request that names the copy counts as the same run, so it could run on more engines than its route allows. - The retry of a move that had failed long ago was still used, after it had left the window of the budget. - The wait for a move could take twice its limit, and the silence of the ended stream took a second retry meanwhile.

The places in use are compared in all cases of StreamMoveTests. "the copy of a stream whose caller leaves before the stop is not freed" and "the move of an attempt that fails is not cancelled" fail before (one check, five checks). The log names what is known of the stopped run instead of whether the call had ended. BegunAnswerTests: the end at the deadline reaches the worker without another turn of the loop, and ends before the deadline are whole.

--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -302,7 +302,7 @@
     // The request may have crashed this backend server as well, which is not known yet.
     if (end == SendOutcome::Lost && shape_.isSuspect_)
         return false;
-    return std::exchange(hasMoveRetry_, false) || context_.retries_.tryRetry(shape_.service_, steadyNow());
+    return context_.retries_.tryRetry(shape_.service_, steadyNow());
 }
 
 std::optional<RequestForwarder::HeldAnswer> RequestForwarder::rejectLongWait(const BackendChoice& choice)
@@ -345,7 +345,9 @@
             break;
         }
         auto choice = takeMoveTarget();
-        if (!choice)
+        if (choice)
+            dropReplacement();
+        else
             choice = std::exchange(replacement_, std::nullopt);
         if (!choice)
             choice = chooseBackend(shape_, sendCount_ ? RolloutTracker::SendKind::Subsequent : RolloutTracker::SendKind::First);
@@ -376,13 +378,14 @@
         isDelivered_ = end == SendOutcome::Delivered;
         if (isDelivered_ || caller_->isDisconnected())
             co_return;
-        if (end == SendOutcome::Moved)
+        bool isStopped = end == SendOutcome::Moved;
+        if (isStopped && move_->target_)
             continue;
         if (end == SendOutcome::Lost || end == SendOutcome::Held)
             mayHaveRun_ = true;
-        // The retry of a replacement was taken when the attempt was given up.
+        // The retry of a replacement was taken when the attempt was given up, that of a move when it began.
         bool isReplaced = replacement_ && end == SendOutcome::Lost;
-        if (!isReplaced && !mayRetry(end))
+        if (!isStopped && !isReplaced && !mayRetry(end))
             break;
         context_.metrics_.add(Counter::Retries);
         logger().info(LogLine("Retrying.").add("id", attemptId_).add("after", attempt.choice_.backend_.id_.value_).add("sends", sendCount_).add("why", attempt.detail_).add("left_ms", timeLeft().count()));
@@ -537,7 +540,7 @@
     if (attempt.answeredAt_ != SteadyTime {})
         line.add("answer_status", attempt.answerStatus_).add("answered_after_ms", std::chrono::duration_cast<milliseconds>(attempt.answeredAt_ - attempt.sentAt_).count()).add("framing", attempt.framing_);
     if (move_ && move_->stopOrderedAt_ != SteadyTime {})
-        line.add("stop_ordered_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - move_->stopOrderedAt_).count()).add("stop_answered", move_->isDone_);
+        line.add("stop_ordered_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - move_->stopOrderedAt_).count()).add("stop", toString(move_->stop_));
     if (attempt.sentAt_ != SteadyTime {})
         line.add("sent_after_ms", std::chrono::duration_cast<milliseconds>(attempt.sentAt_ - request_.receivedAt_).count());
     if (outcome == BackendOutcome::Broken)
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -52,6 +52,20 @@
     None,
 };
 
+/// What is known of the run at the engine that a stream moves from.
+enum class StopState {
+    NotOrdered,
+    /// The engine was told to stop the run, and has not answered.
+    Ordered,
+    Stopped,
+    /// The engine answered that the run goes on or had ended, or was not reached.
+    NotStopped,
+    /// The engine's answer does not tell, or none arrived.
+    Unknown,
+};
+
+const char* toString(StopState state);
+
 /// Why a send was stopped before its end.
 enum class StopReason {
     None,
@@ -187,12 +201,14 @@
     /// Reverts the choice of a replacement that is not used.
     void dropReplacement();
     asio::awaitable<SendOutcome> handleStreamBreak(Attempt& attempt, const boost::system::error_code& code);
-    asio::awaitable<bool> isStoppedForMove(const Attempt& attempt);
     bool checkStopAtDeadline(const Attempt& attempt, const AnswerReader& reader);
 
     // Moves of a running stream.
     bool shouldMove(const Attempt& attempt) const;
     asio::awaitable<void> waitForMove();
+    asio::awaitable<bool> awaitStopForMove(const Attempt& attempt);
+    bool mayHaveStoppedRun() const;
+    asio::awaitable<void> dropCopy(StreamCopy copy, std::string resumeFrom);
     void startMove(const Attempt& attempt);
     asio::awaitable<void> move(BackendRecord from, BackendChoice to);
     std::optional<BackendChoice> takeMoveTarget();
@@ -349,17 +365,17 @@
         bool isCancelled_ = false;
         /// When the engine was told to stop the run; zero before that.
         SteadyTime stopOrderedAt_ {};
-        /// Whether the engine was told to stop the run, and has not said that it did not.
-        bool mayHaveStopped_ = false;
+        StopState stop_ = StopState::NotOrdered;
         /// Whether the stream was stopped, so that it resumes on another engine.
-        bool hasEndedAttempt_ = false;
+        bool isUsed_ = false;
+        /// The end of the wait for the move after the end of the stream; zero before that.
+        SteadyTime waitEndsAt_ {};
+        StreamCopy copy_;
         /// The target, once the stream is stopped and its KV cache is copied.
         std::optional<BackendChoice> target_;
         std::string resumeFrom_;
     };
     std::shared_ptr<Move> move_;
-    /// Whether a retry was taken for a move, and not used.
-    bool hasMoveRetry_ = false;
     /// The location of a KV cache that the server of the next attempt has.
     std::string resumeFrom_;
     /// The answer to deliver unless a retry succeeds.
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -530,7 +530,7 @@
     attempt.endsWithConnection_ = reader.endsWithConnection();
     bool isStopped = checkStopAtDeadline(attempt, reader);
     if (!isStopped)
-        isStopped = co_await isStoppedForMove(attempt);
+        isStopped = co_await awaitStopForMove(attempt);
     if (isStopped || eventSplitter_.hasPartial()) {
         attempt.isCutOff_ = attempt.endsWithConnection_;
         co_return co_await handleStreamBreak(attempt, http::error::partial_message);
--- a/lib/Forward/StreamMove.cpp
+++ b/lib/Forward/StreamMove.cpp
@@ -24,6 +24,23 @@
 
 } // namespace
 
+const char* toString(StopState state)
+{
+    switch (state) {
+    case StopState::NotOrdered:
+        return "not_ordered";
+    case StopState::Ordered:
+        return "ordered";
+    case StopState::Stopped:
+        return "stopped";
+    case StopState::NotStopped:
+        return "not_stopped";
+    case StopState::Unknown:
+        return "unknown";
+    }
+    return "";
+}
+
 /// Whether to move the stream. Without a move it would break off when its engine is
 /// reclaimed, and another engine would have to process its prompt again.
 bool RequestForwarder::shouldMove(const Attempt& attempt) const
@@ -50,8 +67,7 @@
     if (!to)
         return;
     // A moved stream reaches its target as a retry does, so the retry budget applies.
-    hasMoveRetry_ = hasMoveRetry_ || context_.retries_.tryRetry(shape_.service_, steadyNow());
-    if (!hasMoveRetry_) {
+    if (!context_.retries_.tryRetry(shape_.service_, steadyNow())) {
         releaseTarget(*to);
         return;
     }
@@ -64,28 +80,29 @@
     auto self = shared_from_this();
     std::shared_ptr<Move> move = move_;
     SteadyTime startedAt = steadyNow();
-    StreamCopy copy { from.endpoint_, to.backend_.endpoint_, attemptId_, false };
+    StreamCopy& copy = move->copy_;
+    copy = { from.endpoint_, to.backend_.endpoint_, attemptId_, false };
     auto copied = co_await context_.hooks_.copyStream_(copy);
     std::string copyHandle = copied ? copied.value() : "";
     if (copied && !move->isCancelled_) {
         copy.stopsRun_ = true;
-        move->mayHaveStopped_ = true;
+        move->stop_ = StopState::Ordered;
         move->stopOrderedAt_ = steadyNow();
         context_.metrics_.add(Counter::StreamStopsOrdered);
         logger().info(LogLine("Engine is told to stop a stream.").add("id", attemptId_).add("from", from.id_.value_).add("last_event", static_cast<std::int64_t>(eventSplitter_.last().value_or(0))));
         copied = co_await context_.hooks_.copyStream_(copy);
-        if (!copied && copied.error().ran_ == Ran::No)
-            move->mayHaveStopped_ = false;
+        if (copied)
+            move->stop_ = StopState::Stopped;
+        else
+            move->stop_ = copied.error().ran_ == Ran::No ? StopState::NotStopped : StopState::Unknown;
     }
-    bool isMoved = copied && copy.stopsRun_;
+    bool isMoved = move->stop_ == StopState::Stopped && !move->isCancelled_;
     LogLine line(isMoved ? "Stream moved to another engine." : "Stream was not moved.");
-    line.add("id", attemptId_).add("from", from.id_.value_).add("to", to.backend_.id_.value_).add("last_event", static_cast<std::int64_t>(eventSplitter_.last().value_or(0)));
+    line.add("id", attemptId_).add("from", from.id_.value_).add("to", to.backend_.id_.value_).add("stop", toString(move->stop_)).add("cancelled", move->isCancelled_);
     line.add("took_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt).count()).add("error", copied ? "" : describe(copied.error()));
-    if (move->stopOrderedAt_ != SteadyTime {})
-        line.add("stop_took_ms", std::chrono::duration_cast<milliseconds>(steadyNow() - move->stopOrderedAt_).count());
     logger().info(line);
     move->isDone_ = true;
-    if (isMoved && !move->isCancelled_) {
+    if (isMoved) {
         context_.metrics_.add(Counter::StreamsMoved);
         move->resumeFrom_ = std::move(copied.value());
         move->target_ = std::move(to);
@@ -94,9 +111,14 @@
     }
     releaseTarget(to);
     move->done_.notify();
-    if (copyHandle.empty())
-        co_return;
-    auto dropped = co_await context_.hooks_.dropCopy_(std::move(copy), std::move(copyHandle));
+    if (!copyHandle.empty())
+        co_await dropCopy(copy, std::move(copyHandle));
+}
+
+asio::awaitable<void> RequestForwarder::dropCopy(StreamCopy copy, std::string resumeFrom)
+{
+    auto self = shared_from_this();
+    auto dropped = co_await context_.hooks_.dropCopy_(std::move(copy), std::move(resumeFrom));
     if (!dropped)
         logger().info(LogLine("Failed to free a KV cache copy.").add("id", attemptId_).add("error", describe(dropped.error())));
 }
@@ -114,26 +136,41 @@
     if (!move_)
         return;
     move_->isCancelled_ = true;
-    if (auto to = std::exchange(move_->target_, std::nullopt))
-        releaseTarget(*to);
+    auto to = std::exchange(move_->target_, std::nullopt);
+    if (!to)
+        return;
+    releaseTarget(*to);
+    asio::co_spawn(pool_.executor(), dropCopy(move_->copy_, std::move(move_->resumeFrom_)), asio::detached);
+}
+
+/// Whether the engine of the current attempt may have stopped its run for the move.
+bool RequestForwarder::mayHaveStoppedRun() const
+{
+    return move_ && move_->stop_ != StopState::NotOrdered && move_->stop_ != StopState::NotStopped;
 }
 
-/// Waits until the move has ended, for a limited time.
+/// Waits until the move has ended, for a limited time that begins with the first call.
 asio::awaitable<void> RequestForwarder::waitForMove()
 {
-    if (move_ && !move_->isDone_)
-        (void)co_await move_->done_.waitUntil(steadyNow() + moveWaitLimit);
+    // The stream has ended, so that its silence needs no replacement.
+    waitDeadline_ = SteadyTime::max();
+    pathCheckAt_ = SteadyTime::max();
+    if (!move_ || move_->isDone_)
+        co_return;
+    if (move_->waitEndsAt_ == SteadyTime {})
+        move_->waitEndsAt_ = steadyNow() + moveWaitLimit;
+    (void)co_await move_->done_.waitUntil(move_->waitEndsAt_);
 }
 
-/// Whether an answer that has ended may have been stopped for a move. An engine that is told to stop a run
-/// closes its connection, which ends an answer without a length. Only its answer to that call tells
-/// whether the run had ended before.
-asio::awaitable<bool> RequestForwarder::isStoppedForMove(const Attempt& attempt)
+/// Waits for the move of a stream that has ended. An engine that is told to stop a run closes its connection,
+/// which ends an answer without a length. Only its answer to that call tells whether the run had ended before.
+/// \returns whether the stream may have been stopped.
+asio::awaitable<bool> RequestForwarder::awaitStopForMove(const Attempt& attempt)
 {
-    if (!attempt.endsWithConnection_ || !move_ || !move_->mayHaveStopped_)
+    if (!attempt.endsWithConnection_ || !mayHaveStoppedRun())
         co_return false;
     co_await waitForMove();
-    co_return move_->mayHaveStopped_;
+    co_return mayHaveStoppedRun();
 }
 
 /// Handles a stream that broke off, either because it was stopped for a move or because
@@ -144,12 +181,14 @@
     bool isEnding = stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlineExceeded;
     if (!isEnding)
         co_await waitForMove();
-    if (isEnding || !move_ || (!move_->target_ && !move_->mayHaveStopped_)) {
+    // Without the copy the stream runs anew at the next engine, which counts as an attempt.
+    bool mayResume = move_ && (move_->target_ || (mayHaveStoppedRun() && sendCount_ < route_->maxAttempts_));
+    if (isEnding || !mayResume) {
         cancelMove();
         co_return SendOutcome::Lost;
     }
     attempt.detail_ = move_->target_ ? "moved" : "stopped";
-    move_->hasEndedAttempt_ = true;
+    move_->isUsed_ = true;
     co_return SendOutcome::Moved;
 }
 
@@ -157,18 +196,20 @@
 /// cache, if any.
 std::optional<BackendChoice> RequestForwarder::takeMoveTarget()
 {
-    // The stream may have to move again.
-    std::shared_ptr<Move> move = std::exchange(move_, nullptr);
-    if (!move || !move->hasEndedAttempt_)
+    if (!move_)
+        return std::nullopt;
+    if (!move_->isUsed_ || !move_->target_) {
+        cancelMove();
+        // The stream may have to move again.
+        move_.reset();
         return std::nullopt;
-    // A copy that completes later is not used.
-    move->isCancelled_ = true;
+    }
+    std::shared_ptr<Move> move = std::exchange(move_, nullptr);
     resumeFrom_ = std::move(move->resumeFrom_);
-    hasMoveRetry_ = false;
     // The send to the previous engine does not count against the maximum number of attempts, as
-    // that engine is terminating.
+    // the request counts as the same run.
     sendCount_ -= std::min(sendCount_, 1U);
-    return std::exchange(move->target_, std::nullopt);
+    return std::move(move->target_);
 }
 
 } // namespace pistachioloom
--- a/unittests/Forward/BegunAnswerTest.cpp
+++ b/unittests/Forward/BegunAnswerTest.cpp
@@ -260,7 +260,8 @@
 {
     bool isStream = GENERATE(false, true);
     bool isFramed = GENERATE(false, true);
-    CAPTURE(isStream, isFramed);
+    bool isLate = GENERATE(false, true);
+    CAPTURE(isStream, isFramed, isLate);
     Route route = routeOfTests();
     route.isStream_ = isStream;
     route.timeout_ = timeout;
@@ -271,16 +272,20 @@
         co_await send(socket, std::move(bytes));
         co_await sleepFor(left / 2);
         // The worker runs on this thread, and sees the end and the deadline at once.
-        std::this_thread::sleep_until(stopsAt);
-        std::string end = isFramed ? lastChunk : "";
-        co_await send(socket, std::move(end));
+        if (isLate)
+            std::this_thread::sleep_until(stopsAt);
+        boost::system::error_code ignored;
+        if (isFramed)
+            (void)socket.write_some(asio::buffer(lastChunk), ignored);
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
         co_return false;
     });
     worker.context().names_.deadline_ = "Deadline";
     ScriptedWorker::CallerAnswer answer = worker.call(request());
     CAPTURE(answer.bytes_);
+    bool isWhole = isFramed || !isLate;
     if (isStream)
-        CHECK(answer.bytes_.ends_with(lastChunk) == isFramed);
+        CHECK(answer.bytes_.ends_with(lastChunk) == isWhole);
     else
-        CHECK(answer.bytes_.starts_with(isFramed ? "HTTP/1.1 200" : "HTTP/1.1 504"));
+        CHECK(answer.bytes_.starts_with(isWhole ? "HTTP/1.1 200" : "HTTP/1.1 504"));
 }
--- a/unittests/Forward/StreamMoveTest.cpp
+++ b/unittests/Forward/StreamMoveTest.cpp
@@ -36,6 +36,10 @@
     NoRoom,
     /// The run is stopped. No answer arrives.
     None,
+    /// The run is stopped. The answer does not name the copy.
+    NoHandle,
+    /// The run ended by itself before, and no answer arrives.
+    NoneAfterEnd,
     /// The run is stopped. No answer arrives within the time limit of the call.
     TooLate,
     /// The run ended by itself before.
@@ -51,12 +55,12 @@
     return answer != StopAnswer::NoRun && answer != StopAnswer::Busy && answer != StopAnswer::NotSent;
 }
 
-Route streamRoute()
+Route streamRoute(unsigned attempts)
 {
     Route route = routeOfTests();
     route.isStream_ = true;
     route.isResumable_ = true;
-    route.maxAttempts_ = 2;
+    route.maxAttempts_ = attempts;
     route.timeout_ = milliseconds(5000);
     return route;
 }
@@ -86,11 +90,11 @@
 /// A worker whose first engine is reclaimed while it serves a stream.
 class Reclaim {
 public:
-    Reclaim(Framing framing, StopAnswer stopAnswer, int engineCount = 3)
+    Reclaim(Framing framing, StopAnswer stopAnswer, int engineCount = 3, unsigned attempts = 2)
         : framing_(framing)
         , stopAnswer_(stopAnswer)
         , worker_(
-              streamRoute(), engineCount, [this](tcp::socket& socket, const ReceivedRequest& request) { return serve(socket, request); }, EngineTraits { 8, { 100000 }, 1, true })
+              streamRoute(attempts), engineCount, [this](tcp::socket& socket, const ReceivedRequest& request) { return serve(socket, request); }, EngineTraits { 8, { 100000 }, 1, true })
     {
         ForwardContext& context = worker_.context();
         context.names_.resumeFrom_ = "From";
@@ -101,6 +105,12 @@
         };
     }
 
+    /// Sends a request whose caller leaves when \p until arrives.
+    ScriptedWorker::CallerAnswer callUntil(const std::string& until)
+    {
+        return worker_.call("POST /x HTTP/1.1\r\nHost: h\r\nAttempt: a1\r\nContent-Length: 0\r\n\r\n", until);
+    }
+
     ScriptedWorker::CallerAnswer call(const std::string& version = "HTTP/1.1")
     {
         return worker_.call("POST /x " + version + "\r\nHost: h\r\nAttempt: a1\r\nContent-Length: 0\r\n\r\n", version == "HTTP/1.1" ? lastChunk : "", milliseconds(4000));
@@ -111,10 +121,24 @@
     int stopCalls() const { return stopCalls_; }
     int dropped() const { return dropped_; }
     const std::string& resumedFrom() const { return resumedFrom_; }
+    /// Requests in progress at the engines, as the worker counts them.
+    std::uint64_t placesInUse()
+    {
+        std::uint64_t places = 0;
+        for (const auto& [key, load] : worker_.backends().ownLoads(steadyNow()))
+            places += static_cast<std::uint64_t>(load.running_);
+        return places;
+    }
     /// The head of the latest request.
     const ReceivedRequest& latest() const { return latest_; }
     /// The engine that receives the copy ends when the copy is complete.
     void endTarget() { endsTarget_ = true; }
+    /// The first engine leaves out an event after it was told to stop the run, or after its reclaim.
+    void skipEventAfterReclaim() { skipsEvent_ = true; }
+    /// The time that the first copy of a stream takes.
+    void setCopyTime(milliseconds time) { copyTime_ = time; }
+    /// The time from the stop of a run to the end of its connection.
+    void setCloseDelay(milliseconds delay) { closeDelay_ = delay; }
 
 private:
     asio::awaitable<bool> serve(tcp::socket& socket, const ReceivedRequest& request)
@@ -131,8 +155,14 @@
             if (request.total_ == 1 && id == reclaimedAfter)
                 worker_.reclaim(request.server_);
             co_await sleepFor(eventGap);
-            if (request.total_ == 1 && isStopped_)
+            if (request.total_ == 1 && id == reclaimedAfter && skipsEvent_) {
+                std::string skipped = eventChunk(id + 2);
+                co_await send(socket, std::move(skipped));
+            }
+            if (request.total_ == 1 && isStopped_) {
+                co_await sleepFor(closeDelay_);
                 co_return false;
+            }
         }
         hasEnded_ = true;
         if (framing_ == Framing::Connection)
@@ -145,12 +175,14 @@
     asio::awaitable<Result<std::string>> copyStream(StreamCopy copy)
     {
         const std::string handle = copy.from_.toString() + "/h1";
-        if (!copy.stopsRun_)
+        if (!copy.stopsRun_) {
+            co_await sleepFor(copyTime_);
             co_return handle;
+        }
         ++stopCalls_;
-        while (stopAnswer_ == StopAnswer::NoRun && !hasEnded_)
+        while ((stopAnswer_ == StopAnswer::NoRun || stopAnswer_ == StopAnswer::NoneAfterEnd) && !hasEnded_)
             co_await sleepFor(milliseconds(1));
-        isStopped_ = stopsRun(stopAnswer_);
+        isStopped_ = stopsRun(stopAnswer_) && !hasEnded_;
         if (endsTarget_)
             worker_.stopAccepting(copy.to_);
         const std::string peer = copy.from_.toString();
@@ -162,7 +194,10 @@
             co_return handle;
         case StopAnswer::NoRoom:
             co_return Error { Errc::Unavailable, "stop", peer, "status 503", Ran::Unknown, {} };
+        case StopAnswer::NoHandle:
+            co_return Error { Errc::InvalidInput, "stop", peer, "no handle", Ran::Unknown, {} };
         case StopAnswer::None:
+        case StopAnswer::NoneAfterEnd:
             co_return Error { Errc::Reset, "stop", peer, "end of stream", Ran::Unknown, {} };
         case StopAnswer::TooLate:
             co_await sleepFor(milliseconds(500));
@@ -182,6 +217,9 @@
     bool isStopped_ = false;
     bool hasEnded_ = false;
     bool endsTarget_ = false;
+    bool skipsEvent_ = false;
+    milliseconds copyTime_ {};
+    milliseconds closeDelay_ {};
     int stopCalls_ = 0;
     int dropped_ = 0;
     std::string resumedFrom_;
@@ -195,7 +233,7 @@
 TEST_CASE("a stream whose engine was told to stop it ends as complete", "[forward]")
 {
     auto framing = GENERATE(Framing::Connection, Framing::Chunks);
-    auto answer = GENERATE(StopAnswer::Copied, StopAnswer::CopiedAfterClose, StopAnswer::NoRoom, StopAnswer::None, StopAnswer::TooLate, StopAnswer::NoRun, StopAnswer::Busy, StopAnswer::NotSent);
+    auto answer = GENERATE(StopAnswer::Copied, StopAnswer::CopiedAfterClose, StopAnswer::NoRoom, StopAnswer::None, StopAnswer::NoHandle, StopAnswer::NoneAfterEnd, StopAnswer::TooLate, StopAnswer::NoRun, StopAnswer::Busy, StopAnswer::NotSent);
     const char* version = GENERATE("HTTP/1.1", "HTTP/1.0");
     CAPTURE(static_cast<int>(framing), static_cast<int>(answer), version);
     Reclaim reclaim(framing, answer);
@@ -204,11 +242,14 @@
     CHECK(reclaim.stopCalls() == 1);
     CHECK(eventsOf(received.bytes_) == eventsUpTo(eventCount));
     CHECK(received.end_ == (std::string(version) == "HTTP/1.0" ? End::Closed : End::Open));
-    CHECK(reclaim.worker().requests() == (stopsRun(answer) ? 2 : 1));
+    // A stream with a last chunk has ended, whether its engine says so or not.
+    bool isResumed = stopsRun(answer) && (answer != StopAnswer::NoneAfterEnd || framing == Framing::Connection);
+    CHECK(reclaim.worker().requests() == (isResumed ? 2 : 1));
     bool isMoved = answer == StopAnswer::Copied || answer == StopAnswer::CopiedAfterClose;
     CHECK(reclaim.resumedFrom().empty() != isMoved);
     reclaim.worker().runFor(milliseconds(20));
     CHECK(reclaim.dropped() == (isMoved ? 0 : 1));
+    CHECK(reclaim.placesInUse() == 0);
 }
 
 // Guards against a stream that breaks off because its move failed after its engine was told to stop it: the retry
@@ -226,6 +267,7 @@
     CHECK(received.bytes_.ends_with(lastChunk));
     CHECK(reclaim.worker().requests() == 2);
     CHECK_FALSE(reclaim.worker().context().retries_.allowsRetry({ "s" }, steadyNow()));
+    CHECK(reclaim.placesInUse() == 0);
 }
 
 // Guards against a request that names a copy to an engine that does not hold it, and is refused.
@@ -240,3 +282,49 @@
     CHECK(eventsOf(received.bytes_) == eventsUpTo(eventCount));
     CHECK(received.bytes_.ends_with(lastChunk));
 }
+
+// Guards against a copy that takes a place and memory at an engine, although its stream does not resume there.
+TEST_CASE("the copy of a stream whose caller leaves before the stop is not freed", "[forward]")
+{
+    Reclaim reclaim(Framing::Chunks, StopAnswer::Copied);
+    reclaim.setCloseDelay(milliseconds(200));
+    (void)reclaim.callUntil(eventChunk(reclaimedAfter));
+    reclaim.worker().runFor(milliseconds(100));
+    CHECK(reclaim.stopCalls() == 1);
+    CHECK(reclaim.isStopped());
+    CHECK(reclaim.worker().requests() == 1);
+    CHECK(reclaim.dropped() == 1);
+    CHECK(reclaim.placesInUse() == 0);
+}
+
+// Guards against a place that stays taken, and a copy that stays, after an attempt that fails while its stream is copied.
+TEST_CASE("the move of an attempt that fails is not cancelled", "[forward]")
+{
+    bool isCopyPending = GENERATE(true, false);
+    CAPTURE(isCopyPending);
+    Reclaim reclaim(Framing::Chunks, StopAnswer::Copied);
+    reclaim.setCloseDelay(milliseconds(30));
+    reclaim.skipEventAfterReclaim();
+    if (isCopyPending)
+        reclaim.setCopyTime(milliseconds(100));
+    ScriptedWorker::CallerAnswer received = reclaim.call();
+    reclaim.worker().runFor(milliseconds(200));
+    CAPTURE(received.bytes_);
+    CHECK(eventsOf(received.bytes_) == eventsUpTo(eventCount));
+    CHECK(reclaim.stopCalls() == (isCopyPending ? 0 : 1));
+    CHECK(reclaim.dropped() == 1);
+    CHECK(reclaim.placesInUse() == 0);
+}
+
+// Guards against a request that runs on more engines than its route allows, since its move failed.
+TEST_CASE("a stream that was stopped for a move that failed exceeds the attempts of its route", "[forward]")
+{
+    auto answer = GENERATE(StopAnswer::NoRoom, StopAnswer::None, StopAnswer::Copied);
+    CAPTURE(static_cast<int>(answer));
+    Reclaim reclaim(Framing::Connection, answer, 3, 1);
+    ScriptedWorker::CallerAnswer received = reclaim.call();
+    CAPTURE(received.bytes_);
+    bool isMoved = answer == StopAnswer::Copied;
+    CHECK(reclaim.worker().requests() == (isMoved ? 2 : 1));
+    CHECK(received.bytes_.ends_with(lastChunk) == isMoved);
+}
