Answers: a status outside of 100 to 599, or 101, is no answer

A server in trouble sent status 000, and the caller got it as "HTTP/1.1 0". Beast checks that a status has three digits and accepts any, and no reader looked further: 000 to 099 were delivered at once, 600 to 999 if no retry was possible, and a 000 that states "not run" became a 503, which promises it. 101 was skipped like an interim answer, although what follows it is another protocol that no request asks for.

AnswerReader refuses such an answer when its head has been parsed. The attempt fails like any answer that cannot be read: another server is asked, or the caller gets 502, and calls to engines and the platform fail without saying that they have not run.

Statuses of other lengths or with other characters, other versions, and control bytes in the reason were refused before.

--- a/include/pistachioloom/Answers.h
+++ b/include/pistachioloom/Answers.h
@@ -49,6 +49,13 @@
     // NOLINTEND(readability-identifier-naming)
 };
 
+/// Parses the bytes of one answer. In addition to what Beast refuses, it fails if
+/// - the status is not one from 100 to 599, or is 101 (RFC 9110, section 15).
+class AnswerParser : public boost::beast::http::response_parser<ReceivedBody> {
+private:
+    void on_header_impl(boost::beast::error_code& code) override;
+};
+
 /// Limits of one answer, in bytes.
 struct AnswerBounds {
     /// The head, together with the interim answers before it.
@@ -63,11 +70,11 @@
     No,
 };
 
-/// Parses one answer. Interim answers (1xx) before it are skipped.
+/// Parses one answer. Interim answers (1xx, but not 101) before it are skipped.
 class AnswerReader {
 public:
     using Input = boost::beast::flat_buffer;
-    using Parser = boost::beast::http::response_parser<ReceivedBody>;
+    using Parser = AnswerParser;
 
     enum class Progress {
         /// More bytes are needed.
--- a/lib/Answers/AnswerReader.cpp
+++ b/lib/Answers/AnswerReader.cpp
@@ -10,6 +10,19 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/// Whether a server may send \p status here. What follows 101 is no HTTP/1.1, and no request asks for it.
+static bool isAnswerStatus(unsigned status)
+{
+    return status >= 100 && status <= 599 && status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
+void AnswerParser::on_header_impl(beast::error_code& code)
+{
+    code = {};
+    if (!isAnswerStatus(get().result_int()))
+        code = http::error::bad_status;
+}
+
 AnswerReader::AnswerReader(AnswerBounds bounds, BodyFollows bodyFollows)
     : bounds_(bounds)
     , bodyFollows_(bodyFollows)
--- a/lib/Forward/Answering.cpp
+++ b/lib/Forward/Answering.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
 #include <boost/beast/http/status.hpp>
+#include <cassert>
 
 namespace pistachioloom {
 
@@ -15,6 +16,7 @@
 
 static std::string statusLine(int status)
 {
+    assert(status >= 100 && status <= 599 && "AnswerReader accepts no other status");
     auto reason = http::obsolete_reason(static_cast<http::status>(status));
     return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason.data(), reason.size()) + "\r\n";
 }
--- /dev/null
+++ b/unittests/Forward/InvalidAnswerTest.cpp
@@ -0,0 +1,114 @@
+//===- unittests/Forward/InvalidAnswerTest.cpp - bytes that are no answer ---===//
+///
+/// \file
+/// A server in trouble sends bytes that are no answer in the protocol. The caller must get the answer of
+/// another server, or 502, and never these bytes nor a promise that its request has not run.
+//===----------------------------------------------------------------------===//
+#include "ForwardFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pistachioloom;
+using namespace pistachioloom::test;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+const std::string request = "POST /x HTTP/1.1\r\nHost: h\r\nAttempt: a1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+const std::string fields = "Attempt: a1\r\nSeal: s\r\n";
+const std::string ok = "HTTP/1.1 200 OK\r\n" + fields;
+const std::string whole = "Content-Length: 19\r\n\r\nid: 1\ndata: whole\n\n";
+const std::string soundBody = "id: 1\ndata: sound\n\n";
+const std::string soundAnswer = ok + "Content-Length: 19\r\n\r\n" + soundBody;
+
+Route routeWith(bool isStream, unsigned attempts)
+{
+    Route route = routeOfTests();
+    route.isStream_ = isStream;
+    route.isResumable_ = true;
+    route.isIdempotent_ = attempts > 1;
+    route.maxAttempts_ = attempts;
+    return route;
+}
+
+/// Sends \p first as the answer to the first request, and the sound answer to the others.
+ServerScript faultyServer(const std::string& first)
+{
+    return [first](tcp::socket& socket, const ReceivedRequest& received) -> asio::awaitable<bool> {
+        co_await send(socket, received.total_ == 1 ? first : soundAnswer);
+        co_return false;
+    };
+}
+
+/// Lets a peer carry all connections. The first one receives \p first, and the others the sound answer.
+void carryConnections(ForwardContext& context, const std::string& first)
+{
+    for (int i = 0; i < 2; ++i)
+        (void)context.paths_.noteProbed({ "s" }, 1, 0, steadyNow());
+    REQUIRE(context.paths_.isLost({ "s" }));
+    auto next = std::make_shared<std::string>(first);
+    context.hooks_.openRelayed_ = [next](const BackendRecord&, milliseconds) -> asio::awaitable<Result<RelayedConnection>> {
+        auto bytes = std::make_shared<std::string>(std::exchange(*next, soundAnswer));
+        RelayedConnection connection;
+        connection.via_ = { "peer" };
+        connection.receive_ = [bytes]() -> asio::awaitable<Result<std::string>> {
+            if (bytes->empty())
+                co_return Error { Errc::NotFound, "receive", "peer", "closed", Ran::Unknown, {} };
+            co_return std::exchange(*bytes, {});
+        };
+        connection.send_ = [](const std::string&) -> asio::awaitable<Result<void>> { co_return boost::outcome_v2::success(); };
+        connection.reset_ = [] {};
+        co_return connection;
+    };
+}
+
+} // namespace
+
+// Guards against bytes that are passed on as an answer although they are none, in a plain answer and in
+// the head of a stream, whether the connection is a direct one or a peer carries it.
+TEST_CASE("an answer with an invalid head fails its attempt", "[forward]")
+{
+    struct Row {
+        const char* name_;
+        std::string answer_;
+    };
+    auto row = GENERATE_COPY(values<Row>({
+        { "status 000", "HTTP/1.1 000 X\r\n" + fields + whole },
+        { "status 099", "HTTP/1.1 099 X\r\n" + fields + whole },
+        { "status 600", "HTTP/1.1 600 X\r\n" + fields + whole },
+        { "status 999", "HTTP/1.1 999 X\r\n" + fields + whole },
+        { "status 101", "HTTP/1.1 101 Switching Protocols\r\n" + fields + "\r\n" },
+        { "an answer after status 101", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + whole },
+        { "status 000 without an id", "HTTP/1.1 000 X\r\n" + whole },
+        { "status 000 that says not run", "HTTP/1.1 000 X\r\n" + fields + "Not-Run: 1\r\n" + whole },
+        { "status 000 after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n" + fields + whole },
+        { "no reason", "HTTP/1.1 200\r\n" + fields + whole },
+        { "another version", "HTTP/2.0 200 OK\r\n" + fields + whole },
+    }));
+    bool isStream = GENERATE(false, true);
+    bool isCarried = GENERATE(false, true);
+    CAPTURE(row.name_, isStream, isCarried);
+    SECTION("no attempt is left")
+    {
+        ScriptedWorker worker(routeWith(isStream, 1), 2, faultyServer(row.answer_));
+        if (isCarried)
+            carryConnections(worker.context(), row.answer_);
+        ScriptedWorker::CallerAnswer answer = worker.call(request);
+        CAPTURE(answer.bytes_);
+        CHECK(answer.bytes_.starts_with("HTTP/1.1 502 "));
+        CHECK(answer.bytes_.find("Odd") == std::string::npos);
+        CHECK(worker.count(Counter::Attempts) == 1);
+    }
+    SECTION("another server answers")
+    {
+        ScriptedWorker worker(routeWith(isStream, 2), 2, faultyServer(row.answer_));
+        if (isCarried)
+            carryConnections(worker.context(), row.answer_);
+        ScriptedWorker::CallerAnswer answer = worker.call(request);
+        CAPTURE(answer.bytes_);
+        CHECK(answer.bytes_.starts_with("HTTP/1.1 200 "));
+        CHECK(answer.bytes_.find(soundBody) != std::string::npos);
+        CHECK(answer.bytes_.find("Odd") == std::string::npos);
+        CHECK(worker.count(Counter::Attempts) == 2);
+    }
+}
--- a/unittests/Http/ClientTest.cpp
+++ b/unittests/Http/ClientTest.cpp
@@ -172,3 +172,51 @@
     CHECK(response->has_value() == isAnswered);
     CHECK(end == (isAnswered ? boost::system::error_code(asio::error::eof) : boost::system::error_code(asio::error::connection_reset)));
 }
+
+// Guards against a call that succeeds, or states that it has not run, because the bytes of the server
+// are no answer in the protocol.
+TEST_CASE("a call fails if its answer has an invalid head", "[http]")
+{
+    struct Row {
+        const char* name_;
+        std::string answer_;
+        bool isValid_;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "Content-Length: 4\r\n\r\nbody";
+    auto row = GENERATE_COPY(values<Row>({
+        { "sound answer", ok + body, true },
+        { "interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + ok + body, true },
+        { "status 000", "HTTP/1.1 000 X\r\n" + body, false },
+        { "status 600", "HTTP/1.1 600 X\r\n" + body, false },
+        { "status 999", "HTTP/1.1 999 X\r\n" + body, false },
+        { "an answer after status 101", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + body, false },
+        { "no reason", "HTTP/1.1 200\r\n" + body, false },
+        { "another version", "HTTP/2.0 200 OK\r\n" + body, false },
+    }));
+    CAPTURE(row.name_);
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Endpoint server { "127.0.0.1", acceptor.local_endpoint().port() };
+    auto serve = [&]() -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::string input;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n", asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(row.answer_), asio::use_awaitable);
+    };
+    asio::co_spawn(io, serve(), asio::detached);
+    std::optional<Result<HttpResponse>> response;
+    HttpRequest request { "GET", "/", {}, {} };
+    auto call = [&]() -> asio::awaitable<void> { response = co_await callHttp(server, std::move(request), timeout); };
+    asio::co_spawn(io, call(), asio::detached);
+    io.run_for(10 * timeout);
+    REQUIRE(response);
+    REQUIRE(response->has_value() == row.isValid_);
+    if (row.isValid_) {
+        CHECK(response->value().status_ == 200);
+        CHECK(response->value().body_ == "body");
+        return;
+    }
+    CHECK(response->error().code_ == Errc::Reset);
+    CHECK(response->error().ran_ == Ran::Unknown);
+}
