Answers: a field that goes on over several lines is no answer

A line that begins with a blank is taken by Beast for a part of the field before it. The caller got such a line of a server in trouble as a part of another field's value, and a length in it did not count. Requests with folded lines are refused already.

AnswerParser refuses them in heads, interim answers and trailers (RFC 9112, section 5.2, allows this to a gateway).

Blanks, control bytes, delimiters and bytes of 0x80 and above within a name, blanks before the colon, and control bytes in values were refused before.

--- a/lib/Answers/AnswerReader.cpp
+++ b/lib/Answers/AnswerReader.cpp
@@ -16,6 +16,25 @@
     return status >= 100 && status <= 599 && status != static_cast<unsigned>(http::status::switching_protocols);
 }
 
+/// Whether the line after that of a field belongs to its value. \p name lies in the input, and the
+/// parser calls on_field_impl() only after it has looked at the byte after the end of the line.
+static bool hasContinuationLine(beast::string_view name)
+{
+    const char* at = name.data() + name.size();
+    while (*at != '\n')
+        ++at;
+    return at[1] == ' ' || at[1] == '\t';
+}
+
+void AnswerParser::on_field_impl(http::field field, beast::string_view name, beast::string_view value, beast::error_code& code)
+{
+    code = {};
+    if (hasContinuationLine(name))
+        code = http::error::bad_obs_fold;
+    else
+        get().insert(field, name, value);
+}
+
 void AnswerParser::on_header_impl(beast::error_code& code)
 {
     code = {};
--- a/unittests/Answers/InvalidHeadTest.cpp
+++ b/unittests/Answers/InvalidHeadTest.cpp
@@ -91,3 +91,68 @@
     AnswerReader reader(AnswerBounds {});
     CHECK(isAnswer(reader, row.line_ + "\r\n" + body, step) == row.isValid_);
 }
+
+// Guards against a line that is passed on although it is no field, or is taken for a part of another.
+TEST_CASE("fields of an answer are tokens with values on one line", "[answers]")
+{
+    struct Row {
+        const char* name_;
+        std::string lines_;
+        bool isValid_;
+    };
+    auto row = GENERATE(values<Row>({
+        { "field", "X-A: b\r\n", true },
+        { "empty value", "X-A:\r\n", true },
+        { "tab in a value", "X-A:\tb\tc\t\r\n", true },
+        { "bytes of 0x80 and above in a value", "X-A: \x80\xff\r\n", true },
+        { "all marks of a token", "!#$%&'*+-.^_`|~: b\r\n", true },
+        { "blank in a name", "X A: b\r\n", false },
+        { "tab in a name", "X\tA: b\r\n", false },
+        { "control byte in a name", "X\x01: b\r\n", false },
+        { "zero byte in a name", std::string("X\0A: b\r\n", 8), false },
+        { "delete byte in a name", "X\x7f: b\r\n", false },
+        { "delimiter in a name", "X(A): b\r\n", false },
+        { "byte of 0x80 in a name", "X\x80: b\r\n", false },
+        { "byte of 0xff in a name", "X\xff: b\r\n", false },
+        { "no name", ": b\r\n", false },
+        { "no colon", "X-A b\r\n", false },
+        { "blank before the colon", "X-A : b\r\n", false },
+        { "tab before the colon", "X-A\t: b\r\n", false },
+        { "blank before the first name", " X-A: b\r\n", false },
+        { "tab before the first name", "\tX-A: b\r\n", false },
+        { "blank before a later name", "X-A: b\r\n X-B: c\r\n", false },
+        { "tab before a later name", "X-A: b\r\n\tX-B: c\r\n", false },
+        { "blank before a name after an empty value", "X-A:\r\n X-B: c\r\n", false },
+        { "blank before a length", "X-A: b\r\n Content-Length: 2\r\n", false },
+        { "line of blanks", "X-A: b\r\n \t\r\n", false },
+        { "line of blanks after an empty value", "X-A:\r\n \r\n", false },
+        { "two continuation lines", "X-A: b\r\n c\r\n d\r\n", false },
+        { "control byte in a value", "X-A: b\x01\r\n", false },
+        { "zero byte in a value", std::string("X-A: b\0c\r\n", 10), false },
+        { "delete byte in a value", "X-A: b\x7f\r\n", false },
+        { "carriage return in a value", "X-A: b\rX-B: c\r\n", false },
+        { "line feed alone", "X-A: b\nX-B: c\r\n", false },
+    }));
+    std::size_t step = readSize();
+    CAPTURE(row.name_, step);
+    SECTION("in the head")
+    {
+        AnswerReader reader(AnswerBounds {});
+        CHECK(isAnswer(reader, ok + row.lines_ + body, step) == row.isValid_);
+    }
+    SECTION("at the end of the head")
+    {
+        AnswerReader reader(AnswerBounds {});
+        CHECK(isAnswer(reader, ok + "Content-Length: 4\r\n" + row.lines_ + "\r\nbody", step) == row.isValid_);
+    }
+    SECTION("in an interim answer")
+    {
+        AnswerReader reader(AnswerBounds {});
+        CHECK(isAnswer(reader, "HTTP/1.1 103 Early Hints\r\n" + row.lines_ + "\r\n" + ok + body, step) == row.isValid_);
+    }
+    SECTION("in the trailers")
+    {
+        AnswerReader reader(AnswerBounds {});
+        CHECK(isAnswer(reader, ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + row.lines_ + "\r\n", step) == row.isValid_);
+    }
+}
--- a/unittests/Forward/InvalidAnswerTest.cpp
+++ b/unittests/Forward/InvalidAnswerTest.cpp
@@ -82,6 +82,13 @@
         { "status 000 without an id", "HTTP/1.1 000 X\r\n" + whole },
         { "status 000 that says not run", "HTTP/1.1 000 X\r\n" + fields + "Not-Run: 1\r\n" + whole },
         { "status 000 after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n" + fields + whole },
+        { "blank in a name", ok + "X Odd: b\r\n" + whole },
+        { "control byte in a name", ok + "X\x01Odd: b\r\n" + whole },
+        { "byte of 0x80 in a name", ok + "X\x80Odd: b\r\n" + whole },
+        { "blank before the colon", ok + "X-Odd : b\r\n" + whole },
+        { "blank before a name", ok + " X-Odd: b\r\n" + whole },
+        { "blank before a length", "HTTP/1.1 500 Error\r\n" + fields + " Content-Length: 4\r\n" + whole },
+        { "control byte in a value", ok + "X-Odd: b\x01\r\n" + whole },
         { "no reason", "HTTP/1.1 200\r\n" + fields + whole },
         { "another version", "HTTP/2.0 200 OK\r\n" + fields + whole },
     }));
