Answers: a body in an unknown transfer encoding, or with two lengths, is no answer

Beast reads a body with a transfer encoding other than chunks until the end of the connection, or by a length that follows that field, and does not decode it. The field is one of a single connection, so that the caller got a body that was not the server's, as a whole one. RFC 9112, section 6.3, ignores the length there, so that the two ends may also disagree on where the answer ends.

AnswerParser accepts no encoding but chunks, once and in HTTP/1.1. A length that is stated repeatedly, or as a list, is kept as one number, which an answer to HEAD passes on.

Lengths that differ, and a length together with chunks, were refused before.

--- a/lib/Answers/AnswerReader.cpp
+++ b/lib/Answers/AnswerReader.cpp
@@ -26,6 +26,16 @@
     return at[1] == ' ' || at[1] == '\t';
 }
 
+/// Whether the body is in chunks or has no transfer encoding. No other one is decoded, so the caller
+/// would get a body that is not the server's, or one that ends elsewhere.
+static bool isEncodingKnown(const AnswerParser::value_type& message)
+{
+    auto [first, last] = message.equal_range(http::field::transfer_encoding);
+    if (first == last)
+        return true;
+    return message.version() == 11 && std::next(first) == last && beast::iequals(first->value(), "chunked");
+}
+
 void AnswerParser::on_field_impl(http::field field, beast::string_view name, beast::string_view value, beast::error_code& code)
 {
     code = {};
@@ -40,6 +50,10 @@
     code = {};
     if (!isAnswerStatus(get().result_int()))
         code = http::error::bad_status;
+    else if (!isEncodingKnown(get()))
+        code = http::error::bad_transfer_encoding;
+    else if (auto length = content_length())
+        get().set(http::field::content_length, std::to_string(*length));
 }
 
 AnswerReader::AnswerReader(AnswerBounds bounds, BodyFollows bodyFollows)
--- a/unittests/Answers/InvalidHeadTest.cpp
+++ b/unittests/Answers/InvalidHeadTest.cpp
@@ -156,3 +156,72 @@
         CHECK(isAnswer(reader, ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + row.lines_ + "\r\n", step) == row.isValid_);
     }
 }
+
+// Guards against a body of another length than the server's, and one in an encoding that is not
+// removed (RFC 9112, section 6).
+TEST_CASE("an answer states the length of its body in one way", "[answers]")
+{
+    struct Row {
+        const char* name_;
+        std::string head_;
+        std::string rest_;
+        bool isValid_;
+    };
+    const std::string chunks = "4\r\nbody\r\n0\r\n\r\n";
+    const std::string both = "4\r\nbody";
+    auto row = GENERATE_COPY(values<Row>({
+        { "length", ok + "Content-Length: 4", "body", true },
+        { "equal lengths", ok + "Content-Length: 4\r\nContent-Length: 4", "body", true },
+        { "list of equal lengths", ok + "Content-Length: 4, 4", "body", true },
+        { "length with leading zeros", ok + "Content-Length: 0004", "body", true },
+        { "chunks", ok + "Transfer-Encoding: Chunked", chunks, true },
+        { "end of the connection", ok + "X-A: b", "body", true },
+        { "different lengths", ok + "Content-Length: 4\r\nContent-Length: 3", "body", false },
+        { "list of different lengths", ok + "Content-Length: 4, 3", "body", false },
+        { "empty length", ok + "Content-Length: ", "body", false },
+        { "length with a sign", ok + "Content-Length: +4", "body", false },
+        { "negative length", ok + "Content-Length: -4", "body", false },
+        { "hexadecimal length", ok + "Content-Length: 0x4", "body", false },
+        { "length and a word", ok + "Content-Length: 4 b", "body", false },
+        { "length beyond 64 bits", ok + "Content-Length: 18446744073709551620", "body", false },
+        { "length before chunks", ok + "Content-Length: 4\r\nTransfer-Encoding: chunked", both, false },
+        { "length after chunks", ok + "Transfer-Encoding: chunked\r\nContent-Length: 4", both, false },
+        { "length before another encoding", ok + "Content-Length: 4\r\nTransfer-Encoding: gzip", "body", false },
+        { "length after another encoding", ok + "Transfer-Encoding: gzip\r\nContent-Length: 4", "body", false },
+        { "length after an unknown encoding", ok + "Transfer-Encoding: xchunked\r\nContent-Length: 4", "body", false },
+        { "length after an empty encoding", ok + "Transfer-Encoding: \r\nContent-Length: 4", "body", false },
+        { "another encoding", ok + "Transfer-Encoding: gzip", "body", false },
+        { "another encoding in chunks", ok + "Transfer-Encoding: gzip, chunked", chunks, false },
+        { "another encoding in chunks, two fields", ok + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", chunks, false },
+        { "chunks in another encoding", ok + "Transfer-Encoding: chunked, gzip", chunks, false },
+        { "chunks twice", ok + "Transfer-Encoding: chunked, chunked", chunks, false },
+        { "chunks twice, two fields", ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunks, false },
+        { "chunks with a parameter", ok + "Transfer-Encoding: chunked;q=1", chunks, false },
+        { "chunks of HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", chunks, false },
+        { "blank before the size of a chunk", ok + "Transfer-Encoding: chunked", " 4\r\nbody\r\n0\r\n\r\n", false },
+        { "sign before the size of a chunk", ok + "Transfer-Encoding: chunked", "+4\r\nbody\r\n0\r\n\r\n", false },
+        { "prefix before the size of a chunk", ok + "Transfer-Encoding: chunked", "0x4\r\nbody\r\n0\r\n\r\n", false },
+        { "size of a chunk beyond 64 bits", ok + "Transfer-Encoding: chunked", "10000000000000004\r\nbody\r\n0\r\n\r\n", false },
+        { "chunk longer than its size", ok + "Transfer-Encoding: chunked", "3\r\nbody\r\n0\r\n\r\n", false },
+        { "line feed alone after the size of a chunk", ok + "Transfer-Encoding: chunked", "4\nbody\r\n0\r\n\r\n", false },
+        { "length in the trailers", ok + "Transfer-Encoding: chunked", "4\r\nbody\r\n0\r\nContent-Length: 4\r\n\r\n", false },
+    }));
+    std::size_t step = readSize();
+    CAPTURE(row.name_, step);
+    AnswerReader reader(AnswerBounds {});
+    CHECK(isAnswer(reader, row.head_ + "\r\n\r\n" + row.rest_, step) == row.isValid_);
+    if (row.isValid_)
+        CHECK(reader.message().body() == "body");
+}
+
+// Guards against a length that the caller may read differently. An answer to HEAD passes it on.
+TEST_CASE("a length that is stated repeatedly is kept as one number", "[answers]")
+{
+    auto fields = GENERATE(values<std::string>({ "Content-Length: 4", "Content-Length: 4, 4", "Content-Length: 4\r\nContent-Length: 4", "Content-Length: 0004" }));
+    auto bodyFollows = GENERATE(BodyFollows::Yes, BodyFollows::No);
+    CAPTURE(fields, bodyFollows);
+    AnswerReader reader(AnswerBounds {}, bodyFollows);
+    REQUIRE(isAnswer(reader, ok + fields + "\r\n\r\n" + (bodyFollows == BodyFollows::Yes ? "body" : ""), 1000));
+    CHECK(reader.message().count("Content-Length") == 1);
+    CHECK(reader.message()["Content-Length"] == "4");
+}
--- a/unittests/Forward/InvalidAnswerTest.cpp
+++ b/unittests/Forward/InvalidAnswerTest.cpp
@@ -89,6 +89,9 @@
         { "blank before a name", ok + " X-Odd: b\r\n" + whole },
         { "blank before a length", "HTTP/1.1 500 Error\r\n" + fields + " Content-Length: 4\r\n" + whole },
         { "control byte in a value", ok + "X-Odd: b\x01\r\n" + whole },
+        { "different lengths", ok + "Content-Length: 4\r\n" + whole },
+        { "length after another encoding", ok + "Transfer-Encoding: gzip\r\n" + whole },
+        { "another encoding", ok + "Transfer-Encoding: gzip\r\n\r\nid: 1\ndata: x\n\n" },
         { "no reason", "HTTP/1.1 200\r\n" + fields + whole },
         { "another version", "HTTP/2.0 200 OK\r\n" + fields + whole },
     }));
