Answers: trailers are not fields of the head

Beast inserts trailers into the fields of the message. A plain answer is forwarded when it is complete, so that its caller got the trailers as fields of the head, among them a promise that the request has not run, or a second seal. RFC 9110, section 6.5.1, forbids this for fields that the gateway does not know.

Trailers are checked and discarded.

--- a/include/pistachioloom/Answers.h
+++ b/include/pistachioloom/Answers.h
@@ -53,7 +53,7 @@
 /// - the status is not one from 100 to 599, or is 101 (RFC 9110, section 15),
 /// - a field goes on over several lines (RFC 9112, section 5.2),
 /// - the body has an encoding other than chunks, or HTTP/1.0 states one (RFC 9112, section 6.1).
-/// A length that is stated repeatedly is kept as one number.
+/// Trailers are checked and discarded. A length that is stated repeatedly is kept as one number.
 class AnswerParser : public boost::beast::http::response_parser<ReceivedBody> {
 private:
     void on_field_impl(boost::beast::http::field field, boost::beast::string_view name, boost::beast::string_view value, boost::beast::error_code& code) override;
--- a/lib/Answers/AnswerReader.cpp
+++ b/lib/Answers/AnswerReader.cpp
@@ -41,7 +41,7 @@
     code = {};
     if (hasContinuationLine(name))
         code = http::error::bad_obs_fold;
-    else
+    else if (!is_header_done())
         get().insert(field, name, value);
 }
 
--- a/unittests/Answers/InvalidHeadTest.cpp
+++ b/unittests/Answers/InvalidHeadTest.cpp
@@ -225,3 +225,17 @@
     CHECK(reader.message().count("Content-Length") == 1);
     CHECK(reader.message()["Content-Length"] == "4");
 }
+
+// Guards against fields after the body that are taken for those of the head (RFC 9110, section 6.5.1):
+// a server would say of a request that has run that it has not.
+TEST_CASE("trailers of an answer are not fields of its head", "[answers]")
+{
+    std::size_t step = readSize();
+    CAPTURE(step);
+    AnswerReader reader(AnswerBounds {});
+    REQUIRE(isAnswer(reader, ok + "X-A: b\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-A: c\r\nNot-Run: 1\r\nConnection: close\r\n\r\n", step));
+    CHECK(reader.message().body() == "body");
+    CHECK(reader.message().count("X-A") == 1);
+    CHECK(reader.message().count("Not-Run") == 0);
+    CHECK(reader.message().keep_alive());
+}
--- a/unittests/Forward/InvalidAnswerTest.cpp
+++ b/unittests/Forward/InvalidAnswerTest.cpp
@@ -122,3 +122,17 @@
         CHECK(worker.count(Counter::Attempts) == 2);
     }
 }
+
+// Guards against a promise that a request has not run, which stands after the body of its answer.
+TEST_CASE("trailers are not passed on as fields of the head", "[forward]")
+{
+    auto status = GENERATE(values<std::string>({ "200 OK", "400 Bad Request" }));
+    CAPTURE(status);
+    ScriptedWorker worker(routeWith(false, 1), 1, faultyServer("HTTP/1.1 " + status + "\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nNot-Run: 1\r\nSeal: other\r\n\r\n"));
+    ScriptedWorker::CallerAnswer answer = worker.call(request);
+    CAPTURE(answer.bytes_);
+    CHECK(answer.bytes_.starts_with("HTTP/1.1 " + status));
+    CHECK(answer.bytes_.ends_with("\r\n\r\nbody"));
+    CHECK(answer.bytes_.find("Not-Run") == std::string::npos);
+    CHECK(answer.bytes_.find("other") == std::string::npos);
+}
