Tests: mutate answers with folded fields, trailers and repeated lengths

The corpus of answers had neither, so that the check of the line after a field was not run by the fuzz tests.

--- a/unittests/Fuzz/FuzzTest.cpp
+++ b/unittests/Fuzz/FuzzTest.cpp
@@ -99,6 +99,8 @@
                                 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
                                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\n\r\n",
                                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n",
+                                "HTTP/1.1 200 OK\r\nX: y\r\n z\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\tz\r\n\r\n",
+                                "HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\nContent-Length: 2\r\n\r\nok",
                                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
                                 "HTTP/1.0 500 Error\r\nConnection: close\r\n\r\nuntil the end",
                             });
