Tests: invalid heads on kept connections and in resumed streams

The scripts build what they send before they await: with a conditional operator among the arguments of an awaited call one script aborted with a double free, which an assignment before it avoids.

--- a/unittests/Forward/InvalidAnswerTest.cpp
+++ b/unittests/Forward/InvalidAnswerTest.cpp
@@ -35,7 +35,8 @@
 ServerScript faultyServer(const std::string& first)
 {
     return [first](tcp::socket& socket, const ReceivedRequest& received) -> asio::awaitable<bool> {
-        co_await send(socket, received.total_ == 1 ? first : soundAnswer);
+        std::string bytes = received.total_ == 1 ? first : soundAnswer;
+        co_await send(socket, std::move(bytes));
         co_return false;
     };
 }
@@ -123,6 +124,58 @@
     }
 }
 
+// Guards against the same where the connection has served another request, and where a stream is
+// resumed after its first event.
+TEST_CASE("an invalid head on a kept connection or of a resumed stream fails its attempt", "[forward]")
+{
+    auto answer = GENERATE_COPY(values<std::string>({
+        "HTTP/1.1 000 X\r\n" + fields + whole,
+        "HTTP/1.1 600 X\r\n" + fields + whole,
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + whole,
+        ok + " X-Odd: b\r\n" + whole,
+        ok + "X Odd: b\r\n" + whole,
+        ok + "Transfer-Encoding: gzip\r\n" + whole,
+    }));
+    CAPTURE(answer);
+    SECTION("kept connection")
+    {
+        int faulty = 0;
+        ScriptedWorker worker(routeWith(false, 2), 1, [&](tcp::socket& socket, const ReceivedRequest& received) -> asio::awaitable<bool> {
+            bool isFaulty = received.number_ == 2;
+            faulty += isFaulty;
+            std::string bytes = isFaulty ? answer : soundAnswer;
+            co_await send(socket, std::move(bytes));
+            co_return !isFaulty;
+        });
+        for (int i = 0; i < 2; ++i)
+            CHECK(worker.call(request).bytes_.ends_with("\r\n\r\n" + soundBody));
+        CHECK(faulty == 1);
+        CHECK(worker.requests() == 3);
+    }
+    SECTION("resumed stream")
+    {
+        ScriptedWorker worker(routeWith(true, 3), 2, [&](tcp::socket& socket, const ReceivedRequest& received) -> asio::awaitable<bool> {
+            std::string bytes = ok + "Transfer-Encoding: chunked\r\n\r\n";
+            if (received.total_ == 1)
+                bytes += eventChunk(0);
+            else if (received.total_ == 2)
+                bytes = answer;
+            else
+                bytes += eventChunk(1) + "0\r\n\r\n";
+            co_await send(socket, std::move(bytes));
+            co_await sleepFor(milliseconds(20));
+            resetSocket(socket);
+            co_return false;
+        });
+        std::string bytes = worker.call(request).bytes_;
+        CAPTURE(bytes);
+        CHECK(bytes.find("whole") == std::string::npos);
+        CHECK(bytes.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(bytes.ends_with(eventChunk(0) + eventChunk(1) + "0\r\n\r\n"));
+        CHECK(worker.requests() == 3);
+    }
+}
+
 // Guards against a promise that a request has not run, which stands after the body of its answer.
 TEST_CASE("trailers are not passed on as fields of the head", "[forward]")
 {
