Gateway: a request that was read as the process ends is answered

At the end of the grace time a node went on accepting and reading until its event loops stopped, and closed idle connections of which bytes had been read that the event loop had not handled yet. The connection of such a request ended in order and without an answer, which promises nothing: its caller cannot repeat an unsafe request.

Workers now stop accepting and reading first.

--- a/include/pistachioloom/Forward.h
+++ b/include/pistachioloom/Forward.h
@@ -184,6 +184,10 @@
     std::atomic<bool> rejectsNew_ { false };
     std::atomic<std::size_t> running_ { 0 };
     std::atomic<std::size_t> connections_ { 0 };
+    /// The number of workers that accept connections.
+    std::atomic<std::size_t> acceptors_ { 0 };
+    /// The number of connections from which requests are read, or of which one is not answered yet.
+    std::atomic<std::size_t> serving_ { 0 };
     /// The number of nodes that share the connections that a backend server accepts.
     std::atomic<std::uint64_t> nodes_ { 1 };
     /// The number of workers of this node, which divide the node's share among them.
@@ -217,8 +221,9 @@
     /// Closes the connections that have no request in progress now and had none at the
     /// previous call. The others close after their answer.
     void closeIdle();
-    /// Ends the requests in progress, those without a part of their answer with a failure, and closes
-    /// all connections.
+    /// Ends the requests in progress, those without a part of their answer with a failure. Stops
+    /// accepting and reading: what was read is answered, and what was not read stays unread, so
+    /// that a reset tells its caller so.
     void abortAll();
 
 private:
--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -50,7 +50,7 @@
 {
     std::vector<char> chunk(readSize);
     for (;;) {
-        if (!socket_.is_open())
+        if (!socket_.is_open() || (stopsReading_ && isIdle_ && input_.empty()))
             break;
         if (input_.size() >= maxBuffered) {
             (void)co_await inputConsumed_.waitUntil(steadyNow() + bodyReadTimeout);
@@ -177,7 +177,7 @@
             co_return badRequest(reader, *intake.memory_);
         if (isDisconnected_)
             co_return std::nullopt;
-        if (isAbortedByNode_)
+        if (isAbortedByNode_ || stopsReading_)
             co_return endReading(503, "this node is stopping", stoppingRetryAfter);
         co_await sendContinue(reader);
         SteadyTime until = body ? std::min(arrivedAt + bodyReadTimeout, body->deadline()) : startedAt + intake.bounds_.headerTimeout_;
@@ -214,6 +214,15 @@
 
 void CallerConnection::abortByNode()
 {
+    // Bytes that were just read are not in the input until the event loop has run, and must be
+    // answered.
+    if (isIdle_) {
+        stopsReading_ = true;
+        boost::system::error_code ignored;
+        if (input_.empty())
+            socket_.cancel(ignored);
+        return;
+    }
     isAbortedByNode_ = !isDisconnected_;
     bool isAnswered = isAbortedByNode_ && (isReading_ || (endHook_ && endHook_()));
     if (isAnswered && isReading_)
--- a/lib/Forward/CallerConnection.h
+++ b/lib/Forward/CallerConnection.h
@@ -61,7 +61,7 @@
     /// answer, so that the connection must stay open for it.
     void setEndHook(std::function<bool()> hook) { endHook_ = std::move(hook); }
     /// Ends the request that is arriving or in progress: with an answer if none has begun, or else by
-    /// closing the connection.
+    /// closing the connection. Without a request, stops reading, and then closes the connection.
     void abortByNode();
     bool isAbortedByNode() const { return isAbortedByNode_; }
     /// Resets the connection, so that an answer that ends with it does not seem complete.
@@ -96,6 +96,8 @@
     std::function<bool()> endHook_;
     bool isDisconnected_ = false;
     bool isAbortedByNode_ = false;
+    /// Whether no request is read that begins later.
+    bool stopsReading_ = false;
     bool discardsInput_ = false;
     /// Whether a part of a request has arrived.
     bool isReading_ = false;
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -40,6 +40,7 @@
     void acceptWaiting();
     asio::awaitable<void> admitLoop();
     void closeUnread(tcp::socket& socket);
+    void stopAccepting();
     asio::awaitable<void> serveConnection(std::shared_ptr<CallerConnection> caller);
     asio::awaitable<bool> serveRequests(std::shared_ptr<CallerConnection> caller);
     asio::awaitable<void> answerBadRequest(CallerConnection& caller, const Error& error);
@@ -60,6 +61,8 @@
     std::deque<AcceptedConnection> accepted_;
     AutoResetEvent hasAccepted_;
     AcceptGate gate_;
+    /// Whether accepted connections stay unread.
+    bool stopsAccepting_ = false;
     std::unordered_set<std::shared_ptr<CallerConnection>> callers_;
     Logger logger_ { "forward" };
 };
@@ -105,6 +108,7 @@
 /// \returns whether an answer to the caller may still be in flight.
 asio::awaitable<bool> ForwardWorker::State::serveRequests(std::shared_ptr<CallerConnection> caller)
 {
+    CountGuard serving(context_.serving_);
     for (;;) {
         auto memory = std::make_unique<MemoryShare>(context_.bodyMemory_, context_.settings_.maxBodyMemory_);
         RequestIntake intake { bounds(), std::move(memory), [this](const RequestReader& reader) { return timeLimitOf(reader); }, context_.arriving_ };
@@ -127,6 +131,10 @@
 /// flight must stay unread, so that a reset tells its caller that it has not run.
 asio::awaitable<void> ForwardWorker::State::serveConnection(std::shared_ptr<CallerConnection> caller)
 {
+    if (stopsAccepting_) {
+        caller->reset();
+        co_return;
+    }
     CountGuard counted(context_.connections_);
     callers_.insert(caller);
     caller->start();
@@ -157,6 +165,16 @@
     context_.metrics_.add(Counter::ConnectionsUnread);
 }
 
+/// Closes the connections that wait, in the kernel too, and from which nothing was read.
+void ForwardWorker::State::stopAccepting()
+{
+    stopsAccepting_ = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (AcceptedConnection& connection : std::exchange(accepted_, {}))
+        closeUnread(connection.socket_);
+}
+
 /// Accepts the connections that wait in the kernel, so that their waiting time is known.
 void ForwardWorker::State::acceptWaiting()
 {
@@ -172,9 +190,10 @@
 
 asio::awaitable<void> ForwardWorker::State::acceptLoop()
 {
+    CountGuard accepting(context_.acceptors_);
     for (;;) {
         auto [code, socket] = co_await acceptor_.async_accept(asTuple);
-        if (code == asio::error::operation_aborted)
+        if (code == asio::error::operation_aborted || !acceptor_.is_open())
             co_return;
         if (code) {
             logger_.warn("Accept failed: " + code.message() + ".");
@@ -269,6 +288,7 @@
 void ForwardWorker::abortAll()
 {
     asio::post(state_->io_, [state = state_] {
+        state->stopAccepting();
         for (const auto& caller : state->callers_)
             caller->abortByNode();
     });
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -243,15 +243,15 @@
             worker->closeIdle();
         co_await sleepFor(drainPeriod);
     }
-    if (context_.forward_.running_ || context_.forward_.arriving_) {
+    if (context_.forward_.running_ || context_.forward_.arriving_)
         logger_.warn(LogLine("Requests that still run at the end of the grace time are aborted.").add("running", static_cast<std::int64_t>(context_.forward_.running_)).add("arriving", static_cast<std::int64_t>(context_.forward_.arriving_)));
-        for (const auto& worker : workers_)
-            worker->abortAll();
-        SteadyTime answeredBy = steadyNow() + drainMargin / 2;
-        do
-            co_await sleepFor(drainPeriod);
-        while ((context_.forward_.running_ || context_.forward_.arriving_) && steadyNow() < answeredBy);
-    }
+    // Also without a request: one that has been read when the process ends would get no answer.
+    for (const auto& worker : workers_)
+        worker->abortAll();
+    SteadyTime answeredBy = steadyNow() + drainMargin / 2;
+    do
+        co_await sleepFor(drainPeriod);
+    while ((context_.forward_.acceptors_ || context_.forward_.serving_) && steadyNow() < answeredBy);
     logger_.info("Stopped.");
     for (const auto& io : ios_)
         io->stop();
--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -387,3 +387,47 @@
         runs += stop.received(id);
     CHECK(runs == served);
 }
+
+// Guards against a request that the node reads and does not answer, since the process ends in between. Its
+// caller cannot tell that it has not run.
+TEST_CASE("a request that arrives while the process ends is read and not answered", "[gateway]")
+{
+    constexpr int rounds = 4;
+    constexpr int callerCount = 24;
+    std::map<std::string, int> ends;
+    for (int round = 0; round < rounds; ++round) {
+        PlannedStop stop(1);
+        std::vector<std::future<std::map<std::string, int>>> callers;
+        SteadyTime signalAt = steadyNow() + milliseconds(200);
+        for (int caller = 0; caller < callerCount; ++caller) {
+            callers.push_back(std::async(std::launch::async, [&, caller, signalAt] {
+                std::map<std::string, int> seen;
+                std::this_thread::sleep_until(signalAt + graceEnd - milliseconds(100));
+                while (timeSince(signalAt) < killTime) {
+                    CallerResult result = runAttempt(stop.gateway(0).callers_, { "c" + std::to_string(caller), "/long/x", "0", {}, {}, {} }, steadyNow());
+                    ++seen[result.status_ ? std::to_string(result.status_) : result.end_.message()];
+                    if (!result.isConnected_)
+                        break;
+                }
+                return seen;
+            }));
+        }
+        // A node without connections would end before.
+        auto waiting = std::async(std::launch::async, [&, signalAt] { return runAttempt(stop.gateway(0).callers_, { "waits", "/long/x", frozen, {}, {}, {} }, signalAt - milliseconds(100)); });
+        std::this_thread::sleep_until(signalAt);
+        stop.gateway(0).process_->signal(SIGTERM);
+        CHECK(waiting.get().status_ == 502);
+        for (auto& caller : callers) {
+            for (const auto& [end, count] : caller.get())
+                ends[end] += count;
+        }
+        CHECK(stop.gateway(0).process_->wait(killTime) == 0);
+    }
+    std::string seen;
+    for (const auto& [end, count] : ends)
+        seen += end + ": " + std::to_string(count) + "; ";
+    CAPTURE(seen);
+    CHECK(ends["503"] > 100);
+    CHECK(ends["200"] == 0);
+    CHECK(ends["end of stream"] == 0);
+}
