Forward: an answer that is being written at the end of the grace time goes on

A whole answer that its caller reads slowly was cut at the end of the grace time, 0.7 s before the process has to end, although no server is needed for the rest of it. It now goes on until the process ends, 0.35 s later at most.

PlannedStop, "an answer that is being written at the end of the grace time is cut" (7.5 MB, read from 50 ms after the end): before 2 of 2 answers incomplete, now none.

--- a/lib/Forward/Answering.cpp
+++ b/lib/Forward/Answering.cpp
@@ -84,7 +84,9 @@
     hasStartedAnswer_ = true;
     BodySent sent = isHead() ? BodySent::No : BodySent::Yes;
     std::string bytes = renderAnswer(answer.status_, answer.fields_, answer.body_, announcedIdle(), sent);
+    isWritingAnswer_ = true;
     bool isWritten = co_await caller_->write(std::move(bytes));
+    isWritingAnswer_ = false;
     context_.metrics_.add(isWritten && answer.status_ < 400 ? Counter::RequestsFinished : Counter::RequestsFailed);
     co_return isWritten;
 }
--- a/lib/Forward/RequestForwarder.cpp
+++ b/lib/Forward/RequestForwarder.cpp
@@ -273,7 +273,7 @@
 bool RequestForwarder::endByNode()
 {
     if (hasStartedAnswer_)
-        return false;
+        return isWritingAnswer_;
     stop(StopReason::NodeStopping);
     return true;
 }
--- a/lib/Forward/RequestForwarder.h
+++ b/lib/Forward/RequestForwarder.h
@@ -338,6 +338,8 @@
     /// started.
     bool hasCountedStart_ = false;
     bool hasStartedAnswer_ = false;
+    /// Whether a whole answer is being written, so that no server is needed for the rest of it.
+    bool isWritingAnswer_ = false;
     /// The status of the answer that has been started.
     int startedStatus_ = 0;
     /// Whether the caller has the complete answer.
--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -329,6 +329,23 @@
     CHECK(stop.gateway(0).process_->wait(killTime) == 0);
 }
 
+// Guards against an answer of which the caller has read a part only at the end of the grace time, and that is cut
+// although the process goes on.
+TEST_CASE("an answer that is being written at the end of the grace time is cut", "[gateway]")
+{
+    PlannedStop stop(1);
+    std::vector<CallerAttempt> attempts;
+    for (int sent : { -300, 200 })
+        attempts.push_back({ "a" + std::to_string(attempts.size()), "/long/x", large, milliseconds(sent), {}, {}, graceEnd + milliseconds(50) });
+    auto results = stop.run(attempts, 0, [&] { stop.gateway(0).process_->signal(SIGTERM); });
+    for (std::size_t i = 0; i < attempts.size(); ++i) {
+        CAPTURE(attempts[i].sentAt_.count(), results[i].end_.message(), results[i].endedAt_.count());
+        CHECK(stop.received(attempts[i].id_) == 1);
+        CHECK(results[i].status_ == 200);
+    }
+    CHECK(stop.gateway(0).process_->wait(killTime) == 0);
+}
+
 // Guards against requests that are lost where one gateway after the other stops: callers return to another
 // gateway where they have been told that the request has not run.
 TEST_CASE("a request is lost while gateways stop in series", "[gateway]")
