Test: endless bytes through peers, from the platform, before a request and at a slow pace

EndlessAnswers covered requests and streams. New rows: streams through a peer, bytes before a request or during an upload that is not read, bytes at a pace that reaches no limit of size, and answers of the platform.

--- a/test/EndlessAnswersTest.cpp
+++ b/test/EndlessAnswersTest.cpp
@@ -64,10 +64,13 @@
     milliseconds took_ {};
 };
 
-CallResult timedCall(const GatewayDeployment& deployment, const std::string& path, const std::string& id)
+/// With \p bodySize greater than 0 the request is a POST with a body.
+CallResult timedCall(const GatewayDeployment& deployment, const std::string& path, const std::string& id, std::size_t bodySize = 0)
 {
+    HttpRequest request = gatewayRequest(bodySize ? "POST" : "GET", path, id);
+    request.body_ = std::string(bodySize, 'x');
     SteadyTime startedAt = steadyNow();
-    HttpResponse answer = deployment.call(deployment.gateways()[0], gatewayRequest("GET", path, id));
+    HttpResponse answer = deployment.call(deployment.gateways()[0], request);
     return { answer.status_, answer.body_, std::chrono::duration_cast<milliseconds>(steadyNow() - startedAt) };
 }
 
@@ -85,7 +88,7 @@
         , deployment_(reached == Reached::Directly ? GatewayDeploymentOptions {} : optionsWithViews(2))
     {
         if (reached == Reached::ThroughPeer)
-            deployment_.setView(deployment_.gateways()[0], { { "p-1", closedAddress }, { "p-2", closedAddress } });
+            deployment_.setView(deployment_.gateways()[0], { { "p-1", closedAddress }, { "p-2", closedAddress }, { "e-1", closedAddress }, { "e-2", closedAddress } });
         deployment_.putConfiguration(1);
         for (std::size_t i = 0; i < servers_.size(); ++i)
             deployment_.registerBackend(backends[i].id_, backends[i].service_, servers_[i].endpoint().toString(), "up");
@@ -97,12 +100,12 @@
 
     /// Calls \p path of the first gateway from several callers at once. Each must get one of
     /// \p statuses within \p limit, while all gateways stay within the memory of a node.
-    void checkCalls(const std::string& path, const std::vector<int>& statuses, milliseconds limit, std::size_t callerCount = usualCallerCount)
+    void checkCalls(const std::string& path, const std::vector<int>& statuses, milliseconds limit, std::size_t callerCount = usualCallerCount, std::size_t bodySize = 0)
     {
         std::vector<CallResult> results(callerCount);
         std::vector<std::thread> callers;
         for (std::size_t i = 0; i < results.size(); ++i)
-            callers.emplace_back([&, i] { results[i] = timedCall(deployment_, path, "c" + std::to_string(i)); });
+            callers.emplace_back([&, i] { results[i] = timedCall(deployment_, path, "c" + std::to_string(i), bodySize); });
         for (std::thread& caller : callers)
             caller.join();
         CAPTURE(path, statuses);
@@ -227,3 +230,93 @@
     endless.checkCalls("/once/x", { 502 }, timeout);
     CHECK(deployment.metric(gateway, "connections_relayed_total") > usualCallerCount);
 }
+
+// Guards against bytes of a stream that pile up at a gateway that carries another one's connection.
+TEST_CASE("a stream without end that arrives through a peer ends in time and in bounded memory", "[gateway]")
+{
+    auto row = GENERATE(values<Row>({
+        { "first event", { events + "fffffffffffffff\r\n", "x" }, Answered::BeforeTimeout },
+        { "extension after an event", { events + firstEvent + "8;", "x" }, Answered::BeforeTimeout },
+        { "the same event", { events + firstEvent, firstEvent }, Answered::AtTimeout },
+    }));
+    CAPTURE(row.name_);
+    EndlessDeployment endless(row.answer_, Reached::ThroughPeer);
+    GatewayDeployment& deployment = endless.deployment();
+    const GatewayDeployment::Gateway& gateway = deployment.gateways()[0];
+    REQUIRE(waitUntil([&] {
+        (void)timedCall(deployment, "/ask/x", "probe");
+        return deployment.metric(gateway, "connections_relayed_total") > 0;
+    }));
+    endless.checkCalls("/ask/x", { 502, 0 }, row.answered_ == Answered::BeforeTimeout ? streamTimeout : streamTimeout + answerMargin);
+    CHECK(deployment.metric(gateway, "connections_relayed_total") > usualCallerCount);
+}
+
+// Guards against bytes that are read without bound, or taken for an answer, although the request has not
+// been written completely or not at all.
+TEST_CASE("bytes without end before or during the request fail in time and in bounded memory", "[gateway]")
+{
+    constexpr std::size_t longBody = 1'000'000;
+    struct WriteRow {
+        const char* name_;
+        EndlessAnswer answer_;
+        std::size_t bodySize_;
+    };
+    auto row = GENERATE(values<WriteRow>({
+        { "no HTTP before the request", { "", "garbage ", {}, true }, 0 },
+        { "an answer before the request", { "HTTP/1.1 200 OK\r\nX-Pistachioloom-Engine-Seal: s\r\n\r\n", "x", {}, true }, 0 },
+        { "fields during an upload that is not read", { ok, "X-Filler: x\r\n" }, longBody },
+        { "body during an upload that is not read", { ok + "\r\n", "x" }, longBody },
+        { "interim answers during an upload that is not read", { "", "HTTP/1.1 100 Continue\r\n\r\n" }, longBody },
+    }));
+    CAPTURE(row.name_);
+    EndlessDeployment endless(row.answer_);
+    for (const char* path : { "/once/x", "/safe/x" })
+        endless.checkCalls(path, { 502 }, timeout, usualCallerCount, row.bodySize_);
+}
+
+// Guards against a request that is held beyond its timeout, because bytes keep coming at a pace at which no
+// limit of size is reached.
+TEST_CASE("bytes without end at a slow pace fail at the timeout", "[gateway]")
+{
+    constexpr milliseconds pause { 20 };
+    struct SlowRow {
+        const char* path_;
+        EndlessAnswer answer_;
+    };
+    auto row = GENERATE_COPY(values<SlowRow>({
+        { "/once/x", { ok, "X-Filler: x\r\n", pause } },
+        { "/safe/x", { ok + "\r\n", "x", pause } },
+        { "/once/x", { chunked + "8;", "x", pause } },
+        { "/safe/x", { chunked + "0\r\nX-Filler: ", "x", pause } },
+    }));
+    EndlessDeployment endless(row.answer_);
+    endless.checkCalls(row.path_, { 502, 504 }, timeout + answerMargin);
+}
+
+// Guards against answers of the platform that are read without bound: a node makes several calls at a time,
+// and makes them again as soon as they fail.
+TEST_CASE("answers without end from the platform stay in bounded memory", "[gateway]")
+{
+    constexpr milliseconds runTime { 2000 };
+    const std::string plainOk = "HTTP/1.1 200 OK\r\n";
+    struct PlatformRow {
+        const char* name_;
+        EndlessAnswer answer_;
+    };
+    auto row = GENERATE_COPY(values<PlatformRow>({
+        { "fields", { plainOk, "X-Filler: x\r\n" } },
+        { "body without a length", { plainOk + "\r\n", "x" } },
+        { "chunks", { plainOk + "Transfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n" } },
+        { "trailers", { plainOk + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: x\r\n" } },
+    }));
+    CAPTURE(row.name_);
+    EndlessServer platform(row.answer_);
+    GatewayDeploymentOptions options;
+    options.platformEndpointFor_ = [&](const std::string&, const Endpoint&) { return platform.endpoint(); };
+    GatewayDeployment deployment(options);
+    std::this_thread::sleep_for(runTime);
+    GatewayDeployment::Gateway& gateway = deployment.gateways()[0];
+    CHECK(gateway.process_->isRunning());
+    CHECK(gateway.process_->peakMemory().value_ < nodeMemory);
+    CHECK_FALSE(deployment.isReady(gateway));
+}
--- a/test/Platform/EndlessServer.cpp
+++ b/test/Platform/EndlessServer.cpp
@@ -59,16 +59,22 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     std::string request;
-    auto [readCode, size] = co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asTuple);
+    boost::system::error_code readCode;
+    std::size_t size = 0;
+    if (!answer_.precedesRequest_)
+        std::tie(readCode, size) = co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asTuple);
     if (readCode)
         co_return;
     std::string bytes = boost::replace_all_copy(answer_.beginning_, "ID", attemptIdOf(request));
     auto [beginCode, begun] = co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
-    std::string repeated;
-    while (repeated.size() + answer_.repeated_.size() <= writeSize)
+    std::string repeated = answer_.repeated_;
+    while (!answer_.pause_.count() && repeated.size() + answer_.repeated_.size() <= writeSize)
         repeated += answer_.repeated_;
-    for (boost::system::error_code code = beginCode; !code;)
+    for (boost::system::error_code code = beginCode; !code;) {
         std::tie(code, size) = co_await asio::async_write(socket, asio::buffer(repeated), asTuple);
+        if (answer_.pause_.count())
+            co_await sleepFor(answer_.pause_);
+    }
 }
 
 } // namespace pistachioloom::test
--- a/test/Platform/EndlessServer.h
+++ b/test/Platform/EndlessServer.h
@@ -1,7 +1,7 @@
 //===- test/Platform/EndlessServer.h - server that never stops sending ----===//
 ///
 /// \file
-/// A backend server that answers every request with a beginning and then one text again and
+/// A server that answers every request with a beginning and then one text again and
 /// again, until the other end closes the connection.
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -18,6 +18,10 @@
     /// "ID" is replaced with the id of the caller's attempt.
     std::string beginning_;
     std::string repeated_;
+    /// Time between two repetitions. With 0 they are sent as fast as they are read.
+    milliseconds pause_ {};
+    /// Whether the answer begins with the connection, before a request. It then has no id.
+    bool precedesRequest_ = false;
 };
 
 /// Serves on a loopback port until its destruction.
