Forward: connections that end unread with the process are reset

A connection without a request was closed in order at the end of the process, so that a request that arrived after it left open whether it had been read. A connection that was accepted as the acceptor closed was too. Both are reset now.

--- a/lib/Forward/CallerConnection.cpp
+++ b/lib/Forward/CallerConnection.cpp
@@ -88,6 +88,9 @@
 asio::awaitable<bool> CallerConnection::waitForRequest(SteadyTime idleUntil)
 {
     while (input_.empty()) {
+        // A request that arrives after an orderly close would leave open whether it was read.
+        if (isDisconnected_ && stopsReading_)
+            setResetOnClose(true);
         if (isDisconnected_)
             co_return false;
         if (co_await inputArrived_.waitUntil(idleUntil))
--- a/lib/Forward/Worker.cpp
+++ b/lib/Forward/Worker.cpp
@@ -193,7 +193,9 @@
     CountGuard accepting(context_.acceptors_);
     for (;;) {
         auto [code, socket] = co_await acceptor_.async_accept(asTuple);
-        if (code == asio::error::operation_aborted || !acceptor_.is_open())
+        if (!code && stopsAccepting_)
+            closeUnread(socket);
+        if (code == asio::error::operation_aborted || stopsAccepting_)
             co_return;
         if (code) {
             logger_.warn("Accept failed: " + code.message() + ".");
