Forward: an answer that is reset during the upload is not whole

A backend server answered with a 200 without a length while its request was still being written, and reset the connection. The kernel reports a reset once. The write received it, and the read that followed saw an orderly end, which ends such an answer. The error of the write was used only to keep the connection out of the pool.

The connection now keeps the error of its write, and a read that reports the end fails with it. A write error of broken_pipe is no reset: it follows an orderly end that arrived earlier.

--- a/lib/Answers/AnswerReader.cpp
+++ b/lib/Answers/AnswerReader.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "pistachioloom/Answers.h"
 
+#include <boost/asio/error.hpp>
+
 namespace pistachioloom {
 
 namespace beast = boost::beast;
@@ -141,4 +143,9 @@
     return Progress::Advanced;
 }
 
+beast::error_code errorAtEnd(const beast::error_code& writeError)
+{
+    return writeError == boost::asio::error::broken_pipe ? beast::error_code() : writeError;
+}
+
 } // namespace pistachioloom
--- a/lib/Forward/ConnectionPool.h
+++ b/lib/Forward/ConnectionPool.h
@@ -42,6 +42,10 @@
     /// and its bytes arrive at the time at which it completes.
     bool isReceiveBufferEmpty() const;
 
+    /// Returns the error that ended the connection when a read reports the end, or no error if the
+    /// backend server closed it in order.
+    boost::system::error_code errorAtEnd() const;
+
     // NOLINTBEGIN(readability-identifier-naming): Asio requires these names of a stream.
     executor_type get_executor() { return socket_.get_executor(); }
 
@@ -85,9 +89,10 @@
     /// The time after which the connection is not used, as the server may be closing it.
     SteadyTime usableUntil_ {};
     bool isReused_ = false;
-    /// Whether the write of the request is still in progress or has failed. In both cases
-    /// the connection cannot be reused.
+    /// Whether the write of the request is still in progress.
     bool isWriting_ = false;
+    /// Why the write of the request failed, if it did.
+    boost::system::error_code writeError_;
     /// The number of connections to the same backend server. This connection is counted
     /// until its destruction.
     std::shared_ptr<std::size_t> openCount_;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -200,7 +200,8 @@
     std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoing->head_), asio::buffer(request_.body_) };
     attempt.connection_->isWriting_ = true;
     asio::async_write(*attempt.connection_, buffers, [outgoing, connection = attempt.connection_](const beast::error_code& code, std::size_t) {
-        connection->isWriting_ = static_cast<bool>(code);
+        connection->isWriting_ = false;
+        connection->writeError_ = code;
     });
 }
 
@@ -293,8 +294,12 @@
         auto [code, count] = co_await attempt.connection_->async_read_some(input.prepare(readSize), asTuple);
         if (isReceiveBufferEmpty)
             attempt.connection_->arrivedAt_ = steadyNow();
-        if (code == asio::error::eof)
-            co_return reader.finish();
+        if (code == asio::error::eof) {
+            // The handler of a failed write runs before that of the read, since one thread runs both
+            // in the order of their system calls.
+            auto error = attempt.connection_->errorAtEnd();
+            co_return error ? error : reader.finish();
+        }
         if (code)
             co_return code;
         input.commit(count);
@@ -552,7 +557,7 @@
 {
     BackendConnectionPtr connection = std::move(attempt.connection_);
     currentConnection_ = nullptr;
-    if (connection->relayed_ || !reader.message().keep_alive() || reader.endsWithConnection() || connection->isWriting_ || connection->buffer_.size()) {
+    if (connection->relayed_ || !reader.message().keep_alive() || reader.endsWithConnection() || connection->isWriting_ || connection->writeError_ || connection->buffer_.size()) {
         connection->close();
         return;
     }
