Wire: a sender returns when its stream ends while the window is full

Closing a channel fails only later sends. A send that waited for a credit when its stream ended was never resumed, and kept everything it held: on a connection through a peer the request with its body, the connection and its place in the count of open connections. After 12 requests of 4 MB that were answered before they were written, the gateway refused all bodies ("the bodies of all requests together are too large").

The waiting sends are cancelled too. The new test "sending on a stream does not return when the stream ends" waits 5 s in vain without the change.

The other new test shows that a link whose write receives the error of a reset does not make its streams look ended: 20 of 20 streams fail with either end of the link, before and after, since a stream ends in order by a frame only.

--- a/lib/Wire/PeerLink.cpp
+++ b/lib/Wire/PeerLink.cpp
@@ -308,7 +308,9 @@
         stream.isCancelled_ = true;
     stream.isFailed_ = errorCode != NGHTTP2_NO_ERROR;
     stream.endFrames();
+    // Closing a channel fails later sends only. The sends that wait for a credit are cancelled.
     stream.sendCredits_.close();
+    stream.sendCredits_.cancel();
 }
 
 void PeerLink::decodeFrames(LinkStream& stream, std::string_view data)
--- a/unittests/Wire/PeerStreamTest.cpp
+++ b/unittests/Wire/PeerStreamTest.cpp
@@ -496,3 +496,87 @@
     io.run();
     CHECK(answered == std::vector<bool> { false, true });
 }
+
+namespace {
+
+/// Accepts one connection, forwards it to \p server, and ends it after some bytes of the server while bytes of
+/// the pool are not read.
+asio::awaitable<void> endConnectionWhileWriting(std::shared_ptr<asio::ip::tcp::acceptor> acceptor, Endpoint server, bool isReset)
+{
+    constexpr std::size_t maxFromPool = 64UL * 1024;
+    constexpr std::size_t maxFromServer = 16UL * 1024;
+    auto near = std::make_shared<asio::ip::tcp::socket>(co_await acceptor->async_accept(asio::use_awaitable));
+    auto far = std::make_shared<asio::ip::tcp::socket>(acceptor->get_executor());
+    asio::ip::tcp::endpoint address(asio::ip::make_address(server.host_), server.port_);
+    co_await far->async_connect(address, asio::use_awaitable);
+    asio::co_spawn(acceptor->get_executor(), forward(near, far, { milliseconds(0), maxFromPool }), asio::detached);
+    co_await forward(far, near, { milliseconds(0), maxFromServer });
+    co_await sleepFor(milliseconds(20));
+    boost::system::error_code ignored;
+    if (isReset)
+        near->set_option(asio::socket_base::linger(true, 0), ignored);
+    else
+        near->shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    near->close(ignored);
+}
+
+/// Sends frames until the stream ends.
+asio::awaitable<void> sendUntilEnd(std::shared_ptr<PeerStream> stream)
+{
+    wire::Frame frame = makeUpdate(64UL * 1024);
+    while (co_await stream->send(frame)) { }
+}
+
+} // namespace
+
+// Guards against a stream that passes for one that the peer has ended, because the link's write received
+// the error of the reset and its read saw an orderly end.
+TEST_CASE("a stream looks ended if its link ends while it is being written")
+{
+    bool isReset = GENERATE(true, false);
+    for (int i = 0; i < 20; ++i) {
+        CAPTURE(isReset, i);
+        EchoServer echo;
+        PeerPool pool(echo.io_.get_executor(), credential, {});
+        auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(echo.io_, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        Endpoint proxy { "127.0.0.1", acceptor->local_endpoint().port() };
+        asio::co_spawn(echo.io_, endConnectionWhileWriting(acceptor, echo.endpoint(), isReset), asio::detached);
+        std::promise<Errc> end;
+        auto task = [&]() -> asio::awaitable<void> {
+            wire::Frame frame;
+            frame.mutable_catalogue_fetch();
+            auto opened = co_await pool.open(proxy, frame, callTimeout);
+            asio::co_spawn(co_await asio::this_coro::executor, sendUntilEnd(opened.value()), asio::detached);
+            for (;;) {
+                auto received = co_await opened.value()->receive();
+                if (received)
+                    continue;
+                end.set_value(received.error().code_);
+                co_return;
+            }
+        };
+        asio::co_spawn(asio::make_strand(echo.io_), task, asio::detached);
+        CHECK(end.get_future().get() == Errc::Reset);
+    }
+}
+
+// Guards against a sender that waits for ever, with all that it holds, because its stream ended while the
+// flow control window was full.
+TEST_CASE("sending on a stream does not return when the stream ends")
+{
+    EchoServer echo;
+    PeerPool pool(echo.io_.get_executor(), credential, {});
+    std::promise<void> end;
+    auto task = [&]() -> asio::awaitable<void> {
+        // The server does not read from this stream.
+        wire::Frame frame;
+        frame.mutable_catalogue_fetch();
+        auto opened = co_await pool.open(echo.endpoint(), frame, callTimeout);
+        auto stream = opened.value();
+        asio::co_spawn(co_await asio::this_coro::executor, sendUntilEnd(stream), [&](const std::exception_ptr&) { end.set_value(); });
+        co_await sleepFor(milliseconds(100));
+        stream->cancel();
+    };
+    asio::co_spawn(asio::make_strand(echo.io_), task, asio::detached);
+    CHECK(end.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+}
