Gateway: the end of a carried connection during an upload is passed on as it was

A gateway that carries a connection for a peer reads and writes one socket.

A failed write now only ends the writing, and the rest of the request is discarded. The end is judged by the error of the write, as the forwarder does.

The error alone was not enough. The forwarder uses the same function.

The test needs bodies of 4 MB, so the deployment of the tests admits them.

The reset of the existing case "an answer that its server cuts short" was none: the destructor of a socket ignores the linger option and closes in order. The socket is now closed explicitly.

--- a/include/pistachioloom/Answers.h
+++ b/include/pistachioloom/Answers.h
@@ -125,10 +125,4 @@
     boost::beast::error_code error_;
 };
 
-/// Returns the error that ended a TCP connection when a read reports the end, or no error if the other
-/// end closed it in order. \p writeError is the error of the first failed write, if any. The kernel
-/// reports a reset once. If a write receives it, reads report an orderly end. The write receives
-/// broken_pipe only if an orderly end had arrived before the reset.
-boost::beast::error_code errorAtEnd(const boost::beast::error_code& writeError);
-
 } // namespace pistachioloom
--- a/lib/Answers/AnswerReader.cpp
+++ b/lib/Answers/AnswerReader.cpp
@@ -5,8 +5,6 @@
 //===----------------------------------------------------------------------===//
 #include "pistachioloom/Answers.h"
 
-#include <boost/asio/error.hpp>
-
 namespace pistachioloom {
 
 namespace beast = boost::beast;
@@ -143,9 +141,4 @@
     return Progress::Advanced;
 }
 
-beast::error_code errorAtEnd(const beast::error_code& writeError)
-{
-    return writeError == boost::asio::error::broken_pipe ? beast::error_code() : writeError;
-}
-
 } // namespace pistachioloom
--- a/lib/Forward/ConnectionPool.cpp
+++ b/lib/Forward/ConnectionPool.cpp
@@ -6,7 +6,6 @@
 #include "ConnectionPool.h"
 
 #include "Headers.h"
-#include "pistachioloom/Answers.h"
 
 #include <boost/algorithm/string.hpp>
 #include <sys/socket.h>
@@ -127,12 +126,6 @@
     return !socket_.available(ignored);
 }
 
-boost::system::error_code BackendConnection::errorAtEnd() const
-{
-    // A peer tells an orderly end from a reset itself, see RelayedConnection::receive_.
-    return relayed_ ? boost::system::error_code() : pistachioloom::errorAtEnd(writeError_);
-}
-
 /// Whether the socket is open and has no unread bytes. Unsolicited bytes belong to no
 /// request, so their connection cannot be reused.
 static bool isOpenWithoutData(asio::ip::tcp::socket& socket)
--- a/lib/Forward/ConnectionPool.h
+++ b/lib/Forward/ConnectionPool.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "AutoResetEvent.h"
+#include "pistachioloom/ConnectionEnd.h"
 #include "pistachioloom/Forward.h"
 
 #include <boost/asio/buffer.hpp>
@@ -42,10 +43,6 @@
     /// and its bytes arrive at the time at which it completes.
     bool isReceiveBufferEmpty() const;
 
-    /// Returns the error that ended the connection when a read reports the end, or no error if the
-    /// backend server closed it in order.
-    boost::system::error_code errorAtEnd() const;
-
     // NOLINTBEGIN(readability-identifier-naming): Asio requires these names of a stream.
     executor_type get_executor() { return socket_.get_executor(); }
 
@@ -89,10 +86,9 @@
     /// The time after which the connection is not used, as the server may be closing it.
     SteadyTime usableUntil_ {};
     bool isReused_ = false;
-    /// Whether the write of the request is still in progress.
-    bool isWriting_ = false;
-    /// Why the write of the request failed, if it did.
-    boost::system::error_code writeError_;
+    /// The write of the request. If it is still in progress or has failed, the connection cannot be
+    /// reused.
+    WriteState write_;
     /// The number of connections to the same backend server. This connection is counted
     /// until its destruction.
     std::shared_ptr<std::size_t> openCount_;
--- a/lib/Forward/Sending.cpp
+++ b/lib/Forward/Sending.cpp
@@ -198,10 +198,9 @@
     attempt.stopsAt_ = steadyNow() + timeLeft() - milliseconds(1);
     auto outgoing = std::make_shared<Outgoing>(Outgoing { renderRequestHead(attempt), shared_from_this() });
     std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoing->head_), asio::buffer(request_.body_) };
-    attempt.connection_->isWriting_ = true;
+    attempt.connection_->write_.isInProgress_ = true;
     asio::async_write(*attempt.connection_, buffers, [outgoing, connection = attempt.connection_](const beast::error_code& code, std::size_t) {
-        connection->isWriting_ = false;
-        connection->writeError_ = code;
+        connection->write_ = { false, code };
     });
 }
 
@@ -295,9 +294,11 @@
         if (isReceiveBufferEmpty)
             attempt.connection_->arrivedAt_ = steadyNow();
         if (code == asio::error::eof) {
-            // The handler of a failed write runs before that of the read, since one thread runs both
-            // in the order of their system calls.
-            auto error = attempt.connection_->errorAtEnd();
+            // A peer tells an orderly end from a reset itself, see RelayedConnection::receive_.
+            BackendConnectionPtr connection = attempt.connection_;
+            beast::error_code error;
+            if (!connection->relayed_)
+                error = co_await errorAtEnd(connection->socket_, connection->write_);
             co_return error ? error : reader.finish();
         }
         if (code)
@@ -557,7 +558,7 @@
 {
     BackendConnectionPtr connection = std::move(attempt.connection_);
     currentConnection_ = nullptr;
-    if (connection->relayed_ || !reader.message().keep_alive() || reader.endsWithConnection() || connection->isWriting_ || connection->writeError_ || connection->buffer_.size()) {
+    if (connection->relayed_ || !reader.message().keep_alive() || reader.endsWithConnection() || connection->write_.isInProgress_ || connection->write_.error_ || connection->buffer_.size()) {
         connection->close();
         return;
     }
--- a/lib/Gateway/BackendRelay.cpp
+++ b/lib/Gateway/BackendRelay.cpp
@@ -6,6 +6,7 @@
 #include "BackendRelay.h"
 
 #include "generated/Peer.pb.h"
+#include "pistachioloom/ConnectionEnd.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -68,44 +69,58 @@
         socket.close(ignored);
     }
 
+    /// A connection to a backend server that is carried for a peer.
+    struct CarriedConnection {
+        std::shared_ptr<tcp::socket> socket_;
+        std::shared_ptr<PeerStream> stream_;
+        WriteState write_;
+    };
+
     /// Copies what the backend server sends. An orderly close is passed on as one, since it ends
     /// an answer without a length; a reset is not.
-    asio::awaitable<void> copyFromBackend(std::shared_ptr<tcp::socket> socket, std::shared_ptr<PeerStream> stream)
+    asio::awaitable<void> copyFromBackend(std::shared_ptr<CarriedConnection> carried)
     {
         std::string buffer(copySize, '\0');
         for (;;) {
-            auto [code, count] = co_await socket->async_read_some(asio::buffer(buffer), asTuple);
-            if (code == asio::error::eof) {
-                stream->finish();
+            auto [code, count] = co_await carried->socket_->async_read_some(asio::buffer(buffer), asTuple);
+            boost::system::error_code error = code;
+            if (code == asio::error::eof)
+                error = co_await errorAtEnd(*carried->socket_, carried->write_);
+            if (code && !error) {
+                carried->stream_->finish();
                 co_return;
             }
-            if (code) {
-                stream->cancel();
+            if (error) {
+                carried->stream_->cancel();
                 co_return;
             }
             std::string bytes = buffer.substr(0, count);
-            auto sent = co_await sendBytes(stream, std::move(bytes));
+            auto sent = co_await sendBytes(carried->stream_, std::move(bytes));
             if (!sent) {
-                abortSocket(*socket);
+                abortSocket(*carried->socket_);
                 co_return;
             }
         }
     }
 
-    asio::awaitable<void> copyToBackend(std::shared_ptr<tcp::socket> socket, std::shared_ptr<PeerStream> stream)
+    asio::awaitable<void> copyToBackend(std::shared_ptr<CarriedConnection> carried)
     {
         for (;;) {
-            auto bytes = co_await receiveBytes(stream);
+            auto bytes = co_await receiveBytes(carried->stream_);
             if (!bytes)
                 break;
-            auto [code, count] = co_await asio::async_write(*socket, asio::buffer(bytes.value()), asTuple);
-            if (code)
-                break;
+            // A backend server may answer, and close, without reading the whole request. Its answer
+            // may still have to be copied, so the rest of the request is received and discarded.
+            if (carried->write_.error_)
+                continue;
+            carried->write_.isInProgress_ = true;
+            auto [code, count] = co_await asio::async_write(*carried->socket_, asio::buffer(bytes.value()), asTuple);
+            carried->write_ = { false, code };
         }
         // The requesting node has ended the connection, or the link to it is lost: the backend
         // server must not go on with the request.
-        abortSocket(*socket);
-        stream->cancel();
+        abortSocket(*carried->socket_);
+        carried->stream_->cancel();
     }
 
 } // namespace
@@ -245,8 +260,9 @@
     opened.mutable_ack();
     auto sent = co_await stream->send(opened);
     if (sent) {
-        asio::co_spawn(socket->get_executor(), copyFromBackend(socket, stream), asio::detached);
-        co_await copyToBackend(socket, stream);
+        auto carried = std::make_shared<CarriedConnection>(CarriedConnection { socket, stream, {} });
+        asio::co_spawn(socket->get_executor(), copyFromBackend(carried), asio::detached);
+        co_await copyToBackend(carried);
     } else
         abortSocket(*socket);
     --carried_;
--- a/lib/Http/Connect.cpp
+++ b/lib/Http/Connect.cpp
@@ -1,11 +1,12 @@
-//===- lib/Http/Connect.cpp - connections with a time limit ---------------===//
+//===- lib/Http/Connect.cpp - beginning and end of connections -------------===//
 ///
 /// \file
-/// Implements connectWithin() and tryConnection().
+/// Implements connectWithin(), tryConnection() and errorAtEnd().
 //===----------------------------------------------------------------------===//
-#include "pistachioloom/Http.h"
+#include "pistachioloom/ConnectionEnd.h"
 
 #include <boost/asio.hpp>
+#include <netinet/tcp.h>
 
 namespace pistachioloom {
 
@@ -60,4 +61,23 @@
     co_return connected ? boost::system::error_code() : connected.error();
 }
 
+/// Whether the kernel has ended the connection, after a reset for example. A write then fails at once.
+static bool isEnded(tcp::socket& socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return !::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) && info.tcpi_state == TCP_CLOSE;
+}
+
+asio::awaitable<boost::system::error_code> errorAtEnd(tcp::socket& socket, const WriteState& write)
+{
+    // The handler of a write that has received the reset may run after that of the read.
+    while (write.isInProgress_ && isEnded(socket))
+        co_await sleepFor(milliseconds(1));
+    if (!socket.is_open())
+        co_return asio::error::operation_aborted;
+    // A write receives broken_pipe only if an orderly end had arrived before the reset.
+    co_return write.error_ == asio::error::broken_pipe ? boost::system::error_code() : write.error_;
+}
+
 } // namespace pistachioloom
--- a/test/CutAnswersTest.cpp
+++ b/test/CutAnswersTest.cpp
@@ -21,6 +21,52 @@
 // An address that refuses connections.
 constexpr const char* closedAddress = "127.0.0.1:1";
 constexpr milliseconds hold { 6000 };
+// Fills the sockets and the flow control windows on the way, so that the request is still being written
+// when its answer arrives. Below the default limit of a body.
+constexpr std::size_t uploadSize = 4UL * 1000 * 1000;
+constexpr std::size_t readSize = 64UL * 1024;
+
+/// How a server ends its connection after a part of the request and a part of the answer.
+enum class ServerEnd {
+    Reset,
+    /// A reset after a pause.
+    ResetLater,
+    /// The rest of the request is read.
+    CloseAfterRequest,
+    /// The rest of the request is answered by a reset, which arrives after the end of the answer.
+    CloseWithoutReading,
+    /// As above, after a pause.
+    CloseWithoutReadingLater,
+};
+
+/// Closes \p socket with a reset. Only an explicit close does, since the destructor of a socket ignores
+/// the option.
+void resetSocket(tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+bool isOrderly(ServerEnd end)
+{
+    return end != ServerEnd::Reset && end != ServerEnd::ResetLater;
+}
+
+asio::awaitable<void> endConnection(tcp::socket& socket, ServerEnd end)
+{
+    boost::system::error_code ignored;
+    if (isOrderly(end))
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+    if (end == ServerEnd::ResetLater || end == ServerEnd::CloseWithoutReadingLater)
+        co_await sleepFor(milliseconds(5));
+    std::string rest(readSize, '\0');
+    for (bool isOpen = end == ServerEnd::CloseAfterRequest; isOpen;) {
+        auto [code, count] = co_await socket.async_read_some(asio::buffer(rest), asTuple);
+        isOpen = !code;
+    }
+    resetSocket(socket);
+}
 
 std::string okHead(const std::string& request)
 {
@@ -93,10 +139,8 @@
         fullSize = bytes.size();
         bytes.resize(std::min(bytes.size(), size.load()));
         (void)co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
-        if (isReset) {
-            boost::system::error_code ignored;
-            socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        }
+        if (isReset)
+            resetSocket(socket);
     });
     deployment.waitForRelay("/once/x");
     for (; size < fullSize; size += 3) {
@@ -108,6 +152,37 @@
     CHECK(deployment->metric(deployment->gateways()[0], "connections_relayed_total") >= static_cast<double>(calls));
 }
 
+// Guards against an answer that is reset and passes for the whole one, and against one that is whole and
+// gets lost, because writing the request fails at the gateway that carries the connection.
+TEST_CASE("an answer that ends during the upload is taken for another one through a peer", "[gateway]")
+{
+    constexpr int repetitions = 40;
+    auto path = GENERATE(values<std::string>({ "/once/x", "/draft/x" }));
+    std::atomic<ServerEnd> end { ServerEnd::Reset };
+    ScriptedDeployment deployment(2, path == "/draft/x" ? "engines" : "plain", [&](tcp::socket& socket, const std::string& request) -> asio::awaitable<void> {
+        if (headerIn(request, "X-Pistachioloom-Attempt-Id") == "probe")
+            co_return;
+        std::string bytes = okHead(request) + "\r\nid: 1\ndata: first\n\n";
+        (void)co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
+        co_await endConnection(socket, end);
+    });
+    deployment.waitForRelay(path);
+    for (ServerEnd tested : { ServerEnd::Reset, ServerEnd::ResetLater, ServerEnd::CloseAfterRequest, ServerEnd::CloseWithoutReading, ServerEnd::CloseWithoutReadingLater }) {
+        end = tested;
+        int complete = 0;
+        std::string latest;
+        for (int i = 0; i < repetitions; ++i) {
+            HttpRequest request = gatewayRequest("POST", path, "a" + std::to_string(i));
+            request.body_ = std::string(uploadSize, 'u');
+            HttpResponse answer = deployment->call(deployment->gateways()[0], request);
+            complete += answer.status_ == 200 && answer.body_ == "id: 1\ndata: first\n\n";
+            latest = std::to_string(answer.status_) + " " + answer.body_;
+        }
+        CAPTURE(path, tested, latest);
+        CHECK(complete == (isOrderly(tested) ? repetitions : 0));
+    }
+}
+
 // Guards against an answer without a length that ends with the gateway that carries its connection, as if
 // the server had ended it.
 TEST_CASE("an answer without a length is whole when the gateway that carries it ends", "[gateway]")
--- a/test/Platform/GatewayDeployment.cpp
+++ b/test/Platform/GatewayDeployment.cpp
@@ -159,7 +159,7 @@
 {
     std::string text = "{\"version\":" + std::to_string(version) + ",\"routes\":" + routesText(extraRoutes)
         + R"(,"services":[{"name":"plain","max_conns":)" + std::to_string(connections) + R"(},{"name":"engines","max_conns":)" + std::to_string(connections) + R"(,"engine":{"slot_count":8,"kv_tokens":100000,"stride":1,"moves":true},"scale":{"min_count":1,"max_count":4,"boot_s":1,"spot_price":0.2,"zone_prices":{"a":1.0}}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":2000,"idle_timeout_ms":)"
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":2000,"idle_timeout_ms":)"
         + std::to_string(idle.count()) + R"(},
 "tenants":[{"name":"north","api_keys":["key-north"],"rate_per_s":100000,"burst_max":100000},{"name":"small","api_keys":["key-small"],"rate_per_s":0.5,"burst_max":1}]})";
     json::object entry { { "topic", "keyed.op" }, { "key", "config" }, { "value", text } };
