--- a/unittests/Forward/ForwardFixture.h
+++ b/unittests/Forward/ForwardFixture.h
@@ -74,6 +74,8 @@
     /// Runs the worker and the servers for \p time without a caller.
     void runFor(milliseconds time);
     ForwardWorker& worker() { return worker_; }
+    /// The port on which the worker listens for callers.
+    std::uint16_t port() const { return port_; }
 
 private:
     asio::awaitable<void> accept(asio::ip::tcp::acceptor& acceptor, int server);
--- a/unittests/Forward/ResetDuringUploadTest.cpp
+++ b/unittests/Forward/ResetDuringUploadTest.cpp
@@ -83,3 +83,25 @@
     CHECK(worker.requests() == repetitions);
     CHECK(complete == (isOrderly(end) ? repetitions : 0));
 }
+
+// Guards against a part of a caller's body that is sent as the whole one.
+TEST_CASE("a request whose upload its caller ends early is sent to a server", "[forward]")
+{
+    auto part = GENERATE(values<std::string>({ "Content-Length: 8\r\n\r\n", "Content-Length: 8\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n8\r\npart",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "Expect: 100-continue\r\nContent-Length: 8\r\n\r\npart" }));
+    bool isReset = GENERATE(false, true);
+    CAPTURE(part, isReset);
+    ScriptedWorker worker(routeOfTests(), 1, [](tcp::socket&, const ReceivedRequest&) -> asio::awaitable<bool> { co_return false; });
+    asio::io_context io;
+    tcp::socket caller(io);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), worker.port() });
+    asio::write(caller, asio::buffer("POST /x HTTP/1.1\r\nHost: h\r\nAttempt: a1\r\n" + part));
+    worker.runFor(milliseconds(20));
+    if (isReset)
+        resetSocket(caller);
+    else
+        caller.shutdown(tcp::socket::shutdown_send);
+    worker.runFor(milliseconds(50));
+    CHECK(worker.requests() == 0);
+    CHECK(worker.count(Counter::Attempts) == 0);
+}
--- a/unittests/Http/ClientTest.cpp
+++ b/unittests/Http/ClientTest.cpp
@@ -55,6 +55,33 @@
     }
 }
 
+/// How a server ends an answer that is incomplete.
+enum class AnswerEnd {
+    /// The server reads no more, and closes in order.
+    Close,
+    Reset,
+    /// The connection stays open until the caller's time limit.
+    Open,
+};
+
+/// Answers one connection with \p bytes after the head of the request, without reading its body.
+asio::awaitable<void> answerAndEnd(std::shared_ptr<tcp::acceptor> acceptor, std::string bytes, AnswerEnd end)
+{
+    auto socket = co_await acceptor->async_accept(asio::use_awaitable);
+    std::string request;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+    if (end == AnswerEnd::Reset) {
+        // Only an explicit close resets the connection. The destructor of a socket ignores the option.
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+        co_return;
+    }
+    if (end == AnswerEnd::Close)
+        socket.shutdown(tcp::socket::shutdown_send);
+    co_await sleepFor(2 * timeout);
+}
+
 } // namespace
 
 TEST_CASE("a call ends in bounded time if the body trickles", "[http]")
@@ -231,3 +258,45 @@
     CHECK(response->error().code_ == Errc::Reset);
     CHECK(response->error().ran_ == Ran::Unknown);
 }
+
+// Guards against a part of an answer that is taken as the whole one. Only an orderly close ends an answer
+// without a length. A call that cannot write its whole request fails.
+TEST_CASE("a call takes a part of an answer as the whole one", "[http]")
+{
+    struct Row {
+        const char* name_;
+        std::string bytes_;
+        bool endsWithConnection_;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    auto row = GENERATE_COPY(values<Row>({
+        { "length, after the head", ok + "Content-Length: 8\r\n\r\n", false },
+        { "length, within the body", ok + "Content-Length: 8\r\n\r\npart", false },
+        { "chunks, after the head", chunked, false },
+        { "chunks, within a chunk", chunked + "8\r\npart", false },
+        { "chunks, after a chunk", chunked + "4\r\npart\r\n", false },
+        { "no length, within the head", ok, false },
+        { "no length, after the head", ok + "\r\n", true },
+        { "no length, within the body", ok + "\r\npart", true },
+    }));
+    auto end = GENERATE(AnswerEnd::Close, AnswerEnd::Reset, AnswerEnd::Open);
+    // A request of 16 MB is still being written when the connection ends.
+    std::size_t uploadSize = GENERATE(0UL, 16UL * 1024 * 1024);
+    if (uploadSize && end == AnswerEnd::Open)
+        return;
+    CAPTURE(row.name_, end, uploadSize);
+    asio::io_context io;
+    auto acceptor = std::make_shared<tcp::acceptor>(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Endpoint server { "127.0.0.1", acceptor->local_endpoint().port() };
+    asio::co_spawn(io, answerAndEnd(acceptor, row.bytes_, end), asio::detached);
+    std::optional<Result<HttpResponse>> response;
+    auto call = [&]() -> asio::awaitable<void> {
+        HttpRequest request { "POST", "/", {}, std::string(uploadSize, 'u') };
+        response = co_await callHttp(server, std::move(request), timeout);
+    };
+    asio::co_spawn(io, call, [&](const std::exception_ptr&) { io.stop(); });
+    io.run_for(10 * timeout);
+    REQUIRE(response);
+    CHECK(response->has_value() == (row.endsWithConnection_ && end == AnswerEnd::Close && !uploadSize));
+}
