--- a/include/pistachioloom/Http.h
+++ b/include/pistachioloom/Http.h
@@ -185,6 +185,18 @@
 /// \returns the error of the attempt as connectWithin() does.
 asio::awaitable<boost::system::error_code> tryConnection(Endpoint endpoint, milliseconds timeout);
 
+/// The write on a connection whose other end may answer before it has read everything.
+struct WriteState {
+    bool isInProgress_ = false;
+    /// Why the write failed, if it did.
+    boost::system::error_code error_;
+};
+
+/// Returns the error that ended the connection of \p socket when a read reports the end, or no error if
+/// the other end closed it in order. The kernel reports a reset once: if a write receives it, the reads that
+/// follow report an orderly end. Waits for the write if it is about to fail.
+asio::awaitable<boost::system::error_code> errorAtEnd(asio::ip::tcp::socket& socket, const WriteState& write);
+
 /// Returns the `Keep-Alive` header of a connection that closes after \p idle without a
 /// request: four fifths of \p idle in whole seconds, or an empty string below 1 s. A request
 /// that is sent within this time still arrives before the close if the network and queues
--- a/lib/Forward/ConnectionPool.h
+++ b/lib/Forward/ConnectionPool.h
@@ -7,8 +7,8 @@
 #pragma once
 
 #include "AutoResetEvent.h"
-#include "pistachioloom/ConnectionEnd.h"
 #include "pistachioloom/Forward.h"
+#include "pistachioloom/Http.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/lib/Gateway/BackendRelay.cpp
+++ b/lib/Gateway/BackendRelay.cpp
@@ -6,7 +6,7 @@
 #include "BackendRelay.h"
 
 #include "generated/Peer.pb.h"
-#include "pistachioloom/ConnectionEnd.h"
+#include "pistachioloom/Http.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
--- a/lib/Http/Connect.cpp
+++ b/lib/Http/Connect.cpp
@@ -3,7 +3,7 @@
 /// \file
 /// Implements connectWithin(), tryConnection() and errorAtEnd().
 //===----------------------------------------------------------------------===//
-#include "pistachioloom/ConnectionEnd.h"
+#include "pistachioloom/Http.h"
 
 #include <boost/asio.hpp>
 #include <netinet/tcp.h>
