--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -444,7 +444,7 @@
     for (int caller = 0; caller < callerCount; ++caller) {
         callers.emplace_back([&, caller] {
             for (int i = 0; timeSince(startedAt) < seriesTime; ++i)
-                callUntilServed("c" + std::to_string(caller) + "-" + std::to_string(i), static_cast<std::size_t>(caller + i));
+                callUntilServed("c" + std::to_string(caller) + "-" + std::to_string(i), static_cast<std::size_t>(caller) + static_cast<std::size_t>(i));
         });
     }
     for (std::size_t i = 0; i + 1 < gatewayCount; ++i) {
