Tests: the ports of crashed servers stay bound

The port had become free, and a process of another test in the same ctest run had got it.

A crashed stand-in server and its proxy keep their ports bound without listening, so that connections are refused and no other process gets the port (checked with sockets: bind to any port of a range of this one port fails, connect is refused).

--- a/test/Platform/Soak/FaultProxy.cpp
+++ b/test/Platform/Soak/FaultProxy.cpp
@@ -111,8 +111,7 @@
                 continue;
             // The server process has ended, so the proxy stops listening as well. With a
             // mere link fault the server still listens.
-            boost::system::error_code ignored;
-            acceptor_.close(ignored);
+            stopListening();
             co_return;
         }
         links_.insert(link);
@@ -121,6 +120,17 @@
     }
 }
 
+/// Refuses connections from now on. The port stays bound, so that no other process gets it.
+void FaultProxy::stopListening()
+{
+    boost::system::error_code ignored;
+    tcp::endpoint address = acceptor_.local_endpoint(ignored);
+    acceptor_.close(ignored);
+    acceptor_.open(address.protocol(), ignored);
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), ignored);
+    acceptor_.bind(address, ignored);
+}
+
 asio::awaitable<void> FaultProxy::forwardBytes(std::shared_ptr<Link> link, bool isToServer)
 {
     tcp::socket& from = isToServer ? link->client_ : link->server_;
--- a/test/Platform/Soak/FaultProxy.h
+++ b/test/Platform/Soak/FaultProxy.h
@@ -45,6 +45,7 @@
 private:
     struct Link;
     asio::awaitable<void> accept();
+    void stopListening();
     asio::awaitable<void> forwardBytes(std::shared_ptr<Link> link, bool isToServer);
     bool canForward(bool isToServer) const;
 
--- a/tools/standins/FleetStandin.cpp
+++ b/tools/standins/FleetStandin.cpp
@@ -128,6 +128,7 @@
     Backend(asio::io_context& io, std::string id, std::chrono::seconds idleTimeout)
         : id_(std::move(id))
         , announcedIdleTimeout_(idleTimeout)
+        , reservation_(io)
         , server_(
               io.get_executor(), HttpBounds { { 64UL * 1024 }, { 64UL * 1024 * 1024 }, idleTimeout.count() ? milliseconds(idleTimeout) : defaultIdleTimeout }, [this](HttpExchange& exchange) { return handle(exchange); }, errorResponse)
     {
@@ -145,6 +146,7 @@
     {
         isCrashed_ = true;
         server_.stopAccepting();
+        asio::post(reservation_.get_executor(), [this] { reservePort(); });
         for (HttpExchange* exchange : runningExchanges_)
             kind == CrashKind::Reset ? exchange->reset() : exchange->abort();
     }
@@ -215,6 +217,17 @@
         runningExchanges_.erase(&exchange);
     }
 
+    /// Keeps the port of a crashed server bound without listening, so that no other process gets it and
+    /// answers in its place.
+    void reservePort()
+    {
+        boost::system::error_code ignored;
+        asio::ip::tcp::endpoint address(asio::ip::make_address("127.0.0.1"), port_);
+        reservation_.open(address.protocol(), ignored);
+        reservation_.set_option(asio::socket_base::reuse_address(true), ignored);
+        reservation_.bind(address, ignored);
+    }
+
     bool isDown() const { return steadyNow() < downUntil_; }
 
     /// Whether a brittle server takes one more request. It rejects those beyond `brittle_slots`
@@ -393,6 +406,7 @@
 
     std::string id_;
     std::chrono::seconds announcedIdleTimeout_;
+    asio::ip::tcp::socket reservation_;
     bool isCrashed_ = false;
     BackendHooks hooks_;
     std::set<HttpExchange*> runningExchanges_;
